--- /dev/null
+++ b/src/board/blackboard.ts
@@ -0,0 +1,52 @@
+import { Counters } from "../core/counters.ts";
+import { type ClaimsSection, createClaimsSection } from "./claims_section.ts";
+import { type ConfigSection, createConfigSection } from "./config_section.ts";
+import {
+  createMembersSection,
+  type MembersSection,
+} from "./members_section.ts";
+import {
+  createPlacementSection,
+  type PlacementSection,
+} from "./placement_section.ts";
+import {
+  createQuarantineSection,
+  type QuarantineSection,
+} from "./quarantine_section.ts";
+import {
+  createRequestsSection,
+  type RequestsSection,
+} from "./requests_section.ts";
+import type { Self } from "./self.ts";
+import {
+  createUpstreamsSection,
+  type UpstreamsSection,
+} from "./upstreams_section.ts";
+
+/** The one place for a daemon's state; each section has exactly one writer. */
+export type Blackboard = Readonly<{
+  self: Self;
+  config: ConfigSection;
+  members: MembersSection;
+  upstreams: UpstreamsSection;
+  requests: RequestsSection;
+  placement: PlacementSection;
+  claims: ClaimsSection;
+  quarantine: QuarantineSection;
+  counters: Counters;
+}>;
+
+/** Builds the board of a daemon that has just started. */
+export function createBlackboard(self: Self): Blackboard {
+  return {
+    self,
+    config: createConfigSection(),
+    members: createMembersSection(self.id),
+    upstreams: createUpstreamsSection(),
+    requests: createRequestsSection(),
+    placement: createPlacementSection(),
+    claims: createClaimsSection(),
+    quarantine: createQuarantineSection(),
+    counters: Counters.create(),
+  };
+}
--- /dev/null
+++ b/src/board/claims_section.ts
@@ -0,0 +1,22 @@
+import type { RequestId } from "../core/id.ts";
+import type { Problem } from "../core/problem.ts";
+
+/** What the log says about the key of a request that waits for its claim. */
+export type ClaimResult =
+  /** This request alone may run the call. */
+  | Readonly<{ type: "held" }>
+  /** The call has run; its recorded answer. */
+  | Readonly<{ type: "recorded"; status: number; body: string }>
+  | Readonly<{ type: "refused"; problem: Problem }>;
+
+/** Claims on idempotency keys; written by `ClaimController`. */
+export type ClaimsSection = {
+  results: Map<RequestId, ClaimResult>;
+  /** Whether the whole key window has been read. */
+  caughtUp: boolean;
+};
+
+/** A daemon's view before it has read any claim. */
+export function createClaimsSection(): ClaimsSection {
+  return { results: new Map(), caughtUp: false };
+}
--- /dev/null
+++ b/src/board/requests_section.ts
@@ -0,0 +1,35 @@
+import type { RequestId, UpstreamId } from "../core/id.ts";
+import type { Attempt, RanUnder, Request, Weights } from "../core/request.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { Verdict } from "../core/verdict.ts";
+
+/** How far a request is: waiting for a claim, for a place, or running. */
+export type RequestState = "claiming" | "placing" | "running";
+
+/** A request that was admitted and has not ended. */
+export type RequestEntry = {
+  readonly req: Request;
+  readonly ranUnder: RanUnder;
+  readonly weights?: Weights;
+  state: RequestState;
+  attempt: Attempt | undefined;
+  attempts: number;
+  /** Grows each time a place is asked for. */
+  round: number;
+  /** Upstreams that have failed this request. */
+  excluded: UpstreamId[];
+  /** Tokens that the client has received. */
+  tokens: number;
+  /** All earlier attempts taken together. */
+  verdict: Verdict;
+  /** No place is asked for before this time. */
+  retryAt?: Timestamp;
+};
+
+/** Requests that this daemon is answering; written by `RequestController`. */
+export type RequestsSection = { byId: Map<RequestId, RequestEntry> };
+
+/** A daemon's view at its start. */
+export function createRequestsSection(): RequestsSection {
+  return { byId: new Map() };
+}
--- /dev/null
+++ b/src/board/self.ts
@@ -0,0 +1,14 @@
+import type { DaemonId, DomainId, VmId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+
+/** What a daemon knows about itself from its settings; never changes. */
+export type Self = Readonly<{
+  id: DaemonId;
+  vm: VmId;
+  domain: DomainId;
+  /** `host:port` where clients connect. */
+  clientAddress: string;
+  /** `host:port` where other daemons connect. */
+  peerAddress: string;
+  startedAt: Timestamp;
+}>;
--- /dev/null
+++ b/src/core/counters.ts
@@ -0,0 +1,66 @@
+import { type Refusal, REFUSALS, type Retry, RetrySchema } from "./reason.ts";
+
+/** Names of the counters beside those of refusals and retries. */
+export const COUNTERS = [
+  "requests_admitted",
+  "requests_finished",
+  "requests_failed",
+  "answers_late",
+  "answers_crossed",
+  "answers_doubled",
+  "peer_messages_dropped",
+  "log_records_ignored",
+  "claims_won",
+  "claims_lost",
+  "placements_local",
+  "placements_shared",
+  "orders_sent",
+  "orders_stale",
+  "upstreams_crashed",
+  "requests_quarantined",
+  "reservations_reclaimed",
+] as const;
+
+/** A counter beside those of refusals and retries. */
+export type CounterName = (typeof COUNTERS)[number];
+
+/** What a daemon has counted since its start. */
+export class Counters {
+  readonly refused: Record<Refusal, number>;
+  readonly retried: Record<Retry, number>;
+  readonly counted: Record<CounterName, number>;
+
+  private constructor() {
+    this.refused = zeros(Object.keys(REFUSALS) as Refusal[]);
+    this.retried = zeros(RetrySchema.options);
+    this.counted = zeros(COUNTERS);
+  }
+
+  static create(): Counters {
+    return new Counters();
+  }
+
+  /** Counts a refusal or failure by its reason. */
+  refuse(reason: Refusal): void {
+    this.refused[reason] += 1;
+  }
+
+  /** Counts another try by its reason. */
+  retry(reason: Retry): void {
+    this.retried[reason] += 1;
+  }
+
+  /** Adds to a counter. */
+  add(name: CounterName, amount = 1): void {
+    this.counted[name] += amount;
+  }
+}
+
+function zeros<Name extends string>(
+  names: readonly Name[],
+): Record<Name, number> {
+  return Object.fromEntries(names.map((name) => [name, 0])) as Record<
+    Name,
+    number
+  >;
+}
--- /dev/null
+++ b/src/core/step_context.ts
@@ -0,0 +1,19 @@
+import type { Counters } from "./counters.ts";
+import type { Event } from "./event.ts";
+import type { Intent } from "./intent.ts";
+import type { Random } from "./random.ts";
+import type { Timestamp } from "./time.ts";
+
+/** What a controller gets beside the blackboard in one step. */
+export type StepContext = Readonly<{
+  now: Timestamp;
+  /** The events of this step; empty in the repeat passes of the same step. */
+  events: readonly Event[];
+  random: Random;
+  counters: Counters;
+  emit: (intent: Intent) => void;
+  /** Asks for one more pass over all controllers in this step. */
+  repeat: () => void;
+  /** Asks for a step at this time at the latest. */
+  wakeAt: (time: Timestamp) => void;
+}>;
--- /dev/null
+++ b/src/core/time.ts
@@ -0,0 +1,25 @@
+import type { Branded } from "./brand.ts";
+
+/** Milliseconds since the Unix epoch, by the injected clock. */
+export type Timestamp = Branded<number, "Timestamp">;
+/** A length of time in milliseconds. */
+export type Millis = number;
+
+export const SECOND_MS: Millis = 1_000;
+export const MINUTE_MS: Millis = 60 * SECOND_MS;
+export const HOUR_MS: Millis = 60 * MINUTE_MS;
+
+/** Returns the time `ms` after `time`. */
+export function addMs(time: Timestamp, ms: Millis): Timestamp {
+  return (time + ms) as Timestamp;
+}
+
+/** Returns the earlier of two times, of which either may be missing. */
+export function earliest(
+  a: Timestamp | undefined,
+  b: Timestamp | undefined,
+): Timestamp | undefined {
+  if (a === undefined) return b;
+  if (b === undefined) return a;
+  return a < b ? a : b;
+}
--- /dev/null
+++ b/src/core/verdict.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+
+/** Whether a request may have run at an upstream. */
+export const VerdictSchema = z.enum(["not_run", "may_have_run", "ran"]);
+/** Whether a request may have run at an upstream. */
+export type Verdict = z.infer<typeof VerdictSchema>;
+
+/** Joins the verdicts of two tries of one request; certainty never grows. */
+export function joinVerdicts(a: Verdict, b: Verdict): Verdict {
+  if (a === "ran" || b === "ran") return "ran";
+  if (a === "may_have_run" || b === "may_have_run") return "may_have_run";
+  return "not_run";
+}
--- /dev/null
+++ b/src/engine/engine_client.ts
@@ -0,0 +1,85 @@
+import type { ResultAsync } from "neverthrow";
+import type { AttemptId, PlanId } from "../core/id.ts";
+import type { Millis } from "../core/time.ts";
+import type { Verdict } from "../core/verdict.ts";
+import type {
+  CacheEvent,
+  EngineEvent,
+  EngineOrder,
+  EngineRefusal,
+  EngineState,
+  GenerateHead,
+  LoadReport,
+  Reservation,
+} from "../wire/engine.ts";
+
+/** Why a call of an engine failed. */
+export type EngineError =
+  /** The engine refused before it started. */
+  | Readonly<
+    {
+      code: "refused";
+      verdict: "not_run";
+      refusal: EngineRefusal;
+      retryAfterMs?: Millis;
+    }
+  >
+  /** No connection was made; no byte was sent. */
+  | Readonly<{ code: "connect_failed"; verdict: "not_run"; detail: string }>
+  /** The connection broke after a byte may have been sent. */
+  | Readonly<{ code: "broken"; verdict: Verdict; detail: string }>
+  /** Nothing came for too long. */
+  | Readonly<{ code: "silent"; verdict: Verdict; detail: string }>
+  /** What came is not what the contract says. */
+  | Readonly<{ code: "malformed"; verdict: Verdict; detail: string }>
+  /** The stream ended without its final event. */
+  | Readonly<{ code: "truncated"; verdict: Verdict; detail: string }>;
+
+/** A running answer; `events` ends with an error item where the stream broke. */
+export type EngineStream = Readonly<{
+  events: AsyncIterable<
+    | Readonly<{ ok: true; event: EngineEvent }>
+    | Readonly<{ ok: false; err: EngineError }>
+  >;
+  /** Drops the connection; the engine's work goes on until `cancel`. */
+  close: () => void;
+}>;
+
+/** A prompt's text as chunks of UTF-8, not copied. */
+export type PromptBody = readonly Uint8Array[];
+
+/** One model engine. */
+export abstract class EngineClient {
+  /** Starts an answer; resolves once the engine has accepted or refused. */
+  abstract generate(
+    head: GenerateHead,
+    prompt: PromptBody,
+    options: { silenceMs: Millis },
+  ): ResultAsync<EngineStream, EngineError>;
+
+  /** Reattaches to a running or finished answer after `after` tokens. */
+  abstract resume(
+    attempt: AttemptId,
+    after: number,
+    options: { silenceMs: Millis },
+  ): ResultAsync<EngineStream, EngineError>;
+
+  /** Ends an attempt and frees its memory; doing it twice is harmless. */
+  abstract cancel(attempt: AttemptId): ResultAsync<void, EngineError>;
+
+  abstract load(): ResultAsync<LoadReport, EngineError>;
+  abstract state(): ResultAsync<EngineState, EngineError>;
+  /** Cache events after a sequence number. */
+  abstract cacheEvents(
+    after: number,
+  ): ResultAsync<readonly CacheEvent[], EngineError>;
+  abstract order(order: EngineOrder): ResultAsync<void, EngineError>;
+  abstract reserve(
+    plan: PlanId,
+    reservation: Reservation,
+  ): ResultAsync<void, EngineError>;
+  abstract release(plan: PlanId): ResultAsync<void, EngineError>;
+  /** Copies a plan's or attempt's KV cache from another engine, given as `host:port`. */
+  abstract importKv(plan: PlanId, from: string): ResultAsync<void, EngineError>;
+  abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/src/wire/engine.ts
@@ -0,0 +1,188 @@
+import { z } from "zod";
+import type {
+  AdapterId,
+  AttemptId,
+  Digest,
+  FencingNumber,
+  Incarnation,
+  ModelId,
+  PlanId,
+  RequestId,
+  VersionId,
+} from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { countSchema, idSchema } from "./brands.ts";
+
+/** Tokens in one block of an engine's prefix cache. */
+export const BLOCK_TOKENS = 256;
+/** Bytes of UTF-8 text that count as one token. */
+export const BYTES_PER_TOKEN = 4;
+
+const whole = z.number().int().nonnegative();
+
+/** A loaded model version with its adapters. */
+export const LoadedSchema = z.object({
+  model: idSchema<ModelId>(),
+  version: idSchema<VersionId>(),
+  adapters: z.array(idSchema<AdapterId>()),
+}).readonly();
+/** A loaded model version with its adapters. */
+export type Loaded = z.infer<typeof LoadedSchema>;
+
+/** What an engine is for: `mixed` takes all prompts. */
+export const RoleSchema = z.enum(["mixed", "prefill", "decode"]);
+/** What an engine is for. */
+export type Role = z.infer<typeof RoleSchema>;
+
+/** Answer to `GET /v1/load`: the newest report that has become visible. */
+export const LoadReportSchema = z.object({
+  incarnation: idSchema<Incarnation>(),
+  /** When the engine measured it. */
+  at: countSchema<Timestamp>(),
+  running: whole,
+  waiting: whole,
+  decoding: whole,
+  /** Prompt tokens that running and waiting prompts have still to prefill. */
+  prefill_tokens: whole,
+  kv_capacity_tokens: whole,
+  /** Tokens neither used by prompts, nor reserved, nor imported; cached prefixes count as free. */
+  kv_free_tokens: whole,
+  loaded: z.array(LoadedSchema),
+  role: RoleSchema,
+  leaving: z.boolean(),
+}).readonly();
+/** An engine's load, some time ago. */
+export type LoadReport = z.infer<typeof LoadReportSchema>;
+
+/** One change of an engine's prefix cache; `seq` grows by one, so a gap shows. */
+export const CacheEventSchema = z.object({
+  seq: whole,
+  at: countSchema<Timestamp>(),
+  type: z.enum(["stored", "evicted", "cleared"]),
+  blocks: z.array(idSchema<Digest>()),
+}).readonly();
+/** One change of an engine's prefix cache. */
+export type CacheEvent = z.infer<typeof CacheEventSchema>;
+
+/** Answer to `GET /v1/cache_events?after=`. */
+export const CacheEventsSchema = z.object({
+  incarnation: idSchema<Incarnation>(),
+  events: z.array(CacheEventSchema),
+});
+
+/** Answer to `GET /v1/state`: what is loaded now, without lag. */
+export const EngineStateSchema = z.object({
+  incarnation: idSchema<Incarnation>(),
+  loaded: z.array(LoadedSchema),
+  loading: z.array(LoadedSchema),
+  role: RoleSchema,
+  /** Highest fencing number taken; absent on engines that ignore them. */
+  fencing: countSchema<FencingNumber>().optional(),
+  leaving: z.boolean(),
+}).readonly();
+/** What an engine has loaded now. */
+export type EngineState = z.infer<typeof EngineStateSchema>;
+
+/** Body of `POST /v1/orders`: the whole desired state. Status 409 `stale_fencing` refuses an old number. */
+export const EngineOrderSchema = z.object({
+  fencing: countSchema<FencingNumber>(),
+  loaded: z.array(LoadedSchema),
+  role: RoleSchema,
+}).readonly();
+/** The whole desired state of an engine. */
+export type EngineOrder = z.infer<typeof EngineOrderSchema>;
+
+/**
+ * Head of `POST /v1/generate`. The body is this JSON on one line, then the prompt as raw UTF-8 to the end.
+ * Raw, so that a million tokens pass without being quoted and copied.
+ */
+export const GenerateHeadSchema = z.object({
+  request: idSchema<RequestId>(),
+  attempt: idSchema<AttemptId>(),
+  model: idSchema<ModelId>(),
+  version: idSchema<VersionId>(),
+  adapter: idSchema<AdapterId>().optional(),
+  max_tokens: whole,
+  /** Lower runs first. */
+  priority: z.number().int(),
+  /** Milliseconds that are left; the engine drops the work afterwards. */
+  deadline_ms: whole,
+  /** Answer text already delivered; generation goes on after it, and `index` starts at its count. */
+  answered: z.object({ text: z.string(), count: whole }).optional(),
+  /** This engine's part of a plan; `last` decodes. Without it the prompt runs here alone. */
+  segment: z.object({
+    plan: idSchema<PlanId>(),
+    from: whole,
+    to: whole,
+    last: z.boolean(),
+    /** Tokens of the whole prompt. */
+    total: whole,
+  }).optional(),
+}).readonly();
+/** Head of a generate request. */
+export type GenerateHead = z.infer<typeof GenerateHeadSchema>;
+
+/**
+ * One server-sent event of `POST /v1/generate` and of `GET /v1/streams/{attempt}?after=`.
+ * A stream without a `done` event is not an answer.
+ */
+export const EngineEventSchema = z.discriminatedUnion("type", [
+  z.object({
+    type: z.literal("token"),
+    request: idSchema<RequestId>(),
+    attempt: idSchema<AttemptId>(),
+    index: whole,
+    text: z.string(),
+  }),
+  z.object({
+    type: z.literal("done"),
+    request: idSchema<RequestId>(),
+    attempt: idSchema<AttemptId>(),
+    /** Number of tokens of the whole answer. */
+    count: whole,
+    finish: z.enum(["stop", "length", "cancelled", "segment"]),
+    model: idSchema<ModelId>(),
+    version: idSchema<VersionId>(),
+    adapter: idSchema<AdapterId>().optional(),
+    prompt_tokens: whole,
+    cached_tokens: whole,
+  }),
+  z.object({
+    type: z.literal("error"),
+    request: idSchema<RequestId>(),
+    attempt: idSchema<AttemptId>(),
+    code: z.enum(["deadline", "no_memory", "plan_broken", "internal"]),
+  }),
+]);
+/** One event of an engine's answer. */
+export type EngineEvent = z.infer<typeof EngineEventSchema>;
+
+/** Body of every refusal of an engine (4xx, 5xx): nothing was run. */
+export const EngineRefusalSchema = z.object({
+  code: z.enum([
+    "bad_request",
+    "not_loaded",
+    "too_long",
+    "queue_full",
+    "leaving",
+    "stale_fencing",
+    "no_memory",
+    "unknown_stream",
+    "unknown_plan",
+  ]),
+  detail: z.string(),
+});
+/** Refusal of an engine. */
+export type EngineRefusal = z.infer<typeof EngineRefusalSchema>;
+
+/**
+ * Body of `PUT /v1/reservations/{plan}`: memory for one plan. Repeating it renews the time limit;
+ * after `ttl_ms` without renewal the engine frees the memory and whatever ran in it.
+ */
+export const ReservationSchema = z.object({
+  owner: z.string(),
+  tokens: whole,
+  ttl_ms: whole,
+}).readonly();
+/** Memory for one plan. */
+export type Reservation = z.infer<typeof ReservationSchema>;
--- /dev/null
+++ b/src/wire/log.ts
@@ -0,0 +1,37 @@
+import { z } from "zod";
+import type { Offset } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { countSchema } from "./brands.ts";
+
+/** One record as the log service returns it; `at` is the service's clock. */
+export const LogRecordSchema = z.object({
+  offset: countSchema<Offset>(),
+  at: countSchema<Timestamp>(),
+  value: z.string(),
+}).readonly();
+/** One record as the log service returns it. */
+export type LogRecord = z.infer<typeof LogRecordSchema>;
+
+/** Answer to `GET /streams/{stream}/records?from=&limit=&wait_ms=`. */
+export const LogBatchSchema = z.object({
+  records: z.array(LogRecordSchema),
+  /** The oldest offset still kept. */
+  first_offset: countSchema<Offset>(),
+  /** The offset to read from next. */
+  next_offset: countSchema<Offset>(),
+  /** One past the newest record. */
+  end_offset: countSchema<Offset>(),
+});
+/** Answer to a read of a stream. */
+export type LogBatch = z.infer<typeof LogBatchSchema>;
+
+/** Body of `POST /streams/{stream}/records`. */
+export const LogAppendSchema = z.object({
+  records: z.array(z.string()).min(1).max(1_000),
+});
+/** Answer to an append: the offset of its first record. */
+export const LogAppendedSchema = z.object({
+  first_offset: countSchema<Offset>(),
+});
+/** Answer to a read below `first_offset`, with status 410. */
+export const LogGoneSchema = z.object({ first_offset: countSchema<Offset>() });
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,13 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  test: {
+    include: [
+      "src/**/*_test.ts",
+      "stand_ins/**/*_test.ts",
+      "tools/**/*_test.ts",
+    ],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+  },
+});
