Call plain services over HTTP with a true verdict

A call is not_run only while undici has not reached onRequestStart, which comes right before the first byte is written, or when the service says so by header. There a call that was given up, or was written before, is refused, so that nothing is sent twice. Services get a connection of their own for each call: a reused one may be closed or silent at that very moment, and its failure can't be told from a call that ran. A body without length or chunks never counts as whole.

A refusal sent over an unread 4 MiB body was lost in the reset; the stand-in now reads the body first, and the contract asks for that.

--- /dev/null
+++ b/src/net/http_connections_test.ts
@@ -0,0 +1,143 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setImmediate } from "node:timers/promises";
+import { afterEach, expect, test, vi } from "vitest";
+import { Relay } from "../../stand_ins/relay/relay.ts";
+import { HttpConnections } from "./http_connections.ts";
+import { HttpExchange } from "./http_exchange.ts";
+import type { HttpReq } from "./http_message.ts";
+
+const GET: HttpReq = { method: "GET", path: "/", headers: {} };
+const POST: HttpReq = { ...GET, method: "POST", body: Uint8Array.of(1) };
+const AMPLE = { timeoutMs: 20_000, maxBytes: 1_000 };
+const SHORT = { timeoutMs: 500, maxBytes: 1_000 };
+
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+async function startServer(
+  answer: (res: ServerResponse, req: IncomingMessage) => void,
+): Promise<{ server: Server; address: string }> {
+  const server = createServer((req, res) => answer(res, req));
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  closers.push(() => server.close(), () => server.closeAllConnections());
+  const { port } = server.address() as AddressInfo;
+  return { server, address: `127.0.0.1:${port}` };
+}
+
+function connections(
+  address: string,
+  options: { reuse: boolean; maxCalls?: number },
+): HttpConnections {
+  const created = HttpConnections.create({ address, ...options });
+  closers.push(() => created.close());
+  return created;
+}
+
+/** Lets undici take the connections of finished calls back. */
+async function settleConnections(): Promise<void> {
+  for (let turn = 0; turn < 3; turn += 1) await setImmediate();
+}
+
+test.each([[true, 1], [false, 3]])(
+  "with reuse %s three calls take %i connections",
+  async (reuse, expected) => {
+    const { server, address } = await startServer((res) => res.end("ok"));
+    let opened = 0;
+    server.on("connection", () => opened += 1);
+    const client = connections(address, { reuse });
+    for (let call = 0; call < 3; call += 1) {
+      expect((await client.exchange(POST, AMPLE)).isOk()).toBe(true);
+      await settleConnections();
+    }
+    expect(opened).toBe(expected);
+  },
+);
+
+test.each([GET, POST])(
+  "$method: a reused connection that closes under a call fails it and sends nothing twice",
+  async (req) => {
+    let received = 0;
+    const { address } = await startServer((res, { socket }) => {
+      received += 1;
+      if (received === 1) res.end("ok");
+      else socket.destroy();
+    });
+    const client = connections(address, { reuse: true });
+    await client.exchange(req, AMPLE);
+    await settleConnections();
+    const failure = (await client.exchange(req, AMPLE))._unsafeUnwrapErr();
+    expect([failure.code, failure.sent, received]).toEqual(["broken", true, 2]);
+  },
+);
+
+test("a connection that was closed while idle is not used again", async () => {
+  const { server, address } = await startServer((res) => res.end("ok"));
+  const client = connections(address, { reuse: true });
+  await client.exchange(POST, AMPLE);
+  await settleConnections();
+  server.closeIdleConnections();
+  const failure = (await client.exchange(POST, AMPLE)).isErr();
+  expect(failure).toBe(false);
+});
+
+test("once a reused connection has gone silent, the next call takes a new one", async () => {
+  const { address } = await startServer((res) =>
+    setTimeout(() => res.end(), 50)
+  );
+  const relay = Relay.create({ target: address });
+  const client = connections(await relay.listen(), { reuse: true });
+  closers.push(() => relay.close());
+  await Promise.all([1, 2, 3].map(() => client.exchange(GET, AMPLE)));
+  await settleConnections();
+  expect(relay.freezeOpen()).toBe(3);
+  const silent = (await client.exchange(GET, SHORT))._unsafeUnwrapErr();
+  expect([silent.code, silent.sent]).toEqual(["silent", true]);
+  expect((await client.exchange(GET, AMPLE)).isOk()).toBe(true);
+});
+
+test("calls beyond the limit are refused unsent", async () => {
+  const { address } = await startServer(() => {});
+  const client = connections(address, { reuse: true, maxCalls: 1 });
+  const first = client.exchange(GET, SHORT);
+  expect((await client.exchange(GET, AMPLE))._unsafeUnwrapErr())
+    .toMatchObject({ code: "overloaded", sent: false });
+  expect((await first)._unsafeUnwrapErr().code).toBe("silent");
+});
+
+test("a call that was given up before it got a connection is never written", () => {
+  vi.useFakeTimers();
+  const settle = vi.fn();
+  const exchange = HttpExchange.create("POST", {
+    limits: { connectMs: 100, timeoutMs: 1_000, maxBytes: 1 },
+    listener: { settle, finish: () => {} },
+  });
+  exchange.start();
+  vi.advanceTimersByTime(100);
+  vi.useRealTimers();
+  const controller = { abort: vi.fn() };
+  exchange.onRequestStart(controller as never);
+  expect(controller.abort).toHaveBeenCalledOnce();
+  expect(settle.mock.calls[0]![0].error).toMatchObject({
+    code: "connect_failed",
+    sent: false,
+  });
+});
+
+test("a call is never written a second time", () => {
+  const exchange = HttpExchange.create("POST", {
+    limits: { connectMs: 100, timeoutMs: 1_000, maxBytes: 1 },
+    listener: { settle: () => {}, finish: () => {} },
+  });
+  const controller = { abort: vi.fn() };
+  exchange.onRequestStart(controller as never);
+  expect(controller.abort).not.toHaveBeenCalled();
+  exchange.onRequestStart(controller as never);
+  expect(controller.abort).toHaveBeenCalledOnce();
+});
--- a/src/service/service_client.ts
+++ b/src/service/service_client.ts
@@ -24,6 +24,7 @@
   code: "refused" | "connect_failed" | "broken" | "silent" | "too_large";
   verdict: Verdict;
   detail: string;
+  retryAfterMs?: Millis;
 }>;
 
 /** One instance of a plain service. */
--- /dev/null
+++ b/src/service/service_contract_test.ts
@@ -0,0 +1,207 @@
+import { Buffer } from "node:buffer";
+import { setImmediate } from "node:timers/promises";
+import { describe, expect, test } from "vitest";
+import { Relay } from "../../stand_ins/relay/relay.ts";
+import type { ServiceFault } from "../../stand_ins/service/control.ts";
+import { Service } from "../../stand_ins/service/service.ts";
+import type { RequestId } from "../core/id.ts";
+import { HttpServiceClient } from "./http_service_client.ts";
+import type { ServiceCall, ServiceClient } from "./service_client.ts";
+
+type Fixture = Readonly<{
+  service: Service;
+  relay: Relay;
+  client: ServiceClient;
+  close: () => Promise<void>;
+}>;
+
+const ADAPTERS: Record<string, (address: string) => ServiceClient> = {
+  HttpServiceClient: (address) => HttpServiceClient.create({ address }),
+};
+
+const REQUEST = "r1" as RequestId;
+const AMPLE = { timeoutMs: 20_000, maxBytes: 10_000 };
+const SHORT = { timeoutMs: 1_000, maxBytes: 10_000 };
+
+const LOOKUP: ServiceCall = {
+  request: REQUEST,
+  method: "GET",
+  path: "/stock/wire",
+  body: new Uint8Array(),
+};
+const ORDER: ServiceCall = {
+  request: REQUEST,
+  method: "POST",
+  path: "/orders",
+  contentType: "application/json",
+  key: "k1",
+  body: Buffer.from('{"item":"wire","quantity":3}'),
+};
+const LARGE_ORDER: ServiceCall = {
+  ...ORDER,
+  body: Buffer.concat([ORDER.body, Buffer.alloc(4 * 1024 * 1024, " ")]),
+};
+const CALLS = Object.entries({ LOOKUP, ORDER, LARGE_ORDER });
+
+async function start(
+  createClient: (address: string) => ServiceClient,
+): Promise<Fixture> {
+  const service = Service.create();
+  const relay = Relay.create({ target: await service.listen() });
+  const client = createClient(await relay.listen());
+  const close = async () => {
+    await client.close();
+    await relay.close();
+    await service.close();
+  };
+  return { service, relay, client, close };
+}
+
+type Break = Readonly<{
+  name: string;
+  set: (fixture: Fixture) => unknown;
+  options?: typeof AMPLE;
+  /** What the call ends with: error code, verdict, and how often the service ran it. */
+  ends: readonly [code: string, verdict: string, runs: number];
+}>;
+
+function faulty(
+  fault: ServiceFault,
+  ends: Break["ends"],
+  options = AMPLE,
+): Break {
+  const set = ({ service }: Fixture) => service.control({ fault });
+  return { name: fault, set, options, ends };
+}
+
+const BREAKS: readonly Break[] = [
+  {
+    name: "connection refused",
+    set: ({ relay }) => relay.setNew("refuse"),
+    ends: ["connect_failed", "not_run", 0],
+  },
+  {
+    name: "connection accepted and silent for good",
+    set: ({ relay }) => relay.setNew("freeze"),
+    options: SHORT,
+    ends: ["silent", "may_have_run", 0],
+  },
+  {
+    name: "crash",
+    set: ({ service }) => service.control({ crash: true }),
+    ends: ["broken", "may_have_run", 0],
+  },
+  {
+    name: "answer too large",
+    set: () => {},
+    options: { ...AMPLE, maxBytes: 5 },
+    ends: ["too_large", "may_have_run", 1],
+  },
+  faulty("refuse", ["refused", "not_run", 0]),
+  faulty("reset_at_head", ["broken", "may_have_run", 0]),
+  faulty("reset_before_effect", ["broken", "may_have_run", 0]),
+  faulty("reset_after_effect", ["broken", "may_have_run", 1]),
+  faulty("close_after_effect", ["broken", "may_have_run", 1]),
+  faulty("half_answer", ["broken", "may_have_run", 1]),
+  faulty("unframed_answer", ["broken", "may_have_run", 1]),
+  faulty("garbage", ["broken", "may_have_run", 1]),
+  faulty("silence_before_effect", ["silent", "may_have_run", 0], SHORT),
+  faulty("silence_after_effect", ["silent", "may_have_run", 1], SHORT),
+];
+
+const RESET_EARLY: Break["ends"] = ["connect_failed", "not_run", 0];
+const RESET_LATE: Break["ends"] = ["broken", "may_have_run", 0];
+
+const BODY_BREAKS: readonly Break[] = [
+  faulty("reset_in_body", ["broken", "may_have_run", 0]),
+];
+
+describe.each(Object.entries(ADAPTERS))("%s", (_name, createClient) => {
+  async function outcome(
+    call: ServiceCall,
+    point: Pick<Break, "set" | "options">,
+  ): Promise<Break["ends"]> {
+    const fixture = await start(createClient);
+    await point.set(fixture);
+    const result = await fixture.client.call(call, point.options ?? AMPLE);
+    await fixture.close();
+    const { code, verdict } = result._unsafeUnwrapErr();
+    return [code, verdict, fixture.service.runs().total];
+  }
+
+  describe.each(CALLS)("%s", (name, call) => {
+    const breaks = name === "LOOKUP" ? BREAKS : [...BREAKS, ...BODY_BREAKS];
+    test.concurrent.each(breaks)("$name", async (point) => {
+      expect(await outcome(call, point)).toEqual(point.ends);
+    });
+
+    test("a whole answer ran once", async () => {
+      const fixture = await start(createClient);
+      const result = await fixture.client.call(call, AMPLE);
+      await fixture.close();
+      expect(result.isOk()).toBe(true);
+      expect(fixture.service.runs().by_request).toEqual({ [REQUEST]: 1 });
+    });
+  });
+
+  test.each(CALLS)(
+    "%s: a connection reset at once never ran",
+    async (_name, call) => {
+      const set = ({ relay }: Fixture) => relay.setNew("reset");
+      const ends = await outcome(call, { set });
+      // The reset arrives before or after the first byte is written.
+      expect([RESET_EARLY, RESET_LATE]).toContainEqual(ends);
+    },
+  );
+
+  test("a call that outlives its time-out may still run", async () => {
+    const fixture = await start(createClient);
+    fixture.service.control({ delay_ms: 2_000 });
+    const result = await fixture.client.call(ORDER, SHORT);
+    expect(result._unsafeUnwrapErr().verdict).toBe("may_have_run");
+    await expect.poll(() => fixture.service.runs().by_key, { timeout: 20_000 })
+      .toEqual({ k1: 1 });
+    await fixture.close();
+  });
+
+  test("a connection frozen under a call leaves the next call alone", async () => {
+    const fixture = await start(createClient);
+    fixture.service.control({ delay_ms: 200 });
+    const frozen = fixture.client.call(ORDER, SHORT);
+    await expect.poll(() => fixture.relay.counts().open).toBe(1);
+    fixture.relay.freezeOpen();
+    const next = await fixture.client.call(LOOKUP, AMPLE);
+    expect(next.isOk()).toBe(true);
+    expect((await frozen)._unsafeUnwrapErr().code).toBe("silent");
+    await fixture.close();
+  });
+
+  test("connections that went silent while idle meet no later call", async () => {
+    const fixture = await start(createClient);
+    await fixture.client.call(ORDER, AMPLE);
+    await setImmediate();
+    fixture.relay.freezeOpen();
+    const next = await fixture.client.call(ORDER, SHORT);
+    await fixture.close();
+    expect(next.isOk()).toBe(true);
+  });
+
+  test("an error after the effect is a whole answer, not a refusal", async () => {
+    const fixture = await start(createClient);
+    fixture.service.control({ fault: "error_after_effect" });
+    const answer = (await fixture.client.call(ORDER, AMPLE))._unsafeUnwrap();
+    await fixture.close();
+    expect([answer.status, fixture.service.runs().total]).toEqual([503, 1]);
+  });
+
+  test("a call that HTTP can't carry is refused", async () => {
+    const fixture = await start(createClient);
+    const path = "/stock/a b\r\nx: y";
+    const result = await fixture.client.call({ ...LOOKUP, path }, AMPLE);
+    await fixture.close();
+    expect(result._unsafeUnwrapErr()).toMatchObject({
+      code: "refused",
+      verdict: "not_run",
+    });
+  });
+});
--- a/stand_ins/common/break.ts
+++ b/stand_ins/common/break.ts
@@ -14,6 +14,12 @@
   return resetConnection(c);
 }
 
+/** Reads a body to its end; closing over unread bytes would reset the connection and lose the answer. */
+export async function skipBody(c: HostContext): Promise<void> {
+  c.env.incoming.resume();
+  if (!c.env.incoming.readableEnded) await once(c.env.incoming, "end");
+}
+
 /** Closes the connection of a call in an orderly way; the client gets no answer. */
 export function closeConnection(c: HostContext): Response {
   c.env.incoming.socket.end();
--- a/stand_ins/service/control.ts
+++ b/stand_ins/service/control.ts
@@ -12,6 +12,8 @@
   "reset_after_effect",
   /** The call takes effect, the connection is closed without an answer. */
   "close_after_effect",
+  /** 503 without the not-started header, though the call took effect. */
+  "error_after_effect",
   /** Head and half of the body of the answer, then a reset. */
   "half_answer",
   /** An answer whose body has neither a length nor chunks, cut in its middle. */
--- a/stand_ins/service/service.ts
+++ b/stand_ins/service/service.ts
@@ -14,6 +14,7 @@
   pause,
   resetConnection,
   resetInBody,
+  skipBody,
   staySilent,
 } from "../common/break.ts";
 import {
@@ -156,6 +157,8 @@
         return resetConnection(c);
       case "close_after_effect":
         return closeConnection(c);
+      case "error_after_effect":
+        return c.json({ detail: "Failed after the effect" }, 503);
       case "half_answer":
         return answerHalf(c, answer.body);
       case "unframed_answer":
@@ -194,7 +197,8 @@
   }
 }
 
-function refuse(c: HostContext): Response {
+async function refuse(c: HostContext): Promise<Response> {
+  await skipBody(c);
   return c.json({ detail: "The service does not start this call" }, 503, {
     [NOT_STARTED_HEADER]: "1",
     "retry-after": String(REFUSAL_RETRY_S),
