--- /dev/null
+++ b/src/platform/http_log_client.ts
@@ -0,0 +1,156 @@
+import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
+import { Buffer } from "node:buffer";
+import type { Offset, StreamName } from "../core/id.ts";
+import { type Millis, SECOND_MS } from "../core/time.ts";
+import { HttpConnections } from "../net/http_connections.ts";
+import {
+  type HttpError,
+  type HttpRes,
+  retryAfterMs,
+} from "../net/http_message.ts";
+import { readAnswer } from "../net/json_answer.ts";
+import {
+  LogAppendedSchema,
+  LogAppendSchema,
+  type LogBatch,
+  LogBatchSchema,
+  LogGoneSchema,
+  MAX_LOG_BODY_BYTES,
+} from "../wire/log.ts";
+import { LogClient, type LogError } from "./log_client.ts";
+
+const DEFAULT_TIMEOUT_MS: Millis = 5 * SECOND_MS;
+/** JSON may take six bytes for one of a value; offsets and times come on top. */
+const MAX_ANSWER_BYTES = 8 * MAX_LOG_BODY_BYTES;
+/** Statuses by which the service says that it appended nothing. */
+const REFUSALS = new Set([400, 403, 404, 413, 429, 503]);
+
+/** How the log service is reached. */
+export type HttpLogClientConfig = Readonly<{
+  /** `host:port`. */
+  address: string;
+  /** Time for an answer, beside the wait that a read asks for. */
+  timeoutMs?: Millis;
+  connectMs?: Millis;
+  /** Calls that may be open at a time; more are refused. */
+  maxCalls?: number;
+}>;
+
+/** The log service over HTTP. */
+export class HttpLogClient extends LogClient {
+  readonly #connections: HttpConnections;
+  readonly #timeoutMs: Millis;
+
+  private constructor(cfg: HttpLogClientConfig) {
+    super();
+    this.#connections = HttpConnections.create({ ...cfg, reuse: true });
+    this.#timeoutMs = cfg.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  }
+
+  static create(cfg: HttpLogClientConfig): HttpLogClient {
+    return new HttpLogClient(cfg);
+  }
+
+  override append(
+    stream: StreamName,
+    values: readonly string[],
+  ): ResultAsync<Offset, LogError> {
+    const records = LogAppendSchema.safeParse({ records: values });
+    if (!records.success) return refuse("The number of records is wrong");
+    const body = Buffer.from(JSON.stringify(records.data));
+    if (body.length > MAX_LOG_BODY_BYTES) {
+      return refuse("The body is too large");
+    }
+    const req = {
+      method: "POST",
+      path: pathOf(stream),
+      headers: { "content-type": "application/json" },
+      body,
+    };
+    const limits = { timeoutMs: this.#timeoutMs, maxBytes: MAX_ANSWER_BYTES };
+    return this.#connections.exchange(req, limits)
+      .mapErr(toUnknown)
+      .andThen(toOffset);
+  }
+
+  override read(
+    stream: StreamName,
+    from: Offset,
+    options: { limit: number; waitMs: number },
+  ): ResultAsync<LogBatch, LogError> {
+    const { limit, waitMs } = options;
+    const query = `from=${from}&limit=${limit}&wait_ms=${waitMs}`;
+    const path = `${pathOf(stream)}?${query}`;
+    const timeoutMs = waitMs + this.#timeoutMs;
+    return this.#connections.exchange(
+      { method: "GET", path, headers: {} },
+      { timeoutMs, maxBytes: MAX_ANSWER_BYTES },
+    ).mapErr(toUnknown).andThen((res) => toBatch(res, { from, limit }));
+  }
+
+  close(): Promise<void> {
+    return this.#connections.close();
+  }
+}
+
+function pathOf(stream: StreamName): string {
+  return `/streams/${encodeURIComponent(stream)}/records`;
+}
+
+function refuse(detail: string): ResultAsync<never, LogError> {
+  return errAsync({ code: "refused", detail });
+}
+
+function toUnknown(failure: HttpError): LogError {
+  return { code: "unknown", detail: `${failure.code}: ${failure.detail}` };
+}
+
+function toOffset(res: HttpRes): Result<Offset, LogError> {
+  if (res.status !== 200) return err(toError(res));
+  return readAnswer(res, LogAppendedSchema)
+    .map((appended) => appended.first_offset)
+    .mapErr((detail) => ({ code: "unknown", detail }));
+}
+
+function toBatch(
+  res: HttpRes,
+  asked: { from: Offset; limit: number },
+): Result<LogBatch, LogError> {
+  if (res.status === 410) return err(toGone(res));
+  if (res.status !== 200) return err(toError(res));
+  return readAnswer(res, LogBatchSchema)
+    .mapErr((detail): LogError => ({ code: "unknown", detail }))
+    .andThen((batch) => checkBatch(batch, asked));
+}
+
+/** A batch must begin where it was asked to, and have neither a gap nor a step back. */
+function checkBatch(
+  batch: LogBatch,
+  asked: { from: Offset; limit: number },
+): Result<LogBatch, LogError> {
+  const { from, limit } = asked;
+  if (batch.first_offset > from) return err(gone(batch.first_offset));
+  const next = from + batch.records.length;
+  const dense = batch.records.every((record, i) => record.offset === from + i);
+  const whole = dense && batch.records.length <= limit &&
+    batch.next_offset === next && batch.end_offset >= next;
+  if (whole) return ok(batch);
+  return err({ code: "unknown", detail: "The offsets don't fit together" });
+}
+
+function toGone(res: HttpRes): LogError {
+  return readAnswer(res, LogGoneSchema).match(
+    (body) => gone(body.first_offset),
+    (detail) => ({ code: "unknown", detail }),
+  );
+}
+
+function gone(firstOffset: Offset): LogError {
+  return { code: "gone", detail: "The offset has expired", firstOffset };
+}
+
+function toError(res: HttpRes): LogError {
+  const detail = `The log service answered with status ${res.status}`;
+  if (!REFUSALS.has(res.status)) return { code: "unknown", detail };
+  return { code: "refused", detail, retryAfterMs: retryAfterMs(res.headers) };
+}
--- a/src/wire/log.ts
+++ b/src/wire/log.ts
@@ -3,6 +3,11 @@
 import type { Timestamp } from "../core/time.ts";
 import { countSchema } from "./brands.ts";
 
+/** Largest body of an append, and most bytes of values in one answer to a read (but at least one record). */
+export const MAX_LOG_BODY_BYTES = 4 * 1024 * 1024;
+/** Most records of one append. */
+export const MAX_APPEND_RECORDS = 1_000;
+
 /** One record as the log service returns it; `at` is the service's clock. */
 export const LogRecordSchema = z.object({
   offset: countSchema<Offset>(),
@@ -27,7 +32,7 @@
 
 /** Body of `POST /streams/{stream}/records`. */
 export const LogAppendSchema = z.object({
-  records: z.array(z.string()).min(1).max(1_000),
+  records: z.array(z.string()).min(1).max(MAX_APPEND_RECORDS),
 });
 /** Answer to an append: the offset of its first record. */
 export const LogAppendedSchema = z.object({
--- a/stand_ins/common/body.ts
+++ b/stand_ins/common/body.ts
@@ -9,12 +9,13 @@
 export async function readJson<Schema extends z.ZodType>(
   c: HostContext,
   schema: Schema,
+  options: { maxBytes: number } = { maxBytes: MAX_BODY_BYTES },
 ): Promise<Result<z.output<Schema>, Response>> {
   const chunks: Uint8Array[] = [];
   let size = 0;
   for await (const chunk of c.env.incoming) {
     size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
+    if (size > options.maxBytes) {
       return err(c.json({ detail: "The body is too large" }, 413));
     }
     chunks.push(chunk);
--- a/stand_ins/log_service/control.ts
+++ b/stand_ins/log_service/control.ts
@@ -15,6 +15,12 @@
   reset_before_append: whole.optional(),
   /** The next appends that take effect and then reset the connection. */
   reset_after_append: whole.optional(),
+  /** The next appends that take effect and then answer 500. */
+  error_after_append: whole.optional(),
+  /** Answers 200 with a body that is not what the contract says. */
+  malformed: TargetSchema.optional(),
+  /** Leaves the first record out of each answer to a read. */
+  leave_out: z.boolean().optional(),
   /** Expires records below an offset. */
   expire: z.object({ stream: z.string(), below: whole }).optional(),
 }).strict().readonly();
--- a/stand_ins/log_service/log_service.ts
+++ b/stand_ins/log_service/log_service.ts
@@ -1,6 +1,10 @@
 import { Hono } from "hono";
 import { SECOND_MS, type Timestamp } from "../../src/core/time.ts";
-import { LogAppendSchema, type LogBatch } from "../../src/wire/log.ts";
+import {
+  LogAppendSchema,
+  type LogBatch,
+  MAX_LOG_BODY_BYTES,
+} from "../../src/wire/log.ts";
 import { readJson } from "../common/body.ts";
 import { pause, resetConnection, staySilent } from "../common/break.ts";
 import {
@@ -34,6 +38,11 @@
   & Partial<LogStoreConfig>
   & Readonly<{ now?: () => Timestamp }>;
 
+type AppendFault =
+  | "reset_before_append"
+  | "reset_after_append"
+  | "error_after_append";
+
 /** A stand-in for the platform's log service. */
 export class LogService {
   readonly #store: LogStore;
@@ -75,6 +84,11 @@
     return this.#store.extents();
   }
 
+  /** Returns how many reads wait for a record. */
+  waiting(): number {
+    return this.#waiters.size;
+  }
+
   #routes(): Hono<HostEnv> {
     const app = new Hono<HostEnv>();
     app.post("/streams/:stream/records", (c) => this.#append(c));
@@ -93,7 +107,9 @@
   }
 
   async #append(c: HostContext): Promise<Response> {
-    const body = await readJson(c, LogAppendSchema);
+    const body = await readJson(c, LogAppendSchema, {
+      maxBytes: MAX_LOG_BODY_BYTES,
+    });
     if (body.isErr()) return body.error;
     await pause(this.#faults.delay_ms ?? 0);
     if (meets(this.#faults.hang, "appends")) return staySilent();
@@ -107,6 +123,10 @@
     if (appended.isErr()) return refuse(c, appended.error);
     this.#wake();
     if (this.#takeFault("reset_after_append")) return resetConnection(c);
+    if (this.#takeFault("error_after_append")) {
+      return c.json({ detail: "Failed after the effect" }, 500);
+    }
+    if (meets(this.#faults.malformed, "appends")) return c.json({ offset: "" });
     return c.json({ first_offset: appended.value });
   }
 
@@ -131,10 +151,19 @@
       result = read();
     }
     if (result.isErr()) return refuse(c, result.error);
+    if (meets(this.#faults.malformed, "reads")) {
+      return c.json({ ...result.value, next_offset: -1 });
+    }
+    if (this.#faults.leave_out) {
+      return c.json({
+        ...result.value,
+        records: result.value.records.slice(1),
+      });
+    }
     return c.json(result.value);
   }
 
-  #takeFault(name: "reset_before_append" | "reset_after_append"): boolean {
+  #takeFault(name: AppendFault): boolean {
     const left = this.#faults[name] ?? 0;
     if (left === 0) return false;
     this.#faults = { ...this.#faults, [name]: left - 1 };
--- a/stand_ins/log_service/log_store.ts
+++ b/stand_ins/log_service/log_store.ts
@@ -1,8 +1,17 @@
+import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Offset } from "../../src/core/id.ts";
-import { addMs, type Millis, type Timestamp } from "../../src/core/time.ts";
-import { SECOND_MS } from "../../src/core/time.ts";
-import type { LogBatch, LogRecord } from "../../src/wire/log.ts";
+import {
+  addMs,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../../src/core/time.ts";
+import {
+  type LogBatch,
+  type LogRecord,
+  MAX_LOG_BODY_BYTES,
+} from "../../src/wire/log.ts";
 
 /** Limits of the log service. */
 export type LogStoreConfig = Readonly<{
@@ -71,7 +80,7 @@
       return err({ code: "gone", firstOffset: stream.first as Offset });
     }
     const start = from - stream.first;
-    const records = stream.records.slice(start, start + limit);
+    const records = fitting(stream.records.slice(start, start + limit));
     return ok({
       records,
       first_offset: stream.first as Offset,
@@ -131,6 +140,15 @@
   }
 }
 
+function fitting(records: readonly LogRecord[]): LogRecord[] {
+  let bytes = 0;
+  const count = records.findIndex((record) => {
+    bytes += Buffer.byteLength(record.value);
+    return bytes > MAX_LOG_BODY_BYTES;
+  });
+  return count === -1 ? [...records] : records.slice(0, Math.max(1, count));
+}
+
 function end(stream: Stream): number {
   return stream.first + stream.records.length;
 }
--- a/stand_ins/vm_list/vm_list.ts
+++ b/stand_ins/vm_list/vm_list.ts
@@ -22,6 +22,8 @@
   outage: z.boolean().optional(),
   /** Takes the call and never answers. */
   hang: z.boolean().optional(),
+  /** Answers 200 with a body that is not what the contract says. */
+  malformed: z.boolean().optional(),
   /** Delay of each answer. */
   delay_ms: whole.max(600_000).optional(),
 }).strict().readonly();
@@ -112,6 +114,7 @@
     if (this.#faults.outage) {
       return c.json({ detail: "The VM list is down" }, 503);
     }
+    if (this.#faults.malformed) return c.json({ vms: [{ id: "" }] });
     return c.json({ vms: this.#table.list(this.#now()) });
   }
 }
