Lead a request from arrival to one final answer

Request, upstream, membership and a first placement controller, put together by createCore. A call that may not be repeated goes on only after not_run; a prompt whose connection broke is reattached once, then placed again under a retry budget.

--- a/src/board/requests_section.ts
+++ b/src/board/requests_section.ts
@@ -1,6 +1,5 @@
 import type { RequestId, UpstreamId } from "../core/id.ts";
 import type { Attempt, RanUnder, Request, Weights } from "../core/request.ts";
-import type { Timestamp } from "../core/time.ts";
 import type { Verdict } from "../core/verdict.ts";
 
 /** How far a request is: waiting for a claim, for a place, or running. */
@@ -11,6 +10,8 @@
   readonly req: Request;
   readonly ranUnder: RanUnder;
   readonly weights?: Weights;
+  /** Whether it may run at most once. */
+  readonly once: boolean;
   state: RequestState;
   attempt: Attempt | undefined;
   attempts: number;
@@ -22,8 +23,8 @@
   tokens: number;
   /** All earlier attempts taken together. */
   verdict: Verdict;
-  /** No place is asked for before this time. */
-  retryAt?: Timestamp;
+  /** Whether the attempt has been connected to a second time already. */
+  reattached?: boolean;
 };
 
 /** Requests that this daemon is answering; written by `RequestController`. */
--- /dev/null
+++ b/src/controllers/create_core.ts
@@ -0,0 +1,30 @@
+import { createBlackboard } from "../board/blackboard.ts";
+import type { Self } from "../board/self.ts";
+import type { Controller } from "../core/controller.ts";
+import { Core } from "../core/core.ts";
+import type { Random } from "../core/random.ts";
+import { MembershipController } from "./membership_controller.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { RequestController } from "./request_controller.ts";
+import { UpstreamController } from "./upstream_controller.ts";
+
+/** Which controllers replace the usual ones, for measurements against another policy. */
+export type CoreOptions = Readonly<{ placement?: Controller }>;
+
+/** Builds the decisions of one daemon; state that others read comes before its readers. */
+export function createCore(
+  self: Self,
+  random: Random,
+  options: CoreOptions = {},
+): Core {
+  return Core.create({
+    board: createBlackboard(self),
+    random,
+    controllers: [
+      MembershipController.create(),
+      UpstreamController.create(),
+      options.placement ?? PlacementController.create(),
+      RequestController.create(),
+    ],
+  });
+}
--- /dev/null
+++ b/src/controllers/heartbeat.ts
@@ -0,0 +1,57 @@
+import { Buffer } from "node:buffer";
+import type { Blackboard } from "../board/blackboard.ts";
+import type { Revision } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { Heartbeat, Suspect, UpstreamNews } from "../gen/peer.ts";
+
+/** News of one kind that a heartbeat carries at the most. */
+const MAX_ITEMS = 16;
+
+/** Builds what this daemon tells one peer about itself. */
+export function heartbeat(
+  board: Blackboard,
+  options: { now: Timestamp; peerRevision: Revision | undefined },
+): Heartbeat {
+  const { self, config, members } = board;
+  const { peerRevision } = options;
+  const peerIsBehind = peerRevision !== undefined &&
+    peerRevision < config.revision;
+  return {
+    vm: self.vm,
+    peerAddress: self.peerAddress,
+    clientAddress: self.clientAddress,
+    domain: self.domain,
+    state: members.drain,
+    revision: config.revision,
+    config: peerIsBehind ? Buffer.from(config.text) : Buffer.alloc(0),
+    configOffset: config.revision,
+    running: board.requests.byId.size,
+    queued: board.placement.queued,
+    teams: [],
+    upstreams: leavingUpstreams(board),
+    suspects: suspects(board),
+    atMs: options.now,
+  };
+}
+
+function leavingUpstreams(board: Blackboard): UpstreamNews[] {
+  return [...board.upstreams.byId.values()]
+    .filter((upstream) => upstream.state === "leaving")
+    .slice(-MAX_ITEMS)
+    .map((upstream) => ({
+      upstream: upstream.id,
+      incarnation: upstream.incarnation,
+      state: "leaving",
+    }));
+}
+
+function suspects(board: Blackboard): Suspect[] {
+  return [...board.quarantine.suspects]
+    .flatMap(([digest, suspect]) =>
+      suspect.crashes.map((crash) => {
+        const [upstream = "", incarnation = ""] = crash.split("/", 2);
+        return { digest, upstream, incarnation, atMs: suspect.seenAt };
+      })
+    )
+    .slice(-MAX_ITEMS);
+}
--- /dev/null
+++ b/src/controllers/membership_controller.ts
@@ -0,0 +1,206 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { DrainState, Peer } from "../board/members_section.ts";
+import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type {
+  DaemonId,
+  DomainId,
+  Revision,
+  UpstreamId,
+  VmId,
+} from "../core/id.ts";
+import { rendezvous } from "../core/rendezvous.ts";
+import type { StepContext } from "../core/step_context.ts";
+import {
+  addMs,
+  type Millis,
+  MINUTE_MS,
+  SECOND_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import type { Envelope, Heartbeat } from "../gen/peer.ts";
+import type { Vm } from "../wire/vm_list.ts";
+import { heartbeat } from "./heartbeat.ts";
+
+/** Time between two heartbeats to each peer. */
+export const HEARTBEAT_MS: Millis = SECOND_MS;
+/** Silence after which a peer is no longer counted on. */
+export const PEER_FRESH_MS: Millis = 3 * HEARTBEAT_MS + 500;
+const PEER_FORGET_MS: Millis = MINUTE_MS;
+const MAX_PEERS = 256;
+const MAX_NEWS = 256;
+const CELL = "cell-0";
+const DEFAULT_ENTRY_AGE_MS: Millis = 10 * SECOND_MS;
+
+/** Keeps the daemons of the cell, this daemon's shutdown, and the choice of the scheduling daemon. */
+export class MembershipController extends Controller {
+  override readonly name = "members";
+  #beatAt: Timestamp | undefined;
+  #refuseAt: Timestamp | undefined;
+  #seq = 0;
+  readonly #seen = new Map<DaemonId, number>();
+
+  static create(): MembershipController {
+    return new MembershipController();
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    for (const event of ctx.events) this.#take(board, ctx, event);
+    this.#forget(board, ctx.now);
+    this.#drain(board, ctx);
+    this.#elect(board, ctx.now);
+    this.#beat(board, ctx);
+  }
+
+  #take(board: Blackboard, ctx: StepContext, event: Event): void {
+    switch (event.type) {
+      case "vms_listed":
+        board.members.addresses = entryAddresses(
+          event.vms,
+          board.self.peerAddress,
+        );
+        return;
+      case "peer_message":
+        return this.#receive(board, ctx, event.envelope);
+      case "drain_requested":
+        return this.#startDrain(board, ctx);
+    }
+  }
+
+  #receive(board: Blackboard, ctx: StepContext, envelope: Envelope): void {
+    if (envelope.body?.$case !== "heartbeat") return;
+    const from = envelope.from as DaemonId;
+    if (from === board.self.id) return;
+    const lastSeq = this.#seen.get(from) ?? -1;
+    if (
+      envelope.seq <= lastSeq ||
+      (!this.#seen.has(from) && this.#seen.size >= MAX_PEERS)
+    ) {
+      return ctx.counters.add("peer_messages_dropped");
+    }
+    this.#seen.set(from, envelope.seq);
+    const beat = envelope.body.value;
+    board.members.peers.set(from, toPeer(from, beat, ctx.now));
+    this.#dropEarlierRuns(board, from, beat.vm as VmId);
+    for (const news of beat.upstreams) this.#keepNews(board, news);
+  }
+
+  /** A VM runs one daemon at a time; the run that spoke last is the live one. */
+  #dropEarlierRuns(board: Blackboard, from: DaemonId, vm: VmId): void {
+    for (const peer of board.members.peers.values()) {
+      if (peer.vm === vm && peer.id !== from) {
+        board.members.peers.delete(peer.id);
+      }
+    }
+  }
+
+  #keepNews(board: Blackboard, news: Heartbeat["upstreams"][number]): void {
+    const { upstreamNews } = board.members;
+    const id = news.upstream as UpstreamId;
+    upstreamNews.delete(id);
+    upstreamNews.set(id, { incarnation: news.incarnation, state: news.state });
+    const oldest = upstreamNews.keys().next().value;
+    if (upstreamNews.size > MAX_NEWS && oldest !== undefined) {
+      upstreamNews.delete(oldest);
+    }
+  }
+
+  #forget(board: Blackboard, now: Timestamp): void {
+    for (const peer of board.members.peers.values()) {
+      if (now - peer.heardAt <= PEER_FORGET_MS) continue;
+      board.members.peers.delete(peer.id);
+      this.#seen.delete(peer.id);
+    }
+  }
+
+  #startDrain(board: Blackboard, ctx: StepContext): void {
+    if (board.members.drain !== "serving") return;
+    board.members.drain = "leaving";
+    const age = board.config.serving?.limits.entryMaxAgeMs ??
+      DEFAULT_ENTRY_AGE_MS;
+    this.#refuseAt = addMs(ctx.now, age);
+    this.#beatAt = undefined;
+  }
+
+  #drain(board: Blackboard, ctx: StepContext): void {
+    const { members } = board;
+    if (members.drain === "leaving" && this.#refuseAt !== undefined) {
+      if (ctx.now >= this.#refuseAt) members.drain = "refusing";
+      else ctx.wakeAt(this.#refuseAt);
+    }
+    if (members.drain !== "refusing" || board.requests.byId.size > 0) return;
+    members.drain = "finished";
+    ctx.emit({ type: "exit" });
+  }
+
+  /** Soft state: two daemons that choose differently for a while only place less well. */
+  #elect(board: Blackboard, now: Timestamp): void {
+    const candidates = freshPeers(board, now)
+      .filter((peer) => peer.state === "serving")
+      .map((peer) => peer.id);
+    if (board.members.drain === "serving") candidates.push(board.self.id);
+    board.members.scheduler = rendezvous(CELL, candidates) ?? board.self.id;
+  }
+
+  #beat(board: Blackboard, ctx: StepContext): void {
+    if (this.#beatAt === undefined || ctx.now >= this.#beatAt) {
+      this.#beatAt = addMs(ctx.now, HEARTBEAT_MS);
+      for (const address of board.members.addresses) {
+        this.#send(board, ctx, address);
+      }
+    }
+    ctx.wakeAt(this.#beatAt);
+  }
+
+  #send(board: Blackboard, ctx: StepContext, address: string): void {
+    this.#seq += 1;
+    const peer = [...board.members.peers.values()].find((one) =>
+      one.peerAddress === address
+    );
+    const value = heartbeat(board, {
+      now: ctx.now,
+      peerRevision: peer?.revision,
+    });
+    const envelope = {
+      from: board.self.id,
+      seq: this.#seq,
+      body: { $case: "heartbeat" as const, value },
+    };
+    ctx.emit({ type: "send_peer", address, envelope });
+  }
+}
+
+/** Peers that have been heard from lately. */
+export function freshPeers(board: Blackboard, now: Timestamp): readonly Peer[] {
+  return [...board.members.peers.values()].filter((peer) =>
+    now - peer.heardAt <= PEER_FRESH_MS
+  );
+}
+
+function entryAddresses(vms: readonly Vm[], self: string): readonly string[] {
+  return vms
+    .filter((vm) => vm.role === "entry" && vm.address !== self)
+    .map((vm) => vm.address)
+    .slice(0, MAX_PEERS);
+}
+
+function toPeer(id: DaemonId, beat: Heartbeat, now: Timestamp): Peer {
+  return {
+    id,
+    vm: beat.vm as VmId,
+    domain: beat.domain as DomainId,
+    clientAddress: beat.clientAddress,
+    peerAddress: beat.peerAddress,
+    state: toDrainState(beat.state),
+    revision: beat.revision as Revision,
+    running: beat.running,
+    queued: beat.queued,
+    heardAt: now,
+  };
+}
+
+function toDrainState(state: string): DrainState {
+  return state === "serving" || state === "leaving" || state === "refusing"
+    ? state
+    : "finished";
+}
--- /dev/null
+++ b/src/controllers/request_controller.ts
@@ -0,0 +1,268 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import { admit } from "../core/admission.ts";
+import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type { AttemptId, RequestId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { Outcome, Placement, Request } from "../core/request.ts";
+import { RetryBudget } from "../core/retry_budget.ts";
+import type { StepContext } from "../core/step_context.ts";
+import { joinVerdicts } from "../core/verdict.ts";
+import { decideRetry } from "./retry_decision.ts";
+
+type AttemptEvent = Extract<
+  Event,
+  { type: "first_token" | "attempt_progress" | "attempt_ended" }
+>;
+
+/** Leads each request from its arrival to its one final answer. */
+export class RequestController extends Controller {
+  override readonly name = "requests";
+  #budget: RetryBudget | undefined;
+
+  static create(): RequestController {
+    return new RequestController();
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    for (const event of ctx.events) this.#take(board, ctx, event);
+    for (const entry of board.requests.byId.values()) {
+      this.#advance(board, ctx, entry);
+    }
+  }
+
+  #take(board: Blackboard, ctx: StepContext, event: Event): void {
+    switch (event.type) {
+      case "request_arrived":
+        return this.#arrive(board, ctx, event.req);
+      case "client_left":
+        return this.#leave(board, ctx, event.req);
+      case "first_token":
+      case "attempt_progress":
+      case "attempt_ended":
+        return this.#takeAttempt(board, ctx, event);
+    }
+  }
+
+  #arrive(board: Blackboard, ctx: StepContext, req: Request): void {
+    const admission = admit(board, req, ctx.now);
+    if (admission.isErr()) return refuse(ctx, req.id, admission.error);
+    const { weights, once } = admission.value;
+    board.requests.byId.set(req.id, {
+      req,
+      ranUnder: { revision: board.config.revision, weights },
+      weights,
+      once,
+      state: once ? "claiming" : "placing",
+      attempt: undefined,
+      attempts: 0,
+      round: 1,
+      excluded: [],
+      tokens: 0,
+      verdict: "not_run",
+    });
+    ctx.counters.add("requests_admitted");
+    ctx.repeat();
+  }
+
+  /** A call goes on without its client, because its outcome has to be recorded. */
+  #leave(board: Blackboard, ctx: StepContext, id: RequestId): void {
+    const entry = board.requests.byId.get(id);
+    if (entry === undefined || entry.req.kind === "call") return;
+    board.requests.byId.delete(id);
+    ctx.counters.refuse("client_left");
+    ctx.repeat();
+  }
+
+  #takeAttempt(board: Blackboard, ctx: StepContext, event: AttemptEvent): void {
+    const entry = board.requests.byId.get(event.req);
+    if (entry?.attempt === undefined || entry.attempt.id !== event.attempt) {
+      return;
+    }
+    if (event.type === "attempt_ended") {
+      return this.#end(board, ctx, entry, event.outcome);
+    }
+    if (event.type === "first_token") {
+      entry.attempt = { ...entry.attempt, firstTokenAt: ctx.now };
+      return;
+    }
+    entry.tokens = event.tokens;
+    entry.attempt = { ...entry.attempt, tokens: event.tokens };
+  }
+
+  #end(
+    board: Blackboard,
+    ctx: StepContext,
+    entry: RequestEntry,
+    outcome: Outcome,
+  ): void {
+    const limits = board.config.serving?.limits;
+    if (outcome.type === "ok") {
+      board.requests.byId.delete(entry.req.id);
+      ctx.counters.add("requests_finished");
+      this.#budgetAt(ctx).earn(limits?.retryRatio ?? 0);
+      return ctx.repeat();
+    }
+    entry.tokens = Math.max(entry.tokens, outcome.tokens);
+    entry.verdict = joinVerdicts(entry.verdict, outcome.verdict);
+    const decision = decideRetry(entry, outcome, {
+      board,
+      budget: this.#budgetAt(ctx),
+      now: ctx.now,
+    });
+    if (decision.type === "give_up") {
+      return this.#fail(board, ctx, entry, decision.problem);
+    }
+    ctx.counters.retry(outcome.cause);
+    if (decision.type === "reattach") return this.#reattach(ctx, entry);
+    this.#placeAgain(entry, outcome);
+    ctx.repeat();
+  }
+
+  #placeAgain(
+    entry: RequestEntry,
+    outcome: Extract<Outcome, { type: "failed" }>,
+  ): void {
+    if (entry.attempt !== undefined && outcome.cause !== "upstream_refused") {
+      entry.excluded = [...entry.excluded, entry.attempt.placement.upstream];
+    }
+    entry.state = "placing";
+    entry.attempt = undefined;
+    entry.round += 1;
+  }
+
+  /** Opens a new connection to the same running answer. */
+  #reattach(ctx: StepContext, entry: RequestEntry): void {
+    const attempt = entry.attempt!;
+    entry.reattached = true;
+    ctx.emit(
+      startIntent(entry, attempt.id, {
+        placement: attempt.placement,
+        mode: "resume",
+      }),
+    );
+  }
+
+  #advance(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    if (entry.req.deadlineAt <= ctx.now) return this.#expire(board, ctx, entry);
+    ctx.wakeAt(entry.req.deadlineAt);
+    if (entry.state === "claiming") this.#readClaim(board, ctx, entry);
+    if (entry.state === "placing") this.#readPlacement(board, ctx, entry);
+  }
+
+  #readClaim(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const result = board.claims.results.get(entry.req.id);
+    if (result === undefined) return;
+    switch (result.type) {
+      case "held":
+        entry.state = "placing";
+        return ctx.repeat();
+      case "refused":
+        return this.#fail(board, ctx, entry, result.problem);
+      case "recorded":
+        board.requests.byId.delete(entry.req.id);
+        ctx.counters.add("requests_finished");
+        ctx.emit({
+          type: "answer_recorded",
+          req: entry.req.id,
+          status: result.status,
+          body: result.body,
+        });
+        return ctx.repeat();
+    }
+  }
+
+  #readPlacement(
+    board: Blackboard,
+    ctx: StepContext,
+    entry: RequestEntry,
+  ): void {
+    const placed = board.placement.placed.get(entry.req.id);
+    if (placed === undefined || placed.round !== entry.round) return;
+    if (placed.type === "refused") {
+      const verdict = joinVerdicts(entry.verdict, placed.problem.verdict);
+      return this.#fail(board, ctx, entry, { ...placed.problem, verdict });
+    }
+    this.#start(ctx, entry, placed.placement);
+  }
+
+  #start(ctx: StepContext, entry: RequestEntry, placement: Placement): void {
+    const id = ctx.random.uuid(ctx.now) as AttemptId;
+    entry.attempt = { id, placement, startedAt: ctx.now, tokens: entry.tokens };
+    entry.attempts += 1;
+    entry.state = "running";
+    entry.reattached = false;
+    ctx.emit(
+      startIntent(entry, id, {
+        placement,
+        mode: entry.tokens > 0 ? "continue" : "fresh",
+      }),
+    );
+    ctx.repeat();
+  }
+
+  #expire(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const verdict = entry.state === "running"
+      ? joinVerdicts(entry.verdict, "may_have_run")
+      : entry.verdict;
+    this.#fail(
+      board,
+      ctx,
+      entry,
+      problem(
+        "deadline_exceeded",
+        "The request did not end within its deadline.",
+        { verdict },
+      ),
+    );
+  }
+
+  #fail(
+    board: Blackboard,
+    ctx: StepContext,
+    entry: RequestEntry,
+    cause: Problem,
+  ): void {
+    if (entry.attempt !== undefined) {
+      const { id, placement } = entry.attempt;
+      ctx.emit({
+        type: "cancel_attempt",
+        req: entry.req.id,
+        attempt: id,
+        upstream: placement.upstream,
+      });
+    }
+    board.requests.byId.delete(entry.req.id);
+    ctx.counters.add("requests_failed");
+    refuse(ctx, entry.req.id, cause);
+    ctx.repeat();
+  }
+
+  #budgetAt(ctx: StepContext): RetryBudget {
+    this.#budget ??= RetryBudget.create(ctx.now);
+    return this.#budget;
+  }
+}
+
+function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
+  ctx.counters.refuse(cause.code);
+  ctx.emit({ type: "answer", req, problem: cause });
+}
+
+function startIntent(
+  entry: RequestEntry,
+  attempt: AttemptId,
+  options: { placement: Placement; mode: "fresh" | "resume" | "continue" },
+) {
+  return {
+    type: "start_attempt",
+    req: entry.req.id,
+    attempt,
+    placement: options.placement,
+    weights: entry.weights,
+    deadlineAt: entry.req.deadlineAt,
+    ranUnder: entry.ranUnder,
+    mode: options.mode,
+  } as const;
+}
--- /dev/null
+++ b/src/controllers/retry_decision.ts
@@ -0,0 +1,83 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { Refusal, Retry } from "../core/reason.ts";
+import type { Outcome } from "../core/request.ts";
+import type { RetryBudget } from "../core/retry_budget.ts";
+import type { Timestamp } from "../core/time.ts";
+
+/** What follows a failed attempt. */
+export type RetryDecision =
+  | Readonly<{ type: "give_up"; problem: Problem }>
+  /** Connects again to the same running answer. */
+  | Readonly<{ type: "reattach" }>
+  /** Asks for another place. */
+  | Readonly<{ type: "again" }>;
+
+const FINAL_CODES: Readonly<Record<Retry, Refusal>> = {
+  connect_failed: "no_upstream",
+  upstream_refused: "upstream_refused",
+  upstream_crashed: "upstream_failed",
+  upstream_silent: "upstream_failed",
+  upstream_leaving: "no_upstream",
+  answer_broken: "answer_broken",
+  resume_failed: "upstream_failed",
+  plan_broken: "upstream_failed",
+};
+
+/** Decides after a failed attempt; a call that may not be repeated goes on only after `not_run`. */
+export function decideRetry(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+  options: { board: Blackboard; budget: RetryBudget; now: Timestamp },
+): RetryDecision {
+  const { board, budget, now } = options;
+  if (entry.once && entry.verdict !== "not_run") return giveUp(entry, outcome);
+  if (board.quarantine.quarantined.has(entry.req.digest)) {
+    return { type: "give_up", problem: quarantined(entry) };
+  }
+  const maxAttempts = board.config.serving?.limits.maxAttempts ?? 1;
+  if (!canReattach(entry, outcome) && entry.attempts >= maxAttempts) {
+    return giveUp(entry, outcome);
+  }
+  if (!budget.spend(now)) {
+    const detail = `The retry budget is used up after: ${outcome.detail}`;
+    const retryAfterMs = budget.waitMs(now);
+    return {
+      type: "give_up",
+      problem: problem("retry_budget", detail, {
+        verdict: entry.verdict,
+        retryAfterMs,
+      }),
+    };
+  }
+  return { type: canReattach(entry, outcome) ? "reattach" : "again" };
+}
+
+/** The engine may still run the answer when only the connection was lost. */
+function canReattach(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+): boolean {
+  if (entry.req.kind !== "prompt" || entry.reattached || outcome.crashed) {
+    return false;
+  }
+  return outcome.cause === "upstream_silent" ||
+    outcome.cause === "answer_broken";
+}
+
+function giveUp(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+): RetryDecision {
+  const code = FINAL_CODES[outcome.cause];
+  return {
+    type: "give_up",
+    problem: problem(code, outcome.detail, { verdict: entry.verdict }),
+  };
+}
+
+function quarantined(entry: RequestEntry): Problem {
+  const detail = "Engines crashed each time that they ran this content.";
+  return problem("quarantined", detail, { verdict: entry.verdict });
+}
