--- a/src/board/requests_section.ts
+++ b/src/board/requests_section.ts
@@ -23,6 +23,8 @@
   tokens: number;
   /** All earlier attempts taken together. */
   verdict: Verdict;
+  /** Whether the prompt is at hand, so that it can run again from its start. */
+  readonly replayable: boolean;
   /** Whether the attempt has been connected to a second time already. */
   reattached?: boolean;
 };
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -8,6 +8,7 @@
 import type { Outcome, Placement, Request } from "../core/request.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
 import type { StepContext } from "../core/step_context.ts";
+import { SECOND_MS } from "../core/time.ts";
 import { joinVerdicts } from "../core/verdict.ts";
 import { decideRetry } from "./retry_decision.ts";
 
@@ -36,6 +37,8 @@
     switch (event.type) {
       case "request_arrived":
         return this.#arrive(board, ctx, event.req);
+      case "request_resumed":
+        return this.#resume(board, ctx, event);
       case "client_left":
         return this.#leave(board, ctx, event.req);
       case "first_token":
@@ -61,11 +64,70 @@
       excluded: [],
       tokens: 0,
       verdict: "not_run",
+      replayable: true,
     });
     ctx.counters.add("requests_admitted");
     ctx.repeat();
   }
 
+  /** A running answer is served while this daemon shuts down, too: nobody else may be near it. */
+  #resume(
+    board: Blackboard,
+    ctx: StepContext,
+    event: Extract<Event, { type: "request_resumed" }>,
+  ): void {
+    const { req, running } = event;
+    const upstream = board.upstreams.byId.get(running.upstream);
+    if (upstream === undefined) {
+      const detail = `Upstream ${running.upstream} is not known here.`;
+      return refuse(
+        ctx,
+        req.id,
+        problem("no_upstream", detail, {
+          verdict: "may_have_run",
+          retryAfterMs: SECOND_MS,
+        }),
+      );
+    }
+    const maxRequests = board.config.serving?.limits.maxRequests ?? 0;
+    if (board.requests.byId.size >= maxRequests) {
+      const detail = "This daemon holds its largest number of requests.";
+      return refuse(
+        ctx,
+        req.id,
+        problem("queue_full", detail, {
+          verdict: "may_have_run",
+          retryAfterMs: SECOND_MS,
+        }),
+      );
+    }
+    const placement = { upstream: running.upstream, priority: 0 };
+    const entry: RequestEntry = {
+      req,
+      ranUnder: running.ranUnder,
+      weights: running.ranUnder.weights,
+      once: false,
+      state: "running",
+      attempt: {
+        id: running.attempt,
+        placement,
+        startedAt: ctx.now,
+        tokens: running.tokens,
+      },
+      attempts: 1,
+      round: 1,
+      excluded: [],
+      tokens: running.tokens,
+      verdict: "may_have_run",
+      replayable: false,
+    };
+    board.requests.byId.set(req.id, entry);
+    ctx.emit(
+      startIntent(entry, running.attempt, { placement, mode: "resume" }),
+    );
+    ctx.repeat();
+  }
+
   /** A call goes on without its client, because its outcome has to be recorded. */
   #leave(board: Blackboard, ctx: StepContext, id: RequestId): void {
     const entry = board.requests.byId.get(id);
--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -36,6 +36,9 @@
   if (board.quarantine.quarantined.has(entry.req.digest)) {
     return { type: "give_up", problem: quarantined(entry) };
   }
+  if (!entry.replayable && !canReattach(entry, outcome)) {
+    return giveUp(entry, outcome);
+  }
   const maxAttempts = board.config.serving?.limits.maxAttempts ?? 1;
   if (!canReattach(entry, outcome) && entry.attempts >= maxAttempts) {
     return giveUp(entry, outcome);
--- a/src/core/event.ts
+++ b/src/core/event.ts
@@ -4,19 +4,27 @@
 import type { Vm } from "../wire/vm_list.ts";
 import type {
   AttemptId,
-  DaemonId,
   Offset,
   RecordId,
   RequestId,
   StreamName,
   UpstreamId,
 } from "./id.ts";
-import type { Outcome, Request } from "./request.ts";
+import type {
+  Outcome,
+  PromptRequest,
+  Request,
+  RunningAnswer,
+} from "./request.ts";
 import type { Millis } from "./time.ts";
 
 /** What the adapters tell the core. */
 export type Event =
   | Readonly<{ type: "request_arrived"; req: Request }>
+  /** A client came back for the rest of a running answer; its prompt is not at hand. */
+  | Readonly<
+    { type: "request_resumed"; req: PromptRequest; running: RunningAnswer }
+  >
   | Readonly<{ type: "client_left"; req: RequestId }>
   | Readonly<{ type: "first_token"; req: RequestId; attempt: AttemptId }>
   | Readonly<
@@ -86,5 +94,5 @@
     }
   >
   | Readonly<{ type: "peer_message"; envelope: Envelope }>
-  | Readonly<{ type: "peer_unreachable"; peer: DaemonId }>
+  | Readonly<{ type: "peer_unreachable"; address: string }>
   | Readonly<{ type: "drain_requested" }>;
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -104,3 +104,12 @@
 
 /** What the record of a request says about the configuration it ran under. */
 export type RanUnder = Readonly<{ revision: Revision; weights?: Weights }>;
+
+/** An answer that an engine is producing, started by another daemon. */
+export type RunningAnswer = Readonly<{
+  attempt: AttemptId;
+  upstream: UpstreamId;
+  ranUnder: RanUnder;
+  /** Tokens that the client has received. */
+  tokens: number;
+}>;
