Read serving configuration and daemon settings from INI files

One zod declaration per section gives parsing, ranges, defaults and the text of errors. ini parses the values; lines are read one by one, because ini drops the position of each key. All errors come at once with file, line, key, what was found and what is allowed. Published limits and shapes keep their inferred types; they now carry descriptions for the docs. Ruled out: one ini.parse over the whole text, which merges duplicate keys, nests dotted names and takes a key without a value for true.

--- /dev/null
+++ b/src/config/check_folder.ts
@@ -0,0 +1,83 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  compareConfigErrors,
+  type ConfigError,
+  type ConfigFile,
+} from "./config_error.ts";
+import { readSections, type Section } from "./read_sections.ts";
+import {
+  checkReferences,
+  type ServingSections,
+  splitReference,
+} from "./references.ts";
+import { SERVING_SECTIONS } from "./serving_sections.ts";
+import { type ServingConfig, ServingConfigSchema } from "./serving.ts";
+
+/** Merges files in the order of their names and checks them; reports all errors at once. */
+export function checkFolder(
+  files: readonly ConfigFile[],
+): Result<ServingConfig, readonly ConfigError[]> {
+  const ordered = [...files].sort((a, b) => a.name < b.name ? -1 : 1);
+  const { sections, errors } = readSections(ordered, SERVING_SECTIONS);
+  const all = [...errors, ...checkReferences(sections)];
+  if (all.length > 0) return err(all.sort(compareConfigErrors));
+  const parsed = ServingConfigSchema.safeParse(assemble(sections));
+  if (parsed.success) return ok(parsed.data);
+  return err(parsed.error.issues.map((issue): ConfigError => ({
+    code: "out_of_range",
+    file: "",
+    line: 0,
+    section: String(issue.path[0] ?? ""),
+    key: issue.path.join("."),
+    found: "the merged folder",
+    allowed: issue.message,
+  })));
+}
+
+function assemble(sections: ServingSections): unknown {
+  return {
+    models: byId(sections.model, (model) => ({
+      ...model.value,
+      adapters: sections.adapter
+        .filter((adapter) => adapter.value.model === model.name)
+        .map((adapter) => adapter.name).sort(),
+    })),
+    groups: byId(sections.group, (group) => ({
+      checksFencing: group.value.checksFencing,
+      orderDelayMs: group.value.orderDelayMs,
+      loaded: (group.value.models ?? []).map((reference) =>
+        loadedOf(reference, group.value.adapters ?? [], sections)
+      ),
+    })),
+    services: byId(sections.service, (service) => service.value),
+    teams: byId(sections.team, (team) => team.value),
+    classes: byId(sections.class, (section) => section.value),
+    limits: sections.limits[0]?.value,
+  };
+}
+
+function loadedOf(
+  reference: string,
+  adapters: readonly string[],
+  sections: ServingSections,
+): unknown {
+  const { model, version } = splitReference(reference);
+  const section = sections.model.find((section) => section.name === model);
+  const owned = sections.adapter.filter((adapter) =>
+    adapter.value.model === model
+  ).map((adapter) => adapter.name);
+  return {
+    model,
+    version: version ?? section?.value.version,
+    adapters: adapters.filter((adapter) => owned.includes(adapter)),
+  };
+}
+
+function byId<Value>(
+  sections: readonly Section<Value>[],
+  build: (section: Section<Value>) => unknown,
+): unknown[] {
+  return [...sections].sort((a, b) => a.name < b.name ? -1 : 1).map((
+    section,
+  ) => ({ id: section.name, ...(build(section) as object) }));
+}
--- /dev/null
+++ b/src/config/examples_test.ts
@@ -0,0 +1,50 @@
+import { expect, test } from "vitest";
+import { checkDaemonSettings } from "./daemon_settings.ts";
+import { checkFolder } from "./check_folder.ts";
+import { readConfigFile, readFolder } from "./folder_reader.ts";
+
+const EXAMPLES = new URL("../../examples/", import.meta.url).pathname;
+
+test.each(["cooperative", "faro"])("examples/%s is in order", async (name) => {
+  const files = (await readFolder(EXAMPLES + name))._unsafeUnwrap();
+  const config = checkFolder(files)._unsafeUnwrap();
+  expect({
+    models: config.models.length,
+    adapters: config.models.flatMap((model) => model.adapters).length,
+    teams: config.teams.length,
+    classes: config.classes.length,
+    once: config.services.every((service) => service.once.length > 0),
+  }).toEqual({ models: 1, adapters: 2, teams: 10, classes: 3, once: true });
+});
+
+test("examples/daemon.ini is in order", async () => {
+  const file = (await readConfigFile(`${EXAMPLES}daemon.ini`))._unsafeUnwrap();
+  expect(checkDaemonSettings(file)._unsafeUnwrap()).toMatchInlineSnapshot(`
+    {
+      "daemon": {
+        "clientAddress": "127.0.0.1:8080",
+        "domain": "a",
+        "peerAddress": "127.0.0.1:9090",
+        "vm": "entry-a-1",
+      },
+      "log": {
+        "level": "info",
+      },
+      "metrics": {
+        "statsdHost": "127.0.0.1",
+        "statsdPort": 8125,
+      },
+      "platform": {
+        "logUrl": "http://127.0.0.1:7001",
+        "vmListUrl": "http://127.0.0.1:7002",
+        "weightStoreUrl": "http://127.0.0.1:7003",
+      },
+      "tls": {},
+    }
+  `);
+});
+
+test("a folder that is not there is an error as data", async () => {
+  const errors = (await readFolder(`${EXAMPLES}none`))._unsafeUnwrapErr();
+  expect(errors.map((error) => error.code)).toEqual(["unreadable"]);
+});
--- /dev/null
+++ b/src/config/ini_file.ts
@@ -0,0 +1,76 @@
+import { parse, unsafe } from "ini";
+import type { ConfigError, ConfigFile } from "./config_error.ts";
+
+const SECTION_LINE = /^\s*\[([^\]]*)\]\s*([;#].*)?$/;
+const IGNORED_LINE = /^\s*([;#].*)?$/;
+const MAX_FOUND_LENGTH = 80;
+
+/** Where something was written. */
+export type Position = Readonly<{ file: string; line: number }>;
+
+/** A section header, or one key of a section. */
+export type IniEntry =
+  | Readonly<{ type: "section"; section: string; at: Position }>
+  | Readonly<
+    { type: "key"; section: string; key: string; value: string; at: Position }
+  >;
+
+/** A file's entries in their order, and the lines that are none. */
+export type IniFile = Readonly<
+  { entries: readonly IniEntry[]; errors: readonly ConfigError[] }
+>;
+
+/** Reads an INI file line by line, so that each entry keeps its line; `ini` parses the values. */
+export function parseIniFile(file: ConfigFile): IniFile {
+  const entries: IniEntry[] = [];
+  const errors: ConfigError[] = [];
+  let section = "";
+  for (const [index, text] of file.text.split(/\r?\n/).entries()) {
+    if (IGNORED_LINE.test(text)) continue;
+    const at: Position = { file: file.name, line: index + 1 };
+    const header = SECTION_LINE.exec(text);
+    if (header !== null) {
+      section = unsafe(header[1] ?? "");
+      entries.push({ type: "section", section, at });
+      continue;
+    }
+    const entry = parseKey(text);
+    if (entry === undefined) errors.push(malformed(text, section, at));
+    else entries.push({ type: "key", section, ...entry, at });
+  }
+  return { entries, errors };
+}
+
+/** Shortens what was found, so that an error stays readable. */
+export function quoteFound(text: string): string {
+  const short = text.length > MAX_FOUND_LENGTH
+    ? `${text.slice(0, MAX_FOUND_LENGTH)}...`
+    : text;
+  return JSON.stringify(short);
+}
+
+function parseKey(
+  text: string,
+): Readonly<{ key: string; value: string }> | undefined {
+  const separator = text.indexOf("=");
+  const trimmed = text.trim();
+  if (separator < 0 || trimmed.startsWith("=") || trimmed.startsWith("[")) {
+    return undefined;
+  }
+  const [key, value] =
+    Object.entries(parse(text, { bracketedArray: false }))[0] ??
+      [];
+  if (key === undefined) return undefined;
+  return { key, value: String(value) };
+}
+
+function malformed(text: string, section: string, at: Position): ConfigError {
+  return {
+    code: "malformed_line",
+    ...at,
+    section,
+    key: "",
+    found: quoteFound(text.trim()),
+    allowed: "[section], key = value, or a comment after ; or #",
+  };
+}
--- /dev/null
+++ b/src/config/key_schema.ts
@@ -0,0 +1,130 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+
+/** A key's declaration as JSON schema says it. */
+type JsonSchema = Readonly<{
+  type?: string;
+  enum?: readonly string[];
+  items?: JsonSchema;
+  minimum?: number;
+  maximum?: number;
+  minLength?: number;
+  maxLength?: number;
+  minItems?: number;
+  format?: string;
+  default?: unknown;
+  description?: string;
+  allowed?: string;
+}>;
+
+/** What the documentation says about one key. */
+export type KeyDoc = Readonly<{
+  type: string;
+  allowed: string;
+  /** Absent where the key must be given. */
+  default?: string;
+  required: boolean;
+  meaning: string;
+}>;
+
+/** Why a value was not taken. */
+export type ValueError = Readonly<
+  { code: "wrong_type" | "out_of_range"; allowed: string }
+>;
+
+const INTEGER = /^[+-]?\d+$/;
+const DECIMAL = /^[+-]?(\d+\.?\d*|\.\d+)$/;
+
+/** Describes a key from its schema. */
+export function describeKey(schema: z.ZodType): KeyDoc {
+  const json = jsonSchema(schema);
+  return {
+    type: typeName(json),
+    allowed: allowedText(json),
+    default: json.default === undefined ? undefined : defaultText(json.default),
+    required: !schema.safeParse(undefined).success,
+    meaning: json.description ?? "",
+  };
+}
+
+/** Reads a key's text into the value that its schema wants. */
+export function decodeValue(
+  schema: z.ZodType,
+  text: string,
+): Result<unknown, ValueError> {
+  const json = jsonSchema(schema);
+  const allowed = allowedText(json);
+  const raw = rawValue(json, text);
+  if (raw === undefined) return err({ code: "wrong_type", allowed });
+  const parsed = schema.safeParse(raw);
+  if (parsed.success) return ok(parsed.data);
+  return err({ code: "out_of_range", allowed });
+}
+
+/** Returns the name that a key has in a file. */
+export function snakeCase(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
+
+function jsonSchema(schema: z.ZodType): JsonSchema {
+  return z.toJSONSchema(schema, { io: "input" }) as JsonSchema;
+}
+
+function rawValue(json: JsonSchema, text: string): unknown {
+  if (json.type === "array") return listItems(text);
+  if (json.type === "integer") {
+    return INTEGER.test(text) ? Number(text) : undefined;
+  }
+  if (json.type === "number") {
+    return DECIMAL.test(text) ? Number(text) : undefined;
+  }
+  if (json.type === "boolean") {
+    if (text === "true") return true;
+    return text === "false" ? false : undefined;
+  }
+  return text;
+}
+
+function listItems(text: string): string[] {
+  return text.split(",").map((item) => item.trim()).filter((item) =>
+    item !== ""
+  );
+}
+
+function typeName(json: JsonSchema): string {
+  if (json.type === "array") return "list";
+  if (json.enum !== undefined) return "choice";
+  if (json.format === "uri") return "URL";
+  if (json.type === "integer") return "whole number";
+  return json.type ?? "string";
+}
+
+function allowedText(json: JsonSchema): string {
+  if (json.allowed !== undefined) return json.allowed;
+  if (json.enum !== undefined) return `one of ${json.enum.join(", ")}`;
+  if (json.type === "boolean") return "true or false";
+  if (json.type === "integer") {
+    return `a whole number from ${json.minimum} to ${json.maximum}`;
+  }
+  if (json.type === "number") {
+    return `a number from ${json.minimum} to ${json.maximum}`;
+  }
+  if (json.type === "array") return listText(json);
+  if (json.format === "uri") return "a URL of http or https";
+  return `text of ${json.minLength ?? 0} to ${
+    json.maxLength ?? "any number of"
+  } characters`;
+}
+
+function listText(json: JsonSchema): string {
+  const item = json.items === undefined ? "text" : allowedText(json.items);
+  const least = json.minItems === undefined ? "" : "at least one; ";
+  return `${least}separated by commas, each ${item}`;
+}
+
+function defaultText(value: unknown): string {
+  if (Array.isArray(value)) {
+    return value.length === 0 ? "none" : value.join(", ");
+  }
+  return String(value);
+}
--- a/src/config/serving.ts
+++ b/src/config/serving.ts
@@ -13,63 +13,113 @@
 import { LoadedSchema } from "../wire/engine.ts";
 import { LimitsSchema } from "./limits.ts";
 
-const positive = z.number().int().positive();
+const MAX_DURATION_MS = 86_400_000;
+const MAX_LIST = 1_000;
+const MAX_SHARE = 1_000_000;
+
+const duration = z.number().int().min(1).max(MAX_DURATION_MS);
+const tokenDigest = z.string().regex(/^[0-9a-f]{64}$/)
+  .meta({ allowed: "64 lowercase hexadecimal digits" })
+  .transform((value) => value as Digest);
+const callPattern = z.string().regex(/^([A-Z]+|\*) \/\S*$/)
+  .meta({ allowed: "METHOD /path" });
+
+/** Keys of `[model.NAME]` that are published as they are written. */
+export const modelKeys = {
+  versions: z.array(idSchema<VersionId>()).min(1).max(MAX_LIST)
+    .describe("Versions of the model that may run."),
+  version: idSchema<VersionId>()
+    .describe(
+      "The version that runs where a request names none; one of `versions`.",
+    ),
+};
 
 /** A model that teams may ask for. */
 export const ModelSchema = z.object({
   id: idSchema<ModelId>(),
-  versions: z.array(idSchema<VersionId>()).min(1),
-  /** The version that runs where a request names none. */
-  version: idSchema<VersionId>(),
+  ...modelKeys,
   adapters: z.array(idSchema<AdapterId>()),
 }).readonly();
 /** A model that teams may ask for. */
 export type Model = z.infer<typeof ModelSchema>;
 
+/** Keys of `[group.NAME]` that are published as they are written. */
+export const groupKeys = {
+  checksFencing: z.boolean()
+    .describe(
+      "Whether its engines refuse an order with an old fencing number.",
+    ),
+  orderDelayMs: duration
+    .describe(
+      "Longest time that an order may take on its way, in milliseconds.",
+    ),
+};
+
 /** Engines that run the same weights under one lease holder. */
 export const GroupSchema = z.object({
   id: idSchema<GroupId>(),
   loaded: z.array(LoadedSchema).min(1),
-  /** Whether its engines refuse an order with an old fencing number. */
-  checksFencing: z.boolean(),
-  /** Longest time that an order may take on its way. */
-  orderDelayMs: positive,
+  ...groupKeys,
 }).readonly();
 /** Engines that run the same weights under one lease holder. */
 export type Group = z.infer<typeof GroupSchema>;
 
+/** Keys of `[service.NAME]`. */
+export const serviceKeys = {
+  once: z.array(callPattern).max(MAX_LIST).default([])
+    .describe(
+      "Calls that may not be repeated; `*` stands for any method or one path part. All others are idempotent.",
+    ),
+  timeoutMs: duration.default(10_000)
+    .describe("Time that one call may take, in milliseconds."),
+};
+
 /** A plain service. */
 export const ServiceSchema = z.object({
   id: idSchema<ServiceId>(),
-  /** `METHOD /path` patterns of calls that may not be repeated; `*` matches one path part. */
-  once: z.array(z.string()),
-  timeoutMs: positive,
+  ...serviceKeys,
 }).readonly();
 /** A plain service. */
 export type Service = z.infer<typeof ServiceSchema>;
 
+/** Keys of `[team.NAME]`. */
+export const teamKeys = {
+  share: z.number().int().min(1).max(MAX_SHARE)
+    .describe(
+      "The team's part of the fleet when all teams are busy, against the sum of all shares.",
+    ),
+  tokenDigests: z.array(tokenDigest).max(MAX_LIST).default([])
+    .describe(
+      "SHA-256 digests of the team's bearer tokens; none means that the team needs no token.",
+    ),
+  models: z.array(idSchema<ModelId>()).max(MAX_LIST).default([])
+    .describe("Models the team may use; none means all."),
+  services: z.array(idSchema<ServiceId>()).max(MAX_LIST).default([])
+    .describe("Services the team may use; none means all."),
+};
+
 /** A team, its tokens and what it may use. */
-export const TeamSchema = z.object({
-  id: idSchema<TeamId>(),
-  share: positive,
-  /** SHA-256 digests of the team's bearer tokens; none means that the team needs no token. */
-  tokenDigests: z.array(idSchema<Digest>()),
-  /** Models the team may use; empty means all. */
-  models: z.array(idSchema<ModelId>()),
-  /** Services the team may use; empty means all. */
-  services: z.array(idSchema<ServiceId>()),
-}).readonly();
+export const TeamSchema = z.object({ id: idSchema<TeamId>(), ...teamKeys })
+  .readonly();
 /** A team, its tokens and what it may use. */
 export type Team = z.infer<typeof TeamSchema>;
 
+/** Keys of `[class.NAME]`. */
+export const classKeys = {
+  urgency: z.number().int().min(0).max(9)
+    .describe("0 is the most urgent, 9 the least."),
+  deadlineMs: duration
+    .describe("Deadline of a request that names none, in milliseconds."),
+  maxDeadlineMs: duration
+    .describe(
+      "Longest deadline that a request may name, in milliseconds; at least `deadline_ms`.",
+    ),
+};
+
 /** How urgent a kind of request is. */
 export const RequestClassSchema = z.object({
   id: idSchema<ClassId>(),
-  /** 0 is the most urgent, 9 the least. */
-  urgency: z.number().int().min(0).max(9),
-  /** Deadline of a request that names none. */
-  deadlineMs: positive,
-  maxDeadlineMs: positive,
+  ...classKeys,
 }).readonly();
 /** How urgent a kind of request is. */
 export type RequestClass = z.infer<typeof RequestClassSchema>;
