--- /dev/null
+++ b/src/daemon/attempt_runner.ts
@@ -0,0 +1,140 @@
+import type { Intent } from "../core/intent.ts";
+import type { AttemptId, RequestId, UpstreamId } from "../core/id.ts";
+import type { Blackboard } from "../board/blackboard.ts";
+import { LimitsSchema } from "../config/limits.ts";
+import { MINUTE_MS } from "../core/time.ts";
+import { runCall } from "./call_run.ts";
+import type {
+  CallExchange,
+  ExchangeTable,
+  PromptExchange,
+} from "./exchange.ts";
+import type { Loop } from "./loop.ts";
+import { PromptRun, type StartAttempt } from "./prompt_run.ts";
+import type { UpstreamClients } from "./upstream_clients.ts";
+
+const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
+
+/** What the runner works with. */
+export type AttemptRunnerParts = Readonly<{
+  loop: () => Loop;
+  board: Blackboard;
+  clients: UpstreamClients;
+  exchanges: ExchangeTable;
+}>;
+
+/** Carries out the core's attempts at upstreams. */
+export class AttemptRunner {
+  readonly #parts: AttemptRunnerParts;
+  /** One running attempt for each open exchange at the most. */
+  readonly #runs = new Map<RequestId, PromptRun>();
+
+  private constructor(parts: AttemptRunnerParts) {
+    this.#parts = parts;
+  }
+
+  static create(parts: AttemptRunnerParts): AttemptRunner {
+    return new AttemptRunner(parts);
+  }
+
+  start(intent: StartAttempt): void {
+    const exchange = this.#parts.exchanges.get(intent.req);
+    const upstream = this.#parts.board.upstreams.byId.get(
+      intent.placement.upstream,
+    );
+    if (exchange === undefined || upstream === undefined) {
+      return this.#unplaced(intent);
+    }
+    if (exchange.kind === "prompt") {
+      this.#startPrompt(intent, exchange, upstream.address);
+    } else this.#startCall(intent, exchange, upstream.address);
+  }
+
+  cancel(intent: Extract<Intent, { type: "cancel_attempt" }>): void {
+    this.#drop(intent.req);
+    this.#cancelAt(intent.upstream, intent.attempt);
+  }
+
+  /** The client went away: what it can fetch elsewhere goes on at the engine, the rest ends. */
+  leave(exchange: PromptExchange): void {
+    const { id } = exchange.req;
+    const attempt = this.#parts.board.requests.byId.get(id)?.attempt;
+    this.#drop(id);
+    if (attempt === undefined || exchange.writer.resumable) return;
+    this.#cancelAt(attempt.placement.upstream, attempt.id);
+  }
+
+  #drop(req: RequestId): void {
+    this.#runs.get(req)?.stop();
+    this.#runs.delete(req);
+  }
+
+  #cancelAt(id: UpstreamId, attempt: AttemptId): void {
+    const upstream = this.#parts.board.upstreams.byId.get(id);
+    if (upstream?.kind !== "engine") return;
+    // The engine drops the attempt at its deadline where this is lost.
+    void this.#parts.clients.engine(upstream.address).cancel(attempt);
+  }
+
+  #startPrompt(
+    intent: StartAttempt,
+    exchange: PromptExchange,
+    address: string,
+  ): void {
+    const { loop, board, clients } = this.#parts;
+    const run = PromptRun.create({
+      intent,
+      exchange,
+      engine: clients.engine(address),
+      counters: board.counters,
+      now: () => loop().now(),
+      silenceMs: this.#limits().upstreamSilenceMs,
+      post: (event) => loop().post(event),
+    });
+    this.#drop(intent.req);
+    this.#runs.set(intent.req, run);
+    void run.run().finally(() => {
+      if (this.#runs.get(intent.req) === run) this.#runs.delete(intent.req);
+    });
+  }
+
+  #startCall(
+    intent: StartAttempt,
+    exchange: CallExchange,
+    address: string,
+  ): void {
+    const { loop, board, clients } = this.#parts;
+    const service = board.config.serving?.services.find((one) =>
+      one.id === exchange.req.service
+    );
+    void runCall({
+      intent,
+      exchange,
+      service: clients.service(address),
+      now: () => loop().now(),
+      timeoutMs: service?.timeoutMs ?? MINUTE_MS,
+      maxBytes: this.#limits().maxCallBytes,
+      post: (event) => loop().post(event),
+    });
+  }
+
+  #unplaced(intent: StartAttempt): void {
+    this.#parts.loop().post({
+      type: "attempt_ended",
+      req: intent.req,
+      attempt: intent.attempt,
+      outcome: {
+        type: "failed",
+        cause: "connect_failed",
+        verdict: "not_run",
+        tokens: 0,
+        crashed: false,
+        detail: `Upstream ${intent.placement.upstream} is gone.`,
+      },
+    });
+  }
+
+  #limits() {
+    return this.#parts.board.config.serving?.limits ?? DEFAULT_LIMITS;
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,263 @@
+import { Buffer } from "node:buffer";
+import { createServer, type Server } from "node:http";
+import { setTimeout } from "node:timers/promises";
+import { getRequestListener } from "@hono/node-server";
+import type { ResultAsync } from "neverthrow";
+import type { Self } from "../board/self.ts";
+import type { DaemonSettings } from "../config/daemon_settings.ts";
+import { createCore } from "../controllers/create_core.ts";
+import { freshPeers } from "../controllers/membership_controller.ts";
+import type { Core } from "../core/core.ts";
+import type { DaemonId } from "../core/id.ts";
+import type { Intent } from "../core/intent.ts";
+import type { Random } from "../core/random.ts";
+import { SECOND_MS } from "../core/time.ts";
+import { createApp } from "../http/app.ts";
+import type { LogClient } from "../platform/log_client.ts";
+import type { VmListClient } from "../platform/vm_list_client.ts";
+import { PeerClients } from "../peer/peer_clients.ts";
+import { PeerServer } from "../peer/peer_server.ts";
+import { AttemptRunner } from "./attempt_runner.ts";
+import type { Clock } from "./clock.ts";
+import type { ExchangeTable } from "./exchange.ts";
+import { listenHttp } from "./listen.ts";
+import { LogAdapter } from "./log_adapter.ts";
+import type { Logger } from "./logger.ts";
+import { Loop } from "./loop.ts";
+import { Metrics } from "./metrics.ts";
+import { OrderRunner } from "./order_runner.ts";
+import { type ClientFactory, UpstreamClients } from "./upstream_clients.ts";
+import { UpstreamPoller } from "./upstream_poller.ts";
+import { VmListPoller } from "./vm_list_poller.ts";
+
+/** Time that open connections get to end by themselves after the last request. */
+const CLOSE_GRACE_MS = 2 * SECOND_MS;
+
+/** What a daemon is built from; tests replace any of it. */
+export type DaemonParts = Readonly<{
+  settings: DaemonSettings;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  log: LogClient;
+  vmList: VmListClient;
+  upstreams: ClientFactory;
+  /** Signs what clients carry from one daemon to another; the same on all daemons. */
+  signingKey: string;
+  /** Called once a shutdown is complete. */
+  onExit: () => void;
+}>;
+
+/** One daemon: the core and the adapters around it. */
+export class Daemon {
+  readonly #parts: DaemonParts;
+  readonly #exchanges: ExchangeTable = new Map();
+  readonly #core: Core;
+  readonly #loop: Loop;
+  readonly #clients: UpstreamClients;
+  readonly #runner: AttemptRunner;
+  readonly #orders: OrderRunner;
+  readonly #peers = PeerClients.create();
+  readonly #peerServer: PeerServer;
+  readonly #http: Server;
+  readonly #logAdapter: LogAdapter;
+  readonly #upstreamPoller: UpstreamPoller;
+  readonly #vmListPoller: VmListPoller;
+  readonly #metrics: Metrics | undefined;
+
+  private constructor(parts: DaemonParts) {
+    this.#parts = parts;
+    const { settings, clock, random } = parts;
+    this.#core = createCore(selfOf(parts), random);
+    const { board } = this.#core;
+    this.#loop = Loop.create({
+      core: this.#core,
+      clock,
+      perform: (intent) => this.#perform(intent),
+    });
+    const loop = () => this.#loop;
+    this.#clients = UpstreamClients.create(parts.upstreams);
+    this.#runner = AttemptRunner.create({
+      loop,
+      board,
+      clients: this.#clients,
+      exchanges: this.#exchanges,
+    });
+    this.#orders = OrderRunner.create({ loop, board, clients: this.#clients });
+    this.#logAdapter = LogAdapter.create(parts.log, {
+      liveDaemons: () => freshPeers(board, clock.now()).length + 1,
+      onEvent: (event) => this.#loop.post(event),
+    });
+    this.#upstreamPoller = UpstreamPoller.create(loop, this.#clients);
+    this.#vmListPoller = VmListPoller.create(loop, parts.vmList);
+    this.#peerServer = PeerServer.create({
+      deliver: (envelope) =>
+        this.#loop.post({ type: "peer_message", envelope }),
+    });
+    this.#http = this.#createHttp();
+    const { statsdHost: host, statsdPort: port } = settings.metrics;
+    const tags = { vm: settings.daemon.vm, domain: settings.daemon.domain };
+    this.#metrics = host === undefined
+      ? undefined
+      : Metrics.create(board, { host, port, tags });
+  }
+
+  static create(parts: DaemonParts): Daemon {
+    return new Daemon(parts);
+  }
+
+  get core(): Core {
+    return this.#core;
+  }
+
+  /** Binds both listeners, then starts to read log and VM list. */
+  listen(): ResultAsync<void, Error> {
+    const { clientAddress, peerAddress } = this.#parts.settings.daemon;
+    return this.#peerServer.listen(peerAddress)
+      .andThen(() => listenHttp(this.#http, clientAddress))
+      .map(() => this.#start());
+  }
+
+  /** Starts a graceful shutdown; asking again changes nothing. */
+  drain(): void {
+    this.#loop.post({ type: "drain_requested" });
+  }
+
+  /** Ends at once; requests in flight are cut off. */
+  async kill(): Promise<void> {
+    this.#stop();
+    this.#http.closeAllConnections();
+    this.#peerServer.kill();
+    this.#http.close();
+    await this.#clients.close();
+  }
+
+  #start(): void {
+    this.#loop.start();
+    this.#vmListPoller.start();
+    this.#upstreamPoller.start();
+    this.#metrics?.start();
+    const { clientAddress, peerAddress } = this.#parts.settings.daemon;
+    this.#parts.logger.info("listening", { clientAddress, peerAddress });
+  }
+
+  #stop(): void {
+    this.#loop.stop();
+    this.#vmListPoller.stop();
+    this.#upstreamPoller.stop();
+    this.#logAdapter.close();
+    this.#peers.close();
+  }
+
+  #createHttp(): Server {
+    const { clock, random, logger } = this.#parts;
+    const app = createApp({
+      board: this.#core.board,
+      exchanges: this.#exchanges,
+      now: () => clock.now(),
+      post: (event) => this.#loop.post(event),
+      uuid: () => random.uuid(clock.now()),
+      signingKey: () => this.#parts.signingKey,
+      leave: (exchange) => this.#runner.leave(exchange),
+      report: (cause) =>
+        logger.error("request failed", { cause: String(cause) }),
+    });
+    return createServer(getRequestListener(app.fetch));
+  }
+
+  #perform(intent: Intent): void {
+    switch (intent.type) {
+      case "start_attempt":
+        return this.#runner.start(intent);
+      case "cancel_attempt":
+        return this.#runner.cancel(intent);
+      case "answer":
+        return this.#answer(intent);
+      case "answer_recorded":
+        return this.#answerRecorded(intent);
+      case "append":
+        return this.#logAdapter.append(intent);
+      case "read_log":
+        return void this.#logAdapter.read(intent);
+      case "send_peer":
+        return void this.#sendPeer(intent);
+      case "send_order":
+        return void this.#orders.order(intent);
+      case "reserve_memory":
+        return void this.#orders.reserve(intent);
+      case "release_memory":
+        return void this.#orders.release(intent);
+      case "log_line":
+        return void this.#parts.logger.log(
+          intent.level,
+          intent.message,
+          intent.fields,
+        );
+      case "exit":
+        return void this.#exit();
+    }
+  }
+
+  #answer(intent: Extract<Intent, { type: "answer" }>): void {
+    const exchange = this.#exchanges.get(intent.req);
+    this.#exchanges.delete(intent.req);
+    const { code, verdict, detail } = intent.problem;
+    const { team } = exchange?.req ?? {};
+    this.#parts.logger.warn("request failed", {
+      req: intent.req,
+      team,
+      reason: code,
+      verdict,
+      detail,
+    });
+    if (exchange?.kind === "prompt") exchange.writer.fail(intent.problem);
+    else exchange?.fail(intent.problem);
+  }
+
+  #answerRecorded(intent: Extract<Intent, { type: "answer_recorded" }>): void {
+    const exchange = this.#exchanges.get(intent.req);
+    this.#exchanges.delete(intent.req);
+    if (exchange?.kind !== "call") return;
+    const body = Buffer.from(intent.body);
+    exchange.finish({
+      status: intent.status,
+      contentType: "application/json",
+      body,
+    });
+  }
+
+  async #sendPeer(
+    intent: Extract<Intent, { type: "send_peer" }>,
+  ): Promise<void> {
+    const { address, envelope } = intent;
+    const sent = await this.#peers.send(address, envelope);
+    if (sent.isErr()) this.#loop.post({ type: "peer_unreachable", address });
+  }
+
+  async #exit(): Promise<void> {
+    this.#parts.logger.info("drained", {});
+    const closed = new Promise<void>((resolve) =>
+      this.#http.close(() => resolve())
+    );
+    this.#http.closeIdleConnections();
+    await Promise.race([closed, setTimeout(CLOSE_GRACE_MS)]);
+    this.#stop();
+    this.#peerServer.kill();
+    await this.#metrics?.close();
+    await this.#clients.close();
+    this.#parts.onExit();
+  }
+}
+
+function selfOf(parts: DaemonParts): Self {
+  const { daemon } = parts.settings;
+  const startedAt = parts.clock.now();
+  return {
+    id: parts.random.uuid(startedAt) as DaemonId,
+    vm: daemon.vm,
+    domain: daemon.domain,
+    clientAddress: daemon.clientAddress,
+    peerAddress: daemon.peerAddress,
+    startedAt,
+  };
+}
--- /dev/null
+++ b/src/daemon/logger.ts
@@ -0,0 +1,20 @@
+import winston from "winston";
+
+/** Writes one JSON object a line to standard output. */
+export type Logger = winston.Logger;
+
+/** Builds a logger whose lines all carry `fields`. */
+export function createLogger(
+  level: string,
+  fields: Readonly<Record<string, string>>,
+): Logger {
+  return winston.createLogger({
+    level,
+    defaultMeta: fields,
+    format: winston.format.combine(
+      winston.format.timestamp(),
+      winston.format.json(),
+    ),
+    transports: [new winston.transports.Console()],
+  });
+}
--- /dev/null
+++ b/src/daemon/metrics.ts
@@ -0,0 +1,72 @@
+import { clearInterval, setInterval } from "node:timers";
+import { StatsD } from "hot-shots";
+import type { Blackboard } from "../board/blackboard.ts";
+import { type Millis, SECOND_MS } from "../core/time.ts";
+
+const FLUSH_INTERVAL_MS: Millis = 10 * SECOND_MS;
+const PREFIX = "parsleyfield.";
+
+/** Where metrics go, and what every one of them is tagged with. */
+export type MetricsTarget = Readonly<
+  { host: string; port: number; tags: Readonly<Record<string, string>> }
+>;
+
+/** Sends what the counters gained since the last time, and the gauges of the board. */
+export class Metrics {
+  readonly #board: Blackboard;
+  readonly #client: StatsD;
+  readonly #sent = new Map<string, number>();
+  #timer: NodeJS.Timeout | undefined;
+
+  private constructor(board: Blackboard, target: MetricsTarget) {
+    this.#board = board;
+    this.#client = new StatsD({
+      host: target.host,
+      port: target.port,
+      prefix: PREFIX,
+      globalTags: target.tags,
+      // A receiver that is away must not end the daemon.
+      errorHandler: () => {},
+    });
+  }
+
+  static create(board: Blackboard, target: MetricsTarget): Metrics {
+    return new Metrics(board, target);
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    this.flush();
+    await new Promise<void>((resolve) => this.#client.close(() => resolve()));
+  }
+
+  /** Sends everything that has changed. */
+  flush(): void {
+    const { counters, config, requests, placement, members } = this.#board;
+    this.#sendCounts("refused", "reason", counters.refused);
+    this.#sendCounts("retried", "reason", counters.retried);
+    this.#sendCounts("counted", "name", counters.counted);
+    this.#client.gauge("revision", config.revision);
+    this.#client.gauge("running", requests.byId.size);
+    this.#client.gauge("queued", placement.queued);
+    this.#client.gauge("peers", members.peers.size);
+  }
+
+  #sendCounts(
+    metric: string,
+    tag: string,
+    counts: Readonly<Record<string, number>>,
+  ): void {
+    for (const [name, count] of Object.entries(counts)) {
+      const key = `${metric}/${name}`;
+      const gained = count - (this.#sent.get(key) ?? 0);
+      if (gained === 0) continue;
+      this.#sent.set(key, count);
+      this.#client.increment(metric, gained, { [tag]: name });
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/order_runner.ts
@@ -0,0 +1,79 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { Intent } from "../core/intent.ts";
+import type { EngineClient, EngineError } from "../engine/engine_client.ts";
+import type { Loop } from "./loop.ts";
+import type { UpstreamClients } from "./upstream_clients.ts";
+
+type OrderIntent = Extract<Intent, { type: "send_order" }>;
+type ReserveIntent = Extract<Intent, { type: "reserve_memory" }>;
+type ReleaseIntent = Extract<Intent, { type: "release_memory" }>;
+
+/** What the runner works with. */
+export type OrderRunnerParts = Readonly<{
+  loop: () => Loop;
+  board: Blackboard;
+  clients: UpstreamClients;
+}>;
+
+/** Carries out orders to engines and reservations of their memory. */
+export class OrderRunner {
+  readonly #parts: OrderRunnerParts;
+
+  private constructor(parts: OrderRunnerParts) {
+    this.#parts = parts;
+  }
+
+  static create(parts: OrderRunnerParts): OrderRunner {
+    return new OrderRunner(parts);
+  }
+
+  async order(intent: OrderIntent): Promise<void> {
+    const { upstream } = intent;
+    const engine = this.#engine(upstream);
+    const sent = await engine?.order(intent.order);
+    const result = sent?.isOk() ? "accepted" : orderResult(sent?.error);
+    this.#parts.loop().post({ type: "order_ended", upstream, result });
+  }
+
+  async reserve(intent: ReserveIntent): Promise<void> {
+    const { upstream, plan, tokens, ttlMs } = intent;
+    const owner = this.#parts.board.self.id;
+    const engine = this.#engine(upstream);
+    const sent = await engine?.reserve(plan, { owner, tokens, ttl_ms: ttlMs });
+    const result = sent?.isOk() ? "held" : reserveResult(sent?.error);
+    this.#parts.loop().post({
+      type: "reservation_ended",
+      upstream,
+      plan,
+      result,
+    });
+  }
+
+  async release(intent: ReleaseIntent): Promise<void> {
+    const { upstream, plan } = intent;
+    const sent = await this.#engine(upstream)?.release(plan);
+    const result = sent?.isOk() ? "released" : "unknown";
+    this.#parts.loop().post({
+      type: "reservation_ended",
+      upstream,
+      plan,
+      result,
+    });
+  }
+
+  #engine(id: OrderIntent["upstream"]): EngineClient | undefined {
+    const upstream = this.#parts.board.upstreams.byId.get(id);
+    if (upstream?.kind !== "engine") return undefined;
+    return this.#parts.clients.engine(upstream.address);
+  }
+}
+
+function orderResult(err: EngineError | undefined): "stale" | "unknown" {
+  const isStale = err?.code === "refused" &&
+    err.refusal.code === "stale_fencing";
+  return isStale ? "stale" : "unknown";
+}
+
+function reserveResult(err: EngineError | undefined): "refused" | "unknown" {
+  return err === undefined || err.verdict === "not_run" ? "refused" : "unknown";
+}
--- /dev/null
+++ b/src/daemon/prompt_run.ts
@@ -0,0 +1,201 @@
+import type { Event } from "../core/event.ts";
+import type { Intent } from "../core/intent.ts";
+import type { Counters } from "../core/counters.ts";
+import type { Retry } from "../core/reason.ts";
+import type { Outcome } from "../core/request.ts";
+import { StreamCheck } from "../core/stream_check.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import type {
+  EngineClient,
+  EngineError,
+  EngineStream,
+} from "../engine/engine_client.ts";
+import type { EngineEvent } from "../wire/engine.ts";
+import { passedTokens, type PromptExchange } from "./exchange.ts";
+
+/** Tokens between two reports of progress to the core. */
+const PROGRESS_TOKENS = 64;
+
+export type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
+
+/** What one attempt of a prompt needs. */
+export type PromptRunParts = Readonly<{
+  intent: StartAttempt;
+  exchange: PromptExchange;
+  engine: EngineClient;
+  counters: Counters;
+  now: () => Timestamp;
+  silenceMs: Millis;
+  post: (event: Event) => void;
+}>;
+
+/** Runs one attempt at one engine and passes its checked events on to the client. */
+export class PromptRun {
+  readonly #parts: PromptRunParts;
+  readonly #check: StreamCheck;
+  #stream: EngineStream | undefined;
+  #stopped = false;
+  #started = false;
+
+  private constructor(parts: PromptRunParts) {
+    this.#parts = parts;
+    const { intent, exchange } = parts;
+    this.#check = StreamCheck.create({
+      request: intent.req,
+      attempt: intent.attempt,
+      weights: intent.weights!,
+      after: passedTokens(exchange),
+    });
+  }
+
+  static create(parts: PromptRunParts): PromptRun {
+    return new PromptRun(parts);
+  }
+
+  /** Resolves when the attempt is over; its end has been posted, unless it was stopped. */
+  async run(): Promise<void> {
+    const opened = await this.#open();
+    if (opened.isErr()) {
+      return this.#post(failure(opened.error, this.#check.tokens));
+    }
+    this.#stream = opened.value;
+    if (this.#stopped) return this.#stream.close();
+    this.#post(await this.#relay(this.#stream));
+  }
+
+  /** Drops the connection and says nothing more. */
+  stop(): void {
+    this.#stopped = true;
+    this.#stream?.close();
+  }
+
+  #open() {
+    const { intent, exchange, engine, silenceMs } = this.#parts;
+    if (intent.mode === "resume") {
+      return engine.resume(intent.attempt, this.#check.tokens, { silenceMs });
+    }
+    return engine.generate(this.#head(), exchange.prompt ?? [], { silenceMs });
+  }
+
+  #head() {
+    const { intent, exchange, now } = this.#parts;
+    const answered = intent.mode === "continue"
+      ? { text: exchange.answered.join(""), count: this.#check.tokens }
+      : undefined;
+    return {
+      request: intent.req,
+      attempt: intent.attempt,
+      ...intent.weights!,
+      max_tokens: exchange.req.maxTokens,
+      priority: intent.placement.priority,
+      deadline_ms: Math.max(0, intent.deadlineAt - now()),
+      answered,
+    };
+  }
+
+  async #relay(stream: EngineStream): Promise<Outcome> {
+    for await (const item of stream.events) {
+      if (this.#stopped) break;
+      if (!item.ok) return failure(item.err, this.#check.tokens);
+      const outcome = this.#take(item.event);
+      if (outcome === undefined) continue;
+      stream.close();
+      return outcome;
+    }
+    return broken(
+      "The stream ended without its final event.",
+      this.#check.tokens,
+    );
+  }
+
+  #take(event: EngineEvent): Outcome | undefined {
+    const verdict = this.#check.take(event);
+    if (verdict.type === "drop") {
+      this.#parts.counters.add(
+        verdict.why === "crossed" ? "answers_crossed" : "answers_doubled",
+      );
+      return undefined;
+    }
+    if (verdict.type === "broken") {
+      return broken(verdict.detail, this.#check.tokens);
+    }
+    if (event.type === "token") this.#pass(event.index, event.text);
+    if (event.type === "done") return this.#finish(event);
+    return undefined;
+  }
+
+  #pass(index: number, text: string): void {
+    const { exchange, post, intent } = this.#parts;
+    exchange.answered.push(text);
+    exchange.writer.token(index, text);
+    const { req, attempt } = intent;
+    if (!this.#started) post({ type: "first_token", req, attempt });
+    this.#started = true;
+    const tokens = this.#check.tokens;
+    if (tokens % PROGRESS_TOKENS === 0) {
+      post({ type: "attempt_progress", req, attempt, tokens });
+    }
+  }
+
+  #finish(event: Extract<EngineEvent, { type: "done" }>): Outcome {
+    this.#parts.exchange.writer.end({
+      finish: event.finish === "length" ? "length" : "stop",
+      count: event.count,
+      promptTokens: event.prompt_tokens,
+      cachedTokens: event.cached_tokens,
+    });
+    return { type: "ok", tokens: event.count, status: 200 };
+  }
+
+  #post(outcome: Outcome): void {
+    if (this.#stopped) return;
+    const { intent, post } = this.#parts;
+    post({
+      type: "attempt_ended",
+      req: intent.req,
+      attempt: intent.attempt,
+      outcome,
+    });
+  }
+}
+
+const CAUSES: Readonly<Record<EngineError["code"], Retry>> = {
+  refused: "upstream_refused",
+  connect_failed: "connect_failed",
+  broken: "upstream_crashed",
+  silent: "upstream_silent",
+  malformed: "answer_broken",
+  truncated: "answer_broken",
+};
+
+function failure(err: EngineError, tokens: number): Outcome {
+  const cause = causeOf(err);
+  const detail = err.code === "refused" ? err.refusal.detail : err.detail;
+  return {
+    type: "failed",
+    cause,
+    verdict: err.verdict,
+    tokens,
+    crashed: err.code === "broken",
+    detail,
+  };
+}
+
+function causeOf(err: EngineError): Retry {
+  if (err.code !== "refused") return CAUSES[err.code];
+  if (err.refusal.code === "leaving") return "upstream_leaving";
+  return err.refusal.code === "unknown_stream"
+    ? "resume_failed"
+    : "upstream_refused";
+}
+
+function broken(detail: string, tokens: number): Outcome {
+  return {
+    type: "failed",
+    cause: "answer_broken",
+    verdict: "may_have_run",
+    tokens,
+    crashed: false,
+    detail,
+  };
+}
--- /dev/null
+++ b/src/daemon/upstream_clients.ts
@@ -0,0 +1,61 @@
+import type { EngineClient } from "../engine/engine_client.ts";
+import type { ServiceClient } from "../service/service_client.ts";
+
+/** Builds clients; another wire format is another factory. */
+export type ClientFactory = Readonly<{
+  engine: (address: string) => EngineClient;
+  service: (address: string) => ServiceClient;
+}>;
+
+const MAX_CLIENTS = 1_024;
+
+/** One client for each upstream address, with its pooled connections. */
+export class UpstreamClients {
+  readonly #factory: ClientFactory;
+  readonly #engines = new Map<string, EngineClient>();
+  readonly #services = new Map<string, ServiceClient>();
+
+  private constructor(factory: ClientFactory) {
+    this.#factory = factory;
+  }
+
+  static create(factory: ClientFactory): UpstreamClients {
+    return new UpstreamClients(factory);
+  }
+
+  engine(address: string): EngineClient {
+    return remember(this.#engines, address, this.#factory.engine);
+  }
+
+  service(address: string): ServiceClient {
+    return remember(this.#services, address, this.#factory.service);
+  }
+
+  async close(): Promise<void> {
+    const clients = [...this.#engines.values(), ...this.#services.values()];
+    await Promise.all(clients.map((client) => client.close()));
+  }
+}
+
+function remember<Client extends { close: () => Promise<void> }>(
+  clients: Map<string, Client>,
+  address: string,
+  build: (address: string) => Client,
+): Client {
+  const known = clients.get(address);
+  if (known !== undefined) return known;
+  dropOldest(clients);
+  const client = build(address);
+  clients.set(address, client);
+  return client;
+}
+
+function dropOldest<Client extends { close: () => Promise<void> }>(
+  clients: Map<string, Client>,
+): void {
+  if (clients.size < MAX_CLIENTS) return;
+  const oldest = clients.entries().next().value;
+  if (oldest === undefined) return;
+  clients.delete(oldest[0]);
+  void oldest[1].close();
+}
--- /dev/null
+++ b/src/daemon/vm_list_poller.ts
@@ -0,0 +1,39 @@
+import { clearTimeout, setTimeout } from "node:timers";
+import { type Millis, SECOND_MS } from "../core/time.ts";
+import type { VmListClient } from "../platform/vm_list_client.ts";
+import type { Loop } from "./loop.ts";
+
+const LIST_INTERVAL_MS: Millis = SECOND_MS;
+
+/** Reads the platform's VM list over and over; an outage leaves the last one standing. */
+export class VmListPoller {
+  readonly #loop: () => Loop;
+  readonly #client: VmListClient;
+  #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
+
+  private constructor(loop: () => Loop, client: VmListClient) {
+    this.#loop = loop;
+    this.#client = client;
+  }
+
+  static create(loop: () => Loop, client: VmListClient): VmListPoller {
+    return new VmListPoller(loop, client);
+  }
+
+  start(): void {
+    void this.#poll();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  async #poll(): Promise<void> {
+    const vms = await this.#client.list();
+    if (this.#stopped) return;
+    if (vms.isOk()) this.#loop().post({ type: "vms_listed", vms: vms.value });
+    this.#timer = setTimeout(() => void this.#poll(), LIST_INTERVAL_MS);
+  }
+}
--- /dev/null
+++ b/src/http/call_routes.ts
@@ -0,0 +1,117 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Context, Hono } from "hono";
+import type {
+  Digest,
+  IdempotencyKey,
+  RequestId,
+  ServiceId,
+} from "../core/id.ts";
+import { type Problem, problemStatus } from "../core/problem.ts";
+import type { CallRequest } from "../core/request.ts";
+import type { CallExchange } from "../daemon/exchange.ts";
+import type { ServiceAnswer } from "../service/service_client.ts";
+import type { AppEnv } from "./app.ts";
+import { readBody } from "./body_reader.ts";
+import {
+  type Front,
+  limitsOf,
+  notConfigured,
+  open,
+  problemExtra,
+  refuse,
+} from "./front.ts";
+import { KEY_HEADER, REQUEST_HEADER } from "./headers.ts";
+import { identify } from "./identity.ts";
+import { problemBody, problemHeaders } from "./problem_body.ts";
+
+const PREFIX = "/v1/services/";
+
+/** `ANY /v1/services/{service}/...`. */
+export function callRoutes(front: Front): Hono<AppEnv> {
+  const app = new Hono<AppEnv>();
+  app.all(
+    `${PREFIX}:service/*`,
+    (ctx) => serve(front, ctx, ctx.req.param("service")),
+  );
+  return app;
+}
+
+async function serve(
+  front: Front,
+  ctx: Context<AppEnv>,
+  service: string,
+): Promise<Response> {
+  const serving = front.board.config.serving;
+  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  const identity = identify(
+    serving,
+    (name) => ctx.req.header(name),
+    front.now(),
+  );
+  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  const body = await readBody(ctx.env.incoming, limitsOf(front).maxCallBytes);
+  if (body.isErr()) return refuse(front, ctx, body.error);
+  const url = new URL(ctx.req.url);
+  const path = url.pathname.slice(PREFIX.length + service.length) + url.search;
+  const req: CallRequest = {
+    kind: "call",
+    id: front.uuid() as RequestId,
+    ...identity.value,
+    arrivedAt: front.now(),
+    digest: callDigest(ctx.req.method, path, body.value),
+    service: service as ServiceId,
+    method: ctx.req.method,
+    path,
+    key: ctx.req.header(KEY_HEADER) as IdempotencyKey | undefined,
+  };
+  start(front, ctx, { req, body: body.value });
+  return RESPONSE_ALREADY_SENT;
+}
+
+function callDigest(method: string, path: string, body: Uint8Array): Digest {
+  return createHash("sha256").update(`${method} ${path}\n`).update(body).digest(
+    "hex",
+  ) as Digest;
+}
+
+function start(
+  front: Front,
+  ctx: Context<AppEnv>,
+  options: { req: CallRequest; body: Uint8Array },
+): void {
+  const { req, body } = options;
+  const res = ctx.env.outgoing as ServerResponse;
+  const exchange: CallExchange = {
+    kind: "call",
+    req,
+    contentType: ctx.req.header("content-type"),
+    body,
+    finish: (answer) => finish(res, req, answer),
+    fail: (err) => fail(front, res, err),
+  };
+  open(front, req.id, exchange);
+  front.post({ type: "request_arrived", req });
+}
+
+function finish(
+  res: ServerResponse,
+  req: CallRequest,
+  answer: ServiceAnswer,
+): void {
+  if (res.headersSent) return;
+  res.writeHead(answer.status, {
+    "content-type": answer.contentType,
+    [REQUEST_HEADER]: req.id,
+    "x-verdict": "ran",
+  });
+  res.end(Buffer.from(answer.body));
+}
+
+function fail(front: Front, res: ServerResponse, err: Problem): void {
+  if (res.headersSent) return;
+  res.writeHead(problemStatus(err), problemHeaders(err));
+  res.end(problemBody(err, problemExtra(front, err)));
+}
--- /dev/null
+++ b/src/http/front.ts
@@ -0,0 +1,85 @@
+import type { Context } from "hono";
+import type { Blackboard } from "../board/blackboard.ts";
+import { LimitsSchema } from "../config/limits.ts";
+import type { Event } from "../core/event.ts";
+import type { RequestId } from "../core/id.ts";
+import { entryAnswer } from "../core/entry_answer.ts";
+import { type Problem, problem, problemStatus } from "../core/problem.ts";
+import { SECOND_MS, type Timestamp } from "../core/time.ts";
+import type {
+  Exchange,
+  ExchangeTable,
+  PromptExchange,
+} from "../daemon/exchange.ts";
+import type { AppEnv } from "./app.ts";
+import { problemBody, problemHeaders } from "./problem_body.ts";
+
+const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
+
+/** What the routes work with. */
+export type Front = Readonly<{
+  board: Blackboard;
+  exchanges: ExchangeTable;
+  now: () => Timestamp;
+  post: (event: Event) => void;
+  /** Returns a new UUIDv7. */
+  uuid: () => string;
+  /** Key that signs resume tokens; the same on all daemons. */
+  signingKey: () => string;
+  /** Ends the attempt of a client that went away. */
+  leave: (exchange: PromptExchange) => void;
+  /** Logs an unexpected error. */
+  report: (cause: unknown) => void;
+}>;
+
+/** The limits in force. */
+export function limitsOf(front: Front) {
+  return front.board.config.serving?.limits ?? DEFAULT_LIMITS;
+}
+
+/** The refusal while no configuration is in force. */
+export function notConfigured(): Problem {
+  const detail = "No configuration has been read yet.";
+  return problem("not_configured", detail, { retryAfterMs: SECOND_MS });
+}
+
+/** Counts a refusal that never reached the core, and answers with it. */
+export function refuse(
+  front: Front,
+  ctx: Context<AppEnv>,
+  err: Problem,
+): Response {
+  front.board.counters.refuse(err.code);
+  return answerProblem(front, ctx, err);
+}
+
+/** Answers with a problem; a daemon that shuts down names others. */
+export function answerProblem(
+  front: Front,
+  ctx: Context<AppEnv>,
+  err: Problem,
+): Response {
+  return new Response(problemBody(err, problemExtra(front, err)), {
+    status: problemStatus(err),
+    headers: problemHeaders(err),
+  });
+}
+
+/** What a problem's body says beside the problem. */
+export function problemExtra(
+  front: Front,
+  err: Problem,
+): Readonly<Record<string, unknown>> {
+  if (err.code !== "draining") return {};
+  const answer = entryAnswer(front.board, {
+    client: "",
+    now: front.now(),
+    maxAgeMs: 0,
+  });
+  return { entries: answer.entries };
+}
+
+/** Registers an exchange until its client has its answer or is gone. */
+export function open(front: Front, id: RequestId, exchange: Exchange): void {
+  front.exchanges.set(id, exchange);
+}
--- /dev/null
+++ b/src/http/headers.ts
@@ -0,0 +1,16 @@
+/** Names the team where no token does. */
+export const TEAM_HEADER = "x-team";
+/** Names the request class. */
+export const CLASS_HEADER = "x-class";
+/** Milliseconds until the deadline. */
+export const DEADLINE_HEADER = "x-deadline-ms";
+/** The id of the request. */
+export const REQUEST_HEADER = "x-request-id";
+/** Signed token with which any daemon resumes the stream. */
+export const RESUME_HEADER = "x-resume-token";
+/** The configuration revision that the request runs under. */
+export const REVISION_HEADER = "x-config-revision";
+/** The id of the last event that the client has seen. */
+export const LAST_EVENT_HEADER = "last-event-id";
+/** Makes a call that may not be repeated safe to send again. */
+export const KEY_HEADER = "idempotency-key";
--- /dev/null
+++ b/src/http/identity.ts
@@ -0,0 +1,95 @@
+import { createHash } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import type { RequestClass, ServingConfig, Team } from "../config/serving.ts";
+import type { ClassId, TeamId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import { addMs, type Timestamp } from "../core/time.ts";
+import { CLASS_HEADER, DEADLINE_HEADER, TEAM_HEADER } from "./headers.ts";
+
+const BEARER = "Bearer ";
+
+/** Reads one request header. */
+export type HeaderReader = (name: string) => string | undefined;
+
+/** Who sent a request, how urgent it is and when it must end. */
+export type Identity = Readonly<
+  { team: TeamId; classId: ClassId; deadlineAt: Timestamp }
+>;
+
+/** Reads team, class and deadline from the headers and checks them against the configuration. */
+export function identify(
+  serving: ServingConfig,
+  header: HeaderReader,
+  now: Timestamp,
+): Result<Identity, Problem> {
+  return findTeam(serving, header).andThen((team) =>
+    findClass(serving, header).andThen((cls) =>
+      deadline(cls, header(DEADLINE_HEADER), now).map((deadlineAt) => ({
+        team: team.id,
+        classId: cls.id,
+        deadlineAt,
+      }))
+    )
+  );
+}
+
+function findTeam(
+  serving: ServingConfig,
+  header: HeaderReader,
+): Result<Team, Problem> {
+  const authorization = header("authorization");
+  if (authorization?.startsWith(BEARER)) {
+    const digest = createHash("sha256").update(
+      authorization.slice(BEARER.length),
+    ).digest("hex");
+    const team = serving.teams.find((one) =>
+      (one.tokenDigests as readonly string[]).includes(digest)
+    );
+    if (team !== undefined) return ok(team);
+    return err(problem("unauthorized", "No team has this token."));
+  }
+  const name = header(TEAM_HEADER);
+  if (name === undefined) {
+    return err(
+      problem("unauthorized", `Send a bearer token or ${TEAM_HEADER}.`),
+    );
+  }
+  const team = serving.teams.find((one) => one.id === name);
+  if (team === undefined) {
+    return err(problem("unauthorized", `No team ${name} is configured.`));
+  }
+  if (team.tokenDigests.length > 0) {
+    return err(problem("unauthorized", `Team ${name} needs its token.`));
+  }
+  return ok(team);
+}
+
+function findClass(
+  serving: ServingConfig,
+  header: HeaderReader,
+): Result<RequestClass, Problem> {
+  const name = header(CLASS_HEADER);
+  const found = name === undefined
+    ? serving.classes[0]
+    : serving.classes.find((one) => one.id === name);
+  if (found !== undefined) return ok(found);
+  return err(problem("bad_request", `No request class ${name} is configured.`));
+}
+
+function deadline(
+  cls: RequestClass,
+  value: string | undefined,
+  now: Timestamp,
+): Result<Timestamp, Problem> {
+  if (value === undefined) return ok(addMs(now, cls.deadlineMs));
+  const ms = Number(value);
+  if (Number.isInteger(ms) && ms >= 1 && ms <= cls.maxDeadlineMs) {
+    return ok(addMs(now, ms));
+  }
+  return err(
+    problem(
+      "bad_request",
+      `${DEADLINE_HEADER} must be 1 to ${cls.maxDeadlineMs}; found ${value}.`,
+    ),
+  );
+}
--- /dev/null
+++ b/src/http/operator_routes.ts
@@ -0,0 +1,55 @@
+import { type Context, Hono } from "hono";
+import { entryAnswer } from "../core/entry_answer.ts";
+import { SECOND_MS } from "../core/time.ts";
+import type { AppEnv } from "./app.ts";
+import { type Front, limitsOf } from "./front.ts";
+import { adminStatus } from "./admin_status.ts";
+
+/** Entry addresses, health, and what operators ask one daemon. */
+export function operatorRoutes(front: Front): Hono<AppEnv> {
+  const app = new Hono<AppEnv>();
+  app.get("/v1/entries", (ctx) => entries(front, ctx));
+  app.get("/livez", (ctx) => ctx.json({ ok: true }));
+  app.get("/readyz", (ctx) => ready(front, ctx));
+  app.get(
+    "/v1/admin/status",
+    (ctx) => ctx.json(adminStatus(front.board, front.now())),
+  );
+  app.post("/v1/admin/drain", (ctx) => drain(front, ctx));
+  return app;
+}
+
+function entries(front: Front, ctx: Context<AppEnv>): Response {
+  const { entryMaxAgeMs } = limitsOf(front);
+  const client = ctx.req.query("client") ??
+    ctx.env.incoming.socket.remoteAddress ?? "";
+  const answer = entryAnswer(front.board, {
+    client,
+    now: front.now(),
+    maxAgeMs: entryMaxAgeMs,
+  });
+  ctx.header(
+    "cache-control",
+    `max-age=${Math.floor(entryMaxAgeMs / SECOND_MS)}`,
+  );
+  return ctx.json({ entries: answer.entries, max_age_ms: answer.maxAgeMs });
+}
+
+function ready(front: Front, ctx: Context<AppEnv>): Response {
+  const { config, members } = front.board;
+  const isReady = config.serving !== undefined && !config.stale &&
+    members.drain === "serving";
+  return ctx.json({
+    ready: isReady,
+    state: members.drain,
+    revision: config.revision,
+  }, isReady ? 200 : 503);
+}
+
+function drain(front: Front, ctx: Context<AppEnv>): Response {
+  front.post({ type: "drain_requested" });
+  const { self } = front.board;
+  const { drain } = front.board.members;
+  const state = drain === "serving" ? "leaving" : drain;
+  return ctx.json({ id: self.id, vm: self.vm, state }, 202);
+}
--- /dev/null
+++ b/src/http/request_routes.ts
@@ -0,0 +1,156 @@
+import type { ServerResponse } from "node:http";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Context, Hono } from "hono";
+import type { Digest, RequestId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { PromptRequest } from "../core/request.ts";
+import type { PromptExchange } from "../daemon/exchange.ts";
+import type { AppEnv } from "./app.ts";
+import { type Front, notConfigured, refuse } from "./front.ts";
+import { LAST_EVENT_HEADER, REQUEST_HEADER, RESUME_HEADER } from "./headers.ts";
+import { identify } from "./identity.ts";
+import { answerHead, startPrompt } from "./prompt_routes.ts";
+import { type ResumeClaims, verifyResume } from "./resume_token.ts";
+import { SseWriter } from "./sse_writer.ts";
+
+/** `GET /v1/requests/{id}` and the resumption of its stream. */
+export function requestRoutes(front: Front): Hono<AppEnv> {
+  const app = new Hono<AppEnv>();
+  app.get("/v1/requests/:id", (ctx) => show(front, ctx, ctx.req.param("id")));
+  app.get(
+    "/v1/requests/:id/stream",
+    (ctx) => resume(front, ctx, ctx.req.param("id")),
+  );
+  return app;
+}
+
+function show(front: Front, ctx: Context<AppEnv>, id: string): Response {
+  const serving = front.board.config.serving;
+  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  const identity = identify(
+    serving,
+    (name) => ctx.req.header(name),
+    front.now(),
+  );
+  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  const entry = front.board.requests.byId.get(id as RequestId);
+  if (entry === undefined || entry.req.team !== identity.value.team) {
+    return refuse(
+      front,
+      ctx,
+      problem(
+        "unknown_request",
+        `Request ${id} is not running at this daemon.`,
+      ),
+    );
+  }
+  return ctx.json({
+    id,
+    state: entry.state,
+    attempts: entry.attempts,
+    tokens: entry.tokens,
+    deadline_ms: Math.max(0, entry.req.deadlineAt - front.now()),
+    revision: entry.ranUnder.revision,
+  });
+}
+
+function resume(front: Front, ctx: Context<AppEnv>, id: string): Response {
+  const serving = front.board.config.serving;
+  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  const identity = identify(
+    serving,
+    (name) => ctx.req.header(name),
+    front.now(),
+  );
+  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  const claims = verifyResume(
+    ctx.req.header(RESUME_HEADER) ?? "",
+    front.signingKey(),
+  );
+  if (claims.isErr()) return refuse(front, ctx, claims.error);
+  const after = Number(ctx.req.header(LAST_EVENT_HEADER) ?? "0");
+  const wrong = checkClaims(claims.value, {
+    id,
+    team: identity.value.team,
+    after,
+  });
+  if (wrong !== undefined) return refuse(front, ctx, wrong);
+  start(front, ctx, { claims: claims.value, after });
+  return RESPONSE_ALREADY_SENT;
+}
+
+function checkClaims(
+  claims: ResumeClaims,
+  asked: { id: string; team: string; after: number },
+): Problem | undefined {
+  if (claims.request !== asked.id) {
+    return problem("unauthorized", "The resume token is for another request.");
+  }
+  if (claims.team !== asked.team) {
+    return problem("unauthorized", "The resume token is for another team.");
+  }
+  if (Number.isInteger(asked.after) && asked.after >= 0) return undefined;
+  return problem(
+    "bad_request",
+    `${LAST_EVENT_HEADER} must be a whole number from 0.`,
+  );
+}
+
+function start(
+  front: Front,
+  ctx: Context<AppEnv>,
+  options: { claims: ResumeClaims; after: number },
+): void {
+  const { claims, after } = options;
+  const res = ctx.env.outgoing as ServerResponse;
+  const req = resumedRequest(front, claims);
+  const writer = SseWriter.create({
+    res,
+    head: answerHead(req, claims.api),
+    headers: () => ({
+      [REQUEST_HEADER]: req.id,
+      [RESUME_HEADER]: ctx.req.header(RESUME_HEADER) ?? "",
+    }),
+  });
+  const exchange: PromptExchange = {
+    kind: "prompt",
+    req,
+    writer,
+    after,
+    answered: [],
+  };
+  startPrompt(front, exchange, res);
+  front.post({
+    type: "request_resumed",
+    req,
+    running: runningAnswer(claims, after),
+  });
+}
+
+function runningAnswer(claims: ResumeClaims, tokens: number) {
+  const { attempt, upstream, revision, model, version, adapter } = claims;
+  return {
+    attempt,
+    upstream,
+    ranUnder: { revision, weights: { model, version, adapter } },
+    tokens,
+  };
+}
+
+function resumedRequest(front: Front, claims: ResumeClaims): PromptRequest {
+  return {
+    kind: "prompt",
+    id: claims.request,
+    team: claims.team,
+    classId: claims.classId,
+    arrivedAt: front.now(),
+    deadlineAt: claims.deadlineAt,
+    digest: `resumed/${claims.request}` as Digest,
+    model: claims.model,
+    adapter: claims.adapter,
+    version: claims.version,
+    promptTokens: 0,
+    maxTokens: claims.maxTokens,
+    blocks: [],
+  };
+}
--- /dev/null
+++ b/src/http/sse_writer.ts
@@ -0,0 +1,73 @@
+import type { ServerResponse } from "node:http";
+import { type Problem, problemStatus } from "../core/problem.ts";
+import { type AnswerHead, endChunk, tokenChunk } from "./answer_format.ts";
+import { type AnswerEnd, AnswerWriter } from "./answer_writer.ts";
+import { problemBody, problemHeaders } from "./problem_body.ts";
+
+/** Where a streamed answer goes. */
+export type SseTarget = Readonly<{
+  res: ServerResponse;
+  head: AnswerHead;
+  /** Headers of the stream, known when its first token comes. */
+  headers: () => Record<string, string>;
+}>;
+
+/** Streams an answer as server-sent events; an event's id is its token's index plus one. */
+export class SseWriter extends AnswerWriter {
+  readonly #target: SseTarget;
+  #ended = false;
+
+  private constructor(target: SseTarget) {
+    super();
+    this.#target = target;
+  }
+
+  static create(target: SseTarget): SseWriter {
+    return new SseWriter(target);
+  }
+
+  override get resumable(): boolean {
+    return this.#target.res.headersSent;
+  }
+
+  override token(index: number, text: string): void {
+    this.#open();
+    this.#target.res.write(
+      `id: ${index + 1}\ndata: ${tokenChunk(this.#target.head, text)}\n\n`,
+    );
+  }
+
+  override end(end: AnswerEnd): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#open();
+    this.#target.res.end(
+      `event: done\ndata: ${
+        endChunk(this.#target.head, end)
+      }\n\ndata: [DONE]\n\n`,
+    );
+  }
+
+  override fail(err: Problem): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const { res } = this.#target;
+    if (res.headersSent) {
+      res.end(`event: error\ndata: ${problemBody(err)}\n\n`);
+      return;
+    }
+    res.writeHead(problemStatus(err), problemHeaders(err));
+    res.end(problemBody(err));
+  }
+
+  /** Sends the headers early, for a stream that goes on where another one stopped. */
+  #open(): void {
+    const { res, headers } = this.#target;
+    if (res.headersSent) return;
+    res.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      ...headers(),
+    });
+  }
+}
--- /dev/null
+++ b/src/peer/peer_clients.ts
@@ -0,0 +1,107 @@
+import * as grpc from "@grpc/grpc-js";
+import { ResultAsync } from "neverthrow";
+import {
+  type CallForward,
+  type CallReply,
+  type Envelope,
+  PeerClient,
+} from "../gen/peer.ts";
+import { type Millis, SECOND_MS } from "../core/time.ts";
+import { MAX_PEER_BYTES } from "./peer_server.ts";
+
+const SEND_TIMEOUT_MS: Millis = SECOND_MS;
+const MAX_CHANNELS = 256;
+
+/** Why a peer did not answer, and whether it may have acted all the same. */
+export type PeerError = Readonly<
+  { code: "unreachable"; verdict: "not_run" | "may_have_run"; detail: string }
+>;
+
+/** Sends to the other daemons, one channel for each address. */
+export class PeerClients {
+  readonly #channels = new Map<string, PeerClient>();
+
+  private constructor() {}
+
+  static create(): PeerClients {
+    return new PeerClients();
+  }
+
+  /** Delivers one message; a channel that does not answer in time is replaced by a new one. */
+  send(address: string, envelope: Envelope): ResultAsync<void, PeerError> {
+    const client = this.#channel(address);
+    const sent = new Promise<void>((resolve, reject) => {
+      client.send(envelope, new grpc.Metadata(), {
+        deadline: Date.now() + SEND_TIMEOUT_MS,
+      }, (err) => err === null ? resolve() : reject(err));
+    });
+    return ResultAsync.fromPromise(
+      sent,
+      (err) => this.#fail(address, client, err as grpc.ServiceError),
+    );
+  }
+
+  /** Runs a call on the daemon that issued its key. */
+  runCall(
+    address: string,
+    call: CallForward,
+  ): ResultAsync<CallReply, PeerError> {
+    const client = this.#channel(address);
+    const ran = new Promise<CallReply>((resolve, reject) => {
+      const deadline = Date.now() + call.leftMs;
+      client.runCall(
+        call,
+        new grpc.Metadata(),
+        { deadline },
+        (err, reply) => err === null ? resolve(reply) : reject(err),
+      );
+    });
+    return ResultAsync.fromPromise(
+      ran,
+      (err) => this.#fail(address, client, err as grpc.ServiceError),
+    );
+  }
+
+  close(): void {
+    for (const client of this.#channels.values()) client.close();
+    this.#channels.clear();
+  }
+
+  #fail(
+    address: string,
+    client: PeerClient,
+    err: grpc.ServiceError,
+  ): PeerError {
+    if (this.#channels.get(address) === client) this.#channels.delete(address);
+    client.close();
+    // grpc-js reports UNAVAILABLE after a lost connection too, so nothing is known to be unsent.
+    return {
+      code: "unreachable",
+      verdict: "may_have_run",
+      detail: err.message,
+    };
+  }
+
+  #channel(address: string): PeerClient {
+    const known = this.#channels.get(address);
+    if (known !== undefined) return known;
+    this.#dropOldest();
+    const client = new PeerClient(address, grpc.credentials.createInsecure(), {
+      "grpc.max_receive_message_length": MAX_PEER_BYTES,
+      "grpc.enable_retries": 0,
+      "grpc.use_local_subchannel_pool": 1,
+      "grpc.initial_reconnect_backoff_ms": 100,
+      "grpc.max_reconnect_backoff_ms": SECOND_MS,
+    });
+    this.#channels.set(address, client);
+    return client;
+  }
+
+  #dropOldest(): void {
+    if (this.#channels.size < MAX_CHANNELS) return;
+    const oldest = this.#channels.entries().next().value;
+    if (oldest === undefined) return;
+    this.#channels.delete(oldest[0]);
+    oldest[1].close();
+  }
+}
--- /dev/null
+++ b/src/peer/peer_server.ts
@@ -0,0 +1,74 @@
+import * as grpc from "@grpc/grpc-js";
+import { ResultAsync } from "neverthrow";
+import {
+  type CallForward,
+  type CallReply,
+  type Envelope,
+  PeerService,
+} from "../gen/peer.ts";
+
+/** Largest message that a peer may send, in bytes. */
+export const MAX_PEER_BYTES = 8 * 1_048_576;
+
+/** What the server hands on. */
+export type PeerHandlers = Readonly<{
+  deliver: (envelope: Envelope) => void;
+  runCall?: (call: CallForward) => Promise<CallReply>;
+}>;
+
+/** Listens for the other daemons. */
+export class PeerServer {
+  readonly #server: grpc.Server;
+
+  private constructor(server: grpc.Server) {
+    this.#server = server;
+  }
+
+  static create(handlers: PeerHandlers): PeerServer {
+    const server = new grpc.Server({
+      "grpc.max_receive_message_length": MAX_PEER_BYTES,
+    });
+    server.addService(PeerService, {
+      send: (
+        call: grpc.ServerUnaryCall<Envelope, object>,
+        reply: grpc.sendUnaryData<object>,
+      ) => {
+        handlers.deliver(call.request);
+        reply(null, {});
+      },
+      runCall: (
+        call: grpc.ServerUnaryCall<CallForward, CallReply>,
+        reply: grpc.sendUnaryData<CallReply>,
+      ) => {
+        handlers.runCall(call.request).then(
+          (answer) => reply(null, answer),
+          (err: unknown) =>
+            reply({ code: grpc.status.INTERNAL, details: String(err) }),
+        );
+      },
+    });
+    return new PeerServer(server);
+  }
+
+  /** Resolves with the port that was bound. */
+  listen(address: string): ResultAsync<number, Error> {
+    const credentials = grpc.ServerCredentials.createInsecure();
+    const bound = new Promise<number>((resolve, reject) => {
+      this.#server.bindAsync(
+        address,
+        credentials,
+        (err, port) => err === null ? resolve(port) : reject(err),
+      );
+    });
+    return ResultAsync.fromPromise(bound, (err) => err as Error);
+  }
+
+  close(): Promise<void> {
+    return new Promise((resolve) => this.#server.tryShutdown(() => resolve()));
+  }
+
+  /** Ends without waiting for open calls. */
+  kill(): void {
+    this.#server.forceShutdown();
+  }
+}
