--- a/src/daemon/order_runner.ts
+++ b/src/daemon/order_runner.ts
@@ -31,7 +31,9 @@
     const { upstream } = intent;
     const engine = this.#engine(upstream);
     const sent = await engine?.order(intent.order);
-    const result = sent?.isOk() ? "accepted" : orderResult(sent?.error);
+    const result = sent === undefined
+      ? "unknown"
+      : sent.match(() => "accepted" as const, orderResult);
     this.#parts.loop().post({ type: "order_ended", upstream, result });
   }
 
@@ -40,7 +42,9 @@
     const owner = this.#parts.board.self.id;
     const engine = this.#engine(upstream);
     const sent = await engine?.reserve(plan, { owner, tokens, ttl_ms: ttlMs });
-    const result = sent?.isOk() ? "held" : reserveResult(sent?.error);
+    const result = sent === undefined
+      ? "refused"
+      : sent.match(() => "held" as const, reserveResult);
     this.#parts.loop().post({
       type: "reservation_ended",
       upstream,
@@ -68,12 +72,12 @@
   }
 }
 
-function orderResult(err: EngineError | undefined): "stale" | "unknown" {
-  const isStale = err?.code === "refused" &&
+function orderResult(err: EngineError): "stale" | "unknown" {
+  const isStale = err.code === "refused" &&
     err.refusal.code === "stale_fencing";
   return isStale ? "stale" : "unknown";
 }
 
-function reserveResult(err: EngineError | undefined): "refused" | "unknown" {
-  return err === undefined || err.verdict === "not_run" ? "refused" : "unknown";
+function reserveResult(err: EngineError): "refused" | "unknown" {
+  return err.verdict === "not_run" ? "refused" : "unknown";
 }
