--- /dev/null
+++ b/src/engine/block_digests.ts
@@ -0,0 +1,91 @@
+import { createHash, type Hash } from "node:crypto";
+import xxhash from "xxhash-wasm";
+import type { Digest } from "../core/id.ts";
+import { BLOCK_TOKENS, BYTES_PER_TOKEN } from "../wire/engine.ts";
+
+/** Bytes of text in one block of an engine's prefix cache. */
+export const BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN;
+
+const DIGEST_DIGITS = 16;
+const { h64Raw, create64 } = await xxhash();
+
+/** What is known of a prompt's text once all of it has passed. */
+export type PromptDigest = Readonly<{
+  /** SHA-256 of the whole text. */
+  digest: Digest;
+  /** Chained XXH64 of the whole blocks: each one's seed is the block before it. */
+  blocks: readonly Digest[];
+  bytes: number;
+}>;
+
+/** Digests a prompt while its chunks pass by; chunks are not copied or kept. */
+export class PromptDigester {
+  readonly #whole: Hash = createHash("sha256");
+  readonly #blocks: Digest[] = [];
+  #seed = 0n;
+  #open: ReturnType<typeof create64> | undefined;
+  #openBytes = 0;
+  #bytes = 0;
+
+  private constructor() {}
+
+  static create(): PromptDigester {
+    return new PromptDigester();
+  }
+
+  update(chunk: Uint8Array): void {
+    this.#whole.update(chunk);
+    this.#bytes += chunk.byteLength;
+    let start = this.#fill(chunk);
+    while (chunk.byteLength - start >= BLOCK_BYTES) {
+      const block = chunk.subarray(start, start + BLOCK_BYTES);
+      this.#push(h64Raw(block, this.#seed));
+      start += BLOCK_BYTES;
+    }
+    if (start < chunk.byteLength) this.#begin(chunk.subarray(start));
+  }
+
+  /** Ends the text; the digester can't be used afterwards. */
+  end(): PromptDigest {
+    return {
+      digest: this.#whole.digest("hex") as Digest,
+      blocks: this.#blocks,
+      bytes: this.#bytes,
+    };
+  }
+
+  /** Adds to the block that an earlier chunk has begun; returns the bytes taken. */
+  #fill(chunk: Uint8Array): number {
+    if (this.#open === undefined) return 0;
+    const size = Math.min(BLOCK_BYTES - this.#openBytes, chunk.byteLength);
+    this.#open.update(chunk.subarray(0, size));
+    this.#openBytes += size;
+    if (this.#openBytes === BLOCK_BYTES) {
+      this.#push(this.#open.digest());
+      this.#open = undefined;
+    }
+    return size;
+  }
+
+  #begin(part: Uint8Array): void {
+    this.#open = create64(this.#seed);
+    this.#open.update(part);
+    this.#openBytes = part.byteLength;
+  }
+
+  #push(digest: bigint): void {
+    this.#seed = digest;
+    const hex = digest.toString(16).padStart(DIGEST_DIGITS, "0");
+    this.#blocks.push(hex as Digest);
+  }
+}
+
+/** Digests a prompt that is already whole. */
+export function digestPrompt(
+  prompt: Uint8Array | readonly Uint8Array[],
+): PromptDigest {
+  const digester = PromptDigester.create();
+  const chunks = prompt instanceof Uint8Array ? [prompt] : prompt;
+  for (const chunk of chunks) digester.update(chunk);
+  return digester.end();
+}
