--- a/src/config/diff_test.ts
+++ b/src/config/diff_test.ts
@@ -14,6 +14,7 @@
   const a = config("[team.a]\nshare = 1\n[team.b]\nshare = 2\n");
   const b = config("[team.b]\nshare = 2\n[team.a]\nshare = 1\n");
   expect(canonicalText(a)).toBe(canonicalText(b));
+  expect(canonicalText(a)).toMatch(/^\{"classes":\[\{"deadlineMs":1,"id":"c"/);
   expect(configDigest(a)).toMatch(/^[0-9a-f]{64}$/);
   expect(ServingConfigSchema.parse(JSON.parse(canonicalText(a)))).toEqual(a);
 });
--- a/src/config/key_schema.ts
+++ b/src/config/key_schema.ts
@@ -12,7 +12,6 @@
   maxLength?: number;
   minItems?: number;
   format?: string;
-  default?: unknown;
   description?: string;
   allowed?: string;
 }>;
@@ -38,11 +37,12 @@
 /** Describes a key from its schema. */
 export function describeKey(schema: z.ZodType): KeyDoc {
   const json = jsonSchema(schema);
+  const fallback = schema.safeParse(undefined);
   return {
     type: typeName(json),
     allowed: allowedText(json),
-    default: json.default === undefined ? undefined : defaultText(json.default),
-    required: !schema.safeParse(undefined).success,
+    default: fallback.success ? defaultText(fallback.data) : undefined,
+    required: !fallback.success,
     meaning: json.description ?? "",
   };
 }
@@ -122,7 +122,8 @@
   return `${least}separated by commas, each ${item}`;
 }
 
-function defaultText(value: unknown): string {
+function defaultText(value: unknown): string | undefined {
+  if (value === undefined) return undefined;
   if (Array.isArray(value)) {
     return value.length === 0 ? "none" : value.join(", ");
   }
