Add the shared types that folds need

All additive; the heartbeat sends the offset in place of the revision, so that a reader may fold on from it.

--- a/src/board/claims_section.ts
+++ b/src/board/claims_section.ts
@@ -1,4 +1,4 @@
-import type { RequestId } from "../core/id.ts";
+import type { DaemonId, RequestId } from "../core/id.ts";
 import type { Problem } from "../core/problem.ts";
 
 /** What the log says about the key of a request that waits for its claim. */
@@ -6,7 +6,11 @@
   /** This request alone may run the call. */
   | Readonly<{ type: "held" }>
   /** The call has run; its recorded answer. */
-  | Readonly<{ type: "recorded"; status: number; body: string }>
+  | Readonly<
+    { type: "recorded"; status: number; body: string; contentType?: string }
+  >
+  /** Another live daemon issued the key; only that one may run the call. */
+  | Readonly<{ type: "forward"; home: DaemonId }>
   | Readonly<{ type: "refused"; problem: Problem }>;
 
 /** Claims on idempotency keys; written by `ClaimController`. */
--- a/src/board/config_section.ts
+++ b/src/board/config_section.ts
@@ -1,5 +1,5 @@
 import type { ServingConfig } from "../config/serving.ts";
-import { NO_REVISION, type Revision } from "../core/id.ts";
+import { NO_REVISION, type Offset, type Revision } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
 
 /** The configuration in force; written by `ConfigController`. */
@@ -8,6 +8,8 @@
   serving: ServingConfig | undefined;
   /** The published text of the configuration in force, to pass on to peers. */
   text: string;
+  /** One past the newest record of the stream that the configuration was folded from. */
+  offset: Offset;
   /** When the log or enough peers last confirmed the revision. */
   confirmedAt: Timestamp | undefined;
   /** Whether admission stops because nothing has confirmed the revision for too long. */
@@ -20,6 +22,7 @@
     revision: NO_REVISION,
     serving: undefined,
     text: "",
+    offset: 0 as Offset,
     confirmedAt: undefined,
     stale: false,
   };
--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -24,7 +24,7 @@
     state: members.drain,
     revision: config.revision,
     config: peerIsBehind ? Buffer.from(config.text) : Buffer.alloc(0),
-    configOffset: config.revision,
+    configOffset: config.offset,
     running: board.requests.byId.size,
     queued: board.placement.queued,
     teams: [],
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -168,6 +168,7 @@
           req: entry.req.id,
           status: result.status,
           body: result.body,
+          contentType: result.contentType,
         });
         return ctx.repeat();
     }
--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -39,7 +39,13 @@
   >
   | Readonly<{ type: "answer"; req: RequestId; problem: Problem }>
   | Readonly<
-    { type: "answer_recorded"; req: RequestId; status: number; body: string }
+    {
+      type: "answer_recorded";
+      req: RequestId;
+      status: number;
+      body: string;
+      contentType?: string;
+    }
   >
   | Readonly<
     { type: "append"; stream: StreamName; records: readonly AppendRecord[] }
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -90,7 +90,13 @@
 
 /** How an attempt ended; `ok` means that the whole answer was passed on. */
 export type Outcome =
-  | Readonly<{ type: "ok"; tokens: number; status: number }>
+  | Readonly<{
+    type: "ok";
+    tokens: number;
+    status: number;
+    /** The whole answer of a call that may not be repeated, to be recorded. */
+    answer?: Readonly<{ contentType: string; body: string }>;
+  }>
   | Readonly<{
     type: "failed";
     cause: Retry;
