Fold the configuration from the log and from peers

A reader that starts after offset 0 can't tell whether an older change was taken; it now waits for a checkpoint that covers its start and folds what it read since on top. A checkpoint changes nothing for a reader that knows the state, so a late or doubled one from a paused writer has no effect.

The adapter batches appends under this daemon's part of the fleet's budget and gives up reads and appends that hang.

--- /dev/null
+++ b/src/controllers/config_controller.ts
@@ -0,0 +1,218 @@
+import { Buffer } from "node:buffer";
+import type { Blackboard } from "../board/blackboard.ts";
+import { type ServingConfig, ServingConfigSchema } from "../config/serving.ts";
+import { Controller } from "../core/controller.ts";
+import {
+  NO_REVISION,
+  type Offset,
+  type RecordId,
+  type Revision,
+} from "../core/id.ts";
+import { rendezvousRank } from "../core/rendezvous.ts";
+import type { StepContext } from "../core/step_context.ts";
+import {
+  addMs,
+  HOUR_MS,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import {
+  type ConfigCheckpoint,
+  ConfigFold,
+  ConfigRecordSchema,
+  type ConfigState,
+} from "../fold/config_fold.ts";
+import type { Entry } from "../fold/log_reader.ts";
+import { LogTail } from "../fold/log_tail.ts";
+import { Outbox } from "../fold/outbox.ts";
+import { CONFIG_STREAM } from "../fold/streams.ts";
+import type { Heartbeat } from "../gen/peer.ts";
+import { freshPeers } from "./membership_controller.ts";
+
+/** Checkpoints in one key window, which is shorter than the log's retention. */
+const CHECKPOINTS_PER_WINDOW = 4;
+/** Time by which each further daemon waits longer before it writes a checkpoint. */
+const TURN_MS: Millis = 10 * SECOND_MS;
+const ID_MEMORY_MS: Millis = 24 * HOUR_MS;
+const MAX_IDS = 16_384;
+const TURN_KEY = "config_checkpoint";
+
+/** Keeps the configuration in force: from the log or from peers, and never an older one. */
+export class ConfigController extends Controller {
+  override readonly name = "config";
+  readonly #tail = LogTail.create(CONFIG_STREAM, {
+    idMemoryMs: ID_MEMORY_MS,
+    maxIds: MAX_IDS,
+  });
+  readonly #fold = ConfigFold.create();
+  readonly #outbox = Outbox.create(CONFIG_STREAM, { max: 1 });
+  /** When the newest checkpoint was made, as far as has been read. */
+  #checkpointAt: Timestamp | undefined;
+  #knownAt: Timestamp | undefined;
+  #pending: RecordId | undefined;
+  #unreadable = NO_REVISION;
+
+  static create(): ConfigController {
+    return new ConfigController();
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    this.#readLog(board, ctx);
+    this.#readPeers(board, ctx);
+    confirmByPeers(board, ctx.now);
+    this.#outbox.take(ctx);
+    this.#checkpoint(board, ctx);
+    this.#outbox.send(ctx);
+    judgeFreshness(board, ctx);
+  }
+
+  #readLog(board: Blackboard, ctx: StepContext): void {
+    const { restartedAt, entries, answered } = this.#tail.step(ctx);
+    if (restartedAt !== undefined) this.#fold.restart(restartedAt);
+    for (const entry of entries) {
+      this.#noteCheckpoint(entry);
+      this.#fold.take(entry);
+    }
+    const { state } = this.#fold;
+    if (state === undefined) return;
+    this.#take(board, ctx, { ...state, offset: this.#tail.reader.next });
+    if (
+      answered && this.#tail.reader.caughtUp &&
+      state.revision <= board.config.revision
+    ) {
+      board.config.confirmedAt = ctx.now;
+    }
+  }
+
+  #noteCheckpoint(entry: Entry): void {
+    if (entry.id === this.#pending) this.#outbox.drop(entry.id);
+    const parsed = ConfigRecordSchema.safeParse(entry.value);
+    if (!parsed.success || parsed.data.type !== "config_checkpoint") return;
+    const madeAt = Math.min(entry.at, parsed.data.madeAt) as Timestamp;
+    if (madeAt > (this.#checkpointAt ?? 0)) this.#checkpointAt = madeAt;
+  }
+
+  #readPeers(board: Blackboard, ctx: StepContext): void {
+    for (const event of ctx.events) {
+      if (event.type !== "peer_message") continue;
+      const { body } = event.envelope;
+      if (body?.$case === "heartbeat") this.#readPeer(board, ctx, body.value);
+    }
+  }
+
+  #readPeer(board: Blackboard, ctx: StepContext, beat: Heartbeat): void {
+    const revision = beat.revision as Revision;
+    const offset = beat.configOffset as Offset;
+    const text = revision === board.config.revision
+      ? board.config.text
+      : Buffer.from(beat.config).toString("utf8");
+    if (revision === NO_REVISION || text === "") return;
+    const state = {
+      revision,
+      change: "",
+      author: "",
+      at: 0 as Timestamp,
+      text,
+    };
+    this.#fold.checkpoint({ covers: offset, state });
+    this.#take(board, ctx, { ...state, offset });
+  }
+
+  /** Takes a revision that is higher than the one in force. */
+  #take(
+    board: Blackboard,
+    ctx: StepContext,
+    news: ConfigState & Readonly<{ offset: Offset }>,
+  ): void {
+    const { config } = board;
+    if (news.revision === config.revision) {
+      config.offset = Math.max(config.offset, news.offset) as Offset;
+    }
+    if (
+      news.revision <= config.revision || news.revision <= this.#unreadable
+    ) return;
+    const serving = parseServing(news.text);
+    if (serving === undefined) return this.#reject(ctx, news.revision);
+    config.revision = news.revision;
+    config.serving = serving;
+    config.text = news.text;
+    config.offset = news.offset;
+    ctx.counters.add("config_taken");
+    ctx.repeat();
+  }
+
+  #reject(ctx: StepContext, revision: Revision): void {
+    this.#unreadable = revision;
+    ctx.counters.add("config_unreadable");
+    ctx.emit({
+      type: "log_line",
+      level: "error",
+      message: "The published configuration can't be read",
+      fields: { revision },
+    });
+  }
+
+  #checkpoint(board: Blackboard, ctx: StepContext): void {
+    const { state } = this.#fold;
+    const { serving } = board.config;
+    if (state === undefined || serving === undefined) return;
+    if (state.revision === NO_REVISION || !this.#tail.reader.caughtUp) return;
+    const dueAt = this.#dueAt(board, ctx, serving);
+    if (ctx.now < dueAt) return ctx.wakeAt(dueAt);
+    if (this.#outbox.size > 0) return;
+    this.#pending = ctx.random.uuid(ctx.now) as RecordId;
+    const record: ConfigCheckpoint = {
+      type: "config_checkpoint",
+      id: this.#pending,
+      covers: this.#tail.reader.next,
+      ...state,
+      madeAt: ctx.now,
+    };
+    this.#checkpointAt = ctx.now;
+    this.#outbox.add({ id: record.id, body: JSON.stringify(record) }, ctx.now);
+    ctx.counters.add("checkpoints_appended");
+  }
+
+  #dueAt(
+    board: Blackboard,
+    ctx: StepContext,
+    serving: ServingConfig,
+  ): Timestamp {
+    const interval = serving.limits.keyWindowMs / CHECKPOINTS_PER_WINDOW;
+    this.#knownAt ??= ctx.now;
+    const since = this.#checkpointAt === undefined
+      ? this.#knownAt
+      : addMs(this.#checkpointAt, interval);
+    const peers = freshPeers(board, ctx.now).map((peer) => peer.id);
+    const rank = rendezvousRank(TURN_KEY, board.self.id, peers);
+    return addMs(since, rank * TURN_MS);
+  }
+}
+
+function parseServing(text: string): ServingConfig | undefined {
+  try {
+    return ServingConfigSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Half of the known peers without a newer revision confirm the one in force. */
+function confirmByPeers(board: Blackboard, now: Timestamp): void {
+  const { config, members } = board;
+  if (config.revision === NO_REVISION) return;
+  const known = Math.max(members.addresses.length, members.peers.size);
+  const confirming = freshPeers(board, now)
+    .filter((peer) => peer.revision <= config.revision);
+  if (confirming.length * 2 >= known) config.confirmedAt = now;
+}
+
+function judgeFreshness(board: Blackboard, ctx: StepContext): void {
+  const { config } = board;
+  if (config.serving === undefined) return;
+  const limit = config.serving.limits.configFreshnessMs;
+  const staleAt = addMs(config.confirmedAt ?? (0 as Timestamp), limit);
+  config.stale = ctx.now > staleAt;
+  if (!config.stale) ctx.wakeAt(addMs(staleAt, 1));
+}
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -3,6 +3,7 @@
 import type { Controller } from "../core/controller.ts";
 import { Core } from "../core/core.ts";
 import type { Random } from "../core/random.ts";
+import { ConfigController } from "./config_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { RequestController } from "./request_controller.ts";
@@ -22,6 +23,7 @@
     random,
     controllers: [
       MembershipController.create(),
+      ConfigController.create(),
       UpstreamController.create(),
       options.placement ?? PlacementController.create(),
       RequestController.create(),
--- /dev/null
+++ b/src/daemon/log_adapter_test.ts
@@ -0,0 +1,163 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import type { Event } from "../core/event.ts";
+import type { Offset, RecordId, StreamName } from "../core/id.ts";
+import { CLAIMS_STREAM, CONFIG_STREAM } from "../fold/streams.ts";
+import { LogClient, type LogError } from "../platform/log_client.ts";
+import type { LogBatch } from "../wire/log.ts";
+import { LogAdapter } from "./log_adapter.ts";
+
+class FakeLogClient extends LogClient {
+  readonly appends: string[][] = [];
+  nextAppend: () => ResultAsync<Offset, LogError> = () => okAsync(0 as Offset);
+  nextRead: () => ResultAsync<LogBatch, LogError> = hang;
+
+  override append(_stream: StreamName, values: readonly string[]) {
+    this.appends.push([...values]);
+    return this.nextAppend();
+  }
+
+  override read() {
+    return this.nextRead();
+  }
+}
+
+function hang<T>(): ResultAsync<T, LogError> {
+  return new ResultAsync(new Promise(() => {}));
+}
+
+function setUp(appendsPerSecond = 1_000) {
+  const client = new FakeLogClient();
+  const events: Event[] = [];
+  const adapter = LogAdapter.create(client, {
+    liveDaemons: () => 2,
+    onEvent: (event) => events.push(event),
+    appendsPerSecond,
+  });
+  return { client, events, adapter };
+}
+
+function records(...ids: string[]) {
+  return ids.map((id) => ({ id: id as RecordId, body: id }));
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+test("an append that hangs is unknown after its time limit", async () => {
+  const { client, events, adapter } = setUp();
+  client.nextAppend = hang;
+  adapter.append({
+    type: "append",
+    stream: CLAIMS_STREAM,
+    records: records("a", "b"),
+  });
+  await vi.advanceTimersByTimeAsync(2_900);
+  expect(events).toEqual([]);
+  await vi.advanceTimersByTimeAsync(200);
+  expect(events).toMatchInlineSnapshot(`
+    [
+      {
+        "records": [
+          "a",
+          "b",
+        ],
+        "result": "unknown",
+        "retryAfterMs": undefined,
+        "stream": "claims",
+        "type": "append_ended",
+      },
+    ]
+  `);
+});
+
+test("answers of the log become events", async () => {
+  const { client, events, adapter } = setUp();
+  const answers: LogError[] = [
+    { code: "refused", detail: "", retryAfterMs: 70 },
+    { code: "unknown", detail: "" },
+  ];
+  for (const answer of answers) {
+    client.nextAppend = () => errAsync(answer);
+    adapter.append({
+      type: "append",
+      stream: CLAIMS_STREAM,
+      records: records(answer.code),
+    });
+    await vi.advanceTimersByTimeAsync(100);
+  }
+  client.nextRead = () =>
+    errAsync({ code: "gone", detail: "", firstOffset: 9 as Offset });
+  await adapter.read({
+    type: "read_log",
+    stream: CONFIG_STREAM,
+    from: 0 as Offset,
+  });
+  expect(events).toMatchInlineSnapshot(`
+    [
+      {
+        "records": [
+          "refused",
+        ],
+        "result": "refused",
+        "retryAfterMs": 70,
+        "stream": "claims",
+        "type": "append_ended",
+      },
+      {
+        "records": [
+          "unknown",
+        ],
+        "result": "unknown",
+        "retryAfterMs": undefined,
+        "stream": "claims",
+        "type": "append_ended",
+      },
+      {
+        "firstOffset": 9,
+        "stream": "config",
+        "type": "log_gap",
+      },
+    ]
+  `);
+});
+
+test("a read that hangs is given up, and a newer read replaces an older one", async () => {
+  const { client, events, adapter } = setUp();
+  const read = { type: "read_log", stream: CONFIG_STREAM } as const;
+  void adapter.read({ ...read, from: 0 as Offset });
+  await vi.advanceTimersByTimeAsync(1_000);
+  void adapter.read({ ...read, from: 0 as Offset });
+  await vi.advanceTimersByTimeAsync(6_500);
+  expect(events).toEqual([]);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(events).toEqual([{ type: "log_unreachable", stream: CONFIG_STREAM }]);
+  expect(client.appends).toEqual([]);
+});
+
+test("records wait together when this daemon's part of the budget is used up", async () => {
+  const { client, events, adapter } = setUp(4);
+  for (let index = 0; index < 40; index += 1) {
+    adapter.append({
+      type: "append",
+      stream: CLAIMS_STREAM,
+      records: records(`r${index}`),
+    });
+    await vi.advanceTimersByTimeAsync(50);
+  }
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(events.length).toBe(client.appends.length);
+  expect(client.appends.map((batch) => batch.length)).toMatchInlineSnapshot(`
+    [
+      1,
+      9,
+      10,
+      10,
+      10,
+    ]
+  `);
+});
--- /dev/null
+++ b/src/fold/config_fold.ts
@@ -0,0 +1,118 @@
+import { z } from "zod";
+import {
+  NO_REVISION,
+  type Offset,
+  type RecordId,
+  type Revision,
+} from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { countSchema, idSchema } from "../wire/brands.ts";
+import {
+  CheckpointedFold,
+  type Decision,
+  type Placed,
+} from "./checkpointed_fold.ts";
+import type { Entry } from "./log_reader.ts";
+
+const revisionSchema = z.number().int().min(NO_REVISION).transform((value) =>
+  value as Revision
+);
+const headline = {
+  change: z.string().max(128),
+  author: z.string().max(256),
+  /** When the author published it. */
+  at: countSchema<Timestamp>(),
+  /** The whole configuration as JSON. */
+  text: z.string(),
+};
+
+/** Puts a whole configuration in force if `base` is still the revision in force. */
+export const ConfigChangeSchema = z.object({
+  type: z.literal("config_change"),
+  id: idSchema<RecordId>(),
+  base: revisionSchema,
+  ...headline,
+}).readonly();
+/** A change of the configuration. */
+export type ConfigChange = z.infer<typeof ConfigChangeSchema>;
+
+/** Repeats the configuration that is in force after all records below `covers`. */
+export const ConfigCheckpointSchema = z.object({
+  type: z.literal("config_checkpoint"),
+  id: idSchema<RecordId>(),
+  covers: countSchema<Offset>(),
+  revision: revisionSchema,
+  ...headline,
+  /** When the checkpoint was made. */
+  madeAt: countSchema<Timestamp>(),
+}).readonly();
+/** A checkpoint of the configuration. */
+export type ConfigCheckpoint = z.infer<typeof ConfigCheckpointSchema>;
+
+/** Any record of the configuration stream. */
+export const ConfigRecordSchema = z.discriminatedUnion("type", [
+  ConfigChangeSchema,
+  ConfigCheckpointSchema,
+]);
+/** Any record of the configuration stream. */
+export type ConfigRecord = z.infer<typeof ConfigRecordSchema>;
+
+/** The configuration in force; its revision is the offset of the change that set it. */
+export type ConfigState = Readonly<{
+  revision: Revision;
+  change: string;
+  author: string;
+  at: Timestamp;
+  text: string;
+}>;
+
+/** What the fold decided about a change. */
+export type ConfigDecision = Decision<ConfigState, ConfigChange>;
+
+const NO_CONFIG: ConfigState = {
+  revision: NO_REVISION,
+  change: "",
+  author: "",
+  at: 0 as Timestamp,
+  text: "",
+};
+
+/** The configuration stream; every reader comes to the same revision. */
+export class ConfigFold extends CheckpointedFold<ConfigState, ConfigChange> {
+  static create(): ConfigFold {
+    return new ConfigFold(NO_CONFIG);
+  }
+
+  protected override initial(): ConfigState {
+    return NO_CONFIG;
+  }
+
+  protected override apply(
+    state: ConfigState,
+    placed: Placed<ConfigChange>,
+  ): ConfigState | undefined {
+    const { base, change, author, at, text } = placed.change;
+    if (base !== state.revision) return undefined;
+    const revision = placed.offset as number as Revision;
+    return { revision, change, author, at, text };
+  }
+
+  /** Folds one record of the stream; returns what was decided by it. */
+  take(entry: Entry): readonly ConfigDecision[] {
+    const parsed = ConfigRecordSchema.safeParse(entry.value);
+    if (!parsed.success) return [];
+    if (parsed.data.type === "config_change") {
+      return this.change({
+        offset: entry.offset,
+        at: entry.at,
+        change: parsed.data,
+      });
+    }
+    const { covers, revision, change, author, at, text } = parsed.data;
+    if (covers > entry.offset) return [];
+    return this.checkpoint({
+      covers,
+      state: { revision, change, author, at, text },
+    });
+  }
+}
--- /dev/null
+++ b/src/fold/log_reader.ts
@@ -0,0 +1,110 @@
+import { z } from "zod";
+import type { Offset, RecordId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import { idSchema } from "../wire/brands.ts";
+import type { LogRecord } from "../wire/log.ts";
+
+const IdentifiedSchema = z.looseObject({ id: idSchema<RecordId>() });
+
+/** One record in its stream's order, seen for the first time; `value` is parsed JSON. */
+export type Entry = Readonly<{
+  offset: Offset;
+  at: Timestamp;
+  id: RecordId;
+  value: unknown;
+}>;
+
+/** What a read of the log brought. */
+export type ReadBatch = Readonly<{
+  records: readonly LogRecord[];
+  nextOffset: Offset;
+  endOffset: Offset;
+}>;
+
+/** What a reader makes of a batch: records to fold, or a hole that must not be folded over. */
+export type ReadResult =
+  | Readonly<{ type: "entries"; entries: readonly Entry[]; ignored: number }>
+  | Readonly<{ type: "gap"; expected: Offset; found: Offset }>;
+
+/** How long, and how many, record ids are remembered. */
+export type ReaderOptions = Readonly<{ idMemoryMs: Millis; maxIds: number }>;
+
+/** Follows one stream: every record once, in order, and never across a gap. */
+export class LogReader {
+  readonly #options: ReaderOptions;
+  readonly #ids = new Map<RecordId, Timestamp>();
+  #next = 0 as Offset;
+  #end: Offset | undefined;
+
+  private constructor(options: ReaderOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ReaderOptions): LogReader {
+    return new LogReader(options);
+  }
+
+  /** The offset to read from. */
+  get next(): Offset {
+    return this.#next;
+  }
+
+  /** Whether all records of the newest read have been taken. */
+  get caughtUp(): boolean {
+    return this.#end !== undefined && this.#next >= this.#end;
+  }
+
+  /** Takes a batch; what was read before is skipped. */
+  read(batch: ReadBatch): ReadResult {
+    const entries: Entry[] = [];
+    let ignored = 0;
+    for (const record of batch.records) {
+      if (record.offset < this.#next) continue;
+      if (record.offset > this.#next) return this.#gap(record.offset);
+      this.#next = (record.offset + 1) as Offset;
+      const entry = this.#toEntry(record);
+      if (entry === undefined) ignored += 1;
+      else entries.push(entry);
+    }
+    if (batch.nextOffset > this.#next) return this.#gap(batch.nextOffset);
+    this.#end = batch.endOffset;
+    return { type: "entries", entries, ignored };
+  }
+
+  /** Starts over at the oldest record that is still kept. */
+  restart(first: Offset): void {
+    this.#next = first;
+    this.#end = undefined;
+    this.#ids.clear();
+  }
+
+  #gap(found: Offset): ReadResult {
+    return { type: "gap", expected: this.#next, found };
+  }
+
+  #toEntry(record: LogRecord): Entry | undefined {
+    const value = parseJson(record.value);
+    const parsed = IdentifiedSchema.safeParse(value);
+    if (!parsed.success || this.#ids.has(parsed.data.id)) return undefined;
+    const { id } = parsed.data;
+    this.#remember(id, record.at);
+    return { offset: record.offset, at: record.at, id, value };
+  }
+
+  #remember(id: RecordId, at: Timestamp): void {
+    this.#ids.set(id, at);
+    for (const [oldest, seenAt] of this.#ids) {
+      const old = at - seenAt > this.#options.idMemoryMs;
+      if (!old && this.#ids.size <= this.#options.maxIds) return;
+      this.#ids.delete(oldest);
+    }
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/fold/log_tail.ts
@@ -0,0 +1,140 @@
+import type { Event } from "../core/event.ts";
+import type { Offset, StreamName } from "../core/id.ts";
+import type { StepContext } from "../core/step_context.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import {
+  type Entry,
+  LogReader,
+  type ReadBatch,
+  type ReaderOptions,
+} from "./log_reader.ts";
+
+/** Time after which a read without any answer counts as lost. */
+export const READ_GIVE_UP_MS: Millis = 20 * SECOND_MS;
+const MIN_BACKOFF_MS: Millis = 100;
+const MAX_BACKOFF_MS: Millis = 3 * SECOND_MS;
+
+/** What one step brought from a stream. */
+export type TailStep = Readonly<{
+  /** Set after a gap: the state must be built anew from here. */
+  restartedAt: Offset | undefined;
+  entries: readonly Entry[];
+  /** Whether an answer of the log came in. */
+  answered: boolean;
+}>;
+
+/** Keeps one read of a stream under way and hands out its records in order. */
+export class LogTail {
+  readonly #stream: StreamName;
+  readonly #reader: LogReader;
+  #readingSince: Timestamp | undefined;
+  #retryAt: Timestamp | undefined;
+  #failures = 0;
+
+  private constructor(stream: StreamName, reader: LogReader) {
+    this.#stream = stream;
+    this.#reader = reader;
+  }
+
+  static create(stream: StreamName, options: ReaderOptions): LogTail {
+    return new LogTail(stream, LogReader.create(options));
+  }
+
+  get reader(): LogReader {
+    return this.#reader;
+  }
+
+  /** Whether the last read failed. */
+  get unreachable(): boolean {
+    return this.#failures > 0;
+  }
+
+  /** Takes the step's events and asks for the next read when one is due. */
+  step(ctx: StepContext): TailStep {
+    const entries: Entry[] = [];
+    let restartedAt: Offset | undefined;
+    let answered = false;
+    for (const event of ctx.events) {
+      if (!("stream" in event) || event.stream !== this.#stream) continue;
+      if (!this.#take(ctx, event, entries)) continue;
+      answered = true;
+      if (event.type === "log_gap") restartedAt = event.firstOffset;
+    }
+    this.#read(ctx);
+    return { restartedAt, entries, answered };
+  }
+
+  #take(ctx: StepContext, event: Event, entries: Entry[]): boolean {
+    switch (event.type) {
+      case "log_read":
+        return this.#takeBatch(ctx, event, entries);
+      case "log_gap":
+        entries.length = 0;
+        this.#answered();
+        this.#reader.restart(event.firstOffset);
+        ctx.counters.add("log_gaps");
+        return true;
+      case "log_unreachable":
+        this.#fail(ctx);
+        return false;
+      default:
+        return false;
+    }
+  }
+
+  #takeBatch(
+    ctx: StepContext,
+    batch: ReadBatch,
+    entries: Entry[],
+  ): boolean {
+    const result = this.#reader.read(batch);
+    if (result.type === "gap") {
+      this.#fail(ctx);
+      return false;
+    }
+    this.#answered();
+    entries.push(...result.entries);
+    ctx.counters.add("log_records_ignored", result.ignored);
+    return true;
+  }
+
+  #answered(): void {
+    this.#failures = 0;
+    this.#readingSince = undefined;
+    this.#retryAt = undefined;
+  }
+
+  #fail(ctx: StepContext): void {
+    this.#failures += 1;
+    ctx.counters.add("log_read_failures");
+    const most = Math.min(
+      MAX_BACKOFF_MS,
+      MIN_BACKOFF_MS * 2 ** Math.min(this.#failures, 16),
+    );
+    this.#readingSince = undefined;
+    this.#retryAt = addMs(
+      ctx.now,
+      Math.ceil(most * (1 + ctx.random.next()) / 2),
+    );
+  }
+
+  #read(ctx: StepContext): void {
+    const since = this.#readingSince;
+    if (since !== undefined && ctx.now - since >= READ_GIVE_UP_MS) {
+      this.#fail(ctx);
+    }
+    if (this.#retryAt !== undefined && ctx.now < this.#retryAt) {
+      return ctx.wakeAt(this.#retryAt);
+    }
+    if (this.#readingSince === undefined) {
+      this.#readingSince = ctx.now;
+      this.#retryAt = undefined;
+      ctx.emit({
+        type: "read_log",
+        stream: this.#stream,
+        from: this.#reader.next,
+      });
+    }
+    ctx.wakeAt(addMs(this.#readingSince, READ_GIVE_UP_MS));
+  }
+}
--- /dev/null
+++ b/src/fold/outbox.ts
@@ -0,0 +1,104 @@
+import type { Event } from "../core/event.ts";
+import type { RecordId, StreamName } from "../core/id.ts";
+import type { AppendRecord } from "../core/intent.ts";
+import type { StepContext } from "../core/step_context.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+
+/** Time after which an append without any answer counts as unknown. */
+export const APPEND_GIVE_UP_MS: Millis = 10 * SECOND_MS;
+const MIN_BACKOFF_MS: Millis = 100;
+const MAX_BACKOFF_MS: Millis = 5 * SECOND_MS;
+
+type Item = {
+  readonly record: AppendRecord;
+  sent: boolean;
+  tries: number;
+  /** When it is sent, or when its answer is given up. */
+  dueAt: Timestamp;
+};
+
+type AppendEnded = Extract<Event, { type: "append_ended" }>;
+
+/** Records on their way to one stream; each goes again under its own id until an append is confirmed. */
+export class Outbox {
+  readonly #stream: StreamName;
+  readonly #max: number;
+  readonly #items = new Map<RecordId, Item>();
+
+  private constructor(stream: StreamName, max: number) {
+    this.#stream = stream;
+    this.#max = max;
+  }
+
+  static create(stream: StreamName, options: { max: number }): Outbox {
+    return new Outbox(stream, options.max);
+  }
+
+  get size(): number {
+    return this.#items.size;
+  }
+
+  /** Takes a record to append; returns false when there is no room. */
+  add(record: AppendRecord, now: Timestamp): boolean {
+    if (this.#items.size >= this.#max) return false;
+    this.#items.set(record.id, { record, sent: false, tries: 0, dueAt: now });
+    return true;
+  }
+
+  has(id: RecordId): boolean {
+    return this.#items.has(id);
+  }
+
+  /** Stops appending a record; a copy that is under way may still take effect. */
+  drop(id: RecordId): void {
+    this.#items.delete(id);
+  }
+
+  /** Takes the answers to earlier appends. */
+  take(ctx: StepContext): void {
+    for (const event of ctx.events) {
+      if (event.type !== "append_ended" || event.stream !== this.#stream) {
+        continue;
+      }
+      for (const id of event.records) this.#end(ctx, id, event);
+    }
+  }
+
+  /** Sends what is due. */
+  send(ctx: StepContext): void {
+    const due: AppendRecord[] = [];
+    for (const item of this.#items.values()) {
+      if (item.sent && item.dueAt <= ctx.now) this.#again(ctx, item);
+      if (!item.sent && item.dueAt <= ctx.now) {
+        item.sent = true;
+        item.dueAt = addMs(ctx.now, APPEND_GIVE_UP_MS);
+        due.push(item.record);
+      }
+      ctx.wakeAt(item.dueAt);
+    }
+    if (due.length === 0) return;
+    ctx.emit({ type: "append", stream: this.#stream, records: due });
+  }
+
+  #end(ctx: StepContext, id: RecordId, event: AppendEnded): void {
+    const item = this.#items.get(id);
+    if (item === undefined || !item.sent) return;
+    if (event.result === "appended") {
+      this.#items.delete(id);
+      return;
+    }
+    this.#again(ctx, item, event.retryAfterMs);
+  }
+
+  #again(ctx: StepContext, item: Item, retryAfterMs: Millis = 0): void {
+    ctx.counters.add("log_append_retries");
+    item.sent = false;
+    item.tries += 1;
+    const most = Math.min(
+      MAX_BACKOFF_MS,
+      MIN_BACKOFF_MS * 2 ** Math.min(item.tries, 16),
+    );
+    const wait = Math.ceil(most * (1 + ctx.random.next()) / 2);
+    item.dueAt = addMs(ctx.now, Math.max(retryAfterMs, wait));
+  }
+}
