--- a/src/board/blackboard.ts
+++ b/src/board/blackboard.ts
@@ -17,6 +17,7 @@
   createRequestsSection,
   type RequestsSection,
 } from "./requests_section.ts";
+import { createKeysSection, type KeysSection } from "./keys_section.ts";
 import type { Self } from "./self.ts";
 import {
   createUpstreamsSection,
@@ -27,6 +28,7 @@
 export type Blackboard = Readonly<{
   self: Self;
   config: ConfigSection;
+  keys: KeysSection;
   members: MembersSection;
   upstreams: UpstreamsSection;
   requests: RequestsSection;
@@ -41,6 +43,7 @@
   return {
     self,
     config: createConfigSection(),
+    keys: createKeysSection(),
     members: createMembersSection(self.id),
     upstreams: createUpstreamsSection(),
     requests: createRequestsSection(),
--- a/src/board/requests_section.ts
+++ b/src/board/requests_section.ts
@@ -2,8 +2,8 @@
 import type { Attempt, RanUnder, Request, Weights } from "../core/request.ts";
 import type { Verdict } from "../core/verdict.ts";
 
-/** How far a request is: waiting for a claim, for a place, or running. */
-export type RequestState = "claiming" | "placing" | "running";
+/** How far a request is: waiting for a claim or a place, running, or sent to its key's home. */
+export type RequestState = "claiming" | "placing" | "running" | "forwarded";
 
 /** A request that was admitted and has not ended. */
 export type RequestEntry = {
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -4,19 +4,25 @@
 import { Core } from "../core/core.ts";
 import type { Random } from "../core/random.ts";
 import { ConfigController } from "./config_controller.ts";
+import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
-/** Which controllers replace the usual ones, for measurements against another policy. */
-export type CoreOptions = Readonly<{ placement?: Controller }>;
+/** What a core is given beside its settings. */
+export type CoreOptions = Readonly<{
+  /** Replaces the usual placement, for measurements against another policy. */
+  placement?: Controller;
+  /** Draws at least 32 unpredictable characters. */
+  createSecret: () => string;
+}>;
 
 /** Builds the decisions of one daemon; state that others read comes before its readers. */
 export function createCore(
   self: Self,
   random: Random,
-  options: CoreOptions = {},
+  options: CoreOptions,
 ): Core {
   return Core.create({
     board: createBlackboard(self),
@@ -24,6 +30,7 @@
     controllers: [
       MembershipController.create(),
       ConfigController.create(),
+      KeyController.create(options.createSecret),
       UpstreamController.create(),
       options.placement ?? PlacementController.create(),
       RequestController.create(),
--- /dev/null
+++ b/src/controllers/key_controller.ts
@@ -0,0 +1,116 @@
+import { z } from "zod";
+import type { Blackboard } from "../board/blackboard.ts";
+import { Controller } from "../core/controller.ts";
+import type { RecordId } from "../core/id.ts";
+import { rendezvousRank } from "../core/rendezvous.ts";
+import type { StepContext } from "../core/step_context.ts";
+import {
+  addMs,
+  HOUR_MS,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import type { Entry } from "../fold/log_reader.ts";
+import { LogTail } from "../fold/log_tail.ts";
+import { Outbox } from "../fold/outbox.ts";
+import { KEYS_STREAM } from "../fold/streams.ts";
+import { idSchema } from "../wire/brands.ts";
+import { freshPeers } from "./membership_controller.ts";
+
+/** Keys that still verify tokens; with the default key window, half an hour to two hours of them. */
+const MAX_KEYS = 4;
+/** Time for all daemons to read a new key before it signs. */
+const SETTLE_MS: Millis = 10 * SECOND_MS;
+const TURN_MS: Millis = 5 * SECOND_MS;
+const TURN_KEY = "signing_key";
+const ROTATIONS_PER_WINDOW = 2;
+const ID_MEMORY_MS: Millis = 24 * HOUR_MS;
+const MAX_IDS = 1_024;
+
+const KeyRecordSchema = z.object({
+  type: z.literal("signing_key"),
+  id: idSchema<RecordId>(),
+  key: z.string().min(32).max(256),
+});
+
+type KnownKey = Readonly<
+  { key: string; readAt: Timestamp; appendedAt: Timestamp }
+>;
+
+/** Agrees on signing keys through the log, and replaces them while the daemons run. */
+export class KeyController extends Controller {
+  override readonly name = "keys";
+  readonly #createSecret: () => string;
+  readonly #tail = LogTail.create(KEYS_STREAM, {
+    idMemoryMs: ID_MEMORY_MS,
+    maxIds: MAX_IDS,
+  });
+  readonly #outbox = Outbox.create(KEYS_STREAM, { max: 1 });
+  #keys: readonly KnownKey[] = [];
+  #caughtUpAt: Timestamp | undefined;
+
+  private constructor(createSecret: () => string) {
+    super();
+    this.#createSecret = createSecret;
+  }
+
+  /** `createSecret` draws at least 32 unpredictable characters. */
+  static create(createSecret: () => string): KeyController {
+    return new KeyController(createSecret);
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    const { entries } = this.#tail.step(ctx);
+    for (const entry of entries) this.#take(ctx, entry);
+    this.#outbox.take(ctx);
+    this.#rotate(board, ctx);
+    this.#outbox.send(ctx);
+    this.#publish(board, ctx);
+  }
+
+  #take(ctx: StepContext, entry: Entry): void {
+    this.#outbox.drop(entry.id);
+    const parsed = KeyRecordSchema.safeParse(entry.value);
+    if (!parsed.success) return;
+    const known = {
+      key: parsed.data.key,
+      readAt: ctx.now,
+      appendedAt: entry.at,
+    };
+    this.#keys = [...this.#keys, known].slice(-MAX_KEYS);
+  }
+
+  #rotate(board: Blackboard, ctx: StepContext): void {
+    if (!this.#tail.reader.caughtUp || this.#outbox.size > 0) return;
+    this.#caughtUpAt ??= ctx.now;
+    const dueAt = this.#dueAt(board, ctx);
+    if (dueAt === undefined) return;
+    if (ctx.now < dueAt) return ctx.wakeAt(dueAt);
+    const id = ctx.random.uuid(ctx.now) as RecordId;
+    const body = { type: "signing_key", id, key: this.#createSecret() };
+    this.#outbox.add({ id, body: JSON.stringify(body) }, ctx.now);
+  }
+
+  #dueAt(board: Blackboard, ctx: StepContext): Timestamp | undefined {
+    const peers = freshPeers(board, ctx.now).map((peer) => peer.id);
+    const rank = rendezvousRank(TURN_KEY, board.self.id, peers);
+    const newest = this.#keys.at(-1);
+    if (newest === undefined) {
+      return addMs(this.#caughtUpAt ?? ctx.now, rank * TURN_MS);
+    }
+    const window = board.config.serving?.limits.keyWindowMs;
+    if (window === undefined) return undefined;
+    const age = window / ROTATIONS_PER_WINDOW;
+    return addMs(newest.appendedAt, age + rank * TURN_MS);
+  }
+
+  #publish(board: Blackboard, ctx: StepContext): void {
+    const settled = this.#keys
+      .filter((known) => ctx.now - known.readAt >= SETTLE_MS);
+    const newest = this.#keys.at(-1);
+    if (newest !== undefined) ctx.wakeAt(addMs(newest.readAt, SETTLE_MS));
+    board.keys.signing = (settled.at(-1) ?? this.#keys[0])?.key;
+    board.keys.accepted = this.#keys.map((known) => known.key);
+  }
+}
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -3,7 +3,7 @@
 import { admit } from "../core/admission.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { AttemptId, RequestId } from "../core/id.ts";
+import type { AttemptId, DaemonId, RequestId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Outcome, Placement, Request } from "../core/request.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
@@ -41,6 +41,8 @@
         return this.#resume(board, ctx, event);
       case "client_left":
         return this.#leave(board, ctx, event.req);
+      case "forward_ended":
+        return this.#endForward(board, ctx, event);
       case "first_token":
       case "attempt_progress":
       case "attempt_ended":
@@ -222,6 +224,8 @@
         return ctx.repeat();
       case "refused":
         return this.#fail(board, ctx, entry, result.problem);
+      case "forward":
+        return this.#forward(board, ctx, entry, result.home);
       case "recorded":
         board.requests.byId.delete(entry.req.id);
         ctx.counters.add("requests_finished");
@@ -236,6 +240,56 @@
     }
   }
 
+  /** Only the daemon that issued the key may run the call. */
+  #forward(
+    board: Blackboard,
+    ctx: StepContext,
+    entry: RequestEntry,
+    home: DaemonId,
+  ): void {
+    const peer = board.members.peers.get(home);
+    const { req } = entry;
+    if (peer === undefined || (req.kind === "call" && req.forwarded)) {
+      const detail =
+        "The daemon that issued this key is gone; the call may have run.";
+      return this.#fail(
+        board,
+        ctx,
+        entry,
+        problem("key_home_lost", detail, { verdict: "may_have_run" }),
+      );
+    }
+    entry.state = "forwarded";
+    ctx.emit({
+      type: "forward_call",
+      req: req.id,
+      address: peer.peerAddress,
+      deadlineAt: req.deadlineAt,
+    });
+  }
+
+  #endForward(
+    board: Blackboard,
+    ctx: StepContext,
+    event: Extract<Event, { type: "forward_ended" }>,
+  ): void {
+    const entry = board.requests.byId.get(event.req);
+    if (entry?.state !== "forwarded") return;
+    if (event.result === "failed") {
+      const detail =
+        "The daemon that issued this key did not answer; the call may have run.";
+      return this.#fail(
+        board,
+        ctx,
+        entry,
+        problem("key_home_lost", detail, { verdict: "may_have_run" }),
+      );
+    }
+    board.requests.byId.delete(event.req);
+    ctx.counters.add("requests_finished");
+    ctx.repeat();
+  }
+
   #readPlacement(
     board: Blackboard,
     ctx: StepContext,
@@ -266,7 +320,8 @@
   }
 
   #expire(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
-    const verdict = entry.state === "running"
+    const isSent = entry.state === "running" || entry.state === "forwarded";
+    const verdict = isSent
       ? joinVerdicts(entry.verdict, "may_have_run")
       : entry.verdict;
     this.#fail(
--- a/src/core/event.ts
+++ b/src/core/event.ts
@@ -95,4 +95,8 @@
   >
   | Readonly<{ type: "peer_message"; envelope: Envelope }>
   | Readonly<{ type: "peer_unreachable"; address: string }>
+  /** The daemon that issued a key has answered; `failed` where it has not. */
+  | Readonly<
+    { type: "forward_ended"; req: RequestId; result: "answered" | "failed" }
+  >
   | Readonly<{ type: "drain_requested" }>;
--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -71,4 +71,13 @@
       fields: Readonly<Record<string, string | number>>;
     }
   >
+  /** Sends a call to the daemon that issued its key, at its peer address. */
+  | Readonly<
+    {
+      type: "forward_call";
+      req: RequestId;
+      address: string;
+      deadlineAt: Timestamp;
+    }
+  >
   | Readonly<{ type: "exit" }>;
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -56,6 +56,8 @@
     method: string;
     path: string;
     key?: IdempotencyKey;
+    /** Whether another daemon sent it here; it is not sent on again. */
+    forwarded?: boolean;
   }>;
 
 /** One request, as the core sees it. */
--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -81,7 +81,7 @@
     exchange: PromptExchange,
     address: string,
   ): void {
-    const { loop, board, clients } = this.#parts;
+    const { loop, board, clients, exchanges } = this.#parts;
     const run = PromptRun.create({
       intent,
       exchange,
@@ -103,7 +103,7 @@
     exchange: CallExchange,
     address: string,
   ): void {
-    const { loop, board, clients } = this.#parts;
+    const { loop, board, clients, exchanges } = this.#parts;
     const service = board.config.serving?.services.find((one) =>
       one.id === exchange.req.service
     );
@@ -114,7 +114,10 @@
       now: () => loop().now(),
       timeoutMs: service?.timeoutMs ?? MINUTE_MS,
       maxBytes: this.#limits().maxCallBytes,
-      post: (event) => loop().post(event),
+      post: (event) => {
+        if (event.outcome.type === "ok") exchanges.delete(intent.req);
+        loop().post(event);
+      },
     });
   }
 
--- a/src/daemon/call_run.ts
+++ b/src/daemon/call_run.ts
@@ -1,8 +1,13 @@
+import { Buffer } from "node:buffer";
 import type { Event } from "../core/event.ts";
 import type { Retry } from "../core/reason.ts";
 import type { Outcome } from "../core/request.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
-import type { ServiceClient, ServiceError } from "../service/service_client.ts";
+import type {
+  ServiceAnswer,
+  ServiceClient,
+  ServiceError,
+} from "../service/service_client.ts";
 import type { CallExchange } from "./exchange.ts";
 import type { StartAttempt } from "./prompt_run.ts";
 
@@ -14,7 +19,7 @@
   now: () => Timestamp;
   timeoutMs: Millis;
   maxBytes: number;
-  post: (event: Event) => void;
+  post: (event: Extract<Event, { type: "attempt_ended" }>) => void;
 }>;
 
 /** Runs one attempt of a call; the client gets the service's whole answer or none. */
@@ -40,15 +45,20 @@
     });
   }
   exchange.finish(answer.value);
-  const { status } = answer.value;
   post({
     type: "attempt_ended",
     req,
     attempt,
-    outcome: { type: "ok", tokens: 0, status },
+    outcome: success(answer.value),
   });
 }
 
+function success(answer: ServiceAnswer): Outcome {
+  const { status, contentType } = answer;
+  const body = Buffer.from(answer.body).toString("utf8");
+  return { type: "ok", tokens: 0, status, answer: { contentType, body } };
+}
+
 const CAUSES: Readonly<Record<ServiceError["code"], Retry>> = {
   refused: "upstream_refused",
   connect_failed: "connect_failed",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,6 +18,7 @@
 import { PeerClients } from "../peer/peer_clients.ts";
 import { PeerServer } from "../peer/peer_server.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
+import { CallForwarder } from "./call_forwarder.ts";
 import type { Clock } from "./clock.ts";
 import type { ExchangeTable } from "./exchange.ts";
 import { listenHttp } from "./listen.ts";
@@ -42,8 +43,8 @@
   log: LogClient;
   vmList: VmListClient;
   upstreams: ClientFactory;
-  /** Signs what clients carry from one daemon to another; the same on all daemons. */
-  signingKey: string;
+  /** Draws at least 32 unpredictable characters. */
+  createSecret: () => string;
   /** Called once a shutdown is complete. */
   onExit: () => void;
 }>;
@@ -58,6 +59,7 @@
   readonly #runner: AttemptRunner;
   readonly #orders: OrderRunner;
   readonly #peers = PeerClients.create();
+  readonly #forwarder: CallForwarder;
   readonly #peerServer: PeerServer;
   readonly #http: Server;
   readonly #logAdapter: LogAdapter;
@@ -68,7 +70,9 @@
   private constructor(parts: DaemonParts) {
     this.#parts = parts;
     const { settings, clock, random } = parts;
-    this.#core = createCore(selfOf(parts), random);
+    this.#core = createCore(selfOf(parts), random, {
+      createSecret: parts.createSecret,
+    });
     const { board } = this.#core;
     this.#loop = Loop.create({
       core: this.#core,
@@ -90,7 +94,15 @@
     });
     this.#upstreamPoller = UpstreamPoller.create(loop, this.#clients);
     this.#vmListPoller = VmListPoller.create(loop, parts.vmList);
+    this.#forwarder = CallForwarder.create({
+      peers: this.#peers,
+      exchanges: this.#exchanges,
+      now: () => clock.now(),
+      uuid: () => random.uuid(clock.now()),
+      post: (event) => this.#loop.post(event),
+    });
     this.#peerServer = PeerServer.create({
+      runCall: (call) => this.#forwarder.run(call),
       deliver: (envelope) =>
         this.#loop.post({ type: "peer_message", envelope }),
     });
@@ -157,7 +169,6 @@
       now: () => clock.now(),
       post: (event) => this.#loop.post(event),
       uuid: () => random.uuid(clock.now()),
-      signingKey: () => this.#parts.signingKey,
       leave: (exchange) => this.#runner.leave(exchange),
       report: (cause) =>
         logger.error("request failed", { cause: String(cause) }),
@@ -193,6 +204,8 @@
           intent.message,
           intent.fields,
         );
+      case "forward_call":
+        return void this.#forwarder.send(intent);
       case "exit":
         return void this.#exit();
     }
@@ -221,7 +234,7 @@
     const body = Buffer.from(intent.body);
     exchange.finish({
       status: intent.status,
-      contentType: "application/json",
+      contentType: intent.contentType ?? "application/json",
       body,
     });
   }
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -3,6 +3,7 @@
 import type { CallRequest, PromptRequest } from "../core/request.ts";
 import type { PromptBody } from "../engine/engine_client.ts";
 import type { AnswerWriter } from "../http/answer_writer.ts";
+import type { Verdict } from "../core/verdict.ts";
 import type { ServiceAnswer } from "../service/service_client.ts";
 
 /** A prompt and its client, outside the core. */
@@ -25,7 +26,7 @@
   contentType?: string;
   body: Uint8Array;
   /** Gives the client its one answer. */
-  finish: (answer: ServiceAnswer) => void;
+  finish: (answer: ServiceAnswer, verdict?: Verdict) => void;
   fail: (err: Problem) => void;
 }>;
 
--- a/src/daemon/log_adapter.ts
+++ b/src/daemon/log_adapter.ts
@@ -6,6 +6,7 @@
 import {
   CLAIMS_STREAM,
   CONFIG_STREAM,
+  KEYS_STREAM,
   LEASES_STREAM,
   RECORDS_STREAM,
 } from "../fold/streams.ts";
@@ -28,6 +29,7 @@
 /** Streams whose records go first when the budget is short. */
 const PRIORITY: readonly StreamName[] = [
   CONFIG_STREAM,
+  KEYS_STREAM,
   LEASES_STREAM,
   CLAIMS_STREAM,
   RECORDS_STREAM,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,4 @@
-import { createHash, randomInt } from "node:crypto";
+import { randomBytes, randomInt } from "node:crypto";
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { command, positional, runSafely, string } from "cmd-ts";
@@ -17,6 +17,7 @@
 import { createLogger } from "./logger.ts";
 
 const BAD_SETTINGS = 2;
+const SECRET_BYTES = 32;
 const MAX_SEED = 2 ** 31;
 
 const app = command({
@@ -59,9 +60,7 @@
       engine: (address) => HttpEngineClient.create(address),
       service: (address) => HttpServiceClient.create(address),
     },
-    signingKey: createHash("sha256").update(settings.platform.logUrl).digest(
-      "hex",
-    ),
+    createSecret: () => randomBytes(SECRET_BYTES).toString("base64url"),
     onExit: () => process.exit(0),
   });
   const listening = await daemon.listen();
--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -146,6 +146,7 @@
   leftMs: number;
   contentType: string;
   body: Buffer;
+  digest: string;
 }
 
 export interface CallReply {
@@ -1849,6 +1850,7 @@
     leftMs: 0,
     contentType: "",
     body: Buffer.alloc(0),
+    digest: "",
   };
 }
 
@@ -1884,6 +1886,9 @@
     if (message.body.length !== 0) {
       writer.uint32(82).bytes(message.body);
     }
+    if (message.digest !== "") {
+      writer.uint32(90).string(message.digest);
+    }
     return writer;
   },
 
@@ -1980,6 +1985,14 @@
             message.body = Buffer.from(reader.bytes());
             continue;
           }
+          case 11: {
+            if (tag !== 90) {
+              break;
+            }
+
+            message.digest = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2016,6 +2029,7 @@
         ? globalThis.String(object.content_type)
         : "",
       body: isSet(object.body) ? Buffer.from(bytesFromBase64(object.body)) : Buffer.alloc(0),
+      digest: isSet(object.digest) ? globalThis.String(object.digest) : "",
     };
   },
 
@@ -2051,6 +2065,9 @@
     if (message.body.length !== 0) {
       obj.body = base64FromBytes(message.body);
     }
+    if (message.digest !== "") {
+      obj.digest = message.digest;
+    }
     return obj;
   },
 
@@ -2069,6 +2086,7 @@
     message.leftMs = object.leftMs ?? 0;
     message.contentType = object.contentType ?? "";
     message.body = object.body ?? Buffer.alloc(0);
+    message.digest = object.digest ?? "";
     return message;
   },
 };
--- a/src/http/call_routes.ts
+++ b/src/http/call_routes.ts
@@ -12,6 +12,7 @@
 import { type Problem, problemStatus } from "../core/problem.ts";
 import type { CallRequest } from "../core/request.ts";
 import type { CallExchange } from "../daemon/exchange.ts";
+import type { Verdict } from "../core/verdict.ts";
 import type { ServiceAnswer } from "../service/service_client.ts";
 import type { AppEnv } from "./app.ts";
 import { readBody } from "./body_reader.ts";
@@ -89,7 +90,7 @@
     req,
     contentType: ctx.req.header("content-type"),
     body,
-    finish: (answer) => finish(res, req, answer),
+    finish: (answer, verdict) => finish(res, req, { ...answer, verdict }),
     fail: (err) => fail(front, res, err),
   };
   open(front, req.id, exchange);
@@ -99,13 +100,13 @@
 function finish(
   res: ServerResponse,
   req: CallRequest,
-  answer: ServiceAnswer,
+  answer: ServiceAnswer & { verdict?: Verdict },
 ): void {
   if (res.headersSent) return;
   res.writeHead(answer.status, {
     "content-type": answer.contentType,
     [REQUEST_HEADER]: req.id,
-    "x-verdict": "ran",
+    "x-verdict": answer.verdict ?? "ran",
   });
   res.end(Buffer.from(answer.body));
 }
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -24,8 +24,6 @@
   post: (event: Event) => void;
   /** Returns a new UUIDv7. */
   uuid: () => string;
-  /** Key that signs resume tokens; the same on all daemons. */
-  signingKey: () => string;
   /** Ends the attempt of a client that went away. */
   leave: (exchange: PromptExchange) => void;
   /** Logs an unexpected error. */
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -70,7 +70,7 @@
   identity: Identity,
   fields: PromptBodyFields,
 ): Promise<PromptRequest> {
-  const { digest, blocks } = await digestPrompt(fields.prompt);
+  const { digest, blocks } = digestPrompt(fields.prompt);
   const { model, adapter, version, maxTokens } = fields;
   return {
     kind: "prompt",
@@ -141,6 +141,8 @@
     return headers;
   }
   headers[REVISION_HEADER] = String(entry.ranUnder.revision);
+  const { signing } = front.board.keys;
+  if (signing === undefined) return headers;
   headers[RESUME_HEADER] = signResume({
     request: req.id,
     attempt: entry.attempt.id,
@@ -152,6 +154,6 @@
     revision: entry.ranUnder.revision,
     maxTokens: req.maxTokens,
     deadlineAt: req.deadlineAt,
-  }, front.signingKey());
+  }, signing);
   return headers;
 }
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -65,7 +65,7 @@
   if (identity.isErr()) return refuse(front, ctx, identity.error);
   const claims = verifyResume(
     ctx.req.header(RESUME_HEADER) ?? "",
-    front.signingKey(),
+    front.board.keys.accepted,
   );
   if (claims.isErr()) return refuse(front, ctx, claims.error);
   const after = Number(ctx.req.header(LAST_EVENT_HEADER) ?? "0");
--- a/src/http/resume_token.ts
+++ b/src/http/resume_token.ts
@@ -41,15 +41,17 @@
   return `${payload}.${signature(payload, secret)}`;
 }
 
-/** Checks a token; a forged or damaged one is refused. */
+/** Checks a token against every key in use; a forged or damaged one is refused. */
 export function verifyResume(
   token: string,
-  secret: string,
+  secrets: readonly string[],
 ): Result<ResumeClaims, Problem> {
   const [payload = "", signed = ""] = token.split(".", 2);
-  const expected = Buffer.from(signature(payload, secret));
   const found = Buffer.from(signed);
-  if (found.length !== expected.length || !timingSafeEqual(found, expected)) {
+  const isGenuine = secrets.some((secret) =>
+    isEqual(found, Buffer.from(signature(payload, secret)))
+  );
+  if (!isGenuine) {
     return err(problem("unauthorized", "The resume token is not genuine."));
   }
   const parsed = ResumeClaimsSchema.safeParse(
@@ -60,6 +62,10 @@
     : err(problem("bad_request", "The resume token is from another version."));
 }
 
+function isEqual(a: Buffer, b: Buffer): boolean {
+  return a.length === b.length && timingSafeEqual(a, b);
+}
+
 function signature(payload: string, secret: string): string {
   return createHmac("sha256", secret).update(`resume\n${payload}`).digest(
     "base64url",
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -13,7 +13,7 @@
 /** What the server hands on. */
 export type PeerHandlers = Readonly<{
   deliver: (envelope: Envelope) => void;
-  runCall?: (call: CallForward) => Promise<CallReply>;
+  runCall: (call: CallForward) => Promise<CallReply>;
 }>;
 
 /** Listens for the other daemons. */
