Order request classes by urgency

A request without a class gets the first one. Sorted by name that was ledger-review, with a deadline of ten minutes, in examples/cooperative. Now the most urgent comes first; seen red on both examples without it.

--- a/src/config/check_folder.ts
+++ b/src/config/check_folder.ts
@@ -11,7 +11,11 @@
   splitReference,
 } from "./references.ts";
 import { SERVING_SECTIONS } from "./serving_sections.ts";
-import { type ServingConfig, ServingConfigSchema } from "./serving.ts";
+import {
+  type RequestClass,
+  type ServingConfig,
+  ServingConfigSchema,
+} from "./serving.ts";
 
 /** Merges files in the order of their names and checks them; reports all errors at once. */
 export function checkFolder(
@@ -51,7 +55,7 @@
     })),
     services: byId(sections.service, (service) => service.value),
     teams: byId(sections.team, (team) => team.value),
-    classes: byId(sections.class, (section) => section.value),
+    classes: byUrgency(byId(sections.class, (section) => section.value)),
     limits: sections.limits[0]?.value,
   };
 }
@@ -81,3 +85,10 @@
     section,
   ) => ({ id: section.name, ...(build(section) as object) }));
 }
+
+/** The most urgent class comes first; it is that of a request that names none. */
+function byUrgency(classes: readonly unknown[]): unknown[] {
+  const urgency = (item: unknown) =>
+    (item as Partial<RequestClass>).urgency ?? 0;
+  return [...classes].sort((a, b) => urgency(a) - urgency(b));
+}
--- a/src/config/examples_test.ts
+++ b/src/config/examples_test.ts
@@ -8,6 +8,8 @@
 test.each(["cooperative", "faro"])("examples/%s is in order", async (name) => {
   const files = (await readFolder(EXAMPLES + name))._unsafeUnwrap();
   const config = checkFolder(files)._unsafeUnwrap();
+  const urgencies = config.classes.map((item) => item.urgency);
+  expect(urgencies).toEqual([...urgencies].sort());
   expect({
     models: config.models.length,
     adapters: config.models.flatMap((model) => model.adapters).length,
--- a/src/config/serving_sections.ts
+++ b/src/config/serving_sections.ts
@@ -61,7 +61,8 @@
   class: {
     named: true,
     required: true,
-    meaning: "A request class: how urgent a kind of request is.",
+    meaning:
+      "A request class: how urgent a kind of request is. A request that names none has the most urgent one, by name among equals.",
     schema: z.object(classKeys),
   },
   limits: {
