--- a/tools/config_docs/render.ts
+++ b/tools/config_docs/render.ts
@@ -4,6 +4,7 @@
   type SectionSpecs,
 } from "../../src/config/sections.ts";
 
+const LINE_WIDTH = 80;
 const COLUMNS = ["key", "type", "allowed", "default", "meaning"];
 
 /** Returns the Markdown that documents sections: a heading and a table for each. */
@@ -37,13 +38,25 @@
   return [
     `### \`${section.header}\``,
     "",
-    `${section.meaning}${needed}`,
+    wrap(`${section.meaning}${needed}`),
     "",
     renderTable([COLUMNS, ...rows]),
     "",
   ].join("\n");
 }
 
+/** Breaks lines where `deno fmt` breaks them. */
+function wrap(text: string): string {
+  const lines = [""];
+  for (const word of text.split(" ")) {
+    const line = lines[lines.length - 1] ?? "";
+    const longer = line === "" ? word : `${line} ${word}`;
+    if (longer.length <= LINE_WIDTH) lines[lines.length - 1] = longer;
+    else lines.push(word);
+  }
+  return lines.join("\n");
+}
+
 function renderTable(rows: readonly (readonly string[])[]): string {
   const widths = COLUMNS.map((_, column) =>
     Math.max(...rows.map((row) => row[column]?.length ?? 0))
