--- /dev/null
+++ b/src/controllers/membership_controller_test.ts
@@ -0,0 +1,140 @@
+import { expect, test } from "vitest";
+import type { DomainId, Incarnation, VmId } from "../core/id.ts";
+import type { Heartbeat } from "../gen/peer.ts";
+import {
+  CoreFixture,
+  intentsOf,
+  promptFixture,
+  selfFixture,
+} from "../testing/fixtures.ts";
+import type { Vm } from "../wire/vm_list.ts";
+import { entryAnswer } from "../core/entry_answer.ts";
+import { MembershipController } from "./membership_controller.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { RequestController } from "./request_controller.ts";
+import { engineFixture } from "../testing/fixtures.ts";
+
+function create(): CoreFixture {
+  const core = CoreFixture.create([
+    MembershipController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  core.add(engineFixture("e1"));
+  return core;
+}
+
+function beat(index: number, overrides: Partial<Heartbeat> = {}, seq = 1) {
+  const self = selfFixture(index);
+  const value: Heartbeat = {
+    vm: self.vm,
+    peerAddress: self.peerAddress,
+    clientAddress: self.clientAddress,
+    domain: self.domain,
+    state: "serving",
+    revision: 0,
+    config: new Uint8Array() as Heartbeat["config"],
+    configOffset: 0,
+    running: 0,
+    queued: 0,
+    teams: [],
+    upstreams: [],
+    suspects: [],
+    atMs: 0,
+    ...overrides,
+  };
+  const body = { $case: "heartbeat", value } as const;
+  return {
+    type: "peer_message",
+    envelope: { from: self.id, seq, body },
+  } as const;
+}
+
+function entryVm(index: number): Vm {
+  const self = selfFixture(index);
+  return {
+    id: self.vm as VmId,
+    role: "entry",
+    domain: self.domain as DomainId,
+    address: self.peerAddress,
+    incarnation: "run" as Incarnation,
+    state: "live",
+  };
+}
+
+function addresses(core: CoreFixture): readonly string[] {
+  const answer = entryAnswer(core.board, {
+    client: "c",
+    now: core.now,
+    maxAgeMs: 0,
+  });
+  return answer.entries.map((entry) => entry.address).sort();
+}
+
+test("heartbeats go to every listed daemon, once in their interval", () => {
+  const core = create();
+  const vms = [entryVm(1), entryVm(2), entryVm(3)];
+  const sent = core.step({ type: "vms_listed", vms });
+  expect(intentsOf(sent, "send_peer").map((one) => one.address))
+    .toEqual(["10.0.0.2:90", "10.0.0.3:90"]);
+  expect(intentsOf(core.after(999), "send_peer")).toEqual([]);
+  expect(intentsOf(core.after(1), "send_peer")).toHaveLength(2);
+});
+
+test("a peer that has gone silent is neither given out nor chosen to schedule", () => {
+  const core = create();
+  core.step(beat(2), beat(3));
+  expect(addresses(core)).toHaveLength(3);
+  core.after(3_501);
+  expect(addresses(core)).toEqual([core.board.self.clientAddress]);
+  expect(core.board.members.scheduler).toBe(core.board.self.id);
+});
+
+test("a late or repeated heartbeat changes nothing", () => {
+  const core = create();
+  core.step(beat(2, { state: "leaving" }, 5));
+  core.step(beat(2, { state: "serving" }, 4));
+  expect([...core.board.members.peers.values()][0]?.state).toBe("leaving");
+  expect(core.board.counters.counted.peer_messages_dropped).toBe(1);
+});
+
+test("all daemons that see each other choose the same scheduler", () => {
+  const chosen = [1, 2, 3].map((index) => {
+    const core = create();
+    Object.assign(core.board.self, selfFixture(index));
+    core.step(
+      ...[1, 2, 3].filter((one) => one !== index).map((one) => beat(one)),
+    );
+    return core.board.members.scheduler;
+  });
+  expect(new Set(chosen).size).toBe(1);
+});
+
+test("a shutdown waits for entry answers to age and for every request in flight", () => {
+  const core = create();
+  core.step({ type: "drain_requested" });
+  expect(addresses(core)).toEqual([]);
+  const late = core.after(9_000, {
+    type: "request_arrived",
+    req: promptFixture("r1", { deadlineAt: core.now + 60_000 as never }),
+  });
+  const [attempt] = intentsOf(late, "start_attempt");
+  expect(attempt).toBeDefined();
+  core.step({ type: "drain_requested" });
+  const refused = core.after(1_000, {
+    type: "request_arrived",
+    req: promptFixture("r2", { deadlineAt: core.now + 60_000 as never }),
+  });
+  expect(intentsOf(refused, "answer")[0]?.problem).toMatchObject({
+    code: "draining",
+    verdict: "not_run",
+  });
+  expect(intentsOf(refused, "exit")).toEqual([]);
+  const done = core.step({
+    type: "attempt_ended",
+    req: attempt!.req,
+    attempt: attempt!.attempt,
+    outcome: { type: "ok", tokens: 1, status: 200 },
+  });
+  expect(intentsOf(done, "exit")).toHaveLength(1);
+});
--- /dev/null
+++ b/src/controllers/upstream_controller_test.ts
@@ -0,0 +1,104 @@
+import { expect, test } from "vitest";
+import type { DomainId, Incarnation, UpstreamId, VmId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { CoreFixture } from "../testing/fixtures.ts";
+import type { LoadReport } from "../wire/engine.ts";
+import type { Vm } from "../wire/vm_list.ts";
+import { UpstreamController } from "./upstream_controller.ts";
+
+const ID = "e1" as UpstreamId;
+
+function vm(run: number, state: Vm["state"] = "live"): Vm {
+  return {
+    id: "e1" as VmId,
+    role: "engine",
+    domain: "a" as DomainId,
+    address: "e1:1",
+    incarnation: `run-${run}` as Incarnation,
+    state,
+  };
+}
+
+function listed(...vms: readonly Vm[]) {
+  return { type: "vms_listed", vms } as const;
+}
+
+function reported(run: number, overrides: Partial<LoadReport> = {}) {
+  const report: LoadReport = {
+    incarnation: `run-${run}` as Incarnation,
+    at: 0 as Timestamp,
+    running: 0,
+    waiting: 0,
+    decoding: 0,
+    prefill_tokens: 0,
+    kv_capacity_tokens: 450_000,
+    kv_free_tokens: 450_000,
+    loaded: [],
+    role: "mixed",
+    leaving: false,
+    ...overrides,
+  };
+  return { type: "load_reported", upstream: ID, report } as const;
+}
+
+function create(): CoreFixture {
+  const core = CoreFixture.create([UpstreamController.create()]);
+  core.step(listed(vm(1)));
+  return core;
+}
+
+function stateOf(core: CoreFixture) {
+  return core.board.upstreams.byId.get(ID)?.state;
+}
+
+test("whatever says first that an upstream is leaving ends new work to it", () => {
+  const byList = create();
+  byList.step(listed(vm(1, "leaving")));
+  const byReport = create();
+  byReport.step(reported(1, { leaving: true }));
+  const byPeer = create();
+  byPeer.board.members.upstreamNews.set(ID, {
+    incarnation: "run-1",
+    state: "leaving",
+  });
+  byPeer.step();
+  const byAbsence = create();
+  byAbsence.step(listed());
+  expect([byList, byReport, byPeer, byAbsence].map(stateOf))
+    .toEqual(["leaving", "leaving", "leaving", "leaving"]);
+});
+
+test("late news of the same run does not bring a leaving upstream back", () => {
+  const core = create();
+  core.step(reported(1, { leaving: true }));
+  core.step(listed(vm(1)), reported(1));
+  expect(stateOf(core)).toBe("leaving");
+  core.step(listed(vm(2)));
+  expect(stateOf(core)).toBe("live");
+  core.step(listed(vm(1)), reported(1));
+  expect(core.board.upstreams.byId.get(ID)?.incarnation).toBe("run-2");
+});
+
+test("a restarted engine is known by its report before the list says so", () => {
+  const core = create();
+  core.step(reported(1));
+  core.step({ type: "upstream_unreachable", upstream: ID });
+  expect(stateOf(core)).toBe("unreachable");
+  core.step(reported(2));
+  core.step(listed(vm(1)));
+  expect(core.board.upstreams.byId.get(ID)).toMatchObject({
+    incarnation: "run-2",
+    state: "live",
+  });
+});
+
+test("a peer's news of an earlier run is ignored", () => {
+  const core = create();
+  core.step(listed(vm(2)));
+  core.board.members.upstreamNews.set(ID, {
+    incarnation: "run-1",
+    state: "leaving",
+  });
+  core.step();
+  expect(stateOf(core)).toBe("live");
+});
