--- a/src/controllers/upstream_controller_test.ts
+++ b/src/controllers/upstream_controller_test.ts
@@ -79,6 +79,14 @@
   expect(core.board.upstreams.byId.get(ID)?.incarnation).toBe("run-2");
 });
 
+test("a leaving upstream that was out of reach for a while is still leaving", () => {
+  const core = create();
+  core.step(reported(1, { leaving: true }));
+  core.step({ type: "upstream_unreachable", upstream: ID });
+  core.step(reported(1));
+  expect(stateOf(core)).toBe("leaving");
+});
+
 test("a restarted engine is known by its report before the list says so", () => {
   const core = create();
   core.step(reported(1));
