--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -39,7 +39,13 @@
   >
   | Readonly<{ type: "answer"; req: RequestId; problem: Problem }>
   | Readonly<
-    { type: "answer_recorded"; req: RequestId; status: number; body: string }
+    {
+      type: "answer_recorded";
+      req: RequestId;
+      status: number;
+      body: string;
+      contentType?: string;
+    }
   >
   | Readonly<
     { type: "append"; stream: StreamName; records: readonly AppendRecord[] }
@@ -65,4 +71,13 @@
       fields: Readonly<Record<string, string | number>>;
     }
   >
+  /** Sends a call to the daemon that issued its key, at its peer address. */
+  | Readonly<
+    {
+      type: "forward_call";
+      req: RequestId;
+      address: string;
+      deadlineAt: Timestamp;
+    }
+  >
   | Readonly<{ type: "exit" }>;
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -56,6 +56,8 @@
     method: string;
     path: string;
     key?: IdempotencyKey;
+    /** Whether another daemon sent it here; it is not sent on again. */
+    forwarded?: boolean;
   }>;
 
 /** One request, as the core sees it. */
@@ -90,7 +92,13 @@
 
 /** How an attempt ended; `ok` means that the whole answer was passed on. */
 export type Outcome =
-  | Readonly<{ type: "ok"; tokens: number; status: number }>
+  | Readonly<{
+    type: "ok";
+    tokens: number;
+    status: number;
+    /** The whole answer of a call that may not be repeated, to be recorded. */
+    answer?: Readonly<{ contentType: string; body: string }>;
+  }>
   | Readonly<{
     type: "failed";
     cause: Retry;
@@ -104,3 +112,12 @@
 
 /** What the record of a request says about the configuration it ran under. */
 export type RanUnder = Readonly<{ revision: Revision; weights?: Weights }>;
+
+/** An answer that an engine is producing, started by another daemon. */
+export type RunningAnswer = Readonly<{
+  attempt: AttemptId;
+  upstream: UpstreamId;
+  ranUnder: RanUnder;
+  /** Tokens that the client has received. */
+  tokens: number;
+}>;
