Add the engine stand-in over HTTP and the client that meets it

An answer's text follows from the prompt's digest, the weights and the index, so a test can check a whole answer, a resumed one and one that goes on after delivered tokens.

The client says not_run only when undici had not yet begun to write, or on a refusal as the contract has it; a bare 503 is no refusal. A silent stream destroys its connection and retires the pool with its idle neighbours.

Wire, additively: peers of a segment, so that an engine refuses when the plan's other engines have lost their part; KvInfo; import and export; the refusal import_failed; pings in silent streams.

--- /dev/null
+++ b/src/engine/engine_contract_test.ts
@@ -0,0 +1,517 @@
+import { Buffer } from "node:buffer";
+import { afterEach, expect, test } from "vitest";
+import { answerLength, answerText } from "../../stand_ins/engine/answer.ts";
+import {
+  EngineServer,
+  type EngineServerConfig,
+} from "../../stand_ins/engine/engine_server.ts";
+import type { AnswerFault, CallFault } from "../../stand_ins/engine/faults.ts";
+import { Relay } from "../../stand_ins/relay/relay.ts";
+import type {
+  AdapterId,
+  AttemptId,
+  FencingNumber,
+  ModelId,
+  PlanId,
+  RequestId,
+  VersionId,
+} from "../core/id.ts";
+import type { EngineEvent, GenerateHead } from "../wire/engine.ts";
+import { digestPrompt } from "./block_digests.ts";
+import type { EngineError, EngineStream } from "./engine_client.ts";
+import {
+  HttpEngineClient,
+  type HttpEngineClientOptions,
+} from "./http_engine_client.ts";
+
+const SILENCE = { silenceMs: 20_000 };
+const SHORT_SILENCE = { silenceMs: 300 };
+const WEIGHTS = { model: "m" as ModelId, version: "v1" as VersionId };
+const LOADED = [{ ...WEIGHTS, adapters: ["lora" as AdapterId] }];
+const PLAN = "plan-1" as PlanId;
+const TEXT = Buffer.from("How springy is a spring? ".repeat(100));
+
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+async function startEngine(
+  cfg: Partial<EngineServerConfig> = {},
+): Promise<{ server: EngineServer; client: HttpEngineClient }> {
+  const server = EngineServer.create({
+    loaded: LOADED,
+    timeScale: 500,
+    ...cfg,
+  });
+  closers.push(() => server.close());
+  return { server, client: createClient(await server.listen()) };
+}
+
+function createClient(
+  address: string,
+  options: HttpEngineClientOptions = {},
+): HttpEngineClient {
+  const client = HttpEngineClient.create(address, options);
+  closers.push(() => client.close());
+  return client;
+}
+
+let attempts = 0;
+
+function head(more: Partial<GenerateHead> = {}): GenerateHead {
+  attempts += 1;
+  return {
+    request: "req-1" as RequestId,
+    attempt: `attempt-${attempts}` as AttemptId,
+    ...WEIGHTS,
+    max_tokens: 300,
+    priority: 0,
+    deadline_ms: 60_000,
+    ...more,
+  };
+}
+
+function expected(text: Uint8Array, maxTokens = 300): string[] {
+  const { digest } = digestPrompt(text);
+  const key = { prompt: digest, weights: WEIGHTS };
+  const count = answerLength(digest, maxTokens);
+  return Array.from(
+    { length: count },
+    (_, i) => answerText(key, i + 1).slice(answerText(key, i).length),
+  );
+}
+
+type Read = Readonly<{ events: EngineEvent[]; err?: EngineError }>;
+
+async function readAll(stream: EngineStream): Promise<Read> {
+  const events: EngineEvent[] = [];
+  for await (const item of stream.events) {
+    if (!item.ok) return { events, err: item.err };
+    events.push(item.event);
+  }
+  return { events };
+}
+
+function texts(read: Read): string[] {
+  return read.events.flatMap((event) =>
+    event.type === "token" ? [event.text] : []
+  );
+}
+
+async function ask(client: HttpEngineClient, more = head()): Promise<Read> {
+  const stream = await client.generate(more, [TEXT], SILENCE);
+  return stream.isOk()
+    ? readAll(stream.value)
+    : { events: [], err: stream.error };
+}
+
+test("an answer comes whole, in order, and ends with its final event", async () => {
+  const { client } = await startEngine();
+  const first = await ask(client);
+  expect(texts(first)).toEqual(expected(TEXT));
+  expect(first.events.at(-1)).toMatchObject({
+    type: "done",
+    count: expected(TEXT).length,
+    finish: "stop",
+    prompt_tokens: 625,
+    cached_tokens: 0,
+    ...WEIGHTS,
+  });
+  const second = await ask(client);
+  expect(texts(second)).toEqual(expected(TEXT));
+  expect(second.events.at(-1)).toMatchObject({ cached_tokens: 512 });
+});
+
+test("a long prompt passes in many chunks and is the same prompt", async () => {
+  const { client } = await startEngine({ timeScale: 50_000 });
+  const text = Buffer.alloc(1_600_000, "ledger row 17; ");
+  const parts = [text.subarray(0, 700_001), text.subarray(700_001)];
+  const stream = await client.generate(
+    head({ deadline_ms: 600_000, max_tokens: 50 }),
+    parts,
+    SILENCE,
+  );
+  const read = await readAll(stream._unsafeUnwrap());
+  expect(texts(read)).toEqual(expected(text, 50));
+  expect(read.events.at(-1)).toMatchObject({ prompt_tokens: 400_000 });
+});
+
+test("an answer can be resumed after any token, by another client too", async () => {
+  const { server, client } = await startEngine();
+  const asked = head();
+  const whole = texts(await ask(client, asked));
+  const other = createClient(server.address);
+  for (let after = 0; after <= whole.length; after += 1) {
+    const stream = await other.resume(asked.attempt, after, SILENCE);
+    const read = await readAll(stream._unsafeUnwrap());
+    expect(texts(read)).toEqual(whole.slice(after));
+    expect(read.events.at(-1)?.type).toBe("done");
+  }
+  const unknown = await other.resume("none" as AttemptId, 0, SILENCE);
+  expect(unknown._unsafeUnwrapErr()).toMatchObject({
+    code: "refused",
+    refusal: { code: "unknown_stream" },
+  });
+});
+
+test("an answer that goes on after delivered tokens has the same text", async () => {
+  const { client } = await startEngine();
+  const whole = expected(TEXT);
+  const answered = { text: whole.slice(0, 7).join(""), count: 7 };
+  const read = await ask(client, head({ answered }));
+  expect(texts(read)).toEqual(whole.slice(7));
+  expect(read.events[0]).toMatchObject({ type: "token", index: 7 });
+  expect(read.events.at(-1)).toMatchObject({ count: whole.length });
+});
+
+test("the same attempt sent twice runs once", async () => {
+  const { server, client } = await startEngine();
+  const asked = head();
+  const [a, b] = await Promise.all([ask(client, asked), ask(client, asked)]);
+  expect(texts(a)).toEqual(expected(TEXT));
+  expect(texts(b)).toEqual(texts(a));
+  expect(server.streams).toBe(1);
+  // Run anew, it would find its prefix cached.
+  expect((await ask(client, asked)).events).toEqual(a.events);
+});
+
+test("cancelling ends the answer and frees its memory; twice is harmless", async () => {
+  const { server, client } = await startEngine({ timeScale: 1 });
+  const asked = head();
+  const stream = await client.generate(asked, [TEXT], SILENCE);
+  const reading = readAll(stream._unsafeUnwrap());
+  expect((await client.cancel(asked.attempt)).isOk()).toBe(true);
+  expect((await client.cancel(asked.attempt)).isOk()).toBe(true);
+  expect((await reading).events.at(-1)).toMatchObject({ finish: "cancelled" });
+  expect(freeTokens(server)).toBe(450_000);
+});
+
+test("an answer without a reader goes on for a while, then frees its memory", async () => {
+  const { server, client } = await startEngine({
+    timeScale: 1,
+    orphanMs: 200,
+    meanAnswerTokens: 1_000_000,
+  });
+  const asked = head({ max_tokens: 32_768 });
+  const stream = await client.generate(asked, [TEXT], SILENCE);
+  stream._unsafeUnwrap().close();
+  const again = await client.resume(asked.attempt, 0, SILENCE);
+  expect(again.isOk()).toBe(true);
+  again._unsafeUnwrap().close();
+  await until(() => !server.model.has(asked.attempt));
+  expect(freeTokens(server)).toBe(450_000);
+});
+
+test.each<[string, Partial<GenerateHead>, string]>([
+  ["weights that are not loaded", { version: "v9" as VersionId }, "not_loaded"],
+  ["an adapter that is not loaded", {
+    adapter: "none" as AdapterId,
+  }, "not_loaded"],
+  ["an answer that does not fit", { max_tokens: 450_000 }, "too_long"],
+  ["a plan without memory", {
+    segment: { plan: PLAN, from: 0, to: 9, last: false, total: 99 },
+  }, "unknown_plan"],
+  ["a wrong head", { priority: 1.5 }, "bad_request"],
+])("%s is refused and nothing runs", async (_name, more, code) => {
+  const { server, client } = await startEngine();
+  expect((await ask(client, head(more))).err).toMatchObject({
+    code: "refused",
+    verdict: "not_run",
+    refusal: { code },
+  });
+  expect(server.streams).toBe(0);
+});
+
+test("a leaving engine refuses new work and finishes what runs", async () => {
+  const { server, client } = await startEngine();
+  const running = await client.generate(head(), [TEXT], SILENCE);
+  server.control({ leaving: true });
+  expect((await ask(client)).err).toMatchObject({
+    refusal: { code: "leaving" },
+  });
+  expect(texts(await readAll(running._unsafeUnwrap()))).toEqual(expected(TEXT));
+  expect((await client.state())._unsafeUnwrap().leaving).toBe(true);
+});
+
+test("work past its deadline is dropped and says so", async () => {
+  const { server, client } = await startEngine({ timeScale: 1 });
+  const read = await ask(client, head({ deadline_ms: 30 }));
+  expect(read.events.at(-1)).toMatchObject({ type: "error", code: "deadline" });
+  expect(freeTokens(server)).toBe(450_000);
+});
+
+const ANSWER_FAULTS: readonly [AnswerFault["type"], string, boolean][] = [
+  ["truncated", "truncated", false],
+  ["reset", "broken", false],
+  ["silent", "silent", false],
+  ["garbage", "malformed", false],
+  ["huge", "malformed", false],
+  ["doubled", "done", true],
+  ["crossed", "done", true],
+  ["late", "done", true],
+  ["gap", "done", false],
+  ["wrong_weights", "done", true],
+];
+
+test.each(ANSWER_FAULTS)(
+  "a %s answer ends as %s",
+  async (type, end, isWhole) => {
+    const { server, client } = await startEngine();
+    server.control({ answer_fault: { type, after: 3 } });
+    const asked = head();
+    const silence = type === "silent" ? SHORT_SILENCE : SILENCE;
+    const stream = await client.generate(asked, [TEXT], silence);
+    const read = await readAll(stream._unsafeUnwrap());
+    expect(read.err?.code ?? read.events.at(-1)?.type).toBe(end);
+    if (read.err) expect(read.err.verdict).toBe("may_have_run");
+    const own = read.events.filter((event) =>
+      event.type === "token" && event.attempt === asked.attempt
+    );
+    const indexes = new Set(
+      own.map((event) => event.type === "token" ? event.index : -1),
+    );
+    expect(indexes.size === expected(TEXT).length).toBe(isWhole);
+    const again = await client.resume(asked.attempt, 3, SILENCE);
+    const rest = await readAll(again._unsafeUnwrap());
+    expect(texts(rest)).toEqual(expected(TEXT).slice(3));
+  },
+);
+
+test("another request's events are passed up as they are", async () => {
+  const { server, client } = await startEngine();
+  server.control({ answer_fault: { type: "crossed" } });
+  const read = await ask(client);
+  const owners = new Set(read.events.map((event) => event.request));
+  expect([...owners].sort()).toEqual(["req-1", "request-of-another"]);
+});
+
+const CALL_FAULTS: readonly [CallFault["type"], string, string, number][] = [
+  ["silent", "silent", "may_have_run", 0],
+  ["reset", "broken", "may_have_run", 0],
+  ["lost_answer", "broken", "may_have_run", 1],
+  ["garbage", "broken", "may_have_run", 0],
+  ["bare_503", "malformed", "may_have_run", 0],
+  ["refused", "refused", "not_run", 0],
+];
+
+test.each(CALL_FAULTS)(
+  "a generate call that meets %s is %s, %s",
+  async (type, code, verdict, streams) => {
+    const { server, client } = await startEngine();
+    server.control({ call_fault: { call: "generate", type } });
+    const silence = type === "silent" ? SHORT_SILENCE : SILENCE;
+    const failed = await client.generate(head(), [TEXT], silence);
+    const read = failed.isOk() ? await readAll(failed.value) : undefined;
+    const failure = read?.err ?? failed._unsafeUnwrapErr();
+    expect([failure.code, failure.verdict]).toEqual([code, verdict]);
+    expect(server.streams).toBe(streams);
+    expect(texts(await ask(client))).toEqual(expected(TEXT));
+  },
+);
+
+test("where nobody listens, nothing was run", async () => {
+  const { server, client } = await startEngine();
+  await server.close();
+  expect((await ask(client)).err).toMatchObject({
+    code: "connect_failed",
+    verdict: "not_run",
+  });
+  expect((await client.load())._unsafeUnwrapErr().verdict).toBe("not_run");
+});
+
+test("after a silent connection the next call takes a new one", async () => {
+  const { server } = await startEngine();
+  const relay = Relay.create({ target: server.address });
+  closers.push(() => relay.close());
+  const client = createClient(await relay.listen());
+  await Promise.all([ask(client), ask(client), ask(client)]);
+  expect(relay.freezeOpen()).toBeGreaterThan(0);
+  const silent = await client.generate(head(), [TEXT], SHORT_SILENCE);
+  expect(silent._unsafeUnwrapErr()).toMatchObject({
+    code: "silent",
+    verdict: "may_have_run",
+  });
+  expect(texts(await ask(client))).toEqual(expected(TEXT));
+});
+
+test("a waiting answer is kept alive by comments", async () => {
+  const { client } = await startEngine({ timeScale: 1, pingMs: 20 });
+  const text = Buffer.alloc(120_000, "x");
+  const stream = await client.generate(head({ max_tokens: 1 }), [text], {
+    silenceMs: 1_000,
+  });
+  const read = await readAll(stream._unsafeUnwrap());
+  expect(read.events.at(-1)?.type).toBe("done");
+});
+
+test("a frozen engine is silent and goes on afterwards", async () => {
+  const { server, client } = await startEngine();
+  const asked = head();
+  server.control({ freeze_ms: 600 });
+  const frozen = await client.generate(asked, [TEXT], SHORT_SILENCE);
+  expect(frozen._unsafeUnwrapErr().code).toBe("silent");
+  expect(texts(await ask(client))).toEqual(expected(TEXT));
+});
+
+test("a poison prompt crashes the engine, which comes back empty", async () => {
+  const { server, client } = await startEngine();
+  server.control({ poison: "is a spring? How" });
+  const before = (await client.state())._unsafeUnwrap().incarnation;
+  expect((await ask(client)).err).toMatchObject({
+    code: "broken",
+    verdict: "may_have_run",
+  });
+  expect((await ask(client)).err?.code).toBe("connect_failed");
+  server.control({ poison: "" });
+  await server.restart();
+  expect((await client.state())._unsafeUnwrap().incarnation).not.toBe(before);
+  expect(texts(await ask(client))).toEqual(expected(TEXT));
+});
+
+test.each([[true, "refused"], [false, "taken"]])(
+  "with fencing checked %s an old order is %s",
+  async (checksFencing, expectedResult) => {
+    const { client } = await startEngine({ checksFencing });
+    const order = { loaded: LOADED, role: "mixed" } as const;
+    const send = (fencing: number) =>
+      client.order({ ...order, fencing: fencing as FencingNumber });
+    expect((await send(8)).isOk()).toBe(true);
+    const old = await send(7);
+    const result = old.isOk() ? "taken" : old.error.code;
+    expect(result).toBe(expectedResult);
+    expect((await client.state())._unsafeUnwrap().fencing)
+      .toBe(checksFencing ? 8 : undefined);
+  },
+);
+
+test("an order loads what is missing, and drops what it does not name", async () => {
+  const { client } = await startEngine({ timeScale: 100_000 });
+  const loaded = [{ ...WEIGHTS, version: "v2" as VersionId, adapters: [] }];
+  const order = { fencing: 1 as FencingNumber, loaded, role: "mixed" } as const;
+  expect((await client.order(order)).isOk()).toBe(true);
+  expect((await ask(client)).err).toMatchObject({
+    refusal: { code: "not_loaded" },
+  });
+  await until(async () => {
+    const state = (await client.state())._unsafeUnwrap();
+    return state.loaded[0]?.version === "v2" && state.loading.length === 0;
+  });
+});
+
+test("load and cache reports arrive late", async () => {
+  const { client } = await startEngine({ timeScale: 2_000 });
+  await ask(client);
+  const { blocks } = digestPrompt(TEXT);
+  await until(async () => {
+    const events = (await client.cacheEvents(0))._unsafeUnwrap();
+    return events.some((event) =>
+      event.type === "stored" && event.blocks.join() === blocks.join()
+    );
+  });
+  expect((await client.load())._unsafeUnwrap()).toMatchObject({
+    kv_capacity_tokens: 450_000,
+    loaded: LOADED,
+  });
+});
+
+test("a plain call that gets no answer is silent, and the next one works", async () => {
+  const { server } = await startEngine();
+  const client = createClient(server.address, { callMs: 300 });
+  server.control({ call_fault: { call: "cancel", type: "silent" } });
+  const silent = await client.cancel("attempt-x" as AttemptId);
+  expect(silent._unsafeUnwrapErr()).toMatchObject({
+    code: "silent",
+    verdict: "may_have_run",
+  });
+  expect((await createClient(server.address).state()).isOk()).toBe(true);
+});
+
+test("half an answer to a plain call is a failure", async () => {
+  const { server, client } = await startEngine();
+  server.control({ call_fault: { call: "state", type: "half" } });
+  expect((await client.state())._unsafeUnwrapErr().code).toBe("broken");
+  expect((await client.state()).isOk()).toBe(true);
+});
+
+test("memory for a plan is held, renewed, released, and lapses", async () => {
+  const { server, client } = await startEngine({ timeScale: 1 });
+  const ask = { owner: "d1", tokens: 440_000, ttl_ms: 60_000 };
+  expect((await client.reserve(PLAN, ask)).isOk()).toBe(true);
+  const other = await client.reserve("plan-2" as PlanId, ask);
+  expect(other._unsafeUnwrapErr()).toMatchObject({
+    code: "refused",
+    refusal: { code: "no_memory" },
+  });
+  expect((await client.release(PLAN)).isOk()).toBe(true);
+  expect((await client.release(PLAN)).isOk()).toBe(true);
+  expect(freeTokens(server)).toBe(450_000);
+  await client.reserve(PLAN, { ...ask, ttl_ms: 100 });
+  await until(() => freeTokens(server) === 450_000);
+});
+
+test("a plan's KV cache is copied to another engine", async () => {
+  const source = await startEngine();
+  const target = await startEngine();
+  await holdSegment(source.client);
+  const memory = { owner: "d1", tokens: 1_000, ttl_ms: 60_000 };
+  await target.client.reserve(PLAN, memory);
+  const copied = await target.client.importKv(PLAN, source.server.address);
+  expect(copied.isOk()).toBe(true);
+  expect(target.server.model.held(PLAN)).toMatchObject({
+    used: 625,
+    imported: 625,
+  });
+});
+
+test.each([
+  ["the source has crashed", "crash"],
+  ["the source crashes half way", "crash_half_way"],
+  ["there is too little memory", "small"],
+  ["nothing is reserved", "unreserved"],
+])("an import leaves no memory behind when %s", async (_name, fault) => {
+  const source = await startEngine({ timeScale: 1 });
+  const target = await startEngine({ timeScale: 1 });
+  await holdSegment(source.client);
+  const tokens = fault === "small" ? 100 : 1_000;
+  if (fault !== "unreserved") {
+    const memory = { owner: "d1", tokens, ttl_ms: 60_000 };
+    await target.client.reserve(PLAN, memory);
+  }
+  if (fault === "crash") source.server.crash();
+  if (fault === "crash_half_way") {
+    // Slow enough to be struck on its way: 625 tokens take 625 ms.
+    for (const { server } of [source, target]) {
+      server.control({ time_scale: 0.01 });
+    }
+  }
+  const copying = target.client.importKv(PLAN, source.server.address);
+  if (fault === "crash_half_way") {
+    await until(() => (target.server.model.held(PLAN)?.used ?? 0) > 0);
+    source.server.crash();
+  }
+  const copied = await copying;
+  expect(copied._unsafeUnwrapErr()).toMatchObject({ code: "refused" });
+  expect(target.server.model.held(PLAN)?.used ?? 0).toBe(0);
+});
+
+async function holdSegment(client: HttpEngineClient): Promise<void> {
+  const memory = { owner: "d1", tokens: 1_000, ttl_ms: 60_000 };
+  (await client.reserve(PLAN, memory))._unsafeUnwrap();
+  const segment = { plan: PLAN, from: 0, to: 625, last: false, total: 900 };
+  const read = await ask(client, head({ segment }));
+  expect(read.events.at(-1)).toMatchObject({ finish: "segment", count: 0 });
+}
+
+function freeTokens(server: EngineServer): number {
+  return server.model.loadReport(0 as never).kv_free_tokens;
+}
+
+async function until(
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!await condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
--- /dev/null
+++ b/src/net/http_stream.ts
@@ -0,0 +1,212 @@
+import { err, ok, type Result } from "neverthrow";
+import { Buffer } from "node:buffer";
+import { clearTimeout, setTimeout } from "node:timers";
+import type { Dispatcher } from "undici";
+import type { Millis } from "../core/time.ts";
+import type { HttpError, HttpHeaders } from "./http_message.ts";
+
+/** Chunks that may wait for the reader before the connection is paused. */
+const MAX_QUEUED_CHUNKS = 64;
+
+/** The next part of a streamed answer; nothing follows a failure. */
+export type StreamItem =
+  | Readonly<{ ok: true; chunk: Buffer }>
+  | Readonly<{ ok: false; err: HttpError }>;
+
+/** Limits of one streamed call. */
+export type StreamLimits = Readonly<{
+  /** Time to get a connection. */
+  connectMs: Millis;
+  /** Time in which nothing moves before the call is given up. */
+  silenceMs: Millis;
+}>;
+
+/** What a stream reports. */
+export type StreamListener = Readonly<{
+  /** Called once, when the answer's head is there or the call has failed. */
+  open: (result: Result<HttpStream, HttpError>) => void;
+  /** Called when the call was given up because nothing moved. */
+  silent: () => void;
+  /** Called once, when undici holds nothing of the call any more. */
+  finish: () => void;
+}>;
+
+/**
+ * One call with a streamed answer on undici's dispatch interface. `onRequestStart` comes right before the
+ * first byte is written, so what fails earlier has not been sent.
+ */
+export class HttpStream implements Dispatcher.DispatchHandler {
+  readonly #limits: StreamLimits;
+  readonly #listener: StreamListener;
+  readonly #queue: Buffer[] = [];
+  #sent = false;
+  #opened = false;
+  #closed = false;
+  #finished = false;
+  #paused = false;
+  #ended = false;
+  #failure: HttpError | undefined;
+  #wake: (() => void) | undefined;
+  #status = 0;
+  #headers: HttpHeaders = {};
+  #controller: Dispatcher.DispatchController | undefined;
+  #connectTimer: NodeJS.Timeout | undefined;
+  #silenceTimer: NodeJS.Timeout | undefined;
+
+  private constructor(limits: StreamLimits, listener: StreamListener) {
+    this.#limits = limits;
+    this.#listener = listener;
+  }
+
+  static create(limits: StreamLimits, listener: StreamListener): HttpStream {
+    return new HttpStream(limits, listener);
+  }
+
+  get status(): number {
+    return this.#status;
+  }
+
+  get headers(): HttpHeaders {
+    return this.#headers;
+  }
+
+  /** Starts the time limits. */
+  start(): void {
+    const { connectMs, silenceMs } = this.#limits;
+    this.#connectTimer = setTimeout(
+      () => this.#give("connect_failed", "No connection in time"),
+      Math.min(connectMs, silenceMs),
+    );
+  }
+
+  /** Notes that a part of the body has been written. */
+  touch(): void {
+    this.#silenceTimer?.refresh();
+  }
+
+  /** Drops the connection; the reader sees the end. */
+  close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#stopTimers();
+    if (!this.#ended) this.#controller?.abort(new Error("Closed"));
+    this.#wake?.();
+  }
+
+  /** The answer's chunks; to be read once. */
+  async *items(): AsyncGenerator<StreamItem, void, undefined> {
+    while (!this.#closed) {
+      const chunk = this.#queue.shift();
+      if (chunk !== undefined) {
+        this.#resume();
+        yield { ok: true, chunk };
+      } else if (this.#failure !== undefined) {
+        yield { ok: false, err: this.#failure };
+        return;
+      } else if (this.#ended) {
+        return;
+      } else {
+        await new Promise<void>((resolve) => this.#wake = resolve);
+      }
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#closed || this.#failure !== undefined || this.#sent) {
+      controller.abort(new Error("The call was given up or sent already"));
+      return;
+    }
+    this.#sent = true;
+    this.#controller = controller;
+    clearTimeout(this.#connectTimer);
+    this.#silenceTimer = setTimeout(
+      () => this.#checkSilence(),
+      this.#limits.silenceMs,
+    );
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HttpHeaders,
+  ): void {
+    this.touch();
+    if (status < 200) return;
+    this.#status = status;
+    this.#headers = headers;
+    this.#open(ok(this));
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.touch();
+    if (this.#closed) return;
+    this.#queue.push(chunk);
+    if (this.#queue.length >= MAX_QUEUED_CHUNKS) {
+      this.#paused = true;
+      controller.pause();
+    }
+    this.#wake?.();
+  }
+
+  onResponseEnd(): void {
+    this.#ended = true;
+    this.#stopTimers();
+    this.#wake?.();
+    this.#finish();
+  }
+
+  onResponseError(_controller: unknown, cause: Error): void {
+    this.#fail(this.#sent ? "broken" : "connect_failed", cause.message);
+    this.#finish();
+  }
+
+  #resume(): void {
+    if (!this.#paused || this.#queue.length > 0) return;
+    this.#paused = false;
+    this.touch();
+    this.#controller?.resume();
+  }
+
+  #checkSilence(): void {
+    // A paused connection is silent because its reader is slow.
+    if (this.#paused) {
+      this.touch();
+      return;
+    }
+    this.#give("silent", "Nothing came for too long");
+    this.#listener.silent();
+  }
+
+  #give(code: HttpError["code"], detail: string): void {
+    this.#fail(code, detail);
+    this.#controller?.abort(new Error(detail));
+  }
+
+  #fail(code: HttpError["code"], detail: string): void {
+    if (this.#failure !== undefined || this.#ended) return;
+    this.#failure = { code, sent: this.#sent, detail };
+    this.#stopTimers();
+    this.#open(err(this.#failure));
+    this.#wake?.();
+  }
+
+  #open(result: Result<HttpStream, HttpError>): void {
+    if (this.#opened) return;
+    this.#opened = true;
+    this.#listener.open(result);
+  }
+
+  #stopTimers(): void {
+    clearTimeout(this.#connectTimer);
+    clearTimeout(this.#silenceTimer);
+  }
+
+  #finish(): void {
+    if (this.#finished) return;
+    this.#finished = true;
+    this.#listener.finish();
+  }
+}
--- a/src/wire/engine.ts
+++ b/src/wire/engine.ts
@@ -18,6 +18,11 @@
 /** Bytes of UTF-8 text that count as one token. */
 export const BYTES_PER_TOKEN = 4;
 
+/** Largest number of engines in one plan. */
+export const MAX_SEGMENTS = 64;
+/** Longest time that an engine leaves an open stream without an event or a comment, in milliseconds. */
+export const STREAM_PING_MS = 2_000;
+
 const whole = z.number().int().nonnegative();
 
 /** A loaded model version with its adapters. */
@@ -117,6 +122,12 @@
     last: z.boolean(),
     /** Tokens of the whole prompt. */
     total: whole,
+    /** Engines that hold the tokens before `from`, as `host:port`; the engine refuses if one of them does not. */
+    peers: z.array(z.object({
+      address: z.string(),
+      from: whole,
+      to: whole,
+    })).max(MAX_SEGMENTS).optional(),
   }).optional(),
 }).readonly();
 /** Head of a generate request. */
@@ -169,6 +180,7 @@
     "no_memory",
     "unknown_stream",
     "unknown_plan",
+    "import_failed",
   ]),
   detail: z.string(),
 });
@@ -186,3 +198,34 @@
 }).readonly();
 /** Memory for one plan. */
 export type Reservation = z.infer<typeof ReservationSchema>;
+
+/** Answer to `GET /v1/kv/{plan}`: what an engine holds of a plan. */
+export const KvInfoSchema = z.object({
+  incarnation: idSchema<Incarnation>(),
+  owner: z.string(),
+  /** Tokens reserved, and those of them in use. */
+  tokens: whole,
+  used: whole,
+  /** Tokens from the prompt's start that were imported. */
+  imported: whole,
+  /** Segments whose prefill is complete. */
+  segments: z.array(z.object({ from: whole, to: whole })),
+}).readonly();
+/** What an engine holds of a plan. */
+export type KvInfo = z.infer<typeof KvInfoSchema>;
+
+/** Body of `POST /v1/kv/{plan}/import`; the answer comes when the copy is complete. */
+export const KvImportSchema = z.object({ from: z.string() }).readonly();
+
+/**
+ * One line of the answer to `GET /v1/kv/{plan}/export`: first `head`, last `end`.
+ * An export without `end` is broken.
+ */
+export const KvExportLineSchema = z.discriminatedUnion("type", [
+  z.object({
+    type: z.literal("head"),
+    plan: idSchema<PlanId>(),
+    tokens: whole,
+  }),
+  z.object({ type: z.literal("end"), tokens: whole }),
+]);
