--- /dev/null
+++ b/src/cli/app.ts
@@ -0,0 +1,41 @@
+import { subcommands } from "cmd-ts";
+import { EXIT_HELP } from "./exit_code.ts";
+import type { RunVerb } from "./run_verb.ts";
+import { applyCommand } from "./verbs/apply.ts";
+import { checkCommand } from "./verbs/check.ts";
+import { diffCommand } from "./verbs/diff.ts";
+import { drainCommand } from "./verbs/drain.ts";
+import { historyCommand } from "./verbs/history.ts";
+import { sendCommand } from "./verbs/send.ts";
+import { showCommand } from "./verbs/show.ts";
+import { statusCommand } from "./verbs/status.ts";
+
+/** Builds the command line of `parsleyfield`. */
+export function createApp(run: RunVerb) {
+  return subcommands({
+    name: "parsleyfield",
+    description:
+      `Operate a fleet of parsleyfield daemons. PARSLEYFIELD_LOG and PARSLEYFIELD_ENTRY stand for --log and --entry. ${EXIT_HELP}`,
+    cmds: {
+      check: checkCommand(run),
+      diff: diffCommand(run),
+      apply: applyCommand(run),
+      history: historyCommand(run),
+      show: showCommand(run),
+      status: statusCommand(run),
+      drain: drainCommand(run),
+      send: sendCommand(run),
+    },
+    examples: [
+      {
+        description: "Check a folder before publishing it",
+        command: "parsleyfield check examples/cooperative",
+      },
+      {
+        description: "Publish it",
+        command:
+          "parsleyfield apply --log http://10.0.0.5:7001 --entry 10.0.0.11:8080 examples/cooperative",
+      },
+    ],
+  });
+}
--- /dev/null
+++ b/src/cli/args.ts
@@ -0,0 +1,48 @@
+import { flag, number, option, optional, string } from "cmd-ts";
+import { SECOND_MS } from "../core/time.ts";
+
+const DEFAULT_TIMEOUT_S = 30;
+
+/** `--json`, which every verb takes. */
+export const jsonArg = {
+  json: flag({
+    long: "json",
+    description: "write one JSON object to standard output",
+  }),
+};
+
+/** `--log`, for verbs that read or append the platform's log. */
+export const logArg = {
+  log: option({
+    long: "log",
+    env: "PARSLEYFIELD_LOG",
+    type: optional(string),
+    description: "URL of the platform's log service",
+  }),
+};
+
+/** `--entry`, for verbs that talk to daemons. */
+export const entryArg = {
+  entry: option({
+    long: "entry",
+    env: "PARSLEYFIELD_ENTRY",
+    type: optional(string),
+    description: "HOST:PORT of any daemon's client listener",
+  }),
+};
+
+/** `--timeout`, in seconds. */
+export const timeoutArg = {
+  timeout: option({
+    long: "timeout",
+    type: number,
+    defaultValue: () => DEFAULT_TIMEOUT_S,
+    defaultValueIsSerializable: true,
+    description: "seconds to wait for each of: the log, the daemons",
+  }),
+};
+
+/** Returns seconds as milliseconds. */
+export function seconds(value: number): number {
+  return Math.round(value * SECOND_MS);
+}
--- /dev/null
+++ b/src/cli/environment.ts
@@ -0,0 +1,28 @@
+import { userInfo } from "node:os";
+import { setTimeout } from "node:timers/promises";
+import { v7 } from "uuid";
+import type { Timestamp } from "../core/time.ts";
+import { HttpLogClient } from "../platform/http_log_client.ts";
+import type { CliContext } from "./context.ts";
+import { HttpAdminClient } from "./http_admin_client.ts";
+import { HttpPromptClient } from "./http_prompt_client.ts";
+import type { Output } from "./output.ts";
+
+/** Builds the context of a real run. */
+export function createContext(
+  output: Output,
+  args: Readonly<{ log?: string; entry?: string; author?: string }>,
+): CliContext {
+  return {
+    log: args.log === undefined ? undefined : HttpLogClient.create(args.log),
+    entry: args.entry,
+    admin: HttpAdminClient.create(),
+    prompts: HttpPromptClient.create(),
+    author: args.author ?? userInfo().username,
+    now: () => Date.now() as Timestamp,
+    sleep: (ms) => setTimeout(ms),
+    uuid: () => v7(),
+    progress: (text) => output.progress(text),
+    write: (text) => output.write(text),
+  };
+}
--- /dev/null
+++ b/src/cli/in_force.ts
@@ -0,0 +1,63 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Revision } from "../core/id.ts";
+import { addMs, type Millis, SECOND_MS } from "../core/time.ts";
+import type { CliContext } from "./context.ts";
+import { type DaemonView, surveyFleet } from "./fleet.ts";
+import { type CliError, cliError } from "./report.ts";
+
+const POLL_MS: Millis = 500;
+
+/** A daemon that does not serve by a revision yet. */
+export type Straggler = Readonly<{ vm: string; id: string; reason: string }>;
+
+/** How far a revision is in force. */
+export type InForce = Readonly<
+  { daemons: number; stragglers: readonly Straggler[] }
+>;
+
+/** Asks all daemons until each serves by a revision or a later one, or time is up. */
+export async function waitInForce(
+  ctx: CliContext,
+  entry: string,
+  options: { revision: Revision; waitMs: Millis },
+): Promise<Result<InForce, CliError>> {
+  const { revision, waitMs } = options;
+  const giveUpAt = addMs(ctx.now(), waitMs);
+  for (;;) {
+    const fleet = await surveyFleet(ctx.admin, entry);
+    const late = ctx.now() >= giveUpAt;
+    if (fleet.isErr()) {
+      if (late) {
+        return err(
+          cliError("entry_unreachable", fleet.error.detail, "stragglers"),
+        );
+      }
+    } else {
+      const stragglers = findStragglers(fleet.value, revision);
+      const daemons = fleet.value.length;
+      if (stragglers.length === 0 || late) return ok({ daemons, stragglers });
+      ctx.progress(
+        `revision ${revision} in force on ${
+          daemons - stragglers.length
+        } of ${daemons} daemons`,
+      );
+    }
+    await ctx.sleep(POLL_MS);
+  }
+}
+
+/** Names the daemons that do not serve by a revision yet, and why. */
+export function findStragglers(
+  daemons: readonly DaemonView[],
+  revision: Revision,
+): readonly Straggler[] {
+  return daemons
+    .filter((daemon) => daemon.revision < revision)
+    .map(({ vm, id, revision, unreachable }) => {
+      const has = `has revision ${revision}`;
+      if (unreachable === undefined) return { vm, id, reason: has };
+      const silent = Math.round(unreachable.silentMs / SECOND_MS);
+      const reason = `does not answer, last heard of ${silent} s ago; ${has}`;
+      return { vm, id, reason };
+    });
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+import process from "node:process";
+import { runSafely } from "cmd-ts";
+import { createApp } from "./app.ts";
+import { createContext } from "./environment.ts";
+import { EXIT_CODES } from "./exit_code.ts";
+import { Output } from "./output.ts";
+
+const output = Output.create(process.stdout, process.stderr);
+
+const app = createApp(async (args, verb) => {
+  const result = await verb(createContext(output, args));
+  return result.match(
+    (report) => output.report(report, args.json),
+    (err) => output.error(err, args.json),
+  );
+});
+
+const result = await runSafely(app, process.argv.slice(2));
+if (result._tag === "ok") {
+  process.exitCode = await result.value.value;
+} else {
+  const { exitCode, into, message } = result.error.config;
+  process[into].write(`${message}\n`);
+  process.exitCode = exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input;
+}
--- /dev/null
+++ b/src/cli/publish.ts
@@ -0,0 +1,101 @@
+import { err, ok, type Result } from "neverthrow";
+import type { RecordId, Revision } from "../core/id.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import type { ConfigChange, ConfigDecision } from "../fold/config_fold.ts";
+import { CONFIG_STREAM } from "../fold/streams.ts";
+import type { LogClient } from "../platform/log_client.ts";
+import type { ConfigLog } from "./config_log.ts";
+import type { CliContext } from "./context.ts";
+import { type CliError, cliError } from "./report.ts";
+
+const RETRY_MS: Millis = 500;
+
+/** What became of a change. */
+export type PublishResult =
+  | Readonly<{ outcome: "accepted"; change: string; revision: Revision }>
+  | Readonly<{
+    outcome: "conflict";
+    change: string;
+    base: Revision;
+    /** What was in force when the change was read. */
+    winner: Readonly<{ revision: Revision; author: string; at: Timestamp }>;
+  }>
+  /** It may be or come into force; publishing it again is safe. */
+  | Readonly<{ outcome: "unknown"; change: string; detail: string }>;
+
+/** How a change is published. */
+export type PublishOptions = Readonly<
+  { log: LogClient; history: ConfigLog; timeoutMs: Millis }
+>;
+
+/**
+ * Appends a change until it has been read back or time is up. The same record may be appended any number of
+ * times: the fold takes the first copy only.
+ */
+export async function publish(
+  ctx: CliContext,
+  change: ConfigChange,
+  options: PublishOptions,
+): Promise<Result<PublishResult, CliError>> {
+  const { log, history, timeoutMs } = options;
+  const giveUpAt = addMs(ctx.now(), timeoutMs);
+  let mayBeThere = false;
+  let appended = false;
+  let detail = "no answer";
+  for (;;) {
+    if (!appended) {
+      const answer = await log.append(CONFIG_STREAM, [JSON.stringify(change)]);
+      appended = answer.isOk();
+      if (answer.isErr()) detail = answer.error.detail;
+      if (answer.isOk() || answer.error.code === "unknown") mayBeThere = true;
+    }
+    if (mayBeThere) {
+      const read = await history.catchUp();
+      if (read.isErr()) detail = read.error.detail;
+      const decision = history.decision(change.id);
+      if (decision !== undefined) return decided(decision, change);
+    }
+    if (ctx.now() >= giveUpAt) break;
+    ctx.progress(`publishing change ${change.id}: ${detail}`);
+    await ctx.sleep(RETRY_MS);
+  }
+  if (mayBeThere) {
+    return ok({ outcome: "unknown", change: change.change, detail });
+  }
+  return err(
+    cliError("not_published", `The log service took nothing: ${detail}`),
+  );
+}
+
+/** Returns what was decided about an earlier try of the same change. */
+export function decided(
+  decision: ConfigDecision,
+  wanted: Pick<ConfigChange, "id" | "text">,
+): Result<PublishResult, CliError> {
+  const { change, offset, taken, state } = decision;
+  if (change.text !== wanted.text) {
+    return err(
+      cliError(
+        "change_reused",
+        `Change ${wanted.id} was published with another configuration; leave --change out for a new one.`,
+        "bad_input",
+      ),
+    );
+  }
+  if (taken) {
+    const revision = offset as number as Revision;
+    return ok({ outcome: "accepted", change: change.change, revision });
+  }
+  const { revision, author, at } = state;
+  return ok({
+    outcome: "conflict",
+    change: change.change,
+    base: change.base,
+    winner: { revision, author, at },
+  });
+}
+
+/** A record's id is that of its change, so that another try is a copy of the first. */
+export function recordIdOf(change: string): RecordId {
+  return change as RecordId;
+}
--- /dev/null
+++ b/src/cli/run_verb.ts
@@ -0,0 +1,14 @@
+import type { Result } from "neverthrow";
+import type { CliContext } from "./context.ts";
+import type { CliError, Report } from "./report.ts";
+
+/** Arguments that set up a verb's context and output. */
+export type SharedArgs = Readonly<
+  { json: boolean; log?: string; entry?: string; author?: string }
+>;
+
+/** Runs a verb in a context made of its arguments, writes its report and returns the exit code. */
+export type RunVerb = (
+  args: SharedArgs,
+  verb: (ctx: CliContext) => Promise<Result<Report, CliError>>,
+) => Promise<number>;
--- /dev/null
+++ b/src/cli/verbs/apply.ts
@@ -0,0 +1,253 @@
+import {
+  command,
+  flag,
+  number,
+  option,
+  optional,
+  positional,
+  string,
+} from "cmd-ts";
+import { err, ok, type Result } from "neverthrow";
+import { canonicalText } from "../../config/canonical.ts";
+import { diffConfig } from "../../config/diff.ts";
+import type { ServingConfig } from "../../config/serving.ts";
+import type { GroupId, Revision } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
+import { entryArg, jsonArg, logArg, seconds, timeoutArg } from "../args.ts";
+import { type CliContext, needEntry } from "../context.ts";
+import { EXIT_HELP } from "../exit_code.ts";
+import { surveyFleet } from "../fleet.ts";
+import { type InForce, waitInForce } from "../in_force.ts";
+import { loadFolder, parsePublished } from "../load_folder.ts";
+import {
+  decided,
+  publish,
+  type PublishResult,
+  recordIdOf,
+} from "../publish.ts";
+import { type History, readHistory } from "../read_history.ts";
+import { findLosses, liveGroups } from "../removal.ts";
+import { type CliError, cliError, type Report } from "../report.ts";
+import type { RunVerb } from "../run_verb.ts";
+import { changeLine } from "./diff.ts";
+
+/** How a folder is published. */
+export type ApplyOptions = Readonly<{
+  dir: string;
+  /** The revision that the folder was compared with; else the one in force. */
+  base?: number;
+  /** The id of an earlier try whose end is unknown. */
+  change?: string;
+  force: boolean;
+  /** Whether to wait until all daemons serve by it. */
+  wait: boolean;
+  timeoutMs: Millis;
+}>;
+
+/** Publishes a folder and waits until it is in force on every daemon. */
+export async function apply(
+  ctx: CliContext,
+  options: ApplyOptions,
+): Promise<Result<Report, CliError>> {
+  const entry = options.wait ? needEntry(ctx) : ok(ctx.entry);
+  if (entry.isErr()) return err(entry.error);
+  const folder = await loadFolder(options.dir);
+  if (folder.isErr()) return err(folder.error);
+  const read = await readHistory(ctx);
+  if (read.isErr()) return err(read.error);
+  const config = folder.value;
+  const result = await publishOnce(ctx, options, { ...read.value, config });
+  if (result.isErr()) return err(result.error);
+  const changes = changeLines(read.value.state.text, config);
+  if (result.value.outcome !== "accepted") {
+    return ok(report(result.value, { changes }));
+  }
+  if (!options.wait || entry.value === undefined) {
+    return ok(report(result.value, { changes }));
+  }
+  const inForce = await waitInForce(ctx, entry.value, {
+    revision: result.value.revision,
+    waitMs: options.timeoutMs,
+  });
+  if (inForce.isErr()) return err(inForce.error);
+  return ok(report(result.value, { changes, inForce: inForce.value }));
+}
+
+/** Finishes an earlier try, finds that nothing is to be done, or publishes. */
+async function publishOnce(
+  ctx: CliContext,
+  options: ApplyOptions,
+  read: History & Readonly<{ config: ServingConfig }>,
+): Promise<Result<PublishResult, CliError>> {
+  const { state, history, config } = read;
+  const text = canonicalText(config);
+  const change = options.change ?? ctx.uuid();
+  const id = recordIdOf(change);
+  const earlier = history.decision(id);
+  if (earlier !== undefined) return decided(earlier, { id, text });
+  if (state.text === text) {
+    return ok({ outcome: "accepted", change, revision: state.revision });
+  }
+  const refused = await refuseLosses(ctx, options, read);
+  if (refused !== undefined) return err(refused);
+  ctx.progress(`publishing change ${change}`);
+  return publish(ctx, {
+    type: "config_change",
+    id,
+    base: (options.base ?? state.revision) as Revision,
+    change,
+    author: ctx.author,
+    at: ctx.now(),
+    text,
+  }, { log: read.log, history, timeoutMs: options.timeoutMs });
+}
+
+async function refuseLosses(
+  ctx: CliContext,
+  options: ApplyOptions,
+  read: History & Readonly<{ config: ServingConfig }>,
+): Promise<CliError | undefined> {
+  const inForce = parsePublished(read.state.text);
+  if (options.force || inForce === undefined) return undefined;
+  const losses = findLosses(inForce, read.config, await knownLive(ctx));
+  if (losses.length === 0) return undefined;
+  const details = losses.map(({ detail }) => detail).join("; ");
+  return cliError(
+    "last_replica",
+    `A model in use would lose its last replica: ${details}. Use --force to publish all the same.`,
+    "bad_input",
+  );
+}
+
+async function knownLive(
+  ctx: CliContext,
+): Promise<ReadonlySet<GroupId> | undefined> {
+  if (ctx.entry === undefined) return undefined;
+  const fleet = await surveyFleet(ctx.admin, ctx.entry);
+  return fleet.isOk() ? liveGroups(fleet.value) : undefined;
+}
+
+function changeLines(before: string, after: ServingConfig): readonly string[] {
+  const inForce = parsePublished(before);
+  return inForce === undefined
+    ? []
+    : diffConfig(inForce, after).map(changeLine);
+}
+
+function report(
+  result: PublishResult,
+  seen: Readonly<{ changes: readonly string[]; inForce?: InForce }>,
+): Report {
+  switch (result.outcome) {
+    case "accepted":
+      return accepted(result, seen);
+    case "conflict": {
+      const { winner, base } = result;
+      return {
+        exit: "conflict",
+        data: result,
+        lines: [
+          `conflict: written against revision ${base}, but revision ${winner.revision} by ${winner.author} is in force`,
+          "compare with `parsleyfield diff`, then apply again",
+        ],
+      };
+    }
+    case "unknown":
+      return {
+        exit: "unknown",
+        data: result,
+        lines: [
+          `unknown: ${result.detail}`,
+          `safe to run again with --change ${result.change}`,
+        ],
+      };
+  }
+}
+
+function accepted(
+  result: Extract<PublishResult, { outcome: "accepted" }>,
+  { changes, inForce }: Readonly<
+    { changes: readonly string[]; inForce?: InForce }
+  >,
+): Report {
+  const head =
+    `accepted as revision ${result.revision} (change ${result.change})`;
+  if (inForce === undefined) {
+    return { exit: "ok", data: result, lines: [...changes, head] };
+  }
+  const { daemons, stragglers } = inForce;
+  const followed = `in force on ${
+    daemons - stragglers.length
+  } of ${daemons} daemons`;
+  const late = stragglers.map(({ vm, id, reason }) =>
+    `straggler ${vm} (${id}): ${reason}`
+  );
+  return {
+    exit: stragglers.length === 0 ? "ok" : "stragglers",
+    data: { ...result, ...inForce },
+    lines: [...changes, head, followed, ...late],
+  };
+}
+
+/** `parsleyfield apply DIR`. */
+export function applyCommand(run: RunVerb) {
+  return command({
+    name: "apply",
+    description:
+      `Publish a configuration folder, wait until it is in force on every daemon and name those that lag. ${EXIT_HELP}`,
+    args: {
+      dir: positional({
+        type: string,
+        displayName: "DIR",
+        description: "folder of INI files",
+      }),
+      base: option({
+        long: "base",
+        type: optional(number),
+        description:
+          "revision that the folder was compared with; else the one in force",
+      }),
+      change: option({
+        long: "change",
+        type: optional(string),
+        description: "change id of an earlier try whose end is unknown",
+      }),
+      author: option({
+        long: "author",
+        env: "PARSLEYFIELD_AUTHOR",
+        type: optional(string),
+        description: "who publishes; else the user's name",
+      }),
+      force: flag({
+        long: "force",
+        description: "publish although a model in use loses its last replica",
+      }),
+      noWait: flag({
+        long: "no-wait",
+        description: "end when the change is accepted; needs no --entry",
+      }),
+      ...timeoutArg,
+      ...logArg,
+      ...entryArg,
+      ...jsonArg,
+    },
+    examples: [
+      {
+        description: "Publish what was reviewed against revision 41",
+        command: "parsleyfield apply --base 41 config",
+      },
+      {
+        description: "Run a try with an unknown end again",
+        command:
+          "parsleyfield apply --change 019b0c7e-0000-7000-8000-000000000000 config",
+      },
+    ],
+    handler: (args) =>
+      run(args, (ctx) =>
+        apply(ctx, {
+          ...args,
+          wait: !args.noWait,
+          timeoutMs: seconds(args.timeout),
+        })),
+  });
+}
--- /dev/null
+++ b/src/cli/verbs/status.ts
@@ -0,0 +1,148 @@
+import { command } from "cmd-ts";
+import { err, ok, type Result } from "neverthrow";
+import type { Revision } from "../../core/id.ts";
+import { SECOND_MS } from "../../core/time.ts";
+import type { AdminStatus } from "../../wire/admin.ts";
+import { entryArg, jsonArg } from "../args.ts";
+import { type CliContext, needEntry } from "../context.ts";
+import { EXIT_HELP } from "../exit_code.ts";
+import { type DaemonView, surveyFleet } from "../fleet.ts";
+import { findStragglers } from "../in_force.ts";
+import { type CliError, cliError, type Report } from "../report.ts";
+import type { RunVerb } from "../run_verb.ts";
+import { tableLines } from "../table.ts";
+
+const DAEMON_HEAD = [
+  "VM",
+  "DAEMON",
+  "DOMAIN",
+  "ADDRESS",
+  "STATE",
+  "REVISION",
+  "RUNNING",
+  "QUEUED",
+  "NOTE",
+];
+const UPSTREAM_HEAD = [
+  "UPSTREAM",
+  "KIND",
+  "OF",
+  "DOMAIN",
+  "STATE",
+  "RUNNING",
+  "WAITING",
+  "LOADED",
+];
+
+/** Shows daemons, upstreams, revision in force, queues, quarantine and leases. */
+export async function status(
+  ctx: CliContext,
+): Promise<Result<Report, CliError>> {
+  const entry = needEntry(ctx);
+  if (entry.isErr()) return err(entry.error);
+  ctx.progress(`asking ${entry.value} and its peers`);
+  const fleet = await surveyFleet(ctx.admin, entry.value);
+  if (fleet.isErr()) {
+    return err(cliError("entry_unreachable", fleet.error.detail));
+  }
+  return ok(statusReport(fleet.value));
+}
+
+function statusReport(daemons: readonly DaemonView[]): Report {
+  const revision = Math.max(...daemons.map((one) => one.revision)) as Revision;
+  const stragglers = findStragglers(daemons, revision);
+  const answered = daemons.flatMap(({ status }) => status ?? []);
+  const upstreams = newestBy(answered, "upstreams", ({ id }) => id);
+  const quarantine = newestBy(answered, "quarantine", ({ digest }) => digest);
+  const leases = newestBy(answered, "leases", ({ group }) => group);
+  const lines = [
+    `revision in force: ${revision}`,
+    ...stragglers.map(({ vm, id, reason }) =>
+      `straggler ${vm} (${id}): ${reason}`
+    ),
+    "",
+    ...tableLines([DAEMON_HEAD, ...daemons.map(daemonRow)]),
+    "",
+    ...tableLines([UPSTREAM_HEAD, ...upstreams.map(upstreamRow)]),
+    "",
+    `quarantined: ${quarantine.length}`,
+    ...quarantine.map(({ digest, since }) =>
+      `  ${digest} since ${new Date(since).toISOString()}`
+    ),
+    `leases: ${leases.length}`,
+    ...leases.map(({ group, holder, fencing }) =>
+      `  ${group} held by ${holder}, fencing number ${fencing}`
+    ),
+  ];
+  const data = { revision, stragglers, daemons, upstreams, quarantine, leases };
+  return { exit: "ok", data, lines };
+}
+
+/** Joins one list of all answers; of two entries with one key the later answer's stands. */
+function newestBy<Name extends "upstreams" | "quarantine" | "leases">(
+  answers: readonly AdminStatus[],
+  name: Name,
+  key: (item: AdminStatus[Name][number]) => string,
+): readonly AdminStatus[Name][number][] {
+  const byKey = new Map<string, AdminStatus[Name][number]>();
+  for (const answer of [...answers].sort((a, b) => a.at - b.at)) {
+    for (const item of answer[name]) byKey.set(key(item), item);
+  }
+  return [...byKey.entries()].sort(([a], [b]) => a < b ? -1 : 1)
+    .map(([, item]) => item);
+}
+
+function daemonRow(daemon: DaemonView): readonly string[] {
+  return [
+    daemon.vm,
+    daemon.id,
+    daemon.domain,
+    daemon.address,
+    daemon.state,
+    String(daemon.revision),
+    String(daemon.running),
+    String(daemon.queued),
+    daemonNote(daemon),
+  ];
+}
+
+function daemonNote({ status, unreachable }: DaemonView): string {
+  if (unreachable !== undefined) {
+    const silent = Math.round(unreachable.silentMs / SECOND_MS);
+    return `does not answer, last heard of ${silent} s ago`;
+  }
+  return status?.config_stale ? "admits nothing: configuration is stale" : "";
+}
+
+function upstreamRow(
+  upstream: AdminStatus["upstreams"][number],
+): readonly string[] {
+  const loaded = upstream.loaded?.map(({ model, version }) =>
+    `${model}@${version}`
+  );
+  return [
+    upstream.id,
+    upstream.kind,
+    upstream.group ?? upstream.service ?? "-",
+    upstream.domain,
+    upstream.state,
+    String(upstream.running ?? "-"),
+    String(upstream.waiting ?? "-"),
+    loaded === undefined || loaded.length === 0 ? "-" : loaded.join(" "),
+  ];
+}
+
+/** `parsleyfield status`. */
+export function statusCommand(run: RunVerb) {
+  return command({
+    name: "status",
+    description:
+      `Show daemons, upstreams, revision in force, queues, quarantine and leases. Daemons that none of the others has heard of are not seen. ${EXIT_HELP}`,
+    args: { ...entryArg, ...jsonArg },
+    examples: [{
+      description: "Ask any daemon about all",
+      command: "parsleyfield status --entry 10.0.0.11:8080",
+    }],
+    handler: (args) => run(args, status),
+  });
+}
--- /dev/null
+++ b/src/cli/verbs/status_test.ts
@@ -0,0 +1,68 @@
+import { expect, test } from "vitest";
+import { createFakeContext } from "../fake_clients.ts";
+import { drain } from "./drain.ts";
+import { status } from "./status.ts";
+
+test("status asks every daemon that any of them knows and names stragglers", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ a: 5, b: 5, c: 4, d: 5 });
+  fake.admin.daemons.delete("d:1");
+  const report = (await status(fake.ctx))._unsafeUnwrap();
+  expect(report.lines).toMatchInlineSnapshot(`
+    [
+      "revision in force: 5",
+      "straggler c (id-c): has revision 4",
+      "",
+      "VM  DAEMON  DOMAIN  ADDRESS  STATE    REVISION  RUNNING  QUEUED  NOTE",
+      "a   id-a    d       a:1      serving  5         1        0",
+      "b   id-b    d       b:1      serving  5         1        0",
+      "c   id-c    d       c:1      serving  4         1        0",
+      "d   id-d    d       d:1      serving  5         1        0       does not answer, last heard of 4 s ago",
+      "",
+      "UPSTREAM  KIND    OF  DOMAIN  STATE  RUNNING  WAITING  LOADED",
+      "engine-1  engine  g   a       live   2        0        m@1",
+      "",
+      "quarantined: 1",
+      "  abc since 1970-01-01T00:00:00.000Z",
+      "leases: 1",
+      "  g held by id-a, fencing number 7",
+    ]
+  `);
+});
+
+test("an entry that can't be reached is a failure", async () => {
+  const fake = createFakeContext({ entry: "z:1" });
+  const err = (await status(fake.ctx))._unsafeUnwrapErr();
+  expect(err).toMatchObject({ code: "entry_unreachable", exit: "failure" });
+  const none = createFakeContext({ entry: undefined });
+  const missing = (await status(none.ctx))._unsafeUnwrapErr();
+  expect(missing).toMatchObject({ code: "no_entry", exit: "bad_input" });
+});
+
+test("drain finds the daemon of a VM and waits for its end", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ a: 5, b: 5 });
+  let asked = 0;
+  fake.admin.onStatus = () => {
+    asked += 1;
+    if (asked === 4) fake.admin.daemons.delete("b:1");
+  };
+  const report = (await drain(fake.ctx, { vm: "b", waitMs: 9_000 }))
+    ._unsafeUnwrap();
+  expect(fake.admin.drained).toEqual(["b:1"]);
+  expect(report.data).toEqual({ vm: "b", id: "id-b", state: "ended" });
+});
+
+test("drain says when a daemon has not ended in time, and names what it knows", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ a: 5 });
+  const late = (await drain(fake.ctx, { vm: "id-a", waitMs: 1_000 }))
+    ._unsafeUnwrap();
+  expect(late.exit).toBe("stragglers");
+  const err = (await drain(fake.ctx, { vm: "x", waitMs: 0 }))
+    ._unsafeUnwrapErr();
+  expect(err).toMatchObject({
+    exit: "bad_input",
+    detail: "No daemon runs on x; known: a (id-a).",
+  });
+});
--- a/src/config/diff.ts
+++ b/src/config/diff.ts
@@ -3,7 +3,8 @@
 
 /** One difference between two configurations; values are JSON. */
 export type ConfigChange =
-  | Readonly<{ type: "added" | "removed"; section: string }>
+  | Readonly<{ type: "added"; section: string }>
+  | Readonly<{ type: "removed"; section: string }>
   | Readonly<{
     type: "changed";
     section: string;
