--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -14,7 +14,9 @@
   args: Readonly<{ log?: string; entry?: string; author?: string }>,
 ): CliContext {
   return {
-    log: args.log === undefined ? undefined : HttpLogClient.create(args.log),
+    log: args.log === undefined
+      ? undefined
+      : HttpLogClient.create({ address: new URL(args.log).host }),
     entry: args.entry,
     admin: HttpAdminClient.create(),
     prompts: HttpPromptClient.create(),
