--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -81,7 +81,7 @@
     exchange: PromptExchange,
     address: string,
   ): void {
-    const { loop, board, clients, exchanges } = this.#parts;
+    const { loop, board, clients } = this.#parts;
     const run = PromptRun.create({
       intent,
       exchange,
--- a/src/http/call_routes.ts
+++ b/src/http/call_routes.ts
@@ -46,15 +46,15 @@
   service: string,
 ): Promise<Response> {
   const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  if (serving === undefined) return refuse(front, notConfigured());
   const identity = identify(
     serving,
     (name) => ctx.req.header(name),
     front.now(),
   );
-  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  if (identity.isErr()) return refuse(front, identity.error);
   const body = await readBody(ctx.env.incoming, limitsOf(front).maxCallBytes);
-  if (body.isErr()) return refuse(front, ctx, body.error);
+  if (body.isErr()) return refuse(front, body.error);
   const url = new URL(ctx.req.url);
   const path = url.pathname.slice(PREFIX.length + service.length) + url.search;
   const req: CallRequest = {
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -1,4 +1,3 @@
-import type { Context } from "hono";
 import type { Blackboard } from "../board/blackboard.ts";
 import { LimitsSchema } from "../config/limits.ts";
 import type { Event } from "../core/event.ts";
@@ -11,7 +10,6 @@
   ExchangeTable,
   PromptExchange,
 } from "../daemon/exchange.ts";
-import type { AppEnv } from "./app.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
 const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
@@ -44,17 +42,15 @@
 /** Counts a refusal that never reached the core, and answers with it. */
 export function refuse(
   front: Front,
-  ctx: Context<AppEnv>,
   err: Problem,
 ): Response {
   front.board.counters.refuse(err.code);
-  return answerProblem(front, ctx, err);
+  return answerProblem(front, err);
 }
 
 /** Answers with a problem; a daemon that shuts down names others. */
 export function answerProblem(
   front: Front,
-  ctx: Context<AppEnv>,
   err: Problem,
 ): Response {
   return new Response(problemBody(err, problemExtra(front, err)), {
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -33,18 +33,18 @@
   api: AnswerApi,
 ): Promise<Response> {
   const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  if (serving === undefined) return refuse(front, notConfigured());
   const identity = identify(
     serving,
     (name) => ctx.req.header(name),
     front.now(),
   );
-  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  if (identity.isErr()) return refuse(front, identity.error);
   const body = await readBody(ctx.env.incoming, limitsOf(front).maxPromptBytes);
-  if (body.isErr()) return refuse(front, ctx, body.error);
+  if (body.isErr()) return refuse(front, body.error);
   const fields = parsePromptBody(api, body.value);
-  if (fields.isErr()) return refuse(front, ctx, fields.error);
-  const req = await promptRequest(front, identity.value, fields.value);
+  if (fields.isErr()) return refuse(front, fields.error);
+  const req = promptRequest(front, identity.value, fields.value);
   const head = answerHead(req, api);
   const writer = createWriter(front, {
     req,
@@ -65,11 +65,11 @@
   return RESPONSE_ALREADY_SENT;
 }
 
-async function promptRequest(
+function promptRequest(
   front: Front,
   identity: Identity,
   fields: PromptBodyFields,
-): Promise<PromptRequest> {
+): PromptRequest {
   const { digest, blocks } = digestPrompt(fields.prompt);
   const { model, adapter, version, maxTokens } = fields;
   return {
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -26,13 +26,13 @@
 
 function show(front: Front, ctx: Context<AppEnv>, id: string): Response {
   const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  if (serving === undefined) return refuse(front, notConfigured());
   const identity = identify(
     serving,
     (name) => ctx.req.header(name),
     front.now(),
   );
-  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  if (identity.isErr()) return refuse(front, identity.error);
   const entry = front.board.requests.byId.get(id as RequestId);
   if (entry === undefined || entry.req.team !== identity.value.team) {
     return refuse(
@@ -56,25 +56,25 @@
 
 function resume(front: Front, ctx: Context<AppEnv>, id: string): Response {
   const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, ctx, notConfigured());
+  if (serving === undefined) return refuse(front, notConfigured());
   const identity = identify(
     serving,
     (name) => ctx.req.header(name),
     front.now(),
   );
-  if (identity.isErr()) return refuse(front, ctx, identity.error);
+  if (identity.isErr()) return refuse(front, identity.error);
   const claims = verifyResume(
     ctx.req.header(RESUME_HEADER) ?? "",
     front.board.keys.accepted,
   );
-  if (claims.isErr()) return refuse(front, ctx, claims.error);
+  if (claims.isErr()) return refuse(front, claims.error);
   const after = Number(ctx.req.header(LAST_EVENT_HEADER) ?? "0");
   const wrong = checkClaims(claims.value, {
     id,
     team: identity.value.team,
     after,
   });
-  if (wrong !== undefined) return refuse(front, ctx, wrong);
+  if (wrong !== undefined) return refuse(front, wrong);
   start(front, ctx, { claims: claims.value, after });
   return RESPONSE_ALREADY_SENT;
 }
