--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -37,7 +37,6 @@
   if (entry === undefined || entry.req.team !== identity.value.team) {
     return refuse(
       front,
-      ctx,
       problem(
         "unknown_request",
         `Request ${id} is not running at this daemon.`,
