--- a/src/net/http_connections.ts
+++ b/src/net/http_connections.ts
@@ -9,10 +9,10 @@
 const DEFAULT_MAX_CALLS = 256;
 const IDLE_MS: Millis = 4_000;
 
-/** How connections to one address are made and used. */
+/** How connections to one server are made and used. */
 export type HttpConnectionsConfig = Readonly<{
-  /** `host:port`. */
-  address: string;
+  /** Scheme, host and port, and where needed the path that all paths go below. */
+  url: string;
   /** Whether a connection serves several calls, one after the other. */
   reuse: boolean;
   /** Time to get a connection. */
@@ -21,11 +21,12 @@
   maxCalls?: number;
 }>;
 
-/** HTTP connections to one address. A call is written at most once; nothing is retried. */
+/** HTTP connections to one server. A call is written at most once; nothing is retried. */
 export class HttpConnections {
   readonly #cfg: Required<HttpConnectionsConfig>;
   readonly #retired = new Set<Pool>();
-  #pool: Pool;
+  readonly #prefix: string;
+  #pool: Pool | undefined;
   #calls = 0;
 
   private constructor(cfg: HttpConnectionsConfig) {
@@ -34,7 +35,8 @@
       maxCalls: DEFAULT_MAX_CALLS,
       ...cfg,
     };
-    this.#pool = this.#createPool();
+    this.#prefix = prefixOf(cfg.url);
+    this.#pool = URL.canParse(cfg.url) ? this.#createPool() : undefined;
   }
 
   static create(cfg: HttpConnectionsConfig): HttpConnections {
@@ -46,12 +48,16 @@
     req: HttpReq,
     options: { timeoutMs: Millis; maxBytes: number },
   ): ResultAsync<HttpRes, HttpError> {
+    const pool = this.#pool;
+    if (pool === undefined) {
+      const detail = "The server's address is malformed";
+      return errAsync({ code: "connect_failed", sent: false, detail });
+    }
     if (this.#calls >= this.#cfg.maxCalls) {
       const detail = "Too many calls are open";
       return errAsync({ code: "overloaded", sent: false, detail });
     }
     this.#calls += 1;
-    const pool = this.#pool;
     const result = new Promise<Result<HttpRes, HttpError>>((resolve) => {
       const exchange = HttpExchange.create(req.method, {
         limits: { ...options, connectMs: this.#cfg.connectMs },
@@ -68,11 +74,12 @@
 
   async close(): Promise<void> {
     const pools = [this.#pool, ...this.#retired];
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map((pool) => pool?.destroy()));
   }
 
   #dispatch(pool: Pool, req: HttpReq, exchange: HttpExchange): void {
-    const { method, path, headers } = req;
+    const { method, headers } = req;
+    const path = this.#prefix + req.path;
     const body = req.body?.length ? req.body : undefined;
     const reset = !this.#cfg.reuse;
     try {
@@ -94,7 +101,7 @@
   }
 
   #createPool(): Pool {
-    return new Pool(`http://${this.#cfg.address}`, {
+    return new Pool(new URL(this.#cfg.url).origin, {
       connections: this.#cfg.maxCalls,
       pipelining: 1,
       connectTimeout: this.#cfg.connectMs,
@@ -105,3 +112,8 @@
     });
   }
 }
+
+function prefixOf(url: string): string {
+  if (!URL.canParse(url)) return "";
+  return new URL(url).pathname.replace(/\/+$/, "");
+}
--- a/src/net/http_connections_test.ts
+++ b/src/net/http_connections_test.ts
@@ -35,7 +35,10 @@
   address: string,
   options: { reuse: boolean; maxCalls?: number },
 ): HttpConnections {
-  const created = HttpConnections.create({ address, ...options });
+  const created = HttpConnections.create({
+    url: `http://${address}/base/`,
+    ...options,
+  });
   closers.push(() => created.close());
   return created;
 }
@@ -102,6 +105,19 @@
   expect((await client.exchange(GET, AMPLE)).isOk()).toBe(true);
 });
 
+test("the path of a call goes below the server's own", async () => {
+  const { address } = await startServer((res, req) => res.end(req.url));
+  const client = connections(address, { reuse: true });
+  const res = (await client.exchange(GET, AMPLE))._unsafeUnwrap();
+  expect(String(res.body)).toBe("/base/");
+});
+
+test("a malformed address fails unsent", async () => {
+  const client = connections("no port:x", { reuse: false });
+  expect((await client.exchange(GET, AMPLE))._unsafeUnwrapErr())
+    .toMatchObject({ code: "connect_failed", sent: false });
+});
+
 test("calls beyond the limit are refused unsent", async () => {
   const { address } = await startServer(() => {});
   const client = connections(address, { reuse: true, maxCalls: 1 });
--- a/src/platform/http_log_client.ts
+++ b/src/platform/http_log_client.ts
@@ -27,8 +27,8 @@
 
 /** How the log service is reached. */
 export type HttpLogClientConfig = Readonly<{
-  /** `host:port`. */
-  address: string;
+  /** Scheme, host and port, and where needed the path that all paths go below. */
+  url: string;
   /** Time for an answer, beside the wait that a read asks for. */
   timeoutMs?: Millis;
   connectMs?: Millis;
--- a/src/platform/http_vm_list_client.ts
+++ b/src/platform/http_vm_list_client.ts
@@ -11,8 +11,8 @@
 
 /** How the VM list is reached. */
 export type HttpVmListClientConfig = Readonly<{
-  /** `host:port`. */
-  address: string;
+  /** Scheme, host and port, and where needed the path that all paths go below. */
+  url: string;
   timeoutMs?: Millis;
   connectMs?: Millis;
 }>;
--- a/src/platform/log_contract_test.ts
+++ b/src/platform/log_contract_test.ts
@@ -21,7 +21,7 @@
 const NOW = { limit: 10, waitMs: 0 };
 
 const ADAPTERS = {
-  HttpLogClient: (cfg: { address: string; timeoutMs: number }) =>
+  HttpLogClient: (cfg: { url: string; timeoutMs: number }) =>
     HttpLogClient.create(cfg),
 };
 
@@ -31,9 +31,9 @@
   ): Promise<Fixture> {
     const log = LogService.create(options.cfg);
     const relay = Relay.create({ target: await log.listen() });
-    const address = await relay.listen();
+    const url = `http://${await relay.listen()}`;
     const timeoutMs = options.timeoutMs ?? AMPLE_MS;
-    const client = createClient({ address, timeoutMs });
+    const client = createClient({ url, timeoutMs });
     const close = async () => {
       await client.close();
       await relay.close();
--- a/src/platform/vm_list_contract_test.ts
+++ b/src/platform/vm_list_contract_test.ts
@@ -5,7 +5,7 @@
 import { HttpVmListClient } from "./http_vm_list_client.ts";
 
 const ADAPTERS = {
-  HttpVmListClient: (cfg: { address: string; timeoutMs: number }) =>
+  HttpVmListClient: (cfg: { url: string; timeoutMs: number }) =>
     HttpVmListClient.create(cfg),
 };
 
@@ -31,8 +31,8 @@
       lagMs: 100,
       now: () => now as Timestamp,
     });
-    const address = await list.listen();
-    const client = createClient({ address, timeoutMs: AMPLE_MS });
+    const url = `http://${await list.listen()}`;
+    const client = createClient({ url, timeoutMs: AMPLE_MS });
     list.put(LEAVING);
     const seen = [];
     for (const time of [99, 100]) {
@@ -54,7 +54,8 @@
     const list = VmList.create({ vms: [LIVE] });
     list.control(faults);
     const timeoutMs = faults.hang || faults.delay_ms ? SHORT_MS : AMPLE_MS;
-    const client = createClient({ address: await list.listen(), timeoutMs });
+    const url = `http://${await list.listen()}`;
+    const client = createClient({ url, timeoutMs });
     const result = await client.list();
     await client.close();
     await list.close();
--- a/src/service/http_service_client.ts
+++ b/src/service/http_service_client.ts
@@ -37,7 +37,12 @@
 
   private constructor(cfg: HttpServiceClientConfig) {
     super();
-    this.#connections = HttpConnections.create({ ...cfg, reuse: false });
+    const { address, ...limits } = cfg;
+    this.#connections = HttpConnections.create({
+      url: `http://${address}`,
+      reuse: false,
+      ...limits,
+    });
   }
 
   static create(cfg: HttpServiceClientConfig): HttpServiceClient {
