--- a/src/engine/http_engine_client.ts
+++ b/src/engine/http_engine_client.ts
@@ -56,7 +56,7 @@
     super();
     const { connectMs } = options;
     this.#calls = HttpConnections.create({
-      address,
+      url: `http://${address}`,
       reuse: true,
       ...(connectMs !== undefined && { connectMs }),
     });
--- a/src/net/http_connections.ts
+++ b/src/net/http_connections.ts
@@ -31,9 +31,9 @@
 
   private constructor(cfg: HttpConnectionsConfig) {
     this.#cfg = {
-      connectMs: DEFAULT_CONNECT_MS,
-      maxCalls: DEFAULT_MAX_CALLS,
       ...cfg,
+      connectMs: cfg.connectMs ?? DEFAULT_CONNECT_MS,
+      maxCalls: cfg.maxCalls ?? DEFAULT_MAX_CALLS,
     };
     this.#prefix = prefixOf(cfg.url);
     this.#pool = URL.canParse(cfg.url) ? this.#createPool() : undefined;
--- a/src/platform/http_log_client.ts
+++ b/src/platform/http_log_client.ts
@@ -26,9 +26,7 @@
 const REFUSALS = new Set([400, 403, 404, 413, 429, 503]);
 
 /** How the log service is reached. */
-export type HttpLogClientConfig = Readonly<{
-  /** Scheme, host and port, and where needed the path that all paths go below. */
-  url: string;
+export type HttpLogClientOptions = Readonly<{
   /** Time for an answer, beside the wait that a read asks for. */
   timeoutMs?: Millis;
   connectMs?: Millis;
@@ -41,14 +39,22 @@
   readonly #connections: HttpConnections;
   readonly #timeoutMs: Millis;
 
-  private constructor(cfg: HttpLogClientConfig) {
+  private constructor(url: string, options: HttpLogClientOptions) {
     super();
-    this.#connections = HttpConnections.create({ ...cfg, reuse: true });
-    this.#timeoutMs = cfg.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#connections = HttpConnections.create({
+      ...options,
+      url,
+      reuse: true,
+    });
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   }
 
-  static create(cfg: HttpLogClientConfig): HttpLogClient {
-    return new HttpLogClient(cfg);
+  /** Builds a client for the log service at a URL. */
+  static create(
+    url: string,
+    options: HttpLogClientOptions = {},
+  ): HttpLogClient {
+    return new HttpLogClient(url, options);
   }
 
   override append(
--- a/src/platform/http_vm_list_client.ts
+++ b/src/platform/http_vm_list_client.ts
@@ -10,9 +10,7 @@
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
 /** How the VM list is reached. */
-export type HttpVmListClientConfig = Readonly<{
-  /** Scheme, host and port, and where needed the path that all paths go below. */
-  url: string;
+export type HttpVmListClientOptions = Readonly<{
   timeoutMs?: Millis;
   connectMs?: Millis;
 }>;
@@ -22,14 +20,22 @@
   readonly #connections: HttpConnections;
   readonly #timeoutMs: Millis;
 
-  private constructor(cfg: HttpVmListClientConfig) {
+  private constructor(url: string, options: HttpVmListClientOptions) {
     super();
-    this.#connections = HttpConnections.create({ ...cfg, reuse: true });
-    this.#timeoutMs = cfg.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#connections = HttpConnections.create({
+      ...options,
+      url,
+      reuse: true,
+    });
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   }
 
-  static create(cfg: HttpVmListClientConfig): HttpVmListClient {
-    return new HttpVmListClient(cfg);
+  /** Builds a client for the VM list at a URL. */
+  static create(
+    url: string,
+    options: HttpVmListClientOptions = {},
+  ): HttpVmListClient {
+    return new HttpVmListClient(url, options);
   }
 
   override list(): ResultAsync<readonly Vm[], VmListError> {
--- a/src/platform/log_contract_test.ts
+++ b/src/platform/log_contract_test.ts
@@ -21,8 +21,8 @@
 const NOW = { limit: 10, waitMs: 0 };
 
 const ADAPTERS = {
-  HttpLogClient: (cfg: { url: string; timeoutMs: number }) =>
-    HttpLogClient.create(cfg),
+  HttpLogClient: (url: string, options: { timeoutMs: number }) =>
+    HttpLogClient.create(url, options),
 };
 
 describe.each(Object.entries(ADAPTERS))("%s", (_name, createClient) => {
@@ -33,7 +33,7 @@
     const relay = Relay.create({ target: await log.listen() });
     const url = `http://${await relay.listen()}`;
     const timeoutMs = options.timeoutMs ?? AMPLE_MS;
-    const client = createClient({ url, timeoutMs });
+    const client = createClient(url, { timeoutMs });
     const close = async () => {
       await client.close();
       await relay.close();
--- a/src/platform/vm_list_contract_test.ts
+++ b/src/platform/vm_list_contract_test.ts
@@ -5,8 +5,8 @@
 import { HttpVmListClient } from "./http_vm_list_client.ts";
 
 const ADAPTERS = {
-  HttpVmListClient: (cfg: { url: string; timeoutMs: number }) =>
-    HttpVmListClient.create(cfg),
+  HttpVmListClient: (url: string, options: { timeoutMs: number }) =>
+    HttpVmListClient.create(url, options),
 };
 
 const SHORT_MS = 500;
@@ -32,7 +32,7 @@
       now: () => now as Timestamp,
     });
     const url = `http://${await list.listen()}`;
-    const client = createClient({ url, timeoutMs: AMPLE_MS });
+    const client = createClient(url, { timeoutMs: AMPLE_MS });
     list.put(LEAVING);
     const seen = [];
     for (const time of [99, 100]) {
@@ -55,7 +55,7 @@
     list.control(faults);
     const timeoutMs = faults.hang || faults.delay_ms ? SHORT_MS : AMPLE_MS;
     const url = `http://${await list.listen()}`;
-    const client = createClient({ url, timeoutMs });
+    const client = createClient(url, { timeoutMs });
     const result = await client.list();
     await client.close();
     await list.close();
--- a/src/service/http_service_client.ts
+++ b/src/service/http_service_client.ts
@@ -23,9 +23,7 @@
 const FIRST_ERROR_STATUS = 400;
 
 /** How an instance of a plain service is reached. */
-export type HttpServiceClientConfig = Readonly<{
-  /** `host:port`. */
-  address: string;
+export type HttpServiceClientOptions = Readonly<{
   connectMs?: Millis;
   /** Calls that may be open at a time; more are refused. */
   maxCalls?: number;
@@ -35,18 +33,21 @@
 export class HttpServiceClient extends ServiceClient {
   readonly #connections: HttpConnections;
 
-  private constructor(cfg: HttpServiceClientConfig) {
+  private constructor(address: string, options: HttpServiceClientOptions) {
     super();
-    const { address, ...limits } = cfg;
     this.#connections = HttpConnections.create({
+      ...options,
       url: `http://${address}`,
       reuse: false,
-      ...limits,
     });
   }
 
-  static create(cfg: HttpServiceClientConfig): HttpServiceClient {
-    return new HttpServiceClient(cfg);
+  /** Builds a client for the instance at `host:port`. */
+  static create(
+    address: string,
+    options: HttpServiceClientOptions = {},
+  ): HttpServiceClient {
+    return new HttpServiceClient(address, options);
   }
 
   override call(
--- a/src/service/service_contract_test.ts
+++ b/src/service/service_contract_test.ts
@@ -16,7 +16,7 @@
 }>;
 
 const ADAPTERS: Record<string, (address: string) => ServiceClient> = {
-  HttpServiceClient: (address) => HttpServiceClient.create({ address }),
+  HttpServiceClient: (address) => HttpServiceClient.create(address),
 };
 
 const REQUEST = "r1" as RequestId;
