--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -14,9 +14,7 @@
   args: Readonly<{ log?: string; entry?: string; author?: string }>,
 ): CliContext {
   return {
-    log: args.log === undefined
-      ? undefined
-      : HttpLogClient.create({ address: new URL(args.log).host }),
+    log: args.log === undefined ? undefined : HttpLogClient.create(args.log),
     entry: args.entry,
     admin: HttpAdminClient.create(),
     prompts: HttpPromptClient.create(),
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -54,15 +54,11 @@
     clock: SystemClock.create(),
     random: Random.create(randomInt(MAX_SEED)),
     logger,
-    log: HttpLogClient.create({
-      address: new URL(settings.platform.logUrl).host,
-    }),
-    vmList: HttpVmListClient.create({
-      address: new URL(settings.platform.vmListUrl).host,
-    }),
+    log: HttpLogClient.create(settings.platform.logUrl),
+    vmList: HttpVmListClient.create(settings.platform.vmListUrl),
     upstreams: {
       engine: (address) => HttpEngineClient.create(address),
-      service: (address) => HttpServiceClient.create({ address }),
+      service: (address) => HttpServiceClient.create(address),
     },
     createSecret: () => randomBytes(SECRET_BYTES).toString("base64url"),
     onExit: () => process.exit(0),
