Write down the engine contract; keep a decoding plan's memory alive

A plan's memory lapsed with its owner, so a daemon's death would have cut off an oversized answer that its client could still read elsewhere. The decoding engine now renews its own reservation and, with the check that the other engines still hold their parts, theirs. Ruled out: the owner's peers renewing it, because a plan would have to be known to all daemons.

--- a/src/engine/engine_contract_test.ts
+++ b/src/engine/engine_contract_test.ts
@@ -496,8 +496,52 @@
   expect(target.server.model.held(PLAN)?.used ?? 0).toBe(0);
 });
 
-async function holdSegment(client: HttpEngineClient): Promise<void> {
-  const memory = { owner: "d1", tokens: 1_000, ttl_ms: 60_000 };
+test("a plan that decodes outlives its owner, and ends with the part of another engine", async () => {
+  const cfg = { timeScale: 1, meanAnswerTokens: 1e6, peerCheckMs: 50 };
+  const first = await startEngine(cfg);
+  const last = await startEngine(cfg);
+  const ttl_ms = 1_000;
+  await holdSegment(first.client, ttl_ms);
+  const memory = { owner: "d1", tokens: 10_000, ttl_ms };
+  (await last.client.reserve(PLAN, memory))._unsafeUnwrap();
+  const peers = [{ address: first.server.address, from: 0, to: 625 }];
+  const segment = {
+    plan: PLAN,
+    from: 625,
+    to: 900,
+    last: true,
+    total: 900,
+    peers,
+  };
+  const asked = head({ segment, max_tokens: 9_000 });
+  const stream = await last.client.generate(asked, [TEXT], SILENCE);
+  const reading = readAll(stream._unsafeUnwrap());
+  const started = Date.now();
+  await until(() => Date.now() - started > 2 * ttl_ms);
+  expect(first.server.model.held(PLAN)).toBeDefined();
+  expect(last.server.model.has(asked.attempt)).toBe(true);
+  first.server.crash();
+  const read = await reading;
+  expect(read.events.at(-1)).toMatchObject({ code: "plan_broken" });
+  expect(freeTokens(last.server)).toBe(450_000);
+});
+
+test("a plan whose other engine lost its part is refused", async () => {
+  const first = await startEngine();
+  const last = await startEngine();
+  const memory = { owner: "d1", tokens: 10_000, ttl_ms: 60_000 };
+  for (const { client } of [first, last]) await client.reserve(PLAN, memory);
+  const peers = [{ address: first.server.address, from: 0, to: 625 }];
+  const part = { plan: PLAN, from: 625, to: 900, last: true, total: 900 };
+  const read = await ask(last.client, head({ segment: { ...part, peers } }));
+  expect(read.err).toMatchObject({ refusal: { code: "unknown_plan" } });
+});
+
+async function holdSegment(
+  client: HttpEngineClient,
+  ttl_ms = 60_000,
+): Promise<void> {
+  const memory = { owner: "d1", tokens: 1_000, ttl_ms };
   (await client.reserve(PLAN, memory))._unsafeUnwrap();
   const segment = { plan: PLAN, from: 0, to: 625, last: false, total: 900 };
   const read = await ask(client, head({ segment }));
--- a/stand_ins/engine/engine_model.ts
+++ b/stand_ins/engine/engine_model.ts
@@ -164,12 +164,14 @@
     if (held) {
       held.owner = owner;
       held.tokens = tokens;
+      held.ttlMs = ttlMs;
       held.expiresAt = expiresAt;
     } else {
       this.#memory.held.set(plan, {
         plan,
         owner,
         tokens,
+        ttlMs,
         expiresAt,
         used: 0,
         imported: 0,
@@ -182,6 +184,13 @@
     return ok();
   }
 
+  /** Renews a plan's time limit as it is. */
+  renew(now: Timestamp, plan: PlanId): void {
+    this.#run(now, false);
+    const held = this.#memory.held.get(plan);
+    if (held) held.expiresAt = addMs(now, held.ttlMs);
+  }
+
   /** Frees a plan's memory and ends what runs in it; doing it twice is harmless. */
   release(now: Timestamp, plan: PlanId): void {
     this.#run(now, false);
--- a/stand_ins/engine/engine_server.ts
+++ b/stand_ins/engine/engine_server.ts
@@ -95,6 +95,8 @@
     pingMs?: Millis;
     peerCheckMs?: Millis;
     seed?: number;
+    /** Incarnation of the first run; a random one where absent. */
+    incarnation?: Incarnation;
     /** Called for a crash; without it the server closes, and `restart` brings it back. */
     onCrash?: () => void;
   }>;
@@ -132,7 +134,7 @@
     this.#model = EngineModel.create({
       ...cfg.model,
       loaded: cfg.loaded,
-      incarnation: newIncarnation(),
+      incarnation: cfg.incarnation ?? newIncarnation(),
     });
     this.#loader = this.#createLoader();
     this.#reports = LaggedReports.create(this.#random, this.#clock.now());
@@ -494,8 +496,12 @@
   }
 
   #kvInfo(c: HostContext): Response {
+    const plan = c.req.param("plan") as PlanId;
+    if (c.req.query("renew") === "true") {
+      this.#model.renew(this.#clock.now(), plan);
+    }
     this.#pump();
-    const held = this.#model.held(c.req.param("plan") as PlanId);
+    const held = this.#model.held(plan);
     if (!held) return unknownPlan(c);
     const { owner, tokens, used, imported, segments } = held;
     const { incarnation } = this.#model;
@@ -575,10 +581,11 @@
     end?.();
   }
 
-  /** Ends a segment whose earlier ones were lost with their engine. */
+  /** Renews the memory of a plan that decodes here; ends it when another engine has lost its part. */
   #watchPeers(entry: StreamEntry): void {
     const { segment } = entry.stream.head;
-    if (!segment?.peers?.length) return;
+    if (!segment?.last && !segment?.peers?.length) return;
+    if (segment.last) this.#model.renew(this.#clock.now(), segment.plan);
     const { peerCheckMs = PEER_CHECK_MS } = this.#cfg;
     entry.watch = setTimeout(async () => {
       const isWhole = await peersHold(segment);
--- a/stand_ins/engine/kv_exchange.ts
+++ b/stand_ins/engine/kv_exchange.ts
@@ -14,13 +14,15 @@
 
 type Segment = NonNullable<GenerateHead["segment"]>;
 
-/** Asks another engine what it holds of a plan. */
-export async function fetchKvInfo(
+/** Asks another engine what it holds of a plan, and renews that. */
+export async function renewKvInfo(
   address: string,
   plan: PlanId,
 ): Promise<KvInfo | undefined> {
   try {
-    const url = `http://${address}/v1/kv/${encodeURIComponent(plan)}`;
+    const url = `http://${address}/v1/kv/${
+      encodeURIComponent(plan)
+    }?renew=true`;
     const res = await request(url, { signal: AbortSignal.timeout(PEER_MS) });
     const parsed = KvInfoSchema.safeParse(await res.body.json());
     return parsed.success ? parsed.data : undefined;
@@ -32,7 +34,7 @@
 /** Whether the plan's other engines still hold what comes before a segment. */
 export async function peersHold(segment: Segment): Promise<boolean> {
   const checks = (segment.peers ?? []).map(async ({ address, from, to }) => {
-    const info = await fetchKvInfo(address, segment.plan);
+    const info = await renewKvInfo(address, segment.plan);
     return info?.segments.some((held) =>
       held.from === from && held.to === to
     ) ?? false;
--- a/stand_ins/engine/kv_memory.ts
+++ b/stand_ins/engine/kv_memory.ts
@@ -1,5 +1,5 @@
 import type { PlanId } from "../../src/core/id.ts";
-import type { Timestamp } from "../../src/core/time.ts";
+import type { Millis, Timestamp } from "../../src/core/time.ts";
 import { type BlockKey, PrefixCache } from "./prefix_cache.ts";
 
 /** Memory that a plan holds on this engine. */
@@ -7,6 +7,7 @@
   readonly plan: PlanId;
   owner: string;
   tokens: number;
+  ttlMs: Millis;
   expiresAt: Timestamp;
   /** Tokens that segments and imports take up. */
   used: number;
--- a/stand_ins/engine/main.ts
+++ b/stand_ins/engine/main.ts
@@ -8,7 +8,12 @@
   string,
 } from "cmd-ts";
 import process from "node:process";
-import type { AdapterId, ModelId, VersionId } from "../../src/core/id.ts";
+import type {
+  AdapterId,
+  Incarnation,
+  ModelId,
+  VersionId,
+} from "../../src/core/id.ts";
 import type { Loaded } from "../../src/wire/engine.ts";
 import { MEAN_ANSWER_TOKENS } from "./answer.ts";
 import { EngineServer } from "./engine_server.ts";
@@ -41,12 +46,18 @@
       long: "mean-answer-tokens",
       defaultValue: () => MEAN_ANSWER_TOKENS,
     }),
+    incarnation: option({
+      type: optional(string),
+      long: "incarnation",
+      description: "as the VM list names this run",
+    }),
     seed: option({ type: number, long: "seed", defaultValue: () => 1 }),
   },
   handler: async (args) => {
-    const { address, port, loaded, ...cfg } = args;
+    const { address, port, loaded, incarnation, ...cfg } = args;
     const server = EngineServer.create({
       ...cfg,
+      incarnation: incarnation as Incarnation | undefined,
       loaded: loaded.split(/\s+/).filter(Boolean).map(parseLoaded),
       onCrash: () => process.exit(1),
     });
