Let a place update carry the suspect of a crash, and say that a prompt waits

A scheduling daemon has to know at once which content was running when an engine crashed; the heartbeat would tell it up to a second later, in which a client may send the same content again. One message goes to the asker as well: a prompt that waits for an engine is not forgotten.

--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -129,10 +129,12 @@
 export interface PlaceUpdate {
   request: string;
   round: number;
-  /** first_token, ended, withdrawn */
+  /** first_token, ended, withdrawn; queued, to the asker */
   state: string;
   tokens: number;
   crashed: boolean;
+  /** What the crash makes suspect; present where crashed is set. */
+  suspect: Suspect | undefined;
 }
 
 export interface CallForward {
@@ -1706,7 +1708,7 @@
 };
 
 function createBasePlaceUpdate(): PlaceUpdate {
-  return { request: "", round: 0, state: "", tokens: 0, crashed: false };
+  return { request: "", round: 0, state: "", tokens: 0, crashed: false, suspect: undefined };
 }
 
 export const PlaceUpdate: MessageFns<PlaceUpdate> = {
@@ -1726,6 +1728,9 @@
     if (message.crashed !== false) {
       writer.uint32(40).bool(message.crashed);
     }
+    if (message.suspect !== undefined) {
+      Suspect.encode(message.suspect, writer.uint32(50).fork()).join();
+    }
     return writer;
   },
 
@@ -1782,6 +1787,14 @@
             message.crashed = reader.bool();
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.suspect = Suspect.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1801,6 +1814,7 @@
       state: isSet(object.state) ? globalThis.String(object.state) : "",
       tokens: isSet(object.tokens) ? globalThis.Number(object.tokens) : 0,
       crashed: isSet(object.crashed) ? globalThis.Boolean(object.crashed) : false,
+      suspect: isSet(object.suspect) ? Suspect.fromJSON(object.suspect) : undefined,
     };
   },
 
@@ -1821,6 +1835,9 @@
     if (message.crashed !== false) {
       obj.crashed = message.crashed;
     }
+    if (message.suspect !== undefined) {
+      obj.suspect = Suspect.toJSON(message.suspect);
+    }
     return obj;
   },
 
@@ -1834,6 +1851,9 @@
     message.state = object.state ?? "";
     message.tokens = object.tokens ?? 0;
     message.crashed = object.crashed ?? false;
+    message.suspect = (object.suspect !== undefined && object.suspect !== null)
+      ? Suspect.fromPartial(object.suspect)
+      : undefined;
     return message;
   },
 };
