Choose the scheduling daemon only when the candidates change

A profile of a measured fleet showed the digests of the rendezvous in each step of each daemon to take more time than all placement. The result changes only with the set of candidates.

--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -38,6 +38,8 @@
   #beatAt: Timestamp | undefined;
   #refuseAt: Timestamp | undefined;
   #seq = 0;
+  /** The daemons among which the scheduling one was chosen last. */
+  #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
 
   static create(): MembershipController {
@@ -139,6 +141,9 @@
       .filter((peer) => peer.state === "serving")
       .map((peer) => peer.id);
     if (board.members.drain === "serving") candidates.push(board.self.id);
+    const names = candidates.sort().join("\n");
+    if (names === this.#candidates) return;
+    this.#candidates = names;
     board.members.scheduler = rendezvous(CELL, candidates) ?? board.self.id;
   }
 
