--- /dev/null
+++ b/src/controllers/call_placement.ts
@@ -0,0 +1,50 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { Placed } from "../board/placement_section.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import type { Upstream } from "../board/upstreams_section.ts";
+import type { CallRequest } from "../core/request.ts";
+import { problem } from "../core/problem.ts";
+import { SECOND_MS } from "../core/time.ts";
+
+/** Gives a call the live instance of its service with the least of this daemon's own work. */
+export function placeCall(
+  board: Blackboard,
+  entry: RequestEntry,
+  req: CallRequest,
+): Placed {
+  const { round } = entry;
+  let best: Upstream | undefined;
+  let bestWork = Infinity;
+  for (const upstream of board.upstreams.byId.values()) {
+    if (!canServe(upstream, entry, req)) continue;
+    const work = runningOn(board, upstream);
+    if (work < bestWork) [best, bestWork] = [upstream, work];
+  }
+  if (best !== undefined) {
+    const placement = { upstream: best.id, priority: 0 };
+    return { type: "granted", round, placement };
+  }
+  const detail = "No live instance of the service can serve this now.";
+  return {
+    type: "refused",
+    round,
+    problem: problem("no_upstream", detail, { retryAfterMs: SECOND_MS }),
+  };
+}
+
+function canServe(
+  upstream: Upstream,
+  entry: RequestEntry,
+  req: CallRequest,
+): boolean {
+  return upstream.kind === "service" && upstream.state === "live" &&
+    upstream.service === req.service && !entry.excluded.includes(upstream.id);
+}
+
+function runningOn(board: Blackboard, upstream: Upstream): number {
+  let count = 0;
+  for (const entry of board.requests.byId.values()) {
+    if (entry.attempt?.placement.upstream === upstream.id) count += 1;
+  }
+  return count;
+}
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -7,6 +7,7 @@
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -32,6 +33,7 @@
       ConfigController.create(),
       KeyController.create(options.createSecret),
       UpstreamController.create(),
+      QuarantineController.create(),
       options.placement ?? PlacementController.create(),
       RequestController.create(),
     ],
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -1,94 +1,438 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { RequestEntry } from "../board/requests_section.ts";
-import type { Upstream } from "../board/upstreams_section.ts";
 import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type { DaemonId, RequestId } from "../core/id.ts";
+import type { PromptRequest } from "../core/request.ts";
 import { problem } from "../core/problem.ts";
 import type { StepContext } from "../core/step_context.ts";
-import { SECOND_MS } from "../core/time.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import type { Envelope, PlaceAsk, PlaceUpdate, Suspect } from "../gen/peer.ts";
+import type { Answer, Ask } from "../scheduling/ask.ts";
+import {
+  CellScheduler,
+  DISPATCH_MS,
+  type JobNews,
+} from "../scheduling/cell_scheduler.ts";
+import { DEFAULT_POLICY, type Policy } from "../scheduling/policy.ts";
+import {
+  askBlocks,
+  fromPlaceAsk,
+  fromPlaceGrant,
+  fromPlaceRefusal,
+  shortDigest,
+  toPlaceAsk,
+  toPlaceGrant,
+  toPlaceRefusal,
+} from "../scheduling/place_messages.ts";
+import { placeCall } from "./call_placement.ts";
 
-/** Gives each waiting request the live upstream with the least of this daemon's own work. */
+/** Silence after which an asker places by itself. */
+const ASK_SILENCE_MS: Millis = 150;
+/** Time after which a waiting prompt is asked for again, so that both ends know of each other. */
+const ASK_AGAIN_MS: Millis = 2 * SECOND_MS;
+const DEFAULT_URGENCY = 5;
+
+/** One round of asking for a place, until the request has ended. */
+type Round = {
+  readonly ask: Ask;
+  /** The daemon that was asked; this one where it places by itself. */
+  scheduler: DaemonId;
+  state: "asked" | "queued" | "placed";
+  askedAt: Timestamp;
+};
+
+/** Places the requests of this daemon, and the prompts of the cell where it is the scheduling daemon. */
 export class PlacementController extends Controller {
   override readonly name = "placement";
+  readonly #scheduler: CellScheduler;
+  readonly #rounds = new Map<RequestId, Round>();
+  #seq = 0;
 
-  static create(): PlacementController {
-    return new PlacementController();
+  private constructor(policy: Policy) {
+    super();
+    this.#scheduler = CellScheduler.create(policy);
+  }
+
+  static create(policy: Policy = DEFAULT_POLICY): PlacementController {
+    return new PlacementController(policy);
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
-    for (const id of board.placement.placed.keys()) {
-      if (board.requests.byId.get(id)?.state !== "placing") {
-        board.placement.placed.delete(id);
-      }
-    }
+    this.#scheduler.takeUpstreams(board.upstreams.byId.values());
+    for (const event of ctx.events) this.#take(board, ctx, event);
+    this.#dropEnded(board, ctx);
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
+    this.#dispatch(board, ctx);
+    board.placement.queued = this.#scheduler.queued;
   }
 
-  #place(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
-    if (board.placement.placed.get(entry.req.id)?.round === entry.round) return;
-    const upstream = leastBusy(board, candidates(board, entry));
-    const { round } = entry;
-    if (upstream === undefined) {
-      const refused = problem(
-        "no_upstream",
-        "No live upstream can serve this now.",
-        { retryAfterMs: SECOND_MS },
-      );
-      board.placement.placed.set(entry.req.id, {
-        type: "refused",
-        round,
-        problem: refused,
+  #take(board: Blackboard, ctx: StepContext, event: Event): void {
+    switch (event.type) {
+      case "cache_reported": {
+        const events = event.events.map((one) => ({
+          ...one,
+          blocks: one.blocks.map(shortDigest),
+        }));
+        return this.#scheduler.takeCacheEvents(event.upstream, events);
+      }
+      case "peer_message":
+        return this.#receive(board, ctx, event.envelope);
+      case "peer_unreachable":
+        return this.#losePeer(board, ctx, event.address);
+      case "first_token":
+        return this.#tell(board, ctx, {
+          request: event.req,
+          state: "first_token",
+        });
+      case "attempt_ended":
+        return this.#takeEnd(board, ctx, event);
+    }
+  }
+
+  #takeEnd(
+    board: Blackboard,
+    ctx: StepContext,
+    event: Extract<Event, { type: "attempt_ended" }>,
+  ): void {
+    const entry = board.requests.byId.get(event.req);
+    if (entry?.attempt?.id !== event.attempt) return;
+    const crashed = event.outcome.type === "failed" && event.outcome.crashed;
+    const upstream = entry.attempt.placement.upstream;
+    if (crashed) this.#scheduler.engineCrashed(upstream);
+    const suspect = crashed
+      ? {
+        digest: entry.req.digest,
+        upstream,
+        incarnation: board.upstreams.byId.get(upstream)?.incarnation ?? "",
+        atMs: ctx.now,
+      }
+      : undefined;
+    this.#tell(board, ctx, { request: event.req, state: "ended", suspect });
+  }
+
+  #receive(board: Blackboard, ctx: StepContext, envelope: Envelope): void {
+    const from = envelope.from as DaemonId;
+    switch (envelope.body?.$case) {
+      case "placeAsk":
+        return this.#takeAsk(board, ctx, from, envelope.body.value);
+      case "placeGrant": {
+        const { request, round } = envelope.body.value;
+        const placement = fromPlaceGrant(envelope.body.value);
+        if (placement === undefined) return;
+        return this.#takeAnswer(board, ctx, from, {
+          request: request as RequestId,
+          round,
+          answer: { type: "granted", placement },
+        });
+      }
+      case "placeRefusal": {
+        const { request, round } = envelope.body.value;
+        const refused = fromPlaceRefusal(envelope.body.value);
+        return this.#takeAnswer(board, ctx, from, {
+          request: request as RequestId,
+          round,
+          answer: { type: "refused", problem: refused },
+        });
+      }
+      case "placeUpdate":
+        return this.#takeUpdate(board, ctx, from, envelope.body.value);
+    }
+  }
+
+  #takeAsk(
+    board: Blackboard,
+    ctx: StepContext,
+    from: DaemonId,
+    message: PlaceAsk,
+  ): void {
+    const ask = withSuspicion(board, fromPlaceAsk(from, message, ctx.now));
+    this.#reply(board, ctx, ask, this.#answer(board, ask, ctx.now));
+    ctx.counters.add("placements_shared");
+  }
+
+  #answer(board: Blackboard, ask: Ask, now: Timestamp): Answer {
+    if (!board.quarantine.quarantined.has(ask.digest)) {
+      return this.#scheduler.ask(ask, now);
+    }
+    const detail = "Engines crashed each time that they ran this content.";
+    return { type: "refused", problem: problem("quarantined", detail) };
+  }
+
+  #takeUpdate(
+    board: Blackboard,
+    ctx: StepContext,
+    from: DaemonId,
+    message: PlaceUpdate,
+  ): void {
+    const request = message.request as RequestId;
+    if (message.state === "queued") {
+      return this.#takeAnswer(board, ctx, from, {
+        request,
+        round: message.round,
+        answer: { type: "queued" },
       });
-    } else {
-      const placement = { upstream: upstream.id, priority: 0 };
-      board.placement.placed.set(entry.req.id, {
-        type: "granted",
-        round,
-        placement,
+    }
+    if (message.suspect !== undefined) {
+      this.#scheduler.engineCrashed(message.suspect.upstream as never);
+    }
+    const news = message.state as JobNews;
+    const { round } = message;
+    this.#scheduler.update(request, news, { round, now: ctx.now });
+  }
+
+  #takeAnswer(
+    board: Blackboard,
+    ctx: StepContext,
+    from: DaemonId,
+    options: Readonly<{ request: RequestId; round: number; answer: Answer }>,
+  ): void {
+    const { request, answer } = options;
+    const round = this.#rounds.get(request);
+    const stale = round === undefined || round.ask.round !== options.round ||
+      round.scheduler !== from || round.state === "placed";
+    if (!stale) return this.#settle(board, ctx, round, answer);
+    if (answer.type === "granted") {
+      this.#sendUpdate(board, ctx, from, {
+        request,
+        round: options.round,
+        state: "withdrawn",
       });
     }
+  }
+
+  #settle(
+    board: Blackboard,
+    ctx: StepContext,
+    round: Round,
+    answer: Answer,
+  ): void {
+    const { request, round: number } = round.ask;
+    if (answer.type === "queued") {
+      round.state = "queued";
+      return;
+    }
+    round.state = "placed";
+    board.placement.placed.set(
+      request,
+      answer.type === "granted"
+        ? { type: "granted", round: number, placement: answer.placement }
+        : { type: "refused", round: number, problem: answer.problem },
+    );
     ctx.repeat();
   }
-}
 
-function candidates(
-  board: Blackboard,
-  entry: RequestEntry,
-): readonly Upstream[] {
-  return [...board.upstreams.byId.values()].filter((upstream) =>
-    upstream.state === "live" && !entry.excluded.includes(upstream.id) &&
-    canServe(upstream, entry)
-  );
-}
+  #place(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const { req } = entry;
+    if (req.kind === "call") return this.#placeCall(board, ctx, entry);
+    const round = this.#rounds.get(req.id);
+    if (round === undefined || round.ask.round !== entry.round) {
+      return this.#ask(board, ctx, toAsk(board, entry, req));
+    }
+    if (round.state !== "placed") this.#await(board, ctx, round);
+  }
+
+  #placeCall(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const { req } = entry;
+    const placed = board.placement.placed.get(req.id);
+    if (req.kind !== "call" || placed?.round === entry.round) return;
+    board.placement.placed.set(req.id, placeCall(board, entry, req));
+    ctx.repeat();
+  }
+
+  #ask(board: Blackboard, ctx: StepContext, ask: Ask): void {
+    const { scheduler } = board.members;
+    const round: Round = {
+      ask,
+      scheduler,
+      state: "asked",
+      askedAt: ctx.now,
+    };
+    this.#rounds.set(ask.request, round);
+    if (this.#sendAsk(board, ctx, round)) return;
+    this.#askHere(board, ctx, round);
+  }
 
-function canServe(upstream: Upstream, entry: RequestEntry): boolean {
-  const { req, weights } = entry;
-  if (req.kind === "call") {
-    return upstream.kind === "service" && upstream.service === req.service;
+  #askHere(board: Blackboard, ctx: StepContext, round: Round): void {
+    round.scheduler = board.self.id;
+    round.askedAt = ctx.now;
+    ctx.counters.add("placements_local");
+    const ask = withSuspicion(board, round.ask);
+    this.#settle(board, ctx, round, this.#answer(board, ask, ctx.now));
+  }
+
+  /** Sends an ask to the scheduling daemon; false if that is this one or is not known. */
+  #sendAsk(board: Blackboard, ctx: StepContext, round: Round): boolean {
+    const { scheduler } = board.members;
+    const sent = scheduler !== board.self.id &&
+      this.#send(board, ctx, scheduler, {
+        $case: "placeAsk",
+        value: toPlaceAsk(round.ask, ctx.now),
+      });
+    if (!sent) return false;
+    round.scheduler = scheduler;
+    round.askedAt = ctx.now;
+    ctx.wakeAt(addMs(ctx.now, ASK_SILENCE_MS));
+    return true;
+  }
+
+  /** Asks again where the answer is overdue: a silent scheduling daemon is done without. */
+  #await(board: Blackboard, ctx: StepContext, round: Round): void {
+    const patience = round.state === "asked" ? ASK_SILENCE_MS : ASK_AGAIN_MS;
+    const dueAt = addMs(round.askedAt, patience);
+    if (ctx.now < dueAt) return ctx.wakeAt(dueAt);
+    if (round.state === "asked") return this.#askHere(board, ctx, round);
+    const wasHere = round.scheduler === board.self.id;
+    if (wasHere) return this.#askHere(board, ctx, round);
+    round.state = "asked";
+    if (!this.#sendAsk(board, ctx, round)) this.#askHere(board, ctx, round);
+  }
+
+  #losePeer(board: Blackboard, ctx: StepContext, address: string): void {
+    const peer = [...board.members.peers.values()]
+      .find((one) => one.peerAddress === address)?.id;
+    if (peer === undefined) return;
+    this.#scheduler.dropAsker(peer);
+    for (const round of this.#rounds.values()) {
+      if (round.scheduler !== peer || round.state === "placed") continue;
+      this.#askHere(board, ctx, round);
+    }
+  }
+
+  #dispatch(board: Blackboard, ctx: StepContext): void {
+    for (const { ask, answer } of this.#scheduler.dispatch(ctx.now)) {
+      this.#reply(board, ctx, ask, answer);
+    }
+    if (this.#scheduler.queued > 0) ctx.wakeAt(addMs(ctx.now, DISPATCH_MS));
+  }
+
+  #reply(
+    board: Blackboard,
+    ctx: StepContext,
+    ask: Ask,
+    answer: Answer,
+  ): void {
+    if (ask.from === board.self.id) {
+      const round = this.#rounds.get(ask.request);
+      if (round !== undefined) this.#settle(board, ctx, round, answer);
+      return;
+    }
+    switch (answer.type) {
+      case "granted": {
+        const value = toPlaceGrant(ask, answer.placement);
+        this.#send(board, ctx, ask.from, { $case: "placeGrant", value });
+        return;
+      }
+      case "refused": {
+        const value = toPlaceRefusal(ask, answer.problem);
+        this.#send(board, ctx, ask.from, { $case: "placeRefusal", value });
+        return;
+      }
+      case "queued": {
+        const { request, round } = ask;
+        return this.#sendUpdate(board, ctx, ask.from, {
+          request,
+          round,
+          state: "queued",
+        });
+      }
+    }
+  }
+
+  /** Forgets requests that are over, and says so where a place is held for them. */
+  #dropEnded(board: Blackboard, ctx: StepContext): void {
+    for (const request of this.#rounds.keys()) {
+      if (board.requests.byId.has(request)) continue;
+      this.#tell(board, ctx, { request, state: "withdrawn" });
+      this.#rounds.delete(request);
+    }
+    for (const request of board.placement.placed.keys()) {
+      if (board.requests.byId.get(request)?.state !== "placing") {
+        board.placement.placed.delete(request);
+      }
+    }
+  }
+
+  #tell(
+    board: Blackboard,
+    ctx: StepContext,
+    options: Readonly<
+      { request: RequestId; state: JobNews; suspect?: Suspect }
+    >,
+  ): void {
+    const { request, state, suspect } = options;
+    const round = this.#rounds.get(request);
+    if (round === undefined) return;
+    if (round.scheduler === board.self.id) {
+      const news = { round: round.ask.round, now: ctx.now };
+      return this.#scheduler.update(request, state, news);
+    }
+    this.#sendUpdate(board, ctx, round.scheduler, {
+      request,
+      round: round.ask.round,
+      state,
+      suspect,
+    });
+  }
+
+  #sendUpdate(
+    board: Blackboard,
+    ctx: StepContext,
+    to: DaemonId,
+    update: Readonly<
+      { request: RequestId; round: number; state: string; suspect?: Suspect }
+    >,
+  ): void {
+    const { request, round, state, suspect } = update;
+    const crashed = suspect !== undefined;
+    const value = { request, round, state, suspect, crashed, tokens: 0 };
+    this.#send(board, ctx, to, { $case: "placeUpdate", value });
+  }
+
+  #send(
+    board: Blackboard,
+    ctx: StepContext,
+    to: DaemonId,
+    body: NonNullable<Envelope["body"]>,
+  ): boolean {
+    const address = board.members.peers.get(to)?.peerAddress;
+    if (address === undefined) return false;
+    this.#seq += 1;
+    const envelope = { from: board.self.id, seq: this.#seq, body };
+    ctx.emit({ type: "send_peer", address, envelope });
+    return true;
   }
-  const loaded = (upstream.engine ?? upstream.load)?.loaded ?? [];
-  return loaded.some((one) =>
-    one.model === weights?.model && one.version === weights.version &&
-    (weights.adapter === undefined || one.adapters.includes(weights.adapter))
-  );
 }
 
-function leastBusy(
+function toAsk(
   board: Blackboard,
-  upstreams: readonly Upstream[],
-): Upstream | undefined {
-  let best: Upstream | undefined;
-  let bestWork = Infinity;
-  for (const upstream of upstreams) {
-    const work = runningOn(board, upstream);
-    if (work < bestWork) [best, bestWork] = [upstream, work];
-  }
-  return best;
+  entry: RequestEntry,
+  req: PromptRequest,
+): Ask {
+  const classes = board.config.serving?.classes ?? [];
+  const urgency = classes.find((one) => one.id === req.classId)?.urgency;
+  return {
+    request: req.id,
+    round: entry.round,
+    from: board.self.id,
+    team: req.team,
+    weights: entry.weights!,
+    promptTokens: req.promptTokens + entry.tokens,
+    maxTokens: Math.max(1, req.maxTokens - entry.tokens),
+    urgency: urgency ?? DEFAULT_URGENCY,
+    arrivedAt: req.arrivedAt,
+    deadlineAt: req.deadlineAt,
+    digest: req.digest,
+    blocks: askBlocks(req.blocks),
+    excluded: entry.excluded,
+    suspect: false,
+  };
 }
 
-function runningOn(board: Blackboard, upstream: Upstream): number {
-  return [...board.requests.byId.values()]
-    .filter((entry) => entry.attempt?.placement.upstream === upstream.id)
-    .length;
+function withSuspicion(board: Blackboard, ask: Ask): Ask {
+  const suspect = ask.suspect || ask.excluded.length > 0 ||
+    board.quarantine.suspects.has(ask.digest);
+  return { ...ask, suspect };
 }
--- /dev/null
+++ b/src/controllers/quarantine_controller.ts
@@ -0,0 +1,124 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { Suspect } from "../board/quarantine_section.ts";
+import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type { Digest, UpstreamId } from "../core/id.ts";
+import type { StepContext } from "../core/step_context.ts";
+import {
+  HOUR_MS,
+  type Millis,
+  MINUTE_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import type { Envelope, Suspect as SuspectNews } from "../gen/peer.ts";
+
+/** Upstreams that content may crash before it is refused. */
+const CRASHES_TO_QUARANTINE = 2;
+const SUSPECT_MS: Millis = 10 * MINUTE_MS;
+const QUARANTINE_MS: Millis = HOUR_MS;
+const MAX_SUSPECTS = 1_024;
+const MAX_QUARANTINED = 1_024;
+
+type Crash = Readonly<
+  { digest: Digest; upstream: UpstreamId; incarnation: string }
+>;
+
+/** Keeps content that ran on crashed engines; what has crashed two of them is refused everywhere. */
+export class QuarantineController extends Controller {
+  override readonly name = "quarantine";
+
+  static create(): QuarantineController {
+    return new QuarantineController();
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    for (const event of ctx.events) this.#take(board, ctx, event);
+    this.#forget(board, ctx.now);
+  }
+
+  #take(board: Blackboard, ctx: StepContext, event: Event): void {
+    if (event.type === "attempt_ended") {
+      return this.#takeOutcome(board, ctx, event);
+    }
+    if (event.type !== "peer_message") return;
+    for (const news of suspectNews(event.envelope)) {
+      this.#suspect(board, ctx, {
+        digest: news.digest as Digest,
+        upstream: news.upstream as UpstreamId,
+        incarnation: news.incarnation,
+      });
+    }
+  }
+
+  #takeOutcome(
+    board: Blackboard,
+    ctx: StepContext,
+    event: Extract<Event, { type: "attempt_ended" }>,
+  ): void {
+    const entry = board.requests.byId.get(event.req);
+    if (entry?.attempt?.id !== event.attempt) return;
+    if (event.outcome.type === "ok") {
+      return this.#clear(board, entry.req.digest);
+    }
+    if (!event.outcome.crashed) return;
+    const { upstream } = entry.attempt.placement;
+    this.#suspect(board, ctx, {
+      digest: entry.req.digest,
+      upstream,
+      incarnation: board.upstreams.byId.get(upstream)?.incarnation ?? "",
+    });
+  }
+
+  #suspect(board: Blackboard, ctx: StepContext, crash: Crash): void {
+    const { suspects, quarantined } = board.quarantine;
+    const known = suspects.get(crash.digest);
+    const name = `${crash.upstream}/${crash.incarnation}`;
+    if (known?.crashes.includes(name)) return;
+    const suspect: Suspect = {
+      crashes: [...known?.crashes ?? [], name],
+      upstreams: [...known?.upstreams ?? [], crash.upstream],
+      seenAt: ctx.now,
+    };
+    suspects.delete(crash.digest);
+    suspects.set(crash.digest, suspect);
+    dropOldest(suspects, MAX_SUSPECTS);
+    if (suspect.crashes.length < CRASHES_TO_QUARANTINE) return;
+    if (!quarantined.has(crash.digest)) {
+      ctx.counters.add("requests_quarantined");
+    }
+    quarantined.set(crash.digest, ctx.now);
+    dropOldest(quarantined, MAX_QUARANTINED);
+  }
+
+  /** Content that has run to its end is innocent of the crash. */
+  #clear(board: Blackboard, digest: Digest): void {
+    if (board.quarantine.quarantined.has(digest)) return;
+    board.quarantine.suspects.delete(digest);
+  }
+
+  #forget(board: Blackboard, now: Timestamp): void {
+    const { suspects, quarantined } = board.quarantine;
+    for (const [digest, suspect] of suspects) {
+      if (now - suspect.seenAt > SUSPECT_MS) suspects.delete(digest);
+    }
+    for (const [digest, at] of quarantined) {
+      if (isOver(at, now)) quarantined.delete(digest);
+    }
+  }
+}
+
+function suspectNews(envelope: Envelope): readonly SuspectNews[] {
+  const { body } = envelope;
+  if (body?.$case === "heartbeat") return body.value.suspects;
+  if (body?.$case !== "placeUpdate") return [];
+  return body.value.suspect === undefined ? [] : [body.value.suspect];
+}
+
+function isOver(at: Timestamp, now: Timestamp): boolean {
+  return now - at > QUARANTINE_MS;
+}
+
+function dropOldest<Value>(map: Map<Digest, Value>, limit: number): void {
+  const oldest = map.keys().next().value;
+  if (map.size > limit && oldest !== undefined) map.delete(oldest);
+}
--- /dev/null
+++ b/src/scheduling/cell_scheduler.ts
@@ -0,0 +1,434 @@
+import type { Placement } from "../core/request.ts";
+import type { DaemonId, PlanId, RequestId, UpstreamId } from "../core/id.ts";
+import { problem } from "../core/problem.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import type { Upstream } from "../board/upstreams_section.ts";
+import type { CacheEvent } from "../wire/engine.ts";
+import type { Answer, Answered, Ask } from "./ask.ts";
+import { CostModel } from "./cost_model.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import { EngineView } from "./engine_view.ts";
+import { type Job, lastPart, segmentsOf } from "./job.ts";
+import { type LongPlace, placeLong } from "./long_placement.ts";
+import { LongQueue } from "./long_queue.ts";
+import type { Policy } from "./policy.ts";
+import { PrefixIndex } from "./prefix_index.ts";
+import {
+  cachedOn,
+  eligible,
+  type PlacementView,
+  placeShort,
+} from "./short_placement.ts";
+import { TeamLedger } from "./team_ledger.ts";
+
+/** How a placed prompt fares. */
+export type JobNews = "first_token" | "ended" | "withdrawn";
+
+/** Time between two looks at the waiting prompts when nothing else happens. */
+export const DISPATCH_MS: Millis = 200;
+const DEMAND_WINDOW_MS: Millis = 10 * SECOND_MS;
+const FIRST_DECODE_MS: Millis = 20 * SECOND_MS;
+const DECODE_WEIGHT = 0.05;
+const SHORT_RETRY_MS: Millis = SECOND_MS;
+const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
+/** Engine priorities: short prompts by their latest start, long ones behind all of them. */
+const PRIORITY_RANGE_MS = 1_000_000_000;
+/** Time after its deadline at which a job that was never reported as ended is dropped. */
+const FORGET_MS: Millis = 5 * SECOND_MS;
+
+/** Places all prompts of a cell; it knows each engine by its reports and by what it sent there. */
+export class CellScheduler {
+  readonly #policy: Policy;
+  readonly #engines = new Map<UpstreamId, EngineView>();
+  readonly #jobs = new Map<RequestId, Job>();
+  readonly #queue: LongQueue;
+  readonly #cost = CostModel.create();
+  readonly #prefixes = PrefixIndex.create();
+  readonly #shortDemand = DemandMeter.create(DEMAND_WINDOW_MS);
+  readonly #teams = TeamLedger.create();
+  #decodeMs = FIRST_DECODE_MS;
+  /** When the waiting prompts are looked at again, unless something changes before. */
+  #dispatchAt = 0 as Timestamp;
+
+  private constructor(policy: Policy) {
+    this.#policy = policy;
+    this.#queue = LongQueue.create(policy.queuedPrompts);
+  }
+
+  static create(policy: Policy): CellScheduler {
+    return new CellScheduler(policy);
+  }
+
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  get jobs(): ReadonlyMap<RequestId, Job> {
+    return this.#jobs;
+  }
+
+  /** Takes in what the daemon knows of the engines. */
+  takeUpstreams(upstreams: Iterable<Upstream>): void {
+    const seen = new Set<UpstreamId>();
+    for (const upstream of upstreams) {
+      if (upstream.kind !== "engine") continue;
+      seen.add(upstream.id);
+      this.#takeUpstream(upstream);
+    }
+    for (const id of this.#engines.keys()) {
+      if (!seen.has(id)) this.#forgetEngine(id);
+    }
+  }
+
+  /** Takes in cache events; they are late and have gaps. */
+  takeCacheEvents(engine: UpstreamId, events: readonly CacheEvent[]): void {
+    for (const event of events) {
+      if (event.type === "stored") {
+        this.#prefixes.store(engine, event.blocks);
+      } else if (event.type === "evicted") {
+        this.#prefixes.evict(engine, event.blocks);
+      } else {
+        this.#prefixes.clear(engine);
+      }
+    }
+  }
+
+  /** Answers one ask; asking the same again gives the same answer. */
+  ask(ask: Ask, now: Timestamp): Answer {
+    const known = this.#jobs.get(ask.request);
+    if (known !== undefined && known.ask.round === ask.round) {
+      return grant(known);
+    }
+    if (known !== undefined) this.#drop(known, now);
+    if (this.#queue.renew(ask, now)) return { type: "queued" };
+    const engines = eligible(ask, this.#engines.values());
+    if (engines.length === 0) return refuseNoUpstream();
+    const view = this.#view(engines, now);
+    return this.#isLong(ask, view)
+      ? this.#askLong(ask, view)
+      : this.#askShort(ask, view);
+  }
+
+  /** Takes in how a prompt fares that was given a place here. */
+  update(
+    request: RequestId,
+    news: JobNews,
+    options: Readonly<{ round: number; now: Timestamp }>,
+  ): void {
+    this.#queue.remove(request);
+    const job = this.#jobs.get(request);
+    if (job === undefined || job.ask.round !== options.round) return;
+    if (job.long) this.#dispatchAt = options.now;
+    if (news === "first_token") return this.#firstToken(job, options.now);
+    if (news === "ended") this.#learnDecode(job, options.now);
+    this.#drop(job, options.now);
+  }
+
+  /** Gives places to waiting prompts, or gives them up; returns what is new. */
+  dispatch(now: Timestamp): readonly Answered[] {
+    if (now < this.#dispatchAt) return [];
+    this.#dispatchAt = addMs(now, DISPATCH_MS);
+    this.#dropOverdue(now);
+    const answered: Answered[] = [];
+    for (
+      const ask of this.#queue.inOrder(now, (one) => this.#slack(one, now))
+    ) {
+      const answer = this.#tryWaiting(ask, now);
+      if (answer !== undefined) {
+        this.#queue.remove(ask.request);
+        answered.push({ ask, answer });
+      } else if (this.#slack(ask, now) < this.#policy.overtakeMs) {
+        break;
+      }
+    }
+    return answered;
+  }
+
+  /** Takes in that an engine has crashed: nothing runs there any more. */
+  engineCrashed(id: UpstreamId): void {
+    const engine = this.#engines.get(id);
+    if (engine === undefined) return;
+    this.#clear(engine);
+    engine.live = false;
+  }
+
+  /** Drops waiting prompts of a daemon that has gone. */
+  dropAsker(from: DaemonId): void {
+    this.#queue.dropAsker(from);
+  }
+
+  #takeUpstream(upstream: Upstream): void {
+    const { id, incarnation } = upstream;
+    let engine = this.#engines.get(id);
+    if (engine === undefined) {
+      engine = EngineView.create(id, incarnation);
+      this.#engines.set(id, engine);
+    }
+    if (engine.incarnation !== incarnation) {
+      this.#clear(engine);
+      engine.incarnation = incarnation;
+      engine.report = undefined;
+    }
+    engine.live = upstream.state === "live";
+    engine.loaded = (upstream.engine ?? upstream.load)?.loaded ?? [];
+    if (upstream.load?.incarnation === incarnation) {
+      engine.takeReport(upstream.load);
+    }
+  }
+
+  #askShort(ask: Ask, view: PlacementView): Answer {
+    const place = placeShort(ask, view);
+    if (place === undefined) return refuseFull(SHORT_RETRY_MS);
+    if (view.now + place.firstTokenMs > ask.deadlineAt) {
+      return refuseLate(place.firstTokenMs);
+    }
+    const { engine, cachedTokens, prefillMs } = place;
+    this.#shortDemand.add(prefillMs, view.now);
+    const job: Job = {
+      ask,
+      long: false,
+      cachedTokens,
+      parts: [{
+        engine: engine.id,
+        from: 0,
+        to: ask.promptTokens,
+        memoryTokens: ask.promptTokens + ask.maxTokens,
+        costMs: prefillMs,
+        startsAt: view.now,
+      }],
+      placedAt: view.now,
+      priority: 0,
+      alone: engine.shortBacklogMs(view.now) === 0 &&
+        engine.longPrefill(view.now) === undefined,
+      firstTokenAt: undefined,
+    };
+    this.#place(job, view.now);
+    return grant(job);
+  }
+
+  #askLong(ask: Ask, view: PlacementView): Answer {
+    const waitMs = this.#predictWaitMs(ask, view);
+    const left = ask.deadlineAt - view.now;
+    const neededMs = waitMs + this.#runMs(ask);
+    if (neededMs > left * this.#policy.admissionRatio) {
+      return refuseLate(neededMs - left * this.#policy.admissionRatio);
+    }
+    if (!this.#queue.add(ask, view.now)) return refuseFull(waitMs);
+    this.#dispatchAt = view.now;
+    return { type: "queued" };
+  }
+
+  /** Work that is ahead of a new long prompt, spread over the engines that may take it. */
+  #predictWaitMs(ask: Ask, view: PlacementView): Millis {
+    let workMs = 0;
+    let memoryMs = 0;
+    let memory = 0;
+    for (const job of this.#jobs.values()) {
+      if (!job.long) continue;
+      const leftMs = leftOf(job, view.now) + this.#decodeMs;
+      workMs += leftMs;
+      memoryMs += leftMs * job.ask.promptTokens;
+    }
+    for (const waiting of this.#queue.asks()) {
+      const runMs = this.#runMs(waiting);
+      workMs += runMs;
+      memoryMs += runMs * waiting.promptTokens;
+    }
+    for (const engine of view.engines) {
+      memory += engine.report?.kv_capacity_tokens ?? 0;
+    }
+    const lanes = Math.max(
+      1,
+      view.engines.length - this.#shortTarget(view.now),
+    );
+    const memoryLanes = memory / Math.max(1, ask.promptTokens);
+    if (lanes > this.#longRunning() && this.#queue.size === 0) return 0;
+    const usable = Math.max(1, memory * 0.75);
+    return Math.max(workMs / lanes, memoryMs / usable) *
+      Math.min(1, memoryLanes);
+  }
+
+  #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
+    const engines = eligible(ask, this.#engines.values());
+    if (engines.length === 0) return refuseNoUpstream();
+    if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
+    const target = this.#shortTarget(now);
+    if (this.#longRunning() + target >= engines.length) return undefined;
+    const open = engines.slice(Math.min(this.#policy.shortEngines, target));
+    const place = placeLong(ask, this.#view(open, now));
+    if (place === undefined) return undefined;
+    return grant(this.#startLong(ask, place, now));
+  }
+
+  #startLong(ask: Ask, place: LongPlace, now: Timestamp): Job {
+    const job: Job = {
+      ask,
+      long: true,
+      cachedTokens: place.cachedTokens,
+      parts: place.parts,
+      placedAt: now,
+      priority: PRIORITY_RANGE_MS,
+      alone: place.parts.length === 1,
+      firstTokenAt: undefined,
+    };
+    this.#place(job, now);
+    return job;
+  }
+
+  #place(job: Job, now: Timestamp): void {
+    this.#jobs.set(job.ask.request, job);
+    for (const part of job.parts) {
+      const engine = this.#engines.get(part.engine);
+      if (engine === undefined) continue;
+      engine.jobs.set(job.ask.request, job);
+      if (!job.long) this.#prefixes.store(engine.id, job.ask.blocks);
+    }
+    const costMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
+    this.#teams.charge(job.ask.team, costMs, now);
+  }
+
+  #firstToken(job: Job, now: Timestamp): void {
+    if (job.firstTokenAt !== undefined) return;
+    job.firstTokenAt = now;
+    const engine = this.#engines.get(lastPart(job).engine);
+    if (engine !== undefined && !job.long) engine.shortDoneAt = now;
+    if (!job.alone) return;
+    this.#cost.observe(
+      job.cachedTokens,
+      job.ask.promptTokens,
+      now - job.placedAt,
+    );
+  }
+
+  #learnDecode(job: Job, now: Timestamp): void {
+    if (!job.long || job.firstTokenAt === undefined) return;
+    this.#decodeMs += DECODE_WEIGHT *
+      (now - job.firstTokenAt - this.#decodeMs);
+  }
+
+  #drop(job: Job, now: Timestamp): void {
+    this.#jobs.delete(job.ask.request);
+    for (const part of job.parts) {
+      this.#engines.get(part.engine)?.remove(job, now);
+    }
+  }
+
+  #dropOverdue(now: Timestamp): void {
+    for (const job of this.#jobs.values()) {
+      if (now > job.ask.deadlineAt + FORGET_MS) this.#drop(job, now);
+    }
+    this.#queue.dropSilent(now);
+  }
+
+  #clear(engine: EngineView): void {
+    for (const job of [...engine.jobs.values()]) {
+      this.#drop(job, 0 as Timestamp);
+    }
+    this.#prefixes.clear(engine.id);
+    engine.strangePrefillTokens = 0;
+    engine.strangeMemoryTokens = 0;
+  }
+
+  #forgetEngine(id: UpstreamId): void {
+    const engine = this.#engines.get(id);
+    if (engine !== undefined) this.#clear(engine);
+    this.#engines.delete(id);
+  }
+
+  #isLong(ask: Ask, view: PlacementView): boolean {
+    let cached = 0;
+    if (ask.promptTokens <= this.#policy.longPromptTokens) return false;
+    for (const engine of view.engines) {
+      cached = Math.max(cached, cachedOn(ask, engine, view.prefixes));
+    }
+    return ask.promptTokens - cached > this.#policy.longPromptTokens;
+  }
+
+  /** Engines that are kept for short prompts now. */
+  #shortTarget(now: Timestamp): number {
+    const { shortEngines, shortUtilization } = this.#policy;
+    const demanded = this.#shortDemand.engines(now) / shortUtilization;
+    return Math.max(shortEngines, Math.ceil(demanded));
+  }
+
+  #longRunning(): number {
+    let count = 0;
+    for (const job of this.#jobs.values()) {
+      if (job.long && job.firstTokenAt === undefined) count += 1;
+    }
+    return count;
+  }
+
+  #prefillMs(ask: Ask): Millis {
+    return this.#cost.prefillMs(0, ask.promptTokens);
+  }
+
+  #runMs(ask: Ask): Millis {
+    return this.#prefillMs(ask) + this.#decodeMs;
+  }
+
+  /** Time that a prompt may still wait. */
+  #slack(ask: Ask, now: Timestamp): Millis {
+    return ask.deadlineAt - now - this.#runMs(ask);
+  }
+
+  #view(engines: readonly EngineView[], now: Timestamp): PlacementView {
+    return {
+      now,
+      engines,
+      policy: this.#policy,
+      cost: this.#cost,
+      prefixes: this.#prefixes,
+    };
+  }
+}
+
+function grant(job: Job): Answer {
+  const { priority, parts, ask } = job;
+  const placement: Placement = {
+    upstream: lastPart(job).engine,
+    priority,
+  };
+  if (parts.length === 1) return { type: "granted", placement };
+  const id = `${ask.request}-${ask.round}` as PlanId;
+  return {
+    type: "granted",
+    placement: { ...placement, plan: { id, segments: segmentsOf(job) } },
+  };
+}
+
+function leftOf(job: Job, now: Timestamp): Millis {
+  if (job.firstTokenAt !== undefined) return 0;
+  const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
+  return Math.max(0, addMs(job.placedAt, totalMs) - now);
+}
+
+function refuseNoUpstream(): Answer {
+  const detail = "No live engine can serve this now.";
+  return {
+    type: "refused",
+    problem: problem("no_upstream", detail, { retryAfterMs: SHORT_RETRY_MS }),
+  };
+}
+
+function refuseFull(waitMs: Millis): Answer {
+  const detail = "The engines have no room for this prompt now.";
+  const retryAfterMs = clampRetry(waitMs);
+  return {
+    type: "refused",
+    problem: problem("no_memory", detail, { retryAfterMs }),
+  };
+}
+
+function refuseLate(excessMs: Millis): Answer {
+  const detail = "The predicted completion lies after the deadline.";
+  const retryAfterMs = clampRetry(excessMs);
+  return {
+    type: "refused",
+    problem: problem("deadline_unreachable", detail, { retryAfterMs }),
+  };
+}
+
+function clampRetry(ms: Millis): Millis {
+  return Math.ceil(Math.max(SHORT_RETRY_MS, Math.min(MAX_RETRY_AFTER_MS, ms)));
+}
--- /dev/null
+++ b/src/scheduling/engine_view.ts
@@ -0,0 +1,156 @@
+import type { Incarnation, UpstreamId } from "../core/id.ts";
+import type { Weights } from "../core/request.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import type { Loaded, LoadReport } from "../wire/engine.ts";
+import { currentPart, type Job, type JobKey, lastPart } from "./job.ts";
+
+/** What a report may lag behind, so that work sent within it is not missed in the report. */
+const REPORT_MARGIN_MS: Millis = 50;
+
+const MAX_ENDED = 256;
+
+type EndedWork = Readonly<
+  { at: Timestamp; prefillTokens: number; memoryTokens: number }
+>;
+
+/** What the scheduling daemon knows of one engine: its reports, and all that it was given. */
+export class EngineView {
+  readonly id: UpstreamId;
+  incarnation: Incarnation;
+  live = true;
+  loaded: readonly Loaded[] = [];
+  report: LoadReport | undefined;
+  readonly jobs = new Map<JobKey, Job>();
+  /** Work that ended after the newest report was made; it still shows there. */
+  #ended: EndedWork[] = [];
+  /** When a short prompt's prefill last ended here. */
+  shortDoneAt = 0 as Timestamp;
+  /** Prefill tokens and memory that others sent, as far as the report shows. */
+  strangePrefillTokens = 0;
+  strangeMemoryTokens = 0;
+
+  private constructor(id: UpstreamId, incarnation: Incarnation) {
+    this.id = id;
+    this.incarnation = incarnation;
+  }
+
+  static create(id: UpstreamId, incarnation: Incarnation): EngineView {
+    return new EngineView(id, incarnation);
+  }
+
+  /** Whether these weights are loaded. */
+  serves(weights: Weights): boolean {
+    const { model, version, adapter } = weights;
+    return this.loaded.some((one) =>
+      one.model === model && one.version === version &&
+      (adapter === undefined || one.adapters.includes(adapter))
+    );
+  }
+
+  /** Takes in a load report; corrects what is believed where it says otherwise. */
+  takeReport(report: LoadReport): void {
+    if (this.report === report) return;
+    this.report = report;
+    const sentBefore = report.at - REPORT_MARGIN_MS;
+    if (report.running + report.waiting === 0) this.#dropEnded(sentBefore);
+    this.#ended = this.#ended.filter((one) => one.at > report.at);
+    let prefill = 0;
+    let memory = 0;
+    for (const one of this.#ended) {
+      prefill += one.prefillTokens;
+      memory += one.memoryTokens;
+    }
+    for (const job of this.jobs.values()) {
+      memory += this.#memoryOf(job);
+      if (job.placedAt <= report.at) {
+        prefill += job.ask.promptTokens - job.cachedTokens;
+      }
+    }
+    this.strangePrefillTokens = Math.max(0, report.prefill_tokens - prefill);
+    const used = report.kv_capacity_tokens - report.kv_free_tokens;
+    this.strangeMemoryTokens = Math.max(0, used - memory);
+  }
+
+  /** Takes a job out; a report from before may show it for some time. */
+  remove(job: Job, now: Timestamp): void {
+    if (!this.jobs.delete(job.ask.request)) return;
+    const memoryTokens = this.#memoryOf(job);
+    const prefillTokens = job.ask.promptTokens - job.cachedTokens;
+    this.#ended.push({ at: now, prefillTokens, memoryTokens });
+    if (this.#ended.length > MAX_ENDED) this.#ended.shift();
+  }
+
+  /** Tokens of memory that are free after all that was given to the engine; no limit is known before a report. */
+  freeTokens(): number {
+    if (this.report === undefined) return Infinity;
+    let free = this.report.kv_capacity_tokens - this.strangeMemoryTokens;
+    for (const job of this.jobs.values()) free -= this.#memoryOf(job);
+    return free;
+  }
+
+  /** The long prompt whose prefill runs here now, as predicted. */
+  longPrefill(now: Timestamp): Job | undefined {
+    for (const job of this.jobs.values()) {
+      if (!job.long || job.firstTokenAt !== undefined) continue;
+      if (currentPart(job, now).engine === this.id) return job;
+    }
+    return undefined;
+  }
+
+  /** Whether a long prompt's answer is decoded here. */
+  longDecode(): boolean {
+    for (const job of this.jobs.values()) {
+      if (!job.long || job.firstTokenAt === undefined) continue;
+      if (lastPart(job).engine === this.id) return true;
+    }
+    return false;
+  }
+
+  /** Whether a long prompt holds or will need this engine between two times. */
+  longBetween(from: Timestamp, to: Timestamp): boolean {
+    for (const job of this.jobs.values()) {
+      if (!job.long || job.firstTokenAt !== undefined) continue;
+      for (const part of job.parts) {
+        if (part.engine !== this.id) continue;
+        if (part.startsAt < to && part.startsAt + part.costMs > from) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  /** Predicted time until the short prompts that were sent here have been prefilled. */
+  shortBacklogMs(now: Timestamp): Millis {
+    let sum = 0;
+    let startedAt = this.shortDoneAt;
+    for (const job of this.jobs.values()) {
+      if (job.long || job.firstTokenAt !== undefined) continue;
+      if (sum === 0) startedAt = Math.max(startedAt, job.placedAt) as Timestamp;
+      sum += job.parts[0]!.costMs;
+    }
+    if (sum === 0) return 0;
+    return Math.max(0, sum - (now - startedAt));
+  }
+
+  /** Whether content that is suspected of crashing engines runs here. */
+  hasSuspect(): boolean {
+    for (const job of this.jobs.values()) if (job.ask.suspect) return true;
+    return false;
+  }
+
+  #memoryOf(job: Job): number {
+    let sum = 0;
+    for (const part of job.parts) {
+      if (part.engine === this.id) sum += part.memoryTokens;
+    }
+    return sum;
+  }
+
+  #dropEnded(sentBefore: number): void {
+    for (const [key, job] of this.jobs) {
+      const over = job.parts.length === 1 && job.placedAt < sentBefore;
+      if (over) this.jobs.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/scheduling/job.ts
@@ -0,0 +1,56 @@
+import type { RequestId, UpstreamId } from "../core/id.ts";
+import type { Segment } from "../core/request.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import type { Ask } from "./ask.ts";
+
+/** One engine's part of a placed prompt. */
+export type JobPart = Readonly<{
+  engine: UpstreamId;
+  from: number;
+  to: number;
+  /** Tokens of memory that it holds until the prompt has ended. */
+  memoryTokens: number;
+  /** Predicted prefill time. */
+  costMs: Millis;
+  /** Predicted start of its prefill. */
+  startsAt: Timestamp;
+}>;
+
+/** A prompt that was given a place and has not ended, as far as is known. */
+export type Job = {
+  readonly ask: Ask;
+  readonly long: boolean;
+  readonly cachedTokens: number;
+  readonly parts: readonly JobPart[];
+  readonly placedAt: Timestamp;
+  readonly priority: number;
+  /** Whether it had the engine's prefill to itself, so that its time tells the cost. */
+  alone: boolean;
+  firstTokenAt: Timestamp | undefined;
+};
+
+/** Names a job; a request that is placed again is another round of the same one. */
+export type JobKey = RequestId;
+
+/** Returns the part whose prefill is under way at `now`, as predicted. */
+export function currentPart(job: Job, now: Timestamp): JobPart {
+  let current = job.parts[0]!;
+  for (const part of job.parts) {
+    if (part.startsAt <= now) current = part;
+  }
+  return current;
+}
+
+/** Returns the part that decodes. */
+export function lastPart(job: Job): JobPart {
+  return job.parts[job.parts.length - 1]!;
+}
+
+/** Returns the segments of a job that is spread over several engines. */
+export function segmentsOf(job: Job): readonly Segment[] {
+  return job.parts.map(({ engine, from, to }) => ({
+    upstream: engine,
+    from,
+    to,
+  }));
+}
--- /dev/null
+++ b/src/scheduling/long_placement.ts
@@ -0,0 +1,133 @@
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import type { Ask } from "./ask.ts";
+import type { EngineView } from "./engine_view.ts";
+import type { JobPart } from "./job.ts";
+import { cachedOn, type PlacementView } from "./short_placement.ts";
+
+/** Places for the parts of a long prompt, in their order. */
+export type LongPlace = Readonly<{
+  parts: readonly JobPart[];
+  cachedTokens: number;
+}>;
+
+/** Smallest part that is worth an engine of its own. */
+const MIN_PART_TOKENS = 16_384;
+
+/** Finds room for a long prompt on one engine, else on several; none if it has to wait. */
+export function placeLong(
+  ask: Ask,
+  view: PlacementView,
+): LongPlace | undefined {
+  return placeWhole(ask, view) ?? placeParts(ask, view);
+}
+
+/** Tokens of memory that long prompts may take on an engine. */
+export function longRoom(engine: EngineView, view: PlacementView): number {
+  return engine.freeTokens() - view.policy.shortMemoryTokens;
+}
+
+/** The engine with the least room that is enough. */
+function placeWhole(ask: Ask, view: PlacementView): LongPlace | undefined {
+  const need = ask.promptTokens + ask.maxTokens;
+  let best: LongPlace | undefined;
+  let bestRoom = Infinity;
+  for (const engine of view.engines) {
+    const room = wholeRoom(engine, view);
+    if (room < need || room >= bestRoom) continue;
+    const place = wholeOn(ask, engine, view);
+    if (!isFree(engine, view, place.parts[0]!)) continue;
+    [best, bestRoom] = [place, room];
+  }
+  return best;
+}
+
+/** An engine without other long work may give a prompt that it can just hold all of its memory. */
+function wholeRoom(engine: EngineView, view: PlacementView): number {
+  return longRoom(engine, view);
+}
+
+function wholeOn(
+  ask: Ask,
+  engine: EngineView,
+  view: PlacementView,
+): LongPlace {
+  const cachedTokens = cachedOn(ask, engine, view.prefixes);
+  const part = {
+    engine: engine.id,
+    from: 0,
+    to: ask.promptTokens,
+    memoryTokens: ask.promptTokens + ask.maxTokens,
+    costMs: view.cost.prefillMs(cachedTokens, ask.promptTokens),
+    startsAt: view.now,
+  };
+  return { parts: [part], cachedTokens };
+}
+
+/** Fills engines with parts, largest room first; each must be free when its turn comes. */
+function placeParts(ask: Ask, view: PlacementView): LongPlace | undefined {
+  const byRoom = view.engines
+    .map((engine) => ({ engine, room: longRoom(engine, view) }))
+    .filter(({ room }) => room >= MIN_PART_TOKENS)
+    .sort((a, b) => b.room - a.room);
+  const parts: JobPart[] = [];
+  let from = 0;
+  let startsAt = view.now;
+  while (from < ask.promptTokens) {
+    if (parts.length >= view.policy.planSegments) return undefined;
+    const part = nextPart(ask, view, { from, startsAt, byRoom, parts });
+    if (part === undefined) return undefined;
+    parts.push(part);
+    from = part.to;
+    startsAt = addMs(startsAt, part.costMs);
+  }
+  return { parts, cachedTokens: 0 };
+}
+
+function nextPart(
+  ask: Ask,
+  view: PlacementView,
+  options: Readonly<{
+    from: number;
+    startsAt: Timestamp;
+    byRoom: readonly Readonly<{ engine: EngineView; room: number }>[];
+    parts: readonly JobPart[];
+  }>,
+): JobPart | undefined {
+  const { from, startsAt, byRoom, parts } = options;
+  for (const { engine, room } of byRoom) {
+    if (parts.some((part) => part.engine === engine.id)) continue;
+    const left = ask.promptTokens - from;
+    const isLast = room >= left + ask.maxTokens;
+    const to = from + (isLast ? left : Math.min(room, left - 1));
+    const part = {
+      engine: engine.id,
+      from,
+      to,
+      memoryTokens: to - from + (isLast ? ask.maxTokens : 0),
+      costMs: partCost(view, from, to),
+      startsAt,
+    };
+    if (isFree(engine, view, part)) return part;
+  }
+  return undefined;
+}
+
+function partCost(view: PlacementView, from: number, to: number): Millis {
+  const factor = from === 0 ? 1 : view.policy.planCostFactor;
+  return factor * view.cost.prefillMs(from, to);
+}
+
+function isFree(
+  engine: EngineView,
+  view: PlacementView,
+  part: JobPart,
+): boolean {
+  const startsNow = part.startsAt <= view.now;
+  if (startsNow && engine.longPrefill(view.now) !== undefined) return false;
+  if (startsNow && engine.longDecode()) return false;
+  if (engine.strangePrefillTokens > view.policy.longPromptTokens) return false;
+  return !engine.longBetween(
+    part.startsAt,
+    addMs(part.startsAt, part.costMs),
+  );
+}
--- /dev/null
+++ b/src/scheduling/policy.ts
@@ -0,0 +1,48 @@
+import type { Millis } from "../core/time.ts";
+
+/** Settings of the placement policy; `limits` of the configuration holds their ranges and defaults. */
+export type Policy = Readonly<{
+  /** Prompts with more uncached tokens than this are long. */
+  longPromptTokens: number;
+  /** Engines that are kept free of long prompts at the least. */
+  shortEngines: number;
+  /** Part of an engine's time that short prompts may take before another engine is kept for them. */
+  shortUtilization: number;
+  /** Tokens of each engine's memory that long prompts leave free. */
+  shortMemoryTokens: number;
+  /** First-token time below which a faster place is worth nothing. */
+  firstTokenKneeMs: Millis;
+  /** Time by which a place beside a running long prefill counts as slower. */
+  spillMs: Millis;
+  /** Weight of prefill time against waiting time when an engine is chosen. */
+  prefillWeight: number;
+  /** Prompts that one engine is given at a time. */
+  engineRequests: number;
+  /** Long prompts that wait at the scheduling daemon. */
+  queuedPrompts: number;
+  /** Segments of one plan. */
+  planSegments: number;
+  /** Cost of prefill over segments on other engines, against one engine. */
+  planCostFactor: number;
+  /** Part of the time to its deadline that a long prompt may be predicted to need. */
+  admissionRatio: number;
+  /** Time before its latest start at which a waiting prompt is no longer overtaken. */
+  overtakeMs: Millis;
+}>;
+
+/** The defaults; docs/MEASUREMENTS.md shows the runs behind them. */
+export const DEFAULT_POLICY: Policy = {
+  longPromptTokens: 24_000,
+  shortEngines: 2,
+  shortUtilization: 0.5,
+  shortMemoryTokens: 50_000,
+  firstTokenKneeMs: 200,
+  spillMs: 120,
+  prefillWeight: 0.5,
+  engineRequests: 56,
+  queuedPrompts: 512,
+  planSegments: 4,
+  planCostFactor: 1.3,
+  admissionRatio: 0.8,
+  overtakeMs: 60_000,
+};
