--- /dev/null
+++ b/tools/measure/attempt.ts
@@ -0,0 +1,221 @@
+import type { AttemptId, UpstreamId } from "../../src/core/id.ts";
+import type { Intent } from "../../src/core/intent.ts";
+import type { Retry } from "../../src/core/reason.ts";
+import type { Outcome, Segment } from "../../src/core/request.ts";
+import type { Timestamp } from "../../src/core/time.ts";
+import type { Verdict } from "../../src/core/verdict.ts";
+import type { EngineJob } from "../../stand_ins/engine/job.ts";
+import type { VirtualClock } from "./clock.ts";
+import type { AttemptListener, EngineHost } from "./engine_host.ts";
+import type { PromptRecord } from "./prompt_record.ts";
+
+/** Time of one message between two machines. */
+export const NETWORK_MS = 1;
+
+export type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
+
+/** What one attempt tells its daemon; already delayed by the network. */
+export type AttemptEvents = Readonly<{
+  token: (at: Timestamp) => void;
+  ended: (outcome: Outcome) => void;
+}>;
+
+/** Runs one attempt against the engine models, over several engines where it has a plan. */
+export class AttemptRun {
+  readonly #intent: StartAttempt;
+  readonly #record: PromptRecord;
+  readonly #clock: VirtualClock;
+  readonly #engines: ReadonlyMap<UpstreamId, EngineHost>;
+  readonly #events: AttemptEvents;
+  #over = false;
+  #running: EngineHost | undefined;
+
+  private constructor(
+    intent: StartAttempt,
+    record: PromptRecord,
+    options: Readonly<{
+      clock: VirtualClock;
+      engines: ReadonlyMap<UpstreamId, EngineHost>;
+      events: AttemptEvents;
+    }>,
+  ) {
+    this.#intent = intent;
+    this.#record = record;
+    this.#clock = options.clock;
+    this.#engines = options.engines;
+    this.#events = options.events;
+  }
+
+  static create(
+    intent: StartAttempt,
+    record: PromptRecord,
+    options: Readonly<{
+      clock: VirtualClock;
+      engines: ReadonlyMap<UpstreamId, EngineHost>;
+      events: AttemptEvents;
+    }>,
+  ): AttemptRun {
+    return new AttemptRun(intent, record, options);
+  }
+
+  get attempt(): AttemptId {
+    return this.#intent.attempt;
+  }
+
+  start(): void {
+    this.#clock.after(NETWORK_MS, () => {
+      if (this.#over) return;
+      if (this.#intent.mode === "resume") return this.#resume();
+      const { plan } = this.#intent.placement;
+      if (plan === undefined) return this.#submit(this.#whole());
+      if (this.#reserveAll()) return this.#submitPart(0);
+      this.#refuse("The engines have no room for the plan.");
+    });
+  }
+
+  /** Ends the attempt at the engines. */
+  cancel(): void {
+    this.#over = true;
+    this.#clock.after(NETWORK_MS, () => this.#release());
+  }
+
+  /** The daemon has died; its engines go on. */
+  abandon(): void {
+    this.#over = true;
+  }
+
+  /** An engine has died; a plan that held memory there can't go on. */
+  engineLost(engine: UpstreamId): void {
+    const planned = this.#segments().some((part) => part.upstream === engine);
+    if (planned && this.#running?.id !== engine) {
+      this.#fail("plan_broken", "may_have_run", false);
+    }
+  }
+
+  #resume(): void {
+    const host = this.#engines.get(this.#intent.placement.upstream);
+    const attached = host?.reattach(this.attempt, this.#listener(host, 0));
+    if (!attached) this.#fail("resume_failed", "may_have_run", false);
+    this.#running = host;
+  }
+
+  #whole(): UpstreamId {
+    return this.#intent.placement.upstream;
+  }
+
+  #submit(engine: UpstreamId): void {
+    this.#send(engine, this.#job(), 0);
+  }
+
+  #submitPart(index: number): void {
+    const { plan } = this.#intent.placement;
+    const part = plan!.segments[index]!;
+    const last = index === plan!.segments.length - 1;
+    const total = this.#record.arrival.promptTokens;
+    const { from, to } = part;
+    const segment = { plan: plan!.id, from, to, last, total };
+    this.#send(part.upstream, { ...this.#job(), segment }, index);
+  }
+
+  #send(engine: UpstreamId, job: EngineJob, index: number): void {
+    const host = this.#engines.get(engine);
+    if (host === undefined || !host.up) {
+      return this.#fail("connect_failed", "not_run", false);
+    }
+    const taken = host.submit(job, this.#listener(host, index));
+    if (taken.isErr()) return this.#refuse(taken.error.detail);
+    this.#running = host;
+  }
+
+  #job(): EngineJob {
+    const { arrival, tokens } = this.#record;
+    const intent = this.#intent;
+    return {
+      request: intent.req,
+      attempt: intent.attempt,
+      promptTokens: arrival.promptTokens,
+      blocks: arrival.blocks,
+      maxTokens: arrival.maxTokens,
+      answerTokens: arrival.answerTokens,
+      priority: intent.placement.priority,
+      weights: intent.weights!,
+      deadlineAt: intent.deadlineAt,
+      answeredTokens: tokens,
+      poison: arrival.poison,
+    };
+  }
+
+  #listener(host: EngineHost, index: number): AttemptListener {
+    return {
+      token: (at) => {
+        if (!this.#over) this.#events.token(at);
+      },
+      done: (_at, event) => {
+        if (this.#over) return;
+        if (event.finish === "segment") {
+          this.#clock.after(2 * NETWORK_MS, () => {
+            if (!this.#over) this.#submitPart(index + 1);
+          });
+          return;
+        }
+        this.#end({ type: "ok", tokens: event.count, status: 200 });
+      },
+      failed: (_at, code) => {
+        if (code === "crashed") {
+          return this.#fail("upstream_crashed", "may_have_run", true);
+        }
+        const cause = code === "plan_broken"
+          ? "plan_broken"
+          : "upstream_refused";
+        this.#fail(cause, "may_have_run", !host.up);
+      },
+    };
+  }
+
+  #segments(): readonly Segment[] {
+    return this.#intent.placement.plan?.segments ?? [];
+  }
+
+  #reserveAll(): boolean {
+    const { plan } = this.#intent.placement;
+    const segments = this.#segments();
+    const ttlMs = this.#intent.deadlineAt - this.#clock.now + 1_000;
+    return segments.every((part, index) => {
+      const last = index === segments.length - 1;
+      const answer = last ? this.#record.arrival.maxTokens : 0;
+      const host = this.#engines.get(part.upstream);
+      return host?.up === true &&
+        host.reserve(plan!.id, part.to - part.from + answer, ttlMs);
+    });
+  }
+
+  #refuse(detail: string): void {
+    this.#fail("upstream_refused", "not_run", false, detail);
+  }
+
+  #fail(
+    cause: Retry,
+    verdict: Verdict,
+    crashed: boolean,
+    detail: string = cause,
+  ): void {
+    const { tokens } = this.#record;
+    this.#end({ type: "failed", cause, verdict, tokens, crashed, detail });
+  }
+
+  #end(outcome: Outcome): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#release();
+    this.#clock.after(NETWORK_MS, () => this.#events.ended(outcome));
+  }
+
+  #release(): void {
+    this.#running?.cancel(this.attempt);
+    const { plan } = this.#intent.placement;
+    if (plan === undefined) return;
+    for (const part of plan.segments) {
+      this.#engines.get(part.upstream)?.release(plan.id);
+    }
+  }
+}
