--- a/tools/lib/fleet.ts
+++ b/tools/lib/fleet.ts
@@ -18,6 +18,8 @@
   group: string;
   service: string;
   domains: readonly string[];
+  /** Client port of the first daemon, the next one's is one higher; else free ports. */
+  firstPort?: number;
 }>;
 
 /** One daemon and where it is reached. */
@@ -92,7 +94,7 @@
   /** Starts a daemon and puts its VM on the list. */
   async addDaemon(): Promise<DaemonProgram> {
     const vm = `entry-${this.daemons.length + 1}`;
-    const clientAddress = `127.0.0.1:${await freePort()}`;
+    const clientAddress = `127.0.0.1:${await this.#clientPort()}`;
     const peerAddress = `127.0.0.1:${await freePort()}`;
     const file = join(this.folder, `${vm}.ini`);
     writeFileSync(file, this.#settings({ vm, clientAddress, peerAddress }));
@@ -154,6 +156,13 @@
     return program;
   }
 
+  async #clientPort(): Promise<number> {
+    const { firstPort } = this.options;
+    return firstPort === undefined
+      ? await freePort()
+      : firstPort + this.daemons.length;
+  }
+
   #domain(index: number): string {
     const { domains } = this.options;
     return domains[index % domains.length] ?? "a";
