Reserve all memory of a plan before its first segment starts

PlanController asks engines in the order of their ids and waits only for the next one, renews what it holds, and gives everything back when the plan's request ends, fails, or is placed again. A reservation granted after its plan has ended is given back too; one of a dead daemon lapses. When the client of a running answer leaves, the memory is left to the engine that decodes, because the answer can be read on elsewhere.

--- a/src/board/blackboard.ts
+++ b/src/board/blackboard.ts
@@ -9,6 +9,7 @@
   createPlacementSection,
   type PlacementSection,
 } from "./placement_section.ts";
+import { createPlansSection, type PlansSection } from "./plans_section.ts";
 import {
   createQuarantineSection,
   type QuarantineSection,
@@ -33,6 +34,7 @@
   upstreams: UpstreamsSection;
   requests: RequestsSection;
   placement: PlacementSection;
+  plans: PlansSection;
   claims: ClaimsSection;
   quarantine: QuarantineSection;
   counters: Counters;
@@ -48,6 +50,7 @@
     upstreams: createUpstreamsSection(),
     requests: createRequestsSection(),
     placement: createPlacementSection(),
+    plans: createPlansSection(),
     claims: createClaimsSection(),
     quarantine: createQuarantineSection(),
     counters: Counters.create(),
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -7,6 +7,7 @@
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { PlanController } from "./plan_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -33,6 +34,7 @@
       KeyController.create(options.createSecret),
       UpstreamController.create(),
       options.placement ?? PlacementController.create(),
+      PlanController.create(),
       RequestController.create(),
     ],
   });
--- /dev/null
+++ b/src/controllers/plan_controller.ts
@@ -0,0 +1,182 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { PlanEntry } from "../board/plans_section.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type { PlanId, RequestId } from "../core/id.ts";
+import type { Placement } from "../core/request.ts";
+import type { StepContext } from "../core/step_context.ts";
+import { addMs, type Millis, SECOND_MS } from "../core/time.ts";
+import { type PlanMemory, planMemory } from "../scheduling/plan.ts";
+
+/** Time after which an engine frees a plan's memory without renewal. */
+export const PLAN_TTL_MS: Millis = 15 * SECOND_MS;
+/** Time between two renewals. */
+export const PLAN_RENEW_MS: Millis = 4 * SECOND_MS;
+/** Time in which all memory of a plan has to be held. */
+export const PLAN_RESERVE_MS: Millis = 10 * SECOND_MS;
+/** Time after which an engine that had no room is asked again. */
+export const PLAN_ASK_AGAIN_MS: Millis = SECOND_MS / 4;
+/** Plans of one daemon at a time. */
+export const MAX_PLANS = 64;
+
+type ReservationEnded = Extract<Event, { type: "reservation_ended" }>;
+
+/**
+ * Reserves all memory of a plan before its first segment starts. Every daemon asks engines in the order of
+ * their ids and waits only for the next one, so plans can't wait for each other in a circle.
+ */
+export class PlanController extends Controller {
+  override readonly name = "plans";
+
+  static create(): PlanController {
+    return new PlanController();
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    for (const event of ctx.events) {
+      if (event.type === "reservation_ended") takeAnswer(board, ctx, event);
+      if (event.type === "client_left") this.#leave(board, event.req);
+    }
+    for (const plan of board.plans.byId.values()) {
+      if (!isWanted(board, plan)) drop(board, ctx, plan);
+    }
+    for (const entry of board.requests.byId.values()) {
+      if (entry.state === "placing") this.#open(board, ctx, entry);
+    }
+    for (const plan of board.plans.byId.values()) advance(ctx, plan);
+  }
+
+  /** A running answer may be read on elsewhere; from now on the engine that decodes keeps its memory. */
+  #leave(board: Blackboard, req: RequestId): void {
+    const attempt = board.requests.byId.get(req)?.attempt;
+    const id = attempt?.placement.plan?.id;
+    if (id === undefined || attempt?.firstTokenAt === undefined) return;
+    board.plans.byId.delete(id);
+  }
+
+  #open(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const placed = board.placement.placed.get(entry.req.id);
+    if (placed?.type !== "granted" || placed.round !== entry.round) return;
+    const { plan } = placed.placement;
+    if (plan === undefined || board.plans.byId.has(plan.id)) return;
+    const failAt = board.plans.byId.size < MAX_PLANS
+      ? addMs(ctx.now, PLAN_RESERVE_MS)
+      : ctx.now;
+    board.plans.byId.set(plan.id, {
+      id: plan.id,
+      req: entry.req.id,
+      round: entry.round,
+      parts: partsOf(entry, plan),
+      state: "reserving",
+      held: 0,
+      asked: false,
+      askAt: ctx.now,
+      failAt,
+      renewAt: addMs(ctx.now, PLAN_RENEW_MS),
+    });
+  }
+}
+
+function partsOf(
+  entry: RequestEntry,
+  plan: NonNullable<Placement["plan"]>,
+): readonly PlanMemory[] {
+  const { req } = entry;
+  return planMemory(plan.segments, req.kind === "prompt" ? req.maxTokens : 0);
+}
+
+function isWanted(board: Blackboard, plan: PlanEntry): boolean {
+  const entry = board.requests.byId.get(plan.req);
+  if (entry === undefined || entry.round !== plan.round) return false;
+  return entry.state === "placing" ||
+    entry.attempt?.placement.plan?.id === plan.id;
+}
+
+function takeAnswer(
+  board: Blackboard,
+  ctx: StepContext,
+  event: ReservationEnded,
+): void {
+  const plan = board.plans.byId.get(event.plan as PlanId);
+  if (plan === undefined || plan.state === "failed") {
+    return reclaim(ctx, event);
+  }
+  const next = plan.parts[plan.held];
+  const isNext = plan.state === "reserving" && plan.asked &&
+    next?.upstream === event.upstream;
+  if (!isNext || event.result === "released") return;
+  plan.asked = false;
+  if (event.result !== "held") {
+    plan.askAt = addMs(ctx.now, PLAN_ASK_AGAIN_MS);
+    return;
+  }
+  plan.held += 1;
+  plan.askAt = ctx.now;
+  if (plan.held < plan.parts.length) return;
+  plan.state = "held";
+  ctx.repeat();
+}
+
+/** Memory that was granted after its plan had ended. */
+function reclaim(ctx: StepContext, event: ReservationEnded): void {
+  if (event.result !== "held") return;
+  const { upstream } = event;
+  const plan = event.plan as PlanId;
+  ctx.counters.add("reservations_reclaimed");
+  ctx.emit({ type: "release_memory", upstream, plan });
+}
+
+function drop(board: Blackboard, ctx: StepContext, plan: PlanEntry): void {
+  board.plans.byId.delete(plan.id);
+  release(ctx, plan);
+}
+
+/** Releases on each engine that may hold memory: one whose answer was lost, too. */
+function release(ctx: StepContext, plan: PlanEntry): void {
+  if (plan.state === "failed") return;
+  for (const { upstream } of plan.parts.slice(0, plan.held + 1)) {
+    ctx.emit({ type: "release_memory", upstream, plan: plan.id });
+  }
+}
+
+function advance(ctx: StepContext, plan: PlanEntry): void {
+  if (plan.state === "failed") return;
+  if (plan.state === "reserving") {
+    if (plan.failAt <= ctx.now) return fail(ctx, plan);
+    askNext(ctx, plan);
+    ctx.wakeAt(plan.failAt);
+  }
+  renew(ctx, plan);
+}
+
+function fail(ctx: StepContext, plan: PlanEntry): void {
+  release(ctx, plan);
+  plan.state = "failed";
+  ctx.repeat();
+}
+
+function askNext(ctx: StepContext, plan: PlanEntry): void {
+  if (plan.asked) return;
+  if (plan.askAt > ctx.now) return ctx.wakeAt(plan.askAt);
+  plan.asked = true;
+  reserve(ctx, plan, plan.parts[plan.held]!);
+}
+
+function renew(ctx: StepContext, plan: PlanEntry): void {
+  if (plan.renewAt <= ctx.now) {
+    plan.renewAt = addMs(ctx.now, PLAN_RENEW_MS);
+    for (const part of plan.parts.slice(0, plan.held)) reserve(ctx, plan, part);
+  }
+  ctx.wakeAt(plan.renewAt);
+}
+
+function reserve(ctx: StepContext, plan: PlanEntry, part: PlanMemory): void {
+  ctx.emit({
+    type: "reserve_memory",
+    upstream: part.upstream,
+    plan: plan.id,
+    tokens: part.tokens,
+    ttlMs: PLAN_TTL_MS,
+  });
+}
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -17,6 +17,16 @@
   { type: "first_token" | "attempt_progress" | "attempt_ended" }
 >;
 
+/** The end of a plan whose memory could not be reserved. */
+const UNRESERVED: Outcome = {
+  type: "failed",
+  cause: "plan_broken",
+  verdict: "not_run",
+  tokens: 0,
+  crashed: false,
+  detail: "The engines' memory for this prompt could not be reserved.",
+};
+
 /** Leads each request from its arrival to its one final answer. */
 export class RequestController extends Controller {
   override readonly name = "requests";
@@ -189,7 +199,8 @@
     outcome: Extract<Outcome, { type: "failed" }>,
   ): void {
     if (entry.attempt !== undefined && outcome.cause !== "upstream_refused") {
-      entry.excluded = [...entry.excluded, entry.attempt.placement.upstream];
+      const upstream = outcome.upstream ?? entry.attempt.placement.upstream;
+      entry.excluded = [...entry.excluded, upstream];
     }
     entry.state = "placing";
     entry.attempt = undefined;
@@ -301,6 +312,10 @@
       const verdict = joinVerdicts(entry.verdict, placed.problem.verdict);
       return this.#fail(board, ctx, entry, { ...placed.problem, verdict });
     }
+    const { plan } = placed.placement;
+    const state = plan && board.plans.byId.get(plan.id)?.state;
+    if (state === "failed") return this.#end(board, ctx, entry, UNRESERVED);
+    if (plan !== undefined && state !== "held") return;
     this.#start(ctx, entry, placed.placement);
   }
 
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -108,6 +108,8 @@
     /** Whether the upstream died while the request ran, as far as is known. */
     crashed: boolean;
     detail: string;
+    /** The upstream that failed, where it is another engine of the plan than the one that decodes. */
+    upstream?: UpstreamId;
   }>;
 
 /** What the record of a request says about the configuration it ran under. */
