--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -8,6 +8,7 @@
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
+import { PlanController } from "./plan_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -35,6 +36,7 @@
       UpstreamController.create(),
       QuarantineController.create(),
       options.placement ?? PlacementController.create(),
+      PlanController.create(),
       RequestController.create(),
     ],
   });
