Show exit codes in every help and end the tool at once

Idle connections of undici kept the process alive for seconds after its work, so main ends the process once its output is written. Malformed URLs and addresses are refused by the argument types. Seen red: dropping the peers of peers in surveyFleet fails the status test.

--- a/src/cli/app.ts
+++ b/src/cli/app.ts
@@ -1,5 +1,5 @@
 import { subcommands } from "cmd-ts";
-import { EXIT_HELP } from "./exit_code.ts";
+import { installHelp } from "./help.ts";
 import type { RunVerb } from "./run_verb.ts";
 import { applyCommand } from "./verbs/apply.ts";
 import { checkCommand } from "./verbs/check.ts";
@@ -12,10 +12,11 @@
 
 /** Builds the command line of `parsleyfield`. */
 export function createApp(run: RunVerb) {
+  installHelp();
   return subcommands({
     name: "parsleyfield",
     description:
-      `Operate a fleet of parsleyfield daemons. PARSLEYFIELD_LOG and PARSLEYFIELD_ENTRY stand for --log and --entry. ${EXIT_HELP}`,
+      "Operate a fleet of parsleyfield daemons. PARSLEYFIELD_LOG and PARSLEYFIELD_ENTRY stand for --log and --entry.",
     cmds: {
       check: checkCommand(run),
       diff: diffCommand(run),
--- a/src/cli/app_test.ts
+++ b/src/cli/app_test.ts
@@ -39,7 +39,12 @@
     if (help._tag !== "error") throw new Error("help did not end the run");
     const text = help.error;
     for (
-      const part of ["--json", "EXAMPLES", "Exit codes: 0 ok", "parsleyfield "]
+      const part of [
+        "--json",
+        "EXAMPLES",
+        "EXIT CODES:\n  0 - done",
+        "parsleyfield ",
+      ]
     ) {
       expect(text.toUpperCase()).toContain(part.toUpperCase());
     }
@@ -53,9 +58,16 @@
   for (const [verb = ""] of VERBS) expect(help.error).toContain(verb);
 });
 
-test("an unknown verb or flag is refused", async () => {
+test("an unknown verb or flag, a malformed URL or address is refused", async () => {
   const { app } = createRun();
-  for (const args of [["chek", "x"], ["check", "--jsn", "x"]]) {
+  for (
+    const args of [
+      ["chek", "x"],
+      ["check", "--jsn", "x"],
+      ["show", "--log", "10.0.0.5"],
+      ["status", "--entry", "http://10.0.0.5:80"],
+    ]
+  ) {
     expect((await runSafely(app, args))._tag).toBe("error");
   }
 });
--- a/src/cli/args.ts
+++ b/src/cli/args.ts
@@ -1,7 +1,8 @@
-import { flag, number, option, optional, string } from "cmd-ts";
+import { extendType, flag, number, option, optional, string } from "cmd-ts";
 import { SECOND_MS } from "../core/time.ts";
 
 const DEFAULT_TIMEOUT_S = 30;
+const HOST_AND_PORT = /^([^\s:\[\]/]+|\[[0-9a-fA-F:.]+\]):\d{1,5}$/;
 
 /** `--json`, which every verb takes. */
 export const jsonArg = {
@@ -11,12 +12,29 @@
   }),
 };
 
+const httpUrl = extendType(string, {
+  displayName: "URL",
+  from: (text) => {
+    const url = URL.canParse(text) ? new URL(text) : undefined;
+    if (url?.protocol === "http:") return Promise.resolve(text);
+    return Promise.reject(new Error(`${text} is not a URL of http`));
+  },
+});
+
+const hostAndPort = extendType(string, {
+  displayName: "HOST:PORT",
+  from: (text) => {
+    if (HOST_AND_PORT.test(text)) return Promise.resolve(text);
+    return Promise.reject(new Error(`${text} is not HOST:PORT`));
+  },
+});
+
 /** `--log`, for verbs that read or append the platform's log. */
 export const logArg = {
   log: option({
     long: "log",
     env: "PARSLEYFIELD_LOG",
-    type: optional(string),
+    type: optional(httpUrl),
     description: "URL of the platform's log service",
   }),
 };
@@ -26,7 +44,7 @@
   entry: option({
     long: "entry",
     env: "PARSLEYFIELD_ENTRY",
-    type: optional(string),
+    type: optional(hostAndPort),
     description: "HOST:PORT of any daemon's client listener",
   }),
 };
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -10,7 +10,19 @@
 /** How the tool ends. */
 export type Exit = keyof typeof EXIT_CODES;
 
-/** What the exit codes mean; part of every verb's help. */
-export const EXIT_HELP =
-  "Exit codes: 0 ok; 1 failure, nothing was done; 2 bad input; 3 conflict; " +
-  "4 unknown, safe to run again; 5 done, but some daemons have not followed.";
+const MEANINGS: Readonly<Record<Exit, string>> = {
+  ok: "done as asked",
+  failure: "failed; nothing was done",
+  bad_input: "bad input: arguments, folder or prompt; nothing was done",
+  conflict: "another change came first",
+  unknown: "it may or may not have taken effect; safe to run again",
+  stragglers: "done, but some daemons have not followed in time",
+};
+
+/** What the exit codes mean, a line each; part of every help. */
+export const EXIT_HELP = [
+  "EXIT CODES:",
+  ...Object.entries(MEANINGS).map(([exit, meaning]) =>
+    `  ${EXIT_CODES[exit as Exit]} - ${meaning}`
+  ),
+].join("\n");
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -16,11 +16,18 @@
   );
 });
 
+/** Ends the process once its output is written; idle connections would keep it alive. */
+function exit(code: number): void {
+  process.stdout.write("", () => {
+    process.stderr.write("", () => process.exit(code));
+  });
+}
+
 const result = await runSafely(app, process.argv.slice(2));
 if (result._tag === "ok") {
-  process.exitCode = await result.value.value;
+  exit(await result.value.value);
 } else {
   const { exitCode, into, message } = result.error.config;
   process[into].write(`${message}\n`);
-  process.exitCode = exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input;
+  exit(exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input);
 }
--- a/src/cli/verbs/apply.ts
+++ b/src/cli/verbs/apply.ts
@@ -15,7 +15,6 @@
 import type { Millis } from "../../core/time.ts";
 import { entryArg, jsonArg, logArg, seconds, timeoutArg } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { surveyFleet } from "../fleet.ts";
 import { type InForce, waitInForce } from "../in_force.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
@@ -194,7 +193,7 @@
   return command({
     name: "apply",
     description:
-      `Publish a configuration folder, wait until it is in force on every daemon and name those that lag. ${EXIT_HELP}`,
+      "Publish a configuration folder, wait until it is in force on every daemon and name those that lag.",
     args: {
       dir: positional({
         type: string,
--- a/src/cli/verbs/check.ts
+++ b/src/cli/verbs/check.ts
@@ -2,7 +2,6 @@
 import type { Result } from "neverthrow";
 import { configDigest } from "../../config/canonical.ts";
 import { jsonArg } from "../args.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { loadFolder } from "../load_folder.ts";
 import type { CliError, Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
@@ -20,12 +19,12 @@
     };
     const digest = configDigest(config);
     const list = Object.entries(counts).map(([name, count]) =>
-      `${count} ${name}`
+      `${name}: ${count}`
     );
     return {
       exit: "ok",
       data: { ok: true, digest, ...counts },
-      lines: [`${dir}: ok, ${list.join(", ")}`, `digest ${digest}`],
+      lines: [`${dir} is in order`, ...list, `digest ${digest}`],
     };
   });
 }
@@ -34,8 +33,7 @@
 export function checkCommand(run: RunVerb) {
   return command({
     name: "check",
-    description:
-      `Check a configuration folder and report all its errors. ${EXIT_HELP}`,
+    description: "Check a configuration folder and report all its errors.",
     args: {
       dir: positional({
         type: string,
--- a/src/cli/verbs/diff.ts
+++ b/src/cli/verbs/diff.ts
@@ -4,7 +4,6 @@
 import { type ConfigChange, diffConfig } from "../../config/diff.ts";
 import { jsonArg, logArg } from "../args.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import { readHistory } from "../read_history.ts";
 import type { CliError, Report } from "../report.ts";
@@ -53,8 +52,7 @@
 export function diffCommand(run: RunVerb) {
   return command({
     name: "diff",
-    description:
-      `Compare a configuration folder with what is in force. ${EXIT_HELP}`,
+    description: "Compare a configuration folder with what is in force.",
     args: {
       dir: positional({
         type: string,
--- a/src/cli/verbs/drain.ts
+++ b/src/cli/verbs/drain.ts
@@ -3,7 +3,6 @@
 import { addMs, type Millis } from "../../core/time.ts";
 import { entryArg, jsonArg, seconds } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { type DaemonView, surveyFleet } from "../fleet.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
@@ -85,7 +84,7 @@
   return command({
     name: "drain",
     description:
-      `Shut the daemon on a VM down gracefully: it leaves the entry answers, finishes what is in flight and ends. ${EXIT_HELP}`,
+      "Shut the daemon on a VM down gracefully: it leaves the entry answers, finishes what is in flight and ends.",
     args: {
       vm: positional({
         type: string,
--- a/src/cli/verbs/history.ts
+++ b/src/cli/verbs/history.ts
@@ -2,7 +2,6 @@
 import type { Result } from "neverthrow";
 import { jsonArg, logArg } from "../args.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { readHistory } from "../read_history.ts";
 import type { CliError, Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
@@ -52,7 +51,7 @@
   return command({
     name: "history",
     description:
-      `List the published changes that the log still has, newest first: accepted ones and those that lost. ${EXIT_HELP}`,
+      "List the published changes that the log still has, newest first: accepted ones and those that lost.",
     args: {
       limit: option({
         long: "limit",
--- a/src/cli/verbs/send.ts
+++ b/src/cli/verbs/send.ts
@@ -2,7 +2,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { entryArg, jsonArg } from "../args.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import type { PromptToSend, ResumePoint } from "../prompt_client.ts";
 import { readPrompt } from "../read_prompt.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
@@ -79,7 +78,7 @@
   return command({
     name: "send",
     description:
-      `Send a prompt from a file or standard input and write the answer as it comes. A broken stream is resumed at another daemon. ${EXIT_HELP}`,
+      "Send a prompt from a file or standard input and write the answer as it comes. A broken stream is resumed at another daemon.",
     args: {
       file: positional({
         type: optional(string),
--- a/src/cli/verbs/show.ts
+++ b/src/cli/verbs/show.ts
@@ -3,7 +3,6 @@
 import type { Revision } from "../../core/id.ts";
 import { jsonArg, logArg } from "../args.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { type History, readHistory } from "../read_history.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
@@ -59,7 +58,7 @@
   return command({
     name: "show",
     description:
-      `Show the configuration in force, or that of an earlier revision. ${EXIT_HELP}`,
+      "Show the configuration in force, or that of an earlier revision.",
     args: {
       revision: positional({
         type: optional(number),
--- a/src/cli/verbs/status.ts
+++ b/src/cli/verbs/status.ts
@@ -5,7 +5,6 @@
 import type { AdminStatus } from "../../wire/admin.ts";
 import { entryArg, jsonArg } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { type DaemonView, surveyFleet } from "../fleet.ts";
 import { findStragglers } from "../in_force.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
@@ -137,7 +136,7 @@
   return command({
     name: "status",
     description:
-      `Show daemons, upstreams, revision in force, queues, quarantine and leases. Daemons that none of the others has heard of are not seen. ${EXIT_HELP}`,
+      "Show daemons, upstreams, revision in force, queues, quarantine and leases. Daemons that none of the others has heard of are not seen.",
     args: { ...entryArg, ...jsonArg },
     examples: [{
       description: "Ask any daemon about all",
--- a/src/cli/verbs/status_test.ts
+++ b/src/cli/verbs/status_test.ts
@@ -30,6 +30,16 @@
   `);
 });
 
+test("a daemon that the entry has not heard of is found through another", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ b: 5, c: 4 });
+  const [b] = [...fake.admin.daemons.values()];
+  fake.admin.add({ a: 5, b: 5 });
+  if (b !== undefined) fake.admin.daemons.set("b:1", b);
+  const report = (await status(fake.ctx))._unsafeUnwrap();
+  expect(report.lines[1]).toBe("straggler c (id-c): has revision 4");
+});
+
 test("an entry that can't be reached is a failure", async () => {
   const fake = createFakeContext({ entry: "z:1" });
   const err = (await status(fake.ctx))._unsafeUnwrapErr();
--- a/src/config/folder_reader.ts
+++ b/src/config/folder_reader.ts
@@ -38,7 +38,9 @@
     }
     return ok({ name, text: await readFile(path, "utf8") });
   } catch (cause) {
-    return err(unreadable(name, String(cause), "a file that can be read"));
+    return err(
+      unreadable(name, (cause as Error).message, "a file that can be read"),
+    );
   }
 }
 
@@ -54,7 +56,7 @@
     if (names.length > 0 && names.length <= MAX_FILES) return ok(names);
     return err(unreadable(dir, `${names.length} such files`, allowed));
   } catch (cause) {
-    return err(unreadable(dir, String(cause), allowed));
+    return err(unreadable(dir, (cause as Error).message, allowed));
   }
 }
 
