--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -14,7 +14,7 @@
   args: Readonly<{ log?: string; entry?: string; author?: string }>,
 ): CliContext {
   return {
-    log: createLog(args.log),
+    log: args.log === undefined ? undefined : HttpLogClient.create(args.log),
     entry: args.entry,
     admin: HttpAdminClient.create(),
     prompts: HttpPromptClient.create(),
@@ -26,8 +26,3 @@
     write: (text) => output.write(text),
   };
 }
-
-function createLog(url: string | undefined): HttpLogClient | undefined {
-  if (url === undefined) return undefined;
-  return HttpLogClient.create({ address: new URL(url).host });
-}
