Name listed daemons that nobody has heard from

A trial against a live fleet of three showed apply end with "in force on 2 of 2 daemons" while the third, just started, was unknown to its peers. status answers now carry the live entry VMs of the platform's list; apply waits for all of them and status shows the silent ones. A VM that stays on the list after its daemon's death is named until the list drops it.

--- a/src/cli/fake_clients.ts
+++ b/src/cli/fake_clients.ts
@@ -124,7 +124,10 @@
 
 function fakeStatus(
   name: string,
-  options: { revisions: Readonly<Record<string, number>>; peers: object[] },
+  options: {
+    revisions: Readonly<Record<string, number>>;
+    peers: { peer_address: string }[];
+  },
 ): AdminStatus {
   return AdminStatusSchema.parse({
     ...facts(name, options.revisions[name] ?? -1),
@@ -132,6 +135,7 @@
     started_at: 0,
     config_stale: false,
     suspects: 0,
+    listed: options.peers.map(({ peer_address }) => peer_address),
     peers: options.peers,
     upstreams: [{
       id: "engine-1",
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -13,6 +13,7 @@
   vm: VmId;
   domain: DomainId;
   address: string;
+  peerAddress: string;
   state: AdminStatus["state"];
   revision: Revision;
   running: number;
@@ -23,13 +24,20 @@
   unreachable?: Readonly<{ detail: string; silentMs: Millis }>;
 }>;
 
+/** All daemons that any daemon knows of. */
+export type Fleet = Readonly<{
+  daemons: readonly DaemonView[];
+  /** Peer addresses on the platform's list that nobody has heard from. */
+  unheard: readonly string[];
+}>;
+
 type Heard = Readonly<{ peer: AdminPeer; at: Timestamp }>;
 
 /** Asks one daemon, then all that it and the others know, for their own view. */
 export async function surveyFleet(
   admin: AdminClient,
   entry: string,
-): Promise<Result<readonly DaemonView[], AdminError>> {
+): Promise<Result<Fleet, AdminError>> {
   const first = await admin.status(entry);
   if (first.isErr()) return err(first.error);
   const views = new Map<DaemonId, DaemonView>();
@@ -54,7 +62,14 @@
     }
     heard = heard.filter(({ peer }) => !views.has(peer.id));
   }
-  return ok([...views.values()].sort((a, b) => a.vm < b.vm ? -1 : 1));
+  const daemons = [...views.values()].sort((a, b) => a.vm < b.vm ? -1 : 1);
+  return ok({ daemons, unheard: findUnheard(daemons) });
+}
+
+function findUnheard(daemons: readonly DaemonView[]): readonly string[] {
+  const heard = new Set(daemons.map(({ peerAddress }) => peerAddress));
+  const listed = daemons.flatMap(({ status }) => status?.listed ?? []);
+  return [...new Set(listed)].filter((address) => !heard.has(address)).sort();
 }
 
 function take(
@@ -64,7 +79,8 @@
 ): Heard[] {
   const { id, vm, domain, state, revision, running, queued } = status;
   const facts = { id, vm, domain, state, revision, running, queued };
-  views.set(id, { ...facts, address, status });
+  const peerAddress = status.peer_address;
+  views.set(id, { ...facts, address, peerAddress, status });
   return status.peers.filter((peer) => peer.state !== "finished")
     .map((peer) => ({ peer, at: status.at }));
 }
@@ -76,6 +92,7 @@
     vm,
     domain,
     address: peer.client_address,
+    peerAddress: peer.peer_address,
     state,
     revision,
     running,
--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -2,13 +2,18 @@
 import type { Revision } from "../core/id.ts";
 import { addMs, type Millis, SECOND_MS } from "../core/time.ts";
 import type { CliContext } from "./context.ts";
-import { type DaemonView, surveyFleet } from "./fleet.ts";
+import { type Fleet, surveyFleet } from "./fleet.ts";
 import { type CliError, cliError } from "./report.ts";
 
 const POLL_MS: Millis = 500;
 
 /** A daemon that does not serve by a revision yet. */
-export type Straggler = Readonly<{ vm: string; id: string; reason: string }>;
+export type Straggler = Readonly<{
+  /** The VM's name; the peer address of one that nobody has heard from. */
+  vm: string;
+  id?: string;
+  reason: string;
+}>;
 
 /** How far a revision is in force. */
 export type InForce = Readonly<
@@ -34,7 +39,7 @@
       }
     } else {
       const stragglers = findStragglers(fleet.value, revision);
-      const daemons = fleet.value.length;
+      const daemons = fleet.value.daemons.length + fleet.value.unheard.length;
       if (stragglers.length === 0 || late) return ok({ daemons, stragglers });
       ctx.progress(
         `revision ${revision} in force on ${
@@ -48,10 +53,10 @@
 
 /** Names the daemons that do not serve by a revision yet, and why. */
 export function findStragglers(
-  daemons: readonly DaemonView[],
+  { daemons, unheard }: Fleet,
   revision: Revision,
 ): readonly Straggler[] {
-  return daemons
+  const behind = daemons
     .filter((daemon) => daemon.revision < revision)
     .map(({ vm, id, revision, unreachable }) => {
       const has = `has revision ${revision}`;
@@ -60,4 +65,12 @@
       const reason = `does not answer, last heard of ${silent} s ago; ${has}`;
       return { vm, id, reason };
     });
+  const reason = "is on the VM list, but nobody has heard from it";
+  return [...behind, ...unheard.map((vm) => ({ vm, reason }))];
+}
+
+/** Returns a straggler as one line of text. */
+export function stragglerLine({ vm, id, reason }: Straggler): string {
+  const name = id === undefined ? vm : `${vm} (${id})`;
+  return `straggler ${name}: ${reason}`;
 }
--- a/src/cli/verbs/apply.ts
+++ b/src/cli/verbs/apply.ts
@@ -16,7 +16,7 @@
 import { entryArg, jsonArg, logArg, seconds, timeoutArg } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
 import { surveyFleet } from "../fleet.ts";
-import { type InForce, waitInForce } from "../in_force.ts";
+import { type InForce, stragglerLine, waitInForce } from "../in_force.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import {
   decided,
@@ -123,7 +123,7 @@
 ): Promise<ReadonlySet<GroupId> | undefined> {
   if (ctx.entry === undefined) return undefined;
   const fleet = await surveyFleet(ctx.admin, ctx.entry);
-  return fleet.isOk() ? liveGroups(fleet.value) : undefined;
+  return fleet.isOk() ? liveGroups(fleet.value.daemons) : undefined;
 }
 
 function changeLines(before: string, after: ServingConfig): readonly string[] {
@@ -178,9 +178,7 @@
   const followed = `in force on ${
     daemons - stragglers.length
   } of ${daemons} daemons`;
-  const late = stragglers.map(({ vm, id, reason }) =>
-    `straggler ${vm} (${id}): ${reason}`
-  );
+  const late = stragglers.map(stragglerLine);
   return {
     exit: stragglers.length === 0 ? "ok" : "stragglers",
     data: { ...result, ...inForce },
--- a/src/cli/verbs/drain.ts
+++ b/src/cli/verbs/drain.ts
@@ -50,10 +50,11 @@
   if (fleet.isErr()) {
     return err(cliError("entry_unreachable", fleet.error.detail));
   }
-  const found = fleet.value.filter(({ vm, id }) => vm === name || id === name);
+  const { daemons } = fleet.value;
+  const found = daemons.filter(({ vm, id }) => vm === name || id === name);
   const [daemon, ...others] = found;
   if (daemon !== undefined && others.length === 0) return ok(daemon);
-  const known = fleet.value.map(({ vm, id }) => `${vm} (${id})`).join(", ");
+  const known = daemons.map(({ vm, id }) => `${vm} (${id})`).join(", ");
   const detail = daemon === undefined
     ? `No daemon runs on ${name}; known: ${known}.`
     : `More than one daemon names ${name}; name one by its id: ${known}.`;
--- a/src/cli/verbs/status.ts
+++ b/src/cli/verbs/status.ts
@@ -5,8 +5,8 @@
 import type { AdminStatus } from "../../wire/admin.ts";
 import { entryArg, jsonArg } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { type DaemonView, surveyFleet } from "../fleet.ts";
-import { findStragglers } from "../in_force.ts";
+import { type DaemonView, type Fleet, surveyFleet } from "../fleet.ts";
+import { findStragglers, stragglerLine } from "../in_force.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
 import { tableLines } from "../table.ts";
@@ -47,18 +47,17 @@
   return ok(statusReport(fleet.value));
 }
 
-function statusReport(daemons: readonly DaemonView[]): Report {
+function statusReport(fleet: Fleet): Report {
+  const { daemons } = fleet;
   const revision = Math.max(...daemons.map((one) => one.revision)) as Revision;
-  const stragglers = findStragglers(daemons, revision);
+  const stragglers = findStragglers(fleet, revision);
   const answered = daemons.flatMap(({ status }) => status ?? []);
   const upstreams = newestBy(answered, "upstreams", ({ id }) => id);
   const quarantine = newestBy(answered, "quarantine", ({ digest }) => digest);
   const leases = newestBy(answered, "leases", ({ group }) => group);
   const lines = [
     `revision in force: ${revision}`,
-    ...stragglers.map(({ vm, id, reason }) =>
-      `straggler ${vm} (${id}): ${reason}`
-    ),
+    ...stragglers.map(stragglerLine),
     "",
     ...tableLines([DAEMON_HEAD, ...daemons.map(daemonRow)]),
     "",
--- a/src/cli/verbs/status_test.ts
+++ b/src/cli/verbs/status_test.ts
@@ -40,6 +40,19 @@
   expect(report.lines[1]).toBe("straggler c (id-c): has revision 4");
 });
 
+test("a listed daemon that nobody has heard from is a straggler", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ a: 5, b: 5 });
+  for (const [address, status] of fake.admin.daemons) {
+    const listed = [...status.listed, "10.0.0.9:2"];
+    fake.admin.daemons.set(address, { ...status, listed });
+  }
+  const report = (await status(fake.ctx))._unsafeUnwrap();
+  expect(report.lines[1]).toBe(
+    "straggler 10.0.0.9:2: is on the VM list, but nobody has heard from it",
+  );
+});
+
 test("an entry that can't be reached is a failure", async () => {
   const fake = createFakeContext({ entry: "z:1" });
   const err = (await status(fake.ctx))._unsafeUnwrapErr();
--- a/src/http/admin_status.ts
+++ b/src/http/admin_status.ts
@@ -30,6 +30,7 @@
     running: requests.byId.size,
     queued: placement.queued,
     suspects: quarantine.suspects.size,
+    listed: [...members.addresses],
     peers: [...members.peers.values()].map(toAdminPeer),
     upstreams: [...upstreams.byId.values()].map(toAdminUpstream),
     quarantine: [...quarantine.quarantined].map(([digest, since]) => ({
--- a/src/wire/admin.ts
+++ b/src/wire/admin.ts
@@ -93,6 +93,8 @@
   running: whole,
   queued: whole,
   suspects: whole,
+  /** Peer addresses of the other live entry VMs on the platform's list, heard from or not. */
+  listed: z.array(z.string()),
   peers: z.array(AdminPeerSchema),
   upstreams: z.array(AdminUpstreamSchema),
   quarantine: z.array(AdminQuarantineSchema),
