--- a/src/board/claims_section.ts
+++ b/src/board/claims_section.ts
@@ -18,9 +18,11 @@
   results: Map<RequestId, ClaimResult>;
   /** Whether the whole key window has been read. */
   caughtUp: boolean;
+  /** Records that the log has not confirmed yet; a planned stop waits for them. */
+  unsent: number;
 };
 
 /** A daemon's view before it has read any claim. */
 export function createClaimsSection(): ClaimsSection {
-  return { results: new Map(), caughtUp: false };
+  return { results: new Map(), caughtUp: false, unsent: 0 };
 }
--- /dev/null
+++ b/src/controllers/claim_controller.ts
@@ -0,0 +1,358 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { ClaimResult } from "../board/claims_section.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import { Controller } from "../core/controller.ts";
+import type { Event } from "../core/event.ts";
+import type { RecordId, RequestId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { CallRequest } from "../core/request.ts";
+import type { StepContext } from "../core/step_context.ts";
+import {
+  addMs,
+  type Millis,
+  MINUTE_MS,
+  SECOND_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import { AbandonedClaims } from "../fold/abandoned_claims.ts";
+import { answerByCall, refused } from "../fold/claim_answer.ts";
+import { ClaimFold, type ClaimRecord } from "../fold/claim_fold.ts";
+import { checkKeyWindow, type ParsedKey } from "../fold/idempotency_key.ts";
+import { IssuedCalls } from "../fold/issued_calls.ts";
+import type { Entry } from "../fold/log_reader.ts";
+import { LogTail } from "../fold/log_tail.ts";
+import { Outbox } from "../fold/outbox.ts";
+import { CLAIMS_STREAM } from "../fold/streams.ts";
+import { callEnd, noteEnd, type TrackedCall } from "../fold/tracked_call.ts";
+import { judgeCall, limitsOf, unavailable } from "./claim_judgement.ts";
+
+/** Longest wait for a claim to be read back. */
+export const CLAIM_WAIT_MS: Millis = 3 * SECOND_MS;
+/** After a failed append, one claim in this time finds out whether the log takes appends again. */
+const PROBE_MS: Millis = SECOND_MS;
+/** Time of failed reads after which claims are refused at once. */
+const READS_DOWN_MS: Millis = SECOND_MS;
+/** How long the end of a call is waited for after its request has ended. */
+const LATE_END_MS: Millis = MINUTE_MS;
+const FORGET_EVERY_MS: Millis = SECOND_MS;
+const FORGET_SLACK_MS: Millis = MINUTE_MS;
+const ID_MEMORY_MS: Millis = 10 * MINUTE_MS;
+const MAX_IDS = 50_000;
+const MAX_CLAIMS = 100_000;
+const MAX_ANSWER_CHARS = 8 * 1_048_576;
+const MAX_ISSUED_CALLS = 20_000;
+const MAX_OUTGOING = 8_192;
+const MAX_ABANDONED = 8_192;
+const MAX_TRACKED = 8_192;
+
+/** A record without its id. */
+type Draft = ClaimRecord extends infer One
+  ? One extends ClaimRecord ? Omit<One, "id"> : never
+  : never;
+
+/** Lets each call that may not be repeated run at most once, by claims that are read back from the log. */
+export class ClaimController extends Controller {
+  override readonly name = "claims";
+  readonly #keySecret: string;
+  readonly #tail = LogTail.create(CLAIMS_STREAM, {
+    idMemoryMs: ID_MEMORY_MS,
+    maxIds: MAX_IDS,
+  });
+  readonly #fold = ClaimFold.create({
+    maxClaims: MAX_CLAIMS,
+    maxAnswerChars: MAX_ANSWER_CHARS,
+  });
+  readonly #outbox = Outbox.create(CLAIMS_STREAM, { max: MAX_OUTGOING });
+  readonly #issued = IssuedCalls.create({ max: MAX_ISSUED_CALLS });
+  readonly #abandoned = AbandonedClaims.create({ max: MAX_ABANDONED });
+  readonly #tracked = new Map<RequestId, TrackedCall>();
+  readonly #byClaim = new Map<RecordId, TrackedCall>();
+  #probeAt: Timestamp | undefined;
+  #forgetAt = 0 as Timestamp;
+
+  private constructor(keySecret: string) {
+    super();
+    this.#keySecret = keySecret;
+  }
+
+  /** `keySecret` signs the keys that daemons issue; all daemons share it. */
+  static create(options: { keySecret: string }): ClaimController {
+    return new ClaimController(options.keySecret);
+  }
+
+  override step(board: Blackboard, ctx: StepContext): void {
+    this.#outbox.take(ctx);
+    for (const event of ctx.events) this.#note(ctx, event);
+    this.#readLog(board, ctx);
+    for (const entry of board.requests.byId.values()) {
+      if (entry.state === "claiming") this.#advance(board, ctx, entry);
+    }
+    for (const call of this.#tracked.values()) this.#settle(board, ctx, call);
+    this.#forget(board, ctx.now);
+    this.#outbox.send(ctx);
+    board.claims.unsent = this.#outbox.size;
+  }
+
+  #note(ctx: StepContext, event: Event): void {
+    if (event.type === "attempt_ended") {
+      const call = this.#tracked.get(event.req);
+      if (call !== undefined) noteEnd(call, event.attempt, event.outcome);
+    }
+    if (event.type === "append_ended" && event.stream === CLAIMS_STREAM) {
+      const failed = event.result !== "appended";
+      this.#probeAt = failed ? addMs(ctx.now, PROBE_MS) : undefined;
+    }
+  }
+
+  #readLog(board: Blackboard, ctx: StepContext): void {
+    const { restartedAt, entries } = this.#tail.step(ctx);
+    if (restartedAt !== undefined) {
+      this.#fold.restart();
+      board.claims.caughtUp = false;
+    }
+    for (const entry of entries) this.#take(board, ctx, entry);
+    if (this.#tail.reader.caughtUp) board.claims.caughtUp = true;
+  }
+
+  #take(board: Blackboard, ctx: StepContext, entry: Entry): void {
+    const record = this.#fold.take(entry);
+    if (record === undefined) return;
+    this.#outbox.drop(record.id);
+    if (record.type !== "claim") return;
+    const call = this.#byClaim.get(record.id);
+    if (call !== undefined && !call.held) this.#readBack(board, ctx, call);
+    if (this.#abandoned.has(record.id)) this.#release(ctx, record.id, record);
+  }
+
+  /** The claim's place in the log decides: it holds the key, or an earlier one does. */
+  #readBack(board: Blackboard, ctx: StepContext, call: TrackedCall): void {
+    const { req, key } = call;
+    const holder = this.#fold.holder(req.team, key.key);
+    if (holder?.claim === call.claim) {
+      const err = this.#checkAgain(board, ctx.now, call);
+      if (err !== undefined) {
+        return this.#giveUp(board, ctx, call, refused(err));
+      }
+      call.held = true;
+      ctx.counters.add("claims_won");
+      return this.#answer(board, ctx, req.id, { type: "held" });
+    }
+    ctx.counters.add("claims_lost");
+    const { clockSkewMs } = limitsOf(board);
+    const result = holder === undefined
+      ? refused(unavailable())
+      : answerByCall(holder, req.digest, { now: ctx.now, clockSkewMs });
+    this.#giveUp(board, ctx, call, result);
+  }
+
+  /** Time has passed since the claim was appended, perhaps a long time. */
+  #checkAgain(
+    board: Blackboard,
+    now: Timestamp,
+    call: TrackedCall,
+  ): Problem | undefined {
+    if (now >= call.req.deadlineAt) {
+      return problem("deadline_exceeded", "The claim was read back too late.");
+    }
+    return checkKeyWindow(call.key, now, {
+      limits: limitsOf(board),
+      knownSince: this.#fold.knownSince,
+    });
+  }
+
+  #advance(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const { id } = entry.req;
+    if (board.claims.results.has(id)) return;
+    const call = this.#tracked.get(id);
+    if (call === undefined) return this.#start(board, ctx, entry);
+    const giveUpAt = addMs(call.since, CLAIM_WAIT_MS);
+    if (ctx.now < giveUpAt) return ctx.wakeAt(giveUpAt);
+    this.#giveUp(board, ctx, call, refused(unavailable()));
+  }
+
+  #start(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const { req } = entry;
+    if (req.kind !== "call") return;
+    const judgement = judgeCall(req, {
+      board,
+      now: ctx.now,
+      fold: this.#fold,
+      issued: this.#issued,
+      abandoned: this.#abandoned,
+      keySecret: this.#keySecret,
+      logDown: this.#logDown(ctx.now),
+    });
+    switch (judgement.type) {
+      case "answer":
+        return this.#answer(board, ctx, req.id, judgement.result);
+      case "claim":
+        return this.#claim(board, ctx, { entry, req, key: judgement.key });
+      case "begin":
+        return this.#begin(board, ctx, { entry, req, key: judgement.key });
+      case "wait":
+        return ctx.wakeAt(addMs(ctx.now, PROBE_MS));
+    }
+  }
+
+  #logDown(now: Timestamp): boolean {
+    const { failingSince } = this.#tail;
+    if (failingSince !== undefined && now - failingSince >= READS_DOWN_MS) {
+      return true;
+    }
+    return this.#probeAt !== undefined && now < this.#probeAt;
+  }
+
+  #claim(
+    board: Blackboard,
+    ctx: StepContext,
+    call: { entry: RequestEntry; req: CallRequest; key: ParsedKey },
+  ): void {
+    const { req, key } = call;
+    if (this.#probeAt !== undefined) this.#probeAt = addMs(ctx.now, PROBE_MS);
+    const claim = this.#append(ctx, {
+      type: "claim",
+      team: req.team,
+      key: key.key,
+      digest: req.digest,
+      holder: board.self.id,
+      request: req.id,
+      deadlineAt: req.deadlineAt,
+    });
+    if (claim === undefined) {
+      return this.#answer(board, ctx, req.id, refused(unavailable()));
+    }
+    const tracked = this.#track(ctx, { ...call, claim, held: false });
+    this.#byClaim.set(claim, tracked);
+    ctx.wakeAt(addMs(ctx.now, CLAIM_WAIT_MS));
+  }
+
+  /** Only this daemon ever runs a key that it issued, so its own memory decides. */
+  #begin(
+    board: Blackboard,
+    ctx: StepContext,
+    call: { entry: RequestEntry; req: CallRequest; key: ParsedKey },
+  ): void {
+    const { req, key } = call;
+    const begun = this.#issued.begin(req.team, key.key, {
+      digest: req.digest,
+      deadlineAt: req.deadlineAt,
+      issuedAt: key.issuedAt,
+    });
+    if (!begun) {
+      return this.#answer(board, ctx, req.id, refused(unavailable()));
+    }
+    this.#track(ctx, { ...call, claim: undefined, held: true });
+    this.#answer(board, ctx, req.id, { type: "held" });
+  }
+
+  #track(
+    ctx: StepContext,
+    call: Pick<TrackedCall, "entry" | "req" | "key" | "claim" | "held">,
+  ): TrackedCall {
+    const tracked = { ...call, since: ctx.now, notRun: new Set<never>() };
+    this.#tracked.set(call.req.id, tracked);
+    return tracked;
+  }
+
+  #untrack(call: TrackedCall): void {
+    this.#tracked.delete(call.req.id);
+    if (call.claim !== undefined) this.#byClaim.delete(call.claim);
+  }
+
+  #answer(
+    board: Blackboard,
+    ctx: StepContext,
+    req: RequestId,
+    result: ClaimResult,
+  ): void {
+    board.claims.results.set(req, result);
+    ctx.repeat();
+  }
+
+  /** Ends a call of which nothing was sent. */
+  #giveUp(
+    board: Blackboard,
+    ctx: StepContext,
+    call: TrackedCall,
+    result: ClaimResult,
+  ): void {
+    this.#abandon(ctx, call);
+    this.#answer(board, ctx, call.req.id, result);
+  }
+
+  #abandon(ctx: StepContext, call: TrackedCall): void {
+    const { claim, req, key } = call;
+    this.#untrack(call);
+    if (claim === undefined) return this.#issued.release(req.team, key.key);
+    this.#outbox.drop(claim);
+    const subject = { team: req.team, key: key.key };
+    this.#abandoned.add({ ...subject, claim, at: ctx.now });
+    this.#release(ctx, claim, subject);
+  }
+
+  /** Frees a key if it is held by a claim of this daemon that was given up. */
+  #release(
+    ctx: StepContext,
+    claim: RecordId,
+    subject: Pick<ClaimRecord, "team" | "key">,
+  ): void {
+    const { team, key } = subject;
+    if (this.#fold.holder(team, key)?.claim !== claim) return;
+    this.#append(ctx, { type: "release", team, key, claim });
+    ctx.counters.add("claims_released");
+  }
+
+  /** Follows a call until its request has ended and its end is known. */
+  #settle(board: Blackboard, ctx: StepContext, call: TrackedCall): void {
+    const { req } = call;
+    if (board.requests.byId.get(req.id) === call.entry) return;
+    if (!call.held) return this.#abandon(ctx, call);
+    const end = callEnd(call);
+    if (end === "not_sent") return this.#abandon(ctx, call);
+    if (end === "ran") return this.#record(board, ctx, call);
+    call.goneAt ??= ctx.now;
+    const lateAt = addMs(call.goneAt, LATE_END_MS);
+    if (ctx.now < lateAt && this.#tracked.size <= MAX_TRACKED) {
+      return ctx.wakeAt(lateAt);
+    }
+    this.#untrack(call);
+  }
+
+  #record(board: Blackboard, ctx: StepContext, call: TrackedCall): void {
+    const { req, key, claim, outcome } = call;
+    this.#untrack(call);
+    if (outcome === undefined) return;
+    if (claim === undefined) this.#issued.end(req.team, key.key, outcome);
+    this.#append(ctx, {
+      type: "outcome",
+      team: req.team,
+      key: key.key,
+      digest: req.digest,
+      holder: board.self.id,
+      claim,
+      ...outcome,
+    });
+  }
+
+  #append(ctx: StepContext, draft: Draft): RecordId | undefined {
+    const id = ctx.random.uuid(ctx.now) as RecordId;
+    const body = JSON.stringify({ ...draft, id });
+    if (this.#outbox.add({ id, body }, ctx.now)) return id;
+    ctx.counters.add("claims_dropped");
+    return undefined;
+  }
+
+  #forget(board: Blackboard, now: Timestamp): void {
+    for (const id of board.claims.results.keys()) {
+      if (!board.requests.byId.has(id)) board.claims.results.delete(id);
+    }
+    if (now < this.#forgetAt) return;
+    this.#forgetAt = addMs(now, FORGET_EVERY_MS);
+    const { keyWindowMs, clockSkewMs } = limitsOf(board);
+    const kept = keyWindowMs + 4 * clockSkewMs + FORGET_SLACK_MS;
+    const oldest = addMs(now, -kept);
+    this.#fold.forgetBefore(oldest);
+    this.#abandoned.forgetBefore(oldest);
+    this.#issued.forgetBefore(oldest);
+  }
+}
--- /dev/null
+++ b/src/controllers/claim_judgement.ts
@@ -0,0 +1,171 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { ClaimResult } from "../board/claims_section.ts";
+import { type Limits, LimitsSchema } from "../config/limits.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { CallRequest } from "../core/request.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import type { AbandonedClaims } from "../fold/abandoned_claims.ts";
+import { answerByCall, refused } from "../fold/claim_answer.ts";
+import type { ClaimFold } from "../fold/claim_fold.ts";
+import {
+  checkKeyWindow,
+  type ParsedKey,
+  parseKey,
+} from "../fold/idempotency_key.ts";
+import type { IssuedCalls } from "../fold/issued_calls.ts";
+import { isIssuedTo } from "../fold/issued_key.ts";
+import { freshPeers } from "./membership_controller.ts";
+
+const RETRY_AFTER_MS: Millis = 2 * SECOND_MS;
+
+/** What to do about a call that waits for its claim. */
+export type Judgement =
+  | Readonly<{ type: "answer"; result: ClaimResult }>
+  /** Append a claim and wait until it is read back. */
+  | Readonly<{ type: "claim"; key: ParsedKey }>
+  /** Run it out of this daemon's own memory. */
+  | Readonly<{ type: "begin"; key: ParsedKey }>
+  /** An abandoned claim of this daemon is being released. */
+  | Readonly<{ type: "wait" }>;
+
+/** What a judgement goes by. */
+export type ClaimKnowledge = Readonly<{
+  board: Blackboard;
+  now: Timestamp;
+  fold: ClaimFold;
+  issued: IssuedCalls;
+  abandoned: AbandonedClaims;
+  keySecret: string;
+  /** Whether the log takes no claims at the moment. */
+  logDown: boolean;
+}>;
+
+/** The limits in force. */
+export function limitsOf(board: Blackboard): Limits {
+  return board.config.serving?.limits ?? LimitsSchema.parse({});
+}
+
+/** The refusal of a claim that the log can't take; nothing was sent. */
+export function unavailable(): Problem {
+  return problem("claims_unavailable", "The log takes no claims now.", {
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
+/** Says what a call's key allows, as far as is known before a claim is appended. */
+export function judgeCall(req: CallRequest, known: ClaimKnowledge): Judgement {
+  if (req.key === undefined) {
+    return refusal(problem("key_missing", "This call may not be repeated."));
+  }
+  const key = parseKey(req.key);
+  if (key === undefined) {
+    return refusal(problem("key_malformed", "Send a UUIDv7 or an issued key."));
+  }
+  const err = checkKeyWindow(key, known.now, {
+    limits: limitsOf(known.board),
+    knownSince: known.fold.knownSince,
+  });
+  if (err !== undefined) return refusal(err);
+  if (key.type === "client") return judgeClientKey(req, key, known);
+  if (!isIssuedTo(key.issued, req.team, known.keySecret)) {
+    return refusal(notIssued(key, known));
+  }
+  return key.issued.home === known.board.self.id
+    ? judgeOwnKey(req, key, known)
+    : judgeForeignKey(req, key, known);
+}
+
+function judgeClientKey(
+  req: CallRequest,
+  key: ParsedKey,
+  known: ClaimKnowledge,
+): Judgement {
+  const holder = known.fold.holder(req.team, key.key);
+  const abandoned = known.abandoned.has(holder?.claim);
+  if (holder !== undefined && !abandoned) {
+    return {
+      type: "answer",
+      result: answerByCall(holder, req.digest, clock(known)),
+    };
+  }
+  if (known.logDown) return refusal(unavailable());
+  if (abandoned) return { type: "wait" };
+  if (known.board.claims.caughtUp) return { type: "claim", key };
+  return refusal(
+    problem("claims_not_read", "Earlier claims are still being read.", {
+      retryAfterMs: RETRY_AFTER_MS,
+    }),
+  );
+}
+
+function judgeOwnKey(
+  req: CallRequest,
+  key: ParsedKey,
+  known: ClaimKnowledge,
+): Judgement {
+  const call = known.issued.lookup(req.team, key.key);
+  if (call === undefined) {
+    if (key.issuedAt > known.issued.knownSince) return { type: "begin", key };
+    return refusal(
+      problem(
+        "key_expired",
+        "An earlier try of this key may have been forgotten.",
+        {
+          verdict: "may_have_run",
+        },
+      ),
+    );
+  }
+  return {
+    type: "answer",
+    result: answerByCall(call, req.digest, clock(known)),
+  };
+}
+
+/** Without its home a key can never run again; only a recorded outcome says more. */
+function judgeForeignKey(
+  req: CallRequest,
+  key: Extract<ParsedKey, { type: "issued" }>,
+  known: ClaimKnowledge,
+): Judgement {
+  const ended = known.fold.holder(req.team, key.key);
+  if (ended !== undefined) {
+    return {
+      type: "answer",
+      result: answerByCall(ended, req.digest, clock(known)),
+    };
+  }
+  const { home } = key.issued;
+  const peers = freshPeers(known.board, known.now);
+  if (peers.some((peer) => peer.id === home)) {
+    return { type: "answer", result: { type: "forward", home } };
+  }
+  return refusal(
+    problem(
+      "key_home_lost",
+      "The daemon that issued the key can't be reached.",
+      {
+        verdict: "may_have_run",
+      },
+    ),
+  );
+}
+
+/** A key that another daemon may know by another secret has perhaps run there. */
+function notIssued(
+  key: Extract<ParsedKey, { type: "issued" }>,
+  known: ClaimKnowledge,
+): Problem {
+  const own = key.issued.home === known.board.self.id;
+  return problem("key_malformed", "The key was not issued to this team.", {
+    verdict: own ? "not_run" : "may_have_run",
+  });
+}
+
+function refusal(err: Problem): Judgement {
+  return { type: "answer", result: refused(err) };
+}
+
+function clock(known: ClaimKnowledge): { now: Timestamp; clockSkewMs: Millis } {
+  return { now: known.now, clockSkewMs: limitsOf(known.board).clockSkewMs };
+}
--- /dev/null
+++ b/src/fold/claim_fold.ts
@@ -0,0 +1,215 @@
+import { z } from "zod";
+import type {
+  DaemonId,
+  Digest,
+  IdempotencyKey,
+  RecordId,
+  RequestId,
+  TeamId,
+} from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { countSchema, idSchema } from "../wire/brands.ts";
+import { parseIssuedKey } from "./issued_key.ts";
+import type { Entry } from "./log_reader.ts";
+
+const subject = {
+  id: idSchema<RecordId>(),
+  team: idSchema<TeamId>(),
+  key: idSchema<IdempotencyKey>(),
+};
+
+/** Reserves a key for one request; the first one for its team and key holds it for good. */
+export const ClaimSchema = z.object({
+  type: z.literal("claim"),
+  ...subject,
+  digest: idSchema<Digest>(),
+  holder: idSchema<DaemonId>(),
+  request: idSchema<RequestId>(),
+  deadlineAt: countSchema<Timestamp>(),
+}).readonly();
+/** Says that the holder of a claim has sent nothing and never will. */
+export const ReleaseSchema = z.object({
+  type: z.literal("release"),
+  ...subject,
+  claim: idSchema<RecordId>(),
+}).readonly();
+/** How the call ended; `claim` is absent for an issued key, which only its home runs. */
+export const OutcomeSchema = z.object({
+  type: z.literal("outcome"),
+  ...subject,
+  digest: idSchema<Digest>(),
+  holder: idSchema<DaemonId>(),
+  claim: idSchema<RecordId>().optional(),
+  status: z.number().int(),
+  /** Absent when the answer is too large to be recorded. */
+  answer: z.object({ contentType: z.string(), body: z.string() }).optional(),
+}).readonly();
+/** Any record of the claims stream. */
+export const ClaimRecordSchema = z.discriminatedUnion("type", [
+  ClaimSchema,
+  ReleaseSchema,
+  OutcomeSchema,
+]);
+/** Any record of the claims stream. */
+export type ClaimRecord = z.infer<typeof ClaimRecordSchema>;
+/** How a call ended. */
+export type RecordedOutcome = z.infer<typeof OutcomeSchema>;
+
+/** What is known about a key. */
+export type Claimed = Readonly<{
+  claim: RecordId | undefined;
+  digest: Digest;
+  holder: DaemonId;
+  deadlineAt: Timestamp;
+  /** When the log took the claim. */
+  at: Timestamp;
+  released: boolean;
+  outcome?: Readonly<{ status: number; answer?: RecordedOutcome["answer"] }>;
+}>;
+
+/** Bounds of the fold's memory. */
+export type ClaimFoldOptions = Readonly<
+  { maxClaims: number; maxAnswerChars: number }
+>;
+
+/** The claims stream: who holds each key, and how its call ended. */
+export class ClaimFold {
+  readonly #options: ClaimFoldOptions;
+  readonly #claims = new Map<string, Claimed>();
+  /** Keys with an answer, oldest first. */
+  readonly #answers = new Map<string, number>();
+  #answerChars = 0;
+  #knownSince = 0 as Timestamp;
+
+  private constructor(options: ClaimFoldOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ClaimFoldOptions): ClaimFold {
+    return new ClaimFold(options);
+  }
+
+  /** Claims that the log took at this time or before may have been forgotten. */
+  get knownSince(): Timestamp {
+    return this.#knownSince;
+  }
+
+  get size(): number {
+    return this.#claims.size;
+  }
+
+  /** Forgets everything, to be built anew. */
+  restart(): void {
+    this.#claims.clear();
+    this.#answers.clear();
+    this.#answerChars = 0;
+  }
+
+  /** Returns what is known about a key, a released claim included. */
+  lookup(team: TeamId, key: IdempotencyKey): Claimed | undefined {
+    return this.#claims.get(name(team, key));
+  }
+
+  /** Returns whoever holds a key now. */
+  holder(team: TeamId, key: IdempotencyKey): Claimed | undefined {
+    const claimed = this.lookup(team, key);
+    return claimed?.released === true ? undefined : claimed;
+  }
+
+  /** Folds one record; returns it where it is one of this stream. */
+  take(entry: Entry): ClaimRecord | undefined {
+    const parsed = ClaimRecordSchema.safeParse(entry.value);
+    if (!parsed.success) return undefined;
+    const record = parsed.data;
+    if (record.type === "claim") this.#claim(record, entry.at);
+    if (record.type === "release") this.#release(record);
+    if (record.type === "outcome") this.#end(record, entry.at);
+    return record;
+  }
+
+  /** Forgets claims that the log took before a time; the log's order is nearly that of time. */
+  forgetBefore(time: Timestamp): number {
+    let count = 0;
+    for (const [key, claimed] of this.#claims) {
+      const full = this.#claims.size > this.#options.maxClaims;
+      if (claimed.at >= time && !full) break;
+      this.#forget(key, claimed);
+      count += 1;
+    }
+    return count;
+  }
+
+  #claim(record: z.infer<typeof ClaimSchema>, at: Timestamp): void {
+    const key = name(record.team, record.key);
+    const held = this.#claims.get(key);
+    if (held !== undefined && (!held.released || held.claim === record.id)) {
+      return;
+    }
+    this.#claims.delete(key);
+    const { id: claim, digest, holder, deadlineAt } = record;
+    this.#claims.set(key, {
+      claim,
+      digest,
+      holder,
+      deadlineAt,
+      at,
+      released: false,
+    });
+  }
+
+  #release(record: z.infer<typeof ReleaseSchema>): void {
+    const key = name(record.team, record.key);
+    const held = this.#claims.get(key);
+    if (held?.claim !== record.claim || held.outcome !== undefined) return;
+    this.#claims.set(key, { ...held, released: true });
+  }
+
+  #end(record: RecordedOutcome, at: Timestamp): void {
+    const key = name(record.team, record.key);
+    const held = this.#claims.get(key) ?? homeClaim(record, at);
+    if (held === undefined || held.outcome !== undefined) return;
+    if (held.claim !== record.claim || held.holder !== record.holder) return;
+    const { status, answer } = record;
+    this.#claims.set(key, { ...held, outcome: { status, answer } });
+    if (answer !== undefined) this.#keepAnswer(key, answer.body.length);
+  }
+
+  #keepAnswer(key: string, chars: number): void {
+    this.#answers.set(key, chars);
+    this.#answerChars += chars;
+    for (const oldest of this.#answers.keys()) {
+      if (this.#answerChars <= this.#options.maxAnswerChars) return;
+      this.#dropAnswer(oldest);
+      const claimed = this.#claims.get(oldest);
+      if (claimed?.outcome === undefined) continue;
+      const { status } = claimed.outcome;
+      this.#claims.set(oldest, { ...claimed, outcome: { status } });
+    }
+  }
+
+  #forget(key: string, claimed: Claimed): void {
+    this.#claims.delete(key);
+    this.#dropAnswer(key);
+    this.#knownSince = Math.max(this.#knownSince, claimed.at) as Timestamp;
+  }
+
+  #dropAnswer(key: string): void {
+    this.#answerChars -= this.#answers.get(key) ?? 0;
+    this.#answers.delete(key);
+  }
+}
+
+/** An issued key needs no claim, because nobody but its home ever runs it. */
+function homeClaim(
+  record: RecordedOutcome,
+  at: Timestamp,
+): Claimed | undefined {
+  if (parseIssuedKey(record.key)?.home !== record.holder) return undefined;
+  const { digest, holder } = record;
+  const deadlineAt = 0 as Timestamp;
+  return { claim: undefined, digest, holder, deadlineAt, at, released: false };
+}
+
+function name(team: TeamId, key: IdempotencyKey): string {
+  return `${team.length}:${team}${key}`;
+}
--- /dev/null
+++ b/src/fold/issued_key.ts
@@ -0,0 +1,59 @@
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { Buffer } from "node:buffer";
+import type { DaemonId, TeamId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+
+const SCHEME = "pk1";
+const SIGNATURE_LENGTH = 22;
+const TIME_RADIX = 36;
+const KEY =
+  /^(pk1)\.([A-Za-z0-9_-]{1,64})\.([0-9a-z]{1,9})\.([A-Za-z0-9_-]{22})\.([A-Za-z0-9_-]{1,40})$/;
+
+/** Who issued a key, when, and for whom. */
+export type KeyIssue = Readonly<{
+  /** The one incarnation that may run the key's call. */
+  home: DaemonId;
+  at: Timestamp;
+  team: TeamId;
+}>;
+
+/** An issued key as the client sent it; its signature is not checked yet. */
+export type IssuedKey = Readonly<{
+  home: DaemonId;
+  at: Timestamp;
+  signature: string;
+}>;
+
+/** Returns a prefix; the client adds a dot and 1 to 40 letters, digits, `_` or `-` of its own for each call. */
+export function issueKeyPrefix(issue: KeyIssue, secret: string): string {
+  const at = issue.at.toString(TIME_RADIX);
+  return [SCHEME, issue.home, at, sign(issue, secret)].join(".");
+}
+
+/** Reads an issued key, or returns nothing when it is not one. */
+export function parseIssuedKey(key: string): IssuedKey | undefined {
+  const match = KEY.exec(key);
+  if (match === null) return undefined;
+  return {
+    home: match[2] as DaemonId,
+    at: parseInt(match[3]!, TIME_RADIX) as Timestamp,
+    signature: match[4]!,
+  };
+}
+
+/** Whether a key was issued with this secret for this team. */
+export function isIssuedTo(
+  key: IssuedKey,
+  team: TeamId,
+  secret: string,
+): boolean {
+  const expected = sign({ home: key.home, at: key.at, team }, secret);
+  return timingSafeEqual(Buffer.from(expected), Buffer.from(key.signature));
+}
+
+function sign(issue: KeyIssue, secret: string): string {
+  return createHmac("sha256", secret)
+    .update(JSON.stringify([SCHEME, issue.home, issue.at, issue.team]))
+    .digest("base64url")
+    .slice(0, SIGNATURE_LENGTH);
+}
--- a/src/fold/log_tail.ts
+++ b/src/fold/log_tail.ts
@@ -30,6 +30,7 @@
   #readingSince: Timestamp | undefined;
   #retryAt: Timestamp | undefined;
   #failures = 0;
+  #failingSince: Timestamp | undefined;
 
   private constructor(stream: StreamName, reader: LogReader) {
     this.#stream = stream;
@@ -44,9 +45,9 @@
     return this.#reader;
   }
 
-  /** Whether the last read failed. */
-  get unreachable(): boolean {
-    return this.#failures > 0;
+  /** When the first of the reads failed that have failed without a good one between. */
+  get failingSince(): Timestamp | undefined {
+    return this.#failingSince;
   }
 
   /** Takes the step's events and asks for the next read when one is due. */
@@ -100,12 +101,14 @@
 
   #answered(): void {
     this.#failures = 0;
+    this.#failingSince = undefined;
     this.#readingSince = undefined;
     this.#retryAt = undefined;
   }
 
   #fail(ctx: StepContext): void {
     this.#failures += 1;
+    this.#failingSince ??= ctx.now;
     ctx.counters.add("log_read_failures");
     const most = Math.min(
       MAX_BACKOFF_MS,
--- /dev/null
+++ b/src/testing/fake_log.ts
@@ -0,0 +1,194 @@
+import type { Event } from "../core/event.ts";
+import type { Offset, RecordId, StreamName } from "../core/id.ts";
+import type { AppendRecord } from "../core/intent.ts";
+import type { Random } from "../core/random.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import type { LogRecord } from "../wire/log.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+const POLL_MS: Millis = 4 * SECOND_MS;
+const GIVE_UP_MS: Millis = 3 * SECOND_MS;
+const READ_LIMIT = 100;
+
+/** How the log behaves at the moment. */
+export type LogMode =
+  | "up"
+  /** Connections are refused: nothing takes effect. */
+  | "down"
+  /** Appends take effect, but their answers are lost. */
+  | "deaf"
+  /** Nothing takes effect and no answer comes. */
+  | "silent"
+  /** Answers and effects take seconds. */
+  | "slow";
+
+/** Where a fake hands in what it has to tell. */
+export type Deliver = (event: Event) => void;
+
+type Waiter = { done: boolean; wake: () => void };
+type Stream = { first: number; records: LogRecord[]; waiters: Waiter[] };
+
+/** The platform's log: one order for a stream, limited retention, and answers that get lost. */
+export class FakeLog {
+  mode: LogMode = "up";
+  /** Every record ever taken, with what has expired. */
+  readonly history = new Map<StreamName, LogRecord[]>();
+  readonly #streams = new Map<StreamName, Stream>();
+  readonly #time: VirtualTime;
+  readonly #random: Random;
+  readonly #retentionMs: Millis;
+
+  private constructor(
+    time: VirtualTime,
+    random: Random,
+    retentionMs: Millis,
+  ) {
+    this.#time = time;
+    this.#random = random;
+    this.#retentionMs = retentionMs;
+  }
+
+  static create(
+    time: VirtualTime,
+    random: Random,
+    options: { retentionMs: Millis },
+  ): FakeLog {
+    return new FakeLog(time, random, options.retentionMs);
+  }
+
+  /** Appends at once, as an operator's tool would. */
+  put(name: StreamName, values: readonly string[]): Offset {
+    const stream = this.#stream(name);
+    const history = this.history.get(name) ?? [];
+    this.history.set(name, history);
+    const first = stream.first + stream.records.length;
+    values.forEach((value, index) => {
+      const offset = (first + index) as Offset;
+      const record = { offset, at: this.#time.now, value };
+      stream.records.push(record);
+      history.push(record);
+    });
+    const waiters = stream.waiters.splice(0);
+    for (const waiter of waiters) waiter.wake();
+    return first as Offset;
+  }
+
+  /** Drops all records but the newest `keep`. */
+  expire(name: StreamName, keep: number): void {
+    const stream = this.#stream(name);
+    const drop = Math.max(0, stream.records.length - keep);
+    stream.records.splice(0, drop);
+    stream.first += drop;
+  }
+
+  /** Carries an append to the log and, perhaps, its answer back. */
+  append(
+    name: StreamName,
+    records: readonly AppendRecord[],
+    deliver: Deliver,
+  ): void {
+    const { mode } = this;
+    const ids = records.map((record) => record.id);
+    const values = records.map((record) => record.body);
+    if (mode === "silent") {
+      return this.#end(name, ids, { result: "unknown", deliver }, GIVE_UP_MS);
+    }
+    this.#time.after(this.#delay(mode), () => {
+      if (mode === "down" || this.mode === "down") {
+        return this.#end(name, ids, { result: "refused", deliver }, 1);
+      }
+      this.put(name, values);
+      if (mode === "deaf") {
+        return this.#end(name, ids, { result: "unknown", deliver }, GIVE_UP_MS);
+      }
+      this.#end(name, ids, { result: "appended", deliver }, this.#delay(mode));
+    });
+  }
+
+  /** Reads with a long poll. */
+  read(name: StreamName, from: Offset, deliver: Deliver): void {
+    const { mode } = this;
+    const fail = (ms: Millis) =>
+      this.#time.after(
+        ms,
+        () => deliver({ type: "log_unreachable", stream: name }),
+      );
+    if (mode === "down") return fail(1);
+    if (mode === "silent") return fail(POLL_MS + GIVE_UP_MS);
+    this.#time.after(this.#delay(mode), () => this.#poll(name, from, deliver));
+  }
+
+  #poll(name: StreamName, from: Offset, deliver: Deliver): void {
+    const stream = this.#stream(name);
+    this.#dropOld(stream);
+    const end = stream.first + stream.records.length;
+    if (from < stream.first || from < end) {
+      return this.#answer(name, from, deliver);
+    }
+    const waiter: Waiter = { done: false, wake: () => {} };
+    waiter.wake = () => {
+      if (waiter.done) return;
+      waiter.done = true;
+      this.#time.after(
+        this.#delay("up"),
+        () => this.#answer(name, from, deliver),
+      );
+    };
+    stream.waiters.push(waiter);
+    this.#time.after(POLL_MS, waiter.wake);
+  }
+
+  #answer(name: StreamName, from: Offset, deliver: Deliver): void {
+    const stream = this.#stream(name);
+    if (this.mode === "down" || this.mode === "silent") {
+      return deliver({ type: "log_unreachable", stream: name });
+    }
+    if (from < stream.first) {
+      const firstOffset = stream.first as Offset;
+      return deliver({ type: "log_gap", stream: name, firstOffset });
+    }
+    const start = from - stream.first;
+    const records = stream.records.slice(start, start + READ_LIMIT);
+    deliver({
+      type: "log_read",
+      stream: name,
+      records,
+      nextOffset: (from + records.length) as Offset,
+      endOffset: (stream.first + stream.records.length) as Offset,
+    });
+  }
+
+  #end(
+    stream: StreamName,
+    records: readonly RecordId[],
+    end: { result: "appended" | "refused" | "unknown"; deliver: Deliver },
+    delayMs: Millis,
+  ): void {
+    const { result, deliver } = end;
+    this.#time.after(
+      delayMs,
+      () => deliver({ type: "append_ended", stream, records, result }),
+    );
+  }
+
+  #delay(mode: LogMode): Millis {
+    const most = mode === "slow" ? 4_000 : 20;
+    return 1 + this.#random.below(most);
+  }
+
+  #dropOld(stream: Stream): void {
+    const oldest = (this.#time.now - this.#retentionMs) as Timestamp;
+    while (stream.records[0] !== undefined && stream.records[0].at < oldest) {
+      stream.records.shift();
+      stream.first += 1;
+    }
+  }
+
+  #stream(name: StreamName): Stream {
+    const known = this.#streams.get(name);
+    if (known !== undefined) return known;
+    const stream: Stream = { first: 0, records: [], waiters: [] };
+    this.#streams.set(name, stream);
+    return stream;
+  }
+}
--- /dev/null
+++ b/src/testing/fake_service.ts
@@ -0,0 +1,82 @@
+import type { Intent } from "../core/intent.ts";
+import type { RequestId } from "../core/id.ts";
+import type { Random } from "../core/random.ts";
+import type { CallRequest, Outcome } from "../core/request.ts";
+import { type Millis, SECOND_MS } from "../core/time.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
+
+const SILENCE_MS: Millis = 2 * SECOND_MS;
+
+/** A plain service that counts what ran; some calls are refused, some answers lost. */
+export class FakeService {
+  /** Runs by team and key. */
+  readonly runsByKey = new Map<string, number>();
+  /** Runs by request. */
+  readonly runsByRequest = new Map<RequestId, number>();
+  readonly #time: VirtualTime;
+  readonly #random: Random;
+
+  private constructor(time: VirtualTime, random: Random) {
+    this.#time = time;
+    this.#random = random;
+  }
+
+  static create(time: VirtualTime, random: Random): FakeService {
+    return new FakeService(time, random);
+  }
+
+  /** Sends one call, as the daemon's adapter would: not after its deadline. */
+  call(daemon: FakeDaemon, start: StartAttempt, req: CallRequest): void {
+    const tell = (outcome: Outcome) =>
+      daemon.deliver({
+        type: "attempt_ended",
+        req: req.id,
+        attempt: start.attempt,
+        outcome,
+      });
+    if (this.#time.now >= start.deadlineAt) return tell(failed("not_run"));
+    const fate = this.#random.below(10);
+    if (fate === 0) return tell(failed("not_run"));
+    this.#time.after(1 + this.#random.below(300), () => {
+      const name = `${req.team}/${req.key}`;
+      add(this.runsByKey, name);
+      add(this.runsByRequest, req.id);
+      if (fate === 1) {
+        return this.#time.after(
+          SILENCE_MS,
+          () => tell(failed("may_have_run")),
+        );
+      }
+      const body = callBody(req);
+      tell({
+        type: "ok",
+        tokens: 0,
+        status: 200,
+        answer: { contentType: "text/plain", body },
+      });
+    });
+  }
+}
+
+/** The service's answer to a call. */
+export function callBody(req: CallRequest): string {
+  return `${req.team} ${req.key} ${req.digest}`;
+}
+
+function add<Key>(counts: Map<Key, number>, key: Key): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+function failed(verdict: "not_run" | "may_have_run"): Outcome {
+  return {
+    type: "failed",
+    cause: verdict === "not_run" ? "connect_failed" : "upstream_silent",
+    verdict,
+    tokens: 0,
+    crashed: false,
+    detail: "",
+  };
+}
