--- a/src/controllers/claim_controller.ts
+++ b/src/controllers/claim_controller.ts
@@ -75,12 +75,13 @@
     this.#keySecret = keySecret;
   }
 
-  /** `keySecret` signs the keys that daemons issue; all daemons share it. */
+  /** `keySecret` signs the keys that this daemon issues; it is never shared. */
   static create(options: { keySecret: string }): ClaimController {
     return new ClaimController(options.keySecret);
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
+    board.claims.keySecret = this.#keySecret;
     this.#outbox.take(ctx);
     for (const event of ctx.events) this.#note(ctx, event);
     this.#readLog(board, ctx);
--- a/src/controllers/claim_judgement.ts
+++ b/src/controllers/claim_judgement.ts
@@ -67,9 +67,6 @@
   });
   if (err !== undefined) return refusal(err);
   if (key.type === "client") return judgeClientKey(req, key, known);
-  if (!isIssuedTo(key.issued, req.team, known.keySecret)) {
-    return refusal(notIssued(key, known));
-  }
   return key.issued.home === known.board.self.id
     ? judgeOwnKey(req, key, known)
     : judgeForeignKey(req, key, known);
@@ -100,9 +97,14 @@
 
 function judgeOwnKey(
   req: CallRequest,
-  key: ParsedKey,
+  key: Extract<ParsedKey, { type: "issued" }>,
   known: ClaimKnowledge,
 ): Judgement {
+  if (!isIssuedTo(key.issued, req.team, known.keySecret)) {
+    return refusal(
+      problem("key_malformed", "The key was not issued to this team."),
+    );
+  }
   const call = known.issued.lookup(req.team, key.key);
   if (call === undefined) {
     if (key.issuedAt > known.issued.knownSince) return { type: "begin", key };
@@ -122,7 +124,7 @@
   };
 }
 
-/** Without its home a key can never run again; only a recorded outcome says more. */
+/** The home checks the signature; without it the key can never run again, and only a recorded outcome says more. */
 function judgeForeignKey(
   req: CallRequest,
   key: Extract<ParsedKey, { type: "issued" }>,
@@ -151,17 +153,6 @@
   );
 }
 
-/** A key that another daemon may know by another secret has perhaps run there. */
-function notIssued(
-  key: Extract<ParsedKey, { type: "issued" }>,
-  known: ClaimKnowledge,
-): Problem {
-  const own = key.issued.home === known.board.self.id;
-  return problem("key_malformed", "The key was not issued to this team.", {
-    verdict: own ? "not_run" : "may_have_run",
-  });
-}
-
 function refusal(err: Problem): Judgement {
   return { type: "answer", result: refused(err) };
 }
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -5,24 +5,25 @@
 import type { Random } from "../core/random.ts";
 import { ClaimController } from "./claim_controller.ts";
 import { ConfigController } from "./config_controller.ts";
+import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
-/** What differs from one daemon to another. */
+/** What a core is given beside its settings. */
 export type CoreOptions = Readonly<{
   /** Replaces the usual placement, for measurements against another policy. */
   placement?: Controller;
-  /** Signs the keys that daemons issue, the same on all daemons; without it a daemon makes one up for itself. */
-  keySecret?: string;
+  /** Draws at least 32 unpredictable characters. */
+  createSecret: () => string;
 }>;
 
 /** Builds the decisions of one daemon; state that others read comes before its readers. */
 export function createCore(
   self: Self,
   random: Random,
-  options: CoreOptions = {},
+  options: CoreOptions,
 ): Core {
   return Core.create({
     board: createBlackboard(self),
@@ -30,11 +31,10 @@
     controllers: [
       MembershipController.create(),
       ConfigController.create(),
+      KeyController.create(options.createSecret),
       UpstreamController.create(),
       options.placement ?? PlacementController.create(),
-      ClaimController.create({
-        keySecret: options.keySecret ?? random.uuid(self.startedAt),
-      }),
+      ClaimController.create({ keySecret: options.createSecret() }),
       RequestController.create(),
     ],
   });
--- a/src/controllers/fleet_invariants_test.ts
+++ b/src/controllers/fleet_invariants_test.ts
@@ -150,7 +150,7 @@
     const home = this.fleet.daemons[index % 2 === 1 ? index >> 1 & 1 : 0]!;
     const issue = { home: home.core.board.self.id, at, team: "a" as TeamId };
     const key = index % 2 === 1
-      ? `${issueKeyPrefix(issue, this.fleet.secret)}.${index}`
+      ? `${issueKeyPrefix(issue, home.core.board.claims.keySecret)}.${index}`
       : this.#random.uuid(at);
     this.#keys.set(index, key as IdempotencyKey);
     return key as IdempotencyKey;
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -63,10 +63,6 @@
     return new FakeFleet(options);
   }
 
-  get secret(): string {
-    return KEY_SECRET;
-  }
-
   /** Starts a new daemon on a VM. */
   start(vm: number): void {
     this.#started += 1;
@@ -79,7 +75,7 @@
       startedAt: this.time.now,
     };
     const core = createCore(self, Random.create(this.#started), {
-      keySecret: KEY_SECRET,
+      createSecret: () => KEY_SECRET,
     });
     const daemon = FakeDaemon.create(core, this.time, {
       execute: (from, intent) => this.#execute(from, intent),
