--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -3,6 +3,7 @@
 import type { Controller } from "../core/controller.ts";
 import { Core } from "../core/core.ts";
 import type { Random } from "../core/random.ts";
+import { ClaimController } from "./claim_controller.ts";
 import { ConfigController } from "./config_controller.ts";
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
@@ -37,6 +38,7 @@
       QuarantineController.create(),
       options.placement ?? PlacementController.create(),
       PlanController.create(),
+      ClaimController.create({ keySecret: options.createSecret() }),
       RequestController.create(),
     ],
   });
