Let the measured daemons reserve a plan's memory by themselves

The tool reserved in its own stead, with a time limit as long as the deadline. Now its engines answer the core's intents, and a decoding engine renews its plan's memory as the contract says.

--- a/tools/measure/attempt.ts
+++ b/tools/measure/attempt.ts
@@ -12,6 +12,9 @@
 /** Time of one message between two machines. */
 export const NETWORK_MS = 1;
 
+/** Time between two checks by which a decoding engine renews its plan. */
+const PEER_CHECK_MS = 1_000;
+
 export type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
 
 /** What one attempt tells its daemon; already delayed by the network. */
@@ -28,6 +31,7 @@
   readonly #engines: ReadonlyMap<UpstreamId, EngineHost>;
   readonly #events: AttemptEvents;
   #over = false;
+  #kept = false;
   #running: EngineHost | undefined;
 
   private constructor(
@@ -68,8 +72,7 @@
       if (this.#intent.mode === "resume") return this.#resume();
       const { plan } = this.#intent.placement;
       if (plan === undefined) return this.#submit(this.#whole());
-      if (this.#reserveAll()) return this.#submitPart(0);
-      this.#refuse("The engines have no room for the plan.");
+      this.#submitPart(0);
     });
   }
 
@@ -148,6 +151,7 @@
   #listener(host: EngineHost, index: number): AttemptListener {
     return {
       token: (at) => {
+        this.#keepPlan(host);
         if (!this.#over) this.#events.token(at);
       },
       done: (_at, event) => {
@@ -172,21 +176,23 @@
     };
   }
 
-  #segments(): readonly Segment[] {
-    return this.#intent.placement.plan?.segments ?? [];
+  /** The decoding engine renews its plan's memory, whether or not its daemon lives. */
+  #keepPlan(host: EngineHost): void {
+    const { plan } = this.#intent.placement;
+    if (plan === undefined || this.#kept) return;
+    this.#kept = true;
+    const renew = () => {
+      if (!host.has(this.attempt)) return;
+      for (const { upstream } of plan.segments) {
+        this.#engines.get(upstream)?.renew(plan.id);
+      }
+      this.#clock.after(PEER_CHECK_MS, renew);
+    };
+    renew();
   }
 
-  #reserveAll(): boolean {
-    const { plan } = this.#intent.placement;
-    const segments = this.#segments();
-    const ttlMs = this.#intent.deadlineAt - this.#clock.now + 1_000;
-    return segments.every((part, index) => {
-      const last = index === segments.length - 1;
-      const answer = last ? this.#record.arrival.maxTokens : 0;
-      const host = this.#engines.get(part.upstream);
-      return host?.up === true &&
-        host.reserve(plan!.id, part.to - part.from + answer, ttlMs);
-    });
+  #segments(): readonly Segment[] {
+    return this.#intent.placement.plan?.segments ?? [];
   }
 
   #refuse(detail: string): void {
@@ -212,10 +218,5 @@
 
   #release(): void {
     this.#running?.cancel(this.attempt);
-    const { plan } = this.#intent.placement;
-    if (plan === undefined) return;
-    for (const part of plan.segments) {
-      this.#engines.get(part.upstream)?.release(plan.id);
-    }
   }
 }
--- a/tools/measure/engine_host.ts
+++ b/tools/measure/engine_host.ts
@@ -116,6 +116,18 @@
     return held.isOk();
   }
 
+  /** Whether an attempt waits or runs here. */
+  has(attempt: AttemptId): boolean {
+    return this.#model.has(attempt);
+  }
+
+  /** Renews a plan's time limit as it is. */
+  renew(plan: PlanId): void {
+    this.#settle();
+    this.#model.renew(this.#clock.now, plan);
+    this.#arm();
+  }
+
   release(plan: PlanId): void {
     this.#settle();
     this.#model.release(this.#clock.now, plan);
--- a/tools/measure/fleet.ts
+++ b/tools/measure/fleet.ts
@@ -20,6 +20,7 @@
   teamId,
 } from "./fleet_config.ts";
 import { NaivePlacementController } from "./naive_placement_controller.ts";
+import { changeMemory, type MemoryIntent } from "./plan_memory.ts";
 import type { PromptRecord } from "./prompt_record.ts";
 import type { Scenario } from "./scenario.ts";
 import type { Arrival } from "./workload.ts";
@@ -299,9 +300,22 @@
       }
       case "send_peer":
         return this.#deliver(daemon, intent.address, intent.envelope);
+      case "reserve_memory":
+      case "release_memory":
+        return this.#changeMemory(daemon, intent);
     }
   }
 
+  #changeMemory(daemon: DaemonHost, intent: MemoryIntent): void {
+    const { upstream, plan } = intent;
+    this.clock.after(NETWORK_MS, () => {
+      const result = changeMemory(this.engines.get(upstream), intent);
+      this.clock.after(NETWORK_MS, () => {
+        daemon.step([{ type: "reservation_ended", upstream, plan, result }]);
+      });
+    });
+  }
+
   #deliver(from: DaemonHost, address: string, envelope: Envelope): void {
     this.clock.after(NETWORK_MS, () => {
       const to = this.daemons.find((one) => one.address === address);
