Run a plan's segments over several engines

PlanRun prefills segment by segment and opens the answer at the last engine. A crash counts against the engine that ran the segment, not the one that decodes.

--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -99,8 +99,11 @@
   ): void {
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
-    const crashed = event.outcome.type === "failed" && event.outcome.crashed;
-    const upstream = entry.attempt.placement.upstream;
+    const { outcome } = event;
+    const crashed = outcome.type === "failed" && outcome.crashed;
+    const upstream = crashed && outcome.upstream !== undefined
+      ? outcome.upstream
+      : entry.attempt.placement.upstream;
     if (crashed) this.#scheduler.engineCrashed(upstream);
     const suspect = crashed
       ? {
--- a/src/controllers/plan_controller_test.ts
+++ b/src/controllers/plan_controller_test.ts
@@ -23,7 +23,9 @@
   PLAN_TTL_MS,
   PlanController,
 } from "./plan_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
 import { RequestController } from "./request_controller.ts";
+import { UpstreamController } from "./upstream_controller.ts";
 
 const ENGINES = ["e1", "e2", "e3"] as UpstreamId[];
 const CAPACITY = 1_000;
@@ -162,6 +164,40 @@
   expect(asked(core.after(PLAN_RENEW_MS))).toEqual([]);
 });
 
+test("a crash in a segment counts against the engine that ran it", () => {
+  const placement = new FixedPlacement();
+  const core = CoreFixture.create([
+    UpstreamController.create(),
+    QuarantineController.create(),
+    placement,
+    PlanController.create(),
+    RequestController.create(),
+  ]);
+  core.add(...ENGINES.map((id) => engineFixture(id)));
+  arrive({ core, placement }, "r1", cut([0, 1], 400));
+  core.step(answer("e1", "r1-1", "held"));
+  const [start] = intentsOf(
+    core.step(answer("e2", "r1-1", "held")),
+    "start_attempt",
+  );
+  const { req, attempt } = start!;
+  const outcome: Outcome = {
+    type: "failed",
+    cause: "plan_broken",
+    verdict: "may_have_run",
+    tokens: 0,
+    crashed: true,
+    detail: "",
+    upstream: ENGINES[0]!,
+  };
+  core.step({ type: "attempt_ended", req, attempt, outcome });
+  expect(core.board.requests.byId.get(req)?.excluded).toEqual(["e1"]);
+  expect(core.board.upstreams.byId.get(ENGINES[0]!)?.state).toBe("unreachable");
+  expect(core.board.upstreams.byId.get(ENGINES[1]!)?.state).toBe("live");
+  const [suspect] = [...core.board.quarantine.suspects.values()];
+  expect(suspect?.upstreams).toEqual(["e1"]);
+});
+
 /** An engine's memory, kept in the plainest way. */
 class EngineMemory {
   #held = new Map<string, { tokens: number; expiresAt: number }>();
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -61,7 +61,7 @@
       return this.#clear(board, entry.req.digest);
     }
     if (!event.outcome.crashed) return;
-    const { upstream } = entry.attempt.placement;
+    const upstream = event.outcome.upstream ?? entry.attempt.placement.upstream;
     this.#suspect(board, ctx, {
       digest: entry.req.digest,
       upstream,
--- a/src/controllers/upstream_controller.ts
+++ b/src/controllers/upstream_controller.ts
@@ -120,12 +120,11 @@
     const attempt = board.requests.byId.get(event.req)?.attempt;
     if (attempt === undefined || attempt.id !== event.attempt) return;
     const { cause, crashed } = event.outcome;
+    const upstream = event.outcome.upstream ?? attempt.placement.upstream;
     if (cause === "connect_failed" || crashed) {
-      this.#setState(board, attempt.placement.upstream, "unreachable");
-    }
-    if (cause === "upstream_leaving") {
-      this.#leave(board, attempt.placement.upstream);
+      this.#setState(board, upstream, "unreachable");
     }
+    if (cause === "upstream_leaving") this.#leave(board, upstream);
   }
 
   #takeNews(board: Blackboard): void {
--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -2,6 +2,7 @@
 import type { AttemptId, RequestId, UpstreamId } from "../core/id.ts";
 import type { Blackboard } from "../board/blackboard.ts";
 import { LimitsSchema } from "../config/limits.ts";
+import type { PlanEngine } from "../engine/plan_run.ts";
 import { MINUTE_MS } from "../core/time.ts";
 import { runCall } from "./call_run.ts";
 import type {
@@ -86,6 +87,7 @@
       intent,
       exchange,
       engine: clients.engine(address),
+      engineAt: (id) => this.#engineAt(id),
       counters: board.counters,
       now: () => loop().now(),
       silenceMs: this.#limits().upstreamSilenceMs,
@@ -98,6 +100,12 @@
     });
   }
 
+  #engineAt(id: UpstreamId): PlanEngine | undefined {
+    const address = this.#parts.board.upstreams.byId.get(id)?.address;
+    if (address === undefined) return undefined;
+    return { client: this.#parts.clients.engine(address), address };
+  }
+
   #startCall(
     intent: StartAttempt,
     exchange: CallExchange,
--- a/src/daemon/prompt_run.ts
+++ b/src/daemon/prompt_run.ts
@@ -1,8 +1,10 @@
+import type { Result } from "neverthrow";
 import type { Event } from "../core/event.ts";
 import type { Intent } from "../core/intent.ts";
 import type { Counters } from "../core/counters.ts";
+import type { UpstreamId } from "../core/id.ts";
 import type { Retry } from "../core/reason.ts";
-import type { Outcome } from "../core/request.ts";
+import type { Outcome, Placement } from "../core/request.ts";
 import { StreamCheck } from "../core/stream_check.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type {
@@ -10,7 +12,12 @@
   EngineError,
   EngineStream,
 } from "../engine/engine_client.ts";
-import type { EngineEvent } from "../wire/engine.ts";
+import {
+  type PlanEngine,
+  type PlanFailure,
+  PlanRun,
+} from "../engine/plan_run.ts";
+import type { EngineEvent, GenerateHead } from "../wire/engine.ts";
 import { passedTokens, type PromptExchange } from "./exchange.ts";
 
 /** Tokens between two reports of progress to the core. */
@@ -23,6 +30,8 @@
   intent: StartAttempt;
   exchange: PromptExchange;
   engine: EngineClient;
+  /** The engines of a plan. */
+  engineAt: (upstream: UpstreamId) => PlanEngine | undefined;
   counters: Counters;
   now: () => Timestamp;
   silenceMs: Millis;
@@ -34,6 +43,7 @@
   readonly #parts: PromptRunParts;
   readonly #check: StreamCheck;
   #stream: EngineStream | undefined;
+  #plan: PlanRun | undefined;
   #stopped = false;
   #started = false;
 
@@ -55,9 +65,7 @@
   /** Resolves when the attempt is over; its end has been posted, unless it was stopped. */
   async run(): Promise<void> {
     const opened = await this.#open();
-    if (opened.isErr()) {
-      return this.#post(failure(opened.error, this.#check.tokens));
-    }
+    if (opened.isErr()) return this.#post(opened.error);
     this.#stream = opened.value;
     if (this.#stopped) return this.#stream.close();
     this.#post(await this.#relay(this.#stream));
@@ -66,18 +74,45 @@
   /** Drops the connection and says nothing more. */
   stop(): void {
     this.#stopped = true;
+    this.#plan?.stop();
     this.#stream?.close();
   }
 
-  #open() {
+  async #open(): Promise<Result<EngineStream, Outcome>> {
     const { intent, exchange, engine, silenceMs } = this.#parts;
+    const { tokens } = this.#check;
     if (intent.mode === "resume") {
-      return engine.resume(intent.attempt, this.#check.tokens, { silenceMs });
+      const resumed = await engine.resume(intent.attempt, tokens, {
+        silenceMs,
+      });
+      return resumed.mapErr((cause) => failure(cause, tokens));
+    }
+    if (intent.placement.plan !== undefined) {
+      const opened = await this.#openPlan(intent.placement.plan);
+      return opened.mapErr((cause) => planFailure(cause, tokens));
     }
-    return engine.generate(this.#head(), exchange.prompt ?? [], { silenceMs });
+    const prompt = exchange.prompt ?? [];
+    const started = await engine.generate(this.#head(), prompt, { silenceMs });
+    return started.mapErr((cause) => failure(cause, tokens));
   }
 
-  #head() {
+  #openPlan(
+    plan: NonNullable<Placement["plan"]>,
+  ): Promise<Result<EngineStream, PlanFailure>> {
+    const { exchange, engineAt, silenceMs } = this.#parts;
+    this.#plan = PlanRun.create({
+      plan: plan.id,
+      segments: plan.segments,
+      engineAt,
+      head: () => this.#head(),
+      prompt: exchange.prompt ?? [],
+      promptTokens: exchange.req.promptTokens,
+      silenceMs,
+    });
+    return this.#plan.open();
+  }
+
+  #head(): GenerateHead {
     const { intent, exchange, now } = this.#parts;
     const answered = intent.mode === "continue"
       ? { text: exchange.answered.join(""), count: this.#check.tokens }
@@ -117,7 +152,9 @@
       return undefined;
     }
     if (verdict.type === "broken") {
-      return broken(verdict.detail, this.#check.tokens);
+      const outcome = broken(verdict.detail, this.#check.tokens);
+      const isPlan = event.type === "error" && event.code === "plan_broken";
+      return isPlan ? { ...outcome, cause: "plan_broken" } : outcome;
     }
     if (event.type === "token") this.#pass(event.index, event.text);
     if (event.type === "done") return this.#finish(event);
@@ -189,7 +226,14 @@
     : "upstream_refused";
 }
 
-function broken(detail: string, tokens: number): Outcome {
+function planFailure(failed: PlanFailure, tokens: number): Outcome {
+  return { type: "failed", cause: "plan_broken", tokens, ...failed };
+}
+
+function broken(
+  detail: string,
+  tokens: number,
+): Extract<Outcome, { type: "failed" }> {
   return {
     type: "failed",
     cause: "answer_broken",
