--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -8,6 +8,8 @@
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { PlanController } from "./plan_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
 import { PlanController } from "./plan_controller.ts";
 import { RequestController } from "./request_controller.ts";
