Keep two engines for prompts with long shared prefixes

Hypothesis: prompts of 4k to 20k tokens miss the target because the blocks of short prompts push their prefixes out of the caches. Change: two engines without long work prefer prompts over 4,096 tokens, and these prefer them; others count 100 ms more.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -254,7 +254,8 @@
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
     const target = this.#shortTarget(now);
     if (this.#longRunning() + target >= engines.length) return undefined;
-    const open = engines.slice(Math.min(this.#policy.shortEngines, target));
+    const kept = this.#prefixEngines();
+    const open = engines.filter((engine) => !kept.has(engine));
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
     return grant(this.#startLong(ask, place, now));
@@ -351,6 +352,11 @@
     return Math.max(shortEngines, Math.ceil(demanded));
   }
 
+  #prefixEngines(): ReadonlySet<EngineView> {
+    const live = [...this.#engines.values()].filter((one) => one.live);
+    return new Set(live.slice(0, this.#policy.shortEngines));
+  }
+
   #longRunning(): number {
     let count = 0;
     for (const job of this.#jobs.values()) {
@@ -379,6 +385,7 @@
       policy: this.#policy,
       cost: this.#cost,
       prefixes: this.#prefixes,
+      prefixEngines: this.#prefixEngines(),
     };
   }
 }
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -4,6 +4,10 @@
 export type Policy = Readonly<{
   /** Prompts with more uncached tokens than this are long. */
   longPromptTokens: number;
+  /** Prompts with more tokens than this often share long prefixes and go where those are cached. */
+  mediumPromptTokens: number;
+  /** Time by which an engine of the other kind counts as slower: with or without such prefixes. */
+  apartMs: Millis;
   /** Engines that are kept free of long prompts at the least. */
   shortEngines: number;
   /** Part of an engine's time that short prompts may take before another engine is kept for them. */
@@ -12,7 +16,7 @@
   shortMemoryTokens: number;
   /** First-token time below which a faster place is worth nothing. */
   firstTokenKneeMs: Millis;
-  /** Time by which a place beside a running long prefill counts as slower. */
+  /** Time by which a place beside a long prefill counts as slower where that has doubled each step. */
   spillMs: Millis;
   /** Weight of prefill time against waiting time when an engine is chosen. */
   prefillWeight: number;
@@ -33,11 +37,13 @@
 /** The defaults; docs/MEASUREMENTS.md shows the runs behind them. */
 export const DEFAULT_POLICY: Policy = {
   longPromptTokens: 24_000,
+  mediumPromptTokens: 4_096,
+  apartMs: 100,
   shortEngines: 2,
   shortUtilization: 0.5,
   shortMemoryTokens: 50_000,
   firstTokenKneeMs: 200,
-  spillMs: 120,
+  spillMs: 300,
   prefillWeight: 0.5,
   engineRequests: 56,
   queuedPrompts: 512,
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -3,6 +3,7 @@
 import type { Ask } from "./ask.ts";
 import type { CostModel } from "./cost_model.ts";
 import type { EngineView } from "./engine_view.ts";
+import { currentPart } from "./job.ts";
 import type { Policy } from "./policy.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 
@@ -13,6 +14,8 @@
   cost: CostModel;
   prefixes: PrefixIndex;
   engines: readonly EngineView[];
+  /** Engines that are kept for prompts with long shared prefixes, whose cache others would push out. */
+  prefixEngines: ReadonlySet<EngineView>;
 }>;
 
 /** An engine for a short prompt, and what is predicted there. */
@@ -75,10 +78,24 @@
   const cachedTokens = cachedOn(ask, engine, prefixes);
   const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
   const firstTokenMs = engine.shortBacklogMs(now) + prefillMs;
-  const busy = engine.longPrefill(now) !== undefined ||
-    engine.strangePrefillTokens > policy.longPromptTokens;
+  const spillMs = policy.spillMs * slowness(engine, view);
+  const isMedium = ask.promptTokens > policy.mediumPromptTokens;
+  const apart = isMedium !== view.prefixEngines.has(engine);
   const score = Math.max(firstTokenMs, policy.firstTokenKneeMs) +
-    policy.prefillWeight * prefillMs + (busy ? policy.spillMs : 0) +
+    policy.prefillWeight * prefillMs + spillMs +
+    (apart ? policy.apartMs : 0) +
     engine.jobs.size;
   return { engine, cachedTokens, prefillMs, firstTokenMs, score };
 }
+
+/** How much longer than at its start a long prefill here makes each step, as a part. */
+function slowness(engine: EngineView, view: PlacementView): number {
+  if (engine.strangePrefillTokens > view.policy.longPromptTokens) return 1;
+  const job = engine.longPrefill(view.now);
+  if (job === undefined) return 0;
+  const part = currentPart(job, view.now);
+  const done = Math.min(1, (view.now - part.startsAt) / part.costMs);
+  const position = part.from + done * (part.to - part.from);
+  const here = view.cost.prefillMs(position, position + 1);
+  return here / view.cost.prefillMs(0, 1) - 1;
+}
