Decode away from long prefill

Hypothesis: short prompts that spill over to engines with long prefill lose their answers there, 150 ms a token. Change: the last token of a prompt that is prefilled beside long work, and of every long prompt, is a segment of its own on an engine of the short pool, so that decoding never meets long prefill; the pool is the first engines in order, as many as the recent demand of short prompts needs.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -8,13 +8,14 @@
 import { CostModel } from "./cost_model.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineView } from "./engine_view.ts";
-import { type Job, lastPart, segmentsOf } from "./job.ts";
-import { type LongPlace, placeLong } from "./long_placement.ts";
+import { delay, type Job, lastPart, segmentsOf } from "./job.ts";
+import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import {
   cachedOn,
+  chooseDecoder,
   eligible,
   type PlacementView,
   placeShort,
@@ -31,8 +32,9 @@
 const DECODE_WEIGHT = 0.05;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
-/** Engine priorities: short prompts by their latest start, long ones behind all of them. */
-const PRIORITY_RANGE_MS = 1_000_000_000;
+/** Engine priorities: long prompts come last; the last token of a short one must not wait for others. */
+const LONG_PRIORITY = 1_000;
+const SPLIT_PRIORITY = -1;
 /** Time after its deadline at which a job that was never reported as ended is dropped. */
 const FORGET_MS: Millis = 5 * SECOND_MS;
 
@@ -182,26 +184,28 @@
     if (view.now + place.firstTokenMs > ask.deadlineAt) {
       return refuseLate(place.firstTokenMs);
     }
-    const { engine, cachedTokens, prefillMs } = place;
+    const { engine, decoder, cachedTokens, prefillMs } = place;
+    const whole = {
+      engine: engine.id,
+      from: 0,
+      to: ask.promptTokens,
+      memoryTokens: ask.promptTokens + ask.maxTokens,
+      costMs: prefillMs,
+      startsAt: view.now,
+    };
+    const beside = engine.longPrefill(view.now);
     this.#shortDemand.add(prefillMs, view.now);
     const job: Job = {
       ask,
       long: false,
       cachedTokens,
-      parts: [{
-        engine: engine.id,
-        from: 0,
-        to: ask.promptTokens,
-        memoryTokens: ask.promptTokens + ask.maxTokens,
-        costMs: prefillMs,
-        startsAt: view.now,
-      }],
+      parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
-      priority: 0,
-      alone: engine.shortBacklogMs(view.now) === 0 &&
-        engine.longPrefill(view.now) === undefined,
+      priority: decoder === undefined ? 0 : SPLIT_PRIORITY,
+      alone: engine.shortBacklogMs(view.now) === 0 && beside === undefined,
       firstTokenAt: undefined,
     };
+    if (beside !== undefined) delay(beside, prefillMs, view.now);
     this.#place(job, view.now);
     return grant(job);
   }
@@ -254,11 +258,14 @@
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
     const target = this.#shortTarget(now);
     if (this.#longRunning() + target >= engines.length) return undefined;
-    const kept = this.#prefixEngines();
+    const kept = this.#shortEngines(now);
     const open = engines.filter((engine) => !kept.has(engine));
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
-    return grant(this.#startLong(ask, place, now));
+    const decoders = engines.filter((engine) => kept.has(engine));
+    const decoder = chooseDecoder(ask, this.#view(decoders, now));
+    const parts = withDecoder(ask, place.parts, decoder);
+    return grant(this.#startLong(ask, { ...place, parts }, now));
   }
 
   #startLong(ask: Ask, place: LongPlace, now: Timestamp): Job {
@@ -268,8 +275,8 @@
       cachedTokens: place.cachedTokens,
       parts: place.parts,
       placedAt: now,
-      priority: PRIORITY_RANGE_MS,
-      alone: place.parts.length === 1,
+      priority: LONG_PRIORITY,
+      alone: place.parts.filter((part) => part.costMs > 0).length === 1,
       firstTokenAt: undefined,
     };
     this.#place(job, now);
@@ -352,9 +359,13 @@
     return Math.max(shortEngines, Math.ceil(demanded));
   }
 
-  #prefixEngines(): ReadonlySet<EngineView> {
+  #shortEngines(now: Timestamp): ReadonlySet<EngineView> {
+    return this.#firstEngines(this.#shortTarget(now));
+  }
+
+  #firstEngines(count: number): ReadonlySet<EngineView> {
     const live = [...this.#engines.values()].filter((one) => one.live);
-    return new Set(live.slice(0, this.#policy.shortEngines));
+    return new Set(live.slice(0, count));
   }
 
   #longRunning(): number {
@@ -385,7 +396,8 @@
       policy: this.#policy,
       cost: this.#cost,
       prefixes: this.#prefixes,
-      prefixEngines: this.#prefixEngines(),
+      prefixEngines: this.#firstEngines(this.#policy.shortEngines),
+      shortEngines: this.#shortEngines(now),
     };
   }
 }
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -2,7 +2,13 @@
 import type { Weights } from "../core/request.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { Loaded, LoadReport } from "../wire/engine.ts";
-import { currentPart, type Job, type JobKey, lastPart } from "./job.ts";
+import {
+  currentPart,
+  type Job,
+  type JobKey,
+  lastPart,
+  partOn,
+} from "./job.ts";
 
 /** What a report may lag behind, so that work sent within it is not missed in the report. */
 const REPORT_MARGIN_MS: Millis = 50;
@@ -97,11 +103,11 @@
     return undefined;
   }
 
-  /** Whether a long prompt's answer is decoded here. */
-  longDecode(): boolean {
+  /** Whether answers are decoded here. */
+  decodes(): boolean {
     for (const job of this.jobs.values()) {
-      if (!job.long || job.firstTokenAt === undefined) continue;
-      if (lastPart(job).engine === this.id) return true;
+      const decoding = job.firstTokenAt !== undefined || !job.long;
+      if (decoding && lastPart(job).engine === this.id) return true;
     }
     return false;
   }
@@ -127,12 +133,23 @@
     for (const job of this.jobs.values()) {
       if (job.long || job.firstTokenAt !== undefined) continue;
       if (sum === 0) startedAt = Math.max(startedAt, job.placedAt) as Timestamp;
-      sum += job.parts[0]!.costMs;
+      sum += partOn(job, this.id)?.costMs ?? 0;
     }
     if (sum === 0) return 0;
     return Math.max(0, sum - (now - startedAt));
   }
 
+  /** Streams that run or wait here; a part that only holds memory is none. */
+  streams(): number {
+    let count = 0;
+    for (const job of this.jobs.values()) {
+      const holds = job.firstTokenAt !== undefined &&
+        lastPart(job).engine !== this.id;
+      if (!holds) count += 1;
+    }
+    return count;
+  }
+
   /** Whether content that is suspected of crashing engines runs here. */
   hasSuspect(): boolean {
     for (const job of this.jobs.values()) if (job.ask.suspect) return true;
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -1,6 +1,6 @@
 import type { RequestId, UpstreamId } from "../core/id.ts";
 import type { Segment } from "../core/request.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import type { Ask } from "./ask.ts";
 
 /** One engine's part of a placed prompt. */
@@ -21,7 +21,7 @@
   readonly ask: Ask;
   readonly long: boolean;
   readonly cachedTokens: number;
-  readonly parts: readonly JobPart[];
+  parts: readonly JobPart[];
   readonly placedAt: Timestamp;
   readonly priority: number;
   /** Whether it had the engine's prefill to itself, so that its time tells the cost. */
@@ -41,11 +41,26 @@
   return current;
 }
 
+/** Returns the part on an engine; none if the job has none there. */
+export function partOn(job: Job, engine: UpstreamId): JobPart | undefined {
+  return job.parts.find((part) => part.engine === engine);
+}
+
 /** Returns the part that decodes. */
 export function lastPart(job: Job): JobPart {
   return job.parts[job.parts.length - 1]!;
 }
 
+/** Puts off what is left of a job's prefill, because other work goes first. */
+export function delay(job: Job, ms: Millis, now: Timestamp): void {
+  const current = currentPart(job, now);
+  job.parts = job.parts.map((part) => {
+    if (part === current) return { ...part, costMs: part.costMs + ms };
+    if (part.startsAt <= now) return part;
+    return { ...part, startsAt: addMs(part.startsAt, ms) };
+  });
+}
+
 /** Returns the segments of a job that is spread over several engines. */
 export function segmentsOf(job: Job): readonly Segment[] {
   return job.parts.map(({ engine, from, to }) => ({
--- a/src/scheduling/long_placement.ts
+++ b/src/scheduling/long_placement.ts
@@ -21,6 +21,30 @@
   return placeWhole(ask, view) ?? placeParts(ask, view);
 }
 
+/** Moves the last token, and with it the decoding, to another engine. */
+export function withDecoder(
+  ask: Ask,
+  parts: readonly JobPart[],
+  decoder: EngineView | undefined,
+): readonly JobPart[] {
+  const last = parts[parts.length - 1]!;
+  const taken = parts.some((part) => part.engine === decoder?.id);
+  if (decoder === undefined || taken || last.to - last.from < 2) return parts;
+  const shortened = {
+    ...last,
+    to: last.to - 1,
+    memoryTokens: last.memoryTokens - ask.maxTokens - 1,
+  };
+  return [...parts.slice(0, -1), shortened, {
+    engine: decoder.id,
+    from: last.to - 1,
+    to: last.to,
+    memoryTokens: ask.maxTokens + 1,
+    costMs: 0,
+    startsAt: addMs(last.startsAt, last.costMs),
+  }];
+}
+
 /** Tokens of memory that long prompts may take on an engine. */
 export function longRoom(engine: EngineView, view: PlacementView): number {
   return engine.freeTokens() - view.policy.shortMemoryTokens;
@@ -124,7 +148,7 @@
 ): boolean {
   const startsNow = part.startsAt <= view.now;
   if (startsNow && engine.longPrefill(view.now) !== undefined) return false;
-  if (startsNow && engine.longDecode()) return false;
+  if (startsNow && engine.decodes()) return false;
   if (engine.strangePrefillTokens > view.policy.longPromptTokens) return false;
   return !engine.longBetween(
     part.startsAt,
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -18,6 +18,14 @@
   firstTokenKneeMs: Millis;
   /** Time by which a place beside a long prefill counts as slower where that has doubled each step. */
   spillMs: Millis;
+  /** Part by which long prefill may lengthen steps before other answers are decoded elsewhere. */
+  splitSlowness: number;
+  /** Time that it takes to hand a prompt on to the engine that decodes. */
+  splitMs: Millis;
+  /** Wait for the running step of a long prefill, for each time that it has grown by a half. */
+  longStepMs: Millis;
+  /** Time by which each stream makes an engine count as slower. */
+  streamMs: Millis;
   /** Weight of prefill time against waiting time when an engine is chosen. */
   prefillWeight: number;
   /** Prompts that one engine is given at a time. */
@@ -44,6 +52,10 @@
   shortMemoryTokens: 50_000,
   firstTokenKneeMs: 200,
   spillMs: 300,
+  splitSlowness: 0.15,
+  splitMs: 60,
+  longStepMs: 20,
+  streamMs: 1,
   prefillWeight: 0.5,
   engineRequests: 56,
   queuedPrompts: 512,
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -16,11 +16,15 @@
   engines: readonly EngineView[];
   /** Engines that are kept for prompts with long shared prefixes, whose cache others would push out. */
   prefixEngines: ReadonlySet<EngineView>;
+  /** Engines on which no long prefill starts now; answers of short prompts are decoded there. */
+  shortEngines: ReadonlySet<EngineView>;
 }>;
 
 /** An engine for a short prompt, and what is predicted there. */
 export type ShortPlace = Readonly<{
   engine: EngineView;
+  /** Another engine that decodes, away from the long prefill on the first one. */
+  decoder: EngineView | undefined;
   cachedTokens: number;
   prefillMs: Millis;
   /** Predicted time to the first token. */
@@ -34,9 +38,10 @@
   view: PlacementView,
 ): ShortPlace | undefined {
   let best: ShortPlace | undefined;
+  const decoder = chooseDecoder(ask, view);
   for (const engine of view.engines) {
     if (!hasRoom(ask, engine, view)) continue;
-    const place = predictShort(ask, engine, view);
+    const place = predictShort(ask, engine, { view, decoder });
     if (best === undefined || place.score < best.score) best = place;
   }
   return best;
@@ -65,27 +70,58 @@
 }
 
 function hasRoom(ask: Ask, engine: EngineView, view: PlacementView): boolean {
-  return engine.jobs.size < view.policy.engineRequests &&
+  return engine.streams() < view.policy.engineRequests &&
     engine.freeTokens() >= ask.promptTokens + ask.maxTokens;
 }
 
 function predictShort(
   ask: Ask,
   engine: EngineView,
-  view: PlacementView,
+  options: Readonly<{ view: PlacementView; decoder: EngineView | undefined }>,
 ): ShortPlace {
+  const { view, decoder } = options;
   const { policy, cost, now, prefixes } = view;
-  const cachedTokens = cachedOn(ask, engine, prefixes);
+  const slow = slowness(engine, view);
+  const splits = !canDecode(engine, view);
+  const cachedTokens = splits ? 0 : cachedOn(ask, engine, prefixes);
   const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
-  const firstTokenMs = engine.shortBacklogMs(now) + prefillMs;
-  const spillMs = policy.spillMs * slowness(engine, view);
+  const firstTokenMs = engine.shortBacklogMs(now) + prefillMs +
+    (splits ? policy.splitMs + policy.longStepMs * slow : 0);
   const isMedium = ask.promptTokens > policy.mediumPromptTokens;
   const apart = isMedium !== view.prefixEngines.has(engine);
   const score = Math.max(firstTokenMs, policy.firstTokenKneeMs) +
-    policy.prefillWeight * prefillMs + spillMs +
-    (apart ? policy.apartMs : 0) +
-    engine.jobs.size;
-  return { engine, cachedTokens, prefillMs, firstTokenMs, score };
+    policy.prefillWeight * prefillMs + (apart ? policy.apartMs : 0) +
+    (splits && decoder === undefined ? policy.spillMs * slow : 0) +
+    (splits ? policy.splitMs : engine.streams() * policy.streamMs);
+  return {
+    engine,
+    decoder: splits ? decoder : undefined,
+    cachedTokens,
+    prefillMs,
+    firstTokenMs,
+    score,
+  };
+}
+
+/** The engine without long prefill that has the fewest streams. */
+export function chooseDecoder(
+  ask: Ask,
+  view: PlacementView,
+): EngineView | undefined {
+  let best: EngineView | undefined;
+  let fewest: number = view.policy.engineRequests;
+  for (const engine of view.engines) {
+    const streams = engine.streams();
+    if (streams >= fewest || engine.freeTokens() < 2 * ask.maxTokens) continue;
+    if (!canDecode(engine, view)) continue;
+    [best, fewest] = [engine, streams];
+  }
+  return best;
+}
+
+function canDecode(engine: EngineView, view: PlacementView): boolean {
+  return view.shortEngines.has(engine) &&
+    slowness(engine, view) <= view.policy.splitSlowness;
 }
 
 /** How much longer than at its start a long prefill here makes each step, as a part. */
