Run calls that may not be repeated at most once

Entry answers carry a prefix for the team that asks, and a planned stop waits up to 10 s for outcomes to be taken.

A fleet of cores with one fake log runs under virtual time against a naive model.

Found by it: KeyController asked to be woken at a time in the past for ever, so that the loop never rested. It now asks only for times to come.

--- a/src/controllers/fleet_invariants_test.ts
+++ b/src/controllers/fleet_invariants_test.ts
@@ -266,6 +266,6 @@
         run.checkEnd();
       },
     ),
-    { seed: SEED, numRuns: RUNS },
+    { seed: SEED, numRuns: RUNS, endOnFailure: true },
   );
 });
--- a/src/controllers/key_controller.ts
+++ b/src/controllers/key_controller.ts
@@ -109,7 +109,8 @@
     const settled = this.#keys
       .filter((known) => ctx.now - known.readAt >= SETTLE_MS);
     const newest = this.#keys.at(-1);
-    if (newest !== undefined) ctx.wakeAt(addMs(newest.readAt, SETTLE_MS));
+    const settledAt = newest && addMs(newest.readAt, SETTLE_MS);
+    if (settledAt !== undefined && settledAt > ctx.now) ctx.wakeAt(settledAt);
     board.keys.signing = (settled.at(-1) ?? this.#keys[0])?.key;
     board.keys.accepted = this.#keys.map((known) => known.key);
   }
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -27,6 +27,8 @@
 /** Silence after which a peer is no longer counted on. */
 export const PEER_FRESH_MS: Millis = 3 * HEARTBEAT_MS + 500;
 const PEER_FORGET_MS: Millis = MINUTE_MS;
+/** Time that a planned stop waits for the log to take the last outcomes. */
+const LOG_WAIT_MS: Millis = 10 * SECOND_MS;
 const MAX_PEERS = 256;
 const MAX_NEWS = 256;
 const CELL = "cell-0";
@@ -37,6 +39,7 @@
   override readonly name = "members";
   #beatAt: Timestamp | undefined;
   #refuseAt: Timestamp | undefined;
+  #exitAt: Timestamp | undefined;
   #seq = 0;
   readonly #seen = new Map<DaemonId, number>();
 
@@ -129,10 +132,19 @@
       else ctx.wakeAt(this.#refuseAt);
     }
     if (members.drain !== "refusing" || board.requests.byId.size > 0) return;
+    if (this.#waitsForLog(board, ctx)) return;
     members.drain = "finished";
     ctx.emit({ type: "exit" });
   }
 
+  /** Outcomes get some time to reach the log; it may be down. */
+  #waitsForLog(board: Blackboard, ctx: StepContext): boolean {
+    this.#exitAt ??= addMs(ctx.now, LOG_WAIT_MS);
+    if (board.claims.unsent === 0 || ctx.now >= this.#exitAt) return false;
+    ctx.wakeAt(this.#exitAt);
+    return true;
+  }
+
   /** Soft state: two daemons that choose differently for a while only place less well. */
   #elect(board: Blackboard, now: Timestamp): void {
     const candidates = freshPeers(board, now)
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -2,7 +2,9 @@
 import { entryAnswer } from "../core/entry_answer.ts";
 import { SECOND_MS } from "../core/time.ts";
 import type { AppEnv } from "./app.ts";
+import { issueKeyPrefix } from "../fold/issued_key.ts";
 import { type Front, limitsOf } from "./front.ts";
+import { identify } from "./identity.ts";
 import { adminStatus } from "./admin_status.ts";
 
 /** Entry addresses, health, and what operators ask one daemon. */
@@ -32,7 +34,25 @@
     "cache-control",
     `max-age=${Math.floor(entryMaxAgeMs / SECOND_MS)}`,
   );
-  return ctx.json({ entries: answer.entries, max_age_ms: answer.maxAgeMs });
+  return ctx.json({
+    entries: answer.entries,
+    max_age_ms: answer.maxAgeMs,
+    key_prefix: keyPrefix(front, ctx),
+  });
+}
+
+/** A prefix for keys of the team that asks; absent where the team is not known or the daemon is leaving. */
+function keyPrefix(front: Front, ctx: Context<AppEnv>): string | undefined {
+  const { board, now } = front;
+  const { serving } = board.config;
+  if (serving === undefined || board.members.drain !== "serving") {
+    return undefined;
+  }
+  const identity = identify(serving, (name) => ctx.req.header(name), now());
+  if (identity.isErr() || board.claims.keySecret === "") return undefined;
+  const { team } = identity.value;
+  const issue = { home: board.self.id, at: now(), team };
+  return issueKeyPrefix(issue, board.claims.keySecret);
 }
 
 function ready(front: Front, ctx: Context<AppEnv>): Response {
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -8,7 +8,6 @@
   VmId,
 } from "../core/id.ts";
 import type { Intent } from "../core/intent.ts";
-import type { Problem } from "../core/problem.ts";
 import { Random } from "../core/random.ts";
 import type { CallRequest } from "../core/request.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
@@ -20,13 +19,10 @@
 import { VirtualTime } from "./virtual_time.ts";
 
 const START = 1_800_000_000_000 as Timestamp;
-const KEY_SECRET = "a secret of the tests";
+const FORWARD_MS: Millis = 6_000;
 
-/** The final answer that a client got. */
-export type Answer =
-  | Readonly<{ type: "answer"; problem: Problem }>
-  | Readonly<{ type: "answer_recorded"; status: number; body: string }>
-  | Readonly<{ type: "passed_on" }>;
+/** A final answer that did not pass through an attempt. */
+export type Answer = Extract<Intent, { type: "answer" | "answer_recorded" }>;
 
 /** How a fleet is set up. */
 export type FleetOptions = Readonly<{
@@ -48,6 +44,8 @@
   readonly daemons: FakeDaemon[] = [];
   readonly #random: Random;
   readonly #cut = new Set<string>();
+  /** What to do once a forwarded call has been answered at its home. */
+  readonly #forwards = new Map<RequestId, () => void>();
   #started = 0;
   #published = 0;
 
@@ -75,7 +73,7 @@
       startedAt: this.time.now,
     };
     const core = createCore(self, Random.create(this.#started), {
-      createSecret: () => KEY_SECRET,
+      createSecret: () => `the secret of ${self.id}, which no other has`,
     });
     const daemon = FakeDaemon.create(core, this.time, {
       execute: (from, intent) => this.#execute(from, intent),
@@ -135,17 +133,47 @@
         return this.#send(daemon, intent);
       case "start_attempt": {
         const req = this.requests.get(intent.req);
-        if (req !== undefined) this.service.call(daemon, intent, req);
-        return;
+        if (req === undefined) return;
+        return this.service.call(intent, req, (event) => {
+          daemon.deliver(event);
+          if (event.outcome.type === "ok") this.#forwards.get(req.id)?.();
+        });
       }
       case "answer":
       case "answer_recorded": {
         const answers = this.answers.get(intent.req) ?? [];
         this.answers.set(intent.req, [...answers, intent]);
+        return this.#forwards.get(intent.req)?.();
       }
+      case "forward_call":
+        return this.#forward(daemon, intent);
     }
   }
 
+  #forward(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "forward_call" }>,
+  ): void {
+    const req = this.requests.get(intent.req);
+    const home = this.#at(intent.address);
+    if (req === undefined) return;
+    const end = (result: "answered" | "failed") =>
+      daemon.deliver({ type: "forward_ended", req: req.id, result });
+    this.time.after(FORWARD_MS, () => end("failed"));
+    if (home === undefined || this.#cut.has(intent.address)) return;
+    const id = `${req.id}-forwarded` as RequestId;
+    const forwarded = { ...req, id, forwarded: true as const };
+    this.requests.set(id, forwarded);
+    this.#forwards.set(id, () => end("answered"));
+    home.deliver({ type: "request_arrived", req: forwarded });
+  }
+
+  #at(address: string): FakeDaemon | undefined {
+    return this.daemons.find((one) =>
+      one.core.board.self.peerAddress === address
+    );
+  }
+
   #send(
     daemon: FakeDaemon,
     intent: Extract<Intent, { type: "send_peer" }>,
@@ -154,9 +182,7 @@
     if (this.#cut.has(own) || this.#cut.has(intent.address)) return;
     const { envelope } = intent;
     this.time.after(1 + this.#random.below(5), () => {
-      const peer = this.daemons.find((one) =>
-        one.core.board.self.peerAddress === intent.address
-      );
+      const peer = this.#at(intent.address);
       peer?.deliver({ type: "peer_message", envelope });
     });
   }
--- a/src/testing/fake_service.ts
+++ b/src/testing/fake_service.ts
@@ -1,11 +1,12 @@
+import type { Event } from "../core/event.ts";
 import type { Intent } from "../core/intent.ts";
 import type { RequestId } from "../core/id.ts";
 import type { Random } from "../core/random.ts";
 import type { CallRequest, Outcome } from "../core/request.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
-import type { FakeDaemon } from "./fake_daemon.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
+type AttemptEnded = Extract<Event, { type: "attempt_ended" }>;
 type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
 
 const SILENCE_MS: Millis = 2 * SECOND_MS;
@@ -29,9 +30,13 @@
   }
 
   /** Sends one call, as the daemon's adapter would: not after its deadline. */
-  call(daemon: FakeDaemon, start: StartAttempt, req: CallRequest): void {
+  call(
+    start: StartAttempt,
+    req: CallRequest,
+    deliver: (event: AttemptEnded) => void,
+  ): void {
     const tell = (outcome: Outcome) =>
-      daemon.deliver({
+      deliver({
         type: "attempt_ended",
         req: req.id,
         attempt: start.attempt,
