--- a/src/cli/verbs/apply.ts
+++ b/src/cli/verbs/apply.ts
@@ -15,9 +15,8 @@
 import type { Millis } from "../../core/time.ts";
 import { entryArg, jsonArg, logArg, seconds, timeoutArg } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { surveyFleet } from "../fleet.ts";
-import { type InForce, waitInForce } from "../in_force.ts";
+import { type InForce, stragglerLine, waitInForce } from "../in_force.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import {
   decided,
@@ -124,7 +123,7 @@
 ): Promise<ReadonlySet<GroupId> | undefined> {
   if (ctx.entry === undefined) return undefined;
   const fleet = await surveyFleet(ctx.admin, ctx.entry);
-  return fleet.isOk() ? liveGroups(fleet.value) : undefined;
+  return fleet.isOk() ? liveGroups(fleet.value.daemons) : undefined;
 }
 
 function changeLines(before: string, after: ServingConfig): readonly string[] {
@@ -179,9 +178,7 @@
   const followed = `in force on ${
     daemons - stragglers.length
   } of ${daemons} daemons`;
-  const late = stragglers.map(({ vm, id, reason }) =>
-    `straggler ${vm} (${id}): ${reason}`
-  );
+  const late = stragglers.map(stragglerLine);
   return {
     exit: stragglers.length === 0 ? "ok" : "stragglers",
     data: { ...result, ...inForce },
@@ -194,7 +191,7 @@
   return command({
     name: "apply",
     description:
-      `Publish a configuration folder, wait until it is in force on every daemon and name those that lag. ${EXIT_HELP}`,
+      "Publish a configuration folder, wait until it is in force on every daemon and name those that lag.",
     args: {
       dir: positional({
         type: string,
--- /dev/null
+++ b/src/scheduling/short_placement.ts
@@ -0,0 +1,137 @@
+import type { Millis, Timestamp } from "../core/time.ts";
+import { BLOCK_TOKENS } from "../wire/engine.ts";
+import type { Ask } from "./ask.ts";
+import type { CostModel } from "./cost_model.ts";
+import type { EngineView } from "./engine_view.ts";
+import { currentPart } from "./job.ts";
+import type { Policy } from "./policy.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
+
+/** What the choice of an engine looks at. */
+export type PlacementView = Readonly<{
+  now: Timestamp;
+  policy: Policy;
+  cost: CostModel;
+  prefixes: PrefixIndex;
+  engines: readonly EngineView[];
+  /** Engines that are kept for prompts with long shared prefixes, whose cache others would push out. */
+  prefixEngines: ReadonlySet<EngineView>;
+  /** Engines on which no long prefill starts now; answers of short prompts are decoded there. */
+  shortEngines: ReadonlySet<EngineView>;
+}>;
+
+/** An engine for a short prompt, and what is predicted there. */
+export type ShortPlace = Readonly<{
+  engine: EngineView;
+  /** Another engine that decodes, away from the long prefill on the first one. */
+  decoder: EngineView | undefined;
+  cachedTokens: number;
+  prefillMs: Millis;
+  /** Predicted time to the first token. */
+  firstTokenMs: Millis;
+  score: number;
+}>;
+
+/** Chooses the engine with the best predicted first token; none if no engine has room. */
+export function placeShort(
+  ask: Ask,
+  view: PlacementView,
+): ShortPlace | undefined {
+  let best: ShortPlace | undefined;
+  const decoder = chooseDecoder(ask, view);
+  for (const engine of view.engines) {
+    if (!hasRoom(ask, engine, view)) continue;
+    const place = predictShort(ask, engine, { view, decoder });
+    if (best === undefined || place.score < best.score) best = place;
+  }
+  return best;
+}
+
+/** Returns the engines that may run this prompt at all. */
+export function eligible(
+  ask: Ask,
+  engines: Iterable<EngineView>,
+): readonly EngineView[] {
+  return [...engines].filter((engine) =>
+    engine.live && engine.serves(ask.weights) &&
+    !ask.excluded.includes(engine.id) &&
+    !(ask.suspect && engine.hasSuspect())
+  );
+}
+
+/** Returns how many tokens of the prompt the engine is believed to have cached. */
+export function cachedOn(
+  ask: Ask,
+  engine: EngineView,
+  prefixes: PrefixIndex,
+): number {
+  const cached = prefixes.hits(engine.id, ask.blocks) * BLOCK_TOKENS;
+  return Math.max(0, Math.min(cached, ask.promptTokens - 1));
+}
+
+function hasRoom(ask: Ask, engine: EngineView, view: PlacementView): boolean {
+  return engine.streams() < view.policy.engineRequests &&
+    engine.freeTokens() >= ask.promptTokens + ask.maxTokens;
+}
+
+function predictShort(
+  ask: Ask,
+  engine: EngineView,
+  options: Readonly<{ view: PlacementView; decoder: EngineView | undefined }>,
+): ShortPlace {
+  const { view, decoder } = options;
+  const { policy, cost, now, prefixes } = view;
+  const slow = slowness(engine, view);
+  const splits = !canDecode(engine, view);
+  const cachedTokens = splits ? 0 : cachedOn(ask, engine, prefixes);
+  const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
+  const firstTokenMs = engine.shortBacklogMs(now) + prefillMs +
+    (splits ? policy.splitMs + policy.longStepMs * slow : 0);
+  const isMedium = ask.promptTokens > policy.mediumPromptTokens;
+  const apart = isMedium !== view.prefixEngines.has(engine);
+  const score = Math.max(firstTokenMs, policy.firstTokenKneeMs) +
+    policy.prefillWeight * prefillMs + (apart ? policy.apartMs : 0) +
+    (splits && decoder === undefined ? policy.spillMs * slow : 0) +
+    (splits ? policy.splitMs : engine.streams() * policy.streamMs);
+  return {
+    engine,
+    decoder: splits ? decoder : undefined,
+    cachedTokens,
+    prefillMs,
+    firstTokenMs,
+    score,
+  };
+}
+
+/** The engine without long prefill that has the fewest streams. */
+export function chooseDecoder(
+  ask: Ask,
+  view: PlacementView,
+): EngineView | undefined {
+  let best: EngineView | undefined;
+  let fewest: number = view.policy.engineRequests;
+  for (const engine of view.engines) {
+    const streams = engine.streams();
+    if (streams >= fewest || engine.freeTokens() < 2 * ask.maxTokens) continue;
+    if (!canDecode(engine, view)) continue;
+    [best, fewest] = [engine, streams];
+  }
+  return best;
+}
+
+function canDecode(engine: EngineView, view: PlacementView): boolean {
+  return view.shortEngines.has(engine) &&
+    slowness(engine, view) <= view.policy.splitSlowness;
+}
+
+/** How much longer than at its start a long prefill here makes each step, as a part. */
+function slowness(engine: EngineView, view: PlacementView): number {
+  if (engine.strangePrefillTokens > view.policy.longPromptTokens) return 1;
+  const job = engine.longPrefill(view.now);
+  if (job === undefined) return 0;
+  const part = currentPart(job, view.now);
+  const done = Math.min(1, (view.now - part.startsAt) / part.costMs);
+  const position = part.from + done * (part.to - part.from);
+  const here = view.cost.prefillMs(position, position + 1);
+  return here / view.cost.prefillMs(0, 1) - 1;
+}
