--- a/src/cli/http_prompt_client.ts
+++ b/src/cli/http_prompt_client.ts
@@ -2,7 +2,7 @@
 import { err, errAsync, ok, type Result, ResultAsync } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
-import type { Millis } from "../core/time.ts";
+import { HOUR_MS, type Millis, SECOND_MS } from "../core/time.ts";
 import type { Verdict } from "../core/verdict.ts";
 import {
   CLASS_HEADER,
@@ -23,6 +23,10 @@
   SendErrorSchema,
 } from "./prompt_client.ts";
 
+/** Longest wait for the head of an answer where no deadline is named. */
+const HEAD_MS: Millis = HOUR_MS;
+/** Time beyond its deadline that a daemon may take to say so. */
+const DEADLINE_MARGIN_MS: Millis = 10 * SECOND_MS;
 /** A stream that brings nothing for so long has gone silent. */
 const SILENCE_MS: Millis = 30_000;
 const MAX_PROBLEM_BYTES = 65_536;
@@ -129,7 +133,7 @@
     request(url, {
       ...call,
       headers: { ...call.headers, ...senderHeaders(sender) },
-      headersTimeout: sender.deadlineMs ?? 0,
+      headersTimeout: (sender.deadlineMs ?? HEAD_MS) + DEADLINE_MARGIN_MS,
       bodyTimeout: SILENCE_MS,
     }),
     (cause) => broken(verdictOf(cause), String(cause)),
