Prime shared prefixes, keep prefix engines to their prompts, size the pool for both

Policy: other short prompts count 400 ms more on the prefix engines (100 before), and the pool has two engines beside those that short prompts need at 0.6 utilization.

--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -192,7 +192,9 @@
     const { request, answer } = options;
     const round = this.#rounds.get(request);
     const stale = round === undefined || round.ask.round !== options.round ||
-      round.scheduler !== from || round.state === "placed";
+      round.scheduler !== from;
+    // An answer that comes twice is the answer to an ask that was sent twice.
+    if (!stale && round.state === "placed") return;
     if (!stale) return this.#settle(board, ctx, round, answer);
     if (answer.type === "granted") {
       this.#sendUpdate(board, ctx, from, {
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -356,7 +356,7 @@
   #shortTarget(now: Timestamp): number {
     const { shortEngines, shortUtilization } = this.#policy;
     const demanded = this.#shortDemand.engines(now) / shortUtilization;
-    return Math.max(shortEngines, Math.ceil(demanded));
+    return shortEngines + Math.ceil(demanded);
   }
 
   #shortEngines(now: Timestamp): ReadonlySet<EngineView> {
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -46,9 +46,9 @@
 export const DEFAULT_POLICY: Policy = {
   longPromptTokens: 24_000,
   mediumPromptTokens: 4_096,
-  apartMs: 100,
+  apartMs: 400,
   shortEngines: 2,
-  shortUtilization: 0.5,
+  shortUtilization: 0.6,
   shortMemoryTokens: 50_000,
   firstTokenKneeMs: 200,
   spillMs: 300,
--- a/tools/measure/attempt.ts
+++ b/tools/measure/attempt.ts
@@ -152,6 +152,10 @@
       },
       done: (_at, event) => {
         if (this.#over) return;
+        if (index === 0) {
+          this.#record.engine = host.id;
+          this.#record.cachedTokens = event.cachedTokens;
+        }
         if (event.finish === "segment") {
           this.#clock.after(2 * NETWORK_MS, () => {
             if (!this.#over) this.#submitPart(index + 1);
--- a/tools/measure/prompt_record.ts
+++ b/tools/measure/prompt_record.ts
@@ -1,3 +1,4 @@
+import type { UpstreamId } from "../../src/core/id.ts";
 import type { Arrival } from "./workload.ts";
 
 /** What became of one prompt, as its client saw it. */
@@ -11,6 +12,9 @@
   /** `ok`, or the code of the refusal or failure. */
   result?: string;
   tokens: number;
+  /** Where it ran last, and how much of the prompt was cached there. */
+  engine?: UpstreamId;
+  cachedTokens?: number;
 };
 
 /** Time within which a refusal counts as given at once. */
--- a/tools/measure/workload.ts
+++ b/tools/measure/workload.ts
@@ -8,6 +8,7 @@
   drawRow,
   drawTokens,
   prefillWorkMs,
+  PROMPT_ROWS,
   type PromptRow,
   sharedTokens,
 } from "./prompt_mix.ts";
@@ -51,7 +52,7 @@
 const HEX = 16;
 const HALF_DIGITS = 8;
 
-/** Draws all arrivals of a run, in their order. */
+/** Draws all arrivals of a run. */
 export function drawArrivals(
   scenario: Scenario,
   seed: number,
@@ -60,7 +61,7 @@
   const random = Random.create(seed);
   const capacity = capacityPerSecond(scenario.engines);
   const peak = capacity * 5;
-  const arrivals: Arrival[] = [];
+  const arrivals = [...drawPrefixes(scenario, options.warmMs)];
   let at = -options.warmMs;
   while (true) {
     at += -Math.log(1 - random.next()) / peak * SECOND_MS;
@@ -76,6 +77,40 @@
   }
 }
 
+/** Each shared prefix once in full, early in the warm-up: later prompts share it with these. */
+function drawPrefixes(
+  scenario: Scenario,
+  warmMs: Millis,
+): readonly Arrival[] {
+  const owners = scenario.sharedCatalogue ? 1 : scenario.teams;
+  const all = PROMPT_ROWS.filter((row) => row.sharedChance > 0)
+    .flatMap((row) =>
+      Array.from({ length: owners * PREFIXES_PER_TEAM }, (_, i) => ({
+        row,
+        team: Math.floor(i / PREFIXES_PER_TEAM),
+        pick: i % PREFIXES_PER_TEAM,
+      }))
+    );
+  return all.map(({ row, team, pick }, i) => {
+    const prefix = prefixOf(scenario, row, { team, pick });
+    const tokens = sharedTokens(row, row.maxTokens);
+    return {
+      at: -warmMs + i / all.length * warmMs / 2,
+      team,
+      digest: digestOf(prefix, 0xffffffff),
+      promptTokens: tokens,
+      answerTokens: 1,
+      maxTokens: 1,
+      deadlineMs: row.deadlineMs,
+      blocks: blockDigests(tokens, prefix, { prefix, tokens }),
+      workMs: prefillWorkMs(tokens, 0),
+      measured: false,
+      client: i,
+      poison: false,
+    };
+  });
+}
+
 /** Returns the chance of each team, by Zipf with exponent 1. */
 export function teamShares(teams: number): readonly number[] {
   const weights = Array.from({ length: teams }, (_, i) => 1 / (i + 1));
