--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -3,11 +3,15 @@
 import type { Controller } from "../core/controller.ts";
 import { Core } from "../core/core.ts";
 import type { Random } from "../core/random.ts";
+import { ClaimController } from "./claim_controller.ts";
 import { ConfigController } from "./config_controller.ts";
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { PlanController } from "./plan_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
+import { PlanController } from "./plan_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -35,6 +39,8 @@
       UpstreamController.create(),
       QuarantineController.create(),
       options.placement ?? PlacementController.create(),
+      PlanController.create(),
+      ClaimController.create({ keySecret: options.createSecret() }),
       RequestController.create(),
     ],
   });
