Let prompts that can't meet the first-token target wait behind the others

Hypothesis: a 20k prompt without a cached prefix holds up a prefix engine for a second. Change: it gets a worse engine priority, and is left out of the backlog that others are predicted to meet.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -32,9 +32,8 @@
 const DECODE_WEIGHT = 0.05;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
-/** Engine priorities: long prompts come last; the last token of a short one must not wait for others. */
+/** Engine priority of long prompts; short ones go first. */
 const LONG_PRIORITY = 1_000;
-const SPLIT_PRIORITY = -1;
 /** Time after its deadline at which a job that was never reported as ended is dropped. */
 const FORGET_MS: Millis = 5 * SECOND_MS;
 
@@ -184,7 +183,7 @@
     if (view.now + place.firstTokenMs > ask.deadlineAt) {
       return refuseLate(place.firstTokenMs);
     }
-    const { engine, decoder, cachedTokens, prefillMs } = place;
+    const { engine, decoder, cachedTokens, prefillMs, priority } = place;
     const whole = {
       engine: engine.id,
       from: 0,
@@ -201,8 +200,8 @@
       cachedTokens,
       parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
-      priority: decoder === undefined ? 0 : SPLIT_PRIORITY,
-      alone: engine.shortBacklogMs(view.now) === 0 && beside === undefined,
+      priority,
+      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 && beside === undefined,
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -120,12 +120,13 @@
     return false;
   }
 
-  /** Predicted time until the short prompts that were sent here have been prefilled. */
-  shortBacklogMs(now: Timestamp): Millis {
+  /** Predicted time until the short prompts here that go before this priority have been prefilled. */
+  shortBacklogMs(now: Timestamp, priority: number): Millis {
     let sum = 0;
     let startedAt = this.shortDoneAt;
     for (const job of this.jobs.values()) {
       if (job.long || job.firstTokenAt !== undefined) continue;
+      if (job.priority > priority) continue;
       if (sum === 0) startedAt = Math.max(startedAt, job.placedAt) as Timestamp;
       sum += partOn(job, this.id)?.costMs ?? 0;
     }
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -14,6 +14,8 @@
   shortUtilization: number;
   /** Tokens of each engine's memory that long prompts leave free. */
   shortMemoryTokens: number;
+  /** Time to the first token that most prompts should keep. */
+  firstTokenTargetMs: Millis;
   /** First-token time below which a faster place is worth nothing. */
   firstTokenKneeMs: Millis;
   /** Time by which a place beside a long prefill counts as slower where that has doubled each step. */
@@ -50,6 +52,7 @@
   shortEngines: 2,
   shortUtilization: 0.6,
   shortMemoryTokens: 50_000,
+  firstTokenTargetMs: 340,
   firstTokenKneeMs: 200,
   spillMs: 300,
   splitSlowness: 0.15,
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -29,9 +29,16 @@
   prefillMs: Millis;
   /** Predicted time to the first token. */
   firstTokenMs: Millis;
+  /** Engine priority; lower runs first. */
+  priority: number;
   score: number;
 }>;
 
+/** Engine priorities of short prompts. Long ones come last. */
+const SPLIT_PRIORITY = -1;
+const USUAL_PRIORITY = 0;
+const HOPELESS_PRIORITY = 500;
+
 /** Chooses the engine with the best predicted first token; none if no engine has room. */
 export function placeShort(
   ask: Ask,
@@ -85,7 +92,8 @@
   const splits = !canDecode(engine, view);
   const cachedTokens = splits ? 0 : cachedOn(ask, engine, prefixes);
   const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
-  const firstTokenMs = engine.shortBacklogMs(now) + prefillMs +
+  const priority = priorityOf(prefillMs, { splits, policy });
+  const firstTokenMs = engine.shortBacklogMs(now, priority) + prefillMs +
     (splits ? policy.splitMs + policy.longStepMs * slow : 0);
   const isMedium = ask.promptTokens > policy.mediumPromptTokens;
   const apart = isMedium !== view.prefixEngines.has(engine);
@@ -99,10 +107,20 @@
     cachedTokens,
     prefillMs,
     firstTokenMs,
+    priority,
     score,
   };
 }
 
+/** A prompt whose prefill alone takes longer than the target lets the others go first. */
+function priorityOf(
+  prefillMs: Millis,
+  options: Readonly<{ splits: boolean; policy: Policy }>,
+): number {
+  if (prefillMs > options.policy.firstTokenTargetMs) return HOPELESS_PRIORITY;
+  return options.splits ? SPLIT_PRIORITY : USUAL_PRIORITY;
+}
+
 /** The engine without long prefill that has the fewest streams. */
 export function chooseDecoder(
   ask: Ask,
