--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,7 +7,7 @@
       "stand_ins/**/*_test.ts",
       "tools/**/*_test.ts",
     ],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    testTimeout: 600_000,
+    hookTimeout: 600_000,
   },
 });
