Let one of several keys count when many daemons start together

Cause: daemons that start at the same instant know no peers yet, so all of them append a signing key; five keys exceed the four that are kept, and the first one, which signs until another has settled, was forgotten. Resuming a stream on another daemon then failed with 401 (seen with five real processes). Ruled out: an unread log (all daemons had caught up). Change: a key that was appended within the settling time of the one before does not count; the log's own times decide, alike for all readers.

--- a/src/controllers/key_controller.ts
+++ b/src/controllers/key_controller.ts
@@ -72,7 +72,7 @@
   #take(ctx: StepContext, entry: Entry): void {
     this.#outbox.drop(entry.id);
     const parsed = KeyRecordSchema.safeParse(entry.value);
-    if (!parsed.success) return;
+    if (!parsed.success || this.#isTooSoon(entry.at)) return;
     const known = {
       key: parsed.data.key,
       readAt: ctx.now,
@@ -81,6 +81,12 @@
     this.#keys = [...this.#keys, known].slice(-MAX_KEYS);
   }
 
+  /** Daemons that start together all append a key; only the first one counts. */
+  #isTooSoon(at: Timestamp): boolean {
+    const newest = this.#keys.at(-1);
+    return newest !== undefined && at < addMs(newest.appendedAt, SETTLE_MS);
+  }
+
   #rotate(board: Blackboard, ctx: StepContext): void {
     if (!this.#tail.reader.caughtUp || this.#outbox.size > 0) return;
     this.#caughtUpAt ??= ctx.now;
