--- a/src/config/daemon_settings.ts
+++ b/src/config/daemon_settings.ts
@@ -27,6 +27,9 @@
   peerAddress: address.describe(
     "Where other daemons connect; the address that the VM list has.",
   ),
+  peerListen: address.optional().describe(
+    "Where the peer listener binds, if not to `peer_address`, for instance behind address translation.",
+  ),
 });
 
 const platformSchema = z.object({
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -124,8 +124,9 @@
 
   /** Binds both listeners, then starts to read log and VM list. */
   listen(): ResultAsync<void, Error> {
-    const { clientAddress, peerAddress } = this.#parts.settings.daemon;
-    return this.#peerServer.listen(peerAddress)
+    const { clientAddress, peerAddress, peerListen } =
+      this.#parts.settings.daemon;
+    return this.#peerServer.listen(peerListen ?? peerAddress)
       .andThen(() => listenHttp(this.#http, clientAddress))
       .map(() => this.#start());
   }
--- a/tools/lib/program.ts
+++ b/tools/lib/program.ts
@@ -12,6 +12,12 @@
 export const DIST = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 
 const LINE_TIMEOUT_MS = 30_000;
+const running = new Set<ChildProcess>();
+
+process.on("exit", () => running.forEach((child) => child.kill("SIGKILL")));
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+  process.on(signal, () => process.exit(1));
+}
 const ListeningSchema = z.object({ address: z.string() });
 
 /** How a program is started. */
@@ -52,6 +58,10 @@
     return this.#child.pid ?? -1;
   }
 
+  get hasExited(): boolean {
+    return this.#child.exitCode !== null || this.#child.signalCode !== null;
+  }
+
   /** Resolves with the exit code; -1 after a signal. */
   get exited(): Promise<number> {
     return this.#exit;
@@ -69,7 +79,7 @@
     for (;;) {
       const found = this.#lines.find(fits);
       if (found !== undefined) return found;
-      if (Date.now() > deadline || this.#child.exitCode !== null) {
+      if (Date.now() > deadline || this.hasExited) {
         throw new Error(
           `${this.name} printed no such line: ${
             this.#lines.slice(-5).join("\n")
@@ -87,9 +97,7 @@
 
   /** Ends the program at once, stopped or not. */
   async kill(): Promise<void> {
-    if (this.#child.exitCode !== null || this.#child.signalCode !== null) {
-      return;
-    }
+    if (this.hasExited) return;
     this.#child.kill("SIGKILL");
     await this.#exit;
   }
@@ -100,7 +108,9 @@
       if (stream === null) continue;
       createInterface({ input: stream }).on("line", (line) => this.#take(line));
     }
+    running.add(this.#child);
     this.#child.on("exit", () => {
+      running.delete(this.#child);
       this.#wake();
       this.#log?.end();
     });
--- a/tools/lib/sse.ts
+++ b/tools/lib/sse.ts
@@ -21,6 +21,8 @@
   body?: string;
   /** Called after each token; the stream is given up when it returns false. */
   onToken?: (received: ReceivedStream) => boolean;
+  /** Gives the stream up. */
+  signal?: AbortSignal;
 }>;
 
 /** Reads a stream until it ends, breaks, or is given up. */
@@ -28,7 +30,7 @@
   url: string,
   options: StreamOptions,
 ): Promise<ReceivedStream> {
-  const { method, headers, body } = options;
+  const { method, headers, body, signal } = options;
   const received: ReceivedStream = {
     status: 0,
     requestId: "",
@@ -39,7 +41,7 @@
     problem: undefined,
   };
   try {
-    const res = await fetch(url, { method, headers, body });
+    const res = await fetch(url, { method, headers, body, signal });
     received.status = res.status;
     received.requestId = res.headers.get("x-request-id") ?? "";
     received.resumeToken = res.headers.get("x-resume-token") ?? "";
