--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -99,8 +99,11 @@
   ): void {
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
-    const crashed = event.outcome.type === "failed" && event.outcome.crashed;
-    const upstream = entry.attempt.placement.upstream;
+    const { outcome } = event;
+    const crashed = outcome.type === "failed" && outcome.crashed;
+    const upstream = crashed && outcome.upstream !== undefined
+      ? outcome.upstream
+      : entry.attempt.placement.upstream;
     if (crashed) this.#scheduler.engineCrashed(upstream);
     const suspect = crashed
       ? {
@@ -192,7 +195,9 @@
     const { request, answer } = options;
     const round = this.#rounds.get(request);
     const stale = round === undefined || round.ask.round !== options.round ||
-      round.scheduler !== from || round.state === "placed";
+      round.scheduler !== from;
+    // An answer that comes twice is the answer to an ask that was sent twice.
+    if (!stale && round.state === "placed") return;
     if (!stale) return this.#settle(board, ctx, round, answer);
     if (answer.type === "granted") {
       this.#sendUpdate(board, ctx, from, {
