--- /dev/null
+++ b/src/cli/apply_report.ts
@@ -0,0 +1,72 @@
+import { diffConfig } from "../config/diff.ts";
+import type { ServingConfig } from "../config/serving.ts";
+import { changeLine } from "./change_line.ts";
+import { type InForce, stragglerLine } from "./in_force.ts";
+import { parsePublished } from "./load_folder.ts";
+import type { PublishResult } from "./publish.ts";
+import type { Report } from "./report.ts";
+
+/** Lists what a folder changes against a published configuration. */
+export function changeLines(
+  before: string,
+  after: ServingConfig,
+): readonly string[] {
+  const inForce = parsePublished(before);
+  return inForce === undefined
+    ? []
+    : diffConfig(inForce, after).map(changeLine);
+}
+
+/** Says how a change ended. */
+export function applyReport(
+  result: PublishResult,
+  seen: Readonly<{ changes: readonly string[]; inForce?: InForce }>,
+): Report {
+  switch (result.outcome) {
+    case "accepted":
+      return accepted(result, seen);
+    case "conflict": {
+      const { winner, base } = result;
+      return {
+        exit: "conflict",
+        data: result,
+        lines: [
+          `conflict: written against revision ${base}, but revision ${winner.revision} by ${winner.author} is in force`,
+          "compare with `parsleyfield diff`, then apply again",
+        ],
+      };
+    }
+    case "unknown":
+      return {
+        exit: "unknown",
+        data: result,
+        lines: [
+          `unknown: ${result.detail}`,
+          `safe to run again with --change ${result.change}`,
+        ],
+      };
+  }
+}
+
+function accepted(
+  result: Extract<PublishResult, { outcome: "accepted" }>,
+  { changes, inForce }: Readonly<
+    { changes: readonly string[]; inForce?: InForce }
+  >,
+): Report {
+  const head =
+    `accepted as revision ${result.revision} (change ${result.change})`;
+  if (inForce === undefined) {
+    return { exit: "ok", data: result, lines: [...changes, head] };
+  }
+  const { daemons, stragglers } = inForce;
+  const followed = `in force on ${
+    daemons - stragglers.length
+  } of ${daemons} daemons`;
+  const late = stragglers.map(stragglerLine);
+  return {
+    exit: stragglers.length === 0 ? "ok" : "stragglers",
+    data: { ...result, ...inForce },
+    lines: [...changes, head, followed, ...late],
+  };
+}
--- a/src/cli/send_prompt.ts
+++ b/src/cli/send_prompt.ts
@@ -9,6 +9,7 @@
   Sender,
   SendError,
 } from "./prompt_client.ts";
+import { formatResume, ReceivedAnswer } from "./received_answer.ts";
 import { type CliError, cliError, type Report } from "./report.ts";
 
 /** Time in which a broken stream is taken up again. */
@@ -26,16 +27,6 @@
   streamed: boolean;
 }>;
 
-type Answer = {
-  request: string;
-  revision: string | undefined;
-  resumeToken: string | undefined;
-  next: number;
-  resumed: number;
-  text: string;
-  done: Extract<AnswerEvent, { type: "done" }> | undefined;
-};
-
 /** Sends a prompt and streams the answer; a broken stream is resumed at another daemon. */
 export async function sendPrompt(
   ctx: CliContext,
@@ -43,12 +34,15 @@
 ): Promise<Result<Report, CliError>> {
   const entry = needEntry(ctx);
   if (entry.isErr()) return err(entry.error);
-  const answer = newAnswer(options.resume);
+  const answer = ReceivedAnswer.create(options.resume);
   const call: Call = {
     answer,
     addresses: await refreshEntries(ctx, [entry.value]),
     sender: options.sender,
-    onEvent: (event) => takeEvent(ctx, answer, { event, options }),
+    onEvent: (event) => {
+      const text = answer.take(event);
+      if (options.streamed && text !== "") ctx.write(text);
+    },
   };
   const broken = options.prompt === undefined
     ? undefined
@@ -61,7 +55,7 @@
 }
 
 type Call = Readonly<{
-  answer: Answer;
+  answer: ReceivedAnswer;
   addresses: readonly string[];
   sender: Sender;
   onEvent: (event: AnswerEvent) => void;
@@ -93,7 +87,7 @@
   let { addresses } = call;
   let last = broken;
   for (let tries = 0; last === undefined || mayResume(last); tries += 1) {
-    const point = resumePoint(call.answer);
+    const point = call.answer.resumePoint;
     if (point === undefined) break;
     if (last !== undefined) {
       if (ctx.now() >= giveUpAt) break;
@@ -130,60 +124,19 @@
   return known;
 }
 
-function newAnswer(resume: ResumePoint | undefined): Answer {
-  return {
-    request: resume?.request ?? "",
-    revision: undefined,
-    resumeToken: resume?.token,
-    next: resume?.after ?? 0,
-    resumed: 0,
-    text: "",
-    done: undefined,
-  };
-}
-
-function takeEvent(
-  ctx: CliContext,
-  answer: Answer,
-  { event, options }: Readonly<{ event: AnswerEvent; options: SendOptions }>,
-): void {
-  switch (event.type) {
-    case "head":
-      answer.request = event.request || answer.request;
-      answer.revision = event.revision ?? answer.revision;
-      answer.resumeToken = event.resumeToken ?? answer.resumeToken;
-      return;
-    case "token":
-      if (event.index !== answer.next) return;
-      answer.next += 1;
-      if (options.streamed) ctx.write(event.text);
-      else answer.text += event.text;
-      return;
-    case "done":
-      answer.done = event;
-  }
-}
-
-function resumePoint(answer: Answer): ResumePoint | undefined {
-  const { request, next, resumeToken } = answer;
-  if (resumeToken === undefined) return undefined;
-  return { request, after: next, token: resumeToken };
-}
-
 function report(
-  answer: Answer,
+  answer: ReceivedAnswer,
   options: SendOptions,
 ): Result<Report, CliError> {
   const { request, revision, resumed, text, done, next } = answer;
-  if (done === undefined || done.count !== next) {
+  if (done === undefined || !answer.whole) {
+    const expected = done?.count ?? "an unknown number of";
     return err(
       sendError({
         code: "answer_broken",
         status: 0,
         verdict: "may_have_run",
-        detail: `${next} of ${
-          done?.count ?? "an unknown number of"
-        } events came`,
+        detail: `${next} of ${expected} events came`,
       }, answer),
     );
   }
@@ -195,8 +148,8 @@
   });
 }
 
-function sendError(cause: SendError, answer: Answer): CliError {
-  const point = resumePoint(answer);
+function sendError(cause: SendError, answer: ReceivedAnswer): CliError {
+  const point = answer.resumePoint;
   const hint = point === undefined
     ? ""
     : `; go on with --resume ${formatResume(point)}`;
@@ -220,16 +173,3 @@
     detail: "There is neither a prompt nor a place to go on from.",
   };
 }
-
-/** Returns a resume point as one word. */
-export function formatResume(point: ResumePoint): string {
-  return `${point.request}:${point.after}:${point.token}`;
-}
-
-/** Reads what `formatResume` wrote. */
-export function parseResume(text: string): ResumePoint | undefined {
-  const match = /^([^:]+):(\d+):([^:]+)$/.exec(text);
-  if (match === null) return undefined;
-  const [, request = "", after = "0", token = ""] = match;
-  return { request, after: Number(after), token };
-}
--- a/src/cli/verbs/apply.ts
+++ b/src/cli/verbs/apply.ts
@@ -9,14 +9,14 @@
 } from "cmd-ts";
 import { err, ok, type Result } from "neverthrow";
 import { canonicalText } from "../../config/canonical.ts";
-import { diffConfig } from "../../config/diff.ts";
 import type { ServingConfig } from "../../config/serving.ts";
 import type { GroupId, Revision } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
 import { entryArg, jsonArg, logArg, seconds, timeoutArg } from "../args.ts";
+import { applyReport, changeLines } from "../apply_report.ts";
 import { type CliContext, needEntry } from "../context.ts";
 import { surveyFleet } from "../fleet.ts";
-import { type InForce, stragglerLine, waitInForce } from "../in_force.ts";
+import { waitInForce } from "../in_force.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import {
   decided,
@@ -28,7 +28,6 @@
 import { findLosses, liveGroups } from "../removal.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
-import { changeLine } from "./diff.ts";
 
 /** How a folder is published. */
 export type ApplyOptions = Readonly<{
@@ -59,17 +58,17 @@
   if (result.isErr()) return err(result.error);
   const changes = changeLines(read.value.state.text, config);
   if (result.value.outcome !== "accepted") {
-    return ok(report(result.value, { changes }));
+    return ok(applyReport(result.value, { changes }));
   }
   if (!options.wait || entry.value === undefined) {
-    return ok(report(result.value, { changes }));
+    return ok(applyReport(result.value, { changes }));
   }
   const inForce = await waitInForce(ctx, entry.value, {
     revision: result.value.revision,
     waitMs: options.timeoutMs,
   });
   if (inForce.isErr()) return err(inForce.error);
-  return ok(report(result.value, { changes, inForce: inForce.value }));
+  return ok(applyReport(result.value, { changes, inForce: inForce.value }));
 }
 
 /** Finishes an earlier try, finds that nothing is to be done, or publishes. */
@@ -126,66 +125,6 @@
   return fleet.isOk() ? liveGroups(fleet.value.daemons) : undefined;
 }
 
-function changeLines(before: string, after: ServingConfig): readonly string[] {
-  const inForce = parsePublished(before);
-  return inForce === undefined
-    ? []
-    : diffConfig(inForce, after).map(changeLine);
-}
-
-function report(
-  result: PublishResult,
-  seen: Readonly<{ changes: readonly string[]; inForce?: InForce }>,
-): Report {
-  switch (result.outcome) {
-    case "accepted":
-      return accepted(result, seen);
-    case "conflict": {
-      const { winner, base } = result;
-      return {
-        exit: "conflict",
-        data: result,
-        lines: [
-          `conflict: written against revision ${base}, but revision ${winner.revision} by ${winner.author} is in force`,
-          "compare with `parsleyfield diff`, then apply again",
-        ],
-      };
-    }
-    case "unknown":
-      return {
-        exit: "unknown",
-        data: result,
-        lines: [
-          `unknown: ${result.detail}`,
-          `safe to run again with --change ${result.change}`,
-        ],
-      };
-  }
-}
-
-function accepted(
-  result: Extract<PublishResult, { outcome: "accepted" }>,
-  { changes, inForce }: Readonly<
-    { changes: readonly string[]; inForce?: InForce }
-  >,
-): Report {
-  const head =
-    `accepted as revision ${result.revision} (change ${result.change})`;
-  if (inForce === undefined) {
-    return { exit: "ok", data: result, lines: [...changes, head] };
-  }
-  const { daemons, stragglers } = inForce;
-  const followed = `in force on ${
-    daemons - stragglers.length
-  } of ${daemons} daemons`;
-  const late = stragglers.map(stragglerLine);
-  return {
-    exit: stragglers.length === 0 ? "ok" : "stragglers",
-    data: { ...result, ...inForce },
-    lines: [...changes, head, followed, ...late],
-  };
-}
-
 /** `parsleyfield apply DIR`. */
 export function applyCommand(run: RunVerb) {
   return command({
--- a/src/cli/verbs/diff.ts
+++ b/src/cli/verbs/diff.ts
@@ -1,8 +1,9 @@
 import { command, positional, string } from "cmd-ts";
 import { err, ok, type Result } from "neverthrow";
 import { canonicalText } from "../../config/canonical.ts";
-import { type ConfigChange, diffConfig } from "../../config/diff.ts";
+import { diffConfig } from "../../config/diff.ts";
 import { jsonArg, logArg } from "../args.ts";
+import { changeLine } from "../change_line.ts";
 import type { CliContext } from "../context.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import { readHistory } from "../read_history.ts";
@@ -39,15 +40,6 @@
   });
 }
 
-/** Returns a change as one line of text. */
-export function changeLine(change: ConfigChange): string {
-  if (change.type === "added") return `+ [${change.section}]`;
-  if (change.type === "removed") return `- [${change.section}]`;
-  const from = JSON.stringify(change.from);
-  const to = JSON.stringify(change.to);
-  return `~ [${change.section}] ${change.key}: ${from} -> ${to}`;
-}
-
 /** `parsleyfield diff DIR`. */
 export function diffCommand(run: RunVerb) {
   return command({
--- a/src/config/nearest.ts
+++ b/src/config/nearest.ts
@@ -16,6 +16,11 @@
   return best;
 }
 
+/** Adds the nearest candidate to what is allowed. */
+export function withHint(allowed: string, near: string | undefined): string {
+  return near === undefined ? allowed : `${allowed} (nearest: ${near})`;
+}
+
 /** Levenshtein distance, one row at a time (Wagner and Fischer, 1974). */
 function editDistance(a: string, b: string): number {
   let previous = Array.from({ length: b.length + 1 }, (_, index) => index);
--- a/src/config/references.ts
+++ b/src/config/references.ts
@@ -1,7 +1,7 @@
 import type { ConfigError } from "./config_error.ts";
 import { quoteFound } from "./ini_file.ts";
 import { snakeCase } from "./key_schema.ts";
-import { nearest } from "./nearest.ts";
+import { nearest, withHint } from "./nearest.ts";
 import type { Section, SectionsRead } from "./read_sections.ts";
 import type { SERVING_SECTIONS } from "./serving_sections.ts";
 
@@ -157,14 +157,12 @@
 }
 
 function dangling(key: string, name: string, known: readonly string[]): Fault {
-  const near = nearest(name, known);
-  const hint = near === undefined ? "" : ` (nearest: ${near})`;
   const list = known.length === 0 ? "none is declared" : known.join(", ");
   return {
     code: "dangling_reference",
     key,
     found: quoteFound(name),
-    allowed: list + hint,
+    allowed: withHint(list, nearest(name, known)),
   };
 }
 
