--- a/src/cli/app_test.ts
+++ b/src/cli/app_test.ts
@@ -2,7 +2,7 @@
 import { PassThrough } from "node:stream";
 import { expect, test } from "vitest";
 import { createApp, createVerbs } from "./app.ts";
-import { createFakeContext } from "./fake_clients.ts";
+import { createFakeContext } from "./fake_context.ts";
 import { FOLDER, writeFolder } from "./fake_folder.ts";
 import { Output } from "./output.ts";
 
--- a/src/cli/verbs/apply_platform_test.ts
+++ b/src/cli/verbs/apply_platform_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { LogService } from "../../../stand_ins/log_service/log_service.ts";
 import { HttpLogClient } from "../../platform/http_log_client.ts";
-import { createFakeContext } from "../fake_clients.ts";
+import { createFakeContext } from "../fake_context.ts";
 import { FOLDER, writeFolder } from "../fake_folder.ts";
 import { apply, type ApplyOptions } from "./apply.ts";
 import { history } from "./history.ts";
--- a/src/cli/verbs/apply_test.ts
+++ b/src/cli/verbs/apply_test.ts
@@ -1,9 +1,6 @@
 import { expect, test } from "vitest";
-import {
-  type AppendFault,
-  createFakeContext,
-  type FakeContext,
-} from "../fake_clients.ts";
+import { createFakeContext, type FakeContext } from "../fake_context.ts";
+import type { AppendFault } from "../fake_log_client.ts";
 import { FOLDER, writeFolder } from "../fake_folder.ts";
 import type { Report } from "../report.ts";
 import { apply, type ApplyOptions } from "./apply.ts";
--- a/src/cli/verbs/send_test.ts
+++ b/src/cli/verbs/send_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
-import { createFakeContext, type FakeStream } from "../fake_clients.ts";
+import { createFakeContext } from "../fake_context.ts";
+import type { FakeStream } from "../fake_prompt_client.ts";
 import type { AnswerEvent, SendError } from "../prompt_client.ts";
 import { type SendOptions, sendPrompt } from "../send_prompt.ts";
 
--- a/src/cli/verbs/status_test.ts
+++ b/src/cli/verbs/status_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { createFakeContext } from "../fake_clients.ts";
+import { createFakeContext } from "../fake_context.ts";
 import { drain } from "./drain.ts";
 import { status } from "./status.ts";
 
