--- a/tools/measure/debug_main.ts
+++ b/tools/measure/debug_main.ts
@@ -27,6 +27,19 @@
     : "e";
   const key = cls + (inSwing(x.arrival.at) ? " swing" : " quiet");
   const t = x.firstTokenAt === undefined ? 1e5 : x.firstTokenAt - x.sentAt;
+  if (key.startsWith("d4-20k shared") && t > 340 && process.argv[6]) {
+    console.log(
+      Math.round(x.arrival.at),
+      n,
+      x.arrival.blocks[0],
+      "shared",
+      x.arrival.blocks.filter((b) => !b.startsWith("8")).length * 256,
+      "cached",
+      x.cachedTokens,
+      x.engine,
+      Math.round(t),
+    );
+  }
   const b = (bins[key] ??= [0, 0, 0, 0, 0, 0]);
   b[0]! += 1;
   if (t > 300) b[1]! += 1;
