--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -201,7 +201,8 @@
       parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
       priority,
-      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 && beside === undefined,
+      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 &&
+        beside === undefined,
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
