Refuse, release and answer by the log, case by case

Ten cases of claims and issued keys on three daemons: two at once, a holder frozen between claim and call, a log that is down, silent, deaf or unreadable, a lost home, a restart of all, and what each kind of key is answered with.

Found by them: the first read of an empty stream waited for a record, so that a new daemon refused claims for 4 s. A reader that has not caught up now asks without waiting.

--- /dev/null
+++ b/src/controllers/claim_controller_test.ts
@@ -0,0 +1,280 @@
+import { expect, test } from "vitest";
+import type {
+  ClassId,
+  Digest,
+  IdempotencyKey,
+  RequestId,
+  ServiceId,
+  TeamId,
+} from "../core/id.ts";
+import { Random } from "../core/random.ts";
+import { addMs } from "../core/time.ts";
+import { issueKeyPrefix } from "../fold/issued_key.ts";
+import { FakeFleet } from "../testing/fake_fleet.ts";
+import type { LogMode } from "../testing/fake_log.ts";
+
+const CONFIG = {
+  models: [],
+  groups: [],
+  services: [{ id: "stock", once: ["POST /reserve"], timeoutMs: 2_000 }],
+  teams: ["a", "b"].map((id) => ({
+    id,
+    share: 1,
+    tokenDigests: [],
+    models: [],
+    services: [],
+  })),
+  classes: [{
+    id: "call",
+    urgency: 0,
+    deadlineMs: 5_000,
+    maxDeadlineMs: 5_000,
+  }],
+  limits: { keyWindowMs: 60_000, clockSkewMs: 1_000 },
+};
+
+type Call = Readonly<
+  { vm: number; key: string | undefined; body?: string; team?: string }
+>;
+
+/** Three daemons that have read everything; each call's end is told in one word. */
+class Scene {
+  readonly fleet = FakeFleet.create({
+    seed: 3,
+    daemons: 3,
+    retentionMs: 80_000,
+    config: JSON.stringify(CONFIG),
+    serviceFate: "runs",
+  });
+  #calls = 0;
+
+  constructor() {
+    this.wait(3_000);
+  }
+
+  wait(ms: number): void {
+    this.fleet.time.run(ms);
+  }
+
+  clientKey(ageMs = 0): string {
+    return Random.create(9).uuid(addMs(this.fleet.time.now, -ageMs));
+  }
+
+  issuedKey(vm: number, team = "a"): string {
+    const { self, claims } = this.fleet.daemons[vm]!.core.board;
+    const at = this.fleet.time.now;
+    const issue = { home: self.id, at, team: team as TeamId };
+    return `${issueKeyPrefix(issue, claims.keySecret)}.1`;
+  }
+
+  call({ vm, key, body = "x", team = "a" }: Call): string {
+    this.#calls += 1;
+    const id = `r${this.#calls}` as RequestId;
+    this.fleet.call(vm, {
+      kind: "call",
+      id,
+      team: team as TeamId,
+      classId: "call" as ClassId,
+      digest: body as Digest,
+      service: "stock" as ServiceId,
+      method: "POST",
+      path: "/reserve",
+      key: key as IdempotencyKey | undefined,
+    });
+    return id;
+  }
+
+  /** `ran`, `recorded`, or the reason and verdict of a problem. */
+  end(id: string): string {
+    const [answer] = this.fleet.answers.get(id as RequestId) ?? [];
+    if (answer === undefined) {
+      return this.fleet.service.runsByRequest.has(id as RequestId)
+        ? "ran"
+        : "open";
+    }
+    if (answer.type === "answer_recorded") return "recorded";
+    return `${answer.problem.code} ${answer.problem.verdict}`;
+  }
+
+  /** Calls one after another, and tells how they ended. */
+  ends(...calls: readonly Call[]): readonly string[] {
+    return calls.map((call) => {
+      const id = this.call(call);
+      this.wait(1_000);
+      return this.end(id);
+    });
+  }
+
+  runs(key: string, team = "a"): number {
+    return this.fleet.service.runsByKey.get(`${team}/${key}`) ?? 0;
+  }
+}
+
+test("what a key is answered with", () => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  expect(scene.ends(
+    { vm: 0, key },
+    { vm: 1, key },
+    { vm: 2, key, body: "y" },
+    { vm: 1, key, team: "b" },
+    { vm: 0, key: undefined },
+    { vm: 0, key: "order-17" },
+    { vm: 0, key: scene.clientKey(61_000) },
+    { vm: 0, key: scene.clientKey(-60_000) },
+  )).toMatchInlineSnapshot(`
+    [
+      "ran",
+      "recorded",
+      "key_reused not_run",
+      "ran",
+      "key_missing not_run",
+      "key_malformed not_run",
+      "key_expired may_have_run",
+      "key_in_future not_run",
+    ]
+  `);
+  expect(scene.runs(key)).toBe(1);
+});
+
+test("of two daemons with one key at the same instant one runs it", () => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  const ids = [scene.call({ vm: 0, key }), scene.call({ vm: 1, key })];
+  scene.wait(1_000);
+  expect(ids.map((id) => scene.end(id)).sort()).toEqual([
+    "claim_pending may_have_run",
+    "ran",
+  ]);
+  expect(scene.runs(key)).toBe(1);
+});
+
+test("a holder frozen between its claim and the call runs nothing once it is too late, and nobody else does", () => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  const id = scene.call({ vm: 0, key });
+  const { results } = scene.fleet.daemons[0]!.core.board.claims;
+  for (let ms = 0; ms < 500 && !results.has(id as RequestId); ms += 1) {
+    scene.wait(1);
+  }
+  expect(results.get(id as RequestId)).toEqual({ type: "held" });
+  scene.fleet.daemons[0]!.freeze(20_000);
+  expect(scene.ends({ vm: 1, key })).toEqual(["claim_pending may_have_run"]);
+  scene.wait(10_000);
+  expect(scene.ends({ vm: 1, key })).toEqual(["already_tried may_have_run"]);
+  scene.wait(20_000);
+  expect([scene.runs(key), scene.end(id)]).toMatchInlineSnapshot(`
+    [
+      0,
+      "deadline_exceeded not_run",
+    ]
+  `);
+});
+
+test.each<[LogMode, string]>([
+  ["down", "claims_unavailable not_run"],
+  ["silent", "claims_unavailable not_run"],
+  ["deaf", "ran"],
+])("with a log that is %s a client's key ends as %s", (mode, expected) => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  scene.fleet.log.mode = mode;
+  const id = scene.call({ vm: 0, key });
+  scene.wait(4_000);
+  expect(scene.end(id)).toBe(expected);
+  scene.fleet.log.mode = "up";
+  scene.wait(15_000);
+  const again = scene.ends({ vm: 1, key });
+  expect(again).toEqual([expected === "ran" ? "recorded" : "ran"]);
+  expect(scene.runs(key)).toBe(1);
+});
+
+test("after a while of outage a client's key is refused at once, while issued keys run at their home", () => {
+  const scene = new Scene();
+  scene.fleet.log.mode = "down";
+  scene.wait(3_000);
+  const id = scene.call({ vm: 0, key: scene.clientKey() });
+  scene.wait(5);
+  expect(scene.end(id)).toBe("claims_unavailable not_run");
+  const key = scene.issuedKey(0);
+  expect(scene.ends(
+    { vm: 0, key },
+    { vm: 0, key },
+    { vm: 0, key, body: "y" },
+    { vm: 0, key: scene.issuedKey(0, "b") },
+  )).toMatchInlineSnapshot(`
+    [
+      "ran",
+      "recorded",
+      "key_reused not_run",
+      "key_malformed not_run",
+    ]
+  `);
+  const forwarded = scene.issuedKey(1);
+  scene.call({ vm: 0, key: forwarded });
+  scene.wait(1_000);
+  expect([scene.runs(key), scene.runs(forwarded)]).toEqual([1, 1]);
+});
+
+test("a claim that is read back after it was given up is released, and the key runs later", () => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  scene.fleet.log.mode = "unreadable";
+  const id = scene.call({ vm: 0, key });
+  scene.wait(5_000);
+  scene.fleet.log.mode = "up";
+  scene.wait(15_000);
+  expect(scene.end(id)).toBe("claims_unavailable not_run");
+  expect(scene.ends({ vm: 1, key })).toEqual(["ran"]);
+  expect(scene.runs(key)).toBe(1);
+});
+
+test("without its home an issued key never runs again and says what is recorded", () => {
+  const scene = new Scene();
+  const [ran, unused] = [scene.issuedKey(0), scene.issuedKey(0, "b")];
+  scene.ends({ vm: 0, key: ran });
+  scene.fleet.kill(0, 500);
+  scene.wait(6_000);
+  expect(scene.ends(
+    { vm: 1, key: ran },
+    { vm: 0, key: ran },
+    { vm: 1, key: unused, team: "b" },
+  )).toMatchInlineSnapshot(`
+    [
+      "recorded",
+      "recorded",
+      "key_home_lost may_have_run",
+    ]
+  `);
+  expect([scene.runs(ran), scene.runs(unused, "b")]).toEqual([1, 0]);
+});
+
+test("after a restart of every VM a key that has run is answered from the log", () => {
+  const scene = new Scene();
+  const [ran, running] = [scene.clientKey(), scene.clientKey(1)];
+  scene.ends({ vm: 0, key: ran });
+  const id = scene.call({ vm: 1, key: running }) as RequestId;
+  const { requests } = scene.fleet.daemons[1]!.core.board;
+  for (let ms = 0; ms < 500; ms += 1) {
+    if (requests.byId.get(id)?.state === "running") break;
+    scene.wait(1);
+  }
+  for (const vm of [0, 1, 2]) scene.fleet.kill(vm, 200);
+  scene.wait(15_000);
+  expect(scene.ends({ vm: 2, key: ran }, { vm: 2, key: running })).toEqual([
+    "recorded",
+    "already_tried may_have_run",
+  ]);
+  expect(scene.runs(ran)).toBe(1);
+  expect(scene.runs(running)).toBeLessThan(2);
+});
+
+test("a daemon that has not read the key window refuses with not_run", () => {
+  const scene = new Scene();
+  scene.fleet.log.mode = "silent";
+  scene.fleet.kill(0, 100);
+  scene.wait(3_000);
+  expect(scene.ends({ vm: 0, key: scene.clientKey() })).toEqual([
+    "claims_not_read not_run",
+  ]);
+});
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -10,8 +10,6 @@
 import { PlacementController } from "./placement_controller.ts";
 import { PlanController } from "./plan_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
-import { QuarantineController } from "./quarantine_controller.ts";
-import { PlanController } from "./plan_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
--- a/src/controllers/fleet_invariants_test.ts
+++ b/src/controllers/fleet_invariants_test.ts
@@ -60,7 +60,13 @@
   fc.integer({ min: 10, max: 6_000 }),
   fc.integer({ min: 6_000, max: 100_000 }),
 );
-const mode = fc.constantFrom<LogMode>("down", "deaf", "silent", "slow");
+const mode = fc.constantFrom<LogMode>(
+  "down",
+  "deaf",
+  "silent",
+  "slow",
+  "unreadable",
+);
 
 const call = fc.record({
   waitMs,
--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -50,7 +50,13 @@
   | Readonly<
     { type: "append"; stream: StreamName; records: readonly AppendRecord[] }
   >
-  | Readonly<{ type: "read_log"; stream: StreamName; from: Offset }>
+  | Readonly<{
+    type: "read_log";
+    stream: StreamName;
+    from: Offset;
+    /** Whether to wait for a first record where there is none. */
+    wait: boolean;
+  }>
   | Readonly<{ type: "send_peer"; address: string; envelope: Envelope }>
   | Readonly<{ type: "send_order"; upstream: UpstreamId; order: EngineOrder }>
   | Readonly<
--- a/src/daemon/log_adapter.ts
+++ b/src/daemon/log_adapter.ts
@@ -84,14 +84,12 @@
   /** Starts a long poll; an earlier read of the same stream is given up. */
   async read(intent: Extract<Intent, { type: "read_log" }>): Promise<void> {
     const { stream, from } = intent;
+    const waitMs = intent.wait ? READ_WAIT_MS : 0;
     const turn = (this.#reads.get(stream) ?? 0) + 1;
     this.#reads.set(stream, turn);
     const result = await withTimeout(
-      this.#client.read(stream, from, {
-        limit: READ_LIMIT,
-        waitMs: READ_WAIT_MS,
-      }),
-      READ_WAIT_MS + ANSWER_TIMEOUT_MS,
+      this.#client.read(stream, from, { limit: READ_LIMIT, waitMs }),
+      waitMs + ANSWER_TIMEOUT_MS,
     );
     if (this.#closed || this.#reads.get(stream) !== turn) return;
     this.#options.onEvent(readEvent(stream, result));
--- a/src/daemon/log_adapter_test.ts
+++ b/src/daemon/log_adapter_test.ts
@@ -96,6 +96,7 @@
     type: "read_log",
     stream: CONFIG_STREAM,
     from: 0 as Offset,
+    wait: false,
   });
   expect(events).toMatchInlineSnapshot(`
     [
@@ -128,7 +129,7 @@
 
 test("a read that hangs is given up, and a newer read replaces an older one", async () => {
   const { client, events, adapter } = setUp();
-  const read = { type: "read_log", stream: CONFIG_STREAM } as const;
+  const read = { type: "read_log", stream: CONFIG_STREAM, wait: true } as const;
   void adapter.read({ ...read, from: 0 as Offset });
   await vi.advanceTimersByTimeAsync(1_000);
   void adapter.read({ ...read, from: 0 as Offset });
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -2,13 +2,7 @@
 import type { Weights } from "../core/request.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { Loaded, LoadReport } from "../wire/engine.ts";
-import {
-  currentPart,
-  type Job,
-  type JobKey,
-  lastPart,
-  partOn,
-} from "./job.ts";
+import { currentPart, type Job, type JobKey, lastPart, partOn } from "./job.ts";
 
 /** What a report may lag behind, so that work sent within it is not missed in the report. */
 const REPORT_MARGIN_MS: Millis = 50;
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -15,7 +15,7 @@
 import type { Vm } from "../wire/vm_list.ts";
 import { FakeDaemon } from "./fake_daemon.ts";
 import { FakeLog } from "./fake_log.ts";
-import { FakeService } from "./fake_service.ts";
+import { FakeService, type ServiceFate } from "./fake_service.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const START = 1_800_000_000_000 as Timestamp;
@@ -31,6 +31,7 @@
   retentionMs: Millis;
   /** The configuration, as JSON. */
   config: string;
+  serviceFate?: ServiceFate;
 }>;
 
 /** A few cores with one log and one service under virtual time. */
@@ -52,7 +53,11 @@
   private constructor(options: FleetOptions) {
     this.#random = Random.create(options.seed);
     this.log = FakeLog.create(this.time, this.#random, options);
-    this.service = FakeService.create(this.time, this.#random);
+    this.service = FakeService.create(
+      this.time,
+      this.#random,
+      options.serviceFate,
+    );
     this.publish(-1 as Revision, options.config);
     for (let vm = 0; vm < options.daemons; vm += 1) this.start(vm);
   }
@@ -128,7 +133,7 @@
       case "append":
         return this.log.append(intent.stream, intent.records, deliver);
       case "read_log":
-        return this.log.read(intent.stream, intent.from, deliver);
+        return this.log.read(intent, deliver);
       case "send_peer":
         return this.#send(daemon, intent);
       case "start_attempt": {
--- a/src/testing/fake_log.ts
+++ b/src/testing/fake_log.ts
@@ -1,6 +1,6 @@
 import type { Event } from "../core/event.ts";
 import type { Offset, RecordId, StreamName } from "../core/id.ts";
-import type { AppendRecord } from "../core/intent.ts";
+import type { AppendRecord, Intent } from "../core/intent.ts";
 import type { Random } from "../core/random.ts";
 import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { LogRecord } from "../wire/log.ts";
@@ -17,6 +17,8 @@
   | "down"
   /** Appends take effect, but their answers are lost. */
   | "deaf"
+  /** Appends work, reads hang. */
+  | "unreadable"
   /** Nothing takes effect and no answer comes. */
   | "silent"
   /** Answers and effects take seconds. */
@@ -25,6 +27,7 @@
 /** Where a fake hands in what it has to tell. */
 export type Deliver = (event: Event) => void;
 
+type ReadLog = Extract<Intent, { type: "read_log" }>;
 type Waiter = { done: boolean; wake: () => void };
 type Stream = { first: number; records: LogRecord[]; waiters: Waiter[] };
 
@@ -106,23 +109,27 @@
   }
 
   /** Reads with a long poll. */
-  read(name: StreamName, from: Offset, deliver: Deliver): void {
+  read(read: ReadLog, deliver: Deliver): void {
     const { mode } = this;
+    const { stream: name } = read;
     const fail = (ms: Millis) =>
       this.#time.after(
         ms,
         () => deliver({ type: "log_unreachable", stream: name }),
       );
     if (mode === "down") return fail(1);
-    if (mode === "silent") return fail(POLL_MS + GIVE_UP_MS);
-    this.#time.after(this.#delay(mode), () => this.#poll(name, from, deliver));
+    if (mode === "silent" || mode === "unreadable") {
+      return fail(POLL_MS + GIVE_UP_MS);
+    }
+    this.#time.after(this.#delay(mode), () => this.#poll(read, deliver));
   }
 
-  #poll(name: StreamName, from: Offset, deliver: Deliver): void {
+  #poll(read: ReadLog, deliver: Deliver): void {
+    const { stream: name, from } = read;
     const stream = this.#stream(name);
     this.#dropOld(stream);
     const end = stream.first + stream.records.length;
-    if (from < stream.first || from < end) {
+    if (from < end || !read.wait) {
       return this.#answer(name, from, deliver);
     }
     const waiter: Waiter = { done: false, wake: () => {} };
@@ -140,7 +147,7 @@
 
   #answer(name: StreamName, from: Offset, deliver: Deliver): void {
     const stream = this.#stream(name);
-    if (this.mode === "down" || this.mode === "silent") {
+    if (this.mode !== "up" && this.mode !== "slow" && this.mode !== "deaf") {
       return deliver({ type: "log_unreachable", stream: name });
     }
     if (from < stream.first) {
--- a/src/testing/fake_service.ts
+++ b/src/testing/fake_service.ts
@@ -11,6 +11,9 @@
 
 const SILENCE_MS: Millis = 2 * SECOND_MS;
 
+/** What becomes of calls: all run, or some are refused and some answers are lost. */
+export type ServiceFate = "runs" | "mixed";
+
 /** A plain service that counts what ran; some calls are refused, some answers lost. */
 export class FakeService {
   /** Runs by team and key. */
@@ -19,14 +22,24 @@
   readonly runsByRequest = new Map<RequestId, number>();
   readonly #time: VirtualTime;
   readonly #random: Random;
+  readonly #fate: ServiceFate;
 
-  private constructor(time: VirtualTime, random: Random) {
+  private constructor(
+    time: VirtualTime,
+    random: Random,
+    fate: ServiceFate,
+  ) {
+    this.#fate = fate;
     this.#time = time;
     this.#random = random;
   }
 
-  static create(time: VirtualTime, random: Random): FakeService {
-    return new FakeService(time, random);
+  static create(
+    time: VirtualTime,
+    random: Random,
+    fate: ServiceFate = "mixed",
+  ): FakeService {
+    return new FakeService(time, random, fate);
   }
 
   /** Sends one call, as the daemon's adapter would: not after its deadline. */
@@ -43,7 +56,7 @@
         outcome,
       });
     if (this.#time.now >= start.deadlineAt) return tell(failed("not_run"));
-    const fate = this.#random.below(10);
+    const fate = this.#fate === "runs" ? 9 : this.#random.below(10);
     if (fate === 0) return tell(failed("not_run"));
     this.#time.after(1 + this.#random.below(300), () => {
       const name = `${req.team}/${req.key}`;
