--- a/src/config/examples_test.ts
+++ b/src/config/examples_test.ts
@@ -27,6 +27,7 @@
         "clientAddress": "127.0.0.1:8080",
         "domain": "a",
         "peerAddress": "127.0.0.1:9090",
+        "peerListen": undefined,
         "vm": "entry-a-1",
       },
       "log": {
