--- a/src/config/check_folder_test.ts
+++ b/src/config/check_folder_test.ts
@@ -178,6 +178,11 @@
   ],
   ["team of no model", "[team.t]\nmodels = n", "dangling_reference"],
   ["team of no service", "[team.t]\nservices = n", "dangling_reference"],
+  [
+    "second line after a bare carriage return",
+    "[limits]\nmax_attempts = 2\rmax_request = 1",
+    "unknown_key",
+  ],
   ["line without a value", "[limits]\nmax_requests", "malformed_line"],
   ["section that does not close", "[limits\n", "malformed_line"],
   ["value without a key", "[limits]\n= 4", "malformed_line"],
--- a/src/config/ini_file.ts
+++ b/src/config/ini_file.ts
@@ -25,7 +25,7 @@
   const entries: IniEntry[] = [];
   const errors: ConfigError[] = [];
   let section = "";
-  for (const [index, text] of file.text.split(/\r?\n/).entries()) {
+  for (const [index, text] of file.text.split(/\r\n|\n|\r/).entries()) {
     if (IGNORED_LINE.test(text)) continue;
     const at: Position = { file: file.name, line: index + 1 };
     const header = SECTION_LINE.exec(text);
