--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -4,6 +4,8 @@
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type { AttemptId, DaemonId, RequestId } from "../core/id.ts";
+import type { Intent } from "../core/intent.ts";
+import { lengthClass, type TimingName } from "../core/measurement.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Outcome, Placement, Request } from "../core/request.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
@@ -159,7 +161,7 @@
     }
     if (event.type === "first_token") {
       entry.attempt = { ...entry.attempt, firstTokenAt: ctx.now };
-      return;
+      return measure(ctx, entry, "first_token_ms");
     }
     entry.tokens = event.tokens;
     entry.attempt = { ...entry.attempt, tokens: event.tokens };
@@ -175,6 +177,8 @@
     if (outcome.type === "ok") {
       board.requests.byId.delete(entry.req.id);
       ctx.counters.add("requests_finished");
+      measure(ctx, entry, "request_ms");
+      ctx.emit(finishedLine(ctx, entry, outcome));
       this.#budgetAt(ctx).earn(limits?.retryRatio ?? 0);
       return ctx.repeat();
     }
@@ -323,6 +327,7 @@
     const id = ctx.random.uuid(ctx.now) as AttemptId;
     entry.attempt = { id, placement, startedAt: ctx.now, tokens: entry.tokens };
     entry.attempts += 1;
+    measure(ctx, entry, "placing_ms");
     entry.state = "running";
     entry.reattached = false;
     ctx.emit(
@@ -378,6 +383,40 @@
   }
 }
 
+function measure(
+  ctx: StepContext,
+  entry: RequestEntry,
+  name: TimingName,
+): void {
+  const ms = ctx.now - entry.req.arrivedAt;
+  const length = lengthClass(entry.req);
+  ctx.emit({ type: "measured", timing: { name, ms, length } });
+}
+
+function finishedLine(
+  ctx: StepContext,
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "ok" }>,
+): Extract<Intent, { type: "log_line" }> {
+  const { req, attempt, attempts, ranUnder } = entry;
+  const fields = {
+    req: req.id,
+    team: req.team,
+    upstream: attempt?.placement.upstream ?? "",
+    attempts,
+    revision: ranUnder.revision,
+    status: outcome.status,
+    tokens: outcome.tokens,
+    ms: ctx.now - req.arrivedAt,
+  };
+  return {
+    type: "log_line",
+    level: "info",
+    message: "request finished",
+    fields,
+  };
+}
+
 function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
   ctx.counters.refuse(cause.code);
   ctx.emit({ type: "answer", req, problem: cause });
--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -9,6 +9,7 @@
   StreamName,
   UpstreamId,
 } from "./id.ts";
+import type { Timing } from "./measurement.ts";
 import type { Problem } from "./problem.ts";
 import type { Placement, RanUnder, Weights } from "./request.ts";
 import type { Timestamp } from "./time.ts";
@@ -86,4 +87,5 @@
       deadlineAt: Timestamp;
     }
   >
+  | Readonly<{ type: "measured"; timing: Timing }>
   | Readonly<{ type: "exit" }>;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -111,7 +111,9 @@
     const tags = { vm: settings.daemon.vm, domain: settings.daemon.domain };
     this.#metrics = host === undefined
       ? undefined
-      : Metrics.create(board, { host, port, tags });
+      : Metrics.create(board, { host, port, tags }, {
+        now: () => clock.now(),
+      });
   }
 
   static create(parts: DaemonParts): Daemon {
@@ -207,6 +209,8 @@
         );
       case "forward_call":
         return void this.#forwarder.send(intent);
+      case "measured":
+        return this.#metrics?.time(intent.timing);
       case "exit":
         return void this.#exit();
     }
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,7 +1,8 @@
 import { clearInterval, setInterval } from "node:timers";
 import { StatsD } from "hot-shots";
 import type { Blackboard } from "../board/blackboard.ts";
-import { type Millis, SECOND_MS } from "../core/time.ts";
+import type { Timing } from "../core/measurement.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 
 const FLUSH_INTERVAL_MS: Millis = 10 * SECOND_MS;
 const PREFIX = "parsleyfield.";
@@ -15,11 +16,17 @@
 export class Metrics {
   readonly #board: Blackboard;
   readonly #client: StatsD;
+  readonly #now: () => Timestamp;
   readonly #sent = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
-  private constructor(board: Blackboard, target: MetricsTarget) {
+  private constructor(
+    board: Blackboard,
+    target: MetricsTarget,
+    now: () => Timestamp,
+  ) {
     this.#board = board;
+    this.#now = now;
     this.#client = new StatsD({
       host: target.host,
       port: target.port,
@@ -30,14 +37,23 @@
     });
   }
 
-  static create(board: Blackboard, target: MetricsTarget): Metrics {
-    return new Metrics(board, target);
+  static create(
+    board: Blackboard,
+    target: MetricsTarget,
+    options: { now: () => Timestamp },
+  ): Metrics {
+    return new Metrics(board, target, options.now);
   }
 
   start(): void {
     this.#timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
   }
 
+  /** Sends one measured time. */
+  time(timing: Timing): void {
+    this.#client.timing(timing.name, timing.ms, { length: timing.length });
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#timer);
     this.flush();
@@ -54,6 +70,13 @@
     this.#client.gauge("running", requests.byId.size);
     this.#client.gauge("queued", placement.queued);
     this.#client.gauge("peers", members.peers.size);
+    this.#client.gauge("config_age_ms", this.#configAge());
+  }
+
+  /** Time since log or peers confirmed the configuration. */
+  #configAge(): Millis {
+    const { confirmedAt } = this.#board.config;
+    return confirmedAt === undefined ? 0 : this.#now() - confirmedAt;
   }
 
   #sendCounts(
