Export and verify the record of finished requests

One reader of the stream, one check of the chains; an archive of JSON lines is verified without the log, and several may overlap. A line of an archive that notes a gap is left out of the check, which finds the gap anew. Seen red: unfinished file kept, existing file written over, expired begin taken for a loss, altered first batch let through (its own test, added after that trial stayed green). What writes the batches is not there yet; until then the log has none.

--- a/src/cli/app.ts
+++ b/src/cli/app.ts
@@ -6,6 +6,7 @@
 import { diffCommand } from "./verbs/diff.ts";
 import { drainCommand } from "./verbs/drain.ts";
 import { historyCommand } from "./verbs/history.ts";
+import { recordCommand } from "./verbs/record.ts";
 import { sendCommand } from "./verbs/send.ts";
 import { showCommand } from "./verbs/show.ts";
 import { statusCommand } from "./verbs/status.ts";
@@ -21,6 +22,7 @@
     status: statusCommand(run),
     drain: drainCommand(run),
     send: sendCommand(run),
+    record: recordCommand(run),
   };
 }
 
--- a/src/cli/app_test.ts
+++ b/src/cli/app_test.ts
@@ -7,6 +7,11 @@
 import { Output } from "./output.ts";
 
 const VERBS = Object.keys(createVerbs(() => Promise.resolve(0)));
+const WHOLE_VERBS = [
+  ...VERBS.filter((verb) => verb !== "record"),
+  "record export",
+  "record verify",
+];
 
 function createRun() {
   const fake = createFakeContext();
@@ -22,11 +27,11 @@
   return { app, fake, text: () => String(out.read() ?? "") };
 }
 
-test.each(VERBS)(
+test.each(WHOLE_VERBS)(
   "%s --help shows arguments, an example and the exit codes",
   async (verb) => {
     const { app } = createRun();
-    const help = await dryRun(app, [verb, "--help"]);
+    const help = await dryRun(app, [...verb.split(" "), "--help"]);
     if (help._tag !== "error") throw new Error("help did not end the run");
     const text = help.error;
     for (
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -12,8 +12,8 @@
 
 const MEANINGS: Readonly<Record<Exit, string>> = {
   ok: "done as asked",
-  failure: "failed; nothing was done",
-  bad_input: "bad input: arguments, folder or prompt; nothing was done",
+  failure: "failed, or a check did not hold; nothing was changed",
+  bad_input: "bad input: arguments, folder or prompt; nothing was changed",
   conflict: "another change came first",
   unknown: "it may or may not have taken effect; safe to run again",
   stragglers: "done, but some daemons have not followed in time",
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,16 +5,21 @@
 import { createContext } from "./environment.ts";
 import { EXIT_CODES } from "./exit_code.ts";
 import { Output } from "./output.ts";
+import type { RunVerb } from "./run_verb.ts";
 
 const output = Output.create(process.stdout, process.stderr);
 
-const app = createApp(async (args, verb) => {
+let exitCode = Promise.resolve<number>(EXIT_CODES.ok);
+
+const run: RunVerb = async (args, verb) => {
   const result = await verb(createContext(output, args));
   return result.match(
     (report) => output.report(report, args.json),
     (err) => output.error(err, args.json),
   );
-});
+};
+
+const app = createApp((args, verb) => exitCode = run(args, verb));
 
 /** Ends the process once its output is written; idle connections would keep it alive. */
 function exit(code: number): void {
@@ -25,9 +30,9 @@
 
 const result = await runSafely(app, process.argv.slice(2));
 if (result._tag === "ok") {
-  exit(await result.value.value);
+  exit(await exitCode);
 } else {
-  const { exitCode, into, message } = result.error.config;
+  const { exitCode: code, into, message } = result.error.config;
   process[into].write(`${message}\n`);
-  exit(exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input);
+  exit(code === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input);
 }
--- /dev/null
+++ b/src/cli/verbs/record_test.ts
@@ -0,0 +1,135 @@
+import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import type { DaemonId, RecordId } from "../../core/id.ts";
+import { sealBatch } from "../../fold/record_chain.ts";
+import { type RecordBatch, RequestRecordSchema } from "../../wire/record.ts";
+import { createFakeContext, type FakeContext } from "../fake_context.ts";
+import { exportRecord, verifyRecord } from "./record.ts";
+
+const RECORD = RequestRecordSchema.parse({
+  request: "r",
+  team: "t",
+  class: "c",
+  request_digest: "abc",
+  revision: 3,
+  result: "ok",
+  verdict: "ran",
+  attempts: 1,
+  tokens: 20,
+  arrived_at: 1,
+  ended_at: 2,
+});
+
+/** Puts `count` batches of one daemon on the log, without those in `missing`. */
+function putChain(
+  fake: FakeContext,
+  count: number,
+  missing: readonly number[] = [],
+): void {
+  let last: RecordBatch | undefined;
+  for (let seq = 0; seq < count; seq += 1) {
+    const id = `a-${seq}` as RecordId;
+    last = sealBatch({ id, daemon: "a" as DaemonId }, [RECORD], last);
+    if (!missing.includes(seq)) fake.log.values.push(JSON.stringify(last));
+  }
+}
+
+async function newPath(): Promise<string> {
+  return join(await mkdtemp(join(tmpdir(), "parsleyfield-")), "a.jsonl");
+}
+
+test("an export can be verified without the log, and an altered line is found", async () => {
+  const fake = createFakeContext();
+  putChain(fake, 3);
+  const path = await newPath();
+  const exported = (await exportRecord(fake.ctx, path))._unsafeUnwrap();
+  expect(exported.lines.slice(1)).toMatchInlineSnapshot(`
+    [
+      "daemons: 1, batches: 3, records: 3, gaps: 0, altered: 0",
+    ]
+  `);
+  const offline = createFakeContext({ log: undefined });
+  expect((await verifyRecord(offline.ctx, [path]))._unsafeUnwrap().exit)
+    .toBe("ok");
+  const text = await readFile(path, "utf8");
+  await writeFile(path, text.replace(`"tokens":20`, `"tokens":21`));
+  const altered = (await verifyRecord(offline.ctx, [path]))._unsafeUnwrap();
+  expect(altered.exit).toBe("failure");
+  expect(altered.lines).toMatchInlineSnapshot(`
+    [
+      "not whole",
+      "daemons: 1, batches: 2, records: 2, gaps: 1, altered: 1",
+      "altered: batch 0 of daemon a: its digest is not that of its content",
+      "gap: batches 0 to 0 of daemon a are missing",
+    ]
+  `);
+});
+
+test("a gap is shown as a gap, by export and by verify", async () => {
+  const fake = createFakeContext();
+  putChain(fake, 5, [2, 3]);
+  const path = await newPath();
+  await exportRecord(fake.ctx, path);
+  const lines = (await readFile(path, "utf8")).trim().split("\n");
+  expect(lines.map((line) => JSON.parse(line).type)).toEqual([
+    "record_batch",
+    "record_batch",
+    "gap",
+    "record_batch",
+  ]);
+  for (const paths of [[], [path]]) {
+    const report = (await verifyRecord(fake.ctx, paths))._unsafeUnwrap();
+    expect(report.exit).toBe("failure");
+    expect(report.lines.at(-1)).toBe(
+      "gap: batches 2 to 3 of daemon a are missing",
+    );
+  }
+});
+
+test("what the log has let expire is a fault only of an archive that lacks it", async () => {
+  const fake = createFakeContext();
+  putChain(fake, 4);
+  const early = await newPath();
+  await exportRecord(fake.ctx, early);
+  putChain(fake, 6, [0, 1, 2, 3]);
+  fake.log.first = 2;
+  const late = await newPath();
+  await exportRecord(fake.ctx, late);
+  const exit = async (paths: readonly string[]) =>
+    (await verifyRecord(fake.ctx, paths))._unsafeUnwrap().exit;
+  expect(await exit([])).toBe("ok");
+  expect(await exit([late])).toBe("failure");
+  expect(await exit([early, late])).toBe("ok");
+});
+
+test("an export that can't read on leaves no file", async () => {
+  const fake = createFakeContext();
+  putChain(fake, 501);
+  fake.log.readsLeft = 1;
+  const path = await newPath();
+  const error = (await exportRecord(fake.ctx, path))._unsafeUnwrapErr();
+  expect(error.code).toBe("log_unreadable");
+  fake.log.readsLeft = Infinity;
+  const again = (await exportRecord(fake.ctx, path))._unsafeUnwrap();
+  expect(again.data).toMatchObject({ batches: 501 });
+});
+
+test("an altered first batch of the log is a fault, though its begin may expire", async () => {
+  const fake = createFakeContext();
+  putChain(fake, 2);
+  const [first = "", ...rest] = fake.log.values.splice(0);
+  fake.log.values.push(first.replace(`"tokens":20`, `"tokens":21`), ...rest);
+  const report = (await verifyRecord(fake.ctx, []))._unsafeUnwrap();
+  expect(report).toMatchObject({ exit: "failure", data: { altered: 1 } });
+});
+
+test("an existing file is not written over", async () => {
+  const fake = createFakeContext();
+  const path = await newPath();
+  await writeFile(path, "kept");
+  const error = (await exportRecord(fake.ctx, path))._unsafeUnwrapErr();
+  expect(error).toMatchObject({ code: "bad_archive", exit: "bad_input" });
+  expect(await readFile(path, "utf8")).toBe("kept");
+});
