Serve clients over HTTPS and peers over mutual TLS

The [tls] settings had no effect yet. Certificates are read again each minute. Between daemons the CA's signature counts, not the name, because VMs change their addresses.

--- a/src/config/daemon_settings.ts
+++ b/src/config/daemon_settings.ts
@@ -55,7 +55,7 @@
 
 const tlsSchema = z.object({
   certPath: path.optional().describe(
-    "The daemon's certificate chain, PEM; used towards clients and other daemons.",
+    "The daemon's certificate chain, PEM; with it, clients are served over HTTPS. Read again each minute.",
   ),
   keyPath: path.optional().describe("The certificate's private key, PEM."),
   caPath: path.optional().describe(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { setTimeout } from "node:timers/promises";
 import { getRequestListener } from "@hono/node-server";
 import type { ResultAsync } from "neverthrow";
@@ -13,9 +13,18 @@
 import type { Random } from "../core/random.ts";
 import { SECOND_MS } from "../core/time.ts";
 import { createApp } from "../http/app.ts";
+import {
+  createClientServer,
+  type ServerCertificate,
+} from "../http/https_server.ts";
 import type { LogClient } from "../platform/log_client.ts";
 import type { VmListClient } from "../platform/vm_list_client.ts";
 import { PeerClients } from "../peer/peer_clients.ts";
+import {
+  mutualCredentials,
+  type PeerCredentials,
+  plainCredentials,
+} from "../peer/peer_credentials.ts";
 import { PeerServer } from "../peer/peer_server.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
 import { CallForwarder } from "./call_forwarder.ts";
@@ -58,7 +67,7 @@
   readonly #clients: UpstreamClients;
   readonly #runner: AttemptRunner;
   readonly #orders: OrderRunner;
-  readonly #peers = PeerClients.create();
+  readonly #peers: PeerClients;
   readonly #forwarder: CallForwarder;
   readonly #peerServer: PeerServer;
   readonly #http: Server;
@@ -94,6 +103,8 @@
     });
     this.#upstreamPoller = UpstreamPoller.create(loop, this.#clients);
     this.#vmListPoller = VmListPoller.create(loop, parts.vmList);
+    const credentials = peerCredentials(settings);
+    this.#peers = PeerClients.create(credentials);
     this.#forwarder = CallForwarder.create({
       peers: this.#peers,
       exchanges: this.#exchanges,
@@ -105,7 +116,7 @@
       runCall: (call) => this.#forwarder.run(call),
       deliver: (envelope) =>
         this.#loop.post({ type: "peer_message", envelope }),
-    });
+    }, credentials);
     this.#http = this.#createHttp();
     const { statsdHost: host, statsdPort: port } = settings.metrics;
     const tags = { vm: settings.daemon.vm, domain: settings.daemon.domain };
@@ -176,7 +187,14 @@
       report: (cause) =>
         logger.error("request failed", { cause: String(cause) }),
     });
-    return createServer(getRequestListener(app.fetch));
+    return createClientServer(
+      getRequestListener(app.fetch),
+      clientCertificate(this.#parts.settings),
+      {
+        onError: (err) =>
+          logger.error("can't renew certificate", { cause: err.message }),
+      },
+    );
   }
 
   #perform(intent: Intent): void {
@@ -279,3 +297,17 @@
     startedAt,
   };
 }
+
+function peerCredentials(settings: DaemonSettings): PeerCredentials {
+  const { certPath, keyPath, caPath } = settings.tls;
+  return certPath && keyPath && caPath
+    ? mutualCredentials({ certPath, keyPath, caPath })
+    : plainCredentials();
+}
+
+function clientCertificate(
+  settings: DaemonSettings,
+): ServerCertificate | undefined {
+  const { certPath, keyPath } = settings.tls;
+  return certPath && keyPath ? { certPath, keyPath } : undefined;
+}
--- /dev/null
+++ b/src/http/https_server.ts
@@ -0,0 +1,48 @@
+import { readFileSync } from "node:fs";
+import { createServer as createHttpServer, type Server } from "node:http";
+import type { RequestListener } from "node:http";
+import { createServer, type Server as HttpsServer } from "node:https";
+import { clearInterval, setInterval } from "node:timers";
+import { type Millis, MINUTE_MS } from "../core/time.ts";
+
+const REFRESH_MS: Millis = MINUTE_MS;
+
+/** Certificate chain and key of the client listener, PEM. */
+export type ServerCertificate = Readonly<{ certPath: string; keyPath: string }>;
+
+/** Builds the client listener: plain HTTP without a certificate, else HTTPS whose files are read again. */
+export function createClientServer(
+  listener: RequestListener,
+  certificate: ServerCertificate | undefined,
+  options: { refreshMs?: Millis; onError?: (err: Error) => void } = {},
+): Server {
+  if (certificate === undefined) return createHttpServer(listener);
+  const server = createServer(readCertificate(certificate), listener);
+  watch(server, certificate, options);
+  return server;
+}
+
+function readCertificate(certificate: ServerCertificate) {
+  return {
+    cert: readFileSync(certificate.certPath),
+    key: readFileSync(certificate.keyPath),
+    minVersion: "TLSv1.2" as const,
+  };
+}
+
+/** A file that can't be read leaves the certificate in use standing. */
+function watch(
+  server: HttpsServer,
+  certificate: ServerCertificate,
+  options: { refreshMs?: Millis; onError?: (err: Error) => void },
+): void {
+  const timer = setInterval(() => {
+    try {
+      server.setSecureContext(readCertificate(certificate));
+    } catch (err) {
+      options.onError?.(err as Error);
+    }
+  }, options.refreshMs ?? REFRESH_MS);
+  timer.unref();
+  server.on("close", () => clearInterval(timer));
+}
--- a/src/peer/peer_clients.ts
+++ b/src/peer/peer_clients.ts
@@ -7,6 +7,7 @@
   PeerClient,
 } from "../gen/peer.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
+import { type PeerCredentials, plainCredentials } from "./peer_credentials.ts";
 import { MAX_PEER_BYTES } from "./peer_server.ts";
 
 const SEND_TIMEOUT_MS: Millis = SECOND_MS;
@@ -21,10 +22,16 @@
 export class PeerClients {
   readonly #channels = new Map<string, PeerClient>();
 
-  private constructor() {}
+  readonly #credentials: PeerCredentials;
 
-  static create(): PeerClients {
-    return new PeerClients();
+  private constructor(credentials: PeerCredentials) {
+    this.#credentials = credentials;
+  }
+
+  static create(
+    credentials: PeerCredentials = plainCredentials(),
+  ): PeerClients {
+    return new PeerClients(credentials);
   }
 
   /** Delivers one message; a channel that does not answer in time is replaced by a new one. */
@@ -86,7 +93,7 @@
     const known = this.#channels.get(address);
     if (known !== undefined) return known;
     this.#dropOldest();
-    const client = new PeerClient(address, grpc.credentials.createInsecure(), {
+    const client = new PeerClient(address, this.#credentials.channel, {
       "grpc.max_receive_message_length": MAX_PEER_BYTES,
       "grpc.enable_retries": 0,
       "grpc.use_local_subchannel_pool": 1,
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -1,4 +1,5 @@
 import * as grpc from "@grpc/grpc-js";
+import { type PeerCredentials, plainCredentials } from "./peer_credentials.ts";
 import { ResultAsync } from "neverthrow";
 import {
   type CallForward,
@@ -19,12 +20,20 @@
 /** Listens for the other daemons. */
 export class PeerServer {
   readonly #server: grpc.Server;
+  readonly #credentials: grpc.ServerCredentials;
 
-  private constructor(server: grpc.Server) {
+  private constructor(
+    server: grpc.Server,
+    credentials: grpc.ServerCredentials,
+  ) {
     this.#server = server;
+    this.#credentials = credentials;
   }
 
-  static create(handlers: PeerHandlers): PeerServer {
+  static create(
+    handlers: PeerHandlers,
+    credentials: PeerCredentials = plainCredentials(),
+  ): PeerServer {
     const server = new grpc.Server({
       "grpc.max_receive_message_length": MAX_PEER_BYTES,
     });
@@ -47,16 +56,15 @@
         );
       },
     });
-    return new PeerServer(server);
+    return new PeerServer(server, credentials.server);
   }
 
   /** Resolves with the port that was bound. */
   listen(address: string): ResultAsync<number, Error> {
-    const credentials = grpc.ServerCredentials.createInsecure();
     const bound = new Promise<number>((resolve, reject) => {
       this.#server.bindAsync(
         address,
-        credentials,
+        this.#credentials,
         (err, port) => err === null ? resolve(port) : reject(err),
       );
     });
