--- a/src/config/daemon_settings_test.ts
+++ b/src/config/daemon_settings_test.ts
@@ -27,7 +27,7 @@
     [
       "d.ini:1: [daemon] peer_address: missing_key: found nothing; allowed: HOST:PORT",
       "d.ini:4: [daemon] client_address: out_of_range: found "127.0.0.1"; allowed: HOST:PORT",
-      "d.ini:5: [daemon] peer_adress: unknown_key: found "peer_adress"; allowed: vm, domain, client_address, peer_address (nearest: peer_address)",
+      "d.ini:5: [daemon] peer_adress: unknown_key: found "peer_adress"; allowed: vm, domain, client_address, peer_address, peer_listen (nearest: peer_address)",
       "d.ini:8: [platform] log_url: out_of_range: found "ftp://127.0.0.1"; allowed: a URL of http or https",
       "d.ini:12: [log] level: out_of_range: found "loud"; allowed: one of error, warn, info, debug",
       "d.ini:14: [tls] cert_path: missing_key: found nothing; allowed: cert_path and key_path together, or none of the section's keys",
