Refuse at once a prompt that all engines together can't hold

Such a prompt waited until its deadline could no longer be met, and was then refused as late, although prompt_too_long is the documented reason. The check cuts the prompt over the engines' whole memory. While an engine has not reported its memory, the prompt waits as before.

Seen failing first: without the check, three of six cases answer queued.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -12,6 +12,7 @@
 import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
+import { couldHold } from "./oversized.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import {
   cachedOn,
@@ -210,6 +211,7 @@
   }
 
   #askLong(ask: Ask, view: PlacementView): Answer {
+    if (!couldHold(ask, view)) return refuseTooLong();
     const waitMs = this.#predictWaitMs(ask, view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
@@ -431,6 +433,11 @@
   };
 }
 
+function refuseTooLong(): Answer {
+  const detail = "The engines can't hold this prompt, even when they are free.";
+  return { type: "refused", problem: problem("prompt_too_long", detail) };
+}
+
 function refuseFull(waitMs: Millis): Answer {
   const detail = "The engines have no room for this prompt now.";
   const retryAfterMs = clampRetry(waitMs);
--- /dev/null
+++ b/src/scheduling/oversized.ts
@@ -0,0 +1,16 @@
+import type { Ask } from "./ask.ts";
+import { cutPrompt } from "./plan.ts";
+import type { PlacementView } from "./short_placement.ts";
+
+/** Whether the engines could hold a prompt if nothing else ran; true while one has not reported its memory. */
+export function couldHold(ask: Ask, view: PlacementView): boolean {
+  const { planSegments, shortMemoryTokens } = view.policy;
+  const rooms = view.engines.map(({ id, report }) => ({
+    upstream: id,
+    tokens: (report?.kv_capacity_tokens ?? Infinity) - shortMemoryTokens,
+  }));
+  if (rooms.some(({ tokens }) => tokens === Infinity)) return true;
+  const { promptTokens, maxTokens } = ask;
+  const limits = { promptTokens, maxTokens, maxSegments: planSegments };
+  return cutPrompt(limits, rooms) !== undefined;
+}
--- /dev/null
+++ b/src/scheduling/oversized_test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from "vitest";
+import type {
+  DaemonId,
+  Digest,
+  ModelId,
+  RequestId,
+  TeamId,
+  VersionId,
+} from "../core/id.ts";
+import { addMs } from "../core/time.ts";
+import { engineFixture, START } from "../testing/fixtures.ts";
+import type { Ask } from "./ask.ts";
+import { CellScheduler } from "./cell_scheduler.ts";
+import { DEFAULT_POLICY } from "./policy.ts";
+
+const CAPACITY = 450_000;
+
+function schedulerOf(engines: number): CellScheduler {
+  const scheduler = CellScheduler.create(DEFAULT_POLICY);
+  const upstreams = Array.from({ length: engines }, (_, i) => {
+    const fixture = engineFixture(`e${i}`);
+    return engineFixture(`e${i}`, {
+      load: {
+        incarnation: fixture.incarnation,
+        at: START,
+        running: 0,
+        waiting: 0,
+        decoding: 0,
+        prefill_tokens: 0,
+        kv_capacity_tokens: CAPACITY,
+        kv_free_tokens: CAPACITY,
+        loaded: fixture.engine!.loaded,
+        role: "mixed",
+        leaving: false,
+      },
+    });
+  });
+  scheduler.takeUpstreams(upstreams);
+  return scheduler;
+}
+
+function askFor(promptTokens: number): Ask {
+  return {
+    request: "r" as RequestId,
+    round: 1,
+    from: "d" as DaemonId,
+    team: "makers" as TeamId,
+    weights: { model: "sage" as ModelId, version: "2" as VersionId },
+    promptTokens,
+    maxTokens: 1_000,
+    urgency: 0,
+    arrivedAt: START,
+    deadlineAt: addMs(START, 3_600_000),
+    digest: "x" as Digest,
+    blocks: [],
+    excluded: [],
+    suspect: false,
+  };
+}
+
+test.each([
+  [4, 1_000_000, "queued"],
+  [4, 1_599_000, "queued"],
+  [4, 1_599_001, "prompt_too_long"],
+  [3, 1_199_000, "queued"],
+  [3, 1_199_001, "prompt_too_long"],
+  [9, 1_599_001, "prompt_too_long"],
+])(
+  "%i engines answer a prompt of %i tokens at once with %s",
+  (engines, promptTokens, expected) => {
+    const answer = schedulerOf(engines).ask(askFor(promptTokens), START);
+    const result = answer.type === "refused"
+      ? answer.problem.code
+      : answer.type;
+    expect(result).toBe(expected);
+  },
+);
