Let a daemon hold as many plans as prompts that are split

Placement now splits short prompts into prefill and decoding as well, so 64 plans at a time could have become the limit.

--- a/src/controllers/plan_controller.ts
+++ b/src/controllers/plan_controller.ts
@@ -18,7 +18,7 @@
 /** Time after which an engine that had no room is asked again. */
 export const PLAN_ASK_AGAIN_MS: Millis = SECOND_MS / 4;
 /** Plans of one daemon at a time. */
-export const MAX_PLANS = 64;
+export const MAX_PLANS = 1_024;
 
 type ReservationEnded = Extract<Event, { type: "reservation_ended" }>;
 
