Let the first segment of a plan use the engine's prefix cache

The model left it out, although its prompt's beginning is a prefix like any other, and the fleet's placement already counts on it for split prompts. The naive version has the same rule, written out; removing the eviction after the copy, or leaving copied blocks in use, turns the differential test red.

--- a/stand_ins/engine/active_job.ts
+++ b/stand_ins/engine/active_job.ts
@@ -40,7 +40,7 @@
   return {
     job,
     seq,
-    keys: segment ? [] : blockKeys(job, cfg),
+    keys: from === 0 ? blockKeys(job, promptEnd, cfg) : [],
     memoryTokens: promptEnd - from + (decodes ? job.maxTokens : 0),
     prefillEnd: promptEnd + (decodes ? answeredTokens : 0),
     state: "waiting",
@@ -73,9 +73,14 @@
   return active.job.deadlineAt <= now;
 }
 
-function blockKeys(job: EngineJob, cfg: EngineModelConfig): BlockKey[] {
+/** Keys of the whole blocks before `end`. */
+function blockKeys(
+  job: EngineJob,
+  end: number,
+  cfg: EngineModelConfig,
+): BlockKey[] {
   const { model, version, adapter = "" } = job.weights;
-  const count = Math.floor(job.promptTokens / cfg.blockTokens);
+  const count = Math.floor(end / cfg.blockTokens);
   return job.blocks.slice(0, count).map((digest) =>
     `${model}/${version}/${adapter} ${digest}`
   );
--- a/stand_ins/engine/engine_model.ts
+++ b/stand_ins/engine/engine_model.ts
@@ -357,10 +357,13 @@
   }
 
   #takeMemory(active: ActiveJob): boolean {
-    if (active.job.segment) return true;
-    const hits = this.#memory.take(active.keys, active.memoryTokens);
+    const { segment } = active.job;
+    const hits = segment
+      ? this.#memory.reuse(active.keys)
+      : this.#memory.take(active.keys, active.memoryTokens);
     if (hits === undefined) return false;
-    active.blocks = hits;
+    if (!segment) active.blocks = hits;
+    if (hits === 0) return true;
     active.cachedTokens = Math.min(
       hits * this.#cfg.blockTokens,
       active.prefillEnd - 1,
@@ -384,22 +387,31 @@
   }
 
   #endPrefill(now: Timestamp, active: ActiveJob): void {
-    const { job, keys, cachedTokens } = active;
+    const { job, cachedTokens } = active;
     this.#events.push({
       type: "prefilled",
       at: now,
       attempt: job.attempt,
       cachedTokens,
     });
-    const stored = this.#memory.store(keys, active.blocks);
-    active.blocks = keys.length;
-    this.#cacheEvent(now, "stored", stored);
+    this.#storeBlocks(now, active);
     if (!job.segment || job.segment.last) return this.#batch.decode(active);
     const { from, to } = job.segment;
     this.#memory.held.get(job.segment.plan)?.segments.push({ from, to });
     this.#finish(now, active, "segment");
   }
 
+  #storeBlocks(now: Timestamp, active: ActiveJob): void {
+    const { job, keys } = active;
+    if (job.segment) {
+      this.#cacheEvent(now, "stored", this.#memory.copy(keys));
+      return this.#trim(now);
+    }
+    const stored = this.#memory.store(keys, active.blocks);
+    active.blocks = keys.length;
+    this.#cacheEvent(now, "stored", stored);
+  }
+
   #decode(now: Timestamp, streams: readonly ActiveJob[]): void {
     const tokens: { attempt: AttemptId; index: number }[] = [];
     const ended: ActiveJob[] = [];
--- a/stand_ins/engine/kv_memory.ts
+++ b/stand_ins/engine/kv_memory.ts
@@ -65,6 +65,21 @@
     return stored;
   }
 
+  /** Counts the cached blocks that a plan's first segment copies into its reservation. */
+  reuse(keys: readonly BlockKey[]): number {
+    const hits = this.cache.hits(keys);
+    for (let i = 0; i < hits; i += 1) this.cache.use(keys[i]!);
+    this.cache.release(keys, hits);
+    return hits;
+  }
+
+  /** Copies a plan's first segment into the cache; returns the blocks that are new there. */
+  copy(keys: readonly BlockKey[]): BlockKey[] {
+    const stored = keys.filter((key) => !this.cache.store(key));
+    this.cache.release(keys, keys.length);
+    return stored;
+  }
+
   /** Gives back a running prompt's memory: its own tokens and the use of its first `blocks` blocks. */
   give(
     keys: readonly BlockKey[],
--- a/stand_ins/engine/naive_engine.ts
+++ b/stand_ins/engine/naive_engine.ts
@@ -158,11 +158,13 @@
 
   #start(job: NaiveJob): boolean {
     job.state = "prefilling";
-    if (job.job.segment) return true;
+    const { segment } = job.job;
     const keys = this.#keys(job.job);
     let hits = 0;
     while (hits < keys.length && this.#cached.includes(keys[hits]!)) hits += 1;
     job.blocks = keys.slice(0, hits);
+    if (segment) this.#unuse(job);
+    if (hits === 0 && segment) return true;
     if (this.#free() < 0) {
       job.state = "waiting";
       this.#unuse(job);
@@ -219,12 +221,16 @@
       attempt,
       cachedTokens: job.cachedTokens,
     });
-    const keys = segment ? [] : this.#keys(job.job);
+    const keys = this.#keys(job.job);
     const stored = keys.slice(job.blocks.length)
       .filter((key) => !this.#cached.includes(key));
     job.blocks = keys;
     this.#cached.push(...stored);
     this.#cacheEvent(now, "stored", stored);
+    if (segment) {
+      this.#unuse(job);
+      this.#trim(now);
+    }
     if (segment && !segment.last) {
       this.#plans.get(segment.plan)!.kept += this.#size(job.job);
       this.#done(now, job, "segment");
@@ -374,7 +380,9 @@
 
   #keys(job: EngineJob): string[] {
     const { model, version, adapter = "" } = job.weights;
-    const count = Math.floor(job.promptTokens / this.cfg.blockTokens);
+    if ((job.segment?.from ?? 0) > 0) return [];
+    const end = job.segment?.to ?? job.promptTokens;
+    const count = Math.floor(end / this.cfg.blockTokens);
     return job.blocks.slice(0, count)
       .map((block) => `${model}/${version}/${adapter} ${block}`);
   }
