--- a/stand_ins/engine/engine_model.ts
+++ b/stand_ins/engine/engine_model.ts
@@ -1,7 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import TinyQueue from "tinyqueue";
 import type { AttemptId, Incarnation, PlanId } from "../../src/core/id.ts";
-import type { Weights } from "../../src/core/request.ts";
 import { addMs, earliest, type Timestamp } from "../../src/core/time.ts";
 import type {
   EngineRefusal,
@@ -30,17 +29,9 @@
   type EngineModelConfig,
   type EngineModelOptions,
 } from "./model_config.ts";
+import { checkJob, isLoaded, refuse } from "./model_refusal.ts";
 import { type BlockKey, keyDigest } from "./prefix_cache.ts";
-
-type Transfer = {
-  readonly plan: PlanId;
-  readonly direction: TransferDirection;
-  readonly tokens: number;
-  endsAt: Timestamp | undefined;
-};
-
-/** Transfers that wait or run at a time; more are refused. */
-const MAX_TRANSFERS = 64;
+import { Transfers } from "./transfers.ts";
 
 /** Why the model refused; nothing was run. */
 export type ModelRefusal = EngineRefusal;
@@ -54,7 +45,7 @@
   #waiting = new TinyQueue<ActiveJob>([], compareJobs);
   #waitingCount = 0;
   #deadlines = new TinyQueue<ActiveJob>([], compareDeadlines);
-  #transfers: Transfer[] = [];
+  readonly #transfers: Transfers;
   #events: ModelEvent[] = [];
   #seq = 0;
   #incarnation: Incarnation;
@@ -70,6 +61,7 @@
     this.#cfg = cfg;
     this.#memory = KvMemory.create(cfg.kvCapacityTokens, cfg.blockTokens);
     this.#batch = Batch.create(cfg);
+    this.#transfers = Transfers.create(cfg.kvTransferTokensPerMs);
     this.#incarnation = cfg.incarnation;
     this.#loaded = cfg.loaded;
     this.#role = cfg.role;
@@ -210,12 +202,11 @@
     if (importing && held.used + options.tokens > held.tokens) {
       return err(refuse("no_memory", "Reservation is too small"));
     }
-    if (this.#transfers.length >= MAX_TRANSFERS) {
+    if (this.#transfers.full) {
       return err(refuse("queue_full", "Too many transfers"));
     }
     if (importing) held.used += options.tokens;
-    this.#transfers.push({ plan, ...options, endsAt: undefined });
-    this.#startTransfer(now);
+    this.#transfers.add(now, { plan, ...options });
     return ok();
   }
 
@@ -253,7 +244,7 @@
   nextEventAt(): Timestamp | undefined {
     if (!this.#up) return undefined;
     let at = earliest(this.#stepEndsAt, this.#readyAt);
-    at = earliest(at, this.#transfers[0]?.endsAt);
+    at = earliest(at, this.#transfers.endsAt);
     at = earliest(at, this.#nextExpiry());
     return earliest(at, this.#nextDeadline());
   }
@@ -296,12 +287,8 @@
     if (this.#jobs.has(job.attempt)) {
       return refuse("bad_request", "Attempt runs already");
     }
-    if (job.promptTokens < 1 || job.answerTokens > job.maxTokens) {
-      return refuse("bad_request", "Prompt is empty or its answer too long");
-    }
-    if (segment && segment.from >= segment.to) {
-      return refuse("bad_request", "Segment is empty");
-    }
+    const wrong = checkJob(job);
+    if (wrong) return wrong;
     if (this.#waitingCount >= this.#cfg.maxWaiting) {
       return refuse("queue_full", "Too many requests wait");
     }
@@ -326,7 +313,7 @@
       const at = this.nextEventAt();
       if (at === undefined || at > now) return;
       if (this.#stepEndsAt === at) this.#endStep(at);
-      else if (this.#transfers[0]?.endsAt === at) this.#endTransfer(at);
+      else if (this.#transfers.endsAt === at) this.#endTransfer(at);
       else if (this.#nextExpiry() === at) this.#expire(at);
       else if (this.#nextDeadline() === at) this.#dropLate(at);
       else if (at < now || starts) this.#beginStep(at);
@@ -478,15 +465,9 @@
     this.#wake(now);
   }
 
-  #startTransfer(now: Timestamp): void {
-    const first = this.#transfers[0];
-    if (!first || first.endsAt !== undefined) return;
-    const duration = first.tokens / this.#cfg.kvTransferTokensPerMs;
-    first.endsAt = addMs(now, duration);
-  }
-
   #endTransfer(now: Timestamp): void {
-    const ended = this.#transfers.shift()!;
+    const ended = this.#transfers.end(now);
+    if (ended === undefined) return;
     const { plan, direction, tokens } = ended;
     const held = this.#memory.held.get(plan);
     if (held && direction === "import") held.imported += tokens;
@@ -497,7 +478,6 @@
       direction,
       tokens,
     });
-    this.#startTransfer(now);
   }
 
   #dropTransfers(
@@ -506,15 +486,9 @@
     direction?: TransferDirection,
   ): void {
     const held = this.#memory.held.get(plan);
-    this.#transfers = this.#transfers.filter((transfer) => {
-      if (transfer.plan !== plan) return true;
-      if (direction && transfer.direction !== direction) return true;
-      if (held && transfer.direction === "import") {
-        held.used -= transfer.tokens;
-      }
-      return false;
-    });
-    this.#startTransfer(now);
+    for (const dropped of this.#transfers.drop(now, plan, direction)) {
+      if (held && dropped.direction === "import") held.used -= dropped.tokens;
+    }
   }
 
   #nextExpiry(): Timestamp | undefined {
@@ -575,7 +549,7 @@
     this.#waiting = new TinyQueue<ActiveJob>([], compareJobs);
     this.#waitingCount = 0;
     this.#deadlines = new TinyQueue<ActiveJob>([], compareDeadlines);
-    this.#transfers = [];
+    this.#transfers.clear();
     this.#stepEndsAt = undefined;
     this.#readyAt = undefined;
     this.#up = false;
@@ -597,22 +571,10 @@
   }
 }
 
-function refuse(code: ModelRefusal["code"], detail: string): ModelRefusal {
-  return { code, detail };
-}
-
 function isPoison(active: ActiveJob): boolean {
   return active.job.poison === true && active.chunk > 0;
 }
 
-function isLoaded(loaded: readonly Loaded[], weights: Weights): boolean {
-  const { model, version, adapter } = weights;
-  return loaded.some((item) =>
-    item.model === model && item.version === version &&
-    (adapter === undefined || item.adapters.includes(adapter))
-  );
-}
-
 function peekLive(queue: TinyQueue<ActiveJob>): ActiveJob | undefined {
   let top = queue.peek();
   while (top && top.state === "ended") {
