Give engines their orders under a lease

One holder a group, decided by the log: a grant counts only after the newest record of the lease before, so that a renewal that came first defeats it. The holder counts its lease from before the append and stops an order delay before its end; a new holder waits out the old lease, and the order delay too where engines don't check fencing numbers. Orders state the whole desired state and are repeated while the report differs. At most two loads at a time, and the last replica of a model in use keeps its weights until new ones are up.

--- a/src/board/blackboard.ts
+++ b/src/board/blackboard.ts
@@ -5,6 +5,7 @@
   createMembersSection,
   type MembersSection,
 } from "./members_section.ts";
+import { createOrdersSection, type OrdersSection } from "./orders_section.ts";
 import {
   createPlacementSection,
   type PlacementSection,
@@ -36,6 +37,7 @@
   placement: PlacementSection;
   plans: PlansSection;
   claims: ClaimsSection;
+  orders: OrdersSection;
   quarantine: QuarantineSection;
   counters: Counters;
 }>;
@@ -52,6 +54,7 @@
     placement: createPlacementSection(),
     plans: createPlansSection(),
     claims: createClaimsSection(),
+    orders: createOrdersSection(),
     quarantine: createQuarantineSection(),
     counters: Counters.create(),
   };
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -7,6 +7,7 @@
 import { ConfigController } from "./config_controller.ts";
 import { KeyController } from "./key_controller.ts";
 import { MembershipController } from "./membership_controller.ts";
+import { OrderController } from "./order_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { PlanController } from "./plan_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
@@ -40,6 +41,7 @@
       PlanController.create(),
       ClaimController.create({ keySecret: options.createSecret() }),
       RequestController.create(),
+      OrderController.create(),
     ],
   });
 }
--- /dev/null
+++ b/src/controllers/order_controller_test.ts
@@ -0,0 +1,177 @@
+import { expect, test } from "vitest";
+import type { Revision } from "../core/id.ts";
+import { FakeEngine } from "../testing/fake_engine.ts";
+import { FakeFleet } from "../testing/fake_fleet.ts";
+
+const RETENTION_MS = 80_000;
+
+function config(version: string, checksFencing: boolean): string {
+  const weights = { model: "m", version, adapters: [] };
+  return JSON.stringify({
+    models: [{ id: "m", versions: ["v1", "v2"], version, adapters: [] }],
+    groups: [{
+      id: "g",
+      loaded: [weights],
+      checksFencing,
+      orderDelayMs: 2_000,
+    }],
+    services: [],
+    teams: [],
+    classes: [{ id: "c", urgency: 0, deadlineMs: 5_000, maxDeadlineMs: 5_000 }],
+    limits: { keyWindowMs: 60_000, clockSkewMs: 1_000 },
+  });
+}
+
+class Scene {
+  readonly engines: readonly FakeEngine[];
+  readonly fleet: FakeFleet;
+  readonly #checksFencing: boolean;
+
+  constructor(engines: number, checksFencing = false) {
+    this.#checksFencing = checksFencing;
+    this.engines = Array.from(
+      { length: engines },
+      (_, index) => FakeEngine.create(`e${index}`, "g", { checksFencing }),
+    );
+    this.fleet = FakeFleet.create({
+      seed: 5,
+      daemons: 3,
+      retentionMs: RETENTION_MS,
+      config: config("v1", checksFencing),
+      engines: this.engines,
+    });
+  }
+
+  /** Runs for a while, looking at the engines every 100 ms. */
+  watch(ms: number, look: () => void = () => {}): void {
+    for (let at = 0; at < ms; at += 100) {
+      this.fleet.time.run(100);
+      look();
+    }
+  }
+
+  publish(version: string): void {
+    const { revision } = this.fleet.daemons[0]!.core.board.config;
+    this.fleet.publish(
+      revision as Revision,
+      config(version, this.#checksFencing),
+    );
+  }
+
+  state(engine: FakeEngine): string {
+    const { loaded, loading } = engine.state(this.fleet.time.now);
+    const parts = loaded.map((one) => one.version as string);
+    return [...parts, ...loading.map((one) => `${one.version}?`)].join(" ");
+  }
+
+  states(): readonly string[] {
+    return this.engines.map((engine) => this.state(engine));
+  }
+
+  holder() {
+    return this.fleet.daemons.find((daemon) =>
+      daemon.alive && daemon.core.board.orders.held.length > 0
+    );
+  }
+
+  counted(name: "orders_sent" | "orders_stale"): number {
+    return this.fleet.daemons.reduce(
+      (sum, daemon) => sum + daemon.core.board.counters.counted[name],
+      0,
+    );
+  }
+
+  /** Freezes the holder between deciding on its first orders and sending them. */
+  freezeWithOrders(ms: number): void {
+    for (let at = 0; at < 60_000; at += 1) {
+      if (this.counted("orders_sent") > 0) break;
+      this.fleet.time.run(1);
+    }
+    this.holder()!.freeze(ms);
+  }
+}
+
+test("engines are loaded two at a time until all report what is configured", () => {
+  const scene = new Scene(6);
+  let most = 0;
+  scene.watch(60_000, () => {
+    const loading = scene.states().filter((state) => state.includes("?"));
+    most = Math.max(most, loading.length);
+  });
+  expect([most, scene.states()]).toMatchInlineSnapshot(`
+    [
+      2,
+      [
+        "v1",
+        "v1",
+        "v1",
+        "v1",
+        "v1",
+        "v1",
+      ],
+    ]
+  `);
+});
+
+test.each([1, 3])(
+  "a new version on %i engines keeps the model up all the time",
+  (engines) => {
+    const scene = new Scene(engines);
+    scene.watch(45_000);
+    scene.publish("v2");
+    scene.watch(80_000, () => {
+      const up = scene.states().filter((state) => /v\d(?!\?)/.test(state));
+      expect(up.length).toBeGreaterThan(0);
+    });
+    expect(new Set(scene.states())).toEqual(new Set(["v2"]));
+  },
+);
+
+test.each([true, false])(
+  "a holder frozen between check and send does no lasting harm (engines check: %s)",
+  (checksFencing) => {
+    const scene = new Scene(3, checksFencing);
+    scene.freezeWithOrders(110_000);
+    scene.publish("v2");
+    scene.watch(100_000);
+    expect(scene.states()).toEqual(["v2", "v2", "v2"]);
+    scene.watch(11_000);
+    const after = scene.states();
+    scene.watch(60_000);
+    expect(scene.states()).toEqual(["v2", "v2", "v2"]);
+    expect(scene.counted("orders_stale") > 0).toBe(checksFencing);
+    expect(after.some((state) => state.includes("v1"))).toBe(!checksFencing);
+  },
+);
+
+test("an old order that arrives after the new one is repaired from what the engine reports", () => {
+  const scene = new Scene(2);
+  scene.engines[0]!.delayNext(70_000);
+  scene.watch(40_000);
+  scene.publish("v2");
+  scene.watch(20_000);
+  scene.fleet.kill(scene.fleet.daemons.indexOf(scene.holder()!), 200);
+  scene.watch(140_000);
+  expect(scene.states()).toEqual(["v2", "v2"]);
+});
+
+test("two daemons never hold a lease at once, whatever is frozen or lost", () => {
+  const scene = new Scene(2);
+  const look = () => {
+    const holders = scene.fleet.daemons.filter((daemon) =>
+      daemon.alive && !daemon.frozen && daemon.core.board.orders.held.length > 0
+    );
+    expect(holders.length).toBeLessThan(2);
+  };
+  for (const [vm, ms] of [[0, 40_000], [1, 70_000], [2, 20_000]] as const) {
+    scene.fleet.daemons[vm]!.freeze(ms);
+    scene.watch(50_000, look);
+    scene.fleet.log.mode = "deaf";
+    scene.watch(8_000, look);
+    scene.fleet.log.mode = "down";
+    scene.watch(45_000, look);
+    scene.fleet.log.mode = "up";
+    scene.watch(50_000, look);
+  }
+  expect(scene.holder()).toBeDefined();
+});
--- /dev/null
+++ b/src/fold/desired_state.ts
@@ -0,0 +1,81 @@
+import type { Upstream } from "../board/upstreams_section.ts";
+import type { Group, ServingConfig } from "../config/serving.ts";
+import type { ModelId } from "../core/id.ts";
+import type { EngineState, Loaded } from "../wire/engine.ts";
+
+/** An engine that has told what it has loaded. */
+export type ReportingEngine = Upstream & Readonly<{ engine: EngineState }>;
+
+/** Engines that are live and have told what they have loaded. */
+export function reportingEngines(
+  upstreams: Iterable<Upstream>,
+): readonly ReportingEngine[] {
+  return [...upstreams].filter((one): one is ReportingEngine =>
+    one.kind === "engine" && one.state === "live" && one.engine !== undefined
+  );
+}
+
+/** Whether an engine reports exactly what its group is to have loaded. */
+export function isAsDesired(engine: ReportingEngine, group: Group): boolean {
+  return engine.engine.role === "mixed" &&
+    sameWeights(engine.engine.loaded, group.loaded);
+}
+
+/** Whether an engine is on its way: nothing that it misses is not being loaded. */
+export function isLoading(engine: ReportingEngine): boolean {
+  return engine.engine.loading.length > 0;
+}
+
+/**
+ * What an engine is ordered to have loaded. Where it is the last one up for a model in use,
+ * it keeps what it has until others or itself have the new weights.
+ */
+export function orderedWeights(
+  engine: ReportingEngine,
+  group: Group,
+  options: { serving: ServingConfig; others: readonly ReportingEngine[] },
+): readonly Loaded[] {
+  const inUse = new Set(options.serving.models.map((model) => model.id));
+  const kept = engine.engine.loaded.filter((loaded) =>
+    !has(group.loaded, loaded) && inUse.has(loaded.model) &&
+    !isUpElsewhere(loaded.model, options.others) &&
+    !servesModel(engine, group, loaded.model)
+  );
+  return [...group.loaded, ...kept];
+}
+
+/** Whether what the engine already has of the desired weights serves the model. */
+function servesModel(
+  engine: ReportingEngine,
+  group: Group,
+  model: ModelId,
+): boolean {
+  return engine.engine.loaded.some((loaded) =>
+    loaded.model === model && has(group.loaded, loaded)
+  );
+}
+
+function isUpElsewhere(
+  model: ModelId,
+  others: readonly ReportingEngine[],
+): boolean {
+  return others.some((other) =>
+    other.engine.loaded.some((loaded) => loaded.model === model)
+  );
+}
+
+function sameWeights(a: readonly Loaded[], b: readonly Loaded[]): boolean {
+  return a.length === b.length && a.every((loaded) => has(b, loaded));
+}
+
+function has(list: readonly Loaded[], wanted: Loaded): boolean {
+  return list.some((one) => name(one) === name(wanted));
+}
+
+function name(loaded: Loaded): string {
+  return JSON.stringify([
+    loaded.model,
+    loaded.version,
+    [...loaded.adapters].sort(),
+  ]);
+}
--- /dev/null
+++ b/src/fold/lease_fold.ts
@@ -0,0 +1,138 @@
+import { z } from "zod";
+import type {
+  DaemonId,
+  FencingNumber,
+  GroupId,
+  Offset,
+  RecordId,
+} from "../core/id.ts";
+import type { Millis } from "../core/time.ts";
+import { countSchema, idSchema } from "../wire/brands.ts";
+import {
+  CheckpointedFold,
+  type Decision,
+  type Placed,
+} from "./checkpointed_fold.ts";
+import type { Entry } from "./log_reader.ts";
+
+/** The lease record that a grant follows, where there is none. */
+export const NO_LEASE = -1;
+
+const ttlMs = z.number().int().positive();
+const subject = { id: idSchema<RecordId>(), group: idSchema<GroupId>() };
+const fencing = countSchema<FencingNumber>();
+
+/** Takes a group's lease if `base` is still its newest record; the grant's offset is the fencing number. */
+export const LeaseGrantSchema = z.object({
+  type: z.literal("lease_grant"),
+  ...subject,
+  holder: idSchema<DaemonId>(),
+  /** Offset of the newest record of the lease before; -1 for none. */
+  base: z.number().int().min(NO_LEASE),
+  ttlMs,
+}).readonly();
+/** Extends a lease that is still held under its fencing number. */
+export const LeaseRenewalSchema = z.object({
+  type: z.literal("lease_renewal"),
+  ...subject,
+  fencing,
+}).readonly();
+/** Gives a lease back. */
+export const LeaseReleaseSchema = z.object({
+  type: z.literal("lease_release"),
+  ...subject,
+  fencing,
+}).readonly();
+const LeaseSchema = z.object({
+  fencing,
+  holder: idSchema<DaemonId>(),
+  /** Offset of the newest record of this lease. */
+  last: countSchema<Offset>(),
+  ttlMs,
+  released: z.boolean(),
+}).readonly();
+/** Repeats all leases that are known after all records below `covers`. */
+export const LeaseCheckpointSchema = z.object({
+  type: z.literal("lease_checkpoint"),
+  id: idSchema<RecordId>(),
+  covers: countSchema<Offset>(),
+  leases: z.array(z.tuple([idSchema<GroupId>(), LeaseSchema])).max(10_000),
+}).readonly();
+
+const LeaseChangeSchema = z.discriminatedUnion("type", [
+  LeaseGrantSchema,
+  LeaseRenewalSchema,
+  LeaseReleaseSchema,
+]);
+const LeaseRecordSchema = z.union([LeaseChangeSchema, LeaseCheckpointSchema]);
+
+/** A grant, a renewal or a release. */
+export type LeaseChange = z.infer<typeof LeaseChangeSchema>;
+/** A checkpoint of all leases. */
+export type LeaseCheckpoint = z.infer<typeof LeaseCheckpointSchema>;
+/** A group's lease; whether it has lapsed is judged by each daemon's own clock. */
+export type Lease = z.infer<typeof LeaseSchema>;
+/** All leases. */
+export type Leases = ReadonlyMap<GroupId, Lease>;
+/** What the fold decided about a change. */
+export type LeaseDecision = Decision<Leases, LeaseChange>;
+
+/** The leases stream; every reader comes to the same holder and fencing number. */
+export class LeaseFold extends CheckpointedFold<Leases, LeaseChange> {
+  static create(): LeaseFold {
+    return new LeaseFold(new Map());
+  }
+
+  protected override initial(): Leases {
+    return new Map();
+  }
+
+  protected override apply(
+    state: Leases,
+    placed: Placed<LeaseChange>,
+  ): Leases | undefined {
+    const { change, offset } = placed;
+    const lease = nextLease(state.get(change.group), change, offset);
+    if (lease === undefined) return undefined;
+    return new Map(state).set(change.group, lease);
+  }
+
+  /** Folds one record of the stream; returns what was decided by it. */
+  take(entry: Entry): readonly LeaseDecision[] {
+    const parsed = LeaseRecordSchema.safeParse(entry.value);
+    if (!parsed.success) return [];
+    const record = parsed.data;
+    if (record.type !== "lease_checkpoint") {
+      const { offset, at } = entry;
+      return this.change({ offset, at, change: record });
+    }
+    if (record.covers > entry.offset) return [];
+    const state = new Map(record.leases);
+    return this.checkpoint({ covers: record.covers, state });
+  }
+}
+
+function nextLease(
+  lease: Lease | undefined,
+  change: LeaseChange,
+  offset: Offset,
+): Lease | undefined {
+  if (change.type === "lease_grant") {
+    if ((lease?.last ?? NO_LEASE) !== change.base) return undefined;
+    const { holder, ttlMs } = change;
+    const fencing = offset as number as FencingNumber;
+    return { fencing, holder, last: offset, ttlMs, released: false };
+  }
+  if (lease === undefined || lease.released) return undefined;
+  if (lease.fencing !== change.fencing) return undefined;
+  return { ...lease, last: offset, released: change.type === "lease_release" };
+}
+
+/** Time for which nobody else takes a lease after its newest record was read. */
+export function takeoverDelay(
+  lease: Lease,
+  options: { checksFencing: boolean; orderDelayMs: Millis },
+): Millis {
+  const held = lease.released ? 0 : lease.ttlMs;
+  return held + (options.checksFencing ? 0 : options.orderDelayMs);
+}
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -13,6 +13,7 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { CONFIG_STREAM } from "../fold/streams.ts";
 import type { Vm } from "../wire/vm_list.ts";
+import type { FakeEngine } from "./fake_engine.ts";
 import { FakeDaemon } from "./fake_daemon.ts";
 import { FakeLog } from "./fake_log.ts";
 import { FakeService, type ServiceFate } from "./fake_service.ts";
@@ -20,6 +21,7 @@
 
 const START = 1_800_000_000_000 as Timestamp;
 const FORWARD_MS: Millis = 6_000;
+const REPORT_MS: Millis = 500;
 
 /** A final answer that did not pass through an attempt. */
 export type Answer = Extract<Intent, { type: "answer" | "answer_recorded" }>;
@@ -32,6 +34,7 @@
   /** The configuration, as JSON. */
   config: string;
   serviceFate?: ServiceFate;
+  engines?: readonly FakeEngine[];
 }>;
 
 /** A few cores with one log and one service under virtual time. */
@@ -44,6 +47,7 @@
   /** Daemons by VM; a killed one is replaced under a new id. */
   readonly daemons: FakeDaemon[] = [];
   readonly #random: Random;
+  readonly #engines: readonly FakeEngine[];
   readonly #cut = new Set<string>();
   /** What to do once a forwarded call has been answered at its home. */
   readonly #forwards = new Map<RequestId, () => void>();
@@ -58,6 +62,7 @@
       this.#random,
       options.serviceFate,
     );
+    this.#engines = options.engines ?? [];
     this.publish(-1 as Revision, options.config);
     for (let vm = 0; vm < options.daemons; vm += 1) this.start(vm);
   }
@@ -84,7 +89,31 @@
       execute: (from, intent) => this.#execute(from, intent),
     });
     this.daemons[vm] = daemon;
-    daemon.deliver({ type: "vms_listed", vms: VMS });
+    const vms = [...VMS, ...this.#engines.map((engine) => engine.vm)];
+    daemon.deliver({ type: "vms_listed", vms });
+    this.#report(daemon);
+  }
+
+  #report(daemon: FakeDaemon): void {
+    if (!daemon.alive || this.#engines.length === 0) return;
+    for (const engine of this.#engines) {
+      const state = engine.state(this.time.now);
+      daemon.deliver({ type: "state_reported", upstream: engine.id, state });
+    }
+    this.time.after(REPORT_MS, () => this.#report(daemon));
+  }
+
+  /** Orders take a while, and each engine may be told to take longer. */
+  #order(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "send_order" }>,
+  ): void {
+    const { upstream, order } = intent;
+    const engine = this.#engines.find((one) => one.id === upstream);
+    this.time.after(engine?.takeDelay() ?? 1, () => {
+      const result = engine?.order(order, this.time.now) ?? "unknown";
+      daemon.deliver({ type: "order_ended", upstream, result });
+    });
   }
 
   /** Kills a VM's daemon; a new one starts after `downMs`. */
@@ -150,6 +179,8 @@
         this.answers.set(intent.req, [...answers, intent]);
         return this.#forwards.get(intent.req)?.();
       }
+      case "send_order":
+        return this.#order(daemon, intent);
       case "forward_call":
         return this.#forward(daemon, intent);
     }
