Let small prompts leave the pool first

Hypothesis: in a swing the pool fills with small prompts, and those of 3k-4k, which have no time to spare, have to go beside long prefill. Change: first-token times up to 280 ms count the same (200 before), prompts ahead count half again, and a place beside the pool counts 30 ms.

--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -26,6 +26,10 @@
   splitMs: Millis;
   /** Wait for the running step of a long prefill, for each time that it has grown by a half. */
   longStepMs: Millis;
+  /** Time by which an engine beside the short pool counts as slower, so that small prompts leave the pool only when it fills. */
+  spareMs: Millis;
+  /** Weight of the prompts ahead, beside their part of the first-token time. */
+  backlogWeight: number;
   /** Time by which each stream makes an engine count as slower. */
   streamMs: Millis;
   /** Weight of prefill time against waiting time when an engine is chosen. */
@@ -53,11 +57,13 @@
   shortUtilization: 0.6,
   shortMemoryTokens: 50_000,
   firstTokenTargetMs: 340,
-  firstTokenKneeMs: 200,
+  firstTokenKneeMs: 280,
   spillMs: 300,
   splitSlowness: 0.15,
   splitMs: 60,
   longStepMs: 20,
+  spareMs: 30,
+  backlogWeight: 0.5,
   streamMs: 1,
   prefillWeight: 0.5,
   engineRequests: 56,
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -93,14 +93,16 @@
   const cachedTokens = splits ? 0 : cachedOn(ask, engine, prefixes);
   const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
   const priority = priorityOf(prefillMs, { splits, policy });
-  const firstTokenMs = engine.shortBacklogMs(now, priority) + prefillMs +
+  const backlogMs = engine.shortBacklogMs(now, priority);
+  const firstTokenMs = backlogMs + prefillMs +
     (splits ? policy.splitMs + policy.longStepMs * slow : 0);
   const isMedium = ask.promptTokens > policy.mediumPromptTokens;
   const apart = isMedium !== view.prefixEngines.has(engine);
   const score = Math.max(firstTokenMs, policy.firstTokenKneeMs) +
     policy.prefillWeight * prefillMs + (apart ? policy.apartMs : 0) +
     (splits && decoder === undefined ? policy.spillMs * slow : 0) +
-    (splits ? policy.splitMs : engine.streams() * policy.streamMs);
+    policy.backlogWeight * backlogMs +
+    (splits ? policy.spareMs : engine.streams() * policy.streamMs);
   return {
     engine,
     decoder: splits ? decoder : undefined,
