Predict the wait of long prompts from the memory that they may use

Hypothesis: admitted long prompts wait too long because the prediction counts memory of the short pool. Change: only engines outside it count, 0.8 of what they leave free of short prompts, which is 30,000 tokens each (50,000 before).

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -238,17 +238,17 @@
       memoryMs += runMs * waiting.promptTokens;
     }
     for (const engine of view.engines) {
-      memory += engine.report?.kv_capacity_tokens ?? 0;
+      if (view.shortEngines.has(engine)) continue;
+      const capacity = engine.report?.kv_capacity_tokens ?? 0;
+      memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
     }
     const lanes = Math.max(
       1,
       view.engines.length - this.#shortTarget(view.now),
     );
-    const memoryLanes = memory / Math.max(1, ask.promptTokens);
     if (lanes > this.#longRunning() && this.#queue.size === 0) return 0;
-    const usable = Math.max(1, memory * 0.75);
-    return Math.max(workMs / lanes, memoryMs / usable) *
-      Math.min(1, memoryLanes);
+    const usable = Math.max(1, memory * this.#policy.packingRatio);
+    return Math.max(workMs / lanes, memoryMs / usable);
   }
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -44,6 +44,8 @@
   planCostFactor: number;
   /** Part of the time to its deadline that a long prompt may be predicted to need. */
   admissionRatio: number;
+  /** Part of the engines' memory that long prompts can be expected to fill. */
+  packingRatio: number;
   /** Time before its latest start at which a waiting prompt is no longer overtaken. */
   overtakeMs: Millis;
 }>;
@@ -55,7 +57,7 @@
   apartMs: 400,
   shortEngines: 2,
   shortUtilization: 0.6,
-  shortMemoryTokens: 50_000,
+  shortMemoryTokens: 30_000,
   firstTokenTargetMs: 340,
   firstTokenKneeMs: 280,
   spillMs: 300,
@@ -71,5 +73,6 @@
   planSegments: 4,
   planCostFactor: 1.3,
   admissionRatio: 0.8,
+  packingRatio: 0.8,
   overtakeMs: 60_000,
 };
