Correct the predicted place of a long prefill by the reports

Change: the prefill tokens of a report, less the short prompts that were sent before it, move the predicted end.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -8,7 +8,15 @@
 import { CostModel } from "./cost_model.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineView } from "./engine_view.ts";
-import { delay, type Job, lastPart, segmentsOf } from "./job.ts";
+import {
+  currentPart,
+  delay,
+  type Job,
+  lastPart,
+  moveEnd,
+  partOn,
+  segmentsOf,
+} from "./job.ts";
 import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
@@ -30,6 +38,8 @@
 const DEMAND_WINDOW_MS: Millis = 10 * SECOND_MS;
 const FIRST_DECODE_MS: Millis = 20 * SECOND_MS;
 const DECODE_WEIGHT = 0.05;
+/** Time for which a new part may not show in a report yet. */
+const CORRECT_MS: Millis = SECOND_MS;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
 /** Engine priority of long prompts; short ones go first. */
@@ -172,8 +182,25 @@
     }
     engine.live = upstream.state === "live";
     engine.loaded = (upstream.engine ?? upstream.load)?.loaded ?? [];
-    if (upstream.load?.incarnation === incarnation) {
-      engine.takeReport(upstream.load);
+    if (
+      upstream.load?.incarnation === incarnation &&
+      engine.takeReport(upstream.load)
+    ) this.#correct(engine, upstream.load.at);
+  }
+
+  /** Corrects the predicted end of the long prefill on an engine by its report. */
+  #correct(engine: EngineView, at: Timestamp): void {
+    const left = engine.reportedLeft();
+    for (const job of engine.jobs.values()) {
+      const part = partOn(job, engine.id);
+      if (!job.long || job.firstTokenAt !== undefined) continue;
+      if (part === undefined || part.startsAt + CORRECT_MS > at) continue;
+      const isCurrent = currentPart(job, at) === part;
+      if (left === 0 && !isCurrent) continue;
+      const from = Math.max(part.from, part.to - left);
+      const factor = part.from === 0 ? 1 : this.#policy.planCostFactor;
+      const leftMs = factor * this.#cost.prefillMs(from, part.to);
+      moveEnd(job, part, addMs(at, leftMs));
     }
   }
 
@@ -201,7 +228,8 @@
       parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
       priority,
-      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 && beside === undefined,
+      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 &&
+        beside === undefined,
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -8,6 +8,8 @@
 const REPORT_MARGIN_MS: Millis = 50;
 
 const MAX_ENDED = 256;
+/** Tokens that short prompts which have ended since the report may account for. */
+const MIN_LEFT_TOKENS = 6_000;
 
 type EndedWork = Readonly<
   { at: Timestamp; prefillTokens: number; memoryTokens: number }
@@ -47,9 +49,9 @@
     );
   }
 
-  /** Takes in a load report; corrects what is believed where it says otherwise. */
-  takeReport(report: LoadReport): void {
-    if (this.report === report) return;
+  /** Takes in a load report; false if it is known. Corrects what is believed where it says otherwise. */
+  takeReport(report: LoadReport): boolean {
+    if (this.report === report) return false;
     this.report = report;
     const sentBefore = report.at - REPORT_MARGIN_MS;
     if (report.running + report.waiting === 0) this.#dropEnded(sentBefore);
@@ -62,13 +64,26 @@
     }
     for (const job of this.jobs.values()) {
       memory += this.#memoryOf(job);
-      if (job.placedAt <= report.at) {
-        prefill += job.ask.promptTokens - job.cachedTokens;
+      const part = partOn(job, this.id);
+      if (part !== undefined && part.startsAt <= report.at) {
+        prefill += part.to - Math.max(part.from, job.cachedTokens);
       }
     }
     this.strangePrefillTokens = Math.max(0, report.prefill_tokens - prefill);
     const used = report.kv_capacity_tokens - report.kv_free_tokens;
     this.strangeMemoryTokens = Math.max(0, used - memory);
+    return true;
+  }
+
+  /** Tokens that the long prompt here had still to prefill, by the newest report. */
+  reportedLeft(): number {
+    if (this.report === undefined) return 0;
+    let left = this.report.prefill_tokens;
+    for (const job of this.jobs.values()) {
+      const sent = !job.long && job.placedAt <= this.report.at;
+      if (sent) left -= job.ask.promptTokens - job.cachedTokens;
+    }
+    return left < MIN_LEFT_TOKENS ? 0 : left;
   }
 
   /** Takes a job out; a report from before may show it for some time. */
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -61,6 +61,16 @@
   });
 }
 
+/** Moves the end of a part to where a report shows it, and all later parts with it. */
+export function moveEnd(job: Job, part: JobPart, endsAt: Timestamp): void {
+  const ms = endsAt - part.startsAt - part.costMs;
+  job.parts = job.parts.map((one) => {
+    if (one === part) return { ...one, costMs: one.costMs + ms };
+    if (one.startsAt <= part.startsAt) return one;
+    return { ...one, startsAt: addMs(one.startsAt, ms) };
+  });
+}
+
 /** Returns the segments of a job that is spread over several engines. */
 export function segmentsOf(job: Job): readonly Segment[] {
   return job.parts.map(({ engine, from, to }) => ({
--- a/tools/measure/debug_main.ts
+++ b/tools/measure/debug_main.ts
@@ -40,6 +40,20 @@
       Math.round(t),
     );
   }
+  if (process.argv[6] === "late" && !wasInTime(x)) {
+    console.log(
+      Math.round(x.arrival.at),
+      n,
+      "ans",
+      x.arrival.answerTokens,
+      "tok",
+      x.tokens,
+      x.engine,
+      Math.round(t),
+      x.result,
+      Math.round(x.endedAt! - x.sentAt),
+    );
+  }
   const b = (bins[key] ??= [0, 0, 0, 0, 0, 0]);
   b[0]! += 1;
   if (t > 300) b[1]! += 1;
