Place long prompts on small and shrunken fleets, and forget those of lost daemons

A daemon killed while its long prompt ran: the scheduling daemon kept that prompt as running until its deadline and refused its lane to others. With two engines kept for short prompts, a fleet of one or two live engines, or three of which one had failed the prompt, never placed a long one. Now one engine is always open to them. Ruled out: lost place messages (the ask was queued at the scheduler).

--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -26,6 +26,7 @@
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
 import { placeCall } from "./call_placement.ts";
+import { freshPeers } from "./membership_controller.ts";
 
 /** Silence after which an asker places by itself. */
 const ASK_SILENCE_MS: Millis = 150;
@@ -47,6 +48,8 @@
   override readonly name = "placement";
   readonly #scheduler: CellScheduler;
   readonly #rounds = new Map<RequestId, Round>();
+  /** The live daemons, this one included, as they were last. */
+  #live = "";
   #seq = 0;
 
   private constructor(policy: Policy) {
@@ -62,6 +65,7 @@
     this.#scheduler.takeUpstreams(board.upstreams.byId.values());
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#dropEnded(board, ctx);
+    this.#dropLostAskers(board, ctx);
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
@@ -360,6 +364,14 @@
     }
   }
 
+  #dropLostAskers(board: Blackboard, ctx: StepContext): void {
+    const live = freshPeers(board, ctx.now).map((peer) => peer.id);
+    const names = live.join();
+    if (names === this.#live) return;
+    this.#live = names;
+    this.#scheduler.keepAskers(new Set([board.self.id, ...live]), ctx.now);
+  }
+
   #tell(
     board: Blackboard,
     ctx: StepContext,
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -158,6 +158,14 @@
     this.#queue.dropAsker(from);
   }
 
+  /** Drops what was placed for daemons that are not among the live ones; nobody will say how it ends. */
+  keepAskers(live: ReadonlySet<DaemonId>, now: Timestamp): void {
+    for (const job of this.#jobs.values()) {
+      if (!live.has(job.ask.from)) this.#drop(job, now);
+    }
+    this.#dispatchAt = now;
+  }
+
   #takeUpstream(upstream: Upstream): void {
     const { id, incarnation } = upstream;
     let engine = this.#engines.get(id);
@@ -201,7 +209,8 @@
       parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
       priority,
-      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 && beside === undefined,
+      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 &&
+        beside === undefined,
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
@@ -255,10 +264,10 @@
     const engines = eligible(ask, this.#engines.values());
     if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
-    const target = this.#shortTarget(now);
+    const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
-    const open = engines.filter((engine) => !kept.has(engine));
+    const open = openToLong(engines, kept);
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
     const decoders = engines.filter((engine) => kept.has(engine));
@@ -417,6 +426,15 @@
   };
 }
 
+/** Engines that are not kept for short prompts; one at least, so that a small fleet serves long ones too. */
+function openToLong(
+  engines: readonly EngineView[],
+  kept: ReadonlySet<EngineView>,
+): readonly EngineView[] {
+  const open = engines.filter((engine) => !kept.has(engine));
+  return open.length > 0 ? open : engines.slice(-1);
+}
+
 function leftOf(job: Job, now: Timestamp): Millis {
   if (job.firstTokenAt !== undefined) return 0;
   const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
