Read a stream without waiting until its end is known

Cause: each read was a long poll of 4 s, also the first one of an empty stream, so that a fresh fleet refused all reservations with claims_not_read for up to 4 s (seen with real processes, 'reservation sent through two daemons at once'). Ruled out: a claim controller that is not wired. Change: the first read of a stream, and the one after a failure, asks for no wait. The time limit of a read stays.

--- a/src/daemon/log_adapter.ts
+++ b/src/daemon/log_adapter.ts
@@ -52,6 +52,8 @@
   readonly #bucket: TokenBucket;
   readonly #queues = new Map<StreamName, Queue>();
   readonly #reads = new Map<StreamName, number>();
+  /** Streams whose last read was answered. */
+  readonly #answered = new Set<StreamName>();
   #timer: ReturnType<typeof setTimeout> | undefined;
   #closed = false;
 
@@ -81,19 +83,22 @@
     this.#schedule(0);
   }
 
-  /** Starts a long poll; an earlier read of the same stream is given up. */
+  /** Starts a read that waits for records, unless it has yet to learn where the stream ends; an earlier read of it is given up. */
   async read(intent: Extract<Intent, { type: "read_log" }>): Promise<void> {
     const { stream, from } = intent;
     const turn = (this.#reads.get(stream) ?? 0) + 1;
     this.#reads.set(stream, turn);
+    const waitMs = this.#answered.has(stream) ? READ_WAIT_MS : 0;
     const result = await withTimeout(
       this.#client.read(stream, from, {
         limit: READ_LIMIT,
-        waitMs: READ_WAIT_MS,
+        waitMs,
       }),
       READ_WAIT_MS + ANSWER_TIMEOUT_MS,
     );
     if (this.#closed || this.#reads.get(stream) !== turn) return;
+    if (result?.isOk()) this.#answered.add(stream);
+    else this.#answered.delete(stream);
     this.#options.onEvent(readEvent(stream, result));
   }
 
