Reach daemons over TLS with --ca

Plain HTTP stays the default. With an authority's certificates the tool talks HTTPS and takes only daemons that it has signed; names are not checked, as between daemons. Seen red with the authority not checked.

--- a/src/cli/args.ts
+++ b/src/cli/args.ts
@@ -1,4 +1,5 @@
 import { extendType, flag, number, option, optional, string } from "cmd-ts";
+import { readFile } from "node:fs/promises";
 import { SECOND_MS } from "../core/time.ts";
 
 const DEFAULT_TIMEOUT_S = 30;
@@ -29,6 +30,11 @@
   },
 });
 
+const pemFile = extendType(string, {
+  displayName: "FILE",
+  from: (path) => readFile(path, "utf8"),
+});
+
 /** `--log`, for verbs that read or append the platform's log. */
 export const logArg = {
   log: option({
@@ -47,6 +53,12 @@
     type: optional(hostAndPort),
     description: "HOST:PORT of any daemon's client listener",
   }),
+  ca: option({
+    long: "ca",
+    env: "PARSLEYFIELD_CA",
+    type: optional(pemFile),
+    description: "file of the authority that signs the daemons; turns TLS on",
+  }),
 };
 
 /** `--timeout`, in seconds. */
--- /dev/null
+++ b/src/cli/daemon_http_test.ts
@@ -0,0 +1,43 @@
+import { createServer, type Server } from "node:https";
+import type { AddressInfo } from "node:net";
+import { generate } from "selfsigned";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { DaemonHttp } from "./daemon_http.ts";
+import { HttpAdminClient } from "./http_admin_client.ts";
+
+let server: Server;
+let address: string;
+let signed: string;
+
+function certify(name: string) {
+  return generate([{ name: "commonName", value: name }], { keySize: 2_048 });
+}
+
+beforeAll(async () => {
+  const { private: key, cert } = await certify("daemon");
+  signed = cert;
+  server = createServer({ key, cert }, (_, res) => {
+    res.end(JSON.stringify({ id: "d", vm: "v", state: "leaving" }));
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+
+afterAll(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+function drain(ca?: string) {
+  return HttpAdminClient.create(DaemonHttp.create(ca)).drain(address);
+}
+
+test("a daemon is asked over TLS, by whatever address", async () => {
+  expect((await drain(signed))._unsafeUnwrap()).toMatchObject({ id: "d" });
+});
+
+test("a daemon of another authority, or asked without TLS, gets nothing", async () => {
+  const other = await certify("other");
+  expect((await drain(other.cert))._unsafeUnwrapErr().code).toBe("unreachable");
+  expect((await drain())._unsafeUnwrapErr().code).toBe("unreachable");
+});
--- a/src/cli/http_admin_client.ts
+++ b/src/cli/http_admin_client.ts
@@ -1,5 +1,4 @@
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { request } from "undici";
 import type { z } from "zod";
 import type { Millis } from "../core/time.ts";
 import {
@@ -9,66 +8,81 @@
   AdminStatusSchema,
 } from "../wire/admin.ts";
 import { AdminClient, type AdminError } from "./admin_client.ts";
+import { DaemonHttp } from "./daemon_http.ts";
 
 const TIMEOUT_MS: Millis = 5_000;
 
+type Question<Answer> = Readonly<
+  { method: "GET" | "POST"; path: string; schema: z.ZodType<Answer> }
+>;
+
 /** Asks daemons over HTTP. */
 export class HttpAdminClient extends AdminClient {
-  private constructor() {
+  readonly #http: DaemonHttp;
+
+  private constructor(http: DaemonHttp) {
     super();
+    this.#http = http;
   }
 
-  static create(): HttpAdminClient {
-    return new HttpAdminClient();
+  static create(http = DaemonHttp.create()): HttpAdminClient {
+    return new HttpAdminClient(http);
   }
 
   override status(address: string): ResultAsync<AdminStatus, AdminError> {
-    return ask(`http://${address}/v1/admin/status`, {
+    return this.#ask(address, {
       method: "GET",
+      path: "/v1/admin/status",
       schema: AdminStatusSchema,
     });
   }
 
   override drain(address: string): ResultAsync<AdminDrain, AdminError> {
-    return ask(`http://${address}/v1/admin/drain`, {
+    return this.#ask(address, {
       method: "POST",
+      path: "/v1/admin/drain",
       schema: AdminDrainSchema,
     });
   }
+
+  #ask<Answer>(
+    address: string,
+    question: Question<Answer>,
+  ): ResultAsync<Answer, AdminError> {
+    return ResultAsync.fromPromise(
+      this.#fetch(address, question),
+      (cause): AdminError => ({ code: "unreachable", detail: String(cause) }),
+    ).andThen(({ status, text }) => {
+      if (status < 300) return parseAnswer(text, question.schema);
+      const detail = `${address} answered ${status}`;
+      return errAsync<Answer, AdminError>({ code: "refused", detail });
+    });
+  }
+
+  async #fetch(
+    address: string,
+    { method, path }: Question<unknown>,
+  ): Promise<Readonly<{ status: number; text: string }>> {
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const res = await this.#http.request(address, path, { method, signal });
+    return { status: res.statusCode, text: await res.body.text() };
+  }
 }
 
-function ask<Answer>(
-  url: string,
-  options: { method: "GET" | "POST"; schema: z.ZodType<Answer> },
+function parseAnswer<Answer>(
+  text: string,
+  schema: z.ZodType<Answer>,
 ): ResultAsync<Answer, AdminError> {
-  return ResultAsync.fromPromise(
-    fetchJson(url, options.method),
-    (cause): AdminError => ({ code: "unreachable", detail: String(cause) }),
-  ).andThen(({ status, body }) => {
-    if (status >= 300) {
-      return errAsync<Answer, AdminError>({
-        code: "refused",
-        detail: `${url} answered ${status}`,
-      });
-    }
-    const parsed = options.schema.safeParse(body);
-    if (parsed.success) return okAsync<Answer, AdminError>(parsed.data);
-    return errAsync<Answer, AdminError>({
-      code: "malformed",
-      detail: parsed.error.message,
-    });
-  });
+  const parsed = schema.safeParse(parseJson(text));
+  if (parsed.success) return okAsync(parsed.data);
+  const detail = parsed.error.message;
+  return errAsync<Answer, AdminError>({ code: "malformed", detail });
 }
 
-async function fetchJson(
-  url: string,
-  method: "GET" | "POST",
-): Promise<Readonly<{ status: number; body: unknown }>> {
-  const res = await request(url, {
-    method,
-    signal: AbortSignal.timeout(TIMEOUT_MS),
-  });
-  const text = await res.body.text();
-  if (res.statusCode >= 300) return { status: res.statusCode, body: text };
-  return { status: res.statusCode, body: JSON.parse(text) };
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
 }
--- a/src/cli/http_prompt_client.ts
+++ b/src/cli/http_prompt_client.ts
@@ -1,5 +1,5 @@
 import { ResultAsync } from "neverthrow";
-import { type Dispatcher, request } from "undici";
+import type { Dispatcher } from "undici";
 import { z } from "zod";
 import { HOUR_MS, type Millis, SECOND_MS } from "../core/time.ts";
 import type { Verdict } from "../core/verdict.ts";
@@ -13,6 +13,7 @@
   TEAM_HEADER,
 } from "../http/headers.ts";
 import { brokenConnection, readAnswer, readProblem } from "./answer_stream.ts";
+import { DaemonHttp, type DaemonRequest } from "./daemon_http.ts";
 import {
   type AnswerEvent,
   PromptClient,
@@ -28,6 +29,9 @@
 const DEADLINE_MARGIN_MS: Millis = 10 * SECOND_MS;
 /** A stream that brings nothing for so long has gone silent. */
 const SILENCE_MS: Millis = 30_000;
+
+type Call = DaemonRequest & Readonly<{ path: string }>;
+
 type StreamOptions = Readonly<
   { sender: Sender; onEvent: (event: AnswerEvent) => void }
 >;
@@ -35,14 +39,18 @@
 const EntriesSchema = z.object({
   entries: z.array(z.object({ address: z.string() })),
 });
+
 /** Sends prompts over HTTP. */
 export class HttpPromptClient extends PromptClient {
-  private constructor() {
+  readonly #http: DaemonHttp;
+
+  private constructor(http: DaemonHttp) {
     super();
+    this.#http = http;
   }
 
-  static create(): HttpPromptClient {
-    return new HttpPromptClient();
+  static create(http = DaemonHttp.create()): HttpPromptClient {
+    return new HttpPromptClient(http);
   }
 
   override send(
@@ -59,7 +67,8 @@
       max_tokens: maxTokens,
       prompt: text,
     });
-    return stream(`http://${address}/v1/completions`, {
+    return this.#stream(address, {
+      path: "/v1/completions",
       method: "POST",
       headers: { "content-type": "application/json" },
       body,
@@ -73,7 +82,8 @@
   ): ResultAsync<void, SendError> {
     const { request, after, token } = point;
     const path = `/v1/requests/${encodeURIComponent(request)}/stream`;
-    return stream(`http://${address}${path}`, {
+    return this.#stream(address, {
+      path,
       method: "GET",
       headers: { [RESUME_HEADER]: token, [LAST_EVENT_HEADER]: String(after) },
     }, options);
@@ -81,59 +91,54 @@
 
   override entries(address: string): ResultAsync<readonly string[], SendError> {
     return ResultAsync.fromPromise(
-      readEntries(address),
+      this.#readEntries(address),
       (cause) => brokenConnection("not_run", String(cause)),
     );
   }
-}
 
-type Call = Readonly<{
-  method: "GET" | "POST";
-  headers: Readonly<Record<string, string>>;
-  body?: string;
-}>;
-
-function stream(
-  url: string,
-  call: Call,
-  options: StreamOptions,
-): ResultAsync<void, SendError> {
-  return open(url, call, options.sender).andThen((res) => {
-    if (res.statusCode !== 200) return readProblem(res.body);
-    const { headers } = res;
-    options.onEvent({
-      type: "head",
-      request: String(headers[REQUEST_HEADER] ?? ""),
-      revision: optional(headers[REVISION_HEADER]),
-      resumeToken: optional(headers[RESUME_HEADER]),
+  #stream(
+    address: string,
+    call: Call,
+    options: StreamOptions,
+  ): ResultAsync<void, SendError> {
+    return this.#open(address, call, options.sender).andThen((res) => {
+      if (res.statusCode !== 200) return readProblem(res.body);
+      const { headers } = res;
+      options.onEvent({
+        type: "head",
+        request: String(headers[REQUEST_HEADER] ?? ""),
+        revision: optional(headers[REVISION_HEADER]),
+        resumeToken: optional(headers[RESUME_HEADER]),
+      });
+      return new ResultAsync(readAnswer(res.body, options.onEvent));
     });
-    return new ResultAsync(readAnswer(res.body, options.onEvent));
-  });
-}
+  }
 
-function open(
-  url: string,
-  call: Call,
-  sender: Sender,
-): ResultAsync<Dispatcher.ResponseData, SendError> {
-  return ResultAsync.fromPromise(
-    request(url, {
-      ...call,
-      headers: { ...call.headers, ...senderHeaders(sender) },
-      headersTimeout: (sender.deadlineMs ?? HEAD_MS) + DEADLINE_MARGIN_MS,
-      bodyTimeout: SILENCE_MS,
-    }),
-    (cause) => brokenConnection(verdictOf(cause), String(cause)),
-  );
-}
+  #open(
+    address: string,
+    { path, ...call }: Call,
+    sender: Sender,
+  ): ResultAsync<Dispatcher.ResponseData, SendError> {
+    return ResultAsync.fromPromise(
+      this.#http.request(address, path, {
+        ...call,
+        headers: { ...call.headers, ...senderHeaders(sender) },
+        headersTimeout: (sender.deadlineMs ?? HEAD_MS) + DEADLINE_MARGIN_MS,
+        bodyTimeout: SILENCE_MS,
+      }),
+      (cause) => brokenConnection(verdictOf(cause), String(cause)),
+    );
+  }
 
-async function readEntries(address: string): Promise<readonly string[]> {
-  const res = await request(`http://${address}/v1/entries`, {
-    headersTimeout: SILENCE_MS,
-    bodyTimeout: SILENCE_MS,
-  });
-  const { entries } = EntriesSchema.parse(await res.body.json());
-  return entries.map((entry) => entry.address);
+  async #readEntries(address: string): Promise<readonly string[]> {
+    const res = await this.#http.request(address, "/v1/entries", {
+      method: "GET",
+      headersTimeout: SILENCE_MS,
+      bodyTimeout: SILENCE_MS,
+    });
+    const { entries } = EntriesSchema.parse(await res.body.json());
+    return entries.map((entry) => entry.address);
+  }
 }
 
 function senderHeaders(sender: Sender): Record<string, string> {
--- a/src/cli/run_verb.ts
+++ b/src/cli/run_verb.ts
@@ -3,9 +3,14 @@
 import type { CliError, Report } from "./report.ts";
 
 /** Arguments that set up a verb's context and output. */
-export type SharedArgs = Readonly<
-  { json: boolean; log?: string; entry?: string; author?: string }
->;
+export type SharedArgs = Readonly<{
+  json: boolean;
+  log?: string;
+  entry?: string;
+  /** The authority that signs the daemons' certificates, PEM. */
+  ca?: string;
+  author?: string;
+}>;
 
 /** Runs a verb in a context made of its arguments, writes its report and returns the exit code. */
 export type RunVerb = (
