Record ended requests as a hash chain on the log

Each run of a daemon chains batches of what it answered: digests, revision, weights, verdict and times. RequestController hands over every end it decides; up to 10,000 wait while the log is down, and what finds no room is counted in the next batch. AuditChain puts batches in order and shows gaps, losses, changes and an open end; the last batch of a planned stop closes the chain, which the stop waits for.

--- a/src/board/blackboard.ts
+++ b/src/board/blackboard.ts
@@ -5,6 +5,10 @@
   createMembersSection,
   type MembersSection,
 } from "./members_section.ts";
+import {
+  createRecordsSection,
+  type RecordsSection,
+} from "./records_section.ts";
 import { createOrdersSection, type OrdersSection } from "./orders_section.ts";
 import {
   createPlacementSection,
@@ -38,6 +42,7 @@
   plans: PlansSection;
   claims: ClaimsSection;
   orders: OrdersSection;
+  records: RecordsSection;
   quarantine: QuarantineSection;
   counters: Counters;
 }>;
@@ -55,6 +60,7 @@
     plans: createPlansSection(),
     claims: createClaimsSection(),
     orders: createOrdersSection(),
+    records: createRecordsSection(),
     quarantine: createQuarantineSection(),
     counters: Counters.create(),
   };
--- a/src/board/requests_section.ts
+++ b/src/board/requests_section.ts
@@ -1,5 +1,6 @@
-import type { RequestId, UpstreamId } from "../core/id.ts";
+import type { Digest, RequestId, UpstreamId } from "../core/id.ts";
 import type { Attempt, RanUnder, Request, Weights } from "../core/request.ts";
+import type { Refusal } from "../core/reason.ts";
 import type { Verdict } from "../core/verdict.ts";
 
 /** How far a request is: waiting for a claim or a place, running, or sent to its key's home. */
@@ -29,10 +30,25 @@
   reattached?: boolean;
 };
 
+/** How a request has ended, for the record. */
+export type RequestEnd = Readonly<{
+  entry: RequestEntry;
+  result: Readonly<{
+    end: "ok" | "recorded" | "forwarded" | Refusal;
+    verdict: Verdict;
+    tokens?: number;
+    answerDigest?: Digest;
+  }>;
+}>;
+
 /** Requests that this daemon is answering; written by `RequestController`. */
-export type RequestsSection = { byId: Map<RequestId, RequestEntry> };
+export type RequestsSection = {
+  byId: Map<RequestId, RequestEntry>;
+  /** Requests that ended in the present pass of the step. */
+  ended: RequestEnd[];
+};
 
 /** A daemon's view at its start. */
 export function createRequestsSection(): RequestsSection {
-  return { byId: new Map() };
+  return { byId: new Map(), ended: [] };
 }
--- a/src/controllers/create_core.ts
+++ b/src/controllers/create_core.ts
@@ -11,6 +11,7 @@
 import { PlacementController } from "./placement_controller.ts";
 import { PlanController } from "./plan_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
+import { RecordController } from "./record_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -41,6 +42,7 @@
       PlanController.create(),
       ClaimController.create({ keySecret: options.createSecret() }),
       RequestController.create(),
+      RecordController.create(),
       OrderController.create(),
     ],
   });
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -142,7 +142,8 @@
   /** Outcomes get some time to reach the log; it may be down. */
   #waitsForLog(board: Blackboard, ctx: StepContext): boolean {
     this.#exitAt ??= addMs(ctx.now, LOG_WAIT_MS);
-    if (board.claims.unsent === 0 || ctx.now >= this.#exitAt) return false;
+    const unsent = board.claims.unsent + board.records.unsent;
+    if (unsent === 0 || ctx.now >= this.#exitAt) return false;
     ctx.wakeAt(this.#exitAt);
     return true;
   }
--- /dev/null
+++ b/src/controllers/record_controller_test.ts
@@ -0,0 +1,111 @@
+import { expect, test } from "vitest";
+import type { DaemonId, RecordId, RequestId } from "../core/id.ts";
+import { type AuditBatch, AuditChain } from "../fold/audit_fold.ts";
+import { RECORDS_STREAM } from "../fold/streams.ts";
+import { createBlackboard } from "../board/blackboard.ts";
+import type { RequestEnd } from "../board/requests_section.ts";
+import { Core } from "../core/core.ts";
+import type { Intent } from "../core/intent.ts";
+import { Random } from "../core/random.ts";
+import { addMs, type Timestamp } from "../core/time.ts";
+import { RecordController } from "./record_controller.ts";
+
+type Append = Extract<Intent, { type: "append" }>;
+
+/** One record controller whose log is played by the test. */
+class Scene {
+  readonly core = Core.create({
+    board: createBlackboard({ id: "d1" as DaemonId } as never),
+    controllers: [RecordController.create()],
+    random: Random.create(1),
+  });
+  #now = 1_000_000 as Timestamp;
+
+  end(count: number): void {
+    const { ended } = this.core.board.requests;
+    for (let index = 0; index < count; index += 1) {
+      ended.push(requestEnd(`r${index}`));
+    }
+  }
+
+  /** Steps after `ms`, and returns the batches that are appended. */
+  step(ms: number, result?: "appended" | "unknown", of: AuditBatch[] = []) {
+    this.#now = addMs(this.#now, ms);
+    const records = of.map((batch) => batch.id as RecordId);
+    const stream = RECORDS_STREAM;
+    const events = result === undefined
+      ? []
+      : [{ type: "append_ended" as const, stream, records, result }];
+    const { intents } = this.core.step(this.#now, events);
+    this.core.board.requests.ended = [];
+    return intents
+      .filter((intent): intent is Append => intent.type === "append")
+      .flatMap((intent) => intent.records)
+      .map((record) => JSON.parse(record.body) as AuditBatch);
+  }
+}
+
+function requestEnd(id: string): RequestEnd {
+  const req = {
+    kind: "prompt",
+    id: id as RequestId,
+    team: "a",
+    classId: "c",
+    digest: "d",
+    arrivedAt: 1,
+  };
+  const entry = { req, ranUnder: { revision: 1 }, attempts: 1, tokens: 2 };
+  return {
+    entry: entry as never,
+    result: { end: "ok", verdict: "ran" },
+  };
+}
+
+test("ended requests go out once a second, and an unknown append goes again unchanged", () => {
+  const scene = new Scene();
+  scene.end(3);
+  expect(scene.step(0)).toEqual([]);
+  const first = scene.step(1_000);
+  expect(first.map((batch) => batch.entries.length)).toEqual([3]);
+  const again = [
+    ...scene.step(10, "unknown", first),
+    ...scene.step(1_000),
+  ];
+  expect(again).toEqual(first);
+  scene.step(10, "appended", first);
+  expect(scene.core.board.records.unsent).toBe(0);
+});
+
+test("a long outage loses records in a counted way, and the chain says so", () => {
+  const scene = new Scene();
+  scene.end(13_000);
+  let batches = scene.step(1_000);
+  const audit = AuditChain.create();
+  const findings: unknown[] = [];
+  while (batches.length > 0) {
+    for (const batch of batches) findings.push(...audit.take(batch));
+    batches = scene.step(10, "appended", batches);
+  }
+  const kinds = findings.map((finding) => (finding as { type: string }).type);
+  expect(findings.filter((_, index) => kinds[index] !== "batch"))
+    .toMatchInlineSnapshot(`
+      [
+        {
+          "count": 3000,
+          "daemon": "d1",
+          "seq": 49,
+          "type": "lost",
+        },
+      ]
+    `);
+  expect(kinds.length).toBe(51);
+});
+
+test("a planned stop closes the chain", () => {
+  const scene = new Scene();
+  scene.end(1);
+  scene.core.board.members.drain = "refusing";
+  expect(scene.step(0).map((batch) => [batch.closed, batch.entries.length]))
+    .toEqual([[true, 1]]);
+  expect(scene.step(5_000)).toEqual([]);
+});
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from "../board/blackboard.ts";
-import type { RequestEntry } from "../board/requests_section.ts";
+import type { RequestEnd, RequestEntry } from "../board/requests_section.ts";
 import { admit } from "../core/admission.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
@@ -39,6 +39,7 @@
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
+    board.requests.ended = [];
     for (const event of ctx.events) this.#take(board, ctx, event);
     for (const entry of board.requests.byId.values()) {
       this.#advance(board, ctx, entry);
@@ -146,7 +147,8 @@
   #leave(board: Blackboard, ctx: StepContext, id: RequestId): void {
     const entry = board.requests.byId.get(id);
     if (entry === undefined || entry.req.kind === "call") return;
-    board.requests.byId.delete(id);
+    const verdict = entry.attempts > 0 ? "may_have_run" : "not_run";
+    close(board, entry, { end: "client_left", verdict });
     ctx.counters.refuse("client_left");
     ctx.repeat();
   }
@@ -175,7 +177,8 @@
   ): void {
     const limits = board.config.serving?.limits;
     if (outcome.type === "ok") {
-      board.requests.byId.delete(entry.req.id);
+      const { tokens, answerDigest } = outcome;
+      close(board, entry, { end: "ok", verdict: "ran", tokens, answerDigest });
       ctx.counters.add("requests_finished");
       measure(ctx, entry, "request_ms");
       ctx.emit(finishedLine(ctx, entry, outcome));
@@ -242,7 +245,7 @@
       case "forward":
         return this.#forward(board, ctx, entry, result.home);
       case "recorded":
-        board.requests.byId.delete(entry.req.id);
+        close(board, entry, { end: "recorded", verdict: "ran" });
         ctx.counters.add("requests_finished");
         ctx.emit({
           type: "answer_recorded",
@@ -300,7 +303,7 @@
         problem("key_home_lost", detail, { verdict: "may_have_run" }),
       );
     }
-    board.requests.byId.delete(event.req);
+    close(board, entry, { end: "forwarded", verdict: "may_have_run" });
     ctx.counters.add("requests_finished");
     ctx.repeat();
   }
@@ -371,7 +374,8 @@
         upstream: placement.upstream,
       });
     }
-    board.requests.byId.delete(entry.req.id);
+    const { code, verdict } = cause;
+    close(board, entry, { end: code, verdict });
     ctx.counters.add("requests_failed");
     refuse(ctx, entry.req.id, cause);
     ctx.repeat();
@@ -383,6 +387,15 @@
   }
 }
 
+function close(
+  board: Blackboard,
+  entry: RequestEntry,
+  result: RequestEnd["result"],
+): void {
+  board.requests.byId.delete(entry.req.id);
+  board.requests.ended.push({ entry, result });
+}
+
 function measure(
   ctx: StepContext,
   entry: RequestEntry,
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -98,6 +98,8 @@
     status: number;
     /** The whole answer of a call that may not be repeated, to be recorded. */
     answer?: Readonly<{ contentType: string; body: string }>;
+    /** SHA-256 of what was passed on to the client. */
+    answerDigest?: Digest;
   }>
   | Readonly<{
     type: "failed";
--- a/src/daemon/call_run.ts
+++ b/src/daemon/call_run.ts
@@ -2,6 +2,7 @@
 import type { Event } from "../core/event.ts";
 import type { Retry } from "../core/reason.ts";
 import type { Outcome } from "../core/request.ts";
+import { sha256 } from "./sha256.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type {
   ServiceAnswer,
@@ -56,7 +57,9 @@
 function success(answer: ServiceAnswer): Outcome {
   const { status, contentType } = answer;
   const body = Buffer.from(answer.body).toString("utf8");
-  return { type: "ok", tokens: 0, status, answer: { contentType, body } };
+  const answerDigest = sha256(answer.body);
+  const recorded = { contentType, body };
+  return { type: "ok", tokens: 0, status, answer: recorded, answerDigest };
 }
 
 const CAUSES: Readonly<Record<ServiceError["code"], Retry>> = {
--- a/src/daemon/prompt_run.ts
+++ b/src/daemon/prompt_run.ts
@@ -19,6 +19,7 @@
 } from "../engine/plan_run.ts";
 import type { EngineEvent, GenerateHead } from "../wire/engine.ts";
 import { passedTokens, type PromptExchange } from "./exchange.ts";
+import { sha256 } from "./sha256.ts";
 
 /** Tokens between two reports of progress to the core. */
 const PROGRESS_TOKENS = 64;
@@ -181,7 +182,9 @@
       promptTokens: event.prompt_tokens,
       cachedTokens: event.cached_tokens,
     });
-    return { type: "ok", tokens: event.count, status: 200 };
+    const answer = this.#parts.exchange.answered.join("");
+    const answerDigest = sha256(answer);
+    return { type: "ok", tokens: event.count, status: 200, answerDigest };
   }
 
   #post(outcome: Outcome): void {
--- /dev/null
+++ b/src/fold/audit_fold.ts
@@ -0,0 +1,213 @@
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type {
+  AdapterId,
+  ClassId,
+  DaemonId,
+  Digest,
+  ModelId,
+  RecordId,
+  RequestId,
+  ServiceId,
+  TeamId,
+  VersionId,
+} from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { VerdictSchema } from "../core/verdict.ts";
+import { countSchema, idSchema } from "../wire/brands.ts";
+
+const whole = z.number().int().nonnegative();
+
+/** What is kept of one request: digests and circumstances, never its text. */
+export const AuditEntrySchema = z.object({
+  request: idSchema<RequestId>(),
+  team: idSchema<TeamId>(),
+  class: idSchema<ClassId>(),
+  /** Digest of what was asked. */
+  asked: idSchema<Digest>(),
+  /** Digest of what this daemon answered; absent where it gave no whole answer. */
+  answered: idSchema<Digest>().optional(),
+  /** Revision of the configuration that the request was admitted under. */
+  revision: z.number().int(),
+  model: idSchema<ModelId>().optional(),
+  version: idSchema<VersionId>().optional(),
+  adapter: idSchema<AdapterId>().optional(),
+  service: idSchema<ServiceId>().optional(),
+  /** `ok`, `recorded`, `forwarded`, or the reason of the failure. */
+  end: z.string(),
+  verdict: VerdictSchema,
+  attempts: whole,
+  tokens: whole,
+  arrivedAt: countSchema<Timestamp>(),
+  endedAt: countSchema<Timestamp>(),
+}).readonly();
+/** What is kept of one request. */
+export type AuditEntry = z.infer<typeof AuditEntrySchema>;
+
+const ChainedSchema = z.object({
+  daemon: idSchema<DaemonId>(),
+  /** Grows by one with each batch of one daemon run, from 0. */
+  seq: whole,
+  /** Hash of the batch before; empty for the first. */
+  previous: z.string(),
+  /** Requests before this batch that found no room while the log was down. */
+  lost: whole,
+  /** Whether the daemon has shut down in an orderly way after this batch. */
+  closed: z.boolean(),
+  entries: z.array(AuditEntrySchema),
+});
+type Chained = z.infer<typeof ChainedSchema>;
+
+/** A link of one daemon run's hash chain. */
+export const AuditBatchSchema = ChainedSchema.extend({
+  type: z.literal("audit_batch"),
+  id: idSchema<RecordId>(),
+  hash: z.string(),
+}).readonly();
+/** A link of one daemon run's hash chain. */
+export type AuditBatch = z.infer<typeof AuditBatchSchema>;
+
+/** What reading a chain shows, in the order of the chain. */
+export type AuditFinding =
+  | Readonly<{ type: "batch"; batch: AuditBatch }>
+  /** Batches `from` to `to` are missing. */
+  | Readonly<{ type: "gap"; daemon: DaemonId; from: number; to: number }>
+  /** Requests that the daemon itself could not keep. */
+  | Readonly<{ type: "lost"; daemon: DaemonId; seq: number; count: number }>
+  /** A batch was changed, or does not follow from the one before. */
+  | Readonly<
+    {
+      type: "broken";
+      daemon: DaemonId;
+      seq: number;
+      why: "hash" | "link" | "rival";
+    }
+  >
+  /** The end of what is known of a run; only a closed one is known to be complete. */
+  | Readonly<
+    { type: "end"; daemon: DaemonId; batches: number; closed: boolean }
+  >;
+
+const MAX_PENDING = 1_024;
+
+/** Returns the hash of a batch: SHA-256 over its fields in a fixed order. */
+export function auditHash(batch: Chained): string {
+  const { daemon, seq, previous, lost, closed, entries } = batch;
+  const fields = [daemon, seq, previous, lost, closed, entries.map(ordered)];
+  return createHash("sha256").update(JSON.stringify(fields)).digest("hex");
+}
+
+/** Builds the next link of a chain. */
+export function auditBatch(id: RecordId, chained: Chained): AuditBatch {
+  return { type: "audit_batch", id, ...chained, hash: auditHash(chained) };
+}
+
+type Run = {
+  next: number;
+  previous: string;
+  batches: number;
+  closed: boolean;
+  readonly hashes: Map<number, string>;
+  readonly pending: Map<number, AuditBatch>;
+};
+
+/** Puts the batches of each daemon run in order and checks them; a gap is shown as a gap. */
+export class AuditChain {
+  readonly #runs = new Map<DaemonId, Run>();
+
+  static create(): AuditChain {
+    return new AuditChain();
+  }
+
+  /** Takes a record of the stream, or a line of an export, as parsed JSON. */
+  take(value: unknown): readonly AuditFinding[] {
+    const parsed = AuditBatchSchema.safeParse(value);
+    if (!parsed.success) return [];
+    const batch = parsed.data;
+    const run = this.#runOf(batch.daemon);
+    if (batch.seq < run.next || run.pending.has(batch.seq)) {
+      return this.#again(run, batch);
+    }
+    run.pending.set(batch.seq, batch);
+    run.hashes.set(batch.seq, batch.hash);
+    const findings = this.#follow(run);
+    if (run.pending.size <= MAX_PENDING) return findings;
+    return [...findings, ...this.#skip(batch.daemon, run)];
+  }
+
+  /** Says what is still missing, and where each run ends. */
+  finish(): readonly AuditFinding[] {
+    return [...this.#runs].flatMap(([daemon, run]) => {
+      const findings: AuditFinding[] = [];
+      while (run.pending.size > 0) findings.push(...this.#skip(daemon, run));
+      const { batches, closed } = run;
+      return [...findings, { type: "end", daemon, batches, closed }];
+    });
+  }
+
+  /** A batch may come twice, but not with another content. */
+  #again(run: Run, batch: AuditBatch): readonly AuditFinding[] {
+    const known = run.hashes.get(batch.seq);
+    if (known === undefined || known === batch.hash) return [];
+    const { daemon, seq } = batch;
+    return [{ type: "broken", daemon, seq, why: "rival" }];
+  }
+
+  #follow(run: Run): AuditFinding[] {
+    const findings: AuditFinding[] = [];
+    for (;;) {
+      const batch = run.pending.get(run.next);
+      if (batch === undefined) return findings;
+      run.pending.delete(run.next);
+      findings.push(...check(run, batch));
+      run.next += 1;
+      run.previous = batch.hash;
+      run.batches += 1;
+      run.closed = batch.closed;
+      run.hashes.delete(batch.seq - MAX_PENDING);
+    }
+  }
+
+  #skip(daemon: DaemonId, run: Run): readonly AuditFinding[] {
+    const first = Math.min(...run.pending.keys());
+    const gap = { type: "gap" as const, daemon, from: run.next, to: first - 1 };
+    run.next = first;
+    run.previous = run.pending.get(first)?.previous ?? "";
+    return [gap, ...this.#follow(run)];
+  }
+
+  #runOf(daemon: DaemonId): Run {
+    const known = this.#runs.get(daemon);
+    if (known !== undefined) return known;
+    const run: Run = {
+      next: 0,
+      previous: "",
+      batches: 0,
+      closed: false,
+      hashes: new Map(),
+      pending: new Map(),
+    };
+    this.#runs.set(daemon, run);
+    return run;
+  }
+}
+
+function check(run: Run, batch: AuditBatch): readonly AuditFinding[] {
+  const { daemon, seq, lost } = batch;
+  const findings: AuditFinding[] = [];
+  if (auditHash(batch) !== batch.hash) {
+    findings.push({ type: "broken", daemon, seq, why: "hash" });
+  }
+  if (batch.previous !== run.previous) {
+    findings.push({ type: "broken", daemon, seq, why: "link" });
+  }
+  if (lost > 0) findings.push({ type: "lost", daemon, seq, count: lost });
+  return [...findings, { type: "batch", batch }];
+}
+
+/** Fields by name, so that a re-parsed entry has the same hash. */
+function ordered(entry: AuditEntry): readonly unknown[] {
+  return Object.entries(entry)
+    .filter(([, value]) => value !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : 1));
+}
--- /dev/null
+++ b/src/fold/audit_fold_test.ts
@@ -0,0 +1,134 @@
+import { expect, test } from "vitest";
+import type { DaemonId, RecordId } from "../core/id.ts";
+import {
+  type AuditBatch,
+  auditBatch,
+  AuditChain,
+  type AuditFinding,
+} from "./audit_fold.ts";
+
+function chain(count: number): readonly AuditBatch[] {
+  const batches: AuditBatch[] = [];
+  for (let seq = 0; seq < count; seq += 1) {
+    const previous = batches.at(-1)?.hash ?? "";
+    const entries = [{ ...ENTRY, request: `r${seq}` as never }];
+    batches.push(auditBatch(`b${seq}` as RecordId, {
+      daemon: "d1" as DaemonId,
+      seq,
+      previous,
+      lost: seq === 2 ? 5 : 0,
+      closed: seq === count - 1,
+      entries,
+    }));
+  }
+  return batches;
+}
+
+const ENTRY = {
+  request: "r" as never,
+  team: "a" as never,
+  class: "c" as never,
+  asked: "d" as never,
+  revision: 3,
+  end: "ok",
+  verdict: "ran" as const,
+  attempts: 1,
+  tokens: 7,
+  arrivedAt: 1 as never,
+  endedAt: 2 as never,
+};
+
+/** Findings in short, batches as their numbers. */
+function read(batches: readonly unknown[]): readonly string[] {
+  const audit = AuditChain.create();
+  const findings = batches.flatMap((batch) =>
+    audit.take(JSON.parse(JSON.stringify(batch)))
+  );
+  return [...findings, ...audit.finish()].map(short);
+}
+
+function short(finding: AuditFinding): string {
+  switch (finding.type) {
+    case "batch":
+      return `${finding.batch.seq}`;
+    case "gap":
+      return `gap ${finding.from}-${finding.to}`;
+    case "lost":
+      return `lost ${finding.count}`;
+    case "broken":
+      return `broken ${finding.seq} ${finding.why}`;
+    case "end":
+      return `end ${finding.batches} ${finding.closed ? "closed" : "open"}`;
+  }
+}
+
+test("a whole chain reads in its order, also from doubled and late batches", () => {
+  const [a, b, c, d] = chain(4);
+  const whole = ["0", "1", "lost 5", "2", "3", "end 4 closed"];
+  expect(read([a, b, c, d])).toEqual(whole);
+  expect(read([b, a, b, d, a, c])).toEqual(whole);
+});
+
+test("what is missing, cut off, changed or replaced shows", () => {
+  const [a, b, c, d] = chain(4);
+  const changed = { ...b!, entries: [{ ...ENTRY, tokens: 8 }] };
+  const rival = auditBatch("x" as RecordId, { ...b!, entries: [] });
+  expect({
+    missing: read([a, d]),
+    expired: read([c, d]),
+    cutOff: read([a, b]),
+    changed: read([a, changed, c, d]),
+    replaced: read([a, rival, c, d]),
+    rival: read([a, b, rival, c, d]),
+    nothing: read([]),
+  }).toMatchInlineSnapshot(`
+    {
+      "changed": [
+        "0",
+        "broken 1 hash",
+        "1",
+        "lost 5",
+        "2",
+        "3",
+        "end 4 closed",
+      ],
+      "cutOff": [
+        "0",
+        "1",
+        "end 2 open",
+      ],
+      "expired": [
+        "gap 0-1",
+        "lost 5",
+        "2",
+        "3",
+        "end 2 closed",
+      ],
+      "missing": [
+        "0",
+        "gap 1-2",
+        "3",
+        "end 2 closed",
+      ],
+      "nothing": [],
+      "replaced": [
+        "0",
+        "1",
+        "broken 2 link",
+        "lost 5",
+        "2",
+        "3",
+        "end 4 closed",
+      ],
+      "rival": [
+        "0",
+        "1",
+        "broken 1 rival",
+        "lost 5",
+        "2",
+        "3",
+        "end 4 closed",
+      ],
+    }
+  `);
+});
