Check the record by the daemons' own chain

Daemons write audit batches now (audit_fold.ts), whose chain also tells what a daemon could not keep and whether a run was closed. The tool's own first chain and its shape, which came before it, go.

--- a/src/cli/record_tally.ts
+++ b/src/cli/record_tally.ts
@@ -1,18 +1,35 @@
-import { type ChainLink, RecordChains } from "../fold/record_chain.ts";
+import {
+  AuditBatchSchema,
+  AuditChain,
+  type AuditFinding,
+} from "../fold/audit_fold.ts";
 
 const MAX_NAMED = 1_000;
 
 /** A fault of the record that operators are told of. */
-export type RecordFault = Extract<ChainLink, { type: "gap" | "altered" }>;
+export type RecordFault =
+  | Extract<AuditFinding, { type: "gap" | "lost" | "broken" }>
+  /** Something on the stream or in an archive that is no batch. */
+  | Readonly<{ type: "unreadable"; text: string }>;
 
-/** Counts what a check of the record found; of many faults the first are named. */
+/** What a check of the record came to. */
+export type RecordFinding = AuditFinding | RecordFault;
+
+/** Checks the record and counts what it finds; of many faults the first are named. */
 export class RecordTally {
-  readonly #chains = RecordChains.create();
+  readonly #chain = AuditChain.create();
   readonly faults: RecordFault[] = [];
-  batches = 0;
-  records = 0;
-  gaps = 0;
-  altered = 0;
+  readonly counts = {
+    runs: 0,
+    /** Runs of daemons whose end is not known: still running, dead, or cut off. */
+    open: 0,
+    batches: 0,
+    requests: 0,
+    gaps: 0,
+    lost: 0,
+    broken: 0,
+    unreadable: 0,
+  };
 
   private constructor() {}
 
@@ -20,56 +37,72 @@
     return new RecordTally();
   }
 
-  /** Daemons whose chains were met. */
-  get daemons(): number {
-    return this.#chains.daemons;
+  /** Checks one record of the stream and returns what it brought. */
+  take(value: unknown): readonly RecordFinding[] {
+    if (AuditBatchSchema.safeParse(value).success) {
+      return this.#count(this.#chain.take(value));
+    }
+    const text = JSON.stringify(value).slice(0, 80);
+    return this.#count([{ type: "unreadable", text }]);
   }
 
-  /** Checks one record of the stream and returns what it turned out to be. */
-  take(value: unknown): readonly ChainLink[] {
-    const links = this.#chains.take(value);
-    for (const link of links) this.#count(link);
-    return links;
+  /** Says what is still missing, and where each run ends. */
+  finish(): readonly RecordFinding[] {
+    return this.#count(this.#chain.finish());
+  }
+
+  /** What was counted, as lines of text. */
+  lines(): readonly string[] {
+    const counts = Object.entries(this.counts).map(([name, count]) =>
+      `${name}: ${count}`
+    );
+    return [counts.join(", "), ...this.faults.map(faultLine)];
+  }
+
+  #count(findings: readonly RecordFinding[]): readonly RecordFinding[] {
+    for (const finding of findings) {
+      this.#add(finding);
+      const named = finding.type !== "batch" && finding.type !== "end";
+      if (named && this.faults.length < MAX_NAMED) this.faults.push(finding);
+    }
+    return findings;
   }
 
-  #count(link: ChainLink): void {
-    switch (link.type) {
+  #add(finding: RecordFinding): void {
+    const { counts } = this;
+    switch (finding.type) {
       case "batch":
-        this.batches += 1;
-        this.records += link.batch.records.length;
+        counts.batches += 1;
+        counts.requests += finding.batch.entries.length;
         return;
-      case "doubled":
+      case "end":
+        counts.runs += 1;
+        counts.open += finding.closed ? 0 : 1;
         return;
       case "gap":
-        this.gaps += 1;
-        break;
-      case "altered":
-        this.altered += 1;
+        counts.gaps += 1;
+        return;
+      case "lost":
+        counts.lost += finding.count;
+        return;
+      case "broken":
+        counts.broken += 1;
+        return;
+      case "unreadable":
+        counts.unreadable += 1;
     }
-    if (this.faults.length < MAX_NAMED) this.faults.push(link);
-  }
-
-  /** What was counted, as data. */
-  summary() {
-    const { daemons, batches, records, gaps, altered, faults } = this;
-    return { daemons, batches, records, gaps, altered, faults };
-  }
-
-  /** What was counted, as lines of text. */
-  lines(): readonly string[] {
-    const { daemons, batches, records, gaps, altered } = this;
-    return [
-      `daemons: ${daemons}, batches: ${batches}, records: ${records}, gaps: ${gaps}, altered: ${altered}`,
-      ...this.faults.map(faultLine),
-    ];
   }
 }
 
 function faultLine(fault: RecordFault): string {
-  if (fault.type === "gap") {
-    return `gap: batches ${fault.from} to ${fault.to} of daemon ${fault.daemon} are missing`;
+  switch (fault.type) {
+    case "gap":
+      return `gap: batches ${fault.from} to ${fault.to} of daemon ${fault.daemon} are missing`;
+    case "lost":
+      return `lost: daemon ${fault.daemon} could not keep ${fault.count} requests before batch ${fault.seq}`;
+    case "broken":
+      return `broken: batch ${fault.seq} of daemon ${fault.daemon}: ${fault.why}`;
+    case "unreadable":
+      return `unreadable: ${fault.text}`;
   }
-  return `altered: batch ${fault.seq} of daemon ${
-    fault.daemon || "unknown"
-  }: ${fault.detail}`;
 }
--- a/src/cli/verbs/record.ts
+++ b/src/cli/verbs/record.ts
@@ -6,19 +6,19 @@
   subcommands,
 } from "cmd-ts";
 import { err, ok, type Result } from "neverthrow";
-import type { ChainLink } from "../../fold/record_chain.ts";
 import { RECORDS_STREAM } from "../../fold/streams.ts";
 import { ArchiveWriter, readArchive } from "../archive.ts";
 import { jsonArg, logArg } from "../args.ts";
 import { type CliContext, needLog } from "../context.ts";
-import { RecordTally } from "../record_tally.ts";
+import { type RecordFinding, RecordTally } from "../record_tally.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
 import { StreamReader } from "../stream_reader.ts";
 
-const ARCHIVE_TYPES = new Set(["gap", "altered"]);
+/** Lines of an archive that say what was found then; a check finds it anew. */
+const FOUND_TYPES = new Set(["gap", "lost", "broken", "unreadable", "end"]);
 
-/** Writes the record that the log still has to a new file, one batch or fault a line. */
+/** Writes the record that the log still has to a new file: a line for each batch, fault and end. */
 export async function exportRecord(
   ctx: CliContext,
   path: string,
@@ -29,16 +29,16 @@
   if (archive.isErr()) return err(archive.error);
   const tally = RecordTally.create();
   const read = await readLog(ctx, tally, {
-    link: (link) => {
-      if (link.type === "batch") archive.value.write(link.batch);
-      else if (link.type !== "doubled") archive.value.write(link);
+    found: (finding) => {
+      const line = finding.type === "batch" ? finding.batch : finding;
+      archive.value.write(line);
     },
   });
   if (read.isErr()) archive.value.discard();
   else archive.value.close();
   return read.map(() => ({
-    exit: tally.altered > 0 ? "failure" : "ok",
-    data: { file: path, ...tally.summary() },
+    exit: isChanged(tally) ? "failure" : "ok",
+    data: { file: path, ...tally.counts, faults: tally.faults },
     lines: [`written to ${path}`, ...tally.lines()],
   }));
 }
@@ -50,53 +50,59 @@
 ): Promise<Result<Report, CliError>> {
   const tally = RecordTally.create();
   if (paths.length === 0) {
-    const read = await readLog(ctx, tally, { link: () => {} });
-    return read.map(() => verifyReport(tally, lostInLog(tally)));
+    const read = await readLog(ctx, tally, { found: () => {} });
+    return read.map(() => verifyReport(tally, isMissingInLog(tally)));
   }
   for (const path of paths) {
     ctx.progress(`checking ${path}`);
     const read = await readArchive(path, (value) => {
-      if (!isFaultLine(value)) tally.take(value);
+      if (!isFoundLine(value)) tally.take(value);
     });
     if (read.isErr()) return err(read.error);
   }
-  return ok(verifyReport(tally, tally.gaps > 0));
+  tally.finish();
+  return ok(verifyReport(tally, tally.counts.gaps > 0));
 }
 
 async function readLog(
   ctx: CliContext,
   tally: RecordTally,
-  options: { link: (link: ChainLink) => void },
+  options: { found: (finding: RecordFinding) => void },
 ): Promise<Result<void, CliError>> {
   const log = needLog(ctx);
   if (log.isErr()) return err(log.error);
   const reader = StreamReader.create(log.value, RECORDS_STREAM);
   const read = await reader.catchUp({
     entry: (entry) => {
-      for (const link of tally.take(entry.value)) options.link(link);
-      ctx.progress(`${tally.records} records`);
+      tally.take(entry.value).forEach(options.found);
+      ctx.progress(`${tally.counts.requests} requests`);
     },
     gap: () => {},
   });
-  return read.mapErr(({ detail }) => cliError("log_unreadable", detail));
+  if (read.isErr()) return err(cliError("log_unreadable", read.error.detail));
+  tally.finish().forEach(options.found);
+  return ok(undefined);
 }
 
 /** The log keeps records for a limited time, so the begin of a chain may have expired. */
-function lostInLog(tally: RecordTally): boolean {
+function isMissingInLog(tally: RecordTally): boolean {
   return tally.faults.some((fault) => fault.type === "gap" && fault.from > 0);
 }
 
-/** Exports note what was missing then; the check finds it anew. */
-function isFaultLine(value: unknown): boolean {
+function isChanged({ counts }: RecordTally): boolean {
+  return counts.broken + counts.unreadable > 0;
+}
+
+function isFoundLine(value: unknown): boolean {
   const type = (value as { type?: unknown } | null)?.type;
-  return typeof type === "string" && ARCHIVE_TYPES.has(type);
+  return typeof type === "string" && FOUND_TYPES.has(type);
 }
 
-function verifyReport(tally: RecordTally, lost: boolean): Report {
-  const whole = !lost && tally.altered === 0;
+function verifyReport(tally: RecordTally, missing: boolean): Report {
+  const whole = !missing && !isChanged(tally) && tally.counts.lost === 0;
   return {
     exit: whole ? "ok" : "failure",
-    data: { whole, ...tally.summary() },
+    data: { whole, ...tally.counts, faults: tally.faults },
     lines: [whole ? "whole" : "not whole", ...tally.lines()],
   };
 }
--- a/src/cli/verbs/record_test.ts
+++ b/src/cli/verbs/record_test.ts
@@ -3,23 +3,22 @@
 import { join } from "node:path";
 import { expect, test } from "vitest";
 import type { DaemonId, RecordId } from "../../core/id.ts";
-import { sealBatch } from "../../fold/record_chain.ts";
-import { type RecordBatch, RequestRecordSchema } from "../../wire/record.ts";
+import { auditBatch, AuditEntrySchema } from "../../fold/audit_fold.ts";
 import { createFakeContext, type FakeContext } from "../fake_context.ts";
 import { exportRecord, verifyRecord } from "./record.ts";
 
-const RECORD = RequestRecordSchema.parse({
+const ENTRY = AuditEntrySchema.parse({
   request: "r",
   team: "t",
   class: "c",
-  request_digest: "abc",
+  asked: "abc",
   revision: 3,
-  result: "ok",
+  end: "ok",
   verdict: "ran",
   attempts: 1,
   tokens: 20,
-  arrived_at: 1,
-  ended_at: 2,
+  arrivedAt: 1,
+  endedAt: 2,
 });
 
 /** Puts `count` batches of one daemon on the log, without those in `missing`. */
@@ -28,11 +27,18 @@
   count: number,
   missing: readonly number[] = [],
 ): void {
-  let last: RecordBatch | undefined;
+  let previous = "";
   for (let seq = 0; seq < count; seq += 1) {
-    const id = `a-${seq}` as RecordId;
-    last = sealBatch({ id, daemon: "a" as DaemonId }, [RECORD], last);
-    if (!missing.includes(seq)) fake.log.values.push(JSON.stringify(last));
+    const batch = auditBatch(`a-${seq}` as RecordId, {
+      daemon: "a" as DaemonId,
+      seq,
+      previous,
+      lost: 0,
+      closed: false,
+      entries: [ENTRY],
+    });
+    previous = batch.hash;
+    if (!missing.includes(seq)) fake.log.values.push(JSON.stringify(batch));
   }
 }
 
@@ -47,7 +53,7 @@
   const exported = (await exportRecord(fake.ctx, path))._unsafeUnwrap();
   expect(exported.lines.slice(1)).toMatchInlineSnapshot(`
     [
-      "daemons: 1, batches: 3, records: 3, gaps: 0, altered: 0",
+      "runs: 1, open: 1, batches: 3, requests: 3, gaps: 0, lost: 0, broken: 0, unreadable: 0",
     ]
   `);
   const offline = createFakeContext({ log: undefined });
@@ -60,9 +66,8 @@
   expect(altered.lines).toMatchInlineSnapshot(`
     [
       "not whole",
-      "daemons: 1, batches: 2, records: 2, gaps: 1, altered: 1",
-      "altered: batch 0 of daemon a: its digest is not that of its content",
-      "gap: batches 0 to 0 of daemon a are missing",
+      "runs: 1, open: 1, batches: 3, requests: 3, gaps: 0, lost: 0, broken: 1, unreadable: 0",
+      "broken: batch 0 of daemon a: hash",
     ]
   `);
 });
@@ -74,10 +79,11 @@
   await exportRecord(fake.ctx, path);
   const lines = (await readFile(path, "utf8")).trim().split("\n");
   expect(lines.map((line) => JSON.parse(line).type)).toEqual([
-    "record_batch",
-    "record_batch",
+    "audit_batch",
+    "audit_batch",
     "gap",
-    "record_batch",
+    "audit_batch",
+    "end",
   ]);
   for (const paths of [[], [path]]) {
     const report = (await verifyRecord(fake.ctx, paths))._unsafeUnwrap();
@@ -122,7 +128,36 @@
   const [first = "", ...rest] = fake.log.values.splice(0);
   fake.log.values.push(first.replace(`"tokens":20`, `"tokens":21`), ...rest);
   const report = (await verifyRecord(fake.ctx, []))._unsafeUnwrap();
-  expect(report).toMatchObject({ exit: "failure", data: { altered: 1 } });
+  expect(report).toMatchObject({
+    exit: "failure",
+    data: { broken: 1, gaps: 0 },
+  });
+});
+
+test("what a daemon could not keep, and what is no batch, is not whole", async () => {
+  const fake = createFakeContext();
+  const batch = auditBatch("x" as RecordId, {
+    daemon: "a" as DaemonId,
+    seq: 0,
+    previous: "",
+    lost: 4,
+    closed: true,
+    entries: [ENTRY],
+  });
+  fake.log.values.push(JSON.stringify(batch));
+  const lost = (await verifyRecord(fake.ctx, []))._unsafeUnwrap();
+  expect(lost).toMatchObject({ exit: "failure", data: { lost: 4 } });
+  fake.log.values.push(`{"id":"y","type":"audit"}`);
+  const report = (await verifyRecord(fake.ctx, []))._unsafeUnwrap();
+  expect(report.exit).toBe("failure");
+  expect(report.lines).toMatchInlineSnapshot(`
+    [
+      "not whole",
+      "runs: 1, open: 0, batches: 1, requests: 1, gaps: 0, lost: 4, broken: 0, unreadable: 1",
+      "lost: daemon a could not keep 4 requests before batch 0",
+      "unreadable: {"id":"y","type":"audit"}",
+    ]
+  `);
 });
 
 test("an existing file is not written over", async () => {
