--- a/src/fold/log_tail.ts
+++ b/src/fold/log_tail.ts
@@ -136,7 +136,7 @@
         type: "read_log",
         stream: this.#stream,
         from: this.#reader.next,
-        wait: this.#reader.caughtUp,
+        wait: this.#reader.caughtUp && this.#failures === 0,
       });
     }
     ctx.wakeAt(addMs(this.#readingSince, READ_GIVE_UP_MS));
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -275,8 +275,7 @@
       workMs += runMs;
       memoryMs += runMs * waiting.promptTokens;
     }
-    for (const engine of view.engines) {
-      if (view.shortEngines.has(engine)) continue;
+    for (const engine of openToLong(view.engines, view.shortEngines)) {
       const capacity = engine.report?.kv_capacity_tokens ?? 0;
       memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
     }
