--- a/src/engine/engine_contract_test.ts
+++ b/src/engine/engine_contract_test.ts
@@ -156,6 +156,16 @@
   });
 });
 
+test("a finished answer is forgotten after a while, also when it was read again", async () => {
+  const { server, client } = await startEngine({ keepMs: 50 });
+  const asked = head();
+  const stream = await client.generate(asked, [TEXT], SILENCE);
+  await readAll(stream._unsafeUnwrap());
+  const again = await client.resume(asked.attempt, 0, SILENCE);
+  if (again.isOk()) await readAll(again.value);
+  await until(() => server.streams === 0);
+});
+
 test("an answer that goes on after delivered tokens has the same text", async () => {
   const { client } = await startEngine();
   const whole = expected(TEXT);
