--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -8,7 +8,15 @@
 import { CostModel } from "./cost_model.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineView } from "./engine_view.ts";
-import { delay, type Job, lastPart, segmentsOf } from "./job.ts";
+import {
+  currentPart,
+  delay,
+  type Job,
+  lastPart,
+  moveEnd,
+  partOn,
+  segmentsOf,
+} from "./job.ts";
 import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
@@ -31,6 +39,8 @@
 const DEMAND_WINDOW_MS: Millis = 10 * SECOND_MS;
 const FIRST_DECODE_MS: Millis = 20 * SECOND_MS;
 const DECODE_WEIGHT = 0.05;
+/** Time for which a new part may not show in a report yet. */
+const CORRECT_MS: Millis = SECOND_MS;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
 /** Engine priority of long prompts; short ones go first. */
@@ -159,6 +169,14 @@
     this.#queue.dropAsker(from);
   }
 
+  /** Drops what was placed for daemons that are not among the live ones; nobody will say how it ends. */
+  keepAskers(live: ReadonlySet<DaemonId>, now: Timestamp): void {
+    for (const job of this.#jobs.values()) {
+      if (!live.has(job.ask.from)) this.#drop(job, now);
+    }
+    this.#dispatchAt = now;
+  }
+
   #takeUpstream(upstream: Upstream): void {
     const { id, incarnation } = upstream;
     let engine = this.#engines.get(id);
@@ -173,8 +191,25 @@
     }
     engine.live = upstream.state === "live";
     engine.loaded = (upstream.engine ?? upstream.load)?.loaded ?? [];
-    if (upstream.load?.incarnation === incarnation) {
-      engine.takeReport(upstream.load);
+    if (
+      upstream.load?.incarnation === incarnation &&
+      engine.takeReport(upstream.load)
+    ) this.#correct(engine, upstream.load.at);
+  }
+
+  /** Corrects the predicted end of the long prefill on an engine by its report. */
+  #correct(engine: EngineView, at: Timestamp): void {
+    const left = engine.reportedLeft();
+    for (const job of engine.jobs.values()) {
+      const part = partOn(job, engine.id);
+      if (!job.long || job.firstTokenAt !== undefined) continue;
+      if (part === undefined || part.startsAt + CORRECT_MS > at) continue;
+      const isCurrent = currentPart(job, at) === part;
+      if (left === 0 && !isCurrent) continue;
+      const from = Math.max(part.from, part.to - left);
+      const factor = part.from === 0 ? 1 : this.#policy.planCostFactor;
+      const leftMs = factor * this.#cost.prefillMs(from, part.to);
+      moveEnd(job, part, addMs(at, leftMs));
     }
   }
 
@@ -241,27 +276,27 @@
       memoryMs += runMs * waiting.promptTokens;
     }
     for (const engine of view.engines) {
-      memory += engine.report?.kv_capacity_tokens ?? 0;
+      if (view.shortEngines.has(engine)) continue;
+      const capacity = engine.report?.kv_capacity_tokens ?? 0;
+      memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
     }
     const lanes = Math.max(
       1,
       view.engines.length - this.#shortTarget(view.now),
     );
-    const memoryLanes = memory / Math.max(1, ask.promptTokens);
     if (lanes > this.#longRunning() && this.#queue.size === 0) return 0;
-    const usable = Math.max(1, memory * 0.75);
-    return Math.max(workMs / lanes, memoryMs / usable) *
-      Math.min(1, memoryLanes);
+    const usable = Math.max(1, memory * this.#policy.packingRatio);
+    return Math.max(workMs / lanes, memoryMs / usable);
   }
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
     if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
-    const target = this.#shortTarget(now);
+    const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
-    const open = engines.filter((engine) => !kept.has(engine));
+    const open = openToLong(engines, kept);
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
     const decoders = engines.filter((engine) => kept.has(engine));
@@ -420,6 +455,15 @@
   };
 }
 
+/** Engines that are not kept for short prompts; one at least, so that a small fleet serves long ones too. */
+function openToLong(
+  engines: readonly EngineView[],
+  kept: ReadonlySet<EngineView>,
+): readonly EngineView[] {
+  const open = engines.filter((engine) => !kept.has(engine));
+  return open.length > 0 ? open : engines.slice(-1);
+}
+
 function leftOf(job: Job, now: Timestamp): Millis {
   if (job.firstTokenAt !== undefined) return 0;
   const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
