--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -17,7 +17,7 @@
 
 /** What the runner works with. */
 export type AttemptRunnerParts = Readonly<{
-  loop: () => Loop;
+  loop: () => Pick<Loop, "now" | "post">;
   board: Blackboard;
   clients: UpstreamClients;
   exchanges: ExchangeTable;
--- a/src/daemon/call_forwarder.ts
+++ b/src/daemon/call_forwarder.ts
@@ -21,7 +21,7 @@
 
 /** What the forwarder works with. */
 export type CallForwarderParts = Readonly<{
-  peers: PeerClients;
+  peers: Pick<PeerClients, "runCall">;
   exchanges: ExchangeTable;
   now: () => Timestamp;
   uuid: () => string;
--- a/src/daemon/order_runner.ts
+++ b/src/daemon/order_runner.ts
@@ -10,7 +10,7 @@
 
 /** What the runner works with. */
 export type OrderRunnerParts = Readonly<{
-  loop: () => Loop;
+  loop: () => Pick<Loop, "post">;
   board: Blackboard;
   clients: UpstreamClients;
 }>;
