--- a/src/cli/app.ts
+++ b/src/cli/app.ts
@@ -1,5 +1,5 @@
 import { subcommands } from "cmd-ts";
-import { EXIT_HELP } from "./exit_code.ts";
+import { installHelp } from "./help.ts";
 import type { RunVerb } from "./run_verb.ts";
 import { applyCommand } from "./verbs/apply.ts";
 import { checkCommand } from "./verbs/check.ts";
@@ -10,22 +10,28 @@
 import { showCommand } from "./verbs/show.ts";
 import { statusCommand } from "./verbs/status.ts";
 
+/** Builds all verbs, by name. */
+export function createVerbs(run: RunVerb) {
+  return {
+    check: checkCommand(run),
+    diff: diffCommand(run),
+    apply: applyCommand(run),
+    history: historyCommand(run),
+    show: showCommand(run),
+    status: statusCommand(run),
+    drain: drainCommand(run),
+    send: sendCommand(run),
+  };
+}
+
 /** Builds the command line of `parsleyfield`. */
 export function createApp(run: RunVerb) {
+  installHelp();
   return subcommands({
     name: "parsleyfield",
     description:
-      `Operate a fleet of parsleyfield daemons. PARSLEYFIELD_LOG and PARSLEYFIELD_ENTRY stand for --log and --entry. ${EXIT_HELP}`,
-    cmds: {
-      check: checkCommand(run),
-      diff: diffCommand(run),
-      apply: applyCommand(run),
-      history: historyCommand(run),
-      show: showCommand(run),
-      status: statusCommand(run),
-      drain: drainCommand(run),
-      send: sendCommand(run),
-    },
+      "Operate a fleet of parsleyfield daemons. PARSLEYFIELD_LOG and PARSLEYFIELD_ENTRY stand for --log and --entry.",
+    cmds: createVerbs(run),
     examples: [
       {
         description: "Check a folder before publishing it",
--- a/src/cli/verbs/diff.ts
+++ b/src/cli/verbs/diff.ts
@@ -1,10 +1,10 @@
 import { command, positional, string } from "cmd-ts";
 import { err, ok, type Result } from "neverthrow";
 import { canonicalText } from "../../config/canonical.ts";
-import { type ConfigChange, diffConfig } from "../../config/diff.ts";
+import { diffConfig } from "../../config/diff.ts";
 import { jsonArg, logArg } from "../args.ts";
+import { changeLine } from "../change_line.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { loadFolder, parsePublished } from "../load_folder.ts";
 import { readHistory } from "../read_history.ts";
 import type { CliError, Report } from "../report.ts";
@@ -40,21 +40,11 @@
   });
 }
 
-/** Returns a change as one line of text. */
-export function changeLine(change: ConfigChange): string {
-  if (change.type === "added") return `+ [${change.section}]`;
-  if (change.type === "removed") return `- [${change.section}]`;
-  const from = JSON.stringify(change.from);
-  const to = JSON.stringify(change.to);
-  return `~ [${change.section}] ${change.key}: ${from} -> ${to}`;
-}
-
 /** `parsleyfield diff DIR`. */
 export function diffCommand(run: RunVerb) {
   return command({
     name: "diff",
-    description:
-      `Compare a configuration folder with what is in force. ${EXIT_HELP}`,
+    description: "Compare a configuration folder with what is in force.",
     args: {
       dir: positional({
         type: string,
--- a/src/cli/verbs/drain.ts
+++ b/src/cli/verbs/drain.ts
@@ -3,7 +3,6 @@
 import { addMs, type Millis } from "../../core/time.ts";
 import { entryArg, jsonArg, seconds } from "../args.ts";
 import { type CliContext, needEntry } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import { type DaemonView, surveyFleet } from "../fleet.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
@@ -51,10 +50,11 @@
   if (fleet.isErr()) {
     return err(cliError("entry_unreachable", fleet.error.detail));
   }
-  const found = fleet.value.filter(({ vm, id }) => vm === name || id === name);
+  const { daemons } = fleet.value;
+  const found = daemons.filter(({ vm, id }) => vm === name || id === name);
   const [daemon, ...others] = found;
   if (daemon !== undefined && others.length === 0) return ok(daemon);
-  const known = fleet.value.map(({ vm, id }) => `${vm} (${id})`).join(", ");
+  const known = daemons.map(({ vm, id }) => `${vm} (${id})`).join(", ");
   const detail = daemon === undefined
     ? `No daemon runs on ${name}; known: ${known}.`
     : `More than one daemon names ${name}; name one by its id: ${known}.`;
@@ -85,7 +85,7 @@
   return command({
     name: "drain",
     description:
-      `Shut the daemon on a VM down gracefully: it leaves the entry answers, finishes what is in flight and ends. ${EXIT_HELP}`,
+      "Shut the daemon on a VM down gracefully: it leaves the entry answers, finishes what is in flight and ends.",
     args: {
       vm: positional({
         type: string,
--- a/src/cli/verbs/send.ts
+++ b/src/cli/verbs/send.ts
@@ -2,12 +2,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { entryArg, jsonArg } from "../args.ts";
 import type { CliContext } from "../context.ts";
-import { EXIT_HELP } from "../exit_code.ts";
 import type { PromptToSend, ResumePoint } from "../prompt_client.ts";
 import { readPrompt } from "../read_prompt.ts";
+import { parseResume } from "../received_answer.ts";
 import { type CliError, cliError, type Report } from "../report.ts";
 import type { RunVerb } from "../run_verb.ts";
-import { parseResume, sendPrompt } from "../send_prompt.ts";
+import { sendPrompt } from "../send_prompt.ts";
 
 const DEFAULT_MAX_TOKENS = 1_024;
 
@@ -79,7 +79,7 @@
   return command({
     name: "send",
     description:
-      `Send a prompt from a file or standard input and write the answer as it comes. A broken stream is resumed at another daemon. ${EXIT_HELP}`,
+      "Send a prompt from a file or standard input and write the answer as it comes. A broken stream is resumed at another daemon.",
     args: {
       file: positional({
         type: optional(string),
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -4,6 +4,8 @@
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type { AttemptId, DaemonId, RequestId } from "../core/id.ts";
+import type { Intent } from "../core/intent.ts";
+import { lengthClass, type TimingName } from "../core/measurement.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Outcome, Placement, Request } from "../core/request.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
@@ -17,6 +19,16 @@
   { type: "first_token" | "attempt_progress" | "attempt_ended" }
 >;
 
+/** The end of a plan whose memory could not be reserved. */
+const UNRESERVED: Outcome = {
+  type: "failed",
+  cause: "plan_broken",
+  verdict: "not_run",
+  tokens: 0,
+  crashed: false,
+  detail: "The engines' memory for this prompt could not be reserved.",
+};
+
 /** Leads each request from its arrival to its one final answer. */
 export class RequestController extends Controller {
   override readonly name = "requests";
@@ -149,7 +161,7 @@
     }
     if (event.type === "first_token") {
       entry.attempt = { ...entry.attempt, firstTokenAt: ctx.now };
-      return;
+      return measure(ctx, entry, "first_token_ms");
     }
     entry.tokens = event.tokens;
     entry.attempt = { ...entry.attempt, tokens: event.tokens };
@@ -165,6 +177,8 @@
     if (outcome.type === "ok") {
       board.requests.byId.delete(entry.req.id);
       ctx.counters.add("requests_finished");
+      measure(ctx, entry, "request_ms");
+      ctx.emit(finishedLine(ctx, entry, outcome));
       this.#budgetAt(ctx).earn(limits?.retryRatio ?? 0);
       return ctx.repeat();
     }
@@ -189,7 +203,8 @@
     outcome: Extract<Outcome, { type: "failed" }>,
   ): void {
     if (entry.attempt !== undefined && outcome.cause !== "upstream_refused") {
-      entry.excluded = [...entry.excluded, entry.attempt.placement.upstream];
+      const upstream = outcome.upstream ?? entry.attempt.placement.upstream;
+      entry.excluded = [...entry.excluded, upstream];
     }
     entry.state = "placing";
     entry.attempt = undefined;
@@ -301,6 +316,10 @@
       const verdict = joinVerdicts(entry.verdict, placed.problem.verdict);
       return this.#fail(board, ctx, entry, { ...placed.problem, verdict });
     }
+    const { plan } = placed.placement;
+    const state = plan && board.plans.byId.get(plan.id)?.state;
+    if (state === "failed") return this.#end(board, ctx, entry, UNRESERVED);
+    if (plan !== undefined && state !== "held") return;
     this.#start(ctx, entry, placed.placement);
   }
 
@@ -308,6 +327,7 @@
     const id = ctx.random.uuid(ctx.now) as AttemptId;
     entry.attempt = { id, placement, startedAt: ctx.now, tokens: entry.tokens };
     entry.attempts += 1;
+    measure(ctx, entry, "placing_ms");
     entry.state = "running";
     entry.reattached = false;
     ctx.emit(
@@ -363,6 +383,40 @@
   }
 }
 
+function measure(
+  ctx: StepContext,
+  entry: RequestEntry,
+  name: TimingName,
+): void {
+  const ms = ctx.now - entry.req.arrivedAt;
+  const length = lengthClass(entry.req);
+  ctx.emit({ type: "measured", timing: { name, ms, length } });
+}
+
+function finishedLine(
+  ctx: StepContext,
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "ok" }>,
+): Extract<Intent, { type: "log_line" }> {
+  const { req, attempt, attempts, ranUnder } = entry;
+  const fields = {
+    req: req.id,
+    team: req.team,
+    upstream: attempt?.placement.upstream ?? "",
+    attempts,
+    revision: ranUnder.revision,
+    status: outcome.status,
+    tokens: outcome.tokens,
+    ms: ctx.now - req.arrivedAt,
+  };
+  return {
+    type: "log_line",
+    level: "info",
+    message: "request finished",
+    fields,
+  };
+}
+
 function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
   ctx.counters.refuse(cause.code);
   ctx.emit({ type: "answer", req, problem: cause });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -111,7 +111,9 @@
     const tags = { vm: settings.daemon.vm, domain: settings.daemon.domain };
     this.#metrics = host === undefined
       ? undefined
-      : Metrics.create(board, { host, port, tags });
+      : Metrics.create(board, { host, port, tags }, {
+        now: () => clock.now(),
+      });
   }
 
   static create(parts: DaemonParts): Daemon {
@@ -124,8 +126,9 @@
 
   /** Binds both listeners, then starts to read log and VM list. */
   listen(): ResultAsync<void, Error> {
-    const { clientAddress, peerAddress } = this.#parts.settings.daemon;
-    return this.#peerServer.listen(peerAddress)
+    const { clientAddress, peerAddress, peerListen } =
+      this.#parts.settings.daemon;
+    return this.#peerServer.listen(peerListen ?? peerAddress)
       .andThen(() => listenHttp(this.#http, clientAddress))
       .map(() => this.#start());
   }
@@ -206,6 +209,8 @@
         );
       case "forward_call":
         return void this.#forwarder.send(intent);
+      case "measured":
+        return this.#metrics?.time(intent.timing);
       case "exit":
         return void this.#exit();
     }
--- /dev/null
+++ b/src/testing/fake_fleet.ts
@@ -0,0 +1,214 @@
+import { createCore } from "../controllers/create_core.ts";
+import type {
+  DaemonId,
+  DomainId,
+  Offset,
+  RequestId,
+  Revision,
+  VmId,
+} from "../core/id.ts";
+import type { Intent } from "../core/intent.ts";
+import { Random } from "../core/random.ts";
+import type { CallRequest } from "../core/request.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import { CONFIG_STREAM } from "../fold/streams.ts";
+import type { Vm } from "../wire/vm_list.ts";
+import { FakeDaemon } from "./fake_daemon.ts";
+import { FakeLog } from "./fake_log.ts";
+import { FakeService, type ServiceFate } from "./fake_service.ts";
+import { VirtualTime } from "./virtual_time.ts";
+
+const START = 1_800_000_000_000 as Timestamp;
+const FORWARD_MS: Millis = 6_000;
+
+/** A final answer that did not pass through an attempt. */
+export type Answer = Extract<Intent, { type: "answer" | "answer_recorded" }>;
+
+/** How a fleet is set up. */
+export type FleetOptions = Readonly<{
+  seed: number;
+  daemons: number;
+  retentionMs: Millis;
+  /** The configuration, as JSON. */
+  config: string;
+  serviceFate?: ServiceFate;
+}>;
+
+/** A few cores with one log and one service under virtual time. */
+export class FakeFleet {
+  readonly time = VirtualTime.create(START);
+  readonly log: FakeLog;
+  readonly service: FakeService;
+  readonly requests = new Map<RequestId, CallRequest>();
+  readonly answers = new Map<RequestId, Answer[]>();
+  /** Daemons by VM; a killed one is replaced under a new id. */
+  readonly daemons: FakeDaemon[] = [];
+  readonly #random: Random;
+  readonly #cut = new Set<string>();
+  /** What to do once a forwarded call has been answered at its home. */
+  readonly #forwards = new Map<RequestId, () => void>();
+  #started = 0;
+  #published = 0;
+
+  private constructor(options: FleetOptions) {
+    this.#random = Random.create(options.seed);
+    this.log = FakeLog.create(this.time, this.#random, options);
+    this.service = FakeService.create(
+      this.time,
+      this.#random,
+      options.serviceFate,
+    );
+    this.publish(-1 as Revision, options.config);
+    for (let vm = 0; vm < options.daemons; vm += 1) this.start(vm);
+  }
+
+  static create(options: FleetOptions): FakeFleet {
+    return new FakeFleet(options);
+  }
+
+  /** Starts a new daemon on a VM. */
+  start(vm: number): void {
+    this.#started += 1;
+    const self = {
+      id: `d${this.#started}` as DaemonId,
+      vm: `vm${vm}` as VmId,
+      domain: "a" as DomainId,
+      clientAddress: `client${vm}`,
+      peerAddress: `peer${vm}`,
+      startedAt: this.time.now,
+    };
+    const core = createCore(self, Random.create(this.#started), {
+      createSecret: () => `the secret of ${self.id}, which no other has`,
+    });
+    const daemon = FakeDaemon.create(core, this.time, {
+      execute: (from, intent) => this.#execute(from, intent),
+    });
+    this.daemons[vm] = daemon;
+    daemon.deliver({ type: "vms_listed", vms: VMS });
+  }
+
+  /** Kills a VM's daemon; a new one starts after `downMs`. */
+  kill(vm: number, downMs: Millis): void {
+    this.daemons[vm]?.kill();
+    this.time.after(downMs, () => this.start(vm));
+  }
+
+  /** Cuts a VM off from its peers for a while. */
+  cutOff(vm: number, ms: Millis): void {
+    const address = `peer${vm}`;
+    this.#cut.add(address);
+    this.time.after(ms, () => this.#cut.delete(address));
+  }
+
+  /** Publishes a configuration against a base, as the operators' tool does. */
+  publish(base: Revision, text: string, id?: string): Offset {
+    this.#published += 1;
+    const name = id ?? `change${this.#published}`;
+    const record = {
+      type: "config_change",
+      id: name,
+      change: name,
+      base,
+      author: "operator",
+      at: this.time.now,
+      text,
+    };
+    return this.log.put(CONFIG_STREAM, [JSON.stringify(record)]);
+  }
+
+  /** Sends a call to a VM's daemon. */
+  call(vm: number, call: Omit<CallRequest, "arrivedAt" | "deadlineAt">): void {
+    const daemon = this.daemons[vm];
+    if (daemon === undefined || !daemon.alive) return;
+    const arrivedAt = this.time.now;
+    const deadlineAt = addMs(arrivedAt, 5_000);
+    const req = { ...call, arrivedAt, deadlineAt };
+    this.requests.set(req.id, req);
+    daemon.deliver({ type: "request_arrived", req });
+  }
+
+  #execute(daemon: FakeDaemon, intent: Intent): void {
+    const deliver = daemon.deliver.bind(daemon);
+    switch (intent.type) {
+      case "append":
+        return this.log.append(intent.stream, intent.records, deliver);
+      case "read_log":
+        return this.log.read(intent, deliver);
+      case "send_peer":
+        return this.#send(daemon, intent);
+      case "start_attempt": {
+        const req = this.requests.get(intent.req);
+        if (req === undefined) return;
+        return this.service.call(intent, req, (event) => {
+          daemon.deliver(event);
+          if (event.outcome.type === "ok") this.#forwards.get(req.id)?.();
+        });
+      }
+      case "answer":
+      case "answer_recorded": {
+        const answers = this.answers.get(intent.req) ?? [];
+        this.answers.set(intent.req, [...answers, intent]);
+        return this.#forwards.get(intent.req)?.();
+      }
+      case "forward_call":
+        return this.#forward(daemon, intent);
+    }
+  }
+
+  #forward(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "forward_call" }>,
+  ): void {
+    const req = this.requests.get(intent.req);
+    const home = this.#at(intent.address);
+    if (req === undefined) return;
+    const end = (result: "answered" | "failed") =>
+      daemon.deliver({ type: "forward_ended", req: req.id, result });
+    this.time.after(FORWARD_MS, () => end("failed"));
+    if (home === undefined || this.#cut.has(intent.address)) return;
+    const id = `${req.id}-forwarded` as RequestId;
+    const forwarded = { ...req, id, forwarded: true as const };
+    this.requests.set(id, forwarded);
+    this.#forwards.set(id, () => end("answered"));
+    home.deliver({ type: "request_arrived", req: forwarded });
+  }
+
+  #at(address: string): FakeDaemon | undefined {
+    return this.daemons.find((one) =>
+      one.core.board.self.peerAddress === address
+    );
+  }
+
+  #send(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "send_peer" }>,
+  ): void {
+    const own = daemon.core.board.self.peerAddress;
+    if (this.#cut.has(own) || this.#cut.has(intent.address)) return;
+    const { envelope } = intent;
+    this.time.after(1 + this.#random.below(5), () => {
+      const peer = this.#at(intent.address);
+      peer?.deliver({ type: "peer_message", envelope });
+    });
+  }
+}
+
+const VMS = [
+  ...[0, 1, 2, 3].map((vm) => ({
+    id: `vm${vm}`,
+    role: "entry",
+    domain: "a",
+    address: `peer${vm}`,
+    incarnation: "1",
+    state: "live",
+  })),
+  {
+    id: "stock-0",
+    role: "service",
+    service: "stock",
+    domain: "a",
+    address: "stock",
+    incarnation: "1",
+    state: "live",
+  },
+] as unknown as readonly Vm[];
