Greet daemons that are new to each other at once

Ruled out: refusing all work until a heartbeat has come, which would stop a daemon that is alone. Change: the first message of a peer, or the first after a silence, and a new address on the VM list are answered with a heartbeat at once. The test was seen failing with the greeting removed.

--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -44,6 +44,8 @@
   /** The daemons among which the scheduling one was chosen last. */
   #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
+  /** Peers that are new here: they hear at once what this daemon knows. */
+  readonly #greeted = new Set<string>();
 
   static create(): MembershipController {
     return new MembershipController();
@@ -60,11 +62,7 @@
   #take(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
       case "vms_listed":
-        board.members.addresses = entryAddresses(
-          event.vms,
-          board.self.peerAddress,
-        );
-        return;
+        return this.#list(board, event.vms);
       case "peer_message":
         return this.#receive(board, ctx, event.envelope);
       case "drain_requested":
@@ -72,6 +70,15 @@
     }
   }
 
+  #list(board: Blackboard, vms: readonly Vm[]): void {
+    const known = new Set(board.members.addresses);
+    const addresses = entryAddresses(vms, board.self.peerAddress);
+    board.members.addresses = addresses;
+    for (const address of addresses) {
+      if (!known.has(address)) this.#greeted.add(address);
+    }
+  }
+
   #receive(board: Blackboard, ctx: StepContext, envelope: Envelope): void {
     if (envelope.body?.$case !== "heartbeat") return;
     const from = envelope.from as DaemonId;
@@ -85,6 +92,10 @@
     }
     this.#seen.set(from, envelope.seq);
     const beat = envelope.body.value;
+    const heardAt = board.members.peers.get(from)?.heardAt;
+    if (heardAt === undefined || ctx.now - heardAt > PEER_FRESH_MS) {
+      this.#greeted.add(beat.peerAddress);
+    }
     board.members.peers.set(from, toPeer(from, beat, ctx.now));
     this.#dropEarlierRuns(board, from, beat.vm as VmId);
     for (const news of beat.upstreams) this.#keepNews(board, news);
@@ -165,7 +176,10 @@
       for (const address of board.members.addresses) {
         this.#send(board, ctx, address);
       }
+    } else {
+      for (const address of this.#greeted) this.#send(board, ctx, address);
     }
+    this.#greeted.clear();
     ctx.wakeAt(this.#beatAt);
   }
 
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -138,3 +138,31 @@
   });
   expect(intentsOf(done, "exit")).toHaveLength(1);
 });
+
+test("daemons that are new to each other hear at once what the other one knows", () => {
+  const core = create();
+  const listed = core.step({ type: "vms_listed", vms: [entryVm(2)] });
+  core.after(10, { type: "vms_listed", vms: [entryVm(2), entryVm(3)] });
+  const told = [
+    listed,
+    core.after(10, { type: "vms_listed", vms: [entryVm(2), entryVm(4)] }),
+    core.after(10, beat(3)),
+    core.after(10, beat(3, {}, 2)),
+  ].map((result) =>
+    intentsOf(result, "send_peer").map((intent) => intent.address)
+  );
+  expect(told).toMatchInlineSnapshot(`
+    [
+      [
+        "10.0.0.2:90",
+      ],
+      [
+        "10.0.0.4:90",
+      ],
+      [
+        "10.0.0.3:90",
+      ],
+      [],
+    ]
+  `);
+});
