Freeze the lease holder in the test right after it has decided

Cause: the scene looked once a millisecond, and an event in the same millisecond let the daemon send its orders before it was frozen; a heartbeat more (peers are greeted now) was enough. Ruled out: a change of the order controller's own decisions. The scene now freezes after the very step that decided.

--- a/src/controllers/order_controller_test.ts
+++ b/src/controllers/order_controller_test.ts
@@ -83,11 +83,14 @@
 
   /** Freezes the holder between deciding on its first orders and sending them. */
   freezeWithOrders(ms: number): void {
-    for (let at = 0; at < 60_000; at += 1) {
-      if (this.counted("orders_sent") > 0) break;
-      this.fleet.time.run(1);
+    let frozen = false;
+    for (let at = 0; at < 60_000 && !frozen; at += 1) {
+      this.fleet.time.run(1, () => {
+        if (frozen || this.counted("orders_sent") === 0) return;
+        this.holder()!.freeze(ms);
+        frozen = true;
+      });
     }
-    this.holder()!.freeze(ms);
   }
 }
 
