Don't wait for daemons that have left

A trial against a live fleet: after a drain the gone daemon stays with its peers for a minute as leaving, and apply would name it. Who said it was leaving and is silent for longer than heartbeats take is no straggler; who did not say so still is.

--- a/src/cli/in_force.ts
+++ b/src/cli/in_force.ts
@@ -1,8 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Revision } from "../core/id.ts";
 import { addMs, type Millis, SECOND_MS } from "../core/time.ts";
+import { PEER_FRESH_MS } from "../controllers/membership_controller.ts";
 import type { CliContext } from "./context.ts";
-import { type Fleet, surveyFleet } from "./fleet.ts";
+import { type DaemonView, type Fleet, surveyFleet } from "./fleet.ts";
 import { type CliError, cliError } from "./report.ts";
 
 const POLL_MS: Millis = 500;
@@ -57,7 +58,7 @@
   revision: Revision,
 ): readonly Straggler[] {
   const behind = daemons
-    .filter((daemon) => daemon.revision < revision)
+    .filter((daemon) => daemon.revision < revision && !hasLeft(daemon))
     .map(({ vm, id, revision, unreachable }) => {
       const has = `has revision ${revision}`;
       if (unreachable === undefined) return { vm, id, reason: has };
@@ -69,6 +70,12 @@
   return [...behind, ...unheard.map((vm) => ({ vm, reason }))];
 }
 
+/** A daemon that said it was leaving and has gone silent admits nothing any more. */
+function hasLeft({ state, unreachable }: DaemonView): boolean {
+  if (state === "serving" || unreachable === undefined) return false;
+  return unreachable.silentMs > PEER_FRESH_MS;
+}
+
 /** Returns a straggler as one line of text. */
 export function stragglerLine({ vm, id, reason }: Straggler): string {
   const name = id === undefined ? vm : `${vm} (${id})`;
--- a/src/cli/send_prompt.ts
+++ b/src/cli/send_prompt.ts
@@ -144,7 +144,7 @@
   return ok({
     exit: "ok",
     data: { request, revision, text, count, finish, promptTokens, resumed },
-    lines: options.streamed ? [] : [text],
+    lines: [options.streamed ? "" : text],
   });
 }
 
--- a/src/cli/verbs/status_test.ts
+++ b/src/cli/verbs/status_test.ts
@@ -40,6 +40,24 @@
   expect(report.lines[1]).toBe("straggler c (id-c): has revision 4");
 });
 
+test("a daemon that was leaving and has gone silent is no straggler", async () => {
+  const fake = createFakeContext();
+  fake.admin.add({ a: 5, b: 4, c: 4 });
+  fake.admin.daemons.delete("b:1");
+  fake.admin.daemons.delete("c:1");
+  const [entry] = [...fake.admin.daemons.values()];
+  if (entry === undefined) throw new Error("there is no daemon");
+  const peers = entry.peers.map((peer) => ({
+    ...peer,
+    state: peer.vm === "b" ? "leaving" as const : peer.state,
+  }));
+  fake.admin.daemons.set("a:1", { ...entry, peers });
+  const report = (await status(fake.ctx))._unsafeUnwrap();
+  expect(report.lines.filter((line) => line.startsWith("straggler"))).toEqual([
+    "straggler c (id-c): does not answer, last heard of 4 s ago; has revision 4",
+  ]);
+});
+
 test("a listed daemon that nobody has heard from is a straggler", async () => {
   const fake = createFakeContext();
   fake.admin.add({ a: 5, b: 5 });
