--- a/src/http/admin_status.ts
+++ b/src/http/admin_status.ts
@@ -14,6 +14,7 @@
     requests,
     placement,
     quarantine,
+    orders,
     counters,
   } = board;
   return {
@@ -37,7 +38,11 @@
       digest,
       since,
     })),
-    leases: [],
+    leases: [...orders.leases].map(([group, { holder, fencing }]) => ({
+      group,
+      holder,
+      fencing,
+    })),
     counters: {
       refused: counters.refused,
       retried: counters.retried,
