--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -11,6 +11,7 @@
   },
   unknown_service: { status: 404, title: "No such service is configured" },
   unknown_request: { status: 404, title: "No such request is known here" },
+  unknown_path: { status: 404, title: "There is no such path" },
   body_too_large: { status: 413, title: "The body is larger than the limit" },
   prompt_too_long: {
     status: 413,
--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -2,7 +2,7 @@
 import type { HttpBindings } from "@hono/node-server";
 import { problem } from "../core/problem.ts";
 import { callRoutes } from "./call_routes.ts";
-import type { Front } from "./front.ts";
+import { type Front, refuse } from "./front.ts";
 import { operatorRoutes } from "./operator_routes.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 import { promptRoutes } from "./prompt_routes.ts";
@@ -19,11 +19,8 @@
   app.route("/", requestRoutes(front));
   app.route("/", operatorRoutes(front));
   app.notFound((ctx) => {
-    const err = problem(
-      "bad_request",
-      `There is no ${ctx.req.method} ${ctx.req.path}.`,
-    );
-    return ctx.body(problemBody(err), 404, problemHeaders(err));
+    const detail = `There is no ${ctx.req.method} ${ctx.req.path}.`;
+    return refuse(front, problem("unknown_path", detail));
   });
   app.onError((cause, ctx) => {
     front.report(cause);
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -4,6 +4,7 @@
 import type { Digest, RequestId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { PromptRequest } from "../core/request.ts";
+import { SECOND_MS } from "../core/time.ts";
 import type { PromptExchange } from "../daemon/exchange.ts";
 import type { AppEnv } from "./app.ts";
 import { type Front, notConfigured, refuse } from "./front.ts";
@@ -62,10 +63,9 @@
     front.now(),
   );
   if (identity.isErr()) return refuse(front, identity.error);
-  const claims = verifyResume(
-    ctx.req.header(RESUME_HEADER) ?? "",
-    front.board.keys.accepted,
-  );
+  const { accepted } = front.board.keys;
+  if (accepted.length === 0) return refuse(front, keysNotRead());
+  const claims = verifyResume(ctx.req.header(RESUME_HEADER) ?? "", accepted);
   if (claims.isErr()) return refuse(front, claims.error);
   const after = Number(ctx.req.header(LAST_EVENT_HEADER) ?? "0");
   const wrong = checkClaims(claims.value, {
@@ -78,6 +78,15 @@
   return RESPONSE_ALREADY_SENT;
 }
 
+/** The refusal while no token can be told from a forged one. */
+function keysNotRead(): Problem {
+  const detail = "No signing key has been read yet.";
+  return problem("not_configured", detail, {
+    verdict: "may_have_run",
+    retryAfterMs: SECOND_MS,
+  });
+}
+
 function checkClaims(
   claims: ResumeClaims,
   asked: { id: string; team: string; after: number },
--- a/tools/faults/lab.ts
+++ b/tools/faults/lab.ts
@@ -16,7 +16,11 @@
 import { Program } from "../lib/program.ts";
 import { readStream, type ReceivedStream } from "../lib/sse.ts";
 import { expectSame, expectThat } from "./expect.ts";
-import { MEAN_ANSWER_TOKENS, type Question } from "./question.ts";
+import {
+  createQuestion,
+  MEAN_ANSWER_TOKENS,
+  type Question,
+} from "./question.ts";
 
 /** Deadline of each prompt; all of them end much earlier unless something is lost. */
 const DEADLINE_MS = 100_000;
@@ -121,6 +125,11 @@
         return loaded.length >= engines.length &&
           listed.size >= daemons.length - 1;
       });
+      await until(`${daemon.vm} signs resume tokens`, async () => {
+        const question = createQuestion(16, { answerTokens: 1 });
+        const { resumeToken } = await this.ask(daemon.clientAddress, question);
+        return resumeToken !== "";
+      });
     }
   }
 
