Let neighbours of a crash wait for an engine of their own in place of a refusal

Cause: what ran on a crashed engine runs apart from other such content; where all live engines had one already, the next was refused with no_upstream. Seen with real processes: twelve streams, a poison prompt, two engines lost, neighbours refused. Ruled out: lost engines (three of five were live). Change: such a prompt waits in the queue until an engine is free of suspects; it holds up nobody behind it.

--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -114,7 +114,7 @@
     if (known !== undefined) this.#drop(known, now);
     if (this.#queue.renew(ask, now)) return { type: "queued" };
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
+    if (engines.length === 0) return this.#askApart(ask, now);
     const view = this.#view(engines, now);
     return this.#isLong(ask, view)
       ? this.#askLong(ask, view)
@@ -149,9 +149,9 @@
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
-      } else if (this.#slack(ask, now) < this.#policy.overtakeMs) {
-        break;
-      }
+      } else if (
+        !ask.suspect && this.#slack(ask, now) < this.#policy.overtakeMs
+      ) break;
     }
     return answered;
   }
@@ -213,6 +213,18 @@
     }
   }
 
+  /** Suspected content runs apart from other such content, and waits for an engine without any. */
+  #askApart(ask: Ask, now: Timestamp): Answer {
+    if (!this.#waitsApart(ask)) return refuseNoUpstream();
+    if (!this.#queue.add(ask, now)) return refuseFull(SHORT_RETRY_MS);
+    return { type: "queued" };
+  }
+
+  #waitsApart(ask: Ask): boolean {
+    const unsuspected = { ...ask, suspect: false };
+    return eligible(unsuspected, this.#engines.values()).length > 0;
+  }
+
   #askShort(ask: Ask, view: PlacementView): Answer {
     const place = placeShort(ask, view);
     if (place === undefined) return refuseFull(SHORT_RETRY_MS);
@@ -290,8 +302,12 @@
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
+    if (engines.length === 0) {
+      return this.#waitsApart(ask) ? undefined : refuseNoUpstream();
+    }
+    const view = this.#view(engines, now);
+    if (!this.#isLong(ask, view)) return this.#askShort(ask, view);
     const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
--- a/tools/faults/fleet.ts
+++ b/tools/faults/fleet.ts
@@ -111,8 +111,7 @@
       }),
       send: (from, intent) => this.network.send(from, intent),
       peers: (daemon) => ({
-        runCall: (address, call) =>
-          this.network.runCall(daemon, address, call),
+        runCall: (address, call) => this.network.runCall(daemon, address, call),
       }),
       onIntent: (daemon, intent) => this.watch.intent(daemon, intent),
       onStep: (daemon) => this.watch.step(daemon),
--- a/tools/faults/player.ts
+++ b/tools/faults/player.ts
@@ -143,7 +143,10 @@
       promptTokens: action.tokens,
     });
     if (client === undefined || action.leavesAfterMs === 0) return;
-    this.#fleet.timeline.after(action.leavesAfterMs, () => this.#hangUp(client));
+    this.#fleet.timeline.after(
+      action.leavesAfterMs,
+      () => this.#hangUp(client),
+    );
   }
 
   /** The client goes away, as its closed connection tells the daemon. */
--- a/tools/faults/process_cases/engines.ts
+++ b/tools/faults/process_cases/engines.ts
@@ -106,43 +106,40 @@
 }
 
 async function leaveByList(lab: Lab): Promise<string> {
-  const [leaving] = lab.fleet.engines;
-  const inFlight = await openOn(lab, leaving!);
-  await lab.fleet.listEngine(leaving!, "leaving");
-  await lab.seen(leaving!.vm, "leaving");
-  const older = lab.fleet.listEngine(leaving!, "live");
-  await older;
-  const others = await expectNoNewWork(lab, leaving!);
-  expectWhole(await inFlight.answer, inFlight.question);
+  const { engine, finished } = await openOne(lab);
+  await lab.fleet.listEngine(engine, "leaving");
+  await lab.seen(engine.vm, "leaving");
+  await lab.fleet.listEngine(engine, "live");
+  const others = await expectNoNewWork(lab, engine);
+  await finished;
   return `${others} prompts elsewhere, also after an older "live"; the one in flight whole`;
 }
 
 async function leaveByReport(lab: Lab): Promise<string> {
-  const [leaving] = lab.fleet.engines;
-  const inFlight = await openOn(lab, leaving!);
-  await lab.control(`http://${leaving!.address}`, { leaving: true });
-  await lab.seen(leaving!.vm, "leaving");
-  const others = await expectNoNewWork(lab, leaving!);
-  expectWhole(await inFlight.answer, inFlight.question);
+  const { engine, finished } = await openOne(lab);
+  await lab.control(`http://${engine.address}`, { leaving: true });
+  await lab.seen(engine.vm, "leaving");
+  const others = await expectNoNewWork(lab, engine);
+  await finished;
   return `${others} prompts elsewhere; the one in flight whole`;
 }
 
-/** Opens streams until one runs on the engine. */
-async function openOn(lab: Lab, engine: UpstreamProgram) {
+/** Opens a stream and finds the engine that it runs on. */
+async function openOne(lab: Lab) {
   const [daemon] = lab.fleet.daemons;
-  for (let tries = 0; tries < 50; tries += 1) {
-    const question = createQuestion(1_000, { answerTokens: 400 });
-    let opened: (vm: string) => void = () => {};
-    const vm = new Promise<string>((resolve) => opened = resolve);
-    const answer = lab.ask(daemon!.clientAddress, question, {
-      onToken: (received) => {
-        if (received.lastEvent === 1) opened(lab.engineOf(received).vm);
-        return true;
-      },
-    });
-    if (await vm === engine.vm) return { question, answer };
-  }
-  throw new Error(`no stream was placed on ${engine.vm}`);
+  const question = createQuestion(1_000, { answerTokens: 400 });
+  let opened: (engine: UpstreamProgram) => void = () => {};
+  const running = new Promise<UpstreamProgram>((resolve) => opened = resolve);
+  const answer = lab.ask(daemon!.clientAddress, question, {
+    onToken: (received) => {
+      if (received.lastEvent === 1) opened(lab.engineOf(received));
+      return true;
+    },
+  });
+  const finished = answer.then((received) => expectWhole(received, question));
+  const engine = await Promise.race([running, finished]);
+  if (engine === undefined) throw new Error("the stream ended at once");
+  return { engine, finished };
 }
 
 async function expectNoNewWork(
--- a/tools/faults/process_cases/poison.ts
+++ b/tools/faults/process_cases/poison.ts
@@ -25,7 +25,7 @@
       expectWhole(await lab.ask(daemon.clientAddress, question), question);
     })
   );
-  const healthy = Promise.all(neighbours);
+  const healthy = Promise.allSettled(neighbours);
   const poison = createQuestion(1_000, { marker: MARKER });
   const codes: string[] = [];
   for (const daemon of [daemons[0]!, ...daemons, ...daemons]) {
@@ -33,7 +33,12 @@
     expectThat(status !== 200, "the poison prompt was answered");
     codes.push(JSON.parse(problem ?? "{}").code);
   }
-  await healthy;
+  const refused = (await healthy).filter((one) => one.status === "rejected");
+  expectSame(
+    "neighbours that failed",
+    refused.map((one) => String(one.reason)),
+    [],
+  );
   const gone = engines.filter((engine) => engine.program.hasExited);
   expectThat(gone.length <= MAX_LOST, `${gone.length} engines were lost`);
   expectSame("answer in the end", codes.at(-1), "quarantined");
--- a/tools/faults/process_cases/rolling.ts
+++ b/tools/faults/process_cases/rolling.ts
@@ -17,14 +17,19 @@
 async function replaceAll(lab: Lab): Promise<string> {
   const first = [...lab.fleet.daemons];
   const load = Load.create(lab);
-  const clients = Array.from({ length: CLIENTS }, (_, i) => load.run(`c${i}`));
+  const clients = Promise.allSettled(
+    Array.from({ length: CLIENTS }, (_, i) => load.run(`c${i}`)),
+  );
   try {
     for (const old of first) await replace(lab, old, load);
   } finally {
     load.stop();
   }
-  const counts = await Promise.all(clients);
-  const total = counts.reduce((sum, count) => sum + count, 0);
+  let total = 0;
+  for (const client of await clients) {
+    if (client.status === "rejected") throw client.reason;
+    total += client.value;
+  }
   expectThat(total > 0, "no request was made");
   return `${first.length} daemons replaced, ${total} of ${total} requests whole`;
 }
