Keep the run that answers when a late list names an earlier one; tell of crashes at once

Its own report named run 3, then the list named run 2, which no daemon had seen; run 3 was put away as over, and its reports were ignored for good, by all daemons. Ruled out: trusting the list only where it is newer, because it carries no time. Change: a run that the engine itself has named is kept against the list, and the state, which does not lag, also brings back a run that was taken for over. Change: a crash that a daemon sees is told at once. The tests were seen failing on the former controllers.

--- a/src/board/quarantine_section.ts
+++ b/src/board/quarantine_section.ts
@@ -13,9 +13,11 @@
 export type QuarantineSection = {
   suspects: Map<Digest, Suspect>;
   quarantined: Map<Digest, Timestamp>;
+  /** Grows with each crash that this daemon has seen itself. */
+  crashesSeen: number;
 };
 
 /** A daemon's view at its start. */
 export function createQuarantineSection(): QuarantineSection {
-  return { suspects: new Map(), quarantined: new Map() };
+  return { suspects: new Map(), quarantined: new Map(), crashesSeen: 0 };
 }
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -41,6 +41,8 @@
   #refuseAt: Timestamp | undefined;
   #exitAt: Timestamp | undefined;
   #seq = 0;
+  /** Crashes that the peers have been told of. */
+  #crashesTold = 0;
   /** The daemons among which the scheduling one was chosen last. */
   #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
@@ -171,7 +173,10 @@
   }
 
   #beat(board: Blackboard, ctx: StepContext): void {
-    if (this.#beatAt === undefined || ctx.now >= this.#beatAt) {
+    const { crashesSeen } = board.quarantine;
+    const hasNews = crashesSeen > this.#crashesTold;
+    this.#crashesTold = crashesSeen;
+    if (hasNews || this.#beatAt === undefined || ctx.now >= this.#beatAt) {
       this.#beatAt = addMs(ctx.now, HEARTBEAT_MS);
       for (const address of board.members.addresses) {
         this.#send(board, ctx, address);
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -11,6 +11,7 @@
 import { entryAnswer } from "../core/entry_answer.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { engineFixture } from "../testing/fixtures.ts";
 
@@ -166,3 +167,47 @@
     ]
   `);
 });
+
+test("peers hear of a crash at once, before the next heartbeat is due", () => {
+  const core = CoreFixture.create([
+    MembershipController.create(),
+    QuarantineController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  core.add(engineFixture("e1"), engineFixture("e2"));
+  core.step({ type: "vms_listed", vms: [entryVm(2)] });
+  const started = core.after(10, {
+    type: "request_arrived",
+    req: promptFixture("p1"),
+  });
+  const { req, attempt } = intentsOf(started, "start_attempt")[0]!;
+  const crashed = core.after(10, {
+    type: "attempt_ended",
+    req,
+    attempt,
+    outcome: {
+      type: "failed",
+      cause: "upstream_crashed",
+      verdict: "may_have_run",
+      tokens: 0,
+      crashed: true,
+      detail: "",
+    },
+  });
+  const suspects = intentsOf(crashed, "send_peer").map(({ envelope }) =>
+    envelope.body?.$case === "heartbeat" ? envelope.body.value.suspects : []
+  );
+  expect(suspects).toMatchInlineSnapshot(`
+    [
+      [
+        {
+          "atMs": 1700000000020,
+          "digest": "digest-p1",
+          "incarnation": "e1-run-1",
+          "upstream": "e1",
+        },
+      ],
+    ]
+  `);
+});
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -61,6 +61,8 @@
       return this.#clear(board, entry.req.digest);
     }
     if (!event.outcome.crashed) return;
+    board.quarantine.crashesSeen += 1;
+    ctx.repeat();
     const upstream = event.outcome.upstream ?? entry.attempt.placement.upstream;
     this.#suspect(board, ctx, {
       digest: entry.req.digest,
--- a/src/controllers/upstream_controller.ts
+++ b/src/controllers/upstream_controller.ts
@@ -4,18 +4,20 @@
 import type { Event } from "../core/event.ts";
 import type { Incarnation, UpstreamId } from "../core/id.ts";
 import type { StepContext } from "../core/step_context.ts";
+import { UpstreamRuns } from "./upstream_runs.ts";
 import type { EngineState, LoadReport } from "../wire/engine.ts";
 import type { Vm } from "../wire/vm_list.ts";
 
 /** Upstreams that one daemon keeps at the most; a cell is much smaller. */
 const MAX_UPSTREAMS = 1_024;
-/** Runs of one upstream that are remembered as over. */
-const MAX_RETIRED = 8;
 
 /** Keeps what is known of the upstreams; whatever says first that one is leaving counts. */
 export class UpstreamController extends Controller {
   override readonly name = "upstreams";
-  readonly #retired = new Map<UpstreamId, Incarnation[]>();
+  /** Runs that are known to be over. */
+  readonly #retired = UpstreamRuns.create();
+  /** Runs that have been said to be leaving. */
+  readonly #left = UpstreamRuns.create();
 
   static create(): UpstreamController {
     return new UpstreamController();
@@ -65,14 +67,15 @@
       domain: vm.domain,
       address: vm.address,
       incarnation: vm.incarnation,
-      state: "live",
+      state: this.#firstState(id, vm.incarnation),
       group: vm.group,
       service: vm.service,
     };
     // The list lags: an entry for a run that is known to be over says nothing new.
-    if (this.#isRetired(id, vm.incarnation)) return;
+    if (this.#retired.has(id, vm.incarnation)) return;
     if (known === undefined || known.incarnation !== vm.incarnation) {
-      if (known !== undefined) this.#retire(id, known.incarnation);
+      if (known !== undefined && isSelfReported(known, vm)) return;
+      if (known !== undefined) this.#retired.add(id, known.incarnation);
       board.upstreams.byId.set(id, fresh);
     }
     if (vm.state === "leaving") this.#leave(board, id);
@@ -91,16 +94,17 @@
     report: LoadReport | EngineState,
   ): void {
     const known = board.upstreams.byId.get(id);
-    if (known === undefined || this.#isRetired(id, report.incarnation)) return;
+    if (known === undefined || this.#isOutdated(id, report)) return;
     if (known.incarnation !== report.incarnation) {
-      this.#retire(id, known.incarnation);
+      this.#retired.add(id, known.incarnation);
+      this.#retired.delete(id, report.incarnation);
     }
     const state = known.state === "unreachable" ? "live" : known.state;
     const base = known.incarnation === report.incarnation
       ? { ...known, state }
       : {
         ...known,
-        state: "live" as const,
+        state: this.#firstState(id, report.incarnation),
         load: undefined,
         engine: undefined,
         incarnation: report.incarnation,
@@ -138,6 +142,8 @@
 
   /** Ends new work for this run of the upstream; only another run brings it back. */
   #leave(board: Blackboard, id: UpstreamId): void {
+    const known = board.upstreams.byId.get(id);
+    if (known !== undefined) this.#left.add(id, known.incarnation);
     this.#setState(board, id, "leaving");
   }
 
@@ -149,17 +155,18 @@
     board.upstreams.byId.set(id, { ...known, state });
   }
 
-  #retire(id: UpstreamId, incarnation: Incarnation): void {
-    const retired = this.#retired.get(id) ?? [];
-    this.#retired.delete(id);
-    this.#retired.set(id, [...retired, incarnation].slice(-MAX_RETIRED));
-    const oldest = this.#retired.keys().next().value;
-    if (this.#retired.size > MAX_UPSTREAMS && oldest !== undefined) {
-      this.#retired.delete(oldest);
-    }
+  /** A load report lags; the state is that of the run which answers now. */
+  #isOutdated(id: UpstreamId, report: LoadReport | EngineState): boolean {
+    return "at" in report && this.#retired.has(id, report.incarnation);
   }
 
-  #isRetired(id: UpstreamId, incarnation: Incarnation): boolean {
-    return this.#retired.get(id)?.includes(incarnation) ?? false;
+  #firstState(id: UpstreamId, incarnation: Incarnation): UpstreamState {
+    return this.#left.has(id, incarnation) ? "leaving" : "live";
   }
 }
+
+/** Whether the upstream itself has named its run; then the list, which lags, names an earlier one. */
+function isSelfReported(known: Upstream, vm: Vm): boolean {
+  return known.engine?.incarnation === known.incarnation &&
+    known.state !== "unreachable" && known.address === vm.address;
+}
--- a/src/controllers/upstream_controller_test.ts
+++ b/src/controllers/upstream_controller_test.ts
@@ -2,7 +2,7 @@
 import type { DomainId, Incarnation, UpstreamId, VmId } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
 import { CoreFixture } from "../testing/fixtures.ts";
-import type { LoadReport } from "../wire/engine.ts";
+import type { EngineState, LoadReport } from "../wire/engine.ts";
 import type { Vm } from "../wire/vm_list.ts";
 import { UpstreamController } from "./upstream_controller.ts";
 
@@ -110,3 +110,36 @@
   core.step();
   expect(stateOf(core)).toBe("live");
 });
+
+function answered(run: number) {
+  const state: EngineState = {
+    incarnation: `run-${run}` as Incarnation,
+    loaded: [],
+    loading: [],
+    role: "mixed",
+    leaving: false,
+  };
+  return { type: "state_reported", upstream: ID, state } as const;
+}
+
+test("a run that the list names late does not hide the run that answers", () => {
+  const core = create();
+  const seen = [
+    core.step(answered(3)),
+    core.step(listed(vm(2))),
+    core.step(listed(vm(3))),
+    core.step({ type: "upstream_unreachable", upstream: ID }),
+    core.step(listed(vm(2, "leaving"))),
+    core.step(answered(3)),
+  ].map(() => stateOf(core));
+  expect(core.board.upstreams.byId.get(ID)?.incarnation).toBe("run-3");
+  expect(seen.at(-1)).toBe("live");
+});
+
+test("a run that has been said to leave is still leaving when it is named again", () => {
+  const core = create();
+  core.step(listed(vm(1, "leaving")));
+  core.step(answered(2));
+  core.step(answered(1));
+  expect(stateOf(core)).toBe("leaving");
+});
