--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -26,6 +26,7 @@
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
 import { placeCall } from "./call_placement.ts";
+import { canReattach } from "./retry_decision.ts";
 import { freshPeers } from "./membership_controller.ts";
 
 /** Silence after which an asker places by itself. */
@@ -104,6 +105,8 @@
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
     const { outcome } = event;
+    // The same answer is connected to again, so its place is still taken.
+    if (outcome.type === "failed" && canReattach(entry, outcome)) return;
     const crashed = outcome.type === "failed" && outcome.crashed;
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
@@ -161,6 +164,7 @@
   }
 
   #answer(board: Blackboard, ask: Ask, now: Timestamp): Answer {
+    if (this.#mustWait(board, ask)) return { type: "queued" };
     if (!board.quarantine.quarantined.has(ask.digest)) {
       return this.#scheduler.ask(ask, now);
     }
@@ -168,6 +172,15 @@
     return { type: "refused", problem: problem("quarantined", detail) };
   }
 
+  /** Content that has crashed an engine runs once at a time; its asker asks again. */
+  #mustWait(board: Blackboard, ask: Ask): boolean {
+    if (!board.quarantine.suspects.has(ask.digest)) return false;
+    if (board.quarantine.quarantined.has(ask.digest)) return false;
+    return [...this.#scheduler.jobs.values()].some((job) =>
+      job.ask.digest === ask.digest && job.ask.request !== ask.request
+    );
+  }
+
   #takeUpdate(
     board: Blackboard,
     ctx: StepContext,
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -1,8 +1,10 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { Suspect } from "../board/quarantine_section.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type { Digest, UpstreamId } from "../core/id.ts";
+import type { Outcome } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
 import {
   HOUR_MS,
@@ -60,7 +62,7 @@
     if (event.outcome.type === "ok") {
       return this.#clear(board, entry.req.digest);
     }
-    if (!event.outcome.crashed) return;
+    if (!event.outcome.crashed && !hasLostAnswer(entry, event.outcome)) return;
     board.quarantine.crashesSeen += 1;
     ctx.repeat();
     const upstream = event.outcome.upstream ?? entry.attempt.placement.upstream;
@@ -109,6 +111,16 @@
   }
 }
 
+/** The engine went silent and no longer has what it ran, so it has probably crashed in between. */
+function hasLostAnswer(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+): boolean {
+  const { cause } = outcome;
+  return entry.reattached === true &&
+    (cause === "connect_failed" || cause === "resume_failed");
+}
+
 function suspectNews(envelope: Envelope): readonly SuspectNews[] {
   const { body } = envelope;
   if (body?.$case === "heartbeat") return body.value.suspects;
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -11,7 +11,7 @@
 import { RetryBudget } from "../core/retry_budget.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { SECOND_MS } from "../core/time.ts";
-import { joinVerdicts } from "../core/verdict.ts";
+import { joinVerdicts, type Verdict } from "../core/verdict.ts";
 import { decideRetry } from "./retry_decision.ts";
 
 type AttemptEvent = Extract<
@@ -225,6 +225,9 @@
 
   #advance(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
     if (entry.req.deadlineAt <= ctx.now) return this.#expire(board, ctx, entry);
+    if (board.quarantine.quarantined.has(entry.req.digest)) {
+      return this.#quarantine(board, ctx, entry);
+    }
     ctx.wakeAt(entry.req.deadlineAt);
     if (entry.state === "claiming") this.#readClaim(board, ctx, entry);
     if (entry.state === "placing") this.#readPlacement(board, ctx, entry);
@@ -339,11 +342,15 @@
     ctx.repeat();
   }
 
+  /** Other copies of the content have crashed engines; this one must not crash another. */
+  #quarantine(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const detail = "Engines crashed each time that they ran this content.";
+    const verdict = verdictNow(entry);
+    this.#fail(board, ctx, entry, problem("quarantined", detail, { verdict }));
+  }
+
   #expire(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
-    const isSent = entry.state === "running" || entry.state === "forwarded";
-    const verdict = isSent
-      ? joinVerdicts(entry.verdict, "may_have_run")
-      : entry.verdict;
+    const verdict = verdictNow(entry);
     this.#fail(
       board,
       ctx,
@@ -417,6 +424,12 @@
   };
 }
 
+/** What is known while an attempt may be under way. */
+function verdictNow(entry: RequestEntry): Verdict {
+  const isSent = entry.state === "running" || entry.state === "forwarded";
+  return isSent ? joinVerdicts(entry.verdict, "may_have_run") : entry.verdict;
+}
+
 function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
   ctx.counters.refuse(cause.code);
   ctx.emit({ type: "answer", req, problem: cause });
--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -58,7 +58,7 @@
 }
 
 /** The engine may still run the answer when only the connection was lost. */
-function canReattach(
+export function canReattach(
   entry: RequestEntry,
   outcome: Extract<Outcome, { type: "failed" }>,
 ): boolean {
--- a/tools/faults/daemon_process.ts
+++ b/tools/faults/daemon_process.ts
@@ -46,8 +46,12 @@
   mutation: Mutation;
   onIntent: (daemon: DaemonProcess, intent: Intent) => void;
   onStep: (daemon: DaemonProcess) => void;
+  /** Called when the process ends by itself. */
+  onExit: (daemon: DaemonProcess) => void;
 }>;
 
+const CLOSE_MS: Millis = 10;
+
 /** One daemon process: a real core and real runners; only the far ends are fakes. */
 export class DaemonProcess {
   readonly core: Core;
@@ -242,10 +246,20 @@
       case "forward_call":
         return void this.#forwarder.send(intent);
       case "exit":
-        return this.kill();
+        return this.#exit();
     }
   }
 
+  /** Answers that were decided in the same step still go out. */
+  #exit(): void {
+    const { timeline, onExit } = this.#parts;
+    timeline.after(CLOSE_MS, () =>
+      this.receive(() => {
+        onExit(this);
+        this.kill();
+      }));
+  }
+
   #answer(
     intent: Extract<Intent, { type: "answer" | "answer_recorded" }>,
   ): void {
--- a/tools/faults/facts.ts
+++ b/tools/faults/facts.ts
@@ -20,6 +20,14 @@
   knownForMs: number;
 }>;
 
+/** A new attempt of content that crashes engines. */
+export type PoisonAttempt = Readonly<{
+  daemon: DaemonId;
+  content: Digest;
+  /** How long a daemon that this one could hear has refused the content. */
+  knownForMs: number;
+}>;
+
 /** What has happened in a run, as far as the invariants ask for it. */
 export class Facts {
   readonly clients: ClientRequest[] = [];
@@ -27,6 +35,9 @@
   readonly started = new Set<RequestId>();
   readonly losses = new Map<Digest, Losses>();
   readonly leavingAttempts: LeavingAttempt[] = [];
+  readonly poisonAttempts: PoisonAttempt[] = [];
+  /** Whether a daemon was killed, paused or cut off, or messages between daemons failed. */
+  isDisturbed = false;
   /** Requests that were open at daemons that exited after a drain. */
   readonly cutOff: Readonly<{ daemon: DaemonId; req: RequestId }>[] = [];
   /** Final problems of requests that a daemon had admitted. */
--- a/tools/faults/fake_engine.ts
+++ b/tools/faults/fake_engine.ts
@@ -225,7 +225,14 @@
     const fencing = this.options.checksFencing
       ? this.fencings.at(-1)
       : undefined;
-    return { incarnation, loaded: [...loaded], loading: [], role, leaving, fencing };
+    return {
+      incarnation,
+      loaded: [...loaded],
+      loading: [],
+      role,
+      leaving,
+      fencing,
+    };
   }
 
   load(): LoadReport {
@@ -276,7 +283,13 @@
           const { head, content } = this.#answers.get(attempt)!;
           const { request } = head;
           const text = tokenText(content, index);
-          this.#publish(attempt, { type: "token", request, attempt, index, text });
+          this.#publish(attempt, {
+            type: "token",
+            request,
+            attempt,
+            index,
+            text,
+          });
         }
         return;
       case "done":
@@ -284,7 +297,12 @@
       case "error": {
         const { attempt, code } = event;
         const request = this.#answers.get(attempt)!.head.request;
-        return this.#publish(attempt, { type: "error", request, attempt, code });
+        return this.#publish(attempt, {
+          type: "error",
+          request,
+          attempt,
+          code,
+        });
       }
       case "crashed":
         return this.#lose(event.attempts);
--- a/tools/faults/fake_engine_client.ts
+++ b/tools/faults/fake_engine_client.ts
@@ -214,7 +214,10 @@
       pipe.close();
       engine.unread(attempt, reader);
     };
-    this.#watch(pipe, { silenceMs, leave: () => engine.unread(attempt, reader) });
+    this.#watch(pipe, {
+      silenceMs,
+      leave: () => engine.unread(attempt, reader),
+    });
     this.#later(() => resolve(ok({ events: pipe, close })));
   }
 
--- a/tools/faults/fake_log_client.ts
+++ b/tools/faults/fake_log_client.ts
@@ -41,7 +41,9 @@
     stream: StreamName,
     from: Offset,
   ): ResultAsync<LogBatch, LogError> {
-    return this.#ask((tell) => this.#log.read(stream, from, { tell, waitMs: 0 }))
+    return this.#ask((tell) =>
+      this.#log.read(stream, from, { tell, waitMs: 0 })
+    )
       .andThen((event) => toBatch(event));
   }
 
--- a/tools/faults/fleet.ts
+++ b/tools/faults/fleet.ts
@@ -53,6 +53,8 @@
   readonly streamFaults = new Map<UpstreamId, ArmedFault>();
   readonly callFaults = new Map<UpstreamId, CallFault>();
   isListLate = false;
+  /** The list that is shown now, and the later ones. */
+  readonly #lists: Readonly<{ at: Timestamp; vms: readonly Vm[] }>[] = [];
   #polls = 0;
   #started = 0;
   readonly #mutation: Mutation;
@@ -111,16 +113,15 @@
       }),
       send: (from, intent) => this.network.send(from, intent),
       peers: (daemon) => ({
-        runCall: (address, call) =>
-          this.network.runCall(daemon, address, call),
+        runCall: (address, call) => this.network.runCall(daemon, address, call),
       }),
       onIntent: (daemon, intent) => this.watch.intent(daemon, intent),
       onStep: (daemon) => this.watch.step(daemon),
+      onExit: (daemon) => this.watch.exited(daemon),
     });
     this.daemons[vm] = daemon;
     this.trace.add(self.id, "starts");
-    const vms = this.#vms();
-    this.timeline.after(1, () => this.#tellList(daemon, vms));
+    this.timeline.after(1, () => this.#tellList(daemon));
   }
 
   /** Ends a VM's process at once; another one starts after `downMs`. */
@@ -243,17 +244,19 @@
     });
   }
 
-  /** Shows each daemon the VM list of some time ago, over and over. */
+  /** Shows each daemon the VM list of some time ago, over and over; it lags, but never goes back. */
   #list(): void {
-    const vms = this.#vms();
+    const { now } = this.timeline;
+    this.#lists.push({ at: now, vms: this.#vms() });
     const lag = this.isListLate ? LATE_LIST_LAG_MS : LIST_LAG_MS;
-    this.timeline.after(lag, () => {
-      for (const daemon of this.live) this.#tellList(daemon, vms);
-    });
+    const oldest = this.#lists.findLastIndex(({ at }) => at <= now - lag);
+    if (oldest > 0) this.#lists.splice(0, oldest);
+    for (const daemon of this.live) this.#tellList(daemon);
     this.timeline.after(LIST_MS, () => this.#list());
   }
 
-  #tellList(daemon: DaemonProcess, vms: readonly Vm[]): void {
+  #tellList(daemon: DaemonProcess): void {
+    const vms = this.#lists[0]?.vms ?? this.#vms();
     daemon.receive(() => daemon.post({ type: "vms_listed", vms }));
   }
 
--- a/tools/faults/main.ts
+++ b/tools/faults/main.ts
@@ -1,11 +1,5 @@
 import process from "node:process";
-import {
-  command,
-  flag,
-  number,
-  option,
-  run,
-} from "cmd-ts";
+import { command, flag, number, option, run } from "cmd-ts";
 import { explore, type Finding } from "./explore.ts";
 
 const app = command({
@@ -20,7 +14,9 @@
   handler: async ({ seed, runs, json }) => {
     const finding = await explore({ seed, runs });
     if (json) console.log(JSON.stringify({ seed, runs, finding }));
-    else console.log(finding === undefined ? passed(seed, runs) : show(finding));
+    else {console.log(
+        finding === undefined ? passed(seed, runs) : show(finding),
+      );}
     process.exitCode = finding === undefined ? 0 : 1;
   },
 });
--- a/tools/faults/operators.ts
+++ b/tools/faults/operators.ts
@@ -1,7 +1,11 @@
 import type { CliContext } from "../../src/cli/context.ts";
 import { ConfigLog } from "../../src/cli/config_log.ts";
 import { publish, type PublishResult } from "../../src/cli/publish.ts";
-import { NO_REVISION, type RecordId, type Revision } from "../../src/core/id.ts";
+import {
+  NO_REVISION,
+  type RecordId,
+  type Revision,
+} from "../../src/core/id.ts";
 import type { Random } from "../../src/core/random.ts";
 import type { Millis } from "../../src/core/time.ts";
 import type { FakeLog } from "./fake_log.ts";
--- a/tools/faults/player.ts
+++ b/tools/faults/player.ts
@@ -43,6 +43,7 @@
     const fleet = this.#fleet;
     const { waitMs: _, ...shown } = action;
     fleet.trace.add("schedule", JSON.stringify(shown));
+    if (DISTURBING.includes(action.type)) fleet.facts.isDisturbed = true;
     switch (action.type) {
       case "prompt":
         for (let i = 0; i < action.count; i += 1) this.#prompts(action);
@@ -143,7 +144,10 @@
       promptTokens: action.tokens,
     });
     if (client === undefined || action.leavesAfterMs === 0) return;
-    this.#fleet.timeline.after(action.leavesAfterMs, () => this.#hangUp(client));
+    this.#fleet.timeline.after(
+      action.leavesAfterMs,
+      () => this.#hangUp(client),
+    );
   }
 
   /** The client goes away, as its closed connection tells the daemon. */
@@ -312,6 +316,8 @@
   }
 }
 
+/** What keeps daemons from hearing of each other. */
+const DISTURBING: readonly Action["type"][] = ["kill", "pause", "cut", "peers"];
 const KEPT_MS: Millis = 40_000;
 const SENDER = { team: "makers" as TeamId, classId: "quick" as ClassId };
 
--- a/tools/faults/serving.ts
+++ b/tools/faults/serving.ts
@@ -2,11 +2,7 @@
   type ServingConfig,
   ServingConfigSchema,
 } from "../../src/config/serving.ts";
-import type {
-  AdapterId,
-  ModelId,
-  VersionId,
-} from "../../src/core/id.ts";
+import type { AdapterId, ModelId, VersionId } from "../../src/core/id.ts";
 import type { Loaded } from "../../src/wire/engine.ts";
 
 export const MODEL = "sage" as ModelId;
@@ -23,7 +19,12 @@
   const loaded = loadedBy(config);
   const group = { loaded, orderDelayMs: 2_000 };
   return ServingConfigSchema.parse({
-    models: [{ id: MODEL, versions: [VERSION], version: VERSION, adapters: [] }],
+    models: [{
+      id: MODEL,
+      versions: [VERSION],
+      version: VERSION,
+      adapters: [],
+    }],
     groups: [
       { id: "a", checksFencing: true, ...group },
       { id: "b", checksFencing: false, ...group },
--- a/tools/faults/watch.ts
+++ b/tools/faults/watch.ts
@@ -1,5 +1,6 @@
 import type {
   DaemonId,
+  Digest,
   RequestId,
   Revision,
   UpstreamId,
@@ -7,6 +8,7 @@
 import type { Intent } from "../../src/core/intent.ts";
 import type { Millis, Timestamp } from "../../src/core/time.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
+import { isPoison } from "./fake_engine.ts";
 import type { Fleet } from "./fleet.ts";
 
 /** Notes what the daemons decide and know, without any say in it. */
@@ -16,6 +18,8 @@
   readonly #admitted = new Set<RequestId>();
   /** Since when each daemon has known of each run of an upstream that it is leaving. */
   readonly #leaving = new Map<string, Map<DaemonId, Timestamp>>();
+  /** Since when each daemon has refused each content. */
+  readonly #refused = new Map<Digest, Map<DaemonId, Timestamp>>();
   /** When each VM's links last failed. */
   readonly #cutAt = new Map<string, Timestamp>();
 
@@ -31,6 +35,7 @@
   step(daemon: DaemonProcess): void {
     this.#noteRevision(daemon);
     this.#noteLeaving(daemon);
+    this.#noteQuarantine(daemon);
     this.#noteLinks();
     for (const id of daemon.board.requests.byId.keys()) this.#admitted.add(id);
   }
@@ -45,19 +50,14 @@
           daemon.id,
           `sends ${req} to ${placement.upstream} as ${attempt} (${mode})`,
         );
-        if (mode !== "resume") this.#noteAttempt(daemon, placement.upstream);
-        return;
+        if (mode === "resume") return;
+        this.#noteAttempt(daemon, placement.upstream);
+        return this.#notePoison(daemon, req);
       }
       case "answer":
         if (!this.#admitted.has(intent.req)) return;
         facts.admittedProblems.push(intent);
         return;
-      case "exit":
-        trace.add(daemon.id, "exits");
-        for (const req of daemon.exchanges.keys()) {
-          facts.cutOff.push({ daemon: daemon.id, req });
-        }
-        return this.#restartLater(daemon);
       case "cancel_attempt":
         return trace.add(daemon.id, `cancels ${intent.attempt}`);
       case "send_order":
@@ -76,6 +76,16 @@
     }
   }
 
+  /** Called when a daemon exits after its drain. */
+  exited(daemon: DaemonProcess): void {
+    const { trace, facts } = this.#fleet;
+    trace.add(daemon.id, "exits");
+    for (const req of daemon.exchanges.keys()) {
+      facts.cutOff.push({ daemon: daemon.id, req });
+    }
+    this.#restartLater(daemon);
+  }
+
   #restartLater(daemon: DaemonProcess): void {
     const { timeline, daemons } = this.#fleet;
     const vm = daemons.indexOf(daemon);
@@ -106,25 +116,54 @@
     }
   }
 
+  #noteQuarantine(daemon: DaemonProcess): void {
+    const { now } = this.#fleet.timeline;
+    for (const content of daemon.board.quarantine.quarantined.keys()) {
+      const known = this.#refused.get(content) ??
+        new Map<DaemonId, Timestamp>();
+      this.#refused.set(content, known);
+      if (!known.has(daemon.id)) known.set(daemon.id, now);
+    }
+  }
+
   #noteLinks(): void {
     const { network, facts, timeline } = this.#fleet;
-    if (network.fault === "lost") facts.lastDisturbedAt = timeline.now;
+    if (network.fault === "lost" || network.fault === "late") {
+      facts.lastDisturbedAt = timeline.now;
+    }
     for (const address of network.cut) this.#cutAt.set(address, timeline.now);
   }
 
   #noteAttempt(daemon: DaemonProcess, upstream: UpstreamId): void {
-    const incarnation = daemon.board.upstreams.byId.get(upstream)?.incarnation;
-    const known = this.#leaving.get(`${upstream}/${incarnation}`);
-    let knownForMs = -1;
+    const engine = this.#fleet.engines.find(({ id }) => id === upstream);
+    const run = `${upstream}/${engine?.model.incarnation}`;
+    const known = this.#leaving.get(run);
+    const knownForMs = this.#knownFor(daemon, known);
+    if (knownForMs < 0) return;
+    const { leavingAttempts } = this.#fleet.facts;
+    leavingAttempts.push({ daemon: daemon.id, upstream, knownForMs });
+  }
+
+  #notePoison(daemon: DaemonProcess, req: RequestId): void {
+    const content = daemon.board.requests.byId.get(req)?.req.digest;
+    if (content === undefined || !isPoison(content)) return;
+    const knownForMs = this.#knownFor(daemon, this.#refused.get(content));
+    const { poisonAttempts } = this.#fleet.facts;
+    poisonAttempts.push({ daemon: daemon.id, content, knownForMs });
+  }
+
+  /** How long a daemon could have known, or -1. */
+  #knownFor(
+    daemon: DaemonProcess,
+    known: ReadonlyMap<DaemonId, Timestamp> | undefined,
+  ): Millis {
+    let longest = -1;
     for (const other of this.#fleet.live) {
       const since = known?.get(other.id);
       if (since === undefined) continue;
-      const ms = this.#heardFor(daemon, other, since);
-      knownForMs = Math.max(knownForMs, ms);
+      longest = Math.max(longest, this.#heardFor(daemon, other, since));
     }
-    if (knownForMs < 0) return;
-    const { leavingAttempts } = this.#fleet.facts;
-    leavingAttempts.push({ daemon: daemon.id, upstream, knownForMs });
+    return longest;
   }
 
   /** How long a daemon could have heard what another one knows. */
