--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { PlacementLimitsSchema } from "./placement_limits.ts";
 
 /** Keys of the section `[limits]`. */
 export const LimitKeysSchema = z.object({
@@ -32,6 +33,7 @@
     ),
   entryMaxAgeMs: z.number().int().min(100).max(600_000).default(10_000)
     .describe("Time that clients may keep an entry answer, in milliseconds."),
+  ...PlacementLimitsSchema.shape,
 });
 
 /** Limits that operators may set; each has a range and a default. */
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -14,7 +14,7 @@
   DISPATCH_MS,
   type JobNews,
 } from "../scheduling/cell_scheduler.ts";
-import { DEFAULT_POLICY, type Policy } from "../scheduling/policy.ts";
+import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import {
   askBlocks,
   fromPlaceAsk,
@@ -45,20 +45,16 @@
 /** Places the requests of this daemon, and the prompts of the cell where it is the scheduling daemon. */
 export class PlacementController extends Controller {
   override readonly name = "placement";
-  readonly #scheduler: CellScheduler;
+  readonly #scheduler = CellScheduler.create(DEFAULT_POLICY);
   readonly #rounds = new Map<RequestId, Round>();
   #seq = 0;
 
-  private constructor(policy: Policy) {
-    super();
-    this.#scheduler = CellScheduler.create(policy);
-  }
-
-  static create(policy: Policy = DEFAULT_POLICY): PlacementController {
-    return new PlacementController(policy);
+  static create(): PlacementController {
+    return new PlacementController();
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
+    this.#scheduler.setPolicy(board.config.serving?.limits ?? DEFAULT_POLICY);
     this.#scheduler.takeUpstreams(board.upstreams.byId.values());
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#dropEnded(board, ctx);
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -40,6 +40,8 @@
 const DECODE_WEIGHT = 0.05;
 /** Time for which a new part may not show in a report yet. */
 const CORRECT_MS: Millis = SECOND_MS;
+/** Engines of a cell for each that may be kept for shared prefixes. */
+const ENGINES_FOR_EACH_KEPT = 8;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
 /** Engine priority of long prompts; short ones go first. */
@@ -49,10 +51,10 @@
 
 /** Places all prompts of a cell; it knows each engine by its reports and by what it sent there. */
 export class CellScheduler {
-  readonly #policy: Policy;
+  #policy: Policy;
   readonly #engines = new Map<UpstreamId, EngineView>();
   readonly #jobs = new Map<RequestId, Job>();
-  readonly #queue: LongQueue;
+  readonly #queue = LongQueue.create();
   readonly #cost = CostModel.create();
   readonly #prefixes = PrefixIndex.create();
   readonly #shortDemand = DemandMeter.create(DEMAND_WINDOW_MS);
@@ -63,13 +65,17 @@
 
   private constructor(policy: Policy) {
     this.#policy = policy;
-    this.#queue = LongQueue.create(policy.queuedPrompts);
   }
 
   static create(policy: Policy): CellScheduler {
     return new CellScheduler(policy);
   }
 
+  /** Takes the settings that are in force now. */
+  setPolicy(policy: Policy): void {
+    this.#policy = policy;
+  }
+
   get queued(): number {
     return this.#queue.size;
   }
@@ -142,7 +148,7 @@
     this.#dropOverdue(now);
     const answered: Answered[] = [];
     for (
-      const ask of this.#queue.inOrder(now, (one) => this.#slack(one, now))
+      const ask of this.#queue.inOrder((one) => this.#slack(one, now))
     ) {
       const answer = this.#tryWaiting(ask, now);
       if (answer !== undefined) {
@@ -244,7 +250,9 @@
     if (neededMs > left * this.#policy.admissionRatio) {
       return refuseLate(neededMs - left * this.#policy.admissionRatio);
     }
-    if (!this.#queue.add(ask, view.now)) return refuseFull(waitMs);
+    const limit = this.#policy.queuedPrompts;
+    const { now } = view;
+    if (!this.#queue.add(ask, { now, limit })) return refuseFull(waitMs);
     this.#dispatchAt = view.now;
     return { type: "queued" };
   }
@@ -381,9 +389,16 @@
 
   /** Engines that are kept for short prompts now. */
   #shortTarget(now: Timestamp): number {
-    const { shortEngines, shortUtilization } = this.#policy;
+    const { shortUtilization } = this.#policy;
     const demanded = this.#shortDemand.engines(now) / shortUtilization;
-    return shortEngines + Math.ceil(demanded);
+    return this.#prefixEngines() + Math.ceil(demanded);
+  }
+
+  /** A small cell keeps no engine for shared prefixes alone. */
+  #prefixEngines(): number {
+    const { shortEngines } = this.#policy;
+    const most = Math.floor(this.#engines.size / ENGINES_FOR_EACH_KEPT);
+    return Math.min(shortEngines, most);
   }
 
   #shortEngines(now: Timestamp): ReadonlySet<EngineView> {
@@ -423,7 +438,7 @@
       policy: this.#policy,
       cost: this.#cost,
       prefixes: this.#prefixes,
-      prefixEngines: this.#firstEngines(this.#policy.shortEngines),
+      prefixEngines: this.#firstEngines(this.#prefixEngines()),
       shortEngines: this.#shortEngines(now),
     };
   }
--- a/src/scheduling/long_queue.ts
+++ b/src/scheduling/long_queue.ts
@@ -9,24 +9,25 @@
 
 /** Long prompts that wait for an engine. */
 export class LongQueue {
-  readonly #limit: number;
   readonly #waiting = new Map<RequestId, Waiting>();
 
-  private constructor(limit: number) {
-    this.#limit = limit;
-  }
+  private constructor() {}
 
-  static create(limit: number): LongQueue {
-    return new LongQueue(limit);
+  static create(): LongQueue {
+    return new LongQueue();
   }
 
   get size(): number {
     return this.#waiting.size;
   }
 
-  /** Takes a prompt in; false if the queue is full. */
-  add(ask: Ask, now: Timestamp): boolean {
-    if (this.#waiting.size >= this.#limit) return false;
+  /** Takes a prompt in; false if `limit` prompts wait. */
+  add(
+    ask: Ask,
+    options: Readonly<{ now: Timestamp; limit: number }>,
+  ): boolean {
+    const { now, limit } = options;
+    if (this.#waiting.size >= limit) return false;
     this.#waiting.set(ask.request, { ask, renewedAt: now });
     return true;
   }
@@ -64,7 +65,7 @@
   }
 
   /** Waiting prompts, the one with the least slack first. */
-  inOrder(_now: Timestamp, slack: (ask: Ask) => Millis): readonly Ask[] {
+  inOrder(slack: (ask: Ask) => Millis): readonly Ask[] {
     return [...this.asks()].sort((a, b) => slack(a) - slack(b));
   }
 }
