--- /dev/null
+++ b/src/scheduling/demand_meter_test.ts
@@ -0,0 +1,35 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import type { Timestamp } from "../core/time.ts";
+import { DemandMeter } from "./demand_meter.ts";
+
+const WINDOW_MS = 10_000;
+
+test("the meter and a sum over all work so far agree", () => {
+  const work = fc.record({
+    waitMs: fc.nat(20_000),
+    costMs: fc.nat(500),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(work, { maxLength: 50 }),
+      fc.nat(9_000),
+      (all, end) => {
+        const meter = DemandMeter.create(WINDOW_MS);
+        let now = 1_000_000;
+        const seen = all.map(({ waitMs, costMs }) => {
+          now += waitMs;
+          meter.add(costMs, now as Timestamp);
+          return { at: now, costMs };
+        });
+        now += end;
+        const expected = seen.reduce(
+          (sum, one) => sum + one.costMs * Math.exp((one.at - now) / WINDOW_MS),
+          0,
+        ) / WINDOW_MS;
+        expect(meter.engines(now as Timestamp)).toBeCloseTo(expected, 9);
+      },
+    ),
+    { seed: 6, numRuns: 200 },
+  );
+});
--- a/tools/measure/fleet.ts
+++ b/tools/measure/fleet.ts
@@ -64,6 +64,7 @@
   readonly #running = new Map<RequestId, Running>();
   readonly #attempts = new Map<AttemptId, AttemptRun>();
   #enginesLost = 0;
+  #enginesCrashed = 0;
   #daemonRuns = 0;
   #requests = 0;
   #retriesOfDead = 0;
@@ -85,6 +86,11 @@
     return this.#enginesLost;
   }
 
+  /** Engines that a poison prompt crashed, beside those that the table of faults did. */
+  get enginesPoisoned(): number {
+    return this.#enginesLost - this.#enginesCrashed;
+  }
+
   /** Retries that the daemons have made, those of dead daemons included. */
   get retries(): number {
     return this.daemons.reduce(
@@ -140,7 +146,10 @@
 
   crashEngine(id: UpstreamId, downMs: number): void {
     const engine = this.engines.get(id)!;
-    if (engine.up) engine.crash();
+    if (engine.up) {
+      this.#enginesCrashed += 1;
+      engine.crash();
+    }
     this.clock.after(downMs, () => {
       if (!engine.up) engine.restart();
       this.listVms();
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -14,7 +14,7 @@
 } from "./summary.ts";
 import { type Arrival, drawArrivals } from "./workload.ts";
 
-const WARM_MS = 2 * MINUTE_MS;
+const WARM_MINUTES = 2;
 /** The load goes on after the window until the last measured prompt has ended, at most this long. */
 const TAIL_MS = 10 * MINUTE_MS + 5 * SECOND_MS;
 /** After the tail every prompt has ended or has passed its deadline. */
@@ -27,6 +27,8 @@
   load: number;
   seed: number;
   minutes: number;
+  /** Load before the window; 2 minutes unless said otherwise. */
+  warmMinutes?: number;
   faults: boolean;
 }>;
 
@@ -42,7 +44,7 @@
   const arrivals = drawArrivals(scenario, options.seed, {
     load: options.load,
     windowMs,
-    warmMs: WARM_MS,
+    warmMs: warmMsOf(options),
     tailMs: TAIL_MS,
   });
   const alone = runFleet(scenario, arrivals.filter(isShort), options);
@@ -58,6 +60,7 @@
     aloneP99: shortP99(alone.records),
     retries: whole.fleet.retries,
     enginesLost: whole.fleet.enginesLost,
+    enginesPoisoned: whole.fleet.enginesPoisoned,
   });
   return { summary, records: whole.records, startedAt: whole.startedAt };
 }
@@ -82,7 +85,7 @@
     gap: (ms) => gaps.add(ms),
   });
   const windowMs = options.minutes * MINUTE_MS;
-  const startedAt = fleet.send(arrivals, WARM_MS);
+  const startedAt = fleet.send(arrivals, warmMsOf(options));
   if (options.faults) {
     const poison = poisonOf(arrivals);
     scheduleFaults(fleet, startedAt, { windowMs, poison });
@@ -102,6 +105,10 @@
   return { fleet, records: fleet.records, gaps, startedAt };
 }
 
+function warmMsOf(options: RunOptions): number {
+  return (options.warmMinutes ?? WARM_MINUTES) * MINUTE_MS;
+}
+
 function isOver(record: PromptRecord): boolean {
   return !record.arrival.measured || record.endedAt !== undefined;
 }
--- a/tools/measure/summary.ts
+++ b/tools/measure/summary.ts
@@ -51,6 +51,8 @@
   team_fairness: number;
   retries: number;
   engines_lost: number;
+  /** Those of them that a poison prompt crashed. */
+  engines_poisoned: number;
 }>;
 
 /** A histogram of times. */
@@ -122,6 +124,7 @@
   aloneP99: number | null;
   retries: number;
   enginesLost: number;
+  enginesPoisoned: number;
 }>;
 
 /** Builds the figures of one run. */
@@ -178,6 +181,7 @@
     team_fairness: fairness(records, scenario),
     retries: parts.retries,
     engines_lost: parts.enginesLost,
+    engines_poisoned: parts.enginesPoisoned,
   };
 }
 
