--- a/src/config/daemon_settings.ts
+++ b/src/config/daemon_settings.ts
@@ -27,6 +27,9 @@
   peerAddress: address.describe(
     "Where other daemons connect; the address that the VM list has.",
   ),
+  peerListen: address.optional().describe(
+    "Where the peer listener binds, if not to `peer_address`, for instance behind address translation.",
+  ),
 });
 
 const platformSchema = z.object({
@@ -52,7 +55,7 @@
 
 const tlsSchema = z.object({
   certPath: path.optional().describe(
-    "The daemon's certificate chain, PEM; used towards clients and other daemons.",
+    "The daemon's certificate chain, PEM; with it, clients are served over HTTPS. Read again each minute.",
   ),
   keyPath: path.optional().describe("The certificate's private key, PEM."),
   caPath: path.optional().describe(
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -27,6 +27,8 @@
 /** Silence after which a peer is no longer counted on. */
 export const PEER_FRESH_MS: Millis = 3 * HEARTBEAT_MS + 500;
 const PEER_FORGET_MS: Millis = MINUTE_MS;
+/** Time that a planned stop waits for the log to take the last outcomes. */
+const LOG_WAIT_MS: Millis = 10 * SECOND_MS;
 const MAX_PEERS = 256;
 const MAX_NEWS = 256;
 const CELL = "cell-0";
@@ -37,10 +39,13 @@
   override readonly name = "members";
   #beatAt: Timestamp | undefined;
   #refuseAt: Timestamp | undefined;
+  #exitAt: Timestamp | undefined;
   #seq = 0;
   /** The daemons among which the scheduling one was chosen last. */
   #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
+  /** Peers that are new here: they hear at once what this daemon knows. */
+  readonly #greeted = new Set<string>();
 
   static create(): MembershipController {
     return new MembershipController();
@@ -57,11 +62,7 @@
   #take(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
       case "vms_listed":
-        board.members.addresses = entryAddresses(
-          event.vms,
-          board.self.peerAddress,
-        );
-        return;
+        return this.#list(board, event.vms);
       case "peer_message":
         return this.#receive(board, ctx, event.envelope);
       case "drain_requested":
@@ -69,6 +70,15 @@
     }
   }
 
+  #list(board: Blackboard, vms: readonly Vm[]): void {
+    const known = new Set(board.members.addresses);
+    const addresses = entryAddresses(vms, board.self.peerAddress);
+    board.members.addresses = addresses;
+    for (const address of addresses) {
+      if (!known.has(address)) this.#greeted.add(address);
+    }
+  }
+
   #receive(board: Blackboard, ctx: StepContext, envelope: Envelope): void {
     if (envelope.body?.$case !== "heartbeat") return;
     const from = envelope.from as DaemonId;
@@ -82,6 +92,10 @@
     }
     this.#seen.set(from, envelope.seq);
     const beat = envelope.body.value;
+    const heardAt = board.members.peers.get(from)?.heardAt;
+    if (heardAt === undefined || ctx.now - heardAt > PEER_FRESH_MS) {
+      this.#greeted.add(beat.peerAddress);
+    }
     board.members.peers.set(from, toPeer(from, beat, ctx.now));
     this.#dropEarlierRuns(board, from, beat.vm as VmId);
     for (const news of beat.upstreams) this.#keepNews(board, news);
@@ -131,10 +145,19 @@
       else ctx.wakeAt(this.#refuseAt);
     }
     if (members.drain !== "refusing" || board.requests.byId.size > 0) return;
+    if (this.#waitsForLog(board, ctx)) return;
     members.drain = "finished";
     ctx.emit({ type: "exit" });
   }
 
+  /** Outcomes get some time to reach the log; it may be down. */
+  #waitsForLog(board: Blackboard, ctx: StepContext): boolean {
+    this.#exitAt ??= addMs(ctx.now, LOG_WAIT_MS);
+    if (board.claims.unsent === 0 || ctx.now >= this.#exitAt) return false;
+    ctx.wakeAt(this.#exitAt);
+    return true;
+  }
+
   /** Soft state: two daemons that choose differently for a while only place less well. */
   #elect(board: Blackboard, now: Timestamp): void {
     const candidates = freshPeers(board, now)
@@ -153,7 +176,10 @@
       for (const address of board.members.addresses) {
         this.#send(board, ctx, address);
       }
+    } else {
+      for (const address of this.#greeted) this.#send(board, ctx, address);
     }
+    this.#greeted.clear();
     ctx.wakeAt(this.#beatAt);
   }
 
--- a/src/core/intent.ts
+++ b/src/core/intent.ts
@@ -9,6 +9,7 @@
   StreamName,
   UpstreamId,
 } from "./id.ts";
+import type { Timing } from "./measurement.ts";
 import type { Problem } from "./problem.ts";
 import type { Placement, RanUnder, Weights } from "./request.ts";
 import type { Timestamp } from "./time.ts";
@@ -50,7 +51,13 @@
   | Readonly<
     { type: "append"; stream: StreamName; records: readonly AppendRecord[] }
   >
-  | Readonly<{ type: "read_log"; stream: StreamName; from: Offset }>
+  | Readonly<{
+    type: "read_log";
+    stream: StreamName;
+    from: Offset;
+    /** Whether to wait for a first record where there is none. */
+    wait: boolean;
+  }>
   | Readonly<{ type: "send_peer"; address: string; envelope: Envelope }>
   | Readonly<{ type: "send_order"; upstream: UpstreamId; order: EngineOrder }>
   | Readonly<
@@ -80,4 +87,5 @@
       deadlineAt: Timestamp;
     }
   >
+  | Readonly<{ type: "measured"; timing: Timing }>
   | Readonly<{ type: "exit" }>;
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -20,6 +20,7 @@
 import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
+import { couldHold } from "./oversized.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import {
   cachedOn,
@@ -174,6 +175,14 @@
     this.#queue.dropAsker(from);
   }
 
+  /** Drops what was placed for daemons that are not among the live ones; nobody will say how it ends. */
+  keepAskers(live: ReadonlySet<DaemonId>, now: Timestamp): void {
+    for (const job of this.#jobs.values()) {
+      if (!live.has(job.ask.from)) this.#drop(job, now);
+    }
+    this.#dispatchAt = now;
+  }
+
   #takeUpstream(upstream: Upstream): void {
     const { id, incarnation } = upstream;
     let engine = this.#engines.get(id);
@@ -244,6 +253,7 @@
   }
 
   #askLong(ask: Ask, view: PlacementView): Answer {
+    if (!couldHold(ask, view)) return refuseTooLong();
     const waitMs = this.#predictWaitMs(ask, view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
@@ -273,8 +283,7 @@
       workMs += runMs;
       memoryMs += runMs * waiting.promptTokens;
     }
-    for (const engine of view.engines) {
-      if (view.shortEngines.has(engine)) continue;
+    for (const engine of openToLong(view.engines, view.shortEngines)) {
       const capacity = engine.report?.kv_capacity_tokens ?? 0;
       memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
     }
@@ -291,10 +300,10 @@
     const engines = eligible(ask, this.#engines.values());
     if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
-    const target = this.#shortTarget(now);
+    const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
-    const open = engines.filter((engine) => !kept.has(engine));
+    const open = openToLong(engines, kept);
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
     const decoders = engines.filter((engine) => kept.has(engine));
@@ -401,8 +410,10 @@
     return Math.min(shortEngines, most);
   }
 
+  /** All engines while there is no long prompt to keep any of them for. */
   #shortEngines(now: Timestamp): ReadonlySet<EngineView> {
-    return this.#firstEngines(this.#shortTarget(now));
+    const isIdle = this.#longRunning() === 0 && this.#queue.size === 0;
+    return this.#firstEngines(isIdle ? Infinity : this.#shortTarget(now));
   }
 
   #firstEngines(count: number): ReadonlySet<EngineView> {
@@ -458,6 +469,15 @@
   };
 }
 
+/** Engines that are not kept for short prompts; one at least, so that a small fleet serves long ones too. */
+function openToLong(
+  engines: readonly EngineView[],
+  kept: ReadonlySet<EngineView>,
+): readonly EngineView[] {
+  const open = engines.filter((engine) => !kept.has(engine));
+  return open.length > 0 ? open : engines.slice(-1);
+}
+
 function leftOf(job: Job, now: Timestamp): Millis {
   if (job.firstTokenAt !== undefined) return 0;
   const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
@@ -472,6 +492,11 @@
   };
 }
 
+function refuseTooLong(): Answer {
+  const detail = "The engines can't hold this prompt, even when they are free.";
+  return { type: "refused", problem: problem("prompt_too_long", detail) };
+}
+
 function refuseFull(waitMs: Millis): Answer {
   const detail = "The engines have no room for this prompt now.";
   const retryAfterMs = clampRetry(waitMs);
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -8,25 +8,23 @@
   VmId,
 } from "../core/id.ts";
 import type { Intent } from "../core/intent.ts";
-import type { Problem } from "../core/problem.ts";
 import { Random } from "../core/random.ts";
 import type { CallRequest } from "../core/request.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { CONFIG_STREAM } from "../fold/streams.ts";
 import type { Vm } from "../wire/vm_list.ts";
+import type { FakeEngine } from "./fake_engine.ts";
 import { FakeDaemon } from "./fake_daemon.ts";
 import { FakeLog } from "./fake_log.ts";
-import { FakeService } from "./fake_service.ts";
+import { FakeService, type ServiceFate } from "./fake_service.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const START = 1_800_000_000_000 as Timestamp;
-const KEY_SECRET = "a secret of the tests";
+const FORWARD_MS: Millis = 6_000;
+const REPORT_MS: Millis = 500;
 
-/** The final answer that a client got. */
-export type Answer =
-  | Readonly<{ type: "answer"; problem: Problem }>
-  | Readonly<{ type: "answer_recorded"; status: number; body: string }>
-  | Readonly<{ type: "passed_on" }>;
+/** A final answer that did not pass through an attempt. */
+export type Answer = Extract<Intent, { type: "answer" | "answer_recorded" }>;
 
 /** How a fleet is set up. */
 export type FleetOptions = Readonly<{
@@ -35,6 +33,8 @@
   retentionMs: Millis;
   /** The configuration, as JSON. */
   config: string;
+  serviceFate?: ServiceFate;
+  engines?: readonly FakeEngine[];
 }>;
 
 /** A few cores with one log and one service under virtual time. */
@@ -47,14 +47,22 @@
   /** Daemons by VM; a killed one is replaced under a new id. */
   readonly daemons: FakeDaemon[] = [];
   readonly #random: Random;
+  readonly #engines: readonly FakeEngine[];
   readonly #cut = new Set<string>();
+  /** What to do once a forwarded call has been answered at its home. */
+  readonly #forwards = new Map<RequestId, () => void>();
   #started = 0;
   #published = 0;
 
   private constructor(options: FleetOptions) {
     this.#random = Random.create(options.seed);
     this.log = FakeLog.create(this.time, this.#random, options);
-    this.service = FakeService.create(this.time, this.#random);
+    this.service = FakeService.create(
+      this.time,
+      this.#random,
+      options.serviceFate,
+    );
+    this.#engines = options.engines ?? [];
     this.publish(-1 as Revision, options.config);
     for (let vm = 0; vm < options.daemons; vm += 1) this.start(vm);
   }
@@ -75,13 +83,37 @@
       startedAt: this.time.now,
     };
     const core = createCore(self, Random.create(this.#started), {
-      createSecret: () => KEY_SECRET,
+      createSecret: () => `the secret of ${self.id}, which no other has`,
     });
     const daemon = FakeDaemon.create(core, this.time, {
       execute: (from, intent) => this.#execute(from, intent),
     });
     this.daemons[vm] = daemon;
-    daemon.deliver({ type: "vms_listed", vms: VMS });
+    const vms = [...VMS, ...this.#engines.map((engine) => engine.vm)];
+    daemon.deliver({ type: "vms_listed", vms });
+    this.#report(daemon);
+  }
+
+  #report(daemon: FakeDaemon): void {
+    if (!daemon.alive || this.#engines.length === 0) return;
+    for (const engine of this.#engines) {
+      const state = engine.state(this.time.now);
+      daemon.deliver({ type: "state_reported", upstream: engine.id, state });
+    }
+    this.time.after(REPORT_MS, () => this.#report(daemon));
+  }
+
+  /** Orders take a while, and each engine may be told to take longer. */
+  #order(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "send_order" }>,
+  ): void {
+    const { upstream, order } = intent;
+    const engine = this.#engines.find((one) => one.id === upstream);
+    this.time.after(engine?.takeDelay() ?? 1, () => {
+      const result = engine?.order(order, this.time.now) ?? "unknown";
+      daemon.deliver({ type: "order_ended", upstream, result });
+    });
   }
 
   /** Kills a VM's daemon; a new one starts after `downMs`. */
@@ -130,22 +162,54 @@
       case "append":
         return this.log.append(intent.stream, intent.records, deliver);
       case "read_log":
-        return this.log.read(intent.stream, intent.from, deliver);
+        return this.log.read(intent, deliver);
       case "send_peer":
         return this.#send(daemon, intent);
       case "start_attempt": {
         const req = this.requests.get(intent.req);
-        if (req !== undefined) this.service.call(daemon, intent, req);
-        return;
+        if (req === undefined) return;
+        return this.service.call(intent, req, (event) => {
+          daemon.deliver(event);
+          if (event.outcome.type === "ok") this.#forwards.get(req.id)?.();
+        });
       }
       case "answer":
       case "answer_recorded": {
         const answers = this.answers.get(intent.req) ?? [];
         this.answers.set(intent.req, [...answers, intent]);
+        return this.#forwards.get(intent.req)?.();
       }
+      case "send_order":
+        return this.#order(daemon, intent);
+      case "forward_call":
+        return this.#forward(daemon, intent);
     }
   }
 
+  #forward(
+    daemon: FakeDaemon,
+    intent: Extract<Intent, { type: "forward_call" }>,
+  ): void {
+    const req = this.requests.get(intent.req);
+    const home = this.#at(intent.address);
+    if (req === undefined) return;
+    const end = (result: "answered" | "failed") =>
+      daemon.deliver({ type: "forward_ended", req: req.id, result });
+    this.time.after(FORWARD_MS, () => end("failed"));
+    if (home === undefined || this.#cut.has(intent.address)) return;
+    const id = `${req.id}-forwarded` as RequestId;
+    const forwarded = { ...req, id, forwarded: true as const };
+    this.requests.set(id, forwarded);
+    this.#forwards.set(id, () => end("answered"));
+    home.deliver({ type: "request_arrived", req: forwarded });
+  }
+
+  #at(address: string): FakeDaemon | undefined {
+    return this.daemons.find((one) =>
+      one.core.board.self.peerAddress === address
+    );
+  }
+
   #send(
     daemon: FakeDaemon,
     intent: Extract<Intent, { type: "send_peer" }>,
@@ -154,9 +218,7 @@
     if (this.#cut.has(own) || this.#cut.has(intent.address)) return;
     const { envelope } = intent;
     this.time.after(1 + this.#random.below(5), () => {
-      const peer = this.daemons.find((one) =>
-        one.core.board.self.peerAddress === intent.address
-      );
+      const peer = this.#at(intent.address);
       peer?.deliver({ type: "peer_message", envelope });
     });
   }
