--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -26,6 +26,10 @@
   splitMs: Millis;
   /** Wait for the running step of a long prefill, for each time that it has grown by a half. */
   longStepMs: Millis;
+  /** Time by which an engine beside the short pool counts as slower, so that small prompts leave the pool only when it fills. */
+  spareMs: Millis;
+  /** Weight of the prompts ahead, beside their part of the first-token time. */
+  backlogWeight: number;
   /** Time by which each stream makes an engine count as slower. */
   streamMs: Millis;
   /** Weight of prefill time against waiting time when an engine is chosen. */
@@ -40,6 +44,8 @@
   planCostFactor: number;
   /** Part of the time to its deadline that a long prompt may be predicted to need. */
   admissionRatio: number;
+  /** Part of the engines' memory that long prompts can be expected to fill. */
+  packingRatio: number;
   /** Time before its latest start at which a waiting prompt is no longer overtaken. */
   overtakeMs: Millis;
 }>;
@@ -51,13 +57,15 @@
   apartMs: 400,
   shortEngines: 2,
   shortUtilization: 0.6,
-  shortMemoryTokens: 50_000,
+  shortMemoryTokens: 30_000,
   firstTokenTargetMs: 340,
-  firstTokenKneeMs: 200,
+  firstTokenKneeMs: 280,
   spillMs: 300,
   splitSlowness: 0.15,
   splitMs: 60,
   longStepMs: 20,
+  spareMs: 30,
+  backlogWeight: 0.5,
   streamMs: 1,
   prefillWeight: 0.5,
   engineRequests: 56,
@@ -65,5 +73,6 @@
   planSegments: 4,
   planCostFactor: 1.3,
   admissionRatio: 0.8,
+  packingRatio: 0.8,
   overtakeMs: 60_000,
 };
