Chain the record in the form that the command line reads

What it could more comes along: a batch counts the requests that found no room (hashed with it, shown as lost by export and verify, and not whole then). Batches go one at a time, because the chain is read in the order of the stream. Left out: the closing batch of a planned stop.

--- a/src/cli/record_tally.ts
+++ b/src/cli/record_tally.ts
@@ -3,7 +3,10 @@
 const MAX_NAMED = 1_000;
 
 /** A fault of the record that operators are told of. */
-export type RecordFault = Extract<ChainLink, { type: "gap" | "altered" }>;
+export type RecordFault = Extract<
+  ChainLink,
+  { type: "gap" | "altered" | "lost" }
+>;
 
 /** Counts what a check of the record found; of many faults the first are named. */
 export class RecordTally {
@@ -13,6 +16,8 @@
   records = 0;
   gaps = 0;
   altered = 0;
+  /** Requests that daemons could not keep. */
+  lost = 0;
 
   private constructor() {}
 
@@ -45,14 +50,17 @@
         break;
       case "altered":
         this.altered += 1;
+        break;
+      case "lost":
+        this.lost += link.count;
     }
     if (this.faults.length < MAX_NAMED) this.faults.push(link);
   }
 
   /** What was counted, as data. */
   summary() {
-    const { daemons, batches, records, gaps, altered, faults } = this;
-    return { daemons, batches, records, gaps, altered, faults };
+    const { daemons, batches, records, gaps, altered, lost, faults } = this;
+    return { daemons, batches, records, gaps, altered, lost, faults };
   }
 
   /** What was counted, as lines of text. */
@@ -69,6 +77,9 @@
   if (fault.type === "gap") {
     return `gap: batches ${fault.from} to ${fault.to} of daemon ${fault.daemon} are missing`;
   }
+  if (fault.type === "lost") {
+    return `lost: ${fault.count} requests before batch ${fault.seq} of daemon ${fault.daemon} found no room while the log was down`;
+  }
   return `altered: batch ${fault.seq} of daemon ${
     fault.daemon || "unknown"
   }: ${fault.detail}`;
--- a/src/cli/verbs/record.ts
+++ b/src/cli/verbs/record.ts
@@ -16,7 +16,7 @@
 import type { RunVerb } from "../run_verb.ts";
 import { StreamReader } from "../stream_reader.ts";
 
-const ARCHIVE_TYPES = new Set(["gap", "altered"]);
+const ARCHIVE_TYPES = new Set(["gap", "altered", "lost"]);
 
 /** Writes the record that the log still has to a new file, one batch or fault a line. */
 export async function exportRecord(
@@ -93,7 +93,7 @@
 }
 
 function verifyReport(tally: RecordTally, lost: boolean): Report {
-  const whole = !lost && tally.altered === 0;
+  const whole = !lost && tally.altered === 0 && tally.lost === 0;
   return {
     exit: whole ? "ok" : "failure",
     data: { whole, ...tally.summary() },
--- a/src/controllers/record_controller.ts
+++ b/src/controllers/record_controller.ts
@@ -2,28 +2,29 @@
 import type { RequestEnd } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { RecordId } from "../core/id.ts";
+import type { Request } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
-import { auditBatch, type AuditEntry } from "../fold/audit_fold.ts";
 import { Outbox } from "../fold/outbox.ts";
+import { type ChainEnd, sealBatch } from "../fold/record_chain.ts";
 import { RECORDS_STREAM } from "../fold/streams.ts";
+import type { RequestRecord } from "../wire/record.ts";
 
 /** Time for which records are gathered into one batch. */
 const BATCH_MS: Millis = SECOND_MS;
-const MAX_BATCH = 200;
+const MAX_BATCH = 500;
 const MAX_WAITING = 10_000;
-const MAX_UNCONFIRMED = 8;
+/** One at a time, so that the batches lie on the stream in the order of the chain. */
+const MAX_UNCONFIRMED = 1;
 
 /** Keeps a record of each request that has ended, as this run's hash chain on the log. */
 export class RecordController extends Controller {
   override readonly name = "records";
   readonly #outbox = Outbox.create(RECORDS_STREAM, { max: MAX_UNCONFIRMED });
-  #waiting: AuditEntry[] = [];
+  #waiting: RequestRecord[] = [];
   #lost = 0;
-  #seq = 0;
-  #previous = "";
+  #end: ChainEnd | undefined;
   #dueAt: Timestamp | undefined;
-  #closed = false;
 
   static create(): RecordController {
     return new RecordController();
@@ -39,7 +40,7 @@
 
   #keep(ctx: StepContext, end: RequestEnd): void {
     if (this.#waiting.length < MAX_WAITING) {
-      this.#waiting.push(toEntry(end, ctx.now));
+      this.#waiting.push(toRecord(end, ctx.now));
       this.#dueAt ??= addMs(ctx.now, BATCH_MS);
       return;
     }
@@ -47,60 +48,54 @@
     ctx.counters.add("audit_records_lost");
   }
 
-  /** The last batch of a planned stop closes the chain. */
   #batch(board: Blackboard, ctx: StepContext): void {
-    const stopping = board.members.drain === "refusing" &&
-      board.requests.byId.size === 0;
-    while (this.#outbox.size < MAX_UNCONFIRMED) {
-      const due = this.#waiting.length >= MAX_BATCH ||
-        (this.#dueAt !== undefined && ctx.now >= this.#dueAt) ||
-        (stopping && !this.#closed);
-      if (!due) break;
-      this.#append(board, ctx, stopping);
-    }
-    if (this.#dueAt !== undefined && this.#dueAt > ctx.now) {
-      ctx.wakeAt(this.#dueAt);
+    if (this.#dueAt === undefined || this.#outbox.size > 0) return;
+    const stopping = board.members.drain === "refusing";
+    const full = this.#waiting.length >= MAX_BATCH;
+    if (ctx.now < this.#dueAt && !full && !stopping) {
+      return ctx.wakeAt(this.#dueAt);
     }
+    this.#append(board, ctx);
   }
 
-  #append(board: Blackboard, ctx: StepContext, stopping: boolean): void {
-    const entries = this.#waiting.splice(0, MAX_BATCH);
-    const left = this.#waiting.length > 0;
-    this.#closed = stopping && !left;
-    this.#dueAt = left ? ctx.now : undefined;
+  /** Requests are lost at the end of the buffer, so the loss lies before the batch that empties it. */
+  #append(board: Blackboard, ctx: StepContext): void {
+    const records = this.#waiting.splice(0, MAX_BATCH);
+    const isLast = this.#waiting.length === 0;
+    this.#dueAt = isLast ? undefined : ctx.now;
     const id = ctx.random.uuid(ctx.now) as RecordId;
-    const batch = auditBatch(id, {
-      daemon: board.self.id,
-      seq: this.#seq,
-      previous: this.#previous,
-      lost: left ? 0 : this.#lost,
-      closed: this.#closed,
-      entries,
-    });
-    if (!left) this.#lost = 0;
-    this.#seq += 1;
-    this.#previous = batch.hash;
+    const lost = isLast && this.#lost > 0 ? this.#lost : undefined;
+    if (lost !== undefined) this.#lost = 0;
+    const head = { id, daemon: board.self.id, lost };
+    const batch = sealBatch(head, records, this.#end);
+    this.#end = { seq: batch.seq, digest: batch.digest };
     this.#outbox.add({ id, body: JSON.stringify(batch) }, ctx.now);
   }
 }
 
-function toEntry(end: RequestEnd, now: Timestamp): AuditEntry {
+function toRecord(end: RequestEnd, now: Timestamp): RequestRecord {
   const { entry, result } = end;
   const { req, ranUnder, weights } = entry;
   return {
     request: req.id,
     team: req.team,
     class: req.classId,
-    asked: req.digest,
-    answered: result.answerDigest,
+    request_digest: req.digest,
+    answer_digest: result.answerDigest,
     revision: ranUnder.revision,
     ...weights,
-    service: req.kind === "call" ? req.service : undefined,
-    end: result.end,
+    ...callFields(req),
+    result: result.end,
     verdict: result.verdict,
     attempts: entry.attempts,
     tokens: result.tokens ?? entry.tokens,
-    arrivedAt: req.arrivedAt,
-    endedAt: now,
+    arrived_at: req.arrivedAt,
+    ended_at: now,
   };
 }
+
+function callFields(req: Request): Partial<RequestRecord> {
+  if (req.kind !== "call") return {};
+  const { service, method, path, key } = req;
+  return { service, method, path, key };
+}
--- a/src/fold/record_chain.ts
+++ b/src/fold/record_chain.ts
@@ -21,12 +21,14 @@
   | Readonly<
     { type: "altered"; daemon: string; seq: number; detail: string }
   >
+  /** Requests before this batch that the daemon itself could not keep. */
+  | Readonly<{ type: "lost"; daemon: DaemonId; seq: number; count: number }>
   /** The same batch was seen before. */
   | Readonly<{ type: "doubled"; daemon: DaemonId; seq: number }>;
 
 /** Builds the batch that follows the end of a daemon's chain. */
 export function sealBatch(
-  head: Pick<RecordBatch, "id" | "daemon">,
+  head: Pick<RecordBatch, "id" | "daemon" | "lost">,
   records: readonly RequestRecord[],
   end: ChainEnd | undefined,
 ): RecordBatch {
@@ -35,6 +37,7 @@
     seq: end === undefined ? 0 : end.seq + 1,
     previous: end?.digest ?? "",
     records: [...records],
+    lost: head.lost,
   };
   const digest = digestOf(body);
   return { type: "record_batch", id: head.id, ...body, digest };
@@ -85,9 +88,12 @@
     const follows = seq > next || previous === (end?.digest ?? "");
     if (!follows) return [altered(batch, "it does not follow the one before")];
     this.#remember(daemon, { seq, digest });
-    const link: ChainLink = { type: "batch", batch };
-    if (seq === next) return [link];
-    return [{ type: "gap", daemon, from: next, to: seq - 1 }, link];
+    const links: ChainLink[] = [{ type: "batch", batch }];
+    if (batch.lost !== undefined) {
+      links.unshift({ type: "lost", daemon, seq, count: batch.lost });
+    }
+    if (seq === next) return links;
+    return [{ type: "gap", daemon, from: next, to: seq - 1 }, ...links];
   }
 
   /** Forgetting the oldest chain makes its next batch show as a gap, never as whole. */
@@ -108,7 +114,7 @@
 
 /** The order of keys is that of the schema, so equal content has an equal digest. */
 function digestOf(
-  { daemon, seq, previous, records }: Omit<
+  { daemon, seq, previous, records, lost }: Omit<
     RecordBatch,
     "type" | "id" | "digest"
   >,
@@ -118,5 +124,13 @@
       .sort(([a], [b]) => a < b ? -1 : 1)
   );
   return createHash("sha256")
-    .update(JSON.stringify([daemon, seq, previous, ordered])).digest("hex");
+    .update(
+      JSON.stringify([
+        daemon,
+        seq,
+        previous,
+        ordered,
+        ...(lost === undefined ? [] : [lost]),
+      ]),
+    ).digest("hex");
 }
--- a/src/wire/record.ts
+++ b/src/wire/record.ts
@@ -59,7 +59,9 @@
   /** Digest of the daemon's batch before; empty in its first. */
   previous: z.string().max(64),
   records: z.array(RequestRecordSchema).min(1).max(1_000),
-  /** SHA-256 of daemon, seq, previous and records. */
+  /** Requests before this batch that found no room while the log was down; absent for none. */
+  lost: z.number().int().positive().optional(),
+  /** SHA-256 of daemon, seq, previous, records and, where present, lost. */
   digest: z.string().length(64),
 }).readonly();
 /** One link of a daemon's hash chain. */
