Judge a key's age by the log's clock too when its claim is read back

A daemon whose clock stood still accepted a key older than the window, and won a claim because the first one had expired from the log: the call ran twice. The claim's own time on the log now counts as well. Test seen failing first without it.

--- a/src/controllers/claim_controller.ts
+++ b/src/controllers/claim_controller.ts
@@ -121,16 +121,23 @@
     this.#outbox.drop(record.id);
     if (record.type !== "claim") return;
     const call = this.#byClaim.get(record.id);
-    if (call !== undefined && !call.held) this.#readBack(board, ctx, call);
+    if (call !== undefined && !call.held) {
+      this.#readBack(board, ctx, { call, at: entry.at });
+    }
     if (this.#abandoned.has(record.id)) this.#release(ctx, record.id, record);
   }
 
   /** The claim's place in the log decides: it holds the key, or an earlier one does. */
-  #readBack(board: Blackboard, ctx: StepContext, call: TrackedCall): void {
+  #readBack(
+    board: Blackboard,
+    ctx: StepContext,
+    read: { call: TrackedCall; at: Timestamp },
+  ): void {
+    const { call } = read;
     const { req, key } = call;
     const holder = this.#fold.holder(req.team, key.key);
     if (holder?.claim === call.claim) {
-      const err = this.#checkAgain(board, ctx.now, call);
+      const err = this.#checkAgain(board, ctx.now, read);
       if (err !== undefined) {
         return this.#giveUp(board, ctx, call, refused(err));
       }
@@ -146,16 +153,16 @@
     this.#giveUp(board, ctx, call, result);
   }
 
-  /** Time has passed since the claim was appended, perhaps a long time. */
+  /** Time has passed since the claim was appended, perhaps more than this daemon's clock knows of. */
   #checkAgain(
     board: Blackboard,
     now: Timestamp,
-    call: TrackedCall,
+    { call, at }: { call: TrackedCall; at: Timestamp },
   ): Problem | undefined {
     if (now >= call.req.deadlineAt) {
       return problem("deadline_exceeded", "The claim was read back too late.");
     }
-    return checkKeyWindow(call.key, now, {
+    return checkKeyWindow(call.key, Math.max(now, at) as Timestamp, {
       limits: limitsOf(board),
       knownSince: this.#fold.knownSince,
     });
--- a/src/controllers/claim_controller_test.ts
+++ b/src/controllers/claim_controller_test.ts
@@ -278,3 +278,16 @@
     "claims_not_read not_run",
   ]);
 });
+
+test("a daemon whose clock stood still claims no key whose first claim has expired", () => {
+  const scene = new Scene();
+  const key = scene.clientKey();
+  scene.ends({ vm: 1, key });
+  scene.wait(85_000);
+  scene.fleet.kill(0, 1);
+  scene.wait(2);
+  scene.fleet.daemons[0]!.clockLagMs = 60_000;
+  scene.wait(5_000);
+  expect(scene.ends({ vm: 0, key })).toEqual(["key_expired may_have_run"]);
+  expect(scene.runs(key)).toBe(1);
+});
--- a/src/testing/fake_daemon.ts
+++ b/src/testing/fake_daemon.ts
@@ -1,7 +1,7 @@
 import type { Core } from "../core/core.ts";
 import type { Event } from "../core/event.ts";
 import type { Intent } from "../core/intent.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
 /** Carries out one intent of a daemon. */
@@ -10,6 +10,8 @@
 /** One core under virtual time. It may be frozen anywhere between two events, and killed. */
 export class FakeDaemon {
   readonly core: Core;
+  /** How far the daemon's clock is behind. */
+  clockLagMs: Millis = 0;
   readonly #time: VirtualTime;
   readonly #execute: Execute;
   #events: Event[] = [];
@@ -69,7 +71,7 @@
     const intents = this.#intents;
     this.#intents = [];
     for (const intent of intents) this.#execute(this, intent);
-    const now = this.#time.now;
+    const now = addMs(this.#time.now, -this.clockLagMs);
     const due = this.#dueAt !== undefined && this.#dueAt <= now;
     if (this.#events.length > 0 || due) this.#step(now);
   }
