--- a/src/controllers/long_prompts_test.ts
+++ b/src/controllers/long_prompts_test.ts
@@ -60,7 +60,7 @@
 
 test("a long prompt of a daemon that went silent holds no engine against others", () => {
   const core = CoreFixture.create([PlacementController.create()]);
-  core.add(engineFixture("e1"), engineFixture("e2"));
+  core.add(engineFixture("e1"));
   core.board.members.peers.set(ASKER, peer());
   core.step(askOfPeer());
   const own = entry("own");
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -222,7 +222,10 @@
   /** Suspected content runs apart from other such content, and waits for an engine without any. */
   #askApart(ask: Ask, now: Timestamp): Answer {
     if (!this.#waitsApart(ask)) return refuseNoUpstream();
-    if (!this.#queue.add(ask, now)) return refuseFull(SHORT_RETRY_MS);
+    const limit = this.#policy.queuedPrompts;
+    if (!this.#queue.add(ask, { now, limit })) {
+      return refuseFull(SHORT_RETRY_MS);
+    }
     return { type: "queued" };
   }
 
