Step an idle daemon only when something is due

Cause: the key controller asked for a wake-up at the time when its newest key came into use, also when that time had passed, so the loop stepped once a millisecond for ever. It also ranked all peers by hash at each step, and so did the configuration controller, long before a turn could be due.

Change: no wake-up in the past; ranks are computed once the first daemon's turn has come. Ruled out: a floor under all wake-ups in the loop, which would hide the next one.

--- a/src/controllers/config_controller.ts
+++ b/src/controllers/config_controller.ts
@@ -184,6 +184,8 @@
     const since = this.#checkpointAt === undefined
       ? this.#knownAt
       : addMs(this.#checkpointAt, interval);
+    // Ranking hashes every peer, so it waits until the turn of the first one.
+    if (ctx.now < since) return since;
     const peers = freshPeers(board, ctx.now).map((peer) => peer.id);
     const rank = rendezvousRank(TURN_KEY, board.self.id, peers);
     return addMs(since, rank * TURN_MS);
--- a/src/controllers/key_controller.ts
+++ b/src/controllers/key_controller.ts
@@ -93,23 +93,29 @@
   }
 
   #dueAt(board: Blackboard, ctx: StepContext): Timestamp | undefined {
+    const since = this.#earliestAt(board, ctx);
+    // Ranking hashes every peer, so it waits until the turn of the first one.
+    if (since === undefined || ctx.now < since) return since;
     const peers = freshPeers(board, ctx.now).map((peer) => peer.id);
     const rank = rendezvousRank(TURN_KEY, board.self.id, peers);
+    return addMs(since, rank * TURN_MS);
+  }
+
+  #earliestAt(board: Blackboard, ctx: StepContext): Timestamp | undefined {
     const newest = this.#keys.at(-1);
-    if (newest === undefined) {
-      return addMs(this.#caughtUpAt ?? ctx.now, rank * TURN_MS);
-    }
+    if (newest === undefined) return this.#caughtUpAt ?? ctx.now;
     const window = board.config.serving?.limits.keyWindowMs;
     if (window === undefined) return undefined;
-    const age = window / ROTATIONS_PER_WINDOW;
-    return addMs(newest.appendedAt, age + rank * TURN_MS);
+    return addMs(newest.appendedAt, window / ROTATIONS_PER_WINDOW);
   }
 
   #publish(board: Blackboard, ctx: StepContext): void {
     const settled = this.#keys
       .filter((known) => ctx.now - known.readAt >= SETTLE_MS);
     const newest = this.#keys.at(-1);
-    if (newest !== undefined) ctx.wakeAt(addMs(newest.readAt, SETTLE_MS));
+    const settledAt = newest && addMs(newest.readAt, SETTLE_MS);
+    // A wake-up in the past would make the loop step all the time.
+    if (settledAt !== undefined && ctx.now < settledAt) ctx.wakeAt(settledAt);
     board.keys.signing = (settled.at(-1) ?? this.#keys[0])?.key;
     board.keys.accepted = this.#keys.map((known) => known.key);
   }
--- a/src/controllers/key_controller_test.ts
+++ b/src/controllers/key_controller_test.ts
@@ -75,3 +75,10 @@
   expect(appended(core.after(1_799_999))).toEqual([]);
   expect(appended(core.after(1))).toHaveLength(1);
 });
+
+test("a key in use asks for no wake-up before its replacement is due", () => {
+  const core = create("c");
+  core.step(read([keyRecord("1", "a")]));
+  const settled = core.after(20_000, read([], 1));
+  expect(settled.wakeAt).toBeGreaterThan(core.now);
+});
--- a/tools/capacity/core_costs.ts
+++ b/tools/capacity/core_costs.ts
@@ -1,4 +1,4 @@
-import { type CoreRig as Rig, CoreRig, type RigSize } from "./core_rig.ts";
+import { CoreRig, type CoreRig as Rig, type RigSize } from "./core_rig.ts";
 import { type Fit, fitLine, type Point } from "./fit.ts";
 import { heapOf } from "./heap.ts";
 import { type ProcessorTime, processorTime } from "./processor.ts";
--- a/tools/capacity/core_rig.ts
+++ b/tools/capacity/core_rig.ts
@@ -18,7 +18,7 @@
 import { rendezvous } from "../../src/core/rendezvous.ts";
 import type { PromptRequest } from "../../src/core/request.ts";
 import { addMs, SECOND_MS, type Timestamp } from "../../src/core/time.ts";
-import { CONFIG_STREAM } from "../../src/fold/streams.ts";
+import { CONFIG_STREAM, KEYS_STREAM } from "../../src/fold/streams.ts";
 import { Envelope } from "../../src/gen/peer.ts";
 import {
   configText,
@@ -36,6 +36,9 @@
 const CELL = "cell-0";
 const READ_WAIT_MS = 4 * SECOND_MS;
 const BLOCK_DIGEST_DIGITS = 64;
+/** Time in which a new signing key comes into use. */
+const WARM_UP_SECONDS = 20;
+const SECRET = "s".repeat(32);
 const LONG_MS = 3_600_000;
 
 /** What one daemon has around it. */
@@ -56,20 +59,21 @@
   readonly #core: Core;
   readonly #peers: readonly string[];
   readonly #reads: { stream: string; from: Offset; at: number }[] = [];
+  readonly #appended: Event[] = [];
   #now = START;
   #wakeAt: number | undefined;
   #seq = 0;
   #change = 0;
   #revision = -1;
   #peersRevision = -1;
-  #log: { offset: Offset; value: string }[] = [];
+  readonly #log = new Map<string, string[]>();
   #sent: Sent = { messages: 0, bytes: 0 };
 
   private constructor(size: RigSize) {
     this.#size = size;
     this.#peers = Array.from({ length: size.peers }, (_, i) => runId(i + 1));
     this.#core = createCore(selfOf(size, this.#peers), Random.create(1), {
-      createSecret: () => "s".repeat(32),
+      createSecret: () => SECRET,
     });
     this.#start();
   }
@@ -94,9 +98,8 @@
       id: runId(1_000_000 + this.#change),
       base,
     });
-    const offset = this.#log.length as Offset;
-    this.#log.push({ offset, value });
-    this.#revision = offset;
+    const stream = this.#stream(CONFIG_STREAM);
+    this.#revision = stream.push(value) - 1;
   }
 
   /**
@@ -158,8 +161,11 @@
       ...Array.from({ length: engines }, (_, i) => engineVm(i)),
     ];
     this.publish();
+    const id = runId(1_500_000);
+    this.#stream(KEYS_STREAM)
+      .push(JSON.stringify({ type: "signing_key", id, key: SECRET }));
     this.#step([{ type: "vms_listed", vms }]);
-    for (let i = 0; i < 2; i += 1) this.second();
+    for (let i = 0; i < WARM_UP_SECONDS; i += 1) this.second();
     this.#sent = { messages: 0, bytes: 0 };
   }
 
@@ -197,12 +203,13 @@
   }
 
   #answerReads(): void {
+    this.#step(this.#appended.splice(0));
     for (const read of this.#reads.splice(0)) {
-      const isConfig = read.stream === CONFIG_STREAM;
-      const log = isConfig ? this.#log : [];
-      const records = log.slice(read.from).map((one) => ({
-        ...one,
+      const log = this.#stream(read.stream);
+      const records = log.slice(read.from).map((value, i) => ({
+        offset: (read.from + i) as Offset,
         at: this.#now,
+        value,
       }));
       if (records.length === 0 && this.#now < read.at + READ_WAIT_MS) {
         this.#reads.push(read);
@@ -231,11 +238,30 @@
     if (intent.type === "read_log") {
       this.#reads.push({ ...intent, at: this.#now });
     }
+    if (intent.type === "append") this.#append(intent);
     if (intent.type !== "send_peer") return;
     const { messages, bytes } = this.#sent;
     const size = Envelope.encode(intent.envelope).finish().length;
     this.#sent = { messages: messages + 1, bytes: bytes + size };
   }
+
+  /** Takes records at once, so that outboxes are empty as they are in ordinary use. */
+  #append(intent: Extract<Intent, { type: "append" }>): void {
+    const { stream, records } = intent;
+    this.#stream(stream).push(...records.map((record) => record.body));
+    this.#appended.push({
+      type: "append_ended",
+      stream,
+      records: records.map((record) => record.id),
+      result: "appended",
+    });
+  }
+
+  #stream(name: string): string[] {
+    const known = this.#log.get(name) ?? [];
+    this.#log.set(name, known);
+    return known;
+  }
 }
 
 /** Bytes of the messages that one placement takes: ask, grant and two updates. */
--- a/tools/capacity/poll_rates.ts
+++ b/tools/capacity/poll_rates.ts
@@ -1,6 +1,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { okAsync } from "neverthrow";
-import { type Blackboard, createBlackboard } from "../../src/board/blackboard.ts";
+import {
+  type Blackboard,
+  createBlackboard,
+} from "../../src/board/blackboard.ts";
 import type { DaemonId, UpstreamId } from "../../src/core/id.ts";
 import type { Timestamp } from "../../src/core/time.ts";
 import type { Loop } from "../../src/daemon/loop.ts";
--- a/tools/capacity/wire_costs.ts
+++ b/tools/capacity/wire_costs.ts
@@ -102,7 +102,10 @@
   const client = HttpEngineClient.create(await relay.listen());
   const engineLoad = await bytesPerCall(relay, () => client.load());
   const engineState = await bytesPerCall(relay, () => client.state());
-  const engineCache = await bytesPerCall(relay, () => client.cacheEvents(1_000));
+  const engineCache = await bytesPerCall(
+    relay,
+    () => client.cacheEvents(1_000),
+  );
   await client.close();
   await relay.close();
   await server.close();
