--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -1,6 +1,5 @@
 import { Buffer } from "node:buffer";
 import type { Blackboard } from "../board/blackboard.ts";
-import type { Revision } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
 import type { Heartbeat, Suspect, UpstreamNews } from "../gen/peer.ts";
 
@@ -10,12 +9,9 @@
 /** Builds what this daemon tells one peer about itself. */
 export function heartbeat(
   board: Blackboard,
-  options: { now: Timestamp; peerRevision: Revision | undefined },
+  options: { now: Timestamp; withConfig: boolean },
 ): Heartbeat {
   const { self, config, members } = board;
-  const { peerRevision } = options;
-  const peerIsBehind = peerRevision !== undefined &&
-    peerRevision < config.revision;
   return {
     vm: self.vm,
     peerAddress: self.peerAddress,
@@ -23,7 +19,7 @@
     domain: self.domain,
     state: members.drain,
     revision: config.revision,
-    config: peerIsBehind ? Buffer.from(config.text) : Buffer.alloc(0),
+    config: options.withConfig ? Buffer.from(config.text) : Buffer.alloc(0),
     configOffset: config.offset,
     running: board.requests.byId.size,
     queued: board.placement.queued,
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -2,14 +2,15 @@
 import type { DrainState, Peer } from "../board/members_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type {
-  DaemonId,
-  DomainId,
-  Revision,
-  UpstreamId,
-  VmId,
+import {
+  type DaemonId,
+  type DomainId,
+  NO_REVISION,
+  type Revision,
+  type UpstreamId,
+  type VmId,
 } from "../core/id.ts";
-import { rendezvous } from "../core/rendezvous.ts";
+import { rendezvous, rendezvousRank } from "../core/rendezvous.ts";
 import type { StepContext } from "../core/step_context.ts";
 import {
   addMs,
@@ -29,6 +30,11 @@
 const PEER_FORGET_MS: Millis = MINUTE_MS;
 const MAX_PEERS = 256;
 const MAX_NEWS = 256;
+/** Time in which a peer is left to read a new configuration from the log. */
+const CONFIG_GRACE_MS: Millis = 2 * SECOND_MS;
+/** Time by which each further daemon waits longer before it sends the configuration. */
+const CONFIG_TURN_MS: Millis = SECOND_MS;
+const MAX_CONFIG_TURNS = 4;
 const CELL = "cell-0";
 const DEFAULT_ENTRY_AGE_MS: Millis = 10 * SECOND_MS;
 
@@ -41,6 +47,8 @@
   /** The daemons among which the scheduling one was chosen last. */
   #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
+  /** Since when a peer has named a revision before the one in force here; one entry for each peer at the most. */
+  readonly #behindSince = new Map<DaemonId, Timestamp>();
 
   static create(): MembershipController {
     return new MembershipController();
@@ -49,6 +57,7 @@
   override step(board: Blackboard, ctx: StepContext): void {
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#forget(board, ctx.now);
+    this.#noteBehind(board, ctx.now);
     this.#drain(board, ctx);
     this.#elect(board, ctx.now);
     this.#beat(board, ctx);
@@ -115,6 +124,33 @@
     }
   }
 
+  #noteBehind(board: Blackboard, now: Timestamp): void {
+    const { peers } = board.members;
+    for (const peer of peers.values()) {
+      const isBehind = peer.revision < board.config.revision;
+      if (!isBehind) this.#behindSince.delete(peer.id);
+      else if (!this.#behindSince.has(peer.id)) {
+        this.#behindSince.set(peer.id, now);
+      }
+    }
+    for (const id of this.#behindSince.keys()) {
+      if (!peers.has(id)) this.#behindSince.delete(id);
+    }
+  }
+
+  /** Peers read the log; the text goes to one that stays behind, from one daemon after the other. */
+  #needsConfig(board: Blackboard, peer: Peer, now: Timestamp): boolean {
+    const since = this.#behindSince.get(peer.id);
+    if (since === undefined) return false;
+    const others = freshPeers(board, now)
+      .filter((one) => one.revision === board.config.revision)
+      .map((one) => one.id);
+    const rank = rendezvousRank(peer.id, board.self.id, others);
+    const turnMs = Math.min(rank, MAX_CONFIG_TURNS) * CONFIG_TURN_MS;
+    const graceMs = peer.revision === NO_REVISION ? 0 : CONFIG_GRACE_MS;
+    return now - since >= graceMs + turnMs;
+  }
+
   #startDrain(board: Blackboard, ctx: StepContext): void {
     if (board.members.drain !== "serving") return;
     board.members.drain = "leaving";
@@ -164,7 +200,7 @@
     );
     const value = heartbeat(board, {
       now: ctx.now,
-      peerRevision: peer?.revision,
+      withConfig: peer !== undefined && this.#needsConfig(board, peer, ctx.now),
     });
     const envelope = {
       from: board.self.id,
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -138,3 +138,25 @@
   });
   expect(intentsOf(done, "exit")).toHaveLength(1);
 });
+
+test("a new configuration goes to a peer that stays behind, from one daemon after the other", () => {
+  const core = create();
+  Object.assign(core.board.config, { revision: 7, text: "text" });
+  const withText = (revision: number) => {
+    const sent = core.after(
+      1_000,
+      beat(2, { revision }, core.now),
+      beat(3, { revision: 7 }, core.now),
+    );
+    return intentsOf(sent, "send_peer").map(({ address, envelope }) =>
+      envelope.body?.$case === "heartbeat" &&
+      envelope.body.value.config.length > 0 && address
+    ).filter(Boolean);
+  };
+  core.step({ type: "vms_listed", vms: [entryVm(2), entryVm(3)] });
+  expect([withText(6), withText(7)]).toEqual([[], []]);
+  expect([withText(6), withText(6)].flat()).toEqual([]);
+  const behind = selfFixture(2).peerAddress;
+  expect([withText(6), withText(6)].flat()).toContain(behind);
+  expect([withText(7), withText(-1), withText(-1)].flat()).toContain(behind);
+});
--- a/src/daemon/vm_list_poller.ts
+++ b/src/daemon/vm_list_poller.ts
@@ -4,6 +4,9 @@
 import type { Loop } from "./loop.ts";
 
 const LIST_INTERVAL_MS: Millis = SECOND_MS;
+const MAX_LIST_INTERVAL_MS: Millis = 10 * SECOND_MS;
+/** Reads of the list that the daemons of a cell make together in one interval. */
+const READS_PER_INTERVAL = 3;
 
 /** Reads the platform's VM list over and over; an outage leaves the last one standing. */
 export class VmListPoller {
@@ -34,6 +37,17 @@
     const vms = await this.#client.list();
     if (this.#stopped) return;
     if (vms.isOk()) this.#loop().post({ type: "vms_listed", vms: vms.value });
-    this.#timer = setTimeout(() => void this.#poll(), LIST_INTERVAL_MS);
+    this.#timer = setTimeout(() => void this.#poll(), this.#intervalMs());
+  }
+
+  /** What one daemon learns of leaving upstreams, its heartbeats tell the others. */
+  #intervalMs(): Millis {
+    const { members } = this.#loop().core.board;
+    const daemons = members.peers.size + 1;
+    const intervalMs = LIST_INTERVAL_MS * daemons / READS_PER_INTERVAL;
+    return Math.min(
+      MAX_LIST_INTERVAL_MS,
+      Math.max(LIST_INTERVAL_MS, intervalMs),
+    );
   }
 }
--- a/tools/capacity/core_rig.ts
+++ b/tools/capacity/core_rig.ts
@@ -161,6 +161,7 @@
       ...Array.from({ length: engines }, (_, i) => engineVm(i)),
     ];
     this.publish();
+    this.#checkpoint();
     const id = runId(1_500_000);
     this.#stream(KEYS_STREAM)
       .push(JSON.stringify({ type: "signing_key", id, key: SECRET }));
@@ -169,6 +170,22 @@
     this.#sent = { messages: 0, bytes: 0 };
   }
 
+  /** Without one, every daemon would wait for its turn to write it. */
+  #checkpoint(): void {
+    const record = {
+      type: "config_checkpoint",
+      id: runId(1_500_001),
+      covers: 1,
+      revision: 0,
+      change: runId(2),
+      author: "operator@example.org",
+      at: START,
+      madeAt: START,
+      text: this.#text(),
+    };
+    this.#stream(CONFIG_STREAM).push(JSON.stringify(record));
+  }
+
   #text(): string {
     const text = configText({ models: 3, teams: this.#size.teams });
     return text.replace(
--- a/tools/capacity/fit_test.ts
+++ b/tools/capacity/fit_test.ts
@@ -22,5 +22,12 @@
     y: 3,
   }];
   const { slope, intercept, slopeError, r2 } = fitLine(points);
-  expect({ slope, intercept, slopeError, r2 }).toMatchInlineSnapshot();
+  expect({ slope, intercept, slopeError, r2 }).toMatchInlineSnapshot(`
+    {
+      "intercept": 0.6000000000000001,
+      "r2": 0.19999999999999996,
+      "slope": 0.6,
+      "slopeError": 0.848528137423857,
+    }
+  `);
 });
