--- a/src/controllers/fleet_invariants_test.ts
+++ b/src/controllers/fleet_invariants_test.ts
@@ -60,7 +60,13 @@
   fc.integer({ min: 10, max: 6_000 }),
   fc.integer({ min: 6_000, max: 100_000 }),
 );
-const mode = fc.constantFrom<LogMode>("down", "deaf", "silent", "slow");
+const mode = fc.constantFrom<LogMode>(
+  "down",
+  "deaf",
+  "silent",
+  "slow",
+  "unreadable",
+);
 
 const call = fc.record({
   waitMs,
@@ -266,6 +272,6 @@
         run.checkEnd();
       },
     ),
-    { seed: SEED, numRuns: RUNS },
+    { seed: SEED, numRuns: RUNS, endOnFailure: true },
   );
 });
--- a/src/controllers/key_controller.ts
+++ b/src/controllers/key_controller.ts
@@ -72,7 +72,7 @@
   #take(ctx: StepContext, entry: Entry): void {
     this.#outbox.drop(entry.id);
     const parsed = KeyRecordSchema.safeParse(entry.value);
-    if (!parsed.success) return;
+    if (!parsed.success || this.#isTooSoon(entry.at)) return;
     const known = {
       key: parsed.data.key,
       readAt: ctx.now,
@@ -81,6 +81,12 @@
     this.#keys = [...this.#keys, known].slice(-MAX_KEYS);
   }
 
+  /** Daemons that start together all append a key; only the first one counts. */
+  #isTooSoon(at: Timestamp): boolean {
+    const newest = this.#keys.at(-1);
+    return newest !== undefined && at < addMs(newest.appendedAt, SETTLE_MS);
+  }
+
   #rotate(board: Blackboard, ctx: StepContext): void {
     if (!this.#tail.reader.caughtUp || this.#outbox.size > 0) return;
     this.#caughtUpAt ??= ctx.now;
@@ -114,8 +120,7 @@
       .filter((known) => ctx.now - known.readAt >= SETTLE_MS);
     const newest = this.#keys.at(-1);
     const settledAt = newest && addMs(newest.readAt, SETTLE_MS);
-    // A wake-up in the past would make the loop step all the time.
-    if (settledAt !== undefined && ctx.now < settledAt) ctx.wakeAt(settledAt);
+    if (settledAt !== undefined && settledAt > ctx.now) ctx.wakeAt(settledAt);
     board.keys.signing = (settled.at(-1) ?? this.#keys[0])?.key;
     board.keys.accepted = this.#keys.map((known) => known.key);
   }
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -26,6 +26,7 @@
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
 import { placeCall } from "./call_placement.ts";
+import { freshPeers } from "./membership_controller.ts";
 
 /** Silence after which an asker places by itself. */
 const ASK_SILENCE_MS: Millis = 150;
@@ -47,6 +48,8 @@
   override readonly name = "placement";
   readonly #scheduler: CellScheduler;
   readonly #rounds = new Map<RequestId, Round>();
+  /** The live daemons, this one included, as they were last. */
+  #live = "";
   #seq = 0;
 
   private constructor(policy: Policy) {
@@ -62,6 +65,7 @@
     this.#scheduler.takeUpstreams(board.upstreams.byId.values());
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#dropEnded(board, ctx);
+    this.#dropLostAskers(board, ctx);
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
@@ -99,8 +103,11 @@
   ): void {
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
-    const crashed = event.outcome.type === "failed" && event.outcome.crashed;
-    const upstream = entry.attempt.placement.upstream;
+    const { outcome } = event;
+    const crashed = outcome.type === "failed" && outcome.crashed;
+    const upstream = crashed && outcome.upstream !== undefined
+      ? outcome.upstream
+      : entry.attempt.placement.upstream;
     if (crashed) this.#scheduler.engineCrashed(upstream);
     const suspect = crashed
       ? {
@@ -192,7 +199,9 @@
     const { request, answer } = options;
     const round = this.#rounds.get(request);
     const stale = round === undefined || round.ask.round !== options.round ||
-      round.scheduler !== from || round.state === "placed";
+      round.scheduler !== from;
+    // An answer that comes twice is the answer to an ask that was sent twice.
+    if (!stale && round.state === "placed") return;
     if (!stale) return this.#settle(board, ctx, round, answer);
     if (answer.type === "granted") {
       this.#sendUpdate(board, ctx, from, {
@@ -355,6 +364,14 @@
     }
   }
 
+  #dropLostAskers(board: Blackboard, ctx: StepContext): void {
+    const live = freshPeers(board, ctx.now).map((peer) => peer.id);
+    const names = live.join();
+    if (names === this.#live) return;
+    this.#live = names;
+    this.#scheduler.keepAskers(new Set([board.self.id, ...live]), ctx.now);
+  }
+
   #tell(
     board: Blackboard,
     ctx: StepContext,
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -8,13 +8,23 @@
 import { CostModel } from "./cost_model.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineView } from "./engine_view.ts";
-import { type Job, lastPart, segmentsOf } from "./job.ts";
-import { type LongPlace, placeLong } from "./long_placement.ts";
+import {
+  currentPart,
+  delay,
+  type Job,
+  lastPart,
+  moveEnd,
+  partOn,
+  segmentsOf,
+} from "./job.ts";
+import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
 import type { Policy } from "./policy.ts";
+import { couldHold } from "./oversized.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import {
   cachedOn,
+  chooseDecoder,
   eligible,
   type PlacementView,
   placeShort,
@@ -29,10 +39,12 @@
 const DEMAND_WINDOW_MS: Millis = 10 * SECOND_MS;
 const FIRST_DECODE_MS: Millis = 20 * SECOND_MS;
 const DECODE_WEIGHT = 0.05;
+/** Time for which a new part may not show in a report yet. */
+const CORRECT_MS: Millis = SECOND_MS;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
-/** Engine priorities: short prompts by their latest start, long ones behind all of them. */
-const PRIORITY_RANGE_MS = 1_000_000_000;
+/** Engine priority of long prompts; short ones go first. */
+const LONG_PRIORITY = 1_000;
 /** Time after its deadline at which a job that was never reported as ended is dropped. */
 const FORGET_MS: Millis = 5 * SECOND_MS;
 
@@ -157,6 +169,14 @@
     this.#queue.dropAsker(from);
   }
 
+  /** Drops what was placed for daemons that are not among the live ones; nobody will say how it ends. */
+  keepAskers(live: ReadonlySet<DaemonId>, now: Timestamp): void {
+    for (const job of this.#jobs.values()) {
+      if (!live.has(job.ask.from)) this.#drop(job, now);
+    }
+    this.#dispatchAt = now;
+  }
+
   #takeUpstream(upstream: Upstream): void {
     const { id, incarnation } = upstream;
     let engine = this.#engines.get(id);
@@ -171,8 +191,25 @@
     }
     engine.live = upstream.state === "live";
     engine.loaded = (upstream.engine ?? upstream.load)?.loaded ?? [];
-    if (upstream.load?.incarnation === incarnation) {
-      engine.takeReport(upstream.load);
+    if (
+      upstream.load?.incarnation === incarnation &&
+      engine.takeReport(upstream.load)
+    ) this.#correct(engine, upstream.load.at);
+  }
+
+  /** Corrects the predicted end of the long prefill on an engine by its report. */
+  #correct(engine: EngineView, at: Timestamp): void {
+    const left = engine.reportedLeft();
+    for (const job of engine.jobs.values()) {
+      const part = partOn(job, engine.id);
+      if (!job.long || job.firstTokenAt !== undefined) continue;
+      if (part === undefined || part.startsAt + CORRECT_MS > at) continue;
+      const isCurrent = currentPart(job, at) === part;
+      if (left === 0 && !isCurrent) continue;
+      const from = Math.max(part.from, part.to - left);
+      const factor = part.from === 0 ? 1 : this.#policy.planCostFactor;
+      const leftMs = factor * this.#cost.prefillMs(from, part.to);
+      moveEnd(job, part, addMs(at, leftMs));
     }
   }
 
@@ -182,31 +219,35 @@
     if (view.now + place.firstTokenMs > ask.deadlineAt) {
       return refuseLate(place.firstTokenMs);
     }
-    const { engine, cachedTokens, prefillMs } = place;
+    const { engine, decoder, cachedTokens, prefillMs, priority } = place;
+    const whole = {
+      engine: engine.id,
+      from: 0,
+      to: ask.promptTokens,
+      memoryTokens: ask.promptTokens + ask.maxTokens,
+      costMs: prefillMs,
+      startsAt: view.now,
+    };
+    const beside = engine.longPrefill(view.now);
     this.#shortDemand.add(prefillMs, view.now);
     const job: Job = {
       ask,
       long: false,
       cachedTokens,
-      parts: [{
-        engine: engine.id,
-        from: 0,
-        to: ask.promptTokens,
-        memoryTokens: ask.promptTokens + ask.maxTokens,
-        costMs: prefillMs,
-        startsAt: view.now,
-      }],
+      parts: withDecoder(ask, [whole], decoder),
       placedAt: view.now,
-      priority: 0,
-      alone: engine.shortBacklogMs(view.now) === 0 &&
-        engine.longPrefill(view.now) === undefined,
+      priority,
+      alone: engine.shortBacklogMs(view.now, LONG_PRIORITY) === 0 &&
+        beside === undefined,
       firstTokenAt: undefined,
     };
+    if (beside !== undefined) delay(beside, prefillMs, view.now);
     this.#place(job, view.now);
     return grant(job);
   }
 
   #askLong(ask: Ask, view: PlacementView): Answer {
+    if (!couldHold(ask, view)) return refuseTooLong();
     const waitMs = this.#predictWaitMs(ask, view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
@@ -234,30 +275,33 @@
       workMs += runMs;
       memoryMs += runMs * waiting.promptTokens;
     }
-    for (const engine of view.engines) {
-      memory += engine.report?.kv_capacity_tokens ?? 0;
+    for (const engine of openToLong(view.engines, view.shortEngines)) {
+      const capacity = engine.report?.kv_capacity_tokens ?? 0;
+      memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
     }
     const lanes = Math.max(
       1,
       view.engines.length - this.#shortTarget(view.now),
     );
-    const memoryLanes = memory / Math.max(1, ask.promptTokens);
     if (lanes > this.#longRunning() && this.#queue.size === 0) return 0;
-    const usable = Math.max(1, memory * 0.75);
-    return Math.max(workMs / lanes, memoryMs / usable) *
-      Math.min(1, memoryLanes);
+    const usable = Math.max(1, memory * this.#policy.packingRatio);
+    return Math.max(workMs / lanes, memoryMs / usable);
   }
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
     if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
-    const target = this.#shortTarget(now);
+    const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
-    const open = engines.slice(Math.min(this.#policy.shortEngines, target));
+    const kept = this.#shortEngines(now);
+    const open = openToLong(engines, kept);
     const place = placeLong(ask, this.#view(open, now));
     if (place === undefined) return undefined;
-    return grant(this.#startLong(ask, place, now));
+    const decoders = engines.filter((engine) => kept.has(engine));
+    const decoder = chooseDecoder(ask, this.#view(decoders, now));
+    const parts = withDecoder(ask, place.parts, decoder);
+    return grant(this.#startLong(ask, { ...place, parts }, now));
   }
 
   #startLong(ask: Ask, place: LongPlace, now: Timestamp): Job {
@@ -267,8 +311,8 @@
       cachedTokens: place.cachedTokens,
       parts: place.parts,
       placedAt: now,
-      priority: PRIORITY_RANGE_MS,
-      alone: place.parts.length === 1,
+      priority: LONG_PRIORITY,
+      alone: place.parts.filter((part) => part.costMs > 0).length === 1,
       firstTokenAt: undefined,
     };
     this.#place(job, now);
@@ -348,7 +392,18 @@
   #shortTarget(now: Timestamp): number {
     const { shortEngines, shortUtilization } = this.#policy;
     const demanded = this.#shortDemand.engines(now) / shortUtilization;
-    return Math.max(shortEngines, Math.ceil(demanded));
+    return shortEngines + Math.ceil(demanded);
+  }
+
+  /** All engines while there is no long prompt to keep any of them for. */
+  #shortEngines(now: Timestamp): ReadonlySet<EngineView> {
+    const isIdle = this.#longRunning() === 0 && this.#queue.size === 0;
+    return this.#firstEngines(isIdle ? Infinity : this.#shortTarget(now));
+  }
+
+  #firstEngines(count: number): ReadonlySet<EngineView> {
+    const live = [...this.#engines.values()].filter((one) => one.live);
+    return new Set(live.slice(0, count));
   }
 
   #longRunning(): number {
@@ -379,6 +434,8 @@
       policy: this.#policy,
       cost: this.#cost,
       prefixes: this.#prefixes,
+      prefixEngines: this.#firstEngines(this.#policy.shortEngines),
+      shortEngines: this.#shortEngines(now),
     };
   }
 }
@@ -397,6 +454,15 @@
   };
 }
 
+/** Engines that are not kept for short prompts; one at least, so that a small fleet serves long ones too. */
+function openToLong(
+  engines: readonly EngineView[],
+  kept: ReadonlySet<EngineView>,
+): readonly EngineView[] {
+  const open = engines.filter((engine) => !kept.has(engine));
+  return open.length > 0 ? open : engines.slice(-1);
+}
+
 function leftOf(job: Job, now: Timestamp): Millis {
   if (job.firstTokenAt !== undefined) return 0;
   const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
@@ -411,6 +477,11 @@
   };
 }
 
+function refuseTooLong(): Answer {
+  const detail = "The engines can't hold this prompt, even when they are free.";
+  return { type: "refused", problem: problem("prompt_too_long", detail) };
+}
+
 function refuseFull(waitMs: Millis): Answer {
   const detail = "The engines have no room for this prompt now.";
   const retryAfterMs = clampRetry(waitMs);
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -2,12 +2,14 @@
 import type { Weights } from "../core/request.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { Loaded, LoadReport } from "../wire/engine.ts";
-import { currentPart, type Job, type JobKey, lastPart } from "./job.ts";
+import { currentPart, type Job, type JobKey, lastPart, partOn } from "./job.ts";
 
 /** What a report may lag behind, so that work sent within it is not missed in the report. */
 const REPORT_MARGIN_MS: Millis = 50;
 
 const MAX_ENDED = 256;
+/** Tokens that short prompts which have ended since the report may account for. */
+const MIN_LEFT_TOKENS = 6_000;
 
 type EndedWork = Readonly<
   { at: Timestamp; prefillTokens: number; memoryTokens: number }
@@ -47,9 +49,9 @@
     );
   }
 
-  /** Takes in a load report; corrects what is believed where it says otherwise. */
-  takeReport(report: LoadReport): void {
-    if (this.report === report) return;
+  /** Takes in a load report; false if it is known. Corrects what is believed where it says otherwise. */
+  takeReport(report: LoadReport): boolean {
+    if (this.report === report) return false;
     this.report = report;
     const sentBefore = report.at - REPORT_MARGIN_MS;
     if (report.running + report.waiting === 0) this.#dropEnded(sentBefore);
@@ -62,13 +64,26 @@
     }
     for (const job of this.jobs.values()) {
       memory += this.#memoryOf(job);
-      if (job.placedAt <= report.at) {
-        prefill += job.ask.promptTokens - job.cachedTokens;
+      const part = partOn(job, this.id);
+      if (part !== undefined && part.startsAt <= report.at) {
+        prefill += part.to - Math.max(part.from, job.cachedTokens);
       }
     }
     this.strangePrefillTokens = Math.max(0, report.prefill_tokens - prefill);
     const used = report.kv_capacity_tokens - report.kv_free_tokens;
     this.strangeMemoryTokens = Math.max(0, used - memory);
+    return true;
+  }
+
+  /** Tokens that the long prompt here had still to prefill, by the newest report. */
+  reportedLeft(): number {
+    if (this.report === undefined) return 0;
+    let left = this.report.prefill_tokens;
+    for (const job of this.jobs.values()) {
+      const sent = !job.long && job.placedAt <= this.report.at;
+      if (sent) left -= job.ask.promptTokens - job.cachedTokens;
+    }
+    return left < MIN_LEFT_TOKENS ? 0 : left;
   }
 
   /** Takes a job out; a report from before may show it for some time. */
@@ -97,11 +112,11 @@
     return undefined;
   }
 
-  /** Whether a long prompt's answer is decoded here. */
-  longDecode(): boolean {
+  /** Whether answers are decoded here. */
+  decodes(): boolean {
     for (const job of this.jobs.values()) {
-      if (!job.long || job.firstTokenAt === undefined) continue;
-      if (lastPart(job).engine === this.id) return true;
+      const decoding = job.firstTokenAt !== undefined || !job.long;
+      if (decoding && lastPart(job).engine === this.id) return true;
     }
     return false;
   }
@@ -120,19 +135,31 @@
     return false;
   }
 
-  /** Predicted time until the short prompts that were sent here have been prefilled. */
-  shortBacklogMs(now: Timestamp): Millis {
+  /** Predicted time until the short prompts here that go before this priority have been prefilled. */
+  shortBacklogMs(now: Timestamp, priority: number): Millis {
     let sum = 0;
     let startedAt = this.shortDoneAt;
     for (const job of this.jobs.values()) {
       if (job.long || job.firstTokenAt !== undefined) continue;
+      if (job.priority > priority) continue;
       if (sum === 0) startedAt = Math.max(startedAt, job.placedAt) as Timestamp;
-      sum += job.parts[0]!.costMs;
+      sum += partOn(job, this.id)?.costMs ?? 0;
     }
     if (sum === 0) return 0;
     return Math.max(0, sum - (now - startedAt));
   }
 
+  /** Streams that run or wait here; a part that only holds memory is none. */
+  streams(): number {
+    let count = 0;
+    for (const job of this.jobs.values()) {
+      const holds = job.firstTokenAt !== undefined &&
+        lastPart(job).engine !== this.id;
+      if (!holds) count += 1;
+    }
+    return count;
+  }
+
   /** Whether content that is suspected of crashing engines runs here. */
   hasSuspect(): boolean {
     for (const job of this.jobs.values()) if (job.ask.suspect) return true;
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -3,6 +3,7 @@
 import type { Ask } from "./ask.ts";
 import type { CostModel } from "./cost_model.ts";
 import type { EngineView } from "./engine_view.ts";
+import { currentPart } from "./job.ts";
 import type { Policy } from "./policy.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 
@@ -13,27 +14,41 @@
   cost: CostModel;
   prefixes: PrefixIndex;
   engines: readonly EngineView[];
+  /** Engines that are kept for prompts with long shared prefixes, whose cache others would push out. */
+  prefixEngines: ReadonlySet<EngineView>;
+  /** Engines on which no long prefill starts now; answers of short prompts are decoded there. */
+  shortEngines: ReadonlySet<EngineView>;
 }>;
 
 /** An engine for a short prompt, and what is predicted there. */
 export type ShortPlace = Readonly<{
   engine: EngineView;
+  /** Another engine that decodes, away from the long prefill on the first one. */
+  decoder: EngineView | undefined;
   cachedTokens: number;
   prefillMs: Millis;
   /** Predicted time to the first token. */
   firstTokenMs: Millis;
+  /** Engine priority; lower runs first. */
+  priority: number;
   score: number;
 }>;
 
+/** Engine priorities of short prompts. Long ones come last. */
+const SPLIT_PRIORITY = -1;
+const USUAL_PRIORITY = 0;
+const HOPELESS_PRIORITY = 500;
+
 /** Chooses the engine with the best predicted first token; none if no engine has room. */
 export function placeShort(
   ask: Ask,
   view: PlacementView,
 ): ShortPlace | undefined {
   let best: ShortPlace | undefined;
+  const decoder = chooseDecoder(ask, view);
   for (const engine of view.engines) {
     if (!hasRoom(ask, engine, view)) continue;
-    const place = predictShort(ask, engine, view);
+    const place = predictShort(ask, engine, { view, decoder });
     if (best === undefined || place.score < best.score) best = place;
   }
   return best;
@@ -62,23 +77,81 @@
 }
 
 function hasRoom(ask: Ask, engine: EngineView, view: PlacementView): boolean {
-  return engine.jobs.size < view.policy.engineRequests &&
+  return engine.streams() < view.policy.engineRequests &&
     engine.freeTokens() >= ask.promptTokens + ask.maxTokens;
 }
 
 function predictShort(
   ask: Ask,
   engine: EngineView,
-  view: PlacementView,
+  options: Readonly<{ view: PlacementView; decoder: EngineView | undefined }>,
 ): ShortPlace {
+  const { view, decoder } = options;
   const { policy, cost, now, prefixes } = view;
-  const cachedTokens = cachedOn(ask, engine, prefixes);
+  const slow = slowness(engine, view);
+  const splits = !canDecode(engine, view);
+  const cachedTokens = splits ? 0 : cachedOn(ask, engine, prefixes);
   const prefillMs = cost.prefillMs(cachedTokens, ask.promptTokens);
-  const firstTokenMs = engine.shortBacklogMs(now) + prefillMs;
-  const busy = engine.longPrefill(now) !== undefined ||
-    engine.strangePrefillTokens > policy.longPromptTokens;
+  const priority = priorityOf(prefillMs, { splits, policy });
+  const backlogMs = engine.shortBacklogMs(now, priority);
+  const firstTokenMs = backlogMs + prefillMs +
+    (splits ? policy.splitMs + policy.longStepMs * slow : 0);
+  const isMedium = ask.promptTokens > policy.mediumPromptTokens;
+  const apart = isMedium !== view.prefixEngines.has(engine);
   const score = Math.max(firstTokenMs, policy.firstTokenKneeMs) +
-    policy.prefillWeight * prefillMs + (busy ? policy.spillMs : 0) +
-    engine.jobs.size;
-  return { engine, cachedTokens, prefillMs, firstTokenMs, score };
+    policy.prefillWeight * prefillMs + (apart ? policy.apartMs : 0) +
+    (splits && decoder === undefined ? policy.spillMs * slow : 0) +
+    policy.backlogWeight * backlogMs +
+    (splits ? policy.spareMs : engine.streams() * policy.streamMs);
+  return {
+    engine,
+    decoder: splits ? decoder : undefined,
+    cachedTokens,
+    prefillMs,
+    firstTokenMs,
+    priority,
+    score,
+  };
+}
+
+/** A prompt whose prefill alone takes longer than the target lets the others go first. */
+function priorityOf(
+  prefillMs: Millis,
+  options: Readonly<{ splits: boolean; policy: Policy }>,
+): number {
+  if (prefillMs > options.policy.firstTokenTargetMs) return HOPELESS_PRIORITY;
+  return options.splits ? SPLIT_PRIORITY : USUAL_PRIORITY;
+}
+
+/** The engine without long prefill that has the fewest streams. */
+export function chooseDecoder(
+  ask: Ask,
+  view: PlacementView,
+): EngineView | undefined {
+  let best: EngineView | undefined;
+  let fewest: number = view.policy.engineRequests;
+  for (const engine of view.engines) {
+    const streams = engine.streams();
+    if (streams >= fewest || engine.freeTokens() < 2 * ask.maxTokens) continue;
+    if (!canDecode(engine, view)) continue;
+    [best, fewest] = [engine, streams];
+  }
+  return best;
+}
+
+function canDecode(engine: EngineView, view: PlacementView): boolean {
+  return view.shortEngines.has(engine) &&
+    slowness(engine, view) <= view.policy.splitSlowness;
+}
+
+/** How much longer than at its start a long prefill here makes each step, as a part. */
+function slowness(engine: EngineView, view: PlacementView): number {
+  if (engine.strangePrefillTokens > view.policy.longPromptTokens) return 1;
+  const job = engine.longPrefill(view.now);
+  if (job === undefined) return 0;
+  const part = currentPart(job, view.now);
+  const done = Math.min(1, (view.now - part.startsAt) / part.costMs);
+  const position = part.from + done * (part.to - part.from);
+  const here = view.cost.prefillMs(position, position + 1);
+  return here / view.cost.prefillMs(0, 1) - 1;
 }
--- a/src/testing/fake_service.ts
+++ b/src/testing/fake_service.ts
@@ -1,15 +1,19 @@
+import type { Event } from "../core/event.ts";
 import type { Intent } from "../core/intent.ts";
 import type { RequestId } from "../core/id.ts";
 import type { Random } from "../core/random.ts";
 import type { CallRequest, Outcome } from "../core/request.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
-import type { FakeDaemon } from "./fake_daemon.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
+type AttemptEnded = Extract<Event, { type: "attempt_ended" }>;
 type StartAttempt = Extract<Intent, { type: "start_attempt" }>;
 
 const SILENCE_MS: Millis = 2 * SECOND_MS;
 
+/** What becomes of calls: all run, or some are refused and some answers are lost. */
+export type ServiceFate = "runs" | "mixed";
+
 /** A plain service that counts what ran; some calls are refused, some answers lost. */
 export class FakeService {
   /** Runs by team and key. */
@@ -18,27 +22,41 @@
   readonly runsByRequest = new Map<RequestId, number>();
   readonly #time: VirtualTime;
   readonly #random: Random;
+  readonly #fate: ServiceFate;
 
-  private constructor(time: VirtualTime, random: Random) {
+  private constructor(
+    time: VirtualTime,
+    random: Random,
+    fate: ServiceFate,
+  ) {
+    this.#fate = fate;
     this.#time = time;
     this.#random = random;
   }
 
-  static create(time: VirtualTime, random: Random): FakeService {
-    return new FakeService(time, random);
+  static create(
+    time: VirtualTime,
+    random: Random,
+    fate: ServiceFate = "mixed",
+  ): FakeService {
+    return new FakeService(time, random, fate);
   }
 
   /** Sends one call, as the daemon's adapter would: not after its deadline. */
-  call(daemon: FakeDaemon, start: StartAttempt, req: CallRequest): void {
+  call(
+    start: StartAttempt,
+    req: CallRequest,
+    deliver: (event: AttemptEnded) => void,
+  ): void {
     const tell = (outcome: Outcome) =>
-      daemon.deliver({
+      deliver({
         type: "attempt_ended",
         req: req.id,
         attempt: start.attempt,
         outcome,
       });
     if (this.#time.now >= start.deadlineAt) return tell(failed("not_run"));
-    const fate = this.#random.below(10);
+    const fate = this.#fate === "runs" ? 9 : this.#random.below(10);
     if (fate === 0) return tell(failed("not_run"));
     this.#time.after(1 + this.#random.below(300), () => {
       const name = `${req.team}/${req.key}`;
