--- a/tools/lib/fleet.ts
+++ b/tools/lib/fleet.ts
@@ -1,8 +1,8 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { freePort, Program } from "./program.ts";
+import { DIST, freePort, Program } from "./program.ts";
 import { RelayProgram } from "./relay_program.ts";
 
 const POLL_MS = 50;
@@ -36,6 +36,8 @@
   meanAnswerTokens?: number;
   /** Ends in front of which a relay is put. */
   relays?: readonly RelayedEnd[];
+  /** Build folder of the daemons; else this one. */
+  dist?: string;
 }>;
 
 /** One daemon and where it is reached. */
@@ -200,7 +202,11 @@
       file,
       this.#settings({ vm, domain, clientAddress, peerAddress, peerListen }),
     );
-    const program = this.#launch("src/daemon/main.js", vm, [file]);
+    const program = this.#launch(
+      resolve(this.options.dist ?? DIST, "src/daemon/main.js"),
+      vm,
+      [file],
+    );
     return { vm, program, clientAddress, peerAddress, clientRelay, peerRelay };
   }
 
