--- a/tools/bench/bench.ts
+++ b/tools/bench/bench.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { quantile } from "simple-statistics";
-import { type DaemonProgram, Fleet, request, until } from "../lib/fleet.ts";
+import { type DaemonProgram, Fleet, until } from "../lib/fleet.ts";
 import { Program } from "../lib/program.ts";
 import { closeClient, timeStream, type Timing } from "./stream_client.ts";
 
--- a/tools/capacity/tables.ts
+++ b/tools/capacity/tables.ts
@@ -12,7 +12,8 @@
 
 /** Daemons of a cell for which needs are worked out; the last one is the whole fleet as one cell. */
 export const CELL_SIZES: readonly number[] = [1, 3, 5, 15, 41, 410];
-const STREAMS = 5;
+/** Streams that each daemon follows: config, keys, claims, leases. */
+const STREAMS = 4;
 /** Today's users: a list of 15 entry VMs, 16 engines and 3 instances of a service. */
 const TODAY: Cell = {
   daemons: 15,
