--- a/src/controllers/key_controller_test.ts
+++ b/src/controllers/key_controller_test.ts
@@ -77,6 +77,13 @@
   expect(appended(core.after(1))).toHaveLength(1);
 });
 
+test("a key in use asks for no wake-up before its replacement is due", () => {
+  const core = create("c");
+  core.step(read([keyRecord("1", "a")]));
+  const settled = core.after(20_000, read([], 1));
+  expect(settled.wakeAt).toBeGreaterThan(core.now);
+});
+
 test("when many daemons start together, the first key signs and verifies from then on", () => {
   const records = ["a", "b", "c", "d", "e"].map((key, i) =>
     keyRecord(String(i), key)
