Start the daemon by its name, and name a missing settings file

A settings file that can't be read ended the daemon with a stack trace; it is reported like every other wrong setting, exit 2.

--- a/src/cli/app_test.ts
+++ b/src/cli/app_test.ts
@@ -77,13 +77,13 @@
 
 test("a folder with three kinds of errors exits 2 and names all with file and line", async () => {
   const dir = await writeFolder(
-    `${FOLDER}[limits]\nmax_request = 4\nmax_attempts = many\n[team.u]\nshare = 1\nservices = x\n`,
+    `${FOLDER}[limits]\nmax_attempts = many\n[team.u]\nshare = 1\nservice = 4\nservices = x\n`,
   );
   const { code, text } = await runText(["check", dir]);
   expect(code).toBe(2);
   expect(text.replace(dir, "DIR")).toMatchInlineSnapshot(`
-    "all.ini:15: [limits] max_request: unknown_key: found "max_request"; allowed: max_requests, max_prompt_bytes, max_call_bytes, retry_ratio, max_attempts, config_freshness_ms, key_window_ms, clock_skew_ms, upstream_silence_ms, entry_max_age_ms (nearest: max_requests)
-    all.ini:16: [limits] max_attempts: wrong_type: found "many"; allowed: a whole number from 1 to 10
+    "all.ini:15: [limits] max_attempts: wrong_type: found "many"; allowed: a whole number from 1 to 10
+    all.ini:18: [team.u] service: unknown_key: found "service"; allowed: share, token_digests, models, services (nearest: services)
     all.ini:19: [team.u] services: dangling_reference: found "x"; allowed: none is declared
     bad_folder: DIR has 3 errors
     "
@@ -92,8 +92,8 @@
   const { error, exit } = JSON.parse(json.text);
   expect(exit).toBe(2);
   expect(error.errors.map((one: { code: string }) => one.code)).toEqual([
-    "unknown_key",
     "wrong_type",
+    "unknown_key",
     "dangling_reference",
   ]);
 });
--- a/src/cli/args.ts
+++ b/src/cli/args.ts
@@ -17,8 +17,8 @@
   displayName: "URL",
   from: (text) => {
     const url = URL.canParse(text) ? new URL(text) : undefined;
-    if (url?.protocol === "http:") return Promise.resolve(text);
-    return Promise.reject(new Error(`${text} is not a URL of http`));
+    if (/^https?:$/.test(url?.protocol ?? "")) return Promise.resolve(text);
+    return Promise.reject(new Error(`${text} is not a URL of http or https`));
   },
 });
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,5 +1,5 @@
+#!/usr/bin/env node
 import { randomBytes, randomInt } from "node:crypto";
-import { readFileSync } from "node:fs";
 import process from "node:process";
 import { command, positional, runSafely, string } from "cmd-ts";
 import { formatConfigError } from "../config/config_error.ts";
@@ -7,6 +7,7 @@
   checkDaemonSettings,
   type DaemonSettings,
 } from "../config/daemon_settings.ts";
+import { readConfigFile } from "../config/folder_reader.ts";
 import { Random } from "../core/random.ts";
 import { HttpEngineClient } from "../engine/http_engine_client.ts";
 import { HttpLogClient } from "../platform/http_log_client.ts";
@@ -33,11 +34,9 @@
   handler: ({ file }) => start(file),
 });
 
-function start(file: string): void {
-  const settings = checkDaemonSettings({
-    name: file,
-    text: readFileSync(file, "utf8"),
-  });
+async function start(file: string): Promise<void> {
+  const read = await readConfigFile(file);
+  const settings = read.mapErr((err) => [err]).andThen(checkDaemonSettings);
   if (settings.isErr()) {
     for (const err of settings.error) console.error(formatConfigError(err));
     process.exitCode = BAD_SETTINGS;
