Prove what a daemon takes as its configuration, case by case

Two operators, a lost answer, retention passing over the newest change, a paused checkpoint writer, an outage with a fresh daemon, a daemon cut off, an old heartbeat, an unreadable configuration.

--- /dev/null
+++ b/src/controllers/config_controller_test.ts
@@ -0,0 +1,136 @@
+import { Buffer } from "node:buffer";
+import { expect, test } from "vitest";
+import type { Revision } from "../core/id.ts";
+import { CONFIG_STREAM } from "../fold/streams.ts";
+import { FakeFleet } from "../testing/fake_fleet.ts";
+
+const RETENTION_MS = 80_000;
+
+function text(deadlineMs: number): string {
+  return JSON.stringify({
+    models: [],
+    groups: [],
+    services: [],
+    teams: [],
+    classes: [{ id: "c", urgency: 0, deadlineMs, maxDeadlineMs: 5_000 }],
+    limits: {
+      keyWindowMs: 60_000,
+      clockSkewMs: 1_000,
+      configFreshnessMs: 20_000,
+    },
+  });
+}
+
+function createFleet(): FakeFleet {
+  const fleet = FakeFleet.create({
+    seed: 7,
+    daemons: 3,
+    retentionMs: RETENTION_MS,
+    config: text(1),
+  });
+  fleet.time.run(6_000);
+  return fleet;
+}
+
+/** Revision and deadline in force on each daemon, and whether it has stopped admitting. */
+function inForce(fleet: FakeFleet): readonly string[] {
+  return fleet.daemons.map((daemon) => {
+    const { revision, serving, stale } = daemon.core.board.config;
+    const { deadlineMs } = serving?.classes[0] ?? {};
+    return `${revision}:${deadlineMs}${stale ? " stale" : ""}`;
+  });
+}
+
+test("of two racing operators one wins everywhere within a second", () => {
+  const fleet = createFleet();
+  const won = fleet.publish(0 as Revision, text(2));
+  fleet.publish(0 as Revision, text(3));
+  fleet.time.run(1_000);
+  expect(new Set(inForce(fleet))).toEqual(new Set([`${won}:2`]));
+});
+
+test("a change outlives retention, and a checkpoint of a paused writer takes nothing back", () => {
+  const fleet = createFleet();
+  const won = fleet.publish(0 as Revision, text(2));
+  const [paused] = fleet.log.history.get(CONFIG_STREAM)!
+    .filter((record) => record.value.includes("config_checkpoint"));
+  fleet.time.run(3 * RETENTION_MS);
+  expect(paused).toBeDefined();
+  fleet.log.put(CONFIG_STREAM, [paused!.value.replace(/"id":"/, '"id":"late')]);
+  for (const vm of [0, 1, 2]) fleet.kill(vm, 100);
+  fleet.time.run(10_000);
+  expect(new Set(inForce(fleet))).toEqual(new Set([`${won}:2`]));
+});
+
+test("an answer lost after its effect puts a change in force once", () => {
+  const fleet = createFleet();
+  const first = fleet.publish(0 as Revision, text(2), "same");
+  fleet.publish(0 as Revision, text(2), "same");
+  fleet.time.run(1_000);
+  expect(new Set(inForce(fleet))).toEqual(new Set([`${first}:2`]));
+});
+
+test("a fresh daemon in an outage learns from its peers, and all serve on", () => {
+  const fleet = createFleet();
+  fleet.log.mode = "silent";
+  fleet.kill(0, 500);
+  fleet.time.run(8_000);
+  expect(inForce(fleet)).toEqual(["0:1", "0:1", "0:1"]);
+  fleet.time.run(120_000);
+  expect(inForce(fleet)).toEqual(["0:1", "0:1", "0:1"]);
+});
+
+test("a daemon cut off from peers alone serves on, cut off from both it goes stale and comes back", () => {
+  const fleet = createFleet();
+  fleet.cutOff(0, 60_000);
+  fleet.time.run(30_000);
+  expect(inForce(fleet)).toEqual(["0:1", "0:1", "0:1"]);
+  fleet.log.mode = "down";
+  fleet.time.run(25_000);
+  expect(inForce(fleet)).toEqual(["0:1 stale", "0:1", "0:1"]);
+  fleet.time.run(10_000);
+  expect(inForce(fleet)).toEqual(["0:1", "0:1", "0:1"]);
+});
+
+test("a late heartbeat with an older configuration takes nothing back", () => {
+  const fleet = createFleet();
+  const won = fleet.publish(0 as Revision, text(2));
+  fleet.time.run(1_000);
+  const beat = {
+    vm: "vm9",
+    state: "serving",
+    peerAddress: "peer9",
+    clientAddress: "",
+    domain: "a",
+    revision: 0,
+    config: Buffer.from(text(1)),
+    configOffset: 1,
+    running: 0,
+    queued: 0,
+    teams: [],
+    upstreams: [],
+    suspects: [],
+    atMs: 0,
+  };
+  const envelope = {
+    from: "d9",
+    seq: 1,
+    body: { $case: "heartbeat" as const, value: beat as never },
+  };
+  for (const daemon of fleet.daemons) {
+    daemon.deliver({ type: "peer_message", envelope });
+  }
+  const seen = new Set<string>();
+  fleet.time.run(1_000, () => inForce(fleet).forEach((one) => seen.add(one)));
+  expect(seen).toEqual(new Set([`${won}:2`]));
+});
+
+test("an unreadable configuration is not put in force, and the next one is", () => {
+  const fleet = createFleet();
+  const broken = fleet.publish(0 as Revision, "{}");
+  fleet.time.run(1_000);
+  expect(inForce(fleet)[0]).toBe("0:1");
+  const next = fleet.publish(broken as number as Revision, text(4));
+  fleet.time.run(1_000);
+  expect(inForce(fleet)[0]).toBe(`${next}:4`);
+});
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -48,6 +48,7 @@
   readonly daemons: FakeDaemon[] = [];
   readonly #random: Random;
   readonly #engines: readonly FakeEngine[];
+  readonly #size: number;
   readonly #cut = new Set<string>();
   /** What to do once a forwarded call has been answered at its home. */
   readonly #forwards = new Map<RequestId, () => void>();
@@ -62,6 +63,7 @@
       this.#random,
       options.serviceFate,
     );
+    this.#size = options.daemons;
     this.#engines = options.engines ?? [];
     this.publish(-1 as Revision, options.config);
     for (let vm = 0; vm < options.daemons; vm += 1) this.start(vm);
@@ -89,7 +91,11 @@
       execute: (from, intent) => this.#execute(from, intent),
     });
     this.daemons[vm] = daemon;
-    const vms = [...VMS, ...this.#engines.map((engine) => engine.vm)];
+    const vms = [
+      ...Array.from({ length: this.#size }, (_, index) => entryVm(index)),
+      SERVICE_VM,
+      ...this.#engines.map((engine) => engine.vm),
+    ];
     daemon.deliver({ type: "vms_listed", vms });
     this.#report(daemon);
   }
@@ -224,22 +230,23 @@
   }
 }
 
-const VMS = [
-  ...[0, 1, 2, 3].map((vm) => ({
+function entryVm(vm: number): Vm {
+  return {
     id: `vm${vm}`,
     role: "entry",
     domain: "a",
     address: `peer${vm}`,
     incarnation: "1",
     state: "live",
-  })),
-  {
-    id: "stock-0",
-    role: "service",
-    service: "stock",
-    domain: "a",
-    address: "stock",
-    incarnation: "1",
-    state: "live",
-  },
-] as unknown as readonly Vm[];
+  } as unknown as Vm;
+}
+
+const SERVICE_VM = {
+  id: "stock-0",
+  role: "service",
+  service: "stock",
+  domain: "a",
+  address: "stock",
+  incarnation: "1",
+  state: "live",
+} as unknown as Vm;
