--- a/src/controllers/config_controller_test.ts
+++ b/src/controllers/config_controller_test.ts
@@ -41,6 +41,13 @@
   });
 }
 
+/** How often each daemon has put a configuration in force. */
+function taken(fleet: FakeFleet): readonly number[] {
+  return fleet.daemons.map((daemon) =>
+    daemon.core.board.counters.counted.config_taken
+  );
+}
+
 test("of two racing operators one wins everywhere within a second", () => {
   const fleet = createFleet();
   const won = fleet.publish(0 as Revision, text(2));
@@ -120,9 +127,10 @@
   for (const daemon of fleet.daemons) {
     daemon.deliver({ type: "peer_message", envelope });
   }
-  const seen = new Set<string>();
-  fleet.time.run(1_000, () => inForce(fleet).forEach((one) => seen.add(one)));
-  expect(seen).toEqual(new Set([`${won}:2`]));
+  const before = taken(fleet);
+  fleet.time.run(1_000);
+  expect(new Set(inForce(fleet))).toEqual(new Set([`${won}:2`]));
+  expect(taken(fleet)).toEqual(before);
 });
 
 test("an unreadable configuration is not put in force, and the next one is", () => {
