--- a/src/fold/config_fold_test.ts
+++ b/src/fold/config_fold_test.ts
@@ -151,3 +151,9 @@
   config.take(checkpoint(401, 310, { revision: 309, name: "new" }));
   expect(config.state?.revision).toBe(309);
 });
+
+test("an operator's empty checkpoint lets a stream that has wholly expired begin anew", () => {
+  const empty = checkpoint(9, 9, { revision: -1, name: "" });
+  const config = fold(9, [empty, change(10, -1, "anew")]);
+  expect(config.state).toMatchObject({ revision: 10, change: "anew" });
+});
