Read cache events from the beginning after an engine's restart

Each run counts its events from 1, but the poller went on asking after the last number of the run before, and so missed the new run's events until its count had caught up. A position now names its run, on the wire and in the client. Two contract tests waited for one event that may be lost (5 in 100); they now send another prompt at each try.

Seen failing first: the position taken without its run.

--- a/src/daemon/upstream_poller.ts
+++ b/src/daemon/upstream_poller.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../board/upstreams_section.ts";
 import type { UpstreamId } from "../core/id.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
+import type { CachePosition } from "../engine/engine_client.ts";
 import type { Loop } from "./loop.ts";
 import type { UpstreamClients } from "./upstream_clients.ts";
 
@@ -13,7 +14,7 @@
 export class UpstreamPoller {
   readonly #loop: () => Loop;
   readonly #clients: UpstreamClients;
-  readonly #cacheSeq = new Map<UpstreamId, number>();
+  readonly #cacheRead = new Map<UpstreamId, CachePosition>();
   readonly #busy = new Set<UpstreamId>();
   #timer: NodeJS.Timeout | undefined;
   #round = 0;
@@ -57,7 +58,7 @@
     if (this.#busy.has(upstream.id)) return;
     this.#busy.add(upstream.id);
     const engine = this.#clients.engine(upstream.address);
-    const after = this.#cacheSeq.get(upstream.id) ?? 0;
+    const after = this.#cacheRead.get(upstream.id);
     const [load, state, cache] = await Promise.all([
       engine.load(),
       engine.state(),
@@ -80,19 +81,17 @@
         report: load.value,
       });
     }
-    const last = cache.isOk() ? cache.value.at(-1) : undefined;
-    if (cache.isErr() || last === undefined) return;
-    this.#cacheSeq.set(upstream.id, last.seq);
-    loop.post({
-      type: "cache_reported",
-      upstream: upstream.id,
-      events: cache.value,
-    });
+    if (cache.isErr()) return;
+    const { incarnation, events } = cache.value;
+    const last = events.at(-1);
+    if (last === undefined) return;
+    this.#cacheRead.set(upstream.id, { incarnation, seq: last.seq });
+    loop.post({ type: "cache_reported", upstream: upstream.id, events });
   }
 
   #forget(known: ReadonlyMap<UpstreamId, Upstream>): void {
-    for (const id of this.#cacheSeq.keys()) {
-      if (!known.has(id)) this.#cacheSeq.delete(id);
+    for (const id of this.#cacheRead.keys()) {
+      if (!known.has(id)) this.#cacheRead.delete(id);
     }
   }
 }
--- a/src/engine/engine_client.ts
+++ b/src/engine/engine_client.ts
@@ -1,9 +1,9 @@
 import type { ResultAsync } from "neverthrow";
-import type { AttemptId, PlanId } from "../core/id.ts";
+import type { AttemptId, Incarnation, PlanId } from "../core/id.ts";
 import type { Millis } from "../core/time.ts";
 import type { Verdict } from "../core/verdict.ts";
 import type {
-  CacheEvent,
+  CacheEvents,
   EngineEvent,
   EngineOrder,
   EngineRefusal,
@@ -48,6 +48,9 @@
 /** A prompt's text as chunks of UTF-8, not copied. */
 export type PromptBody = readonly Uint8Array[];
 
+/** How far the cache events of one run of an engine were read. */
+export type CachePosition = Readonly<{ incarnation: Incarnation; seq: number }>;
+
 /** One model engine. */
 export abstract class EngineClient {
   /** Starts an answer; resolves once the engine has accepted or refused. */
@@ -69,10 +72,10 @@
 
   abstract load(): ResultAsync<LoadReport, EngineError>;
   abstract state(): ResultAsync<EngineState, EngineError>;
-  /** Cache events after a sequence number. */
+  /** Cache events after a position; all of the engine's present run without one. */
   abstract cacheEvents(
-    after: number,
-  ): ResultAsync<readonly CacheEvent[], EngineError>;
+    after?: CachePosition,
+  ): ResultAsync<CacheEvents, EngineError>;
   abstract order(order: EngineOrder): ResultAsync<void, EngineError>;
   abstract reserve(
     plan: PlanId,
--- a/src/engine/engine_contract_test.ts
+++ b/src/engine/engine_contract_test.ts
@@ -18,7 +18,11 @@
 } from "../core/id.ts";
 import type { EngineEvent, GenerateHead } from "../wire/engine.ts";
 import { digestPrompt } from "./block_digests.ts";
-import type { EngineError, EngineStream } from "./engine_client.ts";
+import type {
+  CachePosition,
+  EngineError,
+  EngineStream,
+} from "./engine_client.ts";
 import {
   HttpEngineClient,
   type HttpEngineClientOptions,
@@ -412,12 +416,16 @@
 
 test("load and cache reports arrive late", async () => {
   const { client } = await startEngine({ timeScale: 2_000 });
-  await ask(client);
-  const { blocks } = digestPrompt(TEXT);
+  const sent = new Set<string>();
+  // Events get lost, so each try has another prompt.
   await until(async () => {
-    const events = (await client.cacheEvents(0))._unsafeUnwrap();
+    const text = Buffer.concat([Buffer.from(`${attempts} `), TEXT]);
+    sent.add(digestPrompt(text).blocks.join());
+    const stream = await client.generate(head(), [text], SILENCE);
+    await readAll(stream._unsafeUnwrap());
+    const { events } = (await client.cacheEvents())._unsafeUnwrap();
     return events.some((event) =>
-      event.type === "stored" && event.blocks.join() === blocks.join()
+      event.type === "stored" && sent.has(event.blocks.join())
     );
   });
   expect((await client.load())._unsafeUnwrap()).toMatchObject({
@@ -438,6 +446,29 @@
   expect((await createClient(server.address).state()).isOk()).toBe(true);
 });
 
+test("after an engine's restart its cache events are read from the beginning", async () => {
+  const { server, client } = await startEngine({ timeScale: 2_000 });
+  const read = async (after?: CachePosition) =>
+    (await client.cacheEvents(after))._unsafeUnwrap();
+  // Events get lost, and so may the first call after a restart: each try has another prompt.
+  const fill = async (after?: CachePosition) => {
+    await until(async () => {
+      const text = Buffer.concat([Buffer.from(`${attempts} `), TEXT]);
+      const stream = await client.generate(head(), [text], SILENCE);
+      if (stream.isOk()) await readAll(stream.value);
+      return (await read(after)).events.length > 0;
+    });
+  };
+  const before = (await client.state())._unsafeUnwrap().incarnation;
+  const position = { incarnation: before, seq: 1_000_000 };
+  await fill();
+  expect((await read(position)).events).toEqual([]);
+  server.crash();
+  await server.restart();
+  await fill(position);
+  expect((await read()).incarnation).not.toBe(before);
+});
+
 test("half an answer to a plain call is a failure", async () => {
   const { server, client } = await startEngine();
   server.control({ call_fault: { call: "state", type: "half" } });
--- a/src/engine/http_engine_client.ts
+++ b/src/engine/http_engine_client.ts
@@ -13,7 +13,7 @@
 import type { HttpStream } from "../net/http_stream.ts";
 import { HttpStreams } from "../net/http_streams.ts";
 import {
-  type CacheEvent,
+  type CacheEvents,
   CacheEventsSchema,
   type EngineOrder,
   EngineRefusalSchema,
@@ -25,6 +25,7 @@
   type Reservation,
 } from "../wire/engine.ts";
 import {
+  type CachePosition,
   EngineClient,
   type EngineError,
   type EngineStream,
@@ -115,10 +116,14 @@
   }
 
   override cacheEvents(
-    after: number,
-  ): ResultAsync<readonly CacheEvent[], EngineError> {
-    return this.#get(`/v1/cache_events?after=${after}`, CacheEventsSchema)
-      .map((answer) => answer.events);
+    after?: CachePosition,
+  ): ResultAsync<CacheEvents, EngineError> {
+    const query = after === undefined
+      ? ""
+      : `?after=${after.seq}&incarnation=${
+        encodeURIComponent(after.incarnation)
+      }`;
+    return this.#get(`/v1/cache_events${query}`, CacheEventsSchema);
   }
 
   override order(order: EngineOrder): ResultAsync<void, EngineError> {
--- a/src/wire/engine.ts
+++ b/src/wire/engine.ts
@@ -69,11 +69,16 @@
 /** One change of an engine's prefix cache. */
 export type CacheEvent = z.infer<typeof CacheEventSchema>;
 
-/** Answer to `GET /v1/cache_events?after=`. */
+/**
+ * Answer to `GET /v1/cache_events?after=&incarnation=`. Each run of an engine counts `seq` from 1; for another
+ * run than the one that answers, all its events are new.
+ */
 export const CacheEventsSchema = z.object({
   incarnation: idSchema<Incarnation>(),
   events: z.array(CacheEventSchema),
-});
+}).readonly();
+/** Cache events of one run of an engine. */
+export type CacheEvents = z.infer<typeof CacheEventsSchema>;
 
 /** Answer to `GET /v1/state`: what is loaded now, without lag. */
 export const EngineStateSchema = z.object({
--- a/stand_ins/engine/report_routes.ts
+++ b/stand_ins/engine/report_routes.ts
@@ -22,9 +22,11 @@
 
 function cacheEvents(engine: EngineRuntime, c: HostContext): Response {
   engine.pump();
-  const after = Number(c.req.query("after") ?? 0);
+  const { incarnation } = engine.model;
+  const isSameRun = c.req.query("incarnation") === incarnation;
+  const after = isSameRun ? Number(c.req.query("after") ?? 0) : 0;
   const events = engine.reports.cacheEvents(engine.clock.now(), after);
-  return c.json({ incarnation: engine.model.incarnation, events });
+  return c.json({ incarnation, events });
 }
 
 async function order(
