--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -14,7 +14,7 @@
   DISPATCH_MS,
   type JobNews,
 } from "../scheduling/cell_scheduler.ts";
-import { DEFAULT_POLICY, type Policy } from "../scheduling/policy.ts";
+import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import {
   askBlocks,
   fromPlaceAsk,
@@ -26,6 +26,7 @@
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
 import { placeCall } from "./call_placement.ts";
+import { canReattach } from "./retry_decision.ts";
 import { freshPeers } from "./membership_controller.ts";
 
 /** Silence after which an asker places by itself. */
@@ -46,22 +47,18 @@
 /** Places the requests of this daemon, and the prompts of the cell where it is the scheduling daemon. */
 export class PlacementController extends Controller {
   override readonly name = "placement";
-  readonly #scheduler: CellScheduler;
+  readonly #scheduler = CellScheduler.create(DEFAULT_POLICY);
   readonly #rounds = new Map<RequestId, Round>();
   /** The live daemons, this one included, as they were last. */
   #live = "";
   #seq = 0;
 
-  private constructor(policy: Policy) {
-    super();
-    this.#scheduler = CellScheduler.create(policy);
-  }
-
-  static create(policy: Policy = DEFAULT_POLICY): PlacementController {
-    return new PlacementController(policy);
+  static create(): PlacementController {
+    return new PlacementController();
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
+    this.#scheduler.setPolicy(board.config.serving?.limits ?? DEFAULT_POLICY);
     this.#scheduler.takeUpstreams(board.upstreams.byId.values());
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#dropEnded(board, ctx);
@@ -104,6 +101,8 @@
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
     const { outcome } = event;
+    // The same answer is connected to again, so its place is still taken.
+    if (outcome.type === "failed" && canReattach(entry, outcome)) return;
     const crashed = outcome.type === "failed" && outcome.crashed;
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
@@ -161,6 +160,7 @@
   }
 
   #answer(board: Blackboard, ask: Ask, now: Timestamp): Answer {
+    if (this.#mustWait(board, ask)) return { type: "queued" };
     if (!board.quarantine.quarantined.has(ask.digest)) {
       return this.#scheduler.ask(ask, now);
     }
@@ -168,6 +168,15 @@
     return { type: "refused", problem: problem("quarantined", detail) };
   }
 
+  /** Content that has crashed an engine runs once at a time; its asker asks again. */
+  #mustWait(board: Blackboard, ask: Ask): boolean {
+    if (!board.quarantine.suspects.has(ask.digest)) return false;
+    if (board.quarantine.quarantined.has(ask.digest)) return false;
+    return [...this.#scheduler.jobs.values()].some((job) =>
+      job.ask.digest === ask.digest && job.ask.request !== ask.request
+    );
+  }
+
   #takeUpdate(
     board: Blackboard,
     ctx: StepContext,
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from "../board/blackboard.ts";
-import type { RequestEntry } from "../board/requests_section.ts";
+import type { RequestEnd, RequestEntry } from "../board/requests_section.ts";
 import { admit } from "../core/admission.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
@@ -11,7 +11,7 @@
 import { RetryBudget } from "../core/retry_budget.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { SECOND_MS } from "../core/time.ts";
-import { joinVerdicts } from "../core/verdict.ts";
+import { joinVerdicts, type Verdict } from "../core/verdict.ts";
 import { decideRetry } from "./retry_decision.ts";
 
 type AttemptEvent = Extract<
@@ -39,6 +39,7 @@
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
+    board.requests.ended = [];
     for (const event of ctx.events) this.#take(board, ctx, event);
     for (const entry of board.requests.byId.values()) {
       this.#advance(board, ctx, entry);
@@ -146,7 +147,8 @@
   #leave(board: Blackboard, ctx: StepContext, id: RequestId): void {
     const entry = board.requests.byId.get(id);
     if (entry === undefined || entry.req.kind === "call") return;
-    board.requests.byId.delete(id);
+    const verdict = entry.attempts > 0 ? "may_have_run" : "not_run";
+    close(board, entry, { end: "client_left", verdict });
     ctx.counters.refuse("client_left");
     ctx.repeat();
   }
@@ -175,7 +177,8 @@
   ): void {
     const limits = board.config.serving?.limits;
     if (outcome.type === "ok") {
-      board.requests.byId.delete(entry.req.id);
+      const { tokens, answerDigest } = outcome;
+      close(board, entry, { end: "ok", verdict: "ran", tokens, answerDigest });
       ctx.counters.add("requests_finished");
       measure(ctx, entry, "request_ms");
       ctx.emit(finishedLine(ctx, entry, outcome));
@@ -225,6 +228,9 @@
 
   #advance(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
     if (entry.req.deadlineAt <= ctx.now) return this.#expire(board, ctx, entry);
+    if (board.quarantine.quarantined.has(entry.req.digest)) {
+      return this.#quarantine(board, ctx, entry);
+    }
     ctx.wakeAt(entry.req.deadlineAt);
     if (entry.state === "claiming") this.#readClaim(board, ctx, entry);
     if (entry.state === "placing") this.#readPlacement(board, ctx, entry);
@@ -242,7 +248,7 @@
       case "forward":
         return this.#forward(board, ctx, entry, result.home);
       case "recorded":
-        board.requests.byId.delete(entry.req.id);
+        close(board, entry, { end: "recorded", verdict: "ran" });
         ctx.counters.add("requests_finished");
         ctx.emit({
           type: "answer_recorded",
@@ -300,7 +306,7 @@
         problem("key_home_lost", detail, { verdict: "may_have_run" }),
       );
     }
-    board.requests.byId.delete(event.req);
+    close(board, entry, { end: "forwarded", verdict: "may_have_run" });
     ctx.counters.add("requests_finished");
     ctx.repeat();
   }
@@ -339,11 +345,15 @@
     ctx.repeat();
   }
 
+  /** Other copies of the content have crashed engines; this one must not crash another. */
+  #quarantine(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
+    const detail = "Engines crashed each time that they ran this content.";
+    const verdict = verdictNow(entry);
+    this.#fail(board, ctx, entry, problem("quarantined", detail, { verdict }));
+  }
+
   #expire(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
-    const isSent = entry.state === "running" || entry.state === "forwarded";
-    const verdict = isSent
-      ? joinVerdicts(entry.verdict, "may_have_run")
-      : entry.verdict;
+    const verdict = verdictNow(entry);
     this.#fail(
       board,
       ctx,
@@ -371,7 +381,8 @@
         upstream: placement.upstream,
       });
     }
-    board.requests.byId.delete(entry.req.id);
+    const { code, verdict } = cause;
+    close(board, entry, { end: code, verdict });
     ctx.counters.add("requests_failed");
     refuse(ctx, entry.req.id, cause);
     ctx.repeat();
@@ -383,6 +394,15 @@
   }
 }
 
+function close(
+  board: Blackboard,
+  entry: RequestEntry,
+  result: RequestEnd["result"],
+): void {
+  board.requests.byId.delete(entry.req.id);
+  board.requests.ended.push({ entry, result });
+}
+
 function measure(
   ctx: StepContext,
   entry: RequestEntry,
@@ -417,6 +437,12 @@
   };
 }
 
+/** What is known while an attempt may be under way. */
+function verdictNow(entry: RequestEntry): Verdict {
+  const isSent = entry.state === "running" || entry.state === "forwarded";
+  return isSent ? joinVerdicts(entry.verdict, "may_have_run") : entry.verdict;
+}
+
 function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
   ctx.counters.refuse(cause.code);
   ctx.emit({ type: "answer", req, problem: cause });
