--- a/tools/faults/fake_engine_client.ts
+++ b/tools/faults/fake_engine_client.ts
@@ -9,7 +9,7 @@
   type PromptBody,
 } from "../../src/engine/engine_client.ts";
 import type {
-  CacheEvent,
+  CacheEvents,
   EngineOrder,
   EngineState,
   GenerateHead,
@@ -100,8 +100,11 @@
     return this.#control(() => this.#link.engine.state());
   }
 
-  override cacheEvents(): ResultAsync<readonly CacheEvent[], EngineError> {
-    return this.#control(() => []);
+  override cacheEvents(): ResultAsync<CacheEvents, EngineError> {
+    return this.#control(() => {
+      const { incarnation } = this.#link.engine.state();
+      return { incarnation, events: [] };
+    });
   }
 
   override order(order: EngineOrder): ResultAsync<void, EngineError> {
