Let every answer of the demo be as long as it may be

The answer whose daemon is killed drew 23 to 50 tokens and could end before the kill (seen once: 'the stream ended before its daemon was killed').

--- a/tools/demo/demo.ts
+++ b/tools/demo/demo.ts
@@ -19,6 +19,8 @@
     daemons: 3,
     engines: 5,
     timeScale: TIME_SCALE,
+    // Every answer is as long as it may be, so that none ends before its daemon is killed.
+    meanAnswerTokens: 1_000_000,
     loaded: "assistant/2026-09:wire-and-wood,ledgers",
     group: "assistants",
     service: "orders",
