--- a/src/daemon/upstream_poller.ts
+++ b/src/daemon/upstream_poller.ts
@@ -3,8 +3,8 @@
 import type { Upstream } from "../board/upstreams_section.ts";
 import type { UpstreamId } from "../core/id.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
-import type { EngineError } from "../engine/engine_client.ts";
-import type { CacheEvent, EngineState, LoadReport } from "../wire/engine.ts";
+import type { CachePosition, EngineError } from "../engine/engine_client.ts";
+import type { CacheEvents, EngineState, LoadReport } from "../wire/engine.ts";
 import type { Loop } from "./loop.ts";
 import type { UpstreamClients } from "./upstream_clients.ts";
 
@@ -25,14 +25,14 @@
 type Reports = Readonly<{
   load: Result<LoadReport, EngineError> | undefined;
   state: Result<EngineState, EngineError> | undefined;
-  cache: Result<readonly CacheEvent[], EngineError> | undefined;
+  cache: Result<CacheEvents, EngineError> | undefined;
 }>;
 
 /** Asks engines for load, state and cache events and hands them to the core. */
 export class UpstreamPoller {
   readonly #loop: () => Loop;
   readonly #clients: UpstreamClients;
-  readonly #cacheSeq = new Map<UpstreamId, number>();
+  readonly #cacheRead = new Map<UpstreamId, CachePosition>();
   readonly #busy = new Set<UpstreamId>();
   #timer: NodeJS.Timeout | undefined;
   #round = 0;
@@ -82,7 +82,7 @@
     if (isIdle || this.#busy.has(upstream.id)) return;
     this.#busy.add(upstream.id);
     const engine = this.#clients.engine(upstream.address);
-    const after = this.#cacheSeq.get(upstream.id) ?? 0;
+    const after = this.#cacheRead.get(upstream.id);
     const [load, state, cache] = await Promise.all([
       due.load ? engine.load() : undefined,
       due.state ? engine.state() : undefined,
@@ -105,15 +105,17 @@
     if (isLost(reports)) {
       loop.post({ type: "upstream_unreachable", upstream });
     }
-    const last = cache?.isOk() ? cache.value.at(-1) : undefined;
-    if (!cache?.isOk() || last === undefined) return;
-    this.#cacheSeq.set(upstream, last.seq);
-    loop.post({ type: "cache_reported", upstream, events: cache.value });
+    if (!cache?.isOk()) return;
+    const { incarnation, events } = cache.value;
+    const last = events.at(-1);
+    if (last === undefined) return;
+    this.#cacheRead.set(upstream, { incarnation, seq: last.seq });
+    loop.post({ type: "cache_reported", upstream, events });
   }
 
   #forget(known: ReadonlyMap<UpstreamId, Upstream>): void {
-    for (const id of this.#cacheSeq.keys()) {
-      if (!known.has(id)) this.#cacheSeq.delete(id);
+    for (const id of this.#cacheRead.keys()) {
+      if (!known.has(id)) this.#cacheRead.delete(id);
     }
   }
 }
--- a/tools/capacity/adapter_costs.ts
+++ b/tools/capacity/adapter_costs.ts
@@ -47,7 +47,7 @@
     message: await measureMessages(),
     engineLoad: await engine(loadReport(1, START))((one) => one.load()),
     engineState: await engine(engineState(1))((one) => one.state()),
-    engineCache: await engine(cache)((one) => one.cacheEvents(0)),
+    engineCache: await engine(cache)((one) => one.cacheEvents()),
     emptyRead: await measureRead(),
     vmList: await measureList(),
   };
--- a/tools/capacity/wire_costs.ts
+++ b/tools/capacity/wire_costs.ts
@@ -102,9 +102,10 @@
   const client = HttpEngineClient.create(await relay.listen());
   const engineLoad = await bytesPerCall(relay, () => client.load());
   const engineState = await bytesPerCall(relay, () => client.state());
+  const { incarnation } = server.model;
   const engineCache = await bytesPerCall(
     relay,
-    () => client.cacheEvents(1_000),
+    () => client.cacheEvents({ incarnation, seq: 1_000 }),
   );
   await client.close();
   await relay.close();
