Test placement between daemons and quarantine; let suspects wait for each other

Fault found by the test: when more prompts had run beside a poison prompt than there are engines left, those that found no engine without a suspect were refused. They now wait. The team ledger, which nothing read, is gone: team shares are not part of the admission yet.

--- /dev/null
+++ b/src/controllers/placement_controller_test.ts
@@ -0,0 +1,118 @@
+import { expect, test } from "vitest";
+import type {
+  DaemonId,
+  DomainId,
+  Revision,
+  UpstreamId,
+  VmId,
+} from "../core/id.ts";
+import type { Envelope } from "../gen/peer.ts";
+import {
+  CoreFixture,
+  engineFixture,
+  intentsOf,
+  promptFixture,
+} from "../testing/fixtures.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { RequestController } from "./request_controller.ts";
+
+const SCHEDULER = "daemon-2" as DaemonId;
+const SILENCE_MS = 150;
+
+function create(): CoreFixture {
+  const core = CoreFixture.create([
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  core.add(engineFixture("e1"), engineFixture("e2"));
+  core.board.members.peers.set(SCHEDULER, {
+    id: SCHEDULER,
+    vm: "vm-2" as VmId,
+    domain: "domain-1" as DomainId,
+    clientAddress: "vm-2:1",
+    peerAddress: "vm-2:2",
+    state: "serving",
+    revision: 0 as Revision,
+    running: 0,
+    queued: 0,
+    heardAt: core.now,
+  });
+  core.board.members.scheduler = SCHEDULER;
+  return core;
+}
+
+function message(body: NonNullable<Envelope["body"]>) {
+  const envelope = { from: SCHEDULER, seq: 1, body };
+  return { type: "peer_message", envelope } as const;
+}
+
+function grant(request: string, round: number) {
+  const segments = [{ upstream: "e2", from: 0, to: 1_000 }];
+  const value = { request, round, priority: 7, segments };
+  return message({ $case: "placeGrant", value });
+}
+
+function sent(result: Parameters<typeof intentsOf>[0]): readonly string[] {
+  return intentsOf(result, "send_peer").map(({ envelope }) => {
+    const { body } = envelope;
+    return body?.$case === "placeUpdate" ? body.value.state : `${body?.$case}`;
+  });
+}
+
+test("a prompt runs where the scheduling daemon says, and a doubled grant changes nothing", () => {
+  const core = create();
+  const asked = core.step({
+    type: "request_arrived",
+    req: promptFixture("r1"),
+  });
+  expect(sent(asked)).toEqual(["placeAsk"]);
+  const [started] = intentsOf(core.after(2, grant("r1", 1)), "start_attempt");
+  expect(started?.placement).toEqual({
+    upstream: "e2" as UpstreamId,
+    priority: 7,
+  });
+  const again = core.after(1, grant("r1", 1));
+  expect([sent(again), intentsOf(again, "start_attempt")]).toEqual([[], []]);
+});
+
+test("a grant for an earlier round or an unknown request is given back", () => {
+  const core = create();
+  core.step({ type: "request_arrived", req: promptFixture("r1") });
+  expect(sent(core.after(2, grant("r1", 9)))).toEqual(["withdrawn"]);
+  expect(sent(core.after(2, grant("r2", 1)))).toEqual(["withdrawn"]);
+});
+
+test("a silent scheduling daemon is done without", () => {
+  const core = create();
+  core.step({ type: "request_arrived", req: promptFixture("r1") });
+  const early = core.after(SILENCE_MS - 1);
+  expect(intentsOf(early, "start_attempt")).toHaveLength(0);
+  const late = core.after(1);
+  expect(intentsOf(late, "start_attempt")).toHaveLength(1);
+});
+
+test("an unreachable scheduling daemon is done without at once", () => {
+  const core = create();
+  core.step({ type: "request_arrived", req: promptFixture("r1") });
+  const result = core.after(1, {
+    type: "peer_unreachable",
+    address: "vm-2:2",
+  });
+  expect(intentsOf(result, "start_attempt")).toHaveLength(1);
+});
+
+test("a prompt that waits at the scheduling daemon is asked for again, not placed here", () => {
+  const core = create();
+  core.step({ type: "request_arrived", req: promptFixture("r1") });
+  const value = {
+    request: "r1",
+    round: 1,
+    state: "queued",
+    tokens: 0,
+    crashed: false,
+    suspect: undefined,
+  };
+  core.after(2, message({ $case: "placeUpdate", value }));
+  expect(sent(core.after(SILENCE_MS))).toEqual([]);
+  expect(sent(core.after(2_000))).toEqual(["placeAsk"]);
+});
--- /dev/null
+++ b/src/controllers/quarantine_controller_test.ts
@@ -0,0 +1,93 @@
+import { expect, test } from "vitest";
+import type { AttemptId, RequestId } from "../core/id.ts";
+import type { StepResult } from "../core/core.ts";
+import {
+  CoreFixture,
+  engineFixture,
+  intentsOf,
+  promptFixture,
+} from "../testing/fixtures.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
+import { RequestController } from "./request_controller.ts";
+
+const ENGINES = ["e1", "e2", "e3", "e4"];
+
+function create(): CoreFixture {
+  const core = CoreFixture.create([
+    QuarantineController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  core.add(...ENGINES.map((id) => engineFixture(id)));
+  return core;
+}
+
+function started(result: StepResult) {
+  return intentsOf(result, "start_attempt").map((intent) => ({
+    req: intent.req,
+    attempt: intent.attempt,
+    upstream: intent.placement.upstream,
+  }));
+}
+
+function crashed(req: RequestId, attempt: AttemptId) {
+  const outcome = {
+    type: "failed",
+    cause: "upstream_crashed",
+    verdict: "may_have_run",
+    tokens: 0,
+    crashed: true,
+    detail: "Connection reset",
+  } as const;
+  return { type: "attempt_ended", req, attempt, outcome } as const;
+}
+
+function finished(run: Readonly<{ req: RequestId; attempt: AttemptId }>) {
+  const outcome = { type: "ok", tokens: 10, status: 200 } as const;
+  return { type: "attempt_ended", ...run, outcome } as const;
+}
+
+test("content that crashes two engines is refused, by whomever it is sent again", () => {
+  const core = create();
+  const digest = promptFixture("poison").digest;
+  const lost = new Set<string>();
+  let refusals: readonly string[] = [];
+  for (let i = 0; i < 6; i += 1) {
+    const req = promptFixture(`poison-${i}`, { digest });
+    let result = core.after(10, { type: "request_arrived", req });
+    for (let [run] = started(result); run; [run] = started(result)) {
+      lost.add(run.upstream);
+      result = core.after(10, crashed(run.req, run.attempt));
+    }
+    refusals = intentsOf(result, "answer").map((one) => one.problem.code);
+  }
+  expect({ lost: lost.size, refusals }).toEqual({
+    lost: 2,
+    refusals: ["quarantined"],
+  });
+});
+
+test("prompts that ran beside the poison are retried apart, and none is refused", () => {
+  const core = create();
+  const runs = Array.from({ length: 24 }, (_, i) =>
+    started(
+      core.step({ type: "request_arrived", req: promptFixture(`r${i}`) }),
+    )).flat();
+  const first = runs[0]!.upstream;
+  const neighbours = runs.filter((run) => run.upstream === first);
+  expect(neighbours.length).toBeGreaterThan(ENGINES.length);
+  let result = core.after(
+    10,
+    ...neighbours.map((run) => crashed(run.req, run.attempt)),
+  );
+  let retried = 0;
+  for (let again = started(result); again.length > 0; again = started(result)) {
+    expect(new Set(again.map((run) => run.upstream)).size).toBe(again.length);
+    expect(intentsOf(result, "answer")).toEqual([]);
+    retried += again.length;
+    result = core.after(200, ...again.map((run) => finished(run)));
+  }
+  expect(retried).toBe(neighbours.length);
+  expect(core.board.quarantine.quarantined.size).toBe(0);
+});
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -29,7 +29,6 @@
   type PlacementView,
   placeShort,
 } from "./short_placement.ts";
-import { TeamLedger } from "./team_ledger.ts";
 
 /** How a placed prompt fares. */
 export type JobNews = "first_token" | "ended" | "withdrawn";
@@ -59,7 +58,6 @@
   readonly #cost = CostModel.create();
   readonly #prefixes = PrefixIndex.create();
   readonly #shortDemand = DemandMeter.create(DEMAND_WINDOW_MS);
-  readonly #teams = TeamLedger.create();
   #decodeMs = FIRST_DECODE_MS;
   /** When the waiting prompts are looked at again, unless something changes before. */
   #dispatchAt = 0 as Timestamp;
@@ -120,7 +118,7 @@
     if (known !== undefined) this.#drop(known, now);
     if (this.#queue.renew(ask, now)) return { type: "queued" };
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
+    if (engines.length === 0) return this.#waitForOthers(ask, now);
     const view = this.#view(engines, now);
     return this.#isLong(ask, view)
       ? this.#askLong(ask, view)
@@ -148,14 +146,13 @@
     this.#dispatchAt = addMs(now, DISPATCH_MS);
     this.#dropOverdue(now);
     const answered: Answered[] = [];
-    for (
-      const ask of this.#queue.inOrder((one) => this.#slack(one, now))
-    ) {
+    const slack = (ask: Ask) => this.#slack(ask, now);
+    for (const ask of this.#queue.inOrder(slack)) {
       const answer = this.#tryWaiting(ask, now);
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
-      } else if (this.#slack(ask, now) < this.#policy.overtakeMs) {
+      } else if (!ask.suspect && slack(ask) < this.#policy.overtakeMs) {
         break;
       }
     }
@@ -219,6 +216,20 @@
     }
   }
 
+  /** A suspect waits until an engine has no other one; an innocent neighbour is not refused for it. */
+  #waitForOthers(ask: Ask, now: Timestamp): Answer {
+    if (!this.#waitsForSuspects(ask)) return refuseNoUpstream();
+    const limit = this.#policy.queuedPrompts;
+    const taken = this.#queue.add(ask, { now, limit });
+    return taken ? { type: "queued" } : refuseFull(SHORT_RETRY_MS);
+  }
+
+  #waitsForSuspects(ask: Ask): boolean {
+    if (!ask.suspect) return false;
+    const engines = this.#engines.values();
+    return eligible({ ...ask, suspect: false }, engines).length > 0;
+  }
+
   #askShort(ask: Ask, view: PlacementView): Answer {
     const place = placeShort(ask, view);
     if (place === undefined) return refuseFull(SHORT_RETRY_MS);
@@ -254,7 +265,7 @@
 
   #askLong(ask: Ask, view: PlacementView): Answer {
     if (!couldHold(ask, view)) return refuseTooLong();
-    const waitMs = this.#predictWaitMs(ask, view);
+    const waitMs = this.#predictWaitMs(view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
     if (neededMs > left * this.#policy.admissionRatio) {
@@ -268,7 +279,7 @@
   }
 
   /** Work that is ahead of a new long prompt, spread over the engines that may take it. */
-  #predictWaitMs(ask: Ask, view: PlacementView): Millis {
+  #predictWaitMs(view: PlacementView): Millis {
     let workMs = 0;
     let memoryMs = 0;
     let memory = 0;
@@ -298,8 +309,12 @@
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
+    if (engines.length === 0) {
+      return this.#waitsForSuspects(ask) ? undefined : refuseNoUpstream();
+    }
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
+    const view = this.#view(engines, now);
+    if (!this.#isLong(ask, view)) return this.#askShort(ask, view);
     const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
@@ -335,8 +350,6 @@
       engine.jobs.set(job.ask.request, job);
       if (!job.long) this.#prefixes.store(engine.id, job.ask.blocks);
     }
-    const costMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
-    this.#teams.charge(job.ask.team, costMs, now);
   }
 
   #firstToken(job: Job, now: Timestamp): void {
