--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -259,7 +259,7 @@
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
-    this.#place(job, view.now);
+    this.#place(job);
     return grant(job);
   }
 
@@ -338,11 +338,11 @@
       alone: place.parts.filter((part) => part.costMs > 0).length === 1,
       firstTokenAt: undefined,
     };
-    this.#place(job, now);
+    this.#place(job);
     return job;
   }
 
-  #place(job: Job, now: Timestamp): void {
+  #place(job: Job): void {
     this.#jobs.set(job.ask.request, job);
     for (const part of job.parts) {
       const engine = this.#engines.get(part.engine);
