--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -11,6 +11,7 @@
 import { entryAnswer } from "../core/entry_answer.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
 import { RequestController } from "./request_controller.ts";
 import { engineFixture } from "../testing/fixtures.ts";
 
@@ -139,6 +140,28 @@
   expect(intentsOf(done, "exit")).toHaveLength(1);
 });
 
+test("a new configuration goes to a peer that stays behind, from one daemon after the other", () => {
+  const core = create();
+  Object.assign(core.board.config, { revision: 7, text: "text" });
+  const withText = (revision: number) => {
+    const sent = core.after(
+      1_000,
+      beat(2, { revision }, core.now),
+      beat(3, { revision: 7 }, core.now),
+    );
+    return intentsOf(sent, "send_peer").map(({ address, envelope }) =>
+      envelope.body?.$case === "heartbeat" &&
+      envelope.body.value.config.length > 0 && address
+    ).filter(Boolean);
+  };
+  core.step({ type: "vms_listed", vms: [entryVm(2), entryVm(3)] });
+  expect([withText(6), withText(7)]).toEqual([[], []]);
+  expect([withText(6), withText(6)].flat()).toEqual([]);
+  const behind = selfFixture(2).peerAddress;
+  expect([withText(6), withText(6)].flat()).toContain(behind);
+  expect([withText(7), withText(-1), withText(-1)].flat()).toContain(behind);
+});
+
 test("daemons that are new to each other hear at once what the other one knows", () => {
   const core = create();
   const listed = core.step({ type: "vms_listed", vms: [entryVm(2)] });
@@ -166,3 +189,47 @@
     ]
   `);
 });
+
+test("peers hear of a crash at once, before the next heartbeat is due", () => {
+  const core = CoreFixture.create([
+    MembershipController.create(),
+    QuarantineController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  core.add(engineFixture("e1"), engineFixture("e2"));
+  core.step({ type: "vms_listed", vms: [entryVm(2)] });
+  const started = core.after(10, {
+    type: "request_arrived",
+    req: promptFixture("p1"),
+  });
+  const { req, attempt } = intentsOf(started, "start_attempt")[0]!;
+  const crashed = core.after(10, {
+    type: "attempt_ended",
+    req,
+    attempt,
+    outcome: {
+      type: "failed",
+      cause: "upstream_crashed",
+      verdict: "may_have_run",
+      tokens: 0,
+      crashed: true,
+      detail: "",
+    },
+  });
+  const suspects = intentsOf(crashed, "send_peer").map(({ envelope }) =>
+    envelope.body?.$case === "heartbeat" ? envelope.body.value.suspects : []
+  );
+  expect(suspects).toMatchInlineSnapshot(`
+    [
+      [
+        {
+          "atMs": 1700000000020,
+          "digest": "digest-p1",
+          "incarnation": "e1-run-1",
+          "upstream": "e1",
+        },
+      ],
+    ]
+  `);
+});
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -118,7 +118,7 @@
     if (known !== undefined) this.#drop(known, now);
     if (this.#queue.renew(ask, now)) return { type: "queued" };
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return this.#waitForOthers(ask, now);
+    if (engines.length === 0) return this.#askApart(ask, now);
     const view = this.#view(engines, now);
     return this.#isLong(ask, view)
       ? this.#askLong(ask, view)
@@ -152,9 +152,9 @@
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
-      } else if (!ask.suspect && slack(ask) < this.#policy.overtakeMs) {
-        break;
-      }
+      } else if (
+        !ask.suspect && this.#slack(ask, now) < this.#policy.overtakeMs
+      ) break;
     }
     return answered;
   }
@@ -216,18 +216,19 @@
     }
   }
 
-  /** A suspect waits until an engine has no other one; an innocent neighbour is not refused for it. */
-  #waitForOthers(ask: Ask, now: Timestamp): Answer {
-    if (!this.#waitsForSuspects(ask)) return refuseNoUpstream();
+  /** Suspected content runs apart from other such content, and waits for an engine without any. */
+  #askApart(ask: Ask, now: Timestamp): Answer {
+    if (!this.#waitsApart(ask)) return refuseNoUpstream();
     const limit = this.#policy.queuedPrompts;
-    const taken = this.#queue.add(ask, { now, limit });
-    return taken ? { type: "queued" } : refuseFull(SHORT_RETRY_MS);
+    if (!this.#queue.add(ask, { now, limit })) {
+      return refuseFull(SHORT_RETRY_MS);
+    }
+    return { type: "queued" };
   }
 
-  #waitsForSuspects(ask: Ask): boolean {
-    if (!ask.suspect) return false;
-    const engines = this.#engines.values();
-    return eligible({ ...ask, suspect: false }, engines).length > 0;
+  #waitsApart(ask: Ask): boolean {
+    const unsuspected = { ...ask, suspect: false };
+    return eligible(unsuspected, this.#engines.values()).length > 0;
   }
 
   #askShort(ask: Ask, view: PlacementView): Answer {
@@ -309,10 +310,10 @@
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
+    if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
     if (engines.length === 0) {
-      return this.#waitsForSuspects(ask) ? undefined : refuseNoUpstream();
+      return this.#waitsApart(ask) ? undefined : refuseNoUpstream();
     }
-    if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
     const view = this.#view(engines, now);
     if (!this.#isLong(ask, view)) return this.#askShort(ask, view);
     const target = Math.min(this.#shortTarget(now), engines.length - 1);
