--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -29,7 +29,6 @@
   type PlacementView,
   placeShort,
 } from "./short_placement.ts";
-import { TeamLedger } from "./team_ledger.ts";
 
 /** How a placed prompt fares. */
 export type JobNews = "first_token" | "ended" | "withdrawn";
@@ -59,7 +58,6 @@
   readonly #cost = CostModel.create();
   readonly #prefixes = PrefixIndex.create();
   readonly #shortDemand = DemandMeter.create(DEMAND_WINDOW_MS);
-  readonly #teams = TeamLedger.create();
   #decodeMs = FIRST_DECODE_MS;
   /** When the waiting prompts are looked at again, unless something changes before. */
   #dispatchAt = 0 as Timestamp;
@@ -148,9 +146,8 @@
     this.#dispatchAt = addMs(now, DISPATCH_MS);
     this.#dropOverdue(now);
     const answered: Answered[] = [];
-    for (
-      const ask of this.#queue.inOrder((one) => this.#slack(one, now))
-    ) {
+    const slack = (ask: Ask) => this.#slack(ask, now);
+    for (const ask of this.#queue.inOrder(slack)) {
       const answer = this.#tryWaiting(ask, now);
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
@@ -263,13 +260,13 @@
       firstTokenAt: undefined,
     };
     if (beside !== undefined) delay(beside, prefillMs, view.now);
-    this.#place(job, view.now);
+    this.#place(job);
     return grant(job);
   }
 
   #askLong(ask: Ask, view: PlacementView): Answer {
     if (!couldHold(ask, view)) return refuseTooLong();
-    const waitMs = this.#predictWaitMs(ask, view);
+    const waitMs = this.#predictWaitMs(view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
     if (neededMs > left * this.#policy.admissionRatio) {
@@ -283,7 +280,7 @@
   }
 
   /** Work that is ahead of a new long prompt, spread over the engines that may take it. */
-  #predictWaitMs(ask: Ask, view: PlacementView): Millis {
+  #predictWaitMs(view: PlacementView): Millis {
     let workMs = 0;
     let memoryMs = 0;
     let memory = 0;
@@ -342,11 +339,11 @@
       alone: place.parts.filter((part) => part.costMs > 0).length === 1,
       firstTokenAt: undefined,
     };
-    this.#place(job, now);
+    this.#place(job);
     return job;
   }
 
-  #place(job: Job, now: Timestamp): void {
+  #place(job: Job): void {
     this.#jobs.set(job.ask.request, job);
     for (const part of job.parts) {
       const engine = this.#engines.get(part.engine);
@@ -354,8 +351,6 @@
       engine.jobs.set(job.ask.request, job);
       if (!job.long) this.#prefixes.store(engine.id, job.ask.blocks);
     }
-    const costMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
-    this.#teams.charge(job.ask.team, costMs, now);
   }
 
   #firstToken(job: Job, now: Timestamp): void {
