--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -47,6 +47,8 @@
   #refuseAt: Timestamp | undefined;
   #exitAt: Timestamp | undefined;
   #seq = 0;
+  /** Crashes that the peers have been told of. */
+  #crashesTold = 0;
   /** The daemons among which the scheduling one was chosen last. */
   #candidates = "";
   readonly #seen = new Map<DaemonId, number>();
@@ -189,7 +191,8 @@
   /** Outcomes get some time to reach the log; it may be down. */
   #waitsForLog(board: Blackboard, ctx: StepContext): boolean {
     this.#exitAt ??= addMs(ctx.now, LOG_WAIT_MS);
-    if (board.claims.unsent === 0 || ctx.now >= this.#exitAt) return false;
+    const unsent = board.claims.unsent + board.records.unsent;
+    if (unsent === 0 || ctx.now >= this.#exitAt) return false;
     ctx.wakeAt(this.#exitAt);
     return true;
   }
@@ -207,7 +210,10 @@
   }
 
   #beat(board: Blackboard, ctx: StepContext): void {
-    if (this.#beatAt === undefined || ctx.now >= this.#beatAt) {
+    const { crashesSeen } = board.quarantine;
+    const hasNews = crashesSeen > this.#crashesTold;
+    this.#crashesTold = crashesSeen;
+    if (hasNews || this.#beatAt === undefined || ctx.now >= this.#beatAt) {
       this.#beatAt = addMs(ctx.now, HEARTBEAT_MS);
       for (const address of board.members.addresses) {
         this.#send(board, ctx, address);
