--- a/src/daemon/upstream_poller.ts
+++ b/src/daemon/upstream_poller.ts
@@ -10,13 +10,13 @@
 
 const REPORT_INTERVAL_MS: Millis = SECOND_MS / 2;
 
-/** In how many rounds each report is asked for once. */
+/** In how many rounds each report is asked for once; 0 for never. */
 type Pace = Readonly<{ load: number; state: number; cache: number }>;
 
 /** Load shows a leaving or restarted engine too, a little later than state does. */
 const SCHEDULING_PACE: Pace = { load: 1, state: 4, cache: 2 };
 /** A daemon that places nothing for others needs just enough to place by itself for a while. */
-const OTHER_PACE: Pace = { load: 16, state: 8, cache: Infinity };
+const OTHER_PACE: Pace = { load: 16, state: 8, cache: 0 };
 
 /** Which reports one poll asks for. */
 type Due = Readonly<{ load: boolean; state: boolean; cache: boolean }>;
@@ -62,7 +62,7 @@
     const pace = board.members.scheduler === board.self.id
       ? SCHEDULING_PACE
       : OTHER_PACE;
-    const due = (rounds: number) => this.#round % rounds === 0;
+    const due = (rounds: number) => rounds > 0 && this.#round % rounds === 0;
     for (const upstream of board.upstreams.byId.values()) {
       if (upstream.kind !== "engine") continue;
       const isNew = upstream.engine === undefined;
