--- a/src/controllers/quarantine_controller_test.ts
+++ b/src/controllers/quarantine_controller_test.ts
@@ -83,6 +83,15 @@
   expect(poisoned.core.board.quarantine.suspects.has(DIGEST)).toBe(true);
 });
 
+test("an engine that can't be reached after a silence elsewhere is not taken for crashed", () => {
+  const poisoned = new Poisoned();
+  poisoned.send("p1");
+  poisoned.end("p1", { cause: "upstream_silent" });
+  poisoned.end("p1", { cause: "upstream_silent" });
+  poisoned.end("p1", { cause: "connect_failed", verdict: "not_run" });
+  expect(poisoned.core.board.quarantine.suspects.has(DIGEST)).toBe(false);
+});
+
 test("a place stays taken while the same answer is connected to again", () => {
   const poisoned = new Poisoned();
   poisoned.core.board.quarantine.suspects.set(DIGEST, {
--- a/tools/faults/daemon_process.ts
+++ b/tools/faults/daemon_process.ts
@@ -18,10 +18,12 @@
   UpstreamClients,
 } from "../../src/daemon/upstream_clients.ts";
 import type { PeerClients } from "../../src/peer/peer_clients.ts";
+import type { EngineEvent } from "../../src/wire/engine.ts";
+import type { Fleet } from "./fleet.ts";
 import type { FakeLog } from "./fake_log.ts";
 import type { Timeline } from "./timeline.ts";
 
-/** Changes what a daemon does; tests break a mechanism with it. */
+/** Changes what happens; tests break a mechanism with it. */
 export type Mutation = Readonly<{
   intents?: (
     daemon: DaemonProcess,
@@ -29,6 +31,10 @@
   ) => readonly Intent[];
   /** Called after each step. */
   board?: (board: Blackboard) => void;
+  /** Changes what comes from an engine, past all checks. */
+  event?: (event: EngineEvent) => EngineEvent;
+  /** Called once the schedule has been played. */
+  fleet?: (fleet: Fleet) => void;
 }>;
 
 /** What a daemon is made of, and who watches it. */
@@ -197,10 +203,10 @@
     const result = this.core.step(timeline.now, events);
     this.#armWake(result.wakeAt);
     mutation.board?.(this.board);
+    onStep(this);
     const intents = mutation.intents?.(this, result.intents) ?? result.intents;
     if (intents.some(isSend)) this.#pauseNow();
     for (const intent of intents) this.receive(() => this.#perform(intent));
-    onStep(this);
   }
 
   #pauseNow(): void {
--- a/tools/faults/fake_engine_client.ts
+++ b/tools/faults/fake_engine_client.ts
@@ -10,13 +10,14 @@
 } from "../../src/engine/engine_client.ts";
 import type {
   CacheEvent,
+  EngineEvent,
   EngineOrder,
   EngineState,
   GenerateHead,
   LoadReport,
   Reservation,
 } from "../../src/wire/engine.ts";
-import { EventPipe } from "./event_pipe.ts";
+import { EventPipe, type StreamItem } from "./event_pipe.ts";
 import type { FakeEngine } from "./fake_engine.ts";
 import { FaultyReader } from "./faulty_reader.ts";
 import type { StreamFault } from "./schedule.ts";
@@ -38,6 +39,8 @@
   isAlive: () => boolean;
   /** Takes the fault of the next answer. */
   takeFault: () => ArmedFault | undefined;
+  /** Changes what comes from the engine. */
+  change?: (event: EngineEvent) => EngineEvent;
   /** Told when work has reached the engine. */
   onStarted: (head: GenerateHead) => void;
 }>;
@@ -172,13 +175,16 @@
       if (fault === "refused") return end(refused("queue_full"));
       if (fault === "reset_before") return end(BROKEN);
       if (fault === "silent_before") return end(SILENT, silenceMs);
-      if (engine.isFrozen) end(SILENT, silenceMs);
-      const isAnswered = !engine.isFrozen;
+      let isSilent = false;
+      timeline.after(silenceMs, () => {
+        isSilent = engine.isFrozen;
+        if (isSilent) end(SILENT, 0);
+      });
       timeline.after(NETWORK_MS, () =>
         engine.whenThawed(() => {
           if (!engine.up) return end(BROKEN);
           const taken = submit();
-          if (!isAnswered) return;
+          if (isSilent) return;
           if (taken.isErr()) return end(taken.error);
           if (fault === "reset_after") return end(BROKEN);
           if (fault === "silent_after") return end(SILENT, silenceMs);
@@ -202,7 +208,7 @@
     const reader = FaultyReader.create({
       armed,
       after,
-      push: (item) => this.#later(() => pipe.push(item)),
+      push: (item) => this.#later(() => pipe.push(this.#change(item))),
       pushSilent: () =>
         this.#later(() => pipe.push({ ok: false, err: SILENT }), silenceMs),
       leave: () => engine.unread(attempt, reader),
@@ -239,6 +245,12 @@
     timeline.after(CHECK_MS, look);
   }
 
+  #change(item: StreamItem): StreamItem {
+    const { change } = this.#link;
+    if (!item.ok || change === undefined) return item;
+    return { ok: true, event: change(item.event) };
+  }
+
   #answer<Value>(
     run: (resolve: (result: Result<Value, EngineError>) => void) => void,
   ): ResultAsync<Value, EngineError> {
--- /dev/null
+++ b/tools/faults/faults_test.ts
@@ -0,0 +1,16 @@
+import { expect, test } from "vitest";
+import { explore } from "./explore.ts";
+
+const SEEDS = [20_261_204, 11];
+const RUNS = 20;
+const MAX_SHRINK_MS = 5_000;
+
+test.each(SEEDS)("schedules drawn from seed %i break nothing", async (seed) => {
+  const options = { seed, runs: RUNS, maxShrinkMs: MAX_SHRINK_MS };
+  const finding = await explore(options);
+  const shown = finding && {
+    ...finding,
+    violation: finding.violation.trace.join("\n"),
+  };
+  expect(shown, JSON.stringify(finding?.schedule)).toBeUndefined();
+});
--- a/tools/faults/fleet.ts
+++ b/tools/faults/fleet.ts
@@ -34,6 +34,8 @@
 const POLL_MS: Millis = 500;
 const SLOW_POLLS = 8;
 const RESTART_MS: Millis = 2_000;
+/** Time for which a VM that leaves is still there. */
+const LEAVING_MS: Millis = 7_000;
 const IDLE_CHECK_MS: Millis = 500;
 
 /** A few real daemons and the fakes around them. */
@@ -137,7 +139,7 @@
   leave(engine: FakeEngine): void {
     if (!engine.up || engine.model.leaving) return;
     engine.model.leave();
-    this.#replaceWhenIdle(engine);
+    this.timeline.after(LEAVING_MS, () => this.#replaceWhenIdle(engine));
   }
 
   crash(engine: FakeEngine, downMs: Millis): void {
@@ -208,6 +210,7 @@
       receive: (run) => daemon.receive(run),
       isAlive: () => daemon.isAlive,
       takeFault: () => take(this.streamFaults, engine.id),
+      change: this.#mutation.event,
       onStarted: (head) => {
         this.facts.started.add(head.request);
         this.trace.add(engine.id, `runs ${head.request} as ${head.attempt}`);
--- a/tools/faults/run.ts
+++ b/tools/faults/run.ts
@@ -33,8 +33,10 @@
   violation: Violation | undefined;
   readonly #fleet: Fleet;
   readonly #player: Player;
+  readonly #mutation: Mutation;
 
   constructor(seed: number, mutation: Mutation) {
+    this.#mutation = mutation;
     this.#fleet = Fleet.create(seed, mutation);
     this.#player = Player.create(this.#fleet);
   }
@@ -46,6 +48,7 @@
       this.#player.play(action);
       await this.#pass(action.waitMs);
     }
+    this.#mutation.fleet?.(this.#fleet);
     this.#fleet.calm();
     this.#fleet.trace.add("schedule", "all faults end");
     await this.#pass(AGREE_MS);
