--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -41,6 +41,8 @@
 const DECODE_WEIGHT = 0.05;
 /** Time for which a new part may not show in a report yet. */
 const CORRECT_MS: Millis = SECOND_MS;
+/** Engines of a cell for each that may be kept for shared prefixes. */
+const ENGINES_FOR_EACH_KEPT = 8;
 const SHORT_RETRY_MS: Millis = SECOND_MS;
 const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
 /** Engine priority of long prompts; short ones go first. */
@@ -50,10 +52,10 @@
 
 /** Places all prompts of a cell; it knows each engine by its reports and by what it sent there. */
 export class CellScheduler {
-  readonly #policy: Policy;
+  #policy: Policy;
   readonly #engines = new Map<UpstreamId, EngineView>();
   readonly #jobs = new Map<RequestId, Job>();
-  readonly #queue: LongQueue;
+  readonly #queue = LongQueue.create();
   readonly #cost = CostModel.create();
   readonly #prefixes = PrefixIndex.create();
   readonly #shortDemand = DemandMeter.create(DEMAND_WINDOW_MS);
@@ -64,13 +66,17 @@
 
   private constructor(policy: Policy) {
     this.#policy = policy;
-    this.#queue = LongQueue.create(policy.queuedPrompts);
   }
 
   static create(policy: Policy): CellScheduler {
     return new CellScheduler(policy);
   }
 
+  /** Takes the settings that are in force now. */
+  setPolicy(policy: Policy): void {
+    this.#policy = policy;
+  }
+
   get queued(): number {
     return this.#queue.size;
   }
@@ -114,7 +120,7 @@
     if (known !== undefined) this.#drop(known, now);
     if (this.#queue.renew(ask, now)) return { type: "queued" };
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
+    if (engines.length === 0) return this.#askApart(ask, now);
     const view = this.#view(engines, now);
     return this.#isLong(ask, view)
       ? this.#askLong(ask, view)
@@ -143,15 +149,15 @@
     this.#dropOverdue(now);
     const answered: Answered[] = [];
     for (
-      const ask of this.#queue.inOrder(now, (one) => this.#slack(one, now))
+      const ask of this.#queue.inOrder((one) => this.#slack(one, now))
     ) {
       const answer = this.#tryWaiting(ask, now);
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
-      } else if (this.#slack(ask, now) < this.#policy.overtakeMs) {
-        break;
-      }
+      } else if (
+        !ask.suspect && this.#slack(ask, now) < this.#policy.overtakeMs
+      ) break;
     }
     return answered;
   }
@@ -213,6 +219,21 @@
     }
   }
 
+  /** Suspected content runs apart from other such content, and waits for an engine without any. */
+  #askApart(ask: Ask, now: Timestamp): Answer {
+    if (!this.#waitsApart(ask)) return refuseNoUpstream();
+    const limit = this.#policy.queuedPrompts;
+    if (!this.#queue.add(ask, { now, limit })) {
+      return refuseFull(SHORT_RETRY_MS);
+    }
+    return { type: "queued" };
+  }
+
+  #waitsApart(ask: Ask): boolean {
+    const unsuspected = { ...ask, suspect: false };
+    return eligible(unsuspected, this.#engines.values()).length > 0;
+  }
+
   #askShort(ask: Ask, view: PlacementView): Answer {
     const place = placeShort(ask, view);
     if (place === undefined) return refuseFull(SHORT_RETRY_MS);
@@ -254,7 +275,9 @@
     if (neededMs > left * this.#policy.admissionRatio) {
       return refuseLate(neededMs - left * this.#policy.admissionRatio);
     }
-    if (!this.#queue.add(ask, view.now)) return refuseFull(waitMs);
+    const limit = this.#policy.queuedPrompts;
+    const { now } = view;
+    if (!this.#queue.add(ask, { now, limit })) return refuseFull(waitMs);
     this.#dispatchAt = view.now;
     return { type: "queued" };
   }
@@ -290,8 +313,12 @@
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
     const engines = eligible(ask, this.#engines.values());
-    if (engines.length === 0) return refuseNoUpstream();
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
+    if (engines.length === 0) {
+      return this.#waitsApart(ask) ? undefined : refuseNoUpstream();
+    }
+    const view = this.#view(engines, now);
+    if (!this.#isLong(ask, view)) return this.#askShort(ask, view);
     const target = Math.min(this.#shortTarget(now), engines.length - 1);
     if (this.#longRunning() + target >= engines.length) return undefined;
     const kept = this.#shortEngines(now);
@@ -390,9 +417,16 @@
 
   /** Engines that are kept for short prompts now. */
   #shortTarget(now: Timestamp): number {
-    const { shortEngines, shortUtilization } = this.#policy;
+    const { shortUtilization } = this.#policy;
     const demanded = this.#shortDemand.engines(now) / shortUtilization;
-    return shortEngines + Math.ceil(demanded);
+    return this.#prefixEngines() + Math.ceil(demanded);
+  }
+
+  /** A small cell keeps no engine for shared prefixes alone. */
+  #prefixEngines(): number {
+    const { shortEngines } = this.#policy;
+    const most = Math.floor(this.#engines.size / ENGINES_FOR_EACH_KEPT);
+    return Math.min(shortEngines, most);
   }
 
   /** All engines while there is no long prompt to keep any of them for. */
@@ -434,7 +468,7 @@
       policy: this.#policy,
       cost: this.#cost,
       prefixes: this.#prefixes,
-      prefixEngines: this.#firstEngines(this.#policy.shortEngines),
+      prefixEngines: this.#firstEngines(this.#prefixEngines()),
       shortEngines: this.#shortEngines(now),
     };
   }
