Cancel attempts that are given up for another place; tell runs of an engine apart

Change: the old attempt is cancelled; a crash of an attempt that began after the crash of a run was known is the crash of another run.

--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -69,7 +69,7 @@
     this.#suspect(board, ctx, {
       digest: entry.req.digest,
       upstream,
-      incarnation: board.upstreams.byId.get(upstream)?.incarnation ?? "",
+      incarnation: crashedRun(board, entry, upstream),
     });
   }
 
@@ -111,6 +111,20 @@
   }
 }
 
+/** Names the run that crashed; one that was known to be over has been followed by a run not heard of yet. */
+function crashedRun(
+  board: Blackboard,
+  entry: RequestEntry,
+  upstream: UpstreamId,
+): string {
+  const incarnation = board.upstreams.byId.get(upstream)?.incarnation ?? "";
+  const known = board.quarantine.suspects.get(entry.req.digest);
+  const startedAt = entry.attempt?.startedAt ?? 0;
+  const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
+  if (!isKnown || startedAt <= known!.seenAt) return incarnation;
+  return `${incarnation}@${startedAt}`;
+}
+
 /** The engine went silent and no longer has what it ran, so it has probably crashed in between. */
 function hasLostAnswer(
   entry: RequestEntry,
--- a/src/controllers/quarantine_controller_test.ts
+++ b/src/controllers/quarantine_controller_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import type { Digest, RequestId } from "../core/id.ts";
 import type { Outcome } from "../core/request.ts";
+import { addMs } from "../core/time.ts";
 import {
   CoreFixture,
   engineFixture,
@@ -103,3 +104,19 @@
   poisoned.end("p1", { cause: "upstream_silent" });
   expect(intentsOf(poisoned.send("p2"), "start_attempt")).toEqual([]);
 });
+
+test("the next run of an engine counts anew before its name is known", () => {
+  const poisoned = new Poisoned();
+  poisoned.send("p1");
+  poisoned.end("p1", { crashed: true });
+  const { core } = poisoned;
+  const { upstream } = core.board.requests.byId.get("p1" as RequestId)!
+    .attempt!.placement;
+  core.board.quarantine.suspects.set(DIGEST, {
+    crashes: [`${upstream}/${upstream}-run-1`],
+    upstreams: [upstream],
+    seenAt: addMs(core.now, -1),
+  });
+  poisoned.end("p1", { crashed: true });
+  expect(core.board.quarantine.quarantined.has(DIGEST)).toBe(true);
+});
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -197,14 +197,17 @@
     }
     ctx.counters.retry(outcome.cause);
     if (decision.type === "reattach") return this.#reattach(ctx, entry);
-    this.#placeAgain(entry, outcome);
+    this.#placeAgain(ctx, entry, outcome);
     ctx.repeat();
   }
 
   #placeAgain(
+    ctx: StepContext,
     entry: RequestEntry,
     outcome: Extract<Outcome, { type: "failed" }>,
   ): void {
+    // A frozen engine may still have the work before it.
+    if (entry.verdict !== "not_run") cancelAttempt(ctx, entry);
     if (entry.attempt !== undefined && outcome.cause !== "upstream_refused") {
       const upstream = outcome.upstream ?? entry.attempt.placement.upstream;
       entry.excluded = [...entry.excluded, upstream];
@@ -372,15 +375,7 @@
     entry: RequestEntry,
     cause: Problem,
   ): void {
-    if (entry.attempt !== undefined) {
-      const { id, placement } = entry.attempt;
-      ctx.emit({
-        type: "cancel_attempt",
-        req: entry.req.id,
-        attempt: id,
-        upstream: placement.upstream,
-      });
-    }
+    cancelAttempt(ctx, entry);
     const { code, verdict } = cause;
     close(board, entry, { end: code, verdict });
     ctx.counters.add("requests_failed");
@@ -437,6 +432,13 @@
   };
 }
 
+function cancelAttempt(ctx: StepContext, entry: RequestEntry): void {
+  if (entry.attempt === undefined) return;
+  const { id: attempt, placement } = entry.attempt;
+  const { upstream } = placement;
+  ctx.emit({ type: "cancel_attempt", req: entry.req.id, attempt, upstream });
+}
+
 /** What is known while an attempt may be under way. */
 function verdictNow(entry: RequestEntry): Verdict {
   const isSent = entry.state === "running" || entry.state === "forwarded";
--- a/src/controllers/request_controller_test.ts
+++ b/src/controllers/request_controller_test.ts
@@ -259,3 +259,21 @@
   const result = core.step(ended("r1", resumed.attempt, lost));
   expect(intentsOf(result, "answer")[0]?.problem.verdict).toBe("may_have_run");
 });
+
+test("an attempt that may still run is cancelled when its prompt goes elsewhere", () => {
+  const core = create();
+  const first = started(
+    core.step({ type: "request_arrived", req: promptFixture("r1") }),
+  );
+  const silent = failed({ cause: "upstream_silent", crashed: false });
+  const again = started(core.after(10, ended("r1", first.attempt, silent)));
+  const elsewhere = core.after(10, ended("r1", again.attempt, silent));
+  expect(again.mode).toBe("resume");
+  expect(started(elsewhere).attempt).not.toBe(first.attempt);
+  expect(intentsOf(elsewhere, "cancel_attempt")).toEqual([{
+    type: "cancel_attempt",
+    req: "r1",
+    attempt: first.attempt,
+    upstream: first.placement.upstream,
+  }]);
+});
