Count a lost engine once for equal prompts, and give equal prompts equal blocks

Ruled out for now: placing equal content one at a time before any crash, which would hold up every popular prompt. A better way may be to place it where a copy already runs; equal blocks do so only after the first.

--- a/tools/faults/facts.ts
+++ b/tools/faults/facts.ts
@@ -56,7 +56,7 @@
 
   /** Counts an engine that was lost while these contents ran on it. */
   lose(contents: readonly Digest[], poison: Digest | undefined): void {
-    for (const content of contents) {
+    for (const content of new Set(contents)) {
       const losses = this.losses.get(content) ?? { byPoison: 0, byFault: 0 };
       this.losses.set(content, losses);
       if (poison === undefined) losses.byFault += 1;
--- a/tools/faults/player.ts
+++ b/tools/faults/player.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import type {
   ClassId,
   Digest,
@@ -9,6 +10,7 @@
 } from "../../src/core/id.ts";
 import { addMs, type Millis } from "../../src/core/time.ts";
 import { CONFIG_STREAM } from "../../src/fold/streams.ts";
+import { BLOCK_TOKENS } from "../../src/wire/engine.ts";
 import { CallClient, type ClientRequest, PromptClient } from "./client.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
 import { promptBody } from "./fake_engine_client.ts";
@@ -281,7 +283,7 @@
       model: MODEL,
       promptTokens: client.promptTokens,
       maxTokens: MAX_TOKENS,
-      blocks: [],
+      blocks: blocksOf(client),
     };
   }
 
@@ -321,6 +323,16 @@
 const KEPT_MS: Millis = 40_000;
 const SENDER = { team: "makers" as TeamId, classId: "quick" as ClassId };
 
+/** Equal prompts have equal blocks, as the digests of their text would be. */
+function blocksOf({ content, promptTokens }: PromptClient): readonly Digest[] {
+  const count = Math.floor(promptTokens / BLOCK_TOKENS);
+  return Array.from(
+    { length: count },
+    (_, index) =>
+      createHash("sha1").update(`${content} ${index}`).digest("hex") as Digest,
+  );
+}
+
 /** Whether a request may still get an answer from a daemon that is there. */
 export function isWaiting(client: ClientRequest): boolean {
   return client.isOpen && client.daemon.isAlive;
