Count on a daemon only once it knows the engines

Cause: a daemon that had just started said 'serving' from its first heartbeat, was given out to clients, could be chosen to schedule the cell, and refused prompts with no_upstream until its first reports had come. Seen with real processes, 'rolling replacement of every daemon under load': 503 no_upstream, not_run. Ruled out: lost engines (all were live) and the drained daemon (it answers draining). Change: until it has a configuration, the VM list, and a report of each listed engine that can be reached, a daemon says 'starting'; others do not give it out or choose it, and readyz says 503. Test: 'a daemon that knows no engine yet ...', red without the change.

--- a/src/board/members_section.ts
+++ b/src/board/members_section.ts
@@ -9,6 +9,8 @@
 
 /** How far a daemon is with its shutdown. */
 export type DrainState = "serving" | "leaving" | "refusing" | "finished";
+/** What a daemon says of itself to others. */
+export type PeerState = "starting" | DrainState;
 
 /** Another daemon of the cell. */
 export type Peer = Readonly<{
@@ -17,7 +19,7 @@
   domain: DomainId;
   clientAddress: string;
   peerAddress: string;
-  state: DrainState;
+  state: PeerState;
   revision: Revision;
   running: number;
   queued: number;
@@ -30,6 +32,8 @@
   /** Peer addresses from the VM list, heard from or not. */
   addresses: readonly string[];
   drain: DrainState;
+  /** Whether this daemon knows the configuration and the upstreams, so that others may count on it. */
+  ready: boolean;
   /** The daemon that places prompts for the cell; possibly this one. */
   scheduler: DaemonId;
   /** Upstreams that a peer says are leaving or crashed, by what it saw last. */
@@ -45,6 +49,7 @@
     peers: new Map(),
     addresses: [],
     drain: "serving",
+    ready: false,
     scheduler: self,
     upstreamNews: new Map(),
   };
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -14,7 +14,7 @@
   domain: DomainId;
   address: string;
   peerAddress: string;
-  state: AdminStatus["state"];
+  state: AdminPeer["state"];
   revision: Revision;
   running: number;
   queued: number;
--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -4,6 +4,8 @@
 import type { Timestamp } from "../core/time.ts";
 import type { Heartbeat, Suspect, UpstreamNews } from "../gen/peer.ts";
 
+/** State of a daemon that others must not count on yet. */
+export const STARTING = "starting";
 /** News of one kind that a heartbeat carries at the most. */
 const MAX_ITEMS = 16;
 
@@ -21,7 +23,7 @@
     peerAddress: self.peerAddress,
     clientAddress: self.clientAddress,
     domain: self.domain,
-    state: members.drain,
+    state: members.ready ? members.drain : STARTING,
     revision: config.revision,
     config: peerIsBehind ? Buffer.from(config.text) : Buffer.alloc(0),
     configOffset: config.offset,
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -1,5 +1,5 @@
 import type { Blackboard } from "../board/blackboard.ts";
-import type { DrainState, Peer } from "../board/members_section.ts";
+import type { Peer, PeerState } from "../board/members_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type {
@@ -39,6 +39,7 @@
   override readonly name = "members";
   #beatAt: Timestamp | undefined;
   #refuseAt: Timestamp | undefined;
+  #hasList = false;
   #exitAt: Timestamp | undefined;
   #seq = 0;
   /** The daemons among which the scheduling one was chosen last. */
@@ -55,6 +56,7 @@
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#forget(board, ctx.now);
     this.#drain(board, ctx);
+    this.#judgeReady(board);
     this.#elect(board, ctx.now);
     this.#beat(board, ctx);
   }
@@ -62,6 +64,7 @@
   #take(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
       case "vms_listed":
+        this.#hasList = true;
         return this.#list(board, event.vms);
       case "peer_message":
         return this.#receive(board, ctx, event.envelope);
@@ -158,12 +161,22 @@
     return true;
   }
 
+  /** A daemon that has just started would refuse prompts for want of engines, its own and those of others. */
+  #judgeReady(board: Blackboard): void {
+    const { config, members, upstreams } = board;
+    if (members.ready || config.serving === undefined || !this.#hasList) return;
+    members.ready = [...upstreams.byId.values()].every((one) =>
+      one.kind === "service" || one.state !== "live" || one.engine !== undefined
+    );
+  }
+
   /** Soft state: two daemons that choose differently for a while only place less well. */
   #elect(board: Blackboard, now: Timestamp): void {
     const candidates = freshPeers(board, now)
       .filter((peer) => peer.state === "serving")
       .map((peer) => peer.id);
-    if (board.members.drain === "serving") candidates.push(board.self.id);
+    const { drain, ready } = board.members;
+    if (drain === "serving" && ready) candidates.push(board.self.id);
     const names = candidates.sort().join("\n");
     if (names === this.#candidates) return;
     this.#candidates = names;
@@ -222,7 +235,7 @@
     domain: beat.domain as DomainId,
     clientAddress: beat.clientAddress,
     peerAddress: beat.peerAddress,
-    state: toDrainState(beat.state),
+    state: toPeerState(beat.state),
     revision: beat.revision as Revision,
     running: beat.running,
     queued: beat.queued,
@@ -230,8 +243,9 @@
   };
 }
 
-function toDrainState(state: string): DrainState {
-  return state === "serving" || state === "leaving" || state === "refusing"
+function toPeerState(state: string): PeerState {
+  return state === "starting" || state === "serving" || state === "leaving" ||
+      state === "refusing"
     ? state
     : "finished";
 }
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -21,6 +21,7 @@
     RequestController.create(),
   ]);
   core.add(engineFixture("e1"));
+  core.board.members.ready = true;
   return core;
 }
 
@@ -166,3 +167,35 @@
     ]
   `);
 });
+
+test("a daemon that knows no engine yet is neither given out nor schedules", () => {
+  const core = CoreFixture.create([MembershipController.create()]);
+  const unheard = engineFixture("e1", { engine: undefined });
+  core.add(unheard);
+  core.step(beat(2));
+  const given = () =>
+    entryAnswer(core.board, { client: "c", now: core.now, maxAgeMs: 1 })
+      .entries.map((entry) => entry.address);
+  const said = () =>
+    intentsOf(core.after(1_000, beat(2, {}, core.now)), "send_peer")
+      .map(({ envelope }) =>
+        envelope.body?.$case === "heartbeat" && envelope.body.value.state
+      )[0];
+  const peer = selfFixture(2);
+  const vm = {
+    id: peer.vm,
+    role: "entry",
+    domain: peer.domain,
+    address: peer.peerAddress,
+    incarnation: "run" as Incarnation,
+    state: "live",
+  } as const;
+  core.step({ type: "vms_listed", vms: [vm] });
+  expect([said(), core.board.members.scheduler, given()]).toEqual([
+    "starting",
+    peer.id,
+    [peer.clientAddress],
+  ]);
+  core.add(engineFixture("e1"));
+  expect([said(), given().length]).toEqual(["serving", 2]);
+});
--- a/src/core/entry_answer.ts
+++ b/src/core/entry_answer.ts
@@ -42,7 +42,8 @@
       domain: peer.domain,
       running: peer.running,
     }));
-  if (board.members.drain !== "serving") return peers;
+  const { drain, ready } = board.members;
+  if (drain !== "serving" || !ready) return peers;
   const { clientAddress, domain } = board.self;
   return [...peers, {
     address: clientAddress,
--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -46,7 +46,7 @@
   peerAddress: string;
   clientAddress: string;
   domain: string;
-  /** serving, leaving, refusing */
+  /** starting, serving, leaving, refusing */
   state: string;
   revision: number;
   /** Present when the receiver is known to have an older revision. */
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -58,7 +58,7 @@
 function ready(front: Front, ctx: Context<AppEnv>): Response {
   const { config, members } = front.board;
   const isReady = config.serving !== undefined && !config.stale &&
-    members.drain === "serving";
+    members.drain === "serving" && members.ready;
   return ctx.json({
     ready: isReady,
     state: members.drain,
--- a/src/wire/admin.ts
+++ b/src/wire/admin.ts
@@ -20,6 +20,7 @@
   value as Revision
 );
 const drainState = z.enum(["serving", "leaving", "refusing", "finished"]);
+const peerState = z.enum(["starting", ...drainState.options]);
 const counts = z.record(z.string(), whole);
 
 /** Another daemon, as the answering daemon knows it. */
@@ -29,7 +30,7 @@
   domain: idSchema<DomainId>(),
   client_address: z.string(),
   peer_address: z.string(),
-  state: drainState,
+  state: peerState,
   revision,
   running: whole,
   queued: whole,
--- a/tools/faults/lab.ts
+++ b/tools/faults/lab.ts
@@ -79,6 +79,7 @@
       await lab.fleet.start();
       expectSame("exit code of apply", await lab.apply("first"), 0);
       await lab.settled();
+      await lab.signing();
       return await body(lab);
     } finally {
       await lab.fleet.stop();
@@ -125,6 +126,12 @@
         return loaded.length >= engines.length &&
           listed.size >= daemons.length - 1;
       });
+    }
+  }
+
+  /** Waits until all daemons have read the key that signs resume tokens. */
+  async signing(): Promise<void> {
+    for (const daemon of this.fleet.daemons) {
       await until(`${daemon.vm} signs resume tokens`, async () => {
         const question = createQuestion(16, { answerTokens: 1 });
         const { resumeToken } = await this.ask(daemon.clientAddress, question);
