Serve during a planned stop until no client can have the address

Cause: a draining daemon served on for the entry answers' age. A peer that hears of it late gives its address out meanwhile, so answers could outlive it by the delay of a heartbeat. Change: the age, plus the silence after which a peer gives nobody out, plus one heartbeat. Test: the request after 14 s is now served and refused at 14.5 s (before: 9 s and 10 s); red without the change.

--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -175,7 +175,8 @@
     board.members.drain = "leaving";
     const age = board.config.serving?.limits.entryMaxAgeMs ??
       DEFAULT_ENTRY_AGE_MS;
-    this.#refuseAt = addMs(ctx.now, age);
+    // A peer that misses the news gives this daemon out until it counts as silent.
+    this.#refuseAt = addMs(ctx.now, age + PEER_FRESH_MS + HEARTBEAT_MS);
     this.#beatAt = undefined;
   }
 
