--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -3,6 +3,8 @@
 import type { Timestamp } from "../core/time.ts";
 import type { Heartbeat, Suspect, UpstreamNews } from "../gen/peer.ts";
 
+/** State of a daemon that others must not count on yet. */
+export const STARTING = "starting";
 /** News of one kind that a heartbeat carries at the most. */
 const MAX_ITEMS = 16;
 
@@ -17,7 +19,7 @@
     peerAddress: self.peerAddress,
     clientAddress: self.clientAddress,
     domain: self.domain,
-    state: members.drain,
+    state: members.ready ? members.drain : STARTING,
     revision: config.revision,
     config: options.withConfig ? Buffer.from(config.text) : Buffer.alloc(0),
     configOffset: config.offset,
