--- a/src/daemon/upstream_poller_test.ts
+++ b/src/daemon/upstream_poller_test.ts
@@ -35,7 +35,7 @@
     },
     cacheEvents: () => {
       calls.cache += 1;
-      return okAsync([]);
+      return okAsync({ incarnation: engine.incarnation, events: [] });
     },
   } as unknown as EngineClient;
   const events: Event[] = [];
