--- a/src/board/upstreams_section.ts
+++ b/src/board/upstreams_section.ts
@@ -20,6 +20,8 @@
   address: string;
   incarnation: Incarnation;
   state: UpstreamState;
+  /** When it was found out of reach; set while `state` says so. */
+  unreachableAt?: Timestamp;
   group?: GroupId;
   service?: ServiceId;
   load?: LoadReport;
--- a/src/controllers/poison_test.ts
+++ b/src/controllers/poison_test.ts
@@ -91,3 +91,15 @@
   expect(retried).toBe(neighbours.length);
   expect(core.board.quarantine.quarantined.size).toBe(0);
 });
+
+test("copies of one content that arrive together share two engines", () => {
+  const core = create();
+  const digest = promptFixture("poison").digest;
+  const arrivals = Array.from({ length: 6 }, (_, index) => ({
+    type: "request_arrived" as const,
+    req: promptFixture(`poison-${index}`, { digest }),
+  }));
+  const runs = started(core.step(...arrivals));
+  expect(runs).toHaveLength(6);
+  expect(new Set(runs.map((run) => run.upstream)).size).toBe(2);
+});
--- a/src/controllers/upstream_controller.ts
+++ b/src/controllers/upstream_controller.ts
@@ -4,6 +4,7 @@
 import type { Event } from "../core/event.ts";
 import type { Incarnation, UpstreamId } from "../core/id.ts";
 import type { StepContext } from "../core/step_context.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import { UpstreamRuns } from "./upstream_runs.ts";
 import type { EngineState, LoadReport } from "../wire/engine.ts";
 import type { Vm } from "../wire/vm_list.ts";
@@ -11,6 +12,9 @@
 /** Upstreams that one daemon keeps at the most; a cell is much smaller. */
 const MAX_UPSTREAMS = 1_024;
 
+/** Time after which a service that could not be reached is tried again. */
+const SERVICE_RETRY_MS: Millis = SECOND_MS;
+
 /** Keeps what is known of the upstreams; whatever says first that one is leaving counts. */
 export class UpstreamController extends Controller {
   override readonly name = "upstreams";
@@ -24,11 +28,12 @@
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
-    for (const event of ctx.events) this.#take(board, event);
+    for (const event of ctx.events) this.#take(board, ctx, event);
     this.#takeNews(board);
+    this.#tryServices(board, ctx);
   }
 
-  #take(board: Blackboard, event: Event): void {
+  #take(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
       case "vms_listed":
         return this.#list(board, event.vms);
@@ -37,9 +42,9 @@
       case "state_reported":
         return this.#report(board, event.upstream, event.state);
       case "upstream_unreachable":
-        return this.#setState(board, event.upstream, "unreachable");
+        return this.#lose(board, event.upstream, ctx.now);
       case "attempt_ended":
-        return this.#takeOutcome(board, event);
+        return this.#takeOutcome(board, ctx, event);
     }
   }
 
@@ -118,6 +123,7 @@
 
   #takeOutcome(
     board: Blackboard,
+    ctx: StepContext,
     event: Extract<Event, { type: "attempt_ended" }>,
   ): void {
     if (event.outcome.type === "ok") return;
@@ -126,7 +132,7 @@
     const { cause, crashed } = event.outcome;
     const upstream = event.outcome.upstream ?? attempt.placement.upstream;
     if (cause === "connect_failed" || crashed) {
-      this.#setState(board, upstream, "unreachable");
+      this.#lose(board, upstream, ctx.now);
     }
     if (cause === "upstream_leaving") this.#leave(board, upstream);
   }
@@ -147,6 +153,24 @@
     this.#setState(board, id, "leaving");
   }
 
+  #lose(board: Blackboard, id: UpstreamId, now: Timestamp): void {
+    this.#setState(board, id, "unreachable");
+    const known = board.upstreams.byId.get(id);
+    if (known?.state !== "unreachable") return;
+    board.upstreams.byId.set(id, { ...known, unreachableAt: now });
+  }
+
+  /** Services send no reports, so only another call can show that one is back. */
+  #tryServices(board: Blackboard, ctx: StepContext): void {
+    for (const upstream of board.upstreams.byId.values()) {
+      const { id, kind, state, unreachableAt = ctx.now } = upstream;
+      if (kind !== "service" || state !== "unreachable") continue;
+      const tryAt = addMs(unreachableAt, SERVICE_RETRY_MS);
+      if (ctx.now >= tryAt) this.#setState(board, id, "live");
+      else ctx.wakeAt(tryAt);
+    }
+  }
+
   #setState(board: Blackboard, id: UpstreamId, state: UpstreamState): void {
     const known = board.upstreams.byId.get(id);
     if (
--- a/src/controllers/upstream_controller_test.ts
+++ b/src/controllers/upstream_controller_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import type { DomainId, Incarnation, UpstreamId, VmId } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
-import { CoreFixture } from "../testing/fixtures.ts";
+import { CoreFixture, serviceFixture } from "../testing/fixtures.ts";
 import type { EngineState, LoadReport } from "../wire/engine.ts";
 import type { Vm } from "../wire/vm_list.ts";
 import { UpstreamController } from "./upstream_controller.ts";
@@ -87,6 +87,19 @@
   expect(stateOf(core)).toBe("leaving");
 });
 
+test("a service that could not be reached is tried again after a second", () => {
+  const core = create();
+  const service = serviceFixture("s1");
+  core.add(service);
+  core.step({ type: "upstream_unreachable", upstream: service.id });
+  const stateNow = () => core.board.upstreams.byId.get(service.id)?.state;
+  expect(stateNow()).toBe("unreachable");
+  const result = core.after(999);
+  expect([stateNow(), result.wakeAt]).toEqual(["unreachable", core.now + 1]);
+  core.after(1);
+  expect(stateNow()).toBe("live");
+});
+
 test("a restarted engine is known by its report before the list says so", () => {
   const core = create();
   core.step(reported(1));
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -5,6 +5,7 @@
 import type { Upstream } from "../board/upstreams_section.ts";
 import type { CacheEvent } from "../wire/engine.ts";
 import type { Answer, Answered, Ask } from "./ask.ts";
+import { openToCopy } from "./copies.ts";
 import { CostModel } from "./cost_model.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineView } from "./engine_view.ts";
@@ -117,7 +118,7 @@
     }
     if (known !== undefined) this.#drop(known, now);
     if (this.#queue.renew(ask, now)) return { type: "queued" };
-    const engines = eligible(ask, this.#engines.values());
+    const engines = this.#eligible(ask);
     if (engines.length === 0) return this.#askApart(ask, now);
     const view = this.#view(engines, now);
     return this.#isLong(ask, view)
@@ -231,6 +232,11 @@
     return eligible(unsuspected, this.#engines.values()).length > 0;
   }
 
+  #eligible(ask: Ask): readonly EngineView[] {
+    const engines = eligible(ask, this.#engines.values());
+    return openToCopy(ask, this.#jobs.values(), engines);
+  }
+
   #askShort(ask: Ask, view: PlacementView): Answer {
     const place = placeShort(ask, view);
     if (place === undefined) return refuseFull(SHORT_RETRY_MS);
@@ -309,7 +315,7 @@
   }
 
   #tryWaiting(ask: Ask, now: Timestamp): Answer | undefined {
-    const engines = eligible(ask, this.#engines.values());
+    const engines = this.#eligible(ask);
     if (now + this.#prefillMs(ask) > ask.deadlineAt) return refuseLate(0);
     if (engines.length === 0) {
       return this.#waitsApart(ask) ? undefined : refuseNoUpstream();
--- /dev/null
+++ b/src/scheduling/copies.ts
@@ -0,0 +1,23 @@
+import type { UpstreamId } from "../core/id.ts";
+import type { Ask } from "./ask.ts";
+import type { EngineView } from "./engine_view.ts";
+import type { Job } from "./job.ts";
+
+/** Engines on which copies of one content run at a time; as many as one content may crash. */
+const MAX_COPY_ENGINES = 2;
+
+/** Leaves the engines that may run one more copy of a content, so that it can't crash a third one. */
+export function openToCopy(
+  ask: Ask,
+  jobs: Iterable<Job>,
+  engines: readonly EngineView[],
+): readonly EngineView[] {
+  const used = new Set<UpstreamId>();
+  for (const job of jobs) {
+    const isCopy = job.ask.digest === ask.digest &&
+      job.ask.request !== ask.request;
+    if (isCopy) { for (const part of job.parts) used.add(part.engine); }
+  }
+  if (used.size < MAX_COPY_ENGINES) return engines;
+  return engines.filter((engine) => used.has(engine.id));
+}
