Serve an answer that is resumed in the last step of a shutdown

Cause: membership is stepped before the requests, so it counted none in flight. A new call was still refused with not_run, but a resumed stream would have been cut. Ruled out: the wait for the log. The exit now waits for a pass in which nothing arrives. The new test was red before.

--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -187,6 +187,7 @@
       else ctx.wakeAt(this.#refuseAt);
     }
     if (members.drain !== "refusing" || board.requests.byId.size > 0) return;
+    if (ctx.events.some(isArrival)) return ctx.repeat();
     if (this.#waitsForLog(board, ctx)) return;
     members.drain = "finished";
     ctx.emit({ type: "exit" });
@@ -257,6 +258,11 @@
   }
 }
 
+/** Whether the event may still become a request in flight, later in the same step. */
+function isArrival(event: Event): boolean {
+  return event.type === "request_arrived" || event.type === "request_resumed";
+}
+
 /** Peers that have been heard from lately. */
 export function freshPeers(board: Blackboard, now: Timestamp): readonly Peer[] {
   return [...board.members.peers.values()].filter((peer) =>
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -141,6 +141,22 @@
   expect(intentsOf(done, "exit")).toHaveLength(1);
 });
 
+test("an answer that is resumed in the last step of a shutdown is still served", () => {
+  const core = create();
+  core.step({ type: "drain_requested" });
+  const weights = { model: "sage", version: "2" } as never;
+  const running = {
+    attempt: "a1" as never,
+    upstream: "e1" as never,
+    ranUnder: { revision: 0 as never, weights },
+    tokens: 3,
+  };
+  const req = promptFixture("r1", { deadlineAt: core.now + 60_000 as never });
+  const last = core.after(14_500, { type: "request_resumed", req, running });
+  expect(intentsOf(last, "start_attempt")).toHaveLength(1);
+  expect(intentsOf(last, "exit")).toEqual([]);
+});
+
 test("a new configuration goes to a peer that stays behind, from one daemon after the other", () => {
   const core = create();
   Object.assign(core.board.config, { revision: 7, text: "text" });
