Let only operators see the status and stop a daemon

Cause: POST /v1/admin/drain stands on the listener that clients use, and asked nobody who they were. Ruled out: a listener of its own, one more address for each VM to be told of. Change: the digest of a token in the daemon's settings; the tool sends the token. Without the check the new test was red (200, 202).

--- a/src/cli/args.ts
+++ b/src/cli/args.ts
@@ -53,6 +53,12 @@
     type: optional(hostAndPort),
     description: "HOST:PORT of any daemon's client listener",
   }),
+  operatorToken: option({
+    long: "operator-token",
+    env: "PARSLEYFIELD_OPERATOR_TOKEN",
+    type: optional(string),
+    description: "operators' bearer token; better in the environment",
+  }),
   ca: option({
     long: "ca",
     env: "PARSLEYFIELD_CA",
--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -19,7 +19,7 @@
   return {
     log: args.log === undefined ? undefined : HttpLogClient.create(args.log),
     entry: args.entry,
-    admin: HttpAdminClient.create(http),
+    admin: HttpAdminClient.create(http, args.operatorToken),
     prompts: HttpPromptClient.create(http),
     author: args.author ?? userInfo().username,
     now: () => Date.now() as Timestamp,
--- a/src/cli/http_admin_client.ts
+++ b/src/cli/http_admin_client.ts
@@ -19,14 +19,19 @@
 /** Asks daemons over HTTP. */
 export class HttpAdminClient extends AdminClient {
   readonly #http: DaemonHttp;
+  readonly #headers: Readonly<Record<string, string>>;
 
-  private constructor(http: DaemonHttp) {
+  private constructor(http: DaemonHttp, token: string | undefined) {
     super();
     this.#http = http;
+    this.#headers = token === undefined
+      ? {}
+      : { authorization: `Bearer ${token}` };
   }
 
-  static create(http = DaemonHttp.create()): HttpAdminClient {
-    return new HttpAdminClient(http);
+  /** `token` is the operators' own, where daemons ask for one. */
+  static create(http = DaemonHttp.create(), token?: string): HttpAdminClient {
+    return new HttpAdminClient(http, token);
   }
 
   override status(address: string): ResultAsync<AdminStatus, AdminError> {
@@ -64,7 +69,11 @@
     { method, path }: Question<unknown>,
   ): Promise<Readonly<{ status: number; text: string }>> {
     const signal = AbortSignal.timeout(TIMEOUT_MS);
-    const res = await this.#http.request(address, path, { method, signal });
+    const res = await this.#http.request(address, path, {
+      method,
+      signal,
+      headers: this.#headers,
+    });
     return { status: res.statusCode, text: await res.body.text() };
   }
 }
--- a/src/cli/run_verb.ts
+++ b/src/cli/run_verb.ts
@@ -10,6 +10,8 @@
   /** The authority that signs the daemons' certificates, PEM. */
   ca?: string;
   author?: string;
+  /** The operators' bearer token. */
+  operatorToken?: string;
 }>;
 
 /** Runs a verb in a context made of its arguments, writes its report and returns the exit code. */
--- a/src/config/daemon_settings.ts
+++ b/src/config/daemon_settings.ts
@@ -63,6 +63,14 @@
   ),
 });
 
+const adminSchema = z.object({
+  tokenDigest: z.string().regex(/^[0-9a-f]{64}$/)
+    .meta({ allowed: "a SHA-256 digest, 64 hexadecimal digits" })
+    .optional().describe(
+      "SHA-256 digest of the operators' bearer token; without it, whoever reaches the client address may ask for status and drain the daemon.",
+    ),
+});
+
 /** The sections of a daemon's settings file. */
 export const DAEMON_SECTIONS = {
   daemon: {
@@ -89,6 +97,12 @@
     meaning: "What the daemon writes to standard output, as JSON lines.",
     schema: logSchema,
   },
+  admin: {
+    named: false,
+    required: false,
+    meaning: "Who may use the operators' part of the API.",
+    schema: adminSchema,
+  },
   tls: {
     named: false,
     required: false,
@@ -102,6 +116,7 @@
   platform: platformSchema,
   metrics: metricsSchema.prefault({}),
   log: logSchema.prefault({}),
+  admin: adminSchema.prefault({}),
   tls: tlsSchema.prefault({}),
 }).readonly();
 /** What a daemon is told at its start. */
@@ -119,6 +134,7 @@
     platform: sections.platform[0]?.value,
     metrics: sections.metrics[0]?.value,
     log: sections.log[0]?.value,
+    admin: sections.admin[0]?.value,
     tls: sections.tls[0]?.value,
   }));
 }
--- a/src/config/daemon_settings_test.ts
+++ b/src/config/daemon_settings_test.ts
@@ -32,7 +32,7 @@
       "d.ini:12: [log] level: out_of_range: found "loud"; allowed: one of error, warn, info, debug",
       "d.ini:14: [tls] cert_path: missing_key: found nothing; allowed: cert_path and key_path together, or none of the section's keys",
       "d.ini:14: [tls] key_path: missing_key: found nothing; allowed: cert_path and key_path together, or none of the section's keys",
-      "d.ini:17: [raft]: unknown_section: found "[raft]"; allowed: [daemon], [platform], [metrics], [log], [tls]",
+      "d.ini:17: [raft]: unknown_section: found "[raft]"; allowed: [daemon], [platform], [metrics], [log], [admin], [tls]",
     ]
   `);
 });
--- a/src/config/examples_test.ts
+++ b/src/config/examples_test.ts
@@ -23,6 +23,7 @@
   const file = (await readConfigFile(`${EXAMPLES}daemon.ini`))._unsafeUnwrap();
   expect(checkDaemonSettings(file)._unsafeUnwrap()).toMatchInlineSnapshot(`
     {
+      "admin": {},
       "daemon": {
         "clientAddress": "127.0.0.1:8080",
         "domain": "a",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -183,6 +183,7 @@
       now: () => clock.now(),
       post: (event) => this.#loop.post(event),
       uuid: () => random.uuid(clock.now()),
+      adminDigest: this.#parts.settings.admin.tokenDigest,
       leave: (exchange) => this.#runner.leave(exchange),
       report: (cause) =>
         logger.error("request failed", { cause: String(cause) }),
--- a/src/daemon/daemon_test.ts
+++ b/src/daemon/daemon_test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import { once } from "node:events";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -108,6 +109,8 @@
     "[platform]",
     `log_url = ${logUrl}`,
     `vm_list_url = ${vmListUrl}`,
+    "[admin]",
+    `token_digest = ${createHash("sha256").update("operate").digest("hex")}`,
   ].join("\n");
   const settings = checkDaemonSettings({ name: "daemon.ini", text });
   let onExit: () => void = () => {};
@@ -143,6 +146,8 @@
   while (!await holds()) await sleep(20);
 }
 
+const OPERATOR = { headers: { authorization: "Bearer operate" } };
+
 type Init = Readonly<{
   method?: string;
   headers?: Record<string, string>;
@@ -354,14 +359,24 @@
   expect((await send("/livez")).status).toBe(200);
   const ready = JSON.parse((await send("/readyz")).text);
   expect(ready).toEqual({ ready: true, state: "serving", revision: 0 });
-  const status = JSON.parse((await send("/v1/admin/status")).text);
+  const status = JSON.parse((await send("/v1/admin/status", OPERATOR)).text);
   const { upstreams, revision, state } = AdminStatusSchema.parse(status);
   expect({ revision, state }).toEqual({ revision: 0, state: "serving" });
   expect(upstreams.map(({ id }) => id)).toEqual(["engine-1", "stock-1"]);
 });
 
+test("status and shutdown are for operators", async () => {
+  const wrong = { headers: { authorization: "Bearer guess" } };
+  for (const init of [{}, wrong]) {
+    const status = await send("/v1/admin/status", init);
+    const drain = await send("/v1/admin/drain", { ...init, method: "POST" });
+    expect([status.status, drain.status]).toEqual([401, 401]);
+  }
+  expect((await send("/readyz")).status).toBe(200);
+});
+
 test("a drained daemon leaves entries at once, serves on, and ends in time", async () => {
-  const drain = await send("/v1/admin/drain", { method: "POST" });
+  const drain = await send("/v1/admin/drain", { ...OPERATOR, method: "POST" });
   expect([drain.status, JSON.parse(drain.text).state]).toEqual([
     202,
     "leaving",
@@ -370,7 +385,7 @@
   const { entries } = JSON.parse((await send("/v1/entries")).text);
   expect(entries).toEqual([]);
   expect((await ask(CHAT)).status).toBe(200);
-  const again = await send("/v1/admin/drain", { method: "POST" });
+  const again = await send("/v1/admin/drain", { ...OPERATOR, method: "POST" });
   expect(again.status).toBe(202);
   clock.skippedMs = 15_000;
   await exited;
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -22,6 +22,8 @@
   post: (event: Event) => void;
   /** Returns a new UUIDv7. */
   uuid: () => string;
+  /** SHA-256 digest of the operators' token; absent where all may ask. */
+  adminDigest: string | undefined;
   /** Ends the attempt of a client that went away. */
   leave: (exchange: PromptExchange) => void;
   /** Logs an unexpected error. */
--- a/src/http/identity.ts
+++ b/src/http/identity.ts
@@ -1,4 +1,5 @@
-import { createHash } from "node:crypto";
+import { Buffer } from "node:buffer";
+import { createHash, timingSafeEqual } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
 import type { RequestClass, ServingConfig, Team } from "../config/serving.ts";
 import type { ClassId, TeamId } from "../core/id.ts";
@@ -33,15 +34,26 @@
   );
 }
 
+/** Whether the headers carry the token with this digest. */
+export function hasToken(digest: string, header: HeaderReader): boolean {
+  const found = tokenDigest(header);
+  return found !== undefined &&
+    timingSafeEqual(Buffer.from(found), Buffer.from(digest));
+}
+
+function tokenDigest(header: HeaderReader): string | undefined {
+  const authorization = header("authorization");
+  if (!authorization?.startsWith(BEARER)) return undefined;
+  return createHash("sha256").update(authorization.slice(BEARER.length))
+    .digest("hex");
+}
+
 function findTeam(
   serving: ServingConfig,
   header: HeaderReader,
 ): Result<Team, Problem> {
-  const authorization = header("authorization");
-  if (authorization?.startsWith(BEARER)) {
-    const digest = createHash("sha256").update(
-      authorization.slice(BEARER.length),
-    ).digest("hex");
+  const digest = tokenDigest(header);
+  if (digest !== undefined) {
     const team = serving.teams.find((one) =>
       (one.tokenDigests as readonly string[]).includes(digest)
     );
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -1,16 +1,18 @@
-import { type Context, Hono } from "hono";
+import { type Context, Hono, type Next } from "hono";
+import { problem } from "../core/problem.ts";
 import { entryAnswer } from "../core/entry_answer.ts";
 import { SECOND_MS } from "../core/time.ts";
 import type { AppEnv } from "./app.ts";
 import { issueKeyPrefix } from "../fold/issued_key.ts";
-import { type Front, limitsOf } from "./front.ts";
-import { identify } from "./identity.ts";
+import { type Front, limitsOf, refuse } from "./front.ts";
+import { hasToken, identify } from "./identity.ts";
 import { adminStatus } from "./admin_status.ts";
 
 /** Entry addresses, health, and what operators ask one daemon. */
 export function operatorRoutes(front: Front): Hono<AppEnv> {
   const app = new Hono<AppEnv>();
   app.get("/v1/entries", (ctx) => entries(front, ctx));
+  app.use("/v1/admin/*", (ctx, next) => checkOperator(front, ctx, next));
   app.get("/livez", (ctx) => ctx.json({ ok: true }));
   app.get("/readyz", (ctx) => ready(front, ctx));
   app.get(
@@ -21,6 +23,18 @@
   return app;
 }
 
+async function checkOperator(
+  front: Front,
+  ctx: Context<AppEnv>,
+  next: Next,
+): Promise<Response | void> {
+  const { adminDigest } = front;
+  const header = (name: string) => ctx.req.header(name);
+  if (adminDigest === undefined || hasToken(adminDigest, header)) return next();
+  const detail = "Send the operators' token as a bearer token.";
+  return refuse(front, problem("unauthorized", detail));
+}
+
 function entries(front: Front, ctx: Context<AppEnv>): Response {
   const { entryMaxAgeMs } = limitsOf(front);
   const client = ctx.req.query("client") ??
