Let a fake daemon close as a real one does

The real daemon closes its listener and answers whoever is connected, for 2 s at the most; the fake now does the same. A call that is cut off after that is still reported (invariants_test breaks just that and stays red for it).

--- a/tools/faults/daemon_process.ts
+++ b/tools/faults/daemon_process.ts
@@ -56,6 +56,8 @@
   onExit: (daemon: DaemonProcess) => void;
 }>;
 
+/** Time that open connections get to end by themselves; that of `Daemon`. */
+const CLOSE_GRACE_MS = 2_000;
 const CLOSE_MS: Millis = 10;
 
 /** One daemon process: a real core and real runners; only the far ends are fakes. */
@@ -256,11 +258,13 @@
     }
   }
 
-  /** Answers that were decided in the same step still go out. */
-  #exit(): void {
+  /** As a real daemon: clients that are there by now get their answers, for a limited time. */
+  #exit(until = addMs(this.#parts.timeline.now, CLOSE_GRACE_MS)): void {
     const { timeline, onExit } = this.#parts;
     timeline.after(CLOSE_MS, () =>
       this.receive(() => {
+        const isOpen = this.exchanges.size > 0 && timeline.now < until;
+        if (isOpen) return this.#exit(until);
         onExit(this);
         this.kill();
       }));
