Cut off a request that lasts in the scene of a shutdown that ends at once

The fake daemon now waits as long as a real one, so the scene's short prompt ended by itself; with its engines frozen it lasts, and the check reports it.

--- a/tools/faults/invariants_test.ts
+++ b/tools/faults/invariants_test.ts
@@ -203,7 +203,16 @@
   ],
   [
     "drainCutsNothing",
-    [{ ...PROMPT, waitMs: 10 }, { type: "drain", daemon: 0, waitMs: 3_000 }],
+    [
+      { ...PROMPT, waitMs: 10 },
+      ...[0, 1, 2, 3].map((engine) => ({
+        type: "freeze" as const,
+        engine,
+        ms: 6_000,
+        waitMs: 0,
+      })),
+      { type: "drain", daemon: 0, waitMs: 3_000 },
+    ],
     { intents: exitAtOnce },
   ],
   [
