--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -4,14 +4,19 @@
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type { AttemptId, DaemonId, RequestId } from "../core/id.ts";
-import type { Intent } from "../core/intent.ts";
-import { lengthClass, type TimingName } from "../core/measurement.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Outcome, Placement, Request } from "../core/request.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
 import type { StepContext } from "../core/step_context.ts";
-import { SECOND_MS } from "../core/time.ts";
 import { joinVerdicts, type Verdict } from "../core/verdict.ts";
+import { admittedEntry, resumedEntry } from "./request_entries.ts";
+import {
+  cancelAttempt,
+  finishedLine,
+  measure,
+  refuse,
+  startIntent,
+} from "./request_intents.ts";
 import { decideRetry } from "./retry_decision.ts";
 
 type AttemptEvent = Extract<
@@ -66,80 +71,25 @@
   #arrive(board: Blackboard, ctx: StepContext, req: Request): void {
     const admission = admit(board, req, ctx.now);
     if (admission.isErr()) return refuse(ctx, req.id, admission.error);
-    const { weights, once } = admission.value;
-    board.requests.byId.set(req.id, {
-      req,
-      ranUnder: { revision: board.config.revision, weights },
-      weights,
-      once,
-      state: once ? "claiming" : "placing",
-      attempt: undefined,
-      attempts: 0,
-      round: 1,
-      excluded: [],
-      tokens: 0,
-      verdict: "not_run",
-      replayable: true,
-    });
+    const { revision } = board.config;
+    const entry = admittedEntry(req, admission.value, revision);
+    board.requests.byId.set(req.id, entry);
     ctx.counters.add("requests_admitted");
     ctx.repeat();
   }
 
-  /** A running answer is served while this daemon shuts down, too: nobody else may be near it. */
   #resume(
     board: Blackboard,
     ctx: StepContext,
     event: Extract<Event, { type: "request_resumed" }>,
   ): void {
-    const { req, running } = event;
-    const upstream = board.upstreams.byId.get(running.upstream);
-    if (upstream === undefined) {
-      const detail = `Upstream ${running.upstream} is not known here.`;
-      return refuse(
-        ctx,
-        req.id,
-        problem("no_upstream", detail, {
-          verdict: "may_have_run",
-          retryAfterMs: SECOND_MS,
-        }),
-      );
-    }
-    const maxRequests = board.config.serving?.limits.maxRequests ?? 0;
-    if (board.requests.byId.size >= maxRequests) {
-      const detail = "This daemon holds its largest number of requests.";
-      return refuse(
-        ctx,
-        req.id,
-        problem("queue_full", detail, {
-          verdict: "may_have_run",
-          retryAfterMs: SECOND_MS,
-        }),
-      );
-    }
-    const placement = { upstream: running.upstream, priority: 0 };
-    const entry: RequestEntry = {
-      req,
-      ranUnder: running.ranUnder,
-      weights: running.ranUnder.weights,
-      once: false,
-      state: "running",
-      attempt: {
-        id: running.attempt,
-        placement,
-        startedAt: ctx.now,
-        tokens: running.tokens,
-      },
-      attempts: 1,
-      round: 1,
-      excluded: [],
-      tokens: running.tokens,
-      verdict: "may_have_run",
-      replayable: false,
-    };
-    board.requests.byId.set(req.id, entry);
-    ctx.emit(
-      startIntent(entry, running.attempt, { placement, mode: "resume" }),
-    );
+    const resumed = resumedEntry(board, ctx.now, event);
+    if (resumed.isErr()) return refuse(ctx, event.req.id, resumed.error);
+    const entry = resumed.value;
+    board.requests.byId.set(event.req.id, entry);
+    const { attempt, upstream } = event.running;
+    const placement = { upstream, priority: 0 };
+    ctx.emit(startIntent(entry, attempt, { placement, mode: "resume" }));
     ctx.repeat();
   }
 
@@ -398,71 +348,8 @@
   board.requests.ended.push({ entry, result });
 }
 
-function measure(
-  ctx: StepContext,
-  entry: RequestEntry,
-  name: TimingName,
-): void {
-  const ms = ctx.now - entry.req.arrivedAt;
-  const length = lengthClass(entry.req);
-  ctx.emit({ type: "measured", timing: { name, ms, length } });
-}
-
-function finishedLine(
-  ctx: StepContext,
-  entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "ok" }>,
-): Extract<Intent, { type: "log_line" }> {
-  const { req, attempt, attempts, ranUnder } = entry;
-  const fields = {
-    req: req.id,
-    team: req.team,
-    upstream: attempt?.placement.upstream ?? "",
-    attempts,
-    revision: ranUnder.revision,
-    status: outcome.status,
-    tokens: outcome.tokens,
-    ms: ctx.now - req.arrivedAt,
-  };
-  return {
-    type: "log_line",
-    level: "info",
-    message: "request finished",
-    fields,
-  };
-}
-
-function cancelAttempt(ctx: StepContext, entry: RequestEntry): void {
-  if (entry.attempt === undefined) return;
-  const { id: attempt, placement } = entry.attempt;
-  const { upstream } = placement;
-  ctx.emit({ type: "cancel_attempt", req: entry.req.id, attempt, upstream });
-}
-
 /** What is known while an attempt may be under way. */
 function verdictNow(entry: RequestEntry): Verdict {
   const isSent = entry.state === "running" || entry.state === "forwarded";
   return isSent ? joinVerdicts(entry.verdict, "may_have_run") : entry.verdict;
 }
-
-function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
-  ctx.counters.refuse(cause.code);
-  ctx.emit({ type: "answer", req, problem: cause });
-}
-
-function startIntent(
-  entry: RequestEntry,
-  attempt: AttemptId,
-  options: { placement: Placement; mode: "fresh" | "resume" | "continue" },
-) {
-  return {
-    type: "start_attempt",
-    req: entry.req.id,
-    attempt,
-    placement: options.placement,
-    weights: entry.weights,
-    deadlineAt: entry.req.deadlineAt,
-    ranUnder: entry.ranUnder,
-    mode: options.mode,
-  } as const;
-}
--- /dev/null
+++ b/src/controllers/request_intents.ts
@@ -0,0 +1,75 @@
+import type { RequestEntry } from "../board/requests_section.ts";
+import type { AttemptId, RequestId } from "../core/id.ts";
+import type { Intent } from "../core/intent.ts";
+import { lengthClass, type TimingName } from "../core/measurement.ts";
+import type { Problem } from "../core/problem.ts";
+import type { Outcome, Placement } from "../core/request.ts";
+import type { StepContext } from "../core/step_context.ts";
+
+/** Reports the time since a request arrived. */
+export function measure(
+  ctx: StepContext,
+  entry: RequestEntry,
+  name: TimingName,
+): void {
+  const ms = ctx.now - entry.req.arrivedAt;
+  const length = lengthClass(entry.req);
+  ctx.emit({ type: "measured", timing: { name, ms, length } });
+}
+
+/** The log line of a request that ended with its whole answer. */
+export function finishedLine(
+  ctx: StepContext,
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "ok" }>,
+): Extract<Intent, { type: "log_line" }> {
+  const { req, attempt, attempts, ranUnder } = entry;
+  const fields = {
+    req: req.id,
+    team: req.team,
+    upstream: attempt?.placement.upstream ?? "",
+    attempts,
+    revision: ranUnder.revision,
+    status: outcome.status,
+    tokens: outcome.tokens,
+    ms: ctx.now - req.arrivedAt,
+  };
+  return {
+    type: "log_line",
+    level: "info",
+    message: "request finished",
+    fields,
+  };
+}
+
+/** Ends the attempt that may be under way. */
+export function cancelAttempt(ctx: StepContext, entry: RequestEntry): void {
+  if (entry.attempt === undefined) return;
+  const { id: attempt, placement } = entry.attempt;
+  const { upstream } = placement;
+  ctx.emit({ type: "cancel_attempt", req: entry.req.id, attempt, upstream });
+}
+
+/** Counts a refusal or failure and gives the client its final answer. */
+export function refuse(ctx: StepContext, req: RequestId, cause: Problem): void {
+  ctx.counters.refuse(cause.code);
+  ctx.emit({ type: "answer", req, problem: cause });
+}
+
+/** Starts or reattaches an attempt of a request. */
+export function startIntent(
+  entry: RequestEntry,
+  attempt: AttemptId,
+  options: { placement: Placement; mode: "fresh" | "resume" | "continue" },
+) {
+  return {
+    type: "start_attempt",
+    req: entry.req.id,
+    attempt,
+    placement: options.placement,
+    weights: entry.weights,
+    deadlineAt: entry.req.deadlineAt,
+    ranUnder: entry.ranUnder,
+    mode: options.mode,
+  } as const;
+}
--- a/src/http/call_routes.ts
+++ b/src/http/call_routes.ts
@@ -18,14 +18,13 @@
 import { readBody } from "./body_reader.ts";
 import {
   type Front,
+  identityOf,
   limitsOf,
-  notConfigured,
   open,
   problemExtra,
   refuse,
 } from "./front.ts";
 import { KEY_HEADER, REQUEST_HEADER } from "./headers.ts";
-import { identify } from "./identity.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
 const PREFIX = "/v1/services/";
@@ -45,13 +44,7 @@
   ctx: Context<AppEnv>,
   service: string,
 ): Promise<Response> {
-  const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, notConfigured());
-  const identity = identify(
-    serving,
-    (name) => ctx.req.header(name),
-    front.now(),
-  );
+  const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
   const body = await readBody(ctx.env.incoming, limitsOf(front).maxCallBytes);
   if (body.isErr()) return refuse(front, body.error);
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -1,3 +1,5 @@
+import type { Context } from "hono";
+import { err, type Result } from "neverthrow";
 import type { Blackboard } from "../board/blackboard.ts";
 import { LimitsSchema } from "../config/limits.ts";
 import type { Event } from "../core/event.ts";
@@ -10,6 +12,8 @@
   ExchangeTable,
   PromptExchange,
 } from "../daemon/exchange.ts";
+import { identify, type Identity } from "./identity.ts";
+import type { AppEnv } from "./app.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
 const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
@@ -35,8 +39,17 @@
   return front.board.config.serving?.limits ?? DEFAULT_LIMITS;
 }
 
-/** The refusal while no configuration is in force. */
-export function notConfigured(): Problem {
+/** Who sent a request; refused while no configuration is in force. */
+export function identityOf(
+  front: Front,
+  ctx: Context<AppEnv>,
+): Result<Identity, Problem> {
+  const { serving } = front.board.config;
+  if (serving === undefined) return err(notConfigured());
+  return identify(serving, (name) => ctx.req.header(name), front.now());
+}
+
+function notConfigured(): Problem {
   const detail = "No configuration has been read yet.";
   return problem("not_configured", detail, { retryAfterMs: SECOND_MS });
 }
@@ -44,10 +57,10 @@
 /** Counts a refusal that never reached the core, and answers with it. */
 export function refuse(
   front: Front,
-  err: Problem,
+  cause: Problem,
 ): Response {
-  front.board.counters.refuse(err.code);
-  return answerProblem(front, err);
+  front.board.counters.refuse(cause.code);
+  return answerProblem(front, cause);
 }
 
 /** Answers with a problem; a daemon that shuts down names others. */
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -23,7 +23,7 @@
   return app;
 }
 
-async function checkOperator(
+function checkOperator(
   front: Front,
   ctx: Context<AppEnv>,
   next: Next,
@@ -32,7 +32,7 @@
   const header = (name: string) => ctx.req.header(name);
   if (adminDigest === undefined || hasToken(adminDigest, header)) return next();
   const detail = "Send the operators' token as a bearer token.";
-  return refuse(front, problem("unauthorized", detail));
+  return Promise.resolve(refuse(front, problem("unauthorized", detail)));
 }
 
 function entries(front: Front, ctx: Context<AppEnv>): Response {
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -10,9 +10,9 @@
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { AppEnv } from "./app.ts";
 import { readBody } from "./body_reader.ts";
-import { type Front, limitsOf, notConfigured, open, refuse } from "./front.ts";
+import { type Front, identityOf, limitsOf, open, refuse } from "./front.ts";
 import { REQUEST_HEADER, RESUME_HEADER, REVISION_HEADER } from "./headers.ts";
-import { identify, type Identity } from "./identity.ts";
+import type { Identity } from "./identity.ts";
 import { parsePromptBody, type PromptBodyFields } from "./prompt_body.ts";
 import { signResume } from "./resume_token.ts";
 import { SseWriter } from "./sse_writer.ts";
@@ -32,13 +32,7 @@
   ctx: Context<AppEnv>,
   api: AnswerApi,
 ): Promise<Response> {
-  const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, notConfigured());
-  const identity = identify(
-    serving,
-    (name) => ctx.req.header(name),
-    front.now(),
-  );
+  const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
   const body = await readBody(ctx.env.incoming, limitsOf(front).maxPromptBytes);
   if (body.isErr()) return refuse(front, body.error);
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -7,9 +7,8 @@
 import { SECOND_MS } from "../core/time.ts";
 import type { PromptExchange } from "../daemon/exchange.ts";
 import type { AppEnv } from "./app.ts";
-import { type Front, notConfigured, refuse } from "./front.ts";
+import { type Front, identityOf, refuse } from "./front.ts";
 import { LAST_EVENT_HEADER, REQUEST_HEADER, RESUME_HEADER } from "./headers.ts";
-import { identify } from "./identity.ts";
 import { answerHead, startPrompt } from "./prompt_routes.ts";
 import { type ResumeClaims, verifyResume } from "./resume_token.ts";
 import { SseWriter } from "./sse_writer.ts";
@@ -26,13 +25,7 @@
 }
 
 function show(front: Front, ctx: Context<AppEnv>, id: string): Response {
-  const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, notConfigured());
-  const identity = identify(
-    serving,
-    (name) => ctx.req.header(name),
-    front.now(),
-  );
+  const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
   const entry = front.board.requests.byId.get(id as RequestId);
   if (entry === undefined || entry.req.team !== identity.value.team) {
@@ -55,13 +48,7 @@
 }
 
 function resume(front: Front, ctx: Context<AppEnv>, id: string): Response {
-  const serving = front.board.config.serving;
-  if (serving === undefined) return refuse(front, notConfigured());
-  const identity = identify(
-    serving,
-    (name) => ctx.req.header(name),
-    front.now(),
-  );
+  const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
   const { accepted } = front.board.keys;
   if (accepted.length === 0) return refuse(front, keysNotRead());
