--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,6 +12,7 @@
 import type { Intent } from "../core/intent.ts";
 import type { Random } from "../core/random.ts";
 import { SECOND_MS } from "../core/time.ts";
+import { unexpectedFields } from "../core/unexpected_error.ts";
 import { createApp } from "../http/app.ts";
 import {
   createClientServer,
@@ -186,7 +187,7 @@
       adminDigest: this.#parts.settings.admin.tokenDigest,
       leave: (exchange) => this.#runner.leave(exchange),
       report: (cause) =>
-        logger.error("request failed", { cause: String(cause) }),
+        logger.error("unexpected error", unexpectedFields(cause)),
     });
     return createClientServer(
       getRequestListener(app.fetch),
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,6 +9,7 @@
 } from "../config/daemon_settings.ts";
 import { readConfigFile } from "../config/folder_reader.ts";
 import { Random } from "../core/random.ts";
+import { unexpectedFields } from "../core/unexpected_error.ts";
 import { HttpEngineClient } from "../engine/http_engine_client.ts";
 import { HttpLogClient } from "../platform/http_log_client.ts";
 import { HttpVmListClient } from "../platform/http_vm_list_client.ts";
@@ -67,6 +68,10 @@
     logger.error("can't listen", { cause: listening.error.message });
     process.exit(1);
   }
+  process.on("uncaughtException", (cause) => {
+    logger.error("unexpected error", unexpectedFields(cause));
+    process.exit(1);
+  });
   process.on("SIGTERM", () => daemon.drain());
   process.on("SIGINT", () => daemon.drain());
 }
