Place suspect copies of one content one at a time from the queue, too

Cause: the rule was asked only when an ask came in. Ruled out: late news of the crash (both daemons knew). It now stands where engines are chosen, for asks and for the queue.

--- a/src/scheduling/copies.ts
+++ b/src/scheduling/copies.ts
@@ -6,7 +6,10 @@
 /** Engines on which copies of one content run at a time; as many as one content may crash. */
 const MAX_COPY_ENGINES = 2;
 
-/** Leaves the engines that may run one more copy of a content, so that it can't crash a third one. */
+/**
+ * Leaves the engines that may run one more copy of a content, so that it can't crash a third one.
+ * Content that has crashed one already runs in one copy at a time.
+ */
 export function openToCopy(
   ask: Ask,
   jobs: Iterable<Job>,
@@ -18,6 +21,7 @@
       job.ask.request !== ask.request;
     if (isCopy) { for (const part of job.parts) used.add(part.engine); }
   }
+  if (ask.suspect && used.size > 0) return [];
   if (used.size < MAX_COPY_ENGINES) return engines;
   return engines.filter((engine) => used.has(engine.id));
 }
