--- a/src/board/config_section.ts
+++ b/src/board/config_section.ts
@@ -10,6 +10,8 @@
   text: string;
   /** One past the newest record of the stream that the configuration was folded from. */
   offset: Offset;
+  /** When the log's stream was last read to its end. */
+  readAt: Timestamp | undefined;
   /** When the log or enough peers last confirmed the revision. */
   confirmedAt: Timestamp | undefined;
   /** Whether admission stops because nothing has confirmed the revision for too long. */
@@ -23,6 +25,7 @@
     serving: undefined,
     text: "",
     offset: 0 as Offset,
+    readAt: undefined,
     confirmedAt: undefined,
     stale: false,
   };
--- a/src/controllers/config_controller.ts
+++ b/src/controllers/config_controller.ts
@@ -70,6 +70,7 @@
   #readLog(board: Blackboard, ctx: StepContext): void {
     const { restartedAt, entries, answered } = this.#tail.step(ctx);
     if (restartedAt !== undefined) this.#fold.restart(restartedAt);
+    if (answered && this.#tail.reader.caughtUp) board.config.readAt = ctx.now;
     for (const entry of entries) {
       this.#noteCheckpoint(entry);
       this.#fold.take(entry);
--- a/src/core/counters.ts
+++ b/src/core/counters.ts
@@ -9,6 +9,8 @@
   "answers_crossed",
   "answers_doubled",
   "peer_messages_dropped",
+  "peer_bytes_sent",
+  "peer_bytes_received",
   "log_records_ignored",
   "claims_won",
   "claims_lost",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 } from "../http/https_server.ts";
 import type { LogClient } from "../platform/log_client.ts";
 import type { VmListClient } from "../platform/vm_list_client.ts";
+import type { CountBytes } from "../peer/counted_service.ts";
 import { PeerClients } from "../peer/peer_clients.ts";
 import {
   mutualCredentials,
@@ -105,7 +106,9 @@
     this.#upstreamPoller = UpstreamPoller.create(loop, this.#clients);
     this.#vmListPoller = VmListPoller.create(loop, parts.vmList);
     const credentials = peerCredentials(settings);
-    this.#peers = PeerClients.create(credentials);
+    const count: CountBytes = (direction, bytes) =>
+      board.counters.add(`peer_bytes_${direction}`, bytes);
+    this.#peers = PeerClients.create(credentials, count);
     this.#forwarder = CallForwarder.create({
       peers: this.#peers,
       exchanges: this.#exchanges,
@@ -114,6 +117,7 @@
       post: (event) => this.#loop.post(event),
     });
     this.#peerServer = PeerServer.create({
+      count,
       runCall: (call) => this.#forwarder.run(call),
       deliver: (envelope) =>
         this.#loop.post({ type: "peer_message", envelope }),
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -70,13 +70,12 @@
     this.#client.gauge("running", requests.byId.size);
     this.#client.gauge("queued", placement.queued);
     this.#client.gauge("peers", members.peers.size);
-    this.#client.gauge("config_age_ms", this.#configAge());
+    this.#client.gauge("config_age_ms", this.#since(config.confirmedAt));
+    this.#client.gauge("log_lag_ms", this.#since(config.readAt));
   }
 
-  /** Time since log or peers confirmed the configuration. */
-  #configAge(): Millis {
-    const { confirmedAt } = this.#board.config;
-    return confirmedAt === undefined ? 0 : this.#now() - confirmedAt;
+  #since(time: Timestamp | undefined): Millis {
+    return time === undefined ? 0 : this.#now() - time;
   }
 
   #sendCounts(
--- a/src/peer/peer_clients.ts
+++ b/src/peer/peer_clients.ts
@@ -7,11 +7,13 @@
   PeerClient,
 } from "../gen/peer.ts";
 import { type Millis, SECOND_MS } from "../core/time.ts";
+import { type CountBytes, countedService } from "./counted_service.ts";
 import { type PeerCredentials, plainCredentials } from "./peer_credentials.ts";
 import { MAX_PEER_BYTES } from "./peer_server.ts";
 
 const SEND_TIMEOUT_MS: Millis = SECOND_MS;
 const MAX_CHANNELS = 256;
+const SERVICE_NAME = "parsleyfield.Peer";
 
 /** Why a peer did not answer, and whether it may have acted all the same. */
 export type PeerError = Readonly<
@@ -23,15 +25,21 @@
   readonly #channels = new Map<string, PeerClient>();
 
   readonly #credentials: PeerCredentials;
+  readonly #Client: typeof PeerClient;
 
-  private constructor(credentials: PeerCredentials) {
+  private constructor(credentials: PeerCredentials, count: CountBytes) {
     this.#credentials = credentials;
+    this.#Client = grpc.makeGenericClientConstructor(
+      countedService(count),
+      SERVICE_NAME,
+    ) as unknown as typeof PeerClient;
   }
 
   static create(
     credentials: PeerCredentials = plainCredentials(),
+    count: CountBytes = () => {},
   ): PeerClients {
-    return new PeerClients(credentials);
+    return new PeerClients(credentials, count);
   }
 
   /** Delivers one message; a channel that does not answer in time is replaced by a new one. */
@@ -93,7 +101,7 @@
     const known = this.#channels.get(address);
     if (known !== undefined) return known;
     this.#dropOldest();
-    const client = new PeerClient(address, this.#credentials.channel, {
+    const client = new this.#Client(address, this.#credentials.channel, {
       "grpc.max_receive_message_length": MAX_PEER_BYTES,
       "grpc.enable_retries": 0,
       "grpc.use_local_subchannel_pool": 1,
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -1,11 +1,11 @@
 import * as grpc from "@grpc/grpc-js";
+import { type CountBytes, countedService } from "./counted_service.ts";
 import { type PeerCredentials, plainCredentials } from "./peer_credentials.ts";
 import { ResultAsync } from "neverthrow";
 import {
   type CallForward,
   type CallReply,
   type Envelope,
-  PeerService,
 } from "../gen/peer.ts";
 
 /** Largest message that a peer may send, in bytes. */
@@ -13,6 +13,8 @@
 
 /** What the server hands on. */
 export type PeerHandlers = Readonly<{
+  /** Is told of the size of each message. */
+  count?: CountBytes;
   deliver: (envelope: Envelope) => void;
   runCall: (call: CallForward) => Promise<CallReply>;
 }>;
@@ -37,7 +39,7 @@
     const server = new grpc.Server({
       "grpc.max_receive_message_length": MAX_PEER_BYTES,
     });
-    server.addService(PeerService, {
+    server.addService(countedService(handlers.count ?? (() => {})), {
       send: (
         call: grpc.ServerUnaryCall<Envelope, object>,
         reply: grpc.sendUnaryData<object>,
--- a/src/peer/peer_test.ts
+++ b/src/peer/peer_test.ts
@@ -7,6 +7,7 @@
 import { afterAll, afterEach, expect, test } from "vitest";
 import type { Envelope } from "../gen/peer.ts";
 import { createClientServer } from "../http/https_server.ts";
+import type { CountBytes } from "./counted_service.ts";
 import { PeerClients } from "./peer_clients.ts";
 import { mutualCredentials, type PeerCredentials } from "./peer_credentials.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -53,9 +54,10 @@
   return files;
 }
 
-async function listen(credentials?: PeerCredentials) {
+async function listen(credentials?: PeerCredentials, count?: CountBytes) {
   const received: Envelope[] = [];
   const server = PeerServer.create({
+    count,
     deliver: (envelope) => received.push(envelope),
     runCall: () => Promise.reject(new Error("No calls here")),
   }, credentials);
@@ -77,6 +79,18 @@
   expect(await send("127.0.0.1:1")).toBe(false);
 });
 
+test("messages are counted on both ends", async () => {
+  const counted: string[] = [];
+  const count = (direction: string, bytes: number) => {
+    counted.push(`${direction} ${bytes}`);
+  };
+  const { address } = await listen(undefined, count);
+  const peers = PeerClients.create(undefined, count);
+  open.push(() => peers.close());
+  await peers.send(address, ENVELOPE);
+  expect(counted).toEqual(["sent 12", "received 12"]);
+});
+
 test("only a daemon whose certificate the same CA has signed is heard", async () => {
   const [ca, otherCa] = await Promise.all([certify("ca"), certify("other")]);
   const own = await certify("daemon", ca);
