--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -1,3 +1,4 @@
+import type { Upstream } from "../board/upstreams_section.ts";
 import type { Intent } from "../core/intent.ts";
 import type { AttemptId, RequestId, UpstreamId } from "../core/id.ts";
 import type { Blackboard } from "../board/blackboard.ts";
@@ -47,7 +48,7 @@
       return this.#unplaced(intent);
     }
     if (exchange.kind === "prompt") {
-      this.#startPrompt(intent, exchange, upstream.address);
+      this.#startPrompt(intent, exchange, upstream);
     } else this.#startCall(intent, exchange, upstream.address);
   }
 
@@ -80,13 +81,14 @@
   #startPrompt(
     intent: StartAttempt,
     exchange: PromptExchange,
-    address: string,
+    upstream: Upstream,
   ): void {
     const { loop, board, clients } = this.#parts;
     const run = PromptRun.create({
       intent,
       exchange,
-      engine: clients.engine(address),
+      engine: clients.engine(upstream.address),
+      incarnation: upstream.incarnation,
       engineAt: (id) => this.#engineAt(id),
       counters: board.counters,
       now: () => loop().now(),
--- a/src/daemon/prompt_run.ts
+++ b/src/daemon/prompt_run.ts
@@ -2,7 +2,7 @@
 import type { Event } from "../core/event.ts";
 import type { Intent } from "../core/intent.ts";
 import type { Counters } from "../core/counters.ts";
-import type { UpstreamId } from "../core/id.ts";
+import type { Incarnation, UpstreamId } from "../core/id.ts";
 import type { Retry } from "../core/reason.ts";
 import type { Outcome, Placement } from "../core/request.ts";
 import { StreamCheck } from "../core/stream_check.ts";
@@ -31,6 +31,8 @@
   intent: StartAttempt;
   exchange: PromptExchange;
   engine: EngineClient;
+  /** The run of the engine that the attempt is given to. */
+  incarnation: Incarnation;
   /** The engines of a plan. */
   engineAt: (upstream: UpstreamId) => PlanEngine | undefined;
   counters: Counters;
@@ -66,10 +68,24 @@
   /** Resolves when the attempt is over; its end has been posted, unless it was stopped. */
   async run(): Promise<void> {
     const opened = await this.#open();
-    if (opened.isErr()) return this.#post(opened.error);
+    if (opened.isErr()) return this.#post(await this.#judge(opened.error));
     this.#stream = opened.value;
     if (this.#stopped) return this.#stream.close();
-    this.#post(await this.#relay(this.#stream));
+    this.#post(await this.#judge(await this.#relay(this.#stream)));
+  }
+
+  /** An engine that still answers as the same run has lost a connection, not crashed. */
+  async #judge(outcome: Outcome): Promise<Outcome> {
+    if (outcome.type === "ok" || !outcome.crashed || this.#stopped) {
+      return outcome;
+    }
+    const { intent, engine, incarnation } = this.#parts;
+    const { upstream = intent.placement.upstream } = outcome;
+    if (upstream !== intent.placement.upstream) return outcome;
+    const state = await engine.state();
+    const isAlive = state.isOk() && state.value.incarnation === incarnation;
+    if (!isAlive) return outcome;
+    return { ...outcome, crashed: false, cause: "answer_broken" };
   }
 
   /** Drops the connection and says nothing more. */
