--- /dev/null
+++ b/src/controllers/place_ask.ts
@@ -0,0 +1,40 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import type { PromptRequest } from "../core/request.ts";
+import type { Ask } from "../scheduling/ask.ts";
+import { askBlocks } from "../scheduling/place_messages.ts";
+
+const DEFAULT_URGENCY = 5;
+
+/** What the scheduling daemon is told of a prompt that waits for a place. */
+export function toAsk(
+  board: Blackboard,
+  entry: RequestEntry,
+  req: PromptRequest,
+): Ask {
+  const classes = board.config.serving?.classes ?? [];
+  const urgency = classes.find((one) => one.id === req.classId)?.urgency;
+  return {
+    request: req.id,
+    round: entry.round,
+    from: board.self.id,
+    team: req.team,
+    weights: entry.weights!,
+    promptTokens: req.promptTokens + entry.tokens,
+    maxTokens: Math.max(1, req.maxTokens - entry.tokens),
+    urgency: urgency ?? DEFAULT_URGENCY,
+    arrivedAt: req.arrivedAt,
+    deadlineAt: req.deadlineAt,
+    digest: req.digest,
+    blocks: askBlocks(req.blocks),
+    excluded: entry.excluded,
+    suspect: false,
+  };
+}
+
+/** Marks content that may have crashed an engine. */
+export function withSuspicion(board: Blackboard, ask: Ask): Ask {
+  const suspect = ask.suspect || ask.excluded.length > 0 ||
+    board.quarantine.suspects.has(ask.digest);
+  return { ...ask, suspect };
+}
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -3,7 +3,6 @@
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
 import type { DaemonId, RequestId } from "../core/id.ts";
-import type { PromptRequest } from "../core/request.ts";
 import { problem } from "../core/problem.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
@@ -16,7 +15,6 @@
 } from "../scheduling/cell_scheduler.ts";
 import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import {
-  askBlocks,
   fromPlaceAsk,
   fromPlaceGrant,
   fromPlaceRefusal,
@@ -25,6 +23,7 @@
   toPlaceGrant,
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
+import { toAsk, withSuspicion } from "./place_ask.ts";
 import { placeCall } from "./call_placement.ts";
 import { canReattach } from "./retry_decision.ts";
 import { freshPeers } from "./membership_controller.ts";
@@ -33,7 +32,6 @@
 const ASK_SILENCE_MS: Millis = 150;
 /** Time after which a waiting prompt is asked for again, so that both ends know of each other. */
 const ASK_AGAIN_MS: Millis = 2 * SECOND_MS;
-const DEFAULT_URGENCY = 5;
 
 /** One round of asking for a place, until the request has ended. */
 type Round = {
@@ -431,34 +429,3 @@
     return true;
   }
 }
-
-function toAsk(
-  board: Blackboard,
-  entry: RequestEntry,
-  req: PromptRequest,
-): Ask {
-  const classes = board.config.serving?.classes ?? [];
-  const urgency = classes.find((one) => one.id === req.classId)?.urgency;
-  return {
-    request: req.id,
-    round: entry.round,
-    from: board.self.id,
-    team: req.team,
-    weights: entry.weights!,
-    promptTokens: req.promptTokens + entry.tokens,
-    maxTokens: Math.max(1, req.maxTokens - entry.tokens),
-    urgency: urgency ?? DEFAULT_URGENCY,
-    arrivedAt: req.arrivedAt,
-    deadlineAt: req.deadlineAt,
-    digest: req.digest,
-    blocks: askBlocks(req.blocks),
-    excluded: entry.excluded,
-    suspect: false,
-  };
-}
-
-function withSuspicion(board: Blackboard, ask: Ask): Ask {
-  const suspect = ask.suspect || ask.excluded.length > 0 ||
-    board.quarantine.suspects.has(ask.digest);
-  return { ...ask, suspect };
-}
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -1,9 +1,15 @@
-import type { Placement } from "../core/request.ts";
-import type { DaemonId, PlanId, RequestId, UpstreamId } from "../core/id.ts";
-import { problem } from "../core/problem.ts";
+import type { DaemonId, RequestId, UpstreamId } from "../core/id.ts";
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { Upstream } from "../board/upstreams_section.ts";
 import type { CacheEvent } from "../wire/engine.ts";
+import {
+  grant,
+  refuseFull,
+  refuseLate,
+  refuseNoUpstream,
+  refuseTooLong,
+  SHORT_RETRY_MS,
+} from "./answers.ts";
 import type { Answer, Answered, Ask } from "./ask.ts";
 import { openToCopy } from "./copies.ts";
 import { CostModel } from "./cost_model.ts";
@@ -14,9 +20,9 @@
   delay,
   type Job,
   lastPart,
+  leftOf,
   moveEnd,
   partOn,
-  segmentsOf,
 } from "./job.ts";
 import { type LongPlace, placeLong, withDecoder } from "./long_placement.ts";
 import { LongQueue } from "./long_queue.ts";
@@ -43,8 +49,6 @@
 const CORRECT_MS: Millis = SECOND_MS;
 /** Engines of a cell for each that may be kept for shared prefixes. */
 const ENGINES_FOR_EACH_KEPT = 8;
-const SHORT_RETRY_MS: Millis = SECOND_MS;
-const MAX_RETRY_AFTER_MS: Millis = 120 * SECOND_MS;
 /** Engine priority of long prompts; short ones go first. */
 const LONG_PRIORITY = 1_000;
 /** Time after its deadline at which a job that was never reported as ended is dropped. */
@@ -475,20 +479,6 @@
   }
 }
 
-function grant(job: Job): Answer {
-  const { priority, parts, ask } = job;
-  const placement: Placement = {
-    upstream: lastPart(job).engine,
-    priority,
-  };
-  if (parts.length === 1) return { type: "granted", placement };
-  const id = `${ask.request}-${ask.round}` as PlanId;
-  return {
-    type: "granted",
-    placement: { ...placement, plan: { id, segments: segmentsOf(job) } },
-  };
-}
-
 /** Engines that are not kept for short prompts; one at least, so that a small fleet serves long ones too. */
 function openToLong(
   engines: readonly EngineView[],
@@ -497,44 +487,3 @@
   const open = engines.filter((engine) => !kept.has(engine));
   return open.length > 0 ? open : engines.slice(-1);
 }
-
-function leftOf(job: Job, now: Timestamp): Millis {
-  if (job.firstTokenAt !== undefined) return 0;
-  const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
-  return Math.max(0, addMs(job.placedAt, totalMs) - now);
-}
-
-function refuseNoUpstream(): Answer {
-  const detail = "No live engine can serve this now.";
-  return {
-    type: "refused",
-    problem: problem("no_upstream", detail, { retryAfterMs: SHORT_RETRY_MS }),
-  };
-}
-
-function refuseTooLong(): Answer {
-  const detail = "The engines can't hold this prompt, even when they are free.";
-  return { type: "refused", problem: problem("prompt_too_long", detail) };
-}
-
-function refuseFull(waitMs: Millis): Answer {
-  const detail = "The engines have no room for this prompt now.";
-  const retryAfterMs = clampRetry(waitMs);
-  return {
-    type: "refused",
-    problem: problem("no_memory", detail, { retryAfterMs }),
-  };
-}
-
-function refuseLate(excessMs: Millis): Answer {
-  const detail = "The predicted completion lies after the deadline.";
-  const retryAfterMs = clampRetry(excessMs);
-  return {
-    type: "refused",
-    problem: problem("deadline_unreachable", detail, { retryAfterMs }),
-  };
-}
-
-function clampRetry(ms: Millis): Millis {
-  return Math.ceil(Math.max(SHORT_RETRY_MS, Math.min(MAX_RETRY_AFTER_MS, ms)));
-}
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -79,3 +79,10 @@
     to,
   }));
 }
+
+/** Predicted time to the first token of a placed prompt. */
+export function leftOf(job: Job, now: Timestamp): Millis {
+  if (job.firstTokenAt !== undefined) return 0;
+  const totalMs = job.parts.reduce((sum, part) => sum + part.costMs, 0);
+  return Math.max(0, addMs(job.placedAt, totalMs) - now);
+}
