Say only what is counted: crashes and late answers count, team shares don't refuse yet

Two counters had nobody who counted, and team_share could not be given. The crashes seen and the events of an attempt that was dropped are counted now; the refusal goes until shares take part in admission, and the pages say so.

--- a/src/config/serving.ts
+++ b/src/config/serving.ts
@@ -86,7 +86,7 @@
 export const teamKeys = {
   share: z.number().int().min(1).max(MAX_SHARE)
     .describe(
-      "The team's part of the fleet when all teams are busy, against the sum of all shares.",
+      "The team's part of the fleet against the sum of all shares; admission does not use it yet.",
     ),
   tokenDigests: z.array(tokenDigest).max(MAX_LIST).default([])
     .describe(
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -64,6 +64,7 @@
     }
     if (!event.outcome.crashed && !hasLostAnswer(entry, event.outcome)) return;
     board.quarantine.crashesSeen += 1;
+    ctx.counters.add("upstreams_crashed");
     ctx.repeat();
     const upstream = event.outcome.upstream ?? entry.attempt.placement.upstream;
     this.#suspect(board, ctx, {
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -61,7 +61,6 @@
   },
   draining: { status: 503, title: "This daemon is shutting down" },
   queue_full: { status: 503, title: "The queue is full" },
-  team_share: { status: 429, title: "The team is over its share" },
   deadline_unreachable: {
     status: 503,
     title: "The request can't finish within its deadline",
--- a/src/daemon/prompt_run.ts
+++ b/src/daemon/prompt_run.ts
@@ -147,7 +147,10 @@
 
   async #relay(stream: EngineStream): Promise<Outcome> {
     for await (const item of stream.events) {
-      if (this.#stopped) break;
+      if (this.#stopped) {
+        this.#parts.counters.add("answers_late");
+        break;
+      }
       if (!item.ok) return failure(item.err, this.#check.tokens);
       const outcome = this.#take(item.event);
       if (outcome === undefined) continue;
