Read the limits in force in one place

Three modules had a limitsOf of their own, with the same fallback; the one of the claims parsed the defaults anew at every call until a configuration was read. One function of the board serves all. The wrapper around one map write in the HTTP front goes too. Behaviour is as it was.

--- a/src/controllers/claim_controller.ts
+++ b/src/controllers/claim_controller.ts
@@ -1,5 +1,6 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { ClaimResult } from "../board/claims_section.ts";
+import { limitsOf } from "../board/limits_in_force.ts";
 import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
@@ -24,7 +25,7 @@
 import { Outbox } from "../fold/outbox.ts";
 import { CLAIMS_STREAM } from "../fold/streams.ts";
 import { callEnd, noteEnd, type TrackedCall } from "../fold/tracked_call.ts";
-import { judgeCall, limitsOf, unavailable } from "./claim_judgement.ts";
+import { judgeCall, unavailable } from "./claim_judgement.ts";
 
 /** Longest wait for a claim to be read back. */
 export const CLAIM_WAIT_MS: Millis = 3 * SECOND_MS;
--- a/src/controllers/claim_judgement.ts
+++ b/src/controllers/claim_judgement.ts
@@ -1,6 +1,6 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { ClaimResult } from "../board/claims_section.ts";
-import { type Limits, LimitsSchema } from "../config/limits.ts";
+import { limitsOf } from "../board/limits_in_force.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { CallRequest } from "../core/request.ts";
 import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
@@ -40,11 +40,6 @@
   logDown: boolean;
 }>;
 
-/** The limits in force. */
-export function limitsOf(board: Blackboard): Limits {
-  return board.config.serving?.limits ?? LimitsSchema.parse({});
-}
-
 /** The refusal of a claim that the log can't take; nothing was sent. */
 export function unavailable(): Problem {
   return problem("claims_unavailable", "The log takes no claims now.", {
--- a/src/daemon/attempt_runner.ts
+++ b/src/daemon/attempt_runner.ts
@@ -2,7 +2,7 @@
 import type { Intent } from "../core/intent.ts";
 import type { AttemptId, RequestId, UpstreamId } from "../core/id.ts";
 import type { Blackboard } from "../board/blackboard.ts";
-import { LimitsSchema } from "../config/limits.ts";
+import { limitsOf } from "../board/limits_in_force.ts";
 import type { PlanEngine } from "../engine/plan_run.ts";
 import { MINUTE_MS } from "../core/time.ts";
 import { runCall } from "./call_run.ts";
@@ -15,8 +15,6 @@
 import { PromptRun, type StartAttempt } from "./prompt_run.ts";
 import type { UpstreamClients } from "./upstream_clients.ts";
 
-const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
-
 /** What the runner works with. */
 export type AttemptRunnerParts = Readonly<{
   loop: () => Pick<Loop, "now" | "post">;
@@ -92,7 +90,7 @@
       engineAt: (id) => this.#engineAt(id),
       counters: board.counters,
       now: () => loop().now(),
-      silenceMs: this.#limits().upstreamSilenceMs,
+      silenceMs: limitsOf(board).upstreamSilenceMs,
       post: (event) => loop().post(event),
     });
     this.#drop(intent.req);
@@ -123,7 +121,7 @@
       service: clients.service(address),
       now: () => loop().now(),
       timeoutMs: service?.timeoutMs ?? MINUTE_MS,
-      maxBytes: this.#limits().maxCallBytes,
+      maxBytes: limitsOf(board).maxCallBytes,
       post: (event) => {
         if (event.outcome.type === "ok") exchanges.delete(intent.req);
         loop().post(event);
@@ -146,8 +144,4 @@
       },
     });
   }
-
-  #limits() {
-    return this.#parts.board.config.serving?.limits ?? DEFAULT_LIMITS;
-  }
 }
--- a/src/http/call_routes.ts
+++ b/src/http/call_routes.ts
@@ -1,3 +1,4 @@
+import { limitsOf } from "../board/limits_in_force.ts";
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { ServerResponse } from "node:http";
@@ -16,14 +17,7 @@
 import type { ServiceAnswer } from "../service/service_client.ts";
 import type { AppEnv } from "./app.ts";
 import { readBody } from "./body_reader.ts";
-import {
-  type Front,
-  identityOf,
-  limitsOf,
-  open,
-  problemExtra,
-  refuse,
-} from "./front.ts";
+import { type Front, identityOf, problemExtra, refuse } from "./front.ts";
 import { KEY_HEADER, REQUEST_HEADER } from "./headers.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
@@ -46,7 +40,10 @@
 ): Promise<Response> {
   const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
-  const body = await readBody(ctx.env.incoming, limitsOf(front).maxCallBytes);
+  const body = await readBody(
+    ctx.env.incoming,
+    limitsOf(front.board).maxCallBytes,
+  );
   if (body.isErr()) return refuse(front, body.error);
   const url = new URL(ctx.req.url);
   const path = url.pathname.slice(PREFIX.length + service.length) + url.search;
@@ -86,7 +83,7 @@
     finish: (answer, verdict) => finish(res, req, { ...answer, verdict }),
     fail: (err) => fail(front, res, err),
   };
-  open(front, req.id, exchange);
+  front.exchanges.set(req.id, exchange);
   front.post({ type: "request_arrived", req });
 }
 
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -1,23 +1,15 @@
 import type { Context } from "hono";
 import { err, type Result } from "neverthrow";
 import type { Blackboard } from "../board/blackboard.ts";
-import { LimitsSchema } from "../config/limits.ts";
 import type { Event } from "../core/event.ts";
-import type { RequestId } from "../core/id.ts";
 import { entryAnswer } from "../core/entry_answer.ts";
 import { type Problem, problem, problemStatus } from "../core/problem.ts";
 import { SECOND_MS, type Timestamp } from "../core/time.ts";
-import type {
-  Exchange,
-  ExchangeTable,
-  PromptExchange,
-} from "../daemon/exchange.ts";
+import type { ExchangeTable, PromptExchange } from "../daemon/exchange.ts";
 import { identify, type Identity } from "./identity.ts";
 import type { AppEnv } from "./app.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
-const DEFAULT_LIMITS = LimitsSchema.parse(undefined);
-
 /** What the routes work with. */
 export type Front = Readonly<{
   board: Blackboard;
@@ -34,11 +26,6 @@
   report: (cause: unknown) => void;
 }>;
 
-/** The limits in force. */
-export function limitsOf(front: Front) {
-  return front.board.config.serving?.limits ?? DEFAULT_LIMITS;
-}
-
 /** Who sent a request; refused while no configuration is in force. */
 export function identityOf(
   front: Front,
@@ -87,8 +74,3 @@
   });
   return { entries: answer.entries };
 }
-
-/** Registers an exchange until its client has its answer or is gone. */
-export function open(front: Front, id: RequestId, exchange: Exchange): void {
-  front.exchanges.set(id, exchange);
-}
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -1,10 +1,11 @@
+import { limitsOf } from "../board/limits_in_force.ts";
 import { type Context, Hono, type Next } from "hono";
 import { problem } from "../core/problem.ts";
 import { entryAnswer } from "../core/entry_answer.ts";
 import { SECOND_MS } from "../core/time.ts";
 import type { AppEnv } from "./app.ts";
 import { issueKeyPrefix } from "../fold/issued_key.ts";
-import { type Front, limitsOf, refuse } from "./front.ts";
+import { type Front, refuse } from "./front.ts";
 import { hasToken, identify } from "./identity.ts";
 import { adminStatus } from "./admin_status.ts";
 
@@ -36,7 +37,7 @@
 }
 
 function entries(front: Front, ctx: Context<AppEnv>): Response {
-  const { entryMaxAgeMs } = limitsOf(front);
+  const { entryMaxAgeMs } = limitsOf(front.board);
   const client = ctx.req.query("client") ??
     ctx.env.incoming.socket.remoteAddress ?? "";
   const answer = entryAnswer(front.board, {
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -1,3 +1,4 @@
+import { limitsOf } from "../board/limits_in_force.ts";
 import type { ServerResponse } from "node:http";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
@@ -10,7 +11,7 @@
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { AppEnv } from "./app.ts";
 import { readBody } from "./body_reader.ts";
-import { type Front, identityOf, limitsOf, open, refuse } from "./front.ts";
+import { type Front, identityOf, refuse } from "./front.ts";
 import { REQUEST_HEADER, RESUME_HEADER, REVISION_HEADER } from "./headers.ts";
 import type { Identity } from "./identity.ts";
 import { parsePromptBody, type PromptBodyFields } from "./prompt_body.ts";
@@ -34,7 +35,10 @@
 ): Promise<Response> {
   const identity = identityOf(front, ctx);
   if (identity.isErr()) return refuse(front, identity.error);
-  const body = await readBody(ctx.env.incoming, limitsOf(front).maxPromptBytes);
+  const body = await readBody(
+    ctx.env.incoming,
+    limitsOf(front.board).maxPromptBytes,
+  );
   if (body.isErr()) return refuse(front, body.error);
   const fields = parsePromptBody(api, body.value);
   if (fields.isErr()) return refuse(front, fields.error);
@@ -98,7 +102,7 @@
   res: ServerResponse,
 ): void {
   const { id } = exchange.req;
-  open(front, id, exchange);
+  front.exchanges.set(id, exchange);
   res.on("close", () => {
     front.exchanges.delete(id);
     if (res.writableFinished) return;
