--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -13,6 +13,10 @@
   unknown_request: { status: 404, title: "No such request is known here" },
   unknown_path: { status: 404, title: "There is no such path" },
   body_too_large: { status: 413, title: "The body is larger than the limit" },
+  head_too_large: {
+    status: 431,
+    title: "The request's head is larger than the limit",
+  },
   prompt_too_long: {
     status: 413,
     title: "The prompt is longer than all engines can hold",
--- /dev/null
+++ b/src/gateway/core_loop.ts
@@ -0,0 +1,66 @@
+import { performance } from "node:perf_hooks";
+import type { Millis, Timestamp } from "../core/time.ts";
+import type { GatewayCore } from "./gateway_core.ts";
+import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
+
+/** A larger step of the wall clock against the steady one means that the process may have stood still. */
+const STANDSTILL_MS: Millis = 1_000;
+
+/** Steps the core whenever something has happened or is due. */
+export class CoreLoop {
+  readonly #core: GatewayCore;
+  readonly #perform: (intent: GatewayIntent) => void;
+  #events: GatewayEvent[] = [];
+  #scheduled = false;
+  #timer: NodeJS.Timeout | undefined;
+  #wallOffset = Date.now() - performance.now();
+
+  private constructor(
+    core: GatewayCore,
+    perform: (intent: GatewayIntent) => void,
+  ) {
+    this.#core = core;
+    this.#perform = perform;
+  }
+
+  static create(
+    core: GatewayCore,
+    perform: (intent: GatewayIntent) => void,
+  ): CoreLoop {
+    return new CoreLoop(core, perform);
+  }
+
+  /** Time that never goes back and knows nothing of the wall clock. */
+  now(): Timestamp {
+    return performance.now() as Timestamp;
+  }
+
+  push(event: GatewayEvent): void {
+    this.#events.push(event);
+    if (this.#scheduled) return;
+    this.#scheduled = true;
+    queueMicrotask(() => this.step());
+  }
+
+  step(): void {
+    this.#scheduled = false;
+    this.#noticeStandstill();
+    const events = this.#events;
+    this.#events = [];
+    const { intents, wakeAt } = this.#core.step(this.now(), events);
+    for (const intent of intents) this.#perform(intent);
+    clearTimeout(this.#timer);
+    if (wakeAt === Infinity) return;
+    const wait = Math.max(1, Math.ceil(wakeAt - this.now()));
+    this.#timer = setTimeout(() => this.step(), wait);
+  }
+
+  /** The steady clock leaves out the time of a standstill; the wall clock counts it. */
+  #noticeStandstill(): void {
+    const offset = Date.now() - performance.now();
+    const lostMs = offset - this.#wallOffset;
+    this.#wallOffset = offset;
+    if (lostMs < STANDSTILL_MS) return;
+    this.#events.push({ type: "woke", lostMs });
+  }
+}
--- /dev/null
+++ b/src/gateway/datagram_port.ts
@@ -0,0 +1,42 @@
+import type { Buffer } from "node:buffer";
+import { createSocket, type Socket } from "node:dgram";
+import { splitAddress } from "./address.ts";
+
+/** Datagrams between daemons; what is lost is sent again by those who need it. */
+export class DatagramPort {
+  readonly #socket: Socket;
+  #failed = 0;
+
+  private constructor(receive: (text: string) => void) {
+    this.#socket = createSocket("udp4");
+    this.#socket.on("message", (data: Buffer) => receive(data.toString()));
+    // A socket error concerns one datagram, which counts as lost.
+    this.#socket.on("error", () => this.#failed += 1);
+  }
+
+  static create(receive: (text: string) => void): DatagramPort {
+    return new DatagramPort(receive);
+  }
+
+  /** Datagrams that could not be sent. */
+  get failed(): number {
+    return this.#failed;
+  }
+
+  bind(host: string, port: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#socket.bind(port, host, () => resolve());
+    });
+  }
+
+  send(to: string, text: string): void {
+    const { host, port } = splitAddress(to);
+    this.#socket.send(text, port, host, (err) => {
+      if (err !== null) this.#failed += 1;
+    });
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/src/gateway/entry_choice.ts
@@ -0,0 +1,21 @@
+import type { PeerCard } from "./peer_message.ts";
+
+/** Entries that one answer holds at most. */
+const MAX_ENTRIES = 64;
+/** Entries near the caller that are enough for it, so that the loss of one leaves another. */
+const ENOUGH = 2;
+
+/** Where a caller is. */
+export type CallerPlace = Readonly<{ domain?: string; region?: string }>;
+
+/** Chooses the daemons that a caller should use: those of its failure domain, or else of its region, or else all. */
+export function chooseEntries(
+  cards: readonly PeerCard[],
+  caller: CallerPlace,
+): readonly string[] {
+  const open = cards.filter((one) => one.open);
+  const near = open.filter((one) => one.domain === caller.domain);
+  const around = open.filter((one) => one.region === caller.region);
+  const chosen = [near, around].find((one) => one.length >= ENOUGH) ?? open;
+  return chosen.slice(0, MAX_ENTRIES).map((one) => one.front);
+}
--- /dev/null
+++ b/src/gateway/event_cutter.ts
@@ -0,0 +1,58 @@
+import { Buffer } from "node:buffer";
+
+/** One whole event of a stream: its bytes as received, and its id. */
+export type StreamEvent = Readonly<{ bytes: Buffer; id?: string }>;
+
+const NEWLINE = 0x0a;
+const RETURN = 0x0d;
+/** Largest event; a longer one is no event of an answer. */
+const MAX_EVENT_BYTES = 1 << 20;
+
+/** Cuts the bytes of an event stream into whole events, so that a broken one is never passed on. */
+export class EventCutter {
+  #rest: Buffer = Buffer.alloc(0);
+
+  static create(): EventCutter {
+    return new EventCutter();
+  }
+
+  /** Bytes of an event that is not whole yet. */
+  get pending(): number {
+    return this.#rest.length;
+  }
+
+  /** Takes in bytes; returns the events that are whole by now, or nothing if one is too large. */
+  push(chunk: Buffer): readonly StreamEvent[] | undefined {
+    const data = this.#rest.length === 0
+      ? chunk
+      : Buffer.concat([this.#rest, chunk]);
+    const events: StreamEvent[] = [];
+    let from = 0;
+    for (let end = endOfEvent(data, from); end > 0;) {
+      const bytes = data.subarray(from, end);
+      events.push({ bytes, id: idOf(bytes) });
+      from = end;
+      end = endOfEvent(data, from);
+    }
+    this.#rest = data.subarray(from);
+    return this.#rest.length > MAX_EVENT_BYTES ? undefined : events;
+  }
+}
+
+/** Index after the empty line that ends the event at `from`; 0 while there is none. */
+function endOfEvent(data: Buffer, from: number): number {
+  for (let i = data.indexOf(NEWLINE, from); i >= 0;) {
+    let next = i + 1;
+    if (data[next] === RETURN) next += 1;
+    if (data[next] === NEWLINE) return next + 1;
+    i = data.indexOf(NEWLINE, i + 1);
+  }
+  return 0;
+}
+
+function idOf(bytes: Buffer): string | undefined {
+  for (const line of bytes.toString("latin1").split(/\r?\n/)) {
+    if (line.startsWith("id:")) return line.slice(3).trim();
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,402 @@
+import type { Buffer } from "node:buffer";
+import type { UpstreamId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import { joinVerdicts, type Verdict } from "../core/verdict.ts";
+import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import { AnswerRelay } from "./answer_relay.ts";
+import { Attempt } from "./attempt.ts";
+import type { ClientAnswer } from "./client_answer.ts";
+import type { ClientHead } from "./dialect.ts";
+import type { ExchangePort } from "./exchange_port.ts";
+import { type AttemptFailure, decideRetry } from "./retry_rule.ts";
+import type { Admitted } from "./route_table.ts";
+import { type Backend, isRepeatable } from "./serving.ts";
+import { TicketKeeper } from "./ticket_keeper.ts";
+import { type Patience, patienceOf } from "./watchdog.ts";
+
+/** Time that the last answer takes to the client. */
+const ANSWER_MS: Millis = 20;
+
+/** What an exchange is about. */
+export type ExchangeRequest = Readonly<{
+  head: ClientHead;
+  body: Buffer;
+  admitted: Admitted;
+  arrivedAt: Timestamp;
+  /** When the final answer must have been given. */
+  endsAt: Timestamp;
+  /** Digest of the caller and the content. */
+  digest: string;
+}>;
+
+/** One request of a client, from its place to its one final answer. */
+export class Exchange {
+  readonly #port: ExchangePort;
+  readonly #req: ExchangeRequest;
+  readonly #answer: ClientAnswer;
+  readonly #relay: AnswerRelay;
+  readonly #backend: Backend;
+  readonly #avoid: UpstreamId[] = [];
+  #verdict: Verdict = "not_run";
+  #placed = 0;
+  #runs = 0;
+  #job: JobId | undefined;
+  #grant: PoolGrant | undefined;
+  #tickets: TicketKeeper | undefined;
+  #attempt: Attempt | undefined;
+  #patience: Patience = { firstMs: 0, gapMs: 0 };
+  #silence: NodeJS.Timeout | undefined;
+  #limit: NodeJS.Timeout | undefined;
+  #over = false;
+
+  private constructor(
+    port: ExchangePort,
+    req: ExchangeRequest,
+    answer: ClientAnswer,
+  ) {
+    this.#port = port;
+    this.#req = req;
+    this.#answer = answer;
+    this.#backend = chooseBackend(req.admitted.route.backends, port.draw());
+    this.#relay = AnswerRelay.create(answer, {
+      lastEventId: req.head.lastEventId,
+    });
+  }
+
+  static create(
+    port: ExchangePort,
+    req: ExchangeRequest,
+    options: Readonly<{ answer: ClientAnswer }>,
+  ): Exchange {
+    return new Exchange(port, req, options.answer);
+  }
+
+  /** Starts; the final answer comes within the request's time. */
+  start(): void {
+    const left = this.#leftMs();
+    this.#limit = setTimeout(() => this.#expire(), Math.max(0, left));
+    this.#port.firstSend(this.#backend.service);
+    this.#place();
+  }
+
+  /** The client has gone: nothing more is done for it. */
+  abandon(): void {
+    if (this.#over) return;
+    this.#finish("left");
+    this.#line("client_left", {
+      placed: this.#placed,
+      events: this.#relay.events,
+    });
+  }
+
+  /** The upstream's process is gone, although its connection may not show it. */
+  upstreamLost(id: UpstreamId): void {
+    if (this.#over || this.#grant?.job.upstream !== id) return;
+    if (this.#attempt === undefined) return;
+    this.#failAttempt({
+      cause: "upstream_crashed",
+      verdict: this.#attempt.verdict,
+      detail: "The upstream was started anew",
+      blamed: false,
+    });
+  }
+
+  #leftMs(): Millis {
+    return this.#req.endsAt - this.#port.now();
+  }
+
+  #place(): void {
+    const { head, admitted, digest } = this.#req;
+    const { route, team } = admitted;
+    this.#placed += 1;
+    const job = `${head.id}.${this.#placed}` as JobId;
+    this.#job = job;
+    const askedAt = this.#port.now();
+    const ask = {
+      job,
+      req: head.id,
+      vm: this.#port.self.vm,
+      domain: this.#port.self.domain,
+      service: this.#backend.service,
+      kind: route.kind === "stream" ? "prompt" as const : "call" as const,
+      promptTokens: head.promptTokens,
+      answerTokens: head.answerTokens,
+      targetMs: route.targetMs,
+      pauseMs: route.pauseMs,
+      leftMs: this.#leftMs(),
+      rank: team?.rank ?? route.rank,
+      digest,
+      avoid: this.#avoid,
+    };
+    this.#port.place(ask, (reply) => {
+      if (this.#over || this.#job !== job) return;
+      this.#port.observe.placed(head.promptTokens, this.#port.now() - askedAt);
+      if (reply.isErr()) return this.#refuse(reply.error);
+      void this.#send(reply.value);
+    });
+  }
+
+  async #send(grant: PoolGrant): Promise<void> {
+    const { upstream, tickets } = grant.job;
+    this.#grant = grant;
+    if (this.#port.isClosed(upstream)) {
+      return this.#failAttempt(notSent("upstream_leaving", "It is leaving"));
+    }
+    if (tickets.length > 0) {
+      const keeper = TicketKeeper.create(this.#port.orders, grant, {
+        report: (err) => this.#line("ticket", { ...err }),
+      });
+      this.#tickets = keeper;
+      const reserved = await keeper.reserve();
+      if (this.#over || this.#grant !== grant) return keeper.release();
+      if (reserved.isErr()) {
+        return this.#failAttempt(notSent("plan_broken", reserved.error.detail));
+      }
+    }
+    this.#dispatch(grant);
+  }
+
+  #dispatch(grant: PoolGrant): void {
+    const { head, body, admitted } = this.#req;
+    const address = grant.addresses[grant.job.upstream];
+    if (address === undefined) {
+      return this.#failAttempt(notSent("connect_failed", "Its address is unknown"));
+    }
+    const leftMs = this.#leftMs();
+    const headers = this.#port.dialect.encodeAttempt(head, {
+      upstream: grant.job.upstream,
+      team: admitted.team?.id,
+      leftMs: Math.max(1, Math.floor(leftMs)),
+      priority: grant.job.kind === "prompt" ? grant.priority : undefined,
+      helpers: helpersOf(grant, this.#tickets?.id),
+      lastEventId: this.#relay.lastEventId,
+      bodyBytes: body.length,
+    });
+    this.#patience = patienceOf(admitted.route, {
+      expectMs: grant.expectMs,
+      leftMs,
+    });
+    this.#relay.startAttempt();
+    const attempt = Attempt.create(
+      this.#port.dialect,
+      { address, head, headers, body },
+      {
+        head: (status, answer) => this.#onHead(status, answer),
+        data: (chunk) => this.#onData(chunk),
+        end: () => this.#onEnd(),
+        fail: (failure) => this.#failAttempt(failure),
+      },
+    );
+    this.#attempt = attempt;
+    this.#watch(this.#patience.firstMs);
+    attempt.start();
+  }
+
+  #onHead(status: number, head: Parameters<AnswerRelay["head"]>[1]): void {
+    const refused = this.#relay.head(status, head, {
+      mayRetry: this.#mayRetry("ran"),
+    });
+    if (refused === undefined) return;
+    const culprit = head.culprit === undefined
+      ? undefined
+      : this.#port.upstreamAt(head.culprit);
+    this.#failAttempt(refused, culprit);
+  }
+
+  #onData(chunk: Buffer): void {
+    const attempt = this.#attempt;
+    const before = this.#relay.progress;
+    const result = this.#relay.data(chunk, () => attempt?.resume());
+    if (result === "broken") {
+      return this.#failAttempt({
+        cause: "answer_broken",
+        verdict: "may_have_run",
+        detail: "The events are out of order or no events",
+        blamed: true,
+      });
+    }
+    if (result === "full") attempt?.pause();
+    if (this.#relay.progress === before) return;
+    if (before === 0) this.#onFirst();
+    this.#watch(this.#patience.gapMs);
+  }
+
+  #onFirst(): void {
+    const { head, arrivedAt } = this.#req;
+    const job = this.#grant?.job;
+    if (job === undefined) return;
+    this.#port.progress(job.id, job.upstream, { phase: "started" });
+    const ms = this.#port.now() - arrivedAt;
+    this.#port.observe.firstEvent(head.promptTokens, ms);
+  }
+
+  #onEnd(): void {
+    const failure = this.#relay.end();
+    if (failure !== undefined) return this.#failAttempt(failure);
+    const { head, arrivedAt } = this.#req;
+    const ms = this.#port.now() - arrivedAt;
+    this.#port.observe.whole(head.promptTokens, ms);
+    this.#line("answered", {
+      upstream: this.#grant?.job.upstream,
+      status: this.#relay.status,
+      ms: Math.round(ms),
+      events: this.#relay.events,
+      attempts: this.#placed,
+    });
+    this.#finish("answered");
+  }
+
+  #failAttempt(failure: AttemptFailure, culprit?: UpstreamId): void {
+    const grant = this.#grant;
+    this.#endAttempt(failure, culprit);
+    if (failure.verdict !== "not_run") this.#runs += 1;
+    this.#verdict = joinVerdicts(this.#verdict, failure.verdict);
+    if (grant !== undefined) this.#avoid.push(culprit ?? grant.job.upstream);
+    const decision = decideRetry(this.#req.admitted.route, failure, {
+      placed: this.#placed,
+      runs: this.#runs,
+      leftMs: this.#leftMs(),
+    });
+    const retry = decision.type === "retry" && !this.#relay.sealed &&
+      this.#port.spendRepeat(this.#backend.service);
+    this.#line("attempt_failed", {
+      upstream: grant?.job.upstream,
+      culprit,
+      cause: failure.cause,
+      verdict: failure.verdict,
+      detail: failure.detail,
+      left_ms: Math.round(this.#leftMs()),
+      events: this.#relay.events,
+      then: retry ? "retry" : "give_up",
+    });
+    if (retry) {
+      this.#port.observe.retried(failure.cause);
+      this.#place();
+      return;
+    }
+    const code = decision.type === "retry" ? "retry_budget" : decision.code;
+    this.#refuse(problem(code, failure.detail, {
+      verdict: this.#verdict,
+      retryAfterMs: failure.retryAfterMs ?? 200,
+    }));
+  }
+
+  /** Whether a failure with this verdict would be retried. */
+  #mayRetry(verdict: Verdict): boolean {
+    const { route } = this.#req.admitted;
+    const failure = { cause: "upstream_refused", verdict, detail: "", blamed: true } as const;
+    return decideRetry(route, failure, {
+      placed: this.#placed,
+      runs: this.#runs + 1,
+      leftMs: this.#leftMs(),
+    }).type === "retry" && isRepeatable(route);
+  }
+
+  #watch(ms: Millis): void {
+    clearTimeout(this.#silence);
+    if (!isRepeatable(this.#req.admitted.route)) return;
+    this.#silence = setTimeout(() => {
+      this.#failAttempt({
+        cause: "upstream_silent",
+        verdict: this.#attempt?.verdict ?? "not_run",
+        detail: `Nothing came for ${Math.round(ms)} ms`,
+        blamed: true,
+      });
+    }, ms);
+  }
+
+  #expire(): void {
+    if (this.#over) return;
+    const sent = this.#attempt?.verdict ?? "not_run";
+    this.#verdict = joinVerdicts(this.#verdict, sent);
+    this.#refuse(problem("deadline_exceeded", "The time is used up", {
+      verdict: this.#verdict,
+      retryAfterMs: 200,
+    }));
+  }
+
+  #refuse(err: Problem): void {
+    const joined = { ...err, verdict: joinVerdicts(err.verdict, this.#verdict) };
+    this.#port.observe.problem(joined.code, joined.verdict);
+    this.#line("refused", {
+      code: joined.code,
+      verdict: joined.verdict,
+      detail: joined.detail,
+      retry_after_ms: joined.retryAfterMs,
+      ms: Math.round(this.#port.now() - this.#req.arrivedAt),
+      attempts: this.#placed,
+      events: this.#relay.events,
+    });
+    this.#finish("failed");
+    if (this.#answer.begun) this.#answer.breakOff();
+    else this.#answer.refuse(joined);
+  }
+
+  #endAttempt(failure?: AttemptFailure, culprit?: UpstreamId): void {
+    clearTimeout(this.#silence);
+    this.#attempt?.abort();
+    this.#attempt = undefined;
+    this.#tickets?.release();
+    this.#tickets = undefined;
+    const job = this.#grant?.job;
+    this.#grant = undefined;
+    if (job === undefined) {
+      if (this.#job !== undefined) this.#port.withdraw(this.#job);
+      this.#job = undefined;
+      return;
+    }
+    this.#job = undefined;
+    const crashed = failure?.cause === "upstream_crashed"
+      ? this.#req.digest
+      : undefined;
+    this.#port.progress(job.id, culprit ?? job.upstream, {
+      phase: failure?.blamed === true ? "failed" : "ended",
+      crashed,
+    });
+  }
+
+  #finish(outcome: "answered" | "failed" | "left"): void {
+    this.#over = true;
+    clearTimeout(this.#limit);
+    this.#endAttempt();
+    this.#port.observe.ended(outcome);
+  }
+
+  #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
+    const { head, admitted } = this.#req;
+    this.#port.line(kind, { req: head.id, route: admitted.route.name, ...fields });
+  }
+}
+
+/** When the final answer of a request must have been given. */
+export function endOf(
+  arrivedAt: Timestamp,
+  options: Readonly<{ timeoutMs: Millis; leftMs?: Millis }>,
+): Timestamp {
+  const left = options.leftMs ?? Infinity;
+  return arrivedAt + Math.min(options.timeoutMs, left - ANSWER_MS) as Timestamp;
+}
+
+function chooseBackend(backends: readonly Backend[], draw: number): Backend {
+  const total = backends.reduce((sum, one) => sum + one.weight, 0);
+  let left = draw * total;
+  for (const one of backends) {
+    left -= one.weight;
+    if (left < 0) return one;
+  }
+  return backends[backends.length - 1]!;
+}
+
+function helpersOf(grant: PoolGrant, ticket: string | undefined) {
+  const held = new Set(grant.job.tickets.map((one) => one.upstream));
+  return grant.job.helpers.flatMap((id) => {
+    const address = grant.addresses[id];
+    if (address === undefined) return [];
+    return [held.has(id) ? { address, ticket } : { address }];
+  });
+}
+
+function notSent(cause: AttemptFailure["cause"], detail: string): AttemptFailure {
+  return { cause, verdict: "not_run", detail, blamed: false };
+}
--- /dev/null
+++ b/src/gateway/exchange_port.ts
@@ -0,0 +1,51 @@
+import type { UpstreamId } from "../core/id.ts";
+import type { Refusal } from "../core/reason.ts";
+import type { Retry } from "../core/reason.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { Verdict } from "../core/verdict.ts";
+import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
+import type { PoolReply } from "./placement_port.ts";
+import type { Dialect } from "./dialect.ts";
+import type { EngineOrders } from "./engine_orders.ts";
+import type { LineFields } from "./event_log.ts";
+import type { ServiceId } from "../core/id.ts";
+
+/** What an exchange needs of the daemon that it runs in. */
+export type ExchangePort = Readonly<{
+  dialect: Dialect;
+  orders: EngineOrders;
+  now: () => Timestamp;
+  /** A number in [0, 1). */
+  draw: () => number;
+  self: Readonly<{ vm: PoolAsk["vm"]; domain: string }>;
+  /** Asks for a place; the reply comes once, unless the ask is withdrawn. */
+  place: (ask: PoolAsk, reply: (answer: PoolReply) => void) => void;
+  withdraw: (job: JobId) => void;
+  /** Says how a job goes on. */
+  progress: (
+    job: JobId,
+    upstream: UpstreamId,
+    news: Readonly<
+      { phase: "started" | "ended" | "failed"; crashed?: string }
+    >,
+  ) => void;
+  /** Upstream with an address, if one is listed. */
+  upstreamAt: (address: string) => UpstreamId | undefined;
+  /** Whether an upstream is known to take no new work. */
+  isClosed: (id: UpstreamId) => boolean;
+  firstSend: (service: ServiceId) => void;
+  /** Takes a repeat from the budget. */
+  spendRepeat: (service: ServiceId) => boolean;
+  line: (kind: string, fields: LineFields) => void;
+  observe: ExchangeObserver;
+}>;
+
+/** What is measured of exchanges. */
+export type ExchangeObserver = Readonly<{
+  placed: (tokens: number, ms: number) => void;
+  firstEvent: (tokens: number, ms: number) => void;
+  whole: (tokens: number, ms: number) => void;
+  retried: (cause: Retry) => void;
+  problem: (code: Refusal, verdict: Verdict) => void;
+  ended: (outcome: "answered" | "failed" | "left") => void;
+}>;
--- /dev/null
+++ b/src/gateway/gateway_board.ts
@@ -0,0 +1,100 @@
+import type { VmId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import { PoolScheduler } from "../scheduling/pool/pool_scheduler.ts";
+import { MemberTable } from "./member_table.ts";
+import type { PeerCard, Stand } from "./peer_message.ts";
+import type { RouteTable } from "./route_table.ts";
+import type { ConfigVersion } from "./serving.ts";
+import { UpstreamTable } from "./upstream_table.ts";
+
+const LONG_AGO = -Infinity as Timestamp;
+
+/** What a daemon knows of itself. */
+export type SelfSection = {
+  card: PeerCard;
+  /** Peer addresses of daemons that may be asked for the others. */
+  readonly seeds: readonly string[];
+  drainingSince: Timestamp | undefined;
+};
+
+/** Written by the members controller. */
+export type MembersSection = {
+  readonly table: MemberTable;
+  /** Who places for all. */
+  leader: VmId;
+  beatMs: Millis;
+};
+
+/** Written by the serving controller. */
+export type ServingSection = {
+  routes: RouteTable | undefined;
+  version: ConfigVersion;
+  takenAt: Timestamp;
+};
+
+/** Written by the register controller. */
+export type RegisterSection = {
+  readonly table: UpstreamTable;
+  /** How far the register was read; -1 for not at all. */
+  offset: number;
+  /** How far it was read when the table last changed. */
+  changedAt: number;
+  /** As of when the table is known to be right. */
+  asOf: Timestamp;
+};
+
+/** Written by the placement controller. */
+export type PoolSection = {
+  readonly scheduler: PoolScheduler;
+  /** Content that was running when an upstream crashed, and how often. */
+  readonly crashes: Map<string, number>;
+};
+
+/** The one place for the state of a daemon; each section has exactly one writer. */
+export type GatewayBoard = Readonly<{
+  self: SelfSection;
+  members: MembersSection;
+  serving: ServingSection;
+  register: RegisterSection;
+  pool: PoolSection;
+}>;
+
+/** Builds the board of a daemon that has just started. */
+export function createGatewayBoard(
+  card: PeerCard,
+  seeds: readonly string[],
+): GatewayBoard {
+  return {
+    self: { card, seeds, drainingSince: undefined },
+    members: {
+      table: MemberTable.create(card.vm),
+      leader: card.vm,
+      beatMs: 0,
+    },
+    serving: {
+      routes: undefined,
+      version: 0 as ConfigVersion,
+      takenAt: LONG_AGO,
+    },
+    register: {
+      table: UpstreamTable.create(),
+      offset: -1,
+      changedAt: -1,
+      asOf: LONG_AGO,
+    },
+    pool: { scheduler: PoolScheduler.create(), crashes: new Map() },
+  };
+}
+
+/** Oldest age that is told; a table that was never read has it. */
+const MAX_AGE_MS: Millis = 1e9;
+
+/** How much this daemon knows of what the store holds. */
+export function standOf(board: GatewayBoard, now: Timestamp): Stand {
+  const { serving, register } = board;
+  return {
+    version: serving.version,
+    offset: register.offset,
+    ageMs: Math.min(MAX_AGE_MS, Math.max(0, now - register.asOf)),
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway_event.ts
@@ -0,0 +1,67 @@
+import type { UpstreamId } from "../core/id.ts";
+import type { Problem } from "../core/problem.ts";
+import type { Millis } from "../core/time.ts";
+import type {
+  JobId,
+  PoolAsk,
+  PoolGrant,
+} from "../scheduling/pool/pool_job.ts";
+import type { PeerCard, PeerMessage } from "./peer_message.ts";
+import type { StoreError } from "./platform_store.ts";
+import type { Serving } from "./serving.ts";
+import type { UpstreamChange } from "./upstream_table.ts";
+
+/** What the adapters tell the core of a daemon. */
+export type GatewayEvent =
+  | Readonly<{ type: "message"; message: PeerMessage }>
+  | Readonly<{ type: "place"; ask: PoolAsk }>
+  /** The request behind an ask is over before it got a place. */
+  | Readonly<{ type: "withdraw"; job: JobId }>
+  | Readonly<{
+    type: "job";
+    job: JobId;
+    upstream: UpstreamId;
+    phase: "started" | "ended" | "failed";
+    crashed?: string;
+  }>
+  | Readonly<{ type: "serving_read"; serving?: Serving; next: number }>
+  | Readonly<{ type: "serving_fetched"; serving: Serving }>
+  | Readonly<{ type: "fetch_failed"; detail: string }>
+  | Readonly<{
+    type: "register_read";
+    /** Whether the changes are all there is, rather than what came since. */
+    full: boolean;
+    changes: readonly UpstreamChange[];
+    next: number;
+  }>
+  | Readonly<{ type: "read_failed"; what: StoreTopic; err: StoreError }>
+  | Readonly<{ type: "announced"; cards: readonly PeerCard[] }>
+  /** The process stood still: what it believes may be older than its clock says. */
+  | Readonly<{ type: "woke"; lostMs: Millis }>
+  | Readonly<{ type: "drain" }>;
+
+/** What of the platform's store is read. */
+export type StoreTopic = "serving" | "register";
+
+/** What the core wants the adapters to do. */
+export type GatewayIntent =
+  | Readonly<{ type: "send"; to: string; message: PeerMessage }>
+  | Readonly<{ type: "granted"; grant: PoolGrant }>
+  | Readonly<{ type: "denied"; job: JobId; problem: Problem }>
+  | Readonly<{
+    type: "read";
+    what: StoreTopic;
+    /** Absent: everything there is. */
+    from?: number;
+    waitMs: Millis;
+  }>
+  | Readonly<{ type: "fetch_serving"; peer: PeerCard }>
+  | Readonly<{ type: "announce"; card: PeerCard }>
+  | Readonly<{ type: "read_announced" }>
+  /** The upstream's process is gone or another one: what runs there can't end. */
+  | Readonly<{ type: "upstream_lost"; upstream: UpstreamId }>
+  | Readonly<{
+    type: "line";
+    kind: string;
+    fields: Readonly<Record<string, string | number | boolean>>;
+  }>;
--- /dev/null
+++ b/src/gateway/gateway_metrics.ts
@@ -0,0 +1,131 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type Refusal, REFUSALS, RetrySchema } from "../core/reason.ts";
+import type { Retry } from "../core/reason.ts";
+import type { Millis } from "../core/time.ts";
+
+/** Bounds of prompt size bands, in tokens. */
+const BANDS = [0, 8_000, 32_000, 128_000, 300_000] as const;
+/** Bounds of the latency histograms. */
+const LATENCY_MS = [25, 50, 100, 200, 300, 500, 1_000, 2_000, 4_000, 10_000];
+
+/** Counters and latency histograms of one daemon, in the text format of Prometheus. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly #requests: Counter<"outcome">;
+  readonly #problems: Counter<"code" | "verdict">;
+  readonly #retries: Counter<"cause">;
+  readonly #storeCalls: Counter<"call" | "outcome">;
+  readonly #events: Counter<"kind">;
+  readonly #place: Histogram<"band">;
+  readonly #first: Histogram<"band">;
+  readonly #whole: Histogram<"band">;
+  readonly #gauges: Gauge<"name">;
+
+  private constructor() {
+    const registers = [this.#registry];
+    this.#requests = new Counter({
+      name: "parsleyfield_requests_total",
+      help: "Requests by how they ended",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#problems = new Counter({
+      name: "parsleyfield_problems_total",
+      help: "Refused and failed requests by reason and verdict",
+      labelNames: ["code", "verdict"],
+      registers,
+    });
+    this.#retries = new Counter({
+      name: "parsleyfield_retries_total",
+      help: "Further attempts by what made them necessary",
+      labelNames: ["cause"],
+      registers,
+    });
+    this.#storeCalls = new Counter({
+      name: "parsleyfield_store_calls_total",
+      help: "Calls of the platform's store by outcome",
+      labelNames: ["call", "outcome"],
+      registers,
+    });
+    this.#events = new Counter({
+      name: "parsleyfield_events_total",
+      help: "Decisions and changes of belief by kind",
+      labelNames: ["kind"],
+      registers,
+    });
+    const latency = (name: string, help: string) =>
+      new Histogram({
+        name,
+        help,
+        labelNames: ["band"],
+        buckets: LATENCY_MS,
+        registers,
+      });
+    this.#place = latency("parsleyfield_place_ms", "Time to a place");
+    this.#first = latency("parsleyfield_first_event_ms", "Time to the first event or answer");
+    this.#whole = latency("parsleyfield_answer_ms", "Time to the whole answer");
+    this.#gauges = new Gauge({
+      name: "parsleyfield_state",
+      help: "Ages in ms and sizes by name",
+      labelNames: ["name"],
+      registers,
+    });
+    for (const code of Object.keys(REFUSALS) as Refusal[]) {
+      this.#problems.inc({ code, verdict: "not_run" }, 0);
+    }
+    for (const cause of RetrySchema.options) this.#retries.inc({ cause }, 0);
+  }
+
+  static create(): GatewayMetrics {
+    return new GatewayMetrics();
+  }
+
+  ended(outcome: "answered" | "failed" | "left"): void {
+    this.#requests.inc({ outcome });
+  }
+
+  problem(code: Refusal, verdict: string): void {
+    this.#problems.inc({ code, verdict });
+  }
+
+  retried(cause: Retry): void {
+    this.#retries.inc({ cause });
+  }
+
+  storeCall(call: string, outcome: string): void {
+    this.#storeCalls.inc({ call, outcome });
+  }
+
+  event(kind: string): void {
+    this.#events.inc({ kind });
+  }
+
+  placed(tokens: number, ms: Millis): void {
+    this.#place.observe({ band: bandOf(tokens) }, ms);
+  }
+
+  firstEvent(tokens: number, ms: Millis): void {
+    this.#first.observe({ band: bandOf(tokens) }, ms);
+  }
+
+  whole(tokens: number, ms: Millis): void {
+    this.#whole.observe({ band: bandOf(tokens) }, ms);
+  }
+
+  /** Sets ages and sizes, and returns everything as text. */
+  async text(gauges: Readonly<Record<string, number>>): Promise<string> {
+    for (const [name, value] of Object.entries(gauges)) {
+      this.#gauges.set({ name }, value);
+    }
+    return await this.#registry.metrics();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+}
+
+function bandOf(tokens: number): string {
+  const bound = BANDS.findLast((one) => tokens >= one) ?? 0;
+  return tokens === 0 ? "call" : `${bound}+`;
+}
--- /dev/null
+++ b/src/gateway/members_controller.ts
@@ -0,0 +1,236 @@
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import { type GatewayBoard, standOf } from "./gateway_board.ts";
+import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
+import { compareLeaders, digestMembers } from "./member_table.ts";
+import type { PeerCard, PeerMessage } from "./peer_message.ts";
+
+/** Time between beats in a small system; a silent leader is noticed after two of them. */
+const BEAT_MS: Millis = 400;
+/** Time between beats for each member, so that the leader of a large system hears some 120 a second. */
+const BEAT_MS_PER_MEMBER: Millis = 8;
+/** Beats that may be lost before a daemon counts as gone. */
+const LOST_BEATS = 3;
+/** Beats that a leader may leave unanswered. */
+const UNANSWERED_BEATS = 2;
+/** What an answer may take besides. */
+const ANSWER_MS: Millis = 250;
+/** Time between questions to silent daemons that would lead if they lived. */
+const PROBE_MS: Millis = 2_000;
+/** Time between questions to the seeds while no other daemon is known. */
+const SEED_MS: Millis = 500;
+/** Time without any other daemon after which the store is asked for them. */
+const ALONE_MS: Millis = 1_500;
+/** Time between such questions, and between announcements of a leader. */
+const ANNOUNCE_MS: Millis = 10_000;
+
+/** Finds the other daemons, says who of them lives, and agrees on the one that places for all. */
+export class MembersController extends GatewayController {
+  #beatAt = 0 as Timestamp;
+  #probeAt = 0 as Timestamp;
+  #seedAt = 0 as Timestamp;
+  #askStoreAt: Timestamp | undefined;
+  #announceAt: Timestamp | undefined;
+  /** When the leader was last heard, or became the leader. */
+  #leaderHeardAt = 0 as Timestamp;
+  #probed = 0;
+
+  static create(): MembersController {
+    return new MembersController();
+  }
+
+  override step(board: GatewayBoard, step: GatewayStep): void {
+    const { members } = board;
+    const count = members.table.all().length + 1;
+    members.beatMs = Math.max(BEAT_MS, count * BEAT_MS_PER_MEMBER);
+    for (const event of step.events) {
+      if (event.type === "message") this.#take(board, step, event.message);
+      if (event.type === "announced") this.#greet(board, step, event.cards);
+      if (event.type === "woke") this.#beatAt = step.now;
+      if (event.type === "drain" && board.self.drainingSince === undefined) {
+        board.self.drainingSince = step.now;
+      }
+    }
+    const changed = this.#updateCard(board);
+    this.#chooseLeader(board, step);
+    this.#beat(board, step, changed);
+    this.#probe(board, step);
+    this.#seek(board, step);
+    this.#announce(board, step);
+  }
+
+  /** Whether clients may come depends on what is known; the others hear of a change at once. */
+  #updateCard(board: GatewayBoard): boolean {
+    const { self } = board;
+    const open = isReady(board);
+    if (self.card.open === open) return false;
+    self.card = { ...self.card, open };
+    return true;
+  }
+
+  #take(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
+    const { table } = board.members;
+    if (message.type !== "beat" && message.type !== "news") return;
+    const { from } = message;
+    if (from.vm === board.self.card.vm) return;
+    const wasLive = step.now - table.heardAt(from.vm) <= liveMs(board);
+    const news = table.hear(from, step.now);
+    if (!wasLive || news !== "known") {
+      step.line("peer_up", { peer: from.vm, open: from.open, how: news });
+    }
+    if (message.type === "beat") this.#answer(board, step, message);
+    else {
+      const leads = from.vm === board.members.leader;
+      if (message.members !== undefined) {
+        table.vouchAll(message.members, step.now);
+      } else if (leads) table.renewVouched(step.now);
+      if (leads) this.#leaderHeardAt = step.now;
+    }
+  }
+
+  #answer(
+    board: GatewayBoard,
+    step: GatewayStep,
+    beat: Extract<PeerMessage, { type: "beat" }>,
+  ): void {
+    const { members, register, self } = board;
+    const heard = members.table.heard(step.now, liveMs(board));
+    const known = digestMembers([...heard, self.card]) === beat.members;
+    const behind = beat.stand.offset < register.changedAt;
+    step.want({
+      type: "send",
+      to: beat.from.peer,
+      message: {
+        type: "news",
+        from: self.card,
+        stand: standOf(board, step.now),
+        leader: members.leader,
+        members: known ? undefined : heard,
+        entries: behind ? register.table.all() : undefined,
+      },
+    });
+  }
+
+  /** Says hello to daemons that the store or a seed named. */
+  #greet(
+    board: GatewayBoard,
+    step: GatewayStep,
+    cards: readonly PeerCard[],
+  ): void {
+    for (const card of cards) {
+      if (card.vm !== board.self.card.vm) {
+        this.#sendBeat(board, step, card.peer);
+      }
+    }
+  }
+
+  #chooseLeader(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self } = board;
+    const { table } = members;
+    const lead = members.leader !== self.card.vm;
+    const silentMs = UNANSWERED_BEATS * members.beatMs + ANSWER_MS;
+    if (lead && step.now - this.#leaderHeardAt > silentMs) {
+      table.silence(members.leader);
+      step.line("peer_down", { peer: members.leader, silent_ms: silentMs });
+    }
+    const open = table.live(step.now, liveMs(board)).filter((one) => one.open);
+    if (self.card.open || open.length === 0) open.push(self.card);
+    const [best] = open.sort(compareLeaders);
+    if (best === undefined || best.vm === members.leader) return;
+    step.line("leader", { from: members.leader, to: best.vm, of: open.length });
+    members.leader = best.vm;
+    this.#leaderHeardAt = step.now;
+    this.#beatAt = step.now;
+  }
+
+  #beat(board: GatewayBoard, step: GatewayStep, changed: boolean): void {
+    const { members, self } = board;
+    if (members.leader === self.card.vm && !changed) return;
+    if (changed || step.now >= this.#beatAt) {
+      const leader = members.table.get(members.leader);
+      const to = leader === undefined
+        ? members.table.heard(step.now, liveMs(board)).map((one) => one.peer)
+        : [leader.peer];
+      for (const peer of to) this.#sendBeat(board, step, peer);
+      this.#beatAt = addMs(step.now, members.beatMs);
+    }
+    step.wake(this.#beatAt);
+  }
+
+  #probe(board: GatewayBoard, step: GatewayStep): void {
+    if (step.now >= this.#probeAt) {
+      const { table } = board.members;
+      const live = new Set(
+        table.live(step.now, liveMs(board)).map((one) => one.vm),
+      );
+      const silent = table.all().filter((one) => !live.has(one.vm))
+        .sort(compareLeaders);
+      const one = silent[this.#probed % Math.max(1, silent.length)];
+      if (one !== undefined) this.#sendBeat(board, step, one.peer);
+      this.#probed += 1;
+      this.#probeAt = addMs(step.now, PROBE_MS);
+    }
+    step.wake(this.#probeAt);
+  }
+
+  #seek(board: GatewayBoard, step: GatewayStep): void {
+    const { table } = board.members;
+    if (table.live(step.now, liveMs(board)).length > 0) {
+      this.#askStoreAt = undefined;
+      return;
+    }
+    if (step.now >= this.#seedAt) {
+      for (const seed of board.self.seeds) this.#sendBeat(board, step, seed);
+      this.#seedAt = addMs(step.now, SEED_MS);
+    }
+    this.#askStoreAt ??= addMs(step.now, ALONE_MS);
+    if (step.now >= this.#askStoreAt) {
+      step.want({ type: "read_announced" });
+      this.#askStoreAt = addMs(step.now, ANNOUNCE_MS);
+    }
+    step.wake(Math.min(this.#seedAt, this.#askStoreAt));
+  }
+
+  #announce(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self } = board;
+    if (members.leader !== self.card.vm) {
+      this.#announceAt = undefined;
+      return;
+    }
+    this.#announceAt ??= addMs(step.now, ALONE_MS);
+    if (step.now >= this.#announceAt) {
+      step.want({ type: "announce", card: self.card });
+      this.#announceAt = Infinity as Timestamp;
+    }
+    step.wake(this.#announceAt);
+  }
+
+  #sendBeat(board: GatewayBoard, step: GatewayStep, to: string): void {
+    const { self, members, pool } = board;
+    if (to === self.card.peer) return;
+    const live = members.table.live(step.now, liveMs(board));
+    const jobs = [...pool.scheduler.jobs.values()]
+      .filter((job) => job.vm === self.card.vm);
+    step.want({
+      type: "send",
+      to,
+      message: {
+        type: "beat",
+        from: self.card,
+        stand: standOf(board, step.now),
+        members: digestMembers([...live, self.card]),
+        jobs,
+      },
+    });
+  }
+}
+
+/** Silence after which a daemon counts as gone. */
+export function liveMs(board: GatewayBoard): Millis {
+  return LOST_BEATS * board.members.beatMs + BEAT_MS;
+}
+
+/** Whether a daemon knows enough to serve, and is not leaving. */
+export function isReady(board: GatewayBoard): boolean {
+  return board.self.drainingSince === undefined &&
+    board.serving.routes !== undefined && board.register.offset >= 0;
+}
--- /dev/null
+++ b/src/gateway/peer_message.ts
@@ -0,0 +1,161 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
+import { type Refusal, REFUSALS } from "../core/reason.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { JobId } from "../scheduling/pool/pool_job.ts";
+import { idSchema } from "../wire/brands.ts";
+import type { ConfigVersion } from "./serving.ts";
+import type { DomainId, RequestId } from "../core/id.ts";
+
+/** How a daemon introduces itself to others. */
+export const PeerCardSchema = z.object({
+  vm: idSchema<VmId>(),
+  /** Host and port of the datagrams between daemons. */
+  peer: z.string(),
+  /** Host and port for clients. */
+  front: z.string(),
+  domain: idSchema<DomainId>(),
+  region: z.string(),
+  /** Processor share; the strongest daemons place for the others. */
+  power: z.number(),
+  /** Unix time in ms of the process's start, to tell a new one from the old one. */
+  startedAt: z.number(),
+  /** Whether clients may be sent there. */
+  open: z.boolean(),
+}).readonly();
+/** How a daemon introduces itself to others. */
+export type PeerCard = z.infer<typeof PeerCardSchema>;
+
+const upstream = idSchema<UpstreamId>();
+const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
+const JobSchema = z.object({
+  id: z.string().transform((id) => id as JobId),
+  vm: idSchema<VmId>(),
+  service: idSchema<ServiceId>(),
+  kind: z.enum(["prompt", "call"]),
+  upstream,
+  helpers: z.array(upstream).readonly(),
+  tickets: z.array(TicketSchema).readonly(),
+  tokens: z.number(),
+  partMs: z.number(),
+  pauseMs: z.number(),
+  writing: z.boolean(),
+  placedAt: z.number().transform((at) => at as Timestamp),
+}).readonly();
+
+const EntrySchema = z.object({
+  id: upstream,
+  service: idSchema<ServiceId>(),
+  address: z.string(),
+  domain: idSchema<DomainId>(),
+  slots: z.number(),
+  leaving: z.boolean(),
+  startedAt: z.number(),
+}).readonly();
+
+const ChangeSchema = z.discriminatedUnion("type", [
+  z.object({ type: z.literal("entry"), entry: EntrySchema }),
+  z.object({ type: z.literal("gone"), id: upstream }),
+]);
+
+const AskSchema = z.object({
+  job: z.string().transform((id) => id as JobId),
+  req: idSchema<RequestId>(),
+  vm: idSchema<VmId>(),
+  domain: z.string(),
+  service: idSchema<ServiceId>(),
+  kind: z.enum(["prompt", "call"]),
+  promptTokens: z.number(),
+  answerTokens: z.number(),
+  targetMs: z.number(),
+  pauseMs: z.number(),
+  leftMs: z.number(),
+  rank: z.number(),
+  digest: z.string(),
+  avoid: z.array(upstream).readonly(),
+}).readonly();
+
+const GrantSchema = z.object({
+  job: JobSchema,
+  addresses: z.record(upstream, z.string()),
+  priority: z.number(),
+  expectMs: z.number(),
+}).readonly();
+
+const StandSchema = z.object({
+  /** The newest configuration version that the sender has; 0 for none. */
+  version: z.number().transform((one) => one as ConfigVersion),
+  /** How far the sender has read the register of upstreams; -1 for not at all. */
+  offset: z.number(),
+  /** How old that reading is. */
+  ageMs: z.number(),
+}).readonly();
+/** How much a daemon knows of what the platform's store holds. */
+export type Stand = z.infer<typeof StandSchema>;
+
+const PeerMessageSchema = z.discriminatedUnion("type", [
+  /** Says that a daemon lives and what it runs, to the one that places. */
+  z.object({
+    type: z.literal("beat"),
+    from: PeerCardSchema,
+    stand: StandSchema,
+    /** Digest of the list of members that the sender has. */
+    members: z.number(),
+    jobs: z.array(JobSchema).readonly(),
+  }),
+  /** Answers a beat. */
+  z.object({
+    type: z.literal("news"),
+    from: PeerCardSchema,
+    stand: StandSchema,
+    leader: idSchema<VmId>(),
+    members: z.array(PeerCardSchema).readonly().optional(),
+    entries: z.array(EntrySchema).readonly().optional(),
+  }),
+  /** Passes on changes of the register that were read after `since`. */
+  z.object({
+    type: z.literal("changes"),
+    from: idSchema<VmId>(),
+    stand: StandSchema,
+    since: z.number(),
+    changes: z.array(ChangeSchema).readonly(),
+  }),
+  z.object({ type: z.literal("ask"), ask: AskSchema, reply: z.string() }),
+  z.object({ type: z.literal("grant"), grant: GrantSchema }),
+  z.object({
+    type: z.literal("deny"),
+    job: z.string().transform((id) => id as JobId),
+    code: z.enum(Object.keys(REFUSALS) as [Refusal, ...Refusal[]]),
+    detail: z.string(),
+    retryAfterMs: z.number().optional(),
+  }),
+  /** Says how a job goes on. */
+  z.object({
+    type: z.literal("progress"),
+    job: z.string().transform((id) => id as JobId),
+    upstream,
+    phase: z.enum(["started", "ended", "failed"]),
+    /** Digest of the content that was running when its upstream crashed. */
+    crashed: z.string().optional(),
+  }),
+]);
+/** What daemons tell each other. */
+export type PeerMessage = z.infer<typeof PeerMessageSchema>;
+
+/** Writes a message as one datagram. */
+export function encodePeerMessage(message: PeerMessage): string {
+  return JSON.stringify(message);
+}
+
+/** Reads a datagram; fails on whatever is not one of the messages. */
+export function decodePeerMessage(text: string): Result<PeerMessage, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return err("The datagram is not JSON");
+  }
+  const parsed = PeerMessageSchema.safeParse(value);
+  return parsed.success ? ok(parsed.data) : err(parsed.error.message);
+}
--- /dev/null
+++ b/src/gateway/platform_store.ts
@@ -0,0 +1,40 @@
+import type { ResultAsync } from "neverthrow";
+import type { Millis } from "../core/time.ts";
+import type { PeerCard } from "./peer_message.ts";
+import type { Serving } from "./serving.ts";
+import type { UpstreamChange } from "./upstream_table.ts";
+
+/** Why a call of the platform's store failed. */
+export type StoreError =
+  /** The store answered that it did nothing. */
+  | Readonly<{ code: "refused"; detail: string }>
+  /** No whole answer came in time. */
+  | Readonly<{ code: "silent"; detail: string }>
+  /** What was to be read has been deleted; everything must be read anew. */
+  | Readonly<{ code: "expired"; detail: string }>;
+
+/** What came of reading configurations: the newest readable one, if any, and where to read on. */
+export type ServingBatch = Readonly<{ serving?: Serving; next: number }>;
+
+/** What came of reading the register of upstreams. */
+export type RegisterBatch = Readonly<{
+  full: boolean;
+  changes: readonly UpstreamChange[];
+  next: number;
+}>;
+
+/** Where to read, and how long the store may wait for something new. */
+export type ReadPoint = Readonly<{ from?: number; waitMs: Millis }>;
+
+/** The platform's store: the configuration, the register of upstreams, and where daemons find each other. */
+export abstract class PlatformStore {
+  abstract readServing(
+    point: ReadPoint,
+  ): ResultAsync<ServingBatch, StoreError>;
+  abstract readRegister(
+    point: ReadPoint,
+  ): ResultAsync<RegisterBatch, StoreError>;
+  /** Leaves word where a daemon is, for those that know no other one. */
+  abstract announce(card: PeerCard): ResultAsync<void, StoreError>;
+  abstract readAnnounced(): ResultAsync<readonly PeerCard[], StoreError>;
+}
--- /dev/null
+++ b/src/gateway/register_controller.ts
@@ -0,0 +1,209 @@
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import { type GatewayBoard, standOf } from "./gateway_board.ts";
+import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
+import { liveMs } from "./members_controller.ts";
+import type { PeerMessage, Stand } from "./peer_message.ts";
+import { StoreReader } from "./store_reader.ts";
+import {
+  LAPSE_GRACE_MS,
+  type UpstreamChange,
+  type UpstreamEntry,
+  type UpstreamNews,
+} from "./upstream_table.ts";
+
+/** How often the leader reads at most; all others hear of changes from it. */
+const SPACING_MS: Millis = 450;
+/** How long the store may wait for something new; a silent connection is noticed soon after. */
+const WAIT_MS: Millis = 600;
+/** Age beyond what two beats bring at which a daemon reads for itself. */
+const STALE_MARGIN_MS: Millis = 300;
+/** A longer gap between readings means that entries may have lapsed because the store was away. */
+const OUTAGE_MS: Millis = 1_500;
+/** What a reading that the store answered may be older than its arrival. */
+const READ_AGE_MS: Millis = 50;
+
+/** Keeps the table of upstreams as fresh as the store allows: the leader reads, the others hear from it. */
+export class RegisterController extends GatewayController {
+  readonly #reader = StoreReader.create("register");
+  #graceUntil: Timestamp | undefined;
+  /** Whether the table has changed since it was last read. */
+  #changedSince = false;
+
+  static create(): RegisterController {
+    return new RegisterController();
+  }
+
+  override step(board: GatewayBoard, step: GatewayStep): void {
+    const { register } = board;
+    for (const event of step.events) {
+      if (event.type === "register_read") {
+        this.#reader.done(step, event.next);
+        this.#takeReading(board, step, event);
+      }
+      if (event.type === "read_failed" && event.what === "register") {
+        this.#reader.failed(step, event.err);
+      }
+      if (event.type === "message") this.#hear(board, step, event.message);
+      if (event.type === "woke") {
+        register.asOf = addMs(register.asOf, -event.lostMs);
+      }
+    }
+    const expired = register.table.expire(step.now);
+    this.#report(step, expired);
+    this.#push(board, step, changesOf(board, expired));
+    this.#changedSince ||= expired.length > 0;
+    const next = register.table.nextExpiry();
+    if (next !== undefined) step.wake(next);
+    this.#poll(board, step);
+  }
+
+  #poll(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self, register } = board;
+    const leads = members.leader === self.card.vm;
+    const staleAt = register.asOf + 2 * members.beatMs + STALE_MARGIN_MS;
+    if (leads || step.now >= staleAt) {
+      this.#reader.poll(step, { waitMs: WAIT_MS, spacingMs: SPACING_MS });
+    } else step.wake(staleAt);
+  }
+
+  #takeReading(
+    board: GatewayBoard,
+    step: GatewayStep,
+    batch: Readonly<
+      { full: boolean; changes: readonly UpstreamChange[]; next: number }
+    >,
+  ): void {
+    const { register } = board;
+    const { table } = register;
+    const known = register.offset >= 0;
+    if (known && step.now - register.asOf > OUTAGE_MS) {
+      this.#graceUntil = addMs(step.now, LAPSE_GRACE_MS);
+      step.line("register_gap", { age_ms: Math.round(step.now - register.asOf) });
+    }
+    register.asOf = addMs(step.now, -READ_AGE_MS);
+    if (batch.next < register.offset) return;
+    const grace = this.#graceUntil;
+    const lapseUntil = grace !== undefined && step.now < grace
+      ? grace
+      : undefined;
+    const news = batch.full
+      ? table.replace(entriesOf(batch.changes), { lapseUntil })
+      : batch.changes.flatMap((one) => table.take(one, { lapseUntil }) ?? []);
+    register.offset = batch.next;
+    this.#report(step, news);
+    const changes = changesOf(board, news);
+    this.#push(board, step, changes);
+    if (changes.length === 0 && !this.#changedSince) return;
+    register.changedAt = batch.next;
+    this.#changedSince = false;
+  }
+
+  #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
+    const { register } = board;
+    if (message.type === "beat") {
+      // A daemon that has read further is asked for what it knows.
+      if (message.stand.offset > register.offset) {
+        this.#askFor(board, step, message.from.peer);
+      }
+      return;
+    }
+    if (message.type === "news") {
+      const { stand, entries } = message;
+      if (stand.offset < register.offset) return;
+      if (entries !== undefined) this.#replace(board, step, entries);
+      if (register.offset >= 0 || entries !== undefined) {
+        this.#goOn(board, step, stand);
+      }
+      return;
+    }
+    if (message.type === "changes") {
+      const { stand, since, changes } = message;
+      if (since > register.offset || stand.offset < register.offset) return;
+      const news = changes.flatMap((one) => register.table.take(one) ?? []);
+      this.#report(step, news);
+      if (news.length > 0) register.changedAt = stand.offset;
+      this.#goOn(board, step, stand);
+    }
+  }
+
+  #replace(
+    board: GatewayBoard,
+    step: GatewayStep,
+    entries: readonly UpstreamEntry[],
+  ): void {
+    const { register } = board;
+    const news = register.table.replace(entries);
+    this.#report(step, news);
+    if (news.length > 0) this.#changedSince = true;
+  }
+
+  /** Takes in that the table is as another daemon has read it. */
+  #goOn(board: GatewayBoard, step: GatewayStep, stand: Stand): void {
+    const { register } = board;
+    register.offset = stand.offset;
+    if (this.#changedSince) register.changedAt = stand.offset;
+    this.#changedSince = false;
+    this.#reader.skipTo(stand.offset);
+    const asOf = addMs(step.now, -stand.ageMs - READ_AGE_MS);
+    if (asOf > register.asOf) register.asOf = asOf;
+  }
+
+  #askFor(board: GatewayBoard, step: GatewayStep, to: string): void {
+    step.want({
+      type: "send",
+      to,
+      message: {
+        type: "beat",
+        from: board.self.card,
+        stand: standOf(board, step.now),
+        members: 0,
+        jobs: [],
+      },
+    });
+  }
+
+  #push(
+    board: GatewayBoard,
+    step: GatewayStep,
+    changes: readonly UpstreamChange[],
+  ): void {
+    const { members, self, register } = board;
+    if (changes.length === 0 || members.leader !== self.card.vm) return;
+    const stand = standOf(board, step.now);
+    const since = register.changedAt;
+    for (const peer of members.table.live(step.now, liveMs(board))) {
+      step.want({
+        type: "send",
+        to: peer.peer,
+        message: { type: "changes", from: self.card.vm, stand, since, changes },
+      });
+    }
+  }
+
+  #report(step: GatewayStep, news: readonly UpstreamNews[]): void {
+    for (const { kind, id } of news) {
+      step.line("upstream", { upstream: id, how: kind });
+      if (kind === "restarted") {
+        step.want({ type: "upstream_lost", upstream: id });
+      }
+    }
+  }
+}
+
+function entriesOf(changes: readonly UpstreamChange[]) {
+  return changes.flatMap((one) => one.type === "entry" ? [one.entry] : []);
+}
+
+/** What others need to hear: the entries as they are now, and those that are gone. */
+function changesOf(
+  board: GatewayBoard,
+  news: readonly UpstreamNews[],
+): readonly UpstreamChange[] {
+  return news.flatMap(({ kind, id }): UpstreamChange[] => {
+    if (kind === "kept") return [];
+    const entry = board.register.table.get(id);
+    return entry === undefined ? [{ type: "gone", id }] : [
+      { type: "entry", entry },
+    ];
+  });
+}
--- /dev/null
+++ b/src/gateway/repeat_budget.ts
@@ -0,0 +1,61 @@
+import type { ServiceId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+
+/** How many repeats all daemons together may send to a service in a sliding window. */
+export type BudgetTerms = Readonly<{
+  ratio: number;
+  slack: number;
+  windowMs: Millis;
+}>;
+
+/** Part of the terms that is used, as daemons count their shares apart. */
+const SAFETY = 0.7;
+
+type Counts = { firsts: Timestamp[]; repeats: Timestamp[] };
+
+/** This daemon's share of the repeats that a service may get beyond the first arrival of each request. */
+export class RepeatBudget {
+  readonly #terms: BudgetTerms;
+  readonly #services = new Map<ServiceId, Counts>();
+
+  private constructor(terms: BudgetTerms) {
+    this.#terms = terms;
+  }
+
+  static create(terms: BudgetTerms): RepeatBudget {
+    return new RepeatBudget(terms);
+  }
+
+  /** Counts a request that is sent for the first time. */
+  first(service: ServiceId, now: Timestamp): void {
+    this.#counts(service, now).firsts.push(now);
+  }
+
+  /** Takes one repeat, for `daemons` that share the slack; false if none is left. */
+  spend(
+    service: ServiceId,
+    now: Timestamp,
+    options: { daemons: number },
+  ): boolean {
+    const counts = this.#counts(service, now);
+    const { ratio, slack } = this.#terms;
+    const share = slack / Math.max(1, options.daemons);
+    const allowed = SAFETY * (ratio * counts.firsts.length + share);
+    if (counts.repeats.length + 1 > allowed) return false;
+    counts.repeats.push(now);
+    return true;
+  }
+
+  #counts(service: ServiceId, now: Timestamp): Counts {
+    let counts = this.#services.get(service);
+    if (counts === undefined) {
+      counts = { firsts: [], repeats: [] };
+      this.#services.set(service, counts);
+    }
+    const from = now - this.#terms.windowMs;
+    for (const times of [counts.firsts, counts.repeats]) {
+      while (times.length > 0 && times[0]! < from) times.shift();
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/gateway/route_table.ts
@@ -0,0 +1,70 @@
+import { err, ok, type Result } from "neverthrow";
+import type { TeamId } from "../core/id.ts";
+import { type Problem, problem } from "../core/problem.ts";
+import type { Route, Serving, Team } from "./serving.ts";
+
+/** Whom a request comes from and what it asks for. */
+export type Admitted = Readonly<{ route: Route; team?: Team }>;
+
+/** Routes and keys of one configuration version, indexed. */
+export class RouteTable {
+  readonly serving: Serving;
+  readonly #hosts = new Map<string, Map<string, Route>>();
+  readonly #keys = new Map<string, Team>();
+
+  private constructor(serving: Serving) {
+    this.serving = serving;
+    for (const route of serving.routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = this.#hosts.get(host) ?? new Map<string, Route>();
+      prefixes.set(route.prefix, route);
+      this.#hosts.set(host, prefixes);
+    }
+    for (const team of serving.teams ?? []) {
+      for (const key of team.keys) this.#keys.set(key, team);
+    }
+  }
+
+  static create(serving: Serving): RouteTable {
+    return new RouteTable(serving);
+  }
+
+  /** Finds the route with the longest prefix, and checks the key. */
+  admit(
+    target: Readonly<{ host: string; path: string; key?: string }>,
+  ): Result<Admitted, Problem> {
+    const route = this.#match(target.host, target.path);
+    if (route === undefined) {
+      return err(problem("unknown_path", "No route goes there"));
+    }
+    if (this.serving.teams === undefined) return ok({ route });
+    const team = target.key === undefined
+      ? undefined
+      : this.#keys.get(target.key);
+    if (team === undefined && !route.open) {
+      return err(problem("unauthorized", "The key is missing or unknown"));
+    }
+    return ok({ route, team });
+  }
+
+  /** The team that holds a key. */
+  teamOf(key: string): TeamId | undefined {
+    return this.#keys.get(key)?.id;
+  }
+
+  #match(host: string, url: string): Route | undefined {
+    const name = host.toLowerCase();
+    const prefixes = this.#hosts.get(name) ??
+      this.#hosts.get(name.replace(/:\d+$/, ""));
+    if (prefixes === undefined) return undefined;
+    const path = url.split("?", 1)[0]!;
+    let end = path.lastIndexOf("/");
+    while (end >= 0) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      if (end === 0) return undefined;
+      end = path.lastIndexOf("/", end - 1);
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/gateway/small_http.ts
@@ -0,0 +1,99 @@
+import { Buffer } from "node:buffer";
+import { createServer, request, type Server } from "node:http";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { Millis } from "../core/time.ts";
+import { splitAddress } from "./address.ts";
+
+/** Time for an answer of a peer or of the platform beside what it may wait. */
+const TIMEOUT_MS: Millis = 1_000;
+
+/** Why a plain call got no answer. */
+export type CallError = Readonly<{ code: "silent"; detail: string }>;
+
+/** A whole answer. */
+export type CallAnswer = Readonly<{ status: number; body: Buffer }>;
+
+/** A plain call: no retry, a connection of its own, one time limit for everything. */
+export type PlainCall = Readonly<{
+  method: string;
+  address: string;
+  path: string;
+  body?: Buffer | string;
+  contentType?: string;
+  timeoutMs?: Millis;
+}>;
+
+/** Sends a plain call; a connection of its own can't have gone silent before. */
+export function plainCall(call: PlainCall): ResultAsync<CallAnswer, CallError> {
+  const body = call.body === undefined ? undefined : Buffer.from(call.body);
+  const headers: Record<string, string | number> = {};
+  if (body !== undefined) headers["content-length"] = body.length;
+  if (call.contentType !== undefined) {
+    headers["content-type"] = call.contentType;
+  }
+  const done = new Promise<Result<CallAnswer, CallError>>((resolve) => {
+    const fail = (detail: string) => {
+      clearTimeout(timer);
+      req.destroy();
+      resolve(err({ code: "silent", detail }));
+    };
+    const timer = setTimeout(
+      () => fail("No whole answer in time"),
+      call.timeoutMs ?? TIMEOUT_MS,
+    );
+    const req = request({
+      ...splitAddress(call.address),
+      method: call.method,
+      path: call.path,
+      headers,
+      agent: false,
+    });
+    req.on("error", (cause) => fail(cause.message));
+    req.on("response", (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      res.on("error", (cause) => fail(cause.message));
+      res.on("close", () => {
+        if (!res.complete) return fail("The answer broke off");
+        clearTimeout(timer);
+        resolve(
+          ok({ status: res.statusCode ?? 0, body: Buffer.concat(chunks) }),
+        );
+      });
+    });
+    req.end(body);
+  });
+  return new ResultAsync(done);
+}
+
+/** What a small server answers to a path with its query; nothing for an unknown one. */
+export type SmallHandler = (
+  url: URL,
+) => Promise<SmallAnswer | undefined> | SmallAnswer | undefined;
+
+/** The answer of a small server. */
+export type SmallAnswer = Readonly<
+  { status: number; body: string; contentType: string }
+>;
+
+/** Serves short answers to GET requests. */
+export function serveSmall(
+  at: Readonly<{ host: string; port: number }>,
+  handle: SmallHandler,
+): Promise<Server> {
+  const server = createServer(async (req, res) => {
+    const url = URL.parse(req.url ?? "/", "http://daemon");
+    const answer = url === null ? undefined : await handle(url);
+    const { status, body, contentType } = answer ??
+      { status: 404, body: "", contentType: "text/plain" };
+    res.writeHead(status, {
+      "content-type": contentType,
+      "content-length": Buffer.byteLength(body),
+    });
+    res.end(body);
+  });
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(at, () => resolve(server));
+  });
+}
--- /dev/null
+++ b/src/gateway/store_caller.ts
@@ -0,0 +1,77 @@
+import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
+import type { PlatformStore, StoreError } from "./platform_store.ts";
+import { servingFromJson } from "./serving_json.ts";
+import { plainCall } from "./small_http.ts";
+
+/** Path at which daemons fetch the configuration from each other. */
+export const SERVING_PATH = "/serving";
+
+/** What is done with the outcome of a call. */
+export type StoreCallerOptions = Readonly<{
+  push: (event: GatewayEvent) => void;
+  count: (call: string, outcome: string) => void;
+  line: (kind: string, fields: Readonly<Record<string, string>>) => void;
+}>;
+
+/** Performs the core's calls of the platform's store, and of peers that know what the store does not tell. */
+export class StoreCaller {
+  readonly #store: PlatformStore;
+  readonly #options: StoreCallerOptions;
+
+  private constructor(store: PlatformStore, options: StoreCallerOptions) {
+    this.#store = store;
+    this.#options = options;
+  }
+
+  static create(store: PlatformStore, options: StoreCallerOptions): StoreCaller {
+    return new StoreCaller(store, options);
+  }
+
+  async read(intent: Extract<GatewayIntent, { type: "read" }>): Promise<void> {
+    const { what, from, waitMs } = intent;
+    const { push } = this.#options;
+    const point = { from, waitMs };
+    const result = what === "serving"
+      ? (await this.#store.readServing(point))
+        .map((batch) => push({ type: "serving_read", ...batch }))
+      : (await this.#store.readRegister(point))
+        .map((batch) => push({ type: "register_read", ...batch }));
+    this.#count(`read_${what}`, result.isErr() ? result.error : undefined);
+    if (result.isErr()) push({ type: "read_failed", what, err: result.error });
+  }
+
+  /** Fetches the configuration from a peer that has a newer one. */
+  async fetch(peer: string): Promise<void> {
+    const { push } = this.#options;
+    const result = (await plainCall({
+      method: "GET",
+      address: peer,
+      path: SERVING_PATH,
+    })).mapErr((failure) => failure.detail)
+      .andThen((answer) => servingFromJson(answer.body.toString()));
+    result.match(
+      (serving) => push({ type: "serving_fetched", serving }),
+      (detail) => push({ type: "fetch_failed", detail }),
+    );
+  }
+
+  async announce(
+    intent: Extract<GatewayIntent, { type: "announce" }>,
+  ): Promise<void> {
+    const result = await this.#store.announce(intent.card);
+    this.#count("announce", result.isErr() ? result.error : undefined);
+  }
+
+  async readAnnounced(): Promise<void> {
+    const result = await this.#store.readAnnounced();
+    this.#count("read_announced", result.isErr() ? result.error : undefined);
+    if (result.isErr()) return;
+    this.#options.push({ type: "announced", cards: result.value });
+  }
+
+  #count(call: string, failure: StoreError | undefined): void {
+    this.#options.count(call, failure?.code ?? "ok");
+    if (failure === undefined) return;
+    this.#options.line("store_call_failed", { call, ...failure });
+  }
+}
--- /dev/null
+++ b/src/gateway/store_reader.ts
@@ -0,0 +1,88 @@
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import type { GatewayStep } from "./gateway_controller.ts";
+import type { StoreTopic } from "./gateway_event.ts";
+import type { StoreError } from "./platform_store.ts";
+
+/** Time to the next try after a failed reading, doubled by each failure up to the largest. */
+const FIRST_BACKOFF_MS: Millis = 250;
+const MAX_BACKOFF_MS: Millis = 1_000;
+
+/** How a topic of the store is read. */
+export type ReadPace = Readonly<{
+  /** How long the store may wait for something new. */
+  waitMs: Millis;
+  /** Shortest time between the starts of two readings. */
+  spacingMs: Millis;
+}>;
+
+/** Reads one topic of the store, one call at a time, and goes on where the last one ended. */
+export class StoreReader {
+  readonly #topic: StoreTopic;
+  #next: number | undefined;
+  #sentAt: Timestamp | undefined;
+  #notBefore = 0 as Timestamp;
+  #failures = 0;
+  #failing = false;
+
+  private constructor(topic: StoreTopic) {
+    this.#topic = topic;
+  }
+
+  static create(topic: StoreTopic): StoreReader {
+    return new StoreReader(topic);
+  }
+
+  /** Whether the last reading failed. */
+  get failing(): boolean {
+    return this.#failing;
+  }
+
+  /** Starts a reading if one is due; says when the next one is. */
+  poll(step: GatewayStep, pace: ReadPace): void {
+    if (this.#sentAt !== undefined) return;
+    if (step.now < this.#notBefore) {
+      step.wake(this.#notBefore);
+      return;
+    }
+    this.#sentAt = step.now;
+    this.#notBefore = addMs(step.now, pace.spacingMs);
+    const waitMs = this.#next === undefined ? 0 : pace.waitMs;
+    step.want({ type: "read", what: this.#topic, from: this.#next, waitMs });
+  }
+
+  /** Takes in a good reading. */
+  done(step: GatewayStep, next: number): void {
+    this.#next = next;
+    this.#sentAt = undefined;
+    if (this.#failing) step.line("store_up", { topic: this.#topic, next });
+    this.#failing = false;
+    this.#failures = 0;
+  }
+
+  /** Takes in a failed reading. */
+  failed(step: GatewayStep, err: StoreError): void {
+    this.#sentAt = undefined;
+    if (err.code === "expired") {
+      step.line("store_expired", { topic: this.#topic, next: this.#next ?? -1 });
+      this.#next = undefined;
+      this.#notBefore = step.now;
+      return;
+    }
+    if (!this.#failing) {
+      step.line("store_down", {
+        topic: this.#topic,
+        code: err.code,
+        detail: err.detail,
+      });
+    }
+    this.#failing = true;
+    const backoff = FIRST_BACKOFF_MS * 2 ** this.#failures;
+    this.#failures += 1;
+    this.#notBefore = addMs(step.now, Math.min(MAX_BACKOFF_MS, backoff));
+  }
+
+  /** Goes on from elsewhere, where a peer has read further. */
+  skipTo(next: number): void {
+    if (this.#next !== undefined && next > this.#next) this.#next = next;
+  }
+}
--- /dev/null
+++ b/src/gateway/upstream_table.ts
@@ -0,0 +1,129 @@
+import type { DomainId, ServiceId, UpstreamId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+
+/** An upstream as it registered itself. */
+export type UpstreamEntry = Readonly<{
+  id: UpstreamId;
+  service: ServiceId;
+  /** Host and port. */
+  address: string;
+  domain: DomainId;
+  slots: number;
+  leaving: boolean;
+  /** Unix time in ms of its start; another one is another process. */
+  startedAt: number;
+}>;
+
+/** A change of the register: an entry, or an id whose entry is gone or can't be used. */
+export type UpstreamChange =
+  | Readonly<{ type: "entry"; entry: UpstreamEntry }>
+  | Readonly<{ type: "gone"; id: UpstreamId }>;
+
+/** What a change did to the table. */
+export type UpstreamNews = Readonly<{
+  kind: "joined" | "changed" | "leaving" | "gone" | "kept" | "restarted";
+  id: UpstreamId;
+}>;
+
+/** Upstreams that may be sent work, by the newest reading of the register. */
+export class UpstreamTable {
+  readonly #entries = new Map<UpstreamId, UpstreamEntry>();
+  /** Entries that lapsed while the register may have been away, and until when they are trusted. */
+  readonly #lapsed = new Map<UpstreamId, Timestamp>();
+
+  static create(): UpstreamTable {
+    return new UpstreamTable();
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  get(id: UpstreamId): UpstreamEntry | undefined {
+    return this.#entries.get(id);
+  }
+
+  all(): readonly UpstreamEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Upstreams of a service that take new work. */
+  open(service: ServiceId): readonly UpstreamEntry[] {
+    return this.all().filter((one) => one.service === service && !one.leaving);
+  }
+
+  /**
+   * Takes in one change. `lapseUntil` is given while entries may be missing only because the register was away:
+   * such an entry is kept until then, unless it comes back.
+   */
+  take(
+    change: UpstreamChange,
+    options: { lapseUntil?: Timestamp } = {},
+  ): UpstreamNews | undefined {
+    if (change.type === "entry") return this.#put(change.entry);
+    const known = this.#entries.get(change.id);
+    if (known === undefined) return undefined;
+    if (options.lapseUntil !== undefined && !known.leaving) {
+      if (!this.#lapsed.has(change.id)) {
+        this.#lapsed.set(change.id, options.lapseUntil);
+      }
+      return { kind: "kept", id: change.id };
+    }
+    return this.#remove(change.id);
+  }
+
+  /** Replaces the whole table by a full reading. */
+  replace(
+    entries: readonly UpstreamEntry[],
+    options: { lapseUntil?: Timestamp } = {},
+  ): readonly UpstreamNews[] {
+    const ids = new Set(entries.map((entry) => entry.id));
+    const missing = [...this.#entries.keys()].filter((id) => !ids.has(id));
+    const changes: UpstreamChange[] = [
+      ...missing.map((id) => ({ type: "gone", id }) as const),
+      ...entries.map((entry) => ({ type: "entry", entry }) as const),
+    ];
+    return changes.flatMap((change) => this.take(change, options) ?? []);
+  }
+
+  /** Drops lapsed entries that have not come back in time. */
+  expire(now: Timestamp): readonly UpstreamNews[] {
+    const news: UpstreamNews[] = [];
+    for (const [id, until] of this.#lapsed) {
+      if (until <= now) news.push(this.#remove(id));
+    }
+    return news;
+  }
+
+  /** Time at which the next lapsed entry is dropped. */
+  nextExpiry(): Timestamp | undefined {
+    const times = [...this.#lapsed.values()];
+    return times.length === 0
+      ? undefined
+      : Math.min(...times) as Timestamp;
+  }
+
+  #put(entry: UpstreamEntry): UpstreamNews | undefined {
+    const known = this.#entries.get(entry.id);
+    this.#entries.set(entry.id, entry);
+    this.#lapsed.delete(entry.id);
+    if (known === undefined) return { kind: "joined", id: entry.id };
+    if (known.startedAt !== entry.startedAt) {
+      return { kind: "restarted", id: entry.id };
+    }
+    if (!known.leaving && entry.leaving) return { kind: "leaving", id: entry.id };
+    const same = known.address === entry.address &&
+      known.service === entry.service && known.slots === entry.slots &&
+      known.leaving === entry.leaving;
+    return same ? undefined : { kind: "changed", id: entry.id };
+  }
+
+  #remove(id: UpstreamId): UpstreamNews {
+    this.#entries.delete(id);
+    this.#lapsed.delete(id);
+    return { kind: "gone", id };
+  }
+}
+
+/** How long entries that lapsed in an outage are trusted after the register is back. */
+export const LAPSE_GRACE_MS: Millis = 2_200;
--- /dev/null
+++ b/src/scheduling/pool/place_short.ts
@@ -0,0 +1,50 @@
+import type { Millis } from "../../core/time.ts";
+import { type Candidate, handicapMs, type PromptChoice } from "./candidate.ts";
+import { passMs, prefillMs } from "./engine_pace.ts";
+
+/** Part of the target within which a prediction is good enough to prefer an engine with more streams. */
+const COMFORT = 0.55;
+/** Slots that are left free on an engine that streams are gathered on, for those that were placed meanwhile. */
+const SPARE_SLOTS = 4;
+/** Predicted wait for each prompt beyond the slots: about the time in which one of a full batch ends. */
+const SLOT_WAIT_MS: Millis = 150;
+
+/** An engine for a short prompt, with the predicted time to its first event. */
+export type ShortPlace = Readonly<{ engine: Candidate; expectMs: Millis }>;
+
+/**
+ * Chooses an engine for a prompt that is answered by one engine alone.
+ * Load pattern: many short prompts beside few long ones. Short prompts gather on engines that write already,
+ * as long as their first event stays well inside its target, so that other engines stay free for long prefills.
+ */
+export function placeShort(choice: PromptChoice): ShortPlace | undefined {
+  const rated = choice.candidates.map((engine) => ({
+    engine,
+    expectMs: predictMs(choice, engine),
+    cost: 0,
+  }));
+  for (const one of rated) one.cost = one.expectMs + handicapMs(choice, one.engine);
+  rated.sort((a, b) => a.cost - b.cost);
+  const [best] = rated;
+  if (best === undefined) return undefined;
+  const comfortMs = choice.ask.targetMs * COMFORT;
+  const gathered = rated.filter((one) =>
+    one.cost <= comfortMs && one.engine.load.own + SPARE_SLOTS <= one.engine.slots
+  );
+  gathered.sort((a, b) =>
+    b.engine.load.tight - a.engine.load.tight || a.cost - b.cost
+  );
+  return gathered[0] ?? best;
+}
+
+/** Predicted time to the first event: prefill before it, what is left of a pass, its own prefill and a pass. */
+function predictMs(choice: PromptChoice, engine: Candidate): Millis {
+  const { ask, pace, now } = choice;
+  const { load } = engine;
+  const context = load.contextTokens + ask.promptTokens;
+  const pass = passMs(pace, load.own + 1, context);
+  const begun = load.own > 0 ? pass / 2 : 0;
+  const over = Math.max(0, load.own + 1 - engine.slots);
+  return load.waitMs(now) + begun + prefillMs(pace, ask.promptTokens) + pass +
+    over * SLOT_WAIT_MS;
+}
--- /dev/null
+++ b/src/scheduling/pool/upstream_load.ts
@@ -0,0 +1,119 @@
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { JobId, PoolJob } from "./pool_job.ts";
+
+/** Streams that accept no longer pause than this suffer from a long prefill beside them. */
+export const TIGHT_PAUSE_MS: Millis = 300;
+
+/** How long a failure keeps an upstream at a disadvantage; longer than most transient faults last. */
+const DISTRUST_MS: Millis = 4_000;
+const MAX_FAULTS = 8;
+
+/** What is known of the work of one upstream: all that was placed there and has not ended. */
+export class UpstreamLoad {
+  readonly id: UpstreamId;
+  readonly jobs = new Map<JobId, PoolJob>();
+  #busyUntil = 0 as Timestamp;
+  #faults = 0;
+  #faultAt = 0 as Timestamp;
+
+  private constructor(id: UpstreamId) {
+    this.id = id;
+  }
+
+  static create(id: UpstreamId): UpstreamLoad {
+    return new UpstreamLoad(id);
+  }
+
+  add(job: PoolJob, now: Timestamp): void {
+    this.jobs.set(job.id, job);
+    if (job.writing) return;
+    const start = Math.max(now, this.#busyUntil);
+    this.#busyUntil = (start + job.partMs) as Timestamp;
+  }
+
+  /** Takes in that a job has been prefilled, or has ended. */
+  settle(id: JobId, writing: PoolJob | undefined, now: Timestamp): void {
+    if (writing === undefined) this.jobs.delete(id);
+    else this.jobs.set(id, writing);
+    let left = 0;
+    for (const job of this.jobs.values()) if (!job.writing) left += job.partMs;
+    this.#busyUntil = Math.min(this.#busyUntil, now + left) as Timestamp;
+  }
+
+  /** Predicted time until all prefill that was placed here is done. */
+  waitMs(now: Timestamp): Millis {
+    return Math.max(0, this.#busyUntil - now);
+  }
+
+  /** Jobs that this upstream answers itself. */
+  get own(): number {
+    return this.#count((job) => job.upstream === this.id);
+  }
+
+  get writing(): number {
+    return this.#count((job) => job.upstream === this.id && job.writing);
+  }
+
+  /** Streams here, writing or soon to write, that accept only short pauses. */
+  get tight(): number {
+    return this.#count((job) =>
+      job.upstream === this.id && job.kind === "prompt" &&
+      job.pauseMs <= TIGHT_PAUSE_MS
+    );
+  }
+
+  /** Tokens of context of the streams that are answered here. */
+  get contextTokens(): number {
+    let sum = 0;
+    for (const job of this.jobs.values()) {
+      if (job.upstream === this.id) sum += job.tokens;
+    }
+    return sum;
+  }
+
+  /** Tokens of memory that the jobs take up here. */
+  get memoryTokens(): number {
+    let sum = 0;
+    for (const job of this.jobs.values()) sum += memoryOn(job, this.id);
+    return sum;
+  }
+
+  blame(now: Timestamp): void {
+    this.#faults = Math.min(MAX_FAULTS, this.#faultsAt(now) + 1);
+    this.#faultAt = now;
+  }
+
+  clear(now: Timestamp): void {
+    this.#faults = Math.max(0, this.#faultsAt(now) - 1);
+    this.#faultAt = now;
+  }
+
+  /** Recent failures, fading with time. */
+  faults(now: Timestamp): number {
+    return this.#faultsAt(now);
+  }
+
+  #faultsAt(now: Timestamp): number {
+    const age = now - this.#faultAt;
+    return age > DISTRUST_MS ? 0 : this.#faults * (1 - age / DISTRUST_MS);
+  }
+
+  #count(test: (job: PoolJob) => boolean): number {
+    let count = 0;
+    for (const job of this.jobs.values()) if (test(job)) count += 1;
+    return count;
+  }
+}
+
+/** Tokens of memory that a job takes up on one engine: its ticket, and the rest where it is answered. */
+function memoryOn(job: PoolJob, id: UpstreamId): number {
+  let ticketed = 0;
+  let here = 0;
+  for (const ticket of job.tickets) {
+    ticketed += ticket.tokens;
+    if (ticket.upstream === id) here += ticket.tokens;
+  }
+  const rest = Math.max(0, job.tokens - ticketed);
+  return job.upstream === id ? here + rest : here;
+}
