Let long prompts wait for free engines, ordered by due time and worth

Cause: parts of several long prompts piled up on the same engines, so that one pass read them all and streams beside it paused up to 1.9 s; first come, first served made nearly all of a wave late.

--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -90,7 +90,7 @@
     }
     if (known.second !== second) {
       if (known.left > 0) {
-        this.#write(this.#now(), "left_out", { kind, count: known.left });
+        this.#write(this.#now(), "left_out", { of: kind, count: known.left });
       }
       known.second = second;
       known.written = 0;
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -95,7 +95,9 @@
     fleet.step(other, [{ type: "place", ask: askOf(other, "j1") }]);
     fleet.time.run(10);
     expect(other.replies.map((one) => one.type)).toEqual(["granted"]);
-    expect(leaderOf(fleet).core.board.pool.scheduler.jobs.size).toBe(1);
+    expect(leaderOf(fleet).core.board.pool.scheduler.accounts.jobs.size).toBe(
+      1,
+    );
   });
 
   test("while the leader is silent a daemon places by itself, soon", () => {
@@ -121,13 +123,15 @@
     const second = fleet.gateways.find((one) =>
       one.card.vm === other.core.board.members.leader
     )!;
-    expect([...second.core.board.pool.scheduler.jobs.keys()]).toEqual(["j1"]);
+    expect([...second.core.board.pool.scheduler.accounts.jobs.keys()]).toEqual([
+      "j1",
+    ]);
     const upstream = "e1" as UpstreamId;
     fleet.step(other, [
       { type: "job", job: "j1" as JobId, upstream, phase: "ended" },
     ]);
     fleet.time.run(10);
-    expect(second.core.board.pool.scheduler.jobs.size).toBe(0);
+    expect(second.core.board.pool.scheduler.accounts.jobs.size).toBe(0);
   });
 
   test("jobs of a daemon that has vanished are forgotten", () => {
@@ -138,7 +142,7 @@
     fleet.time.run(10);
     fleet.remove(other);
     fleet.time.run(5_000);
-    expect(leader.core.board.pool.scheduler.jobs.size).toBe(0);
+    expect(leader.core.board.pool.scheduler.accounts.jobs.size).toBe(0);
   });
 });
 
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -254,7 +254,7 @@
       register_age_ms: now - board.register.asOf,
       upstreams: board.register.table.size,
       peers: board.members.table.live(now, liveMs(board)).length,
-      jobs: board.pool.scheduler.jobs.size,
+      jobs: board.pool.scheduler.accounts.jobs.size,
       requests_open: this.#front.open,
       log_lines_dropped: this.#log.dropped,
       datagrams_failed: this.#datagrams.failed,
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -208,7 +208,7 @@
     const { self, members, pool } = board;
     if (to === self.card.peer) return;
     const live = members.table.live(step.now, liveMs(board));
-    const jobs = [...pool.scheduler.jobs.values()]
+    const jobs = [...pool.scheduler.accounts.jobs.values()]
       .filter((job) => job.vm === self.card.vm);
     step.want({
       type: "send",
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -122,6 +122,11 @@
     changes: z.array(ChangeSchema).readonly(),
   }),
   z.object({ type: z.literal("ask"), ask: AskSchema, reply: z.string() }),
+  /** Says that an ask has come, and that its place will come later. */
+  z.object({
+    type: z.literal("wait"),
+    job: z.string().transform((id) => id as JobId),
+  }),
   z.object({ type: z.literal("grant"), grant: GrantSchema }),
   z.object({
     type: z.literal("deny"),
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -1,7 +1,9 @@
+import { err } from "neverthrow";
+import type { UpstreamId, VmId } from "../core/id.ts";
 import { problem } from "../core/problem.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { VmId } from "../core/id.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
+import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent } from "./gateway_event.ts";
@@ -12,22 +14,34 @@
 const RESEND_MS: Millis = 45;
 /** Time until a daemon places by itself. */
 const GIVE_UP_MS: Millis = 110;
+/** Time until an ask that waits for engines is repeated. */
+const ASK_AGAIN_MS: Millis = 400;
 /** How long a leader that left an ask unanswered is not asked again. */
 const DISTRUST_MS: Millis = 800;
 /** Crashes of upstreams after which the content is refused. */
 const MAX_CRASHES = 2;
 /** Contents that are remembered for crashes. */
 const MAX_SUSPECTS = 256;
+/** Stands for the upstream of a request that had no place yet. */
+const NO_UPSTREAM = "-" as UpstreamId;
 
 type Waiting = {
   readonly ask: PoolAsk;
-  readonly since: Timestamp;
+  /** Who was asked. */
+  leader: VmId;
+  /** Since when the leader has not answered. */
+  silentSince: Timestamp;
   resendAt: Timestamp;
 };
 
+/** Where the decision on a job goes: to a peer address, or nowhere else. */
+type ReplyTo = string | undefined;
+
 /** Gets a place for each request: from the daemon that places for all or, while that is silent, by itself. */
 export class PlacementController extends GatewayController {
   readonly #waiting = new Map<JobId, Waiting>();
+  /** Where the decisions on jobs that wait for engines go. */
+  readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are counted here, and when they last listed them. */
   readonly #reporters = new Map<VmId, Timestamp>();
   #distrustUntil = 0 as Timestamp;
@@ -44,6 +58,7 @@
       this.#pursue(board, step, job, waiting);
     }
     this.#forgetSilent(board, step);
+    this.#decide(board, step);
   }
 
   #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
@@ -56,20 +71,24 @@
     }
     if (event.type === "register_read") {
       const ids = board.register.table.all().map((one) => one.id);
-      scheduler.retain(new Set(ids));
+      scheduler.accounts.retain(new Set(ids));
     }
     if (event.type === "message") this.#hear(board, step, event.message);
   }
 
   #ask(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const leads = board.members.leader === board.self.card.vm;
-    if (leads || step.now < this.#distrustUntil) {
-      this.#placeHere(board, step, ask);
+    const { members, self } = board;
+    if (members.leader === self.card.vm || step.now < this.#distrustUntil) {
+      this.#submit(board, step, ask, undefined);
       return;
     }
     this.#send(board, step, ask);
-    const resendAt = addMs(step.now, RESEND_MS);
-    this.#waiting.set(ask.job, { ask, since: step.now, resendAt });
+    this.#waiting.set(ask.job, {
+      ask,
+      leader: members.leader,
+      silentSince: step.now,
+      resendAt: addMs(step.now, RESEND_MS),
+    });
   }
 
   #pursue(
@@ -79,25 +98,30 @@
     waiting: Waiting,
   ): void {
     const { members, self } = board;
-    const giveUpAt = addMs(waiting.since, GIVE_UP_MS);
-    if (members.leader === self.card.vm || step.now >= giveUpAt) {
+    const silentMs = step.now - waiting.silentSince;
+    if (members.leader === self.card.vm || silentMs >= GIVE_UP_MS) {
       this.#waiting.delete(job);
       if (members.leader !== self.card.vm) {
         this.#distrustUntil = addMs(step.now, DISTRUST_MS);
         step.line("leader_silent", {
           leader: members.leader,
           req: waiting.ask.req,
-          waited_ms: Math.round(step.now - waiting.since),
+          silent_ms: Math.round(silentMs),
         });
       }
-      this.#placeHere(board, step, waiting.ask);
+      this.#submit(board, step, waiting.ask, undefined);
       return;
     }
+    if (members.leader !== waiting.leader) {
+      waiting.leader = members.leader;
+      waiting.resendAt = step.now;
+    }
     if (step.now >= waiting.resendAt) {
       this.#send(board, step, waiting.ask);
-      waiting.resendAt = giveUpAt;
+      if (waiting.silentSince > step.now) waiting.silentSince = step.now;
+      waiting.resendAt = addMs(step.now, RESEND_MS);
     }
-    step.wake(waiting.resendAt);
+    step.wake(Math.min(waiting.resendAt, waiting.silentSince + GIVE_UP_MS));
   }
 
   #send(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
@@ -108,36 +132,66 @@
     step.want({ type: "send", to: leader.peer, message });
   }
 
-  #placeHere(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const result = this.#place(board, step, ask);
-    if (result.isOk()) {
-      step.want({ type: "granted", grant: result.value });
-    } else {
-      step.want({ type: "denied", job: ask.job, problem: result.error });
+  /** Takes an ask in; the decision goes to `replyTo`, or to the adapters of this daemon. */
+  #submit(
+    board: GatewayBoard,
+    step: GatewayStep,
+    ask: PoolAsk,
+    replyTo: ReplyTo,
+  ): void {
+    const { serving, register, pool } = board;
+    if ((pool.crashes.get(ask.digest) ?? 0) >= MAX_CRASHES) {
+      const detail = "This content has crashed its upstreams";
+      const result = err(problem("quarantined", detail));
+      this.#report(board, step, { ask, result }, replyTo);
+      return;
     }
+    const pace = serving.routes?.serving.services.get(ask.service)?.pace;
+    const members = register.table.open(ask.service);
+    const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
+    if (decision !== undefined) {
+      this.#report(board, step, decision, replyTo);
+      return;
+    }
+    this.#replyTo.set(ask.job, replyTo);
+    if (replyTo === undefined) return;
+    const message = { type: "wait", job: ask.job } as const;
+    step.want({ type: "send", to: replyTo, message });
   }
 
-  #place(board: GatewayBoard, step: GatewayStep, ask: PoolAsk) {
-    const { serving, register, pool } = board;
-    const service = serving.routes?.serving.services.get(ask.service);
-    const members = register.table.open(ask.service);
-    const crashed = (pool.crashes.get(ask.digest) ?? 0) >= MAX_CRASHES;
-    const result = pool.scheduler.place(
-      { ask, members: crashed ? [] : members, pace: service?.pace },
+  /** Decides on what waits for engines. */
+  #decide(board: GatewayBoard, step: GatewayStep): void {
+    const { register, pool } = board;
+    const decisions = pool.scheduler.decide(
       step.now,
-    ).mapErr((refusal) =>
-      crashed
-        ? problem("quarantined", "This content has crashed its upstreams")
-        : refusal
+      (ask) => register.table.open(ask.service),
     );
+    for (const decision of decisions) {
+      const { job } = decision.ask;
+      const replyTo = this.#replyTo.get(job);
+      this.#replyTo.delete(job);
+      this.#report(board, step, decision, replyTo);
+    }
+    const next = pool.scheduler.nextLook(step.now);
+    if (next !== undefined) step.wake(next);
+  }
+
+  #report(
+    board: GatewayBoard,
+    step: GatewayStep,
+    decision: PoolDecision,
+    replyTo: ReplyTo,
+  ): void {
+    const { ask, result } = decision;
+    const { register, pool, self } = board;
     step.line("place", {
       req: ask.req,
-      by: board.self.card.vm,
+      by: self.card.vm,
       for: ask.vm,
       tokens: ask.promptTokens,
       left_ms: Math.round(ask.leftMs),
-      members: members.length,
       age_ms: Math.round(step.now - register.asOf),
+      waiting: pool.scheduler.waiting,
       ...(result.isOk()
         ? {
           upstream: result.value.job.upstream,
@@ -147,22 +201,36 @@
         }
         : { refused: result.error.code }),
     });
-    return result;
+    if (replyTo === undefined) {
+      step.want(
+        result.isOk()
+          ? { type: "granted", grant: result.value }
+          : { type: "denied", job: ask.job, problem: result.error },
+      );
+      return;
+    }
+    step.want({
+      type: "send",
+      to: replyTo,
+      message: result.isOk()
+        ? { type: "grant", grant: result.value }
+        : { type: "deny", job: ask.job, ...result.error },
+    });
   }
 
   #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
     const { scheduler } = board.pool;
     switch (message.type) {
-      case "ask": {
-        const result = this.#place(board, step, message.ask);
-        step.want({
-          type: "send",
-          to: message.reply,
-          message: result.isOk()
-            ? { type: "grant", grant: result.value }
-            : { type: "deny", job: message.ask.job, ...result.error },
-        });
+      case "ask":
         this.#reporters.set(message.ask.vm, step.now);
+        this.#submit(board, step, message.ask, message.reply);
+        return;
+      case "wait": {
+        const waiting = this.#waiting.get(message.job);
+        if (waiting === undefined) return;
+        // Asked again after a while, in case the leader has lost it meanwhile.
+        waiting.resendAt = addMs(step.now, ASK_AGAIN_MS);
+        waiting.silentSince = waiting.resendAt;
         return;
       }
       case "grant": {
@@ -170,7 +238,7 @@
         if (!this.#waiting.delete(job.id)) {
           // The request went elsewhere or is over.
           const { id, upstream } = job;
-          const known = scheduler.jobs.get(id);
+          const known = scheduler.accounts.jobs.get(id);
           if (known === undefined) {
             this.#tellLeader(board, step, {
               type: "progress",
@@ -181,7 +249,7 @@
           }
           return;
         }
-        scheduler.adoptOne({ ...job, placedAt: step.now }, step.now);
+        scheduler.accounts.adoptOne({ ...job, placedAt: step.now }, step.now);
         step.want({ type: "granted", grant: message.grant });
         return;
       }
@@ -201,7 +269,7 @@
       case "beat":
         if (message.from.vm === board.self.card.vm) return;
         this.#reporters.set(message.from.vm, step.now);
-        scheduler.adopt(message.from.vm, message.jobs, step.now);
+        scheduler.accounts.adopt(message.from.vm, message.jobs, step.now);
         return;
       default:
         return;
@@ -214,18 +282,31 @@
     one: Omit<Extract<PeerMessage, { type: "progress" }>, "type">,
   ): void {
     const { scheduler, crashes } = board.pool;
-    if (one.phase === "started") scheduler.started(one.job, step.now);
-    else scheduler.ended(one.job, step.now);
-    if (one.phase === "failed") scheduler.blame(one.upstream, step.now);
-    if (one.phase === "ended") scheduler.clear(one.upstream, step.now);
+    const { accounts } = scheduler;
+    if (one.phase === "started") accounts.started(one.job, step.now);
+    else {
+      scheduler.withdraw(one.job, step.now);
+      this.#replyTo.delete(one.job);
+      const load = accounts.load(one.upstream);
+      if (one.phase === "failed") load.blame(step.now);
+      else load.clear(step.now);
+    }
     if (one.crashed === undefined) return;
     if (crashes.size >= MAX_SUSPECTS) crashes.delete([...crashes.keys()][0]!);
     crashes.set(one.crashed, (crashes.get(one.crashed) ?? 0) + 1);
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
-    if (this.#waiting.delete(job)) return;
-    board.pool.scheduler.ended(job, step.now);
+    const asked = this.#waiting.delete(job);
+    this.#replyTo.delete(job);
+    board.pool.scheduler.withdraw(job, step.now);
+    if (!asked) return;
+    this.#tellLeader(board, step, {
+      type: "progress",
+      job,
+      upstream: NO_UPSTREAM,
+      phase: "ended",
+    });
   }
 
   #tellLeader(
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -1,24 +1,28 @@
 import { err, ok, type Result } from "neverthrow";
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Millis, Timestamp } from "../../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { Choice } from "./candidate.ts";
-import type { EnginePace } from "./engine_pace.ts";
-import { prefillMs } from "./engine_pace.ts";
+import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
+import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
 import { placeCall } from "./place_call.ts";
 import { placeLong } from "./place_long.ts";
 import { placeShort } from "./place_short.ts";
+import { PoolAccounts } from "./pool_accounts.ts";
 import type { JobId, PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
-import { UpstreamLoad } from "./upstream_load.ts";
 
 /** Prompts with a longer prefill are split over several engines; about one pass of writing. */
 const LONG_PREFILL_MS: Millis = 120;
-/** A job that no daemon has reported for so long is gone. */
-const UNREPORTED_MS: Millis = 1_000;
 /** When to come back if nothing better is known: about the time in which a large prompt leaves an engine. */
 const COME_BACK_MS: Millis = 800;
-/** Lowest and highest rank inside an engine. */
+/** Lowest rank inside an engine. */
 const MAX_PRIORITY = 9;
+/** Patience of callers before the first event, as the platform states it. */
+const MIN_PATIENCE_MS: Millis = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_PAUSES = 8;
+/** Time between looks at the queue while engines are busy. */
+const LOOK_MS: Millis = 15;
 
 /** Upstreams that may take a request, as the configuration and the members list them. */
 export type PoolMember = Readonly<{
@@ -37,163 +41,208 @@
   pace?: EnginePace;
 }>;
 
-/** Keeps account of what runs where, and chooses places; it does no I/O and reads no clock. */
+/** What came of a request for a place. */
+export type PoolDecision = Readonly<{
+  ask: PoolAsk;
+  result: Result<PoolGrant, Problem>;
+}>;
+
+type Waiting = Readonly<{
+  req: PoolRequest & Readonly<{ pace: EnginePace }>;
+  waiter: LongWaiter;
+}>;
+
+/** Chooses places, and lets long prompts wait for engines; it does no I/O and reads no clock. */
 export class PoolScheduler {
-  readonly #loads = new Map<UpstreamId, UpstreamLoad>();
-  readonly #jobs = new Map<JobId, PoolJob>();
+  readonly accounts = PoolAccounts.create();
+  readonly #waiting = new Map<JobId, Waiting>();
 
   static create(): PoolScheduler {
     return new PoolScheduler();
   }
 
-  /** Jobs that hold a place. */
-  get jobs(): ReadonlyMap<JobId, PoolJob> {
-    return this.#jobs;
+  /** Long prompts that wait for engines. */
+  get waiting(): number {
+    return this.#waiting.size;
   }
 
-  /** Chooses a place and counts it as taken. */
-  place(req: PoolRequest, now: Timestamp): Result<PoolGrant, Problem> {
-    const { ask, members, pace } = req;
-    const known = this.#jobs.get(ask.job);
-    if (known !== undefined) return ok(grantOf(known, req));
-    const candidates = usable(members, ask.avoid).map((one) => ({
-      ...one,
-      load: this.#load(one.id),
-    }));
-    const choice: Choice = { ask, candidates, now };
-    if (candidates.length === 0) {
-      return err(problem("no_upstream", "No upstream of the service is known", {
-        retryAfterMs: COME_BACK_MS,
-      }));
+  /** Takes a request in; its decision comes at once, or later from `decide`. */
+  submit(req: PoolRequest, now: Timestamp): PoolDecision | undefined {
+    const { ask, pace } = req;
+    const known = this.accounts.jobs.get(ask.job);
+    if (known !== undefined) return { ask, result: ok(grantOf(known, req)) };
+    if (this.#waiting.has(ask.job)) return undefined;
+    if (req.members.length === 0) {
+      return { ask, result: err(noUpstream()) };
     }
-    const place = ask.kind === "call" || pace === undefined
-      ? this.#placeCall(choice)
-      : this.#placePrompt(choice, pace);
-    if (place.isErr()) return err(place.error);
-    const { job, expectMs } = place.value;
-    if (expectMs > ask.leftMs) {
-      return err(problem(
-        "deadline_unreachable",
-        `The first event is expected in ${Math.round(expectMs)} ms`,
-        { retryAfterMs: Math.max(COME_BACK_MS, expectMs - ask.leftMs) },
-      ));
+    if (ask.kind === "call" || pace === undefined) {
+      return { ask, result: this.#placeCall(req, now) };
     }
-    this.#add(job, now);
-    return ok(grantOf(job, req, expectMs));
-  }
-
-  /** Takes in that a job's first event has come. */
-  started(id: JobId, now: Timestamp): void {
-    const job = this.#jobs.get(id);
-    if (job === undefined || job.writing) return;
-    const writing = { ...job, writing: true };
-    this.#jobs.set(id, writing);
-    this.#load(job.upstream).settle(id, writing, now);
-    for (const helper of job.helpers) {
-      const holds = job.tickets.some((ticket) => ticket.upstream === helper);
-      this.#load(helper).settle(id, holds ? writing : undefined, now);
+    if (prefillMs(pace, ask.promptTokens) <= LONG_PREFILL_MS) {
+      return { ask, result: this.#placeShort({ ...req, pace }, now) };
     }
+    const waiter = waiterOf(ask, pace, now);
+    this.#waiting.set(ask.job, { req: { ...req, pace }, waiter });
+    return undefined;
   }
 
-  /** Takes in that a job is over. */
-  ended(id: JobId, now: Timestamp): void {
-    const job = this.#jobs.get(id);
-    if (job === undefined) return;
-    this.#jobs.delete(id);
-    for (const upstream of [job.upstream, ...job.helpers]) {
-      this.#load(upstream).settle(id, undefined, now);
+  /** Places what waits as far as engines are free, and refuses what can't be served any more. */
+  decide(
+    now: Timestamp,
+    members: (ask: PoolAsk) => readonly PoolMember[],
+  ): readonly PoolDecision[] {
+    const decisions: PoolDecision[] = [];
+    for (const waiting of this.#inOrder(now)) {
+      const { ask, pace } = waiting.req;
+      const req = { ask, pace, members: members(ask) };
+      const result = this.#placeLong(req, waiting.waiter, now);
+      if (result === undefined) break;
+      this.#waiting.delete(ask.job);
+      decisions.push({ ask, result });
     }
+    return decisions;
   }
 
-  /** Takes in a failure that the upstream is to blame for. */
-  blame(id: UpstreamId, now: Timestamp): void {
-    this.#load(id).blame(now);
+  /** When to look at the queue again; nothing where it is empty. */
+  nextLook(now: Timestamp): Timestamp | undefined {
+    return this.#waiting.size === 0 ? undefined : addMs(now, LOOK_MS);
   }
 
-  /** Takes in that an upstream has answered well. */
-  clear(id: UpstreamId, now: Timestamp): void {
-    this.#loads.get(id)?.clear(now);
+  /** Takes back a request that waits or holds a place. */
+  withdraw(job: JobId, now: Timestamp): void {
+    this.#waiting.delete(job);
+    this.accounts.ended(job, now);
   }
 
-  /** Takes in all jobs of one daemon; what it doesn't list has ended, unless it was placed just now. */
-  adopt(vm: VmId, jobs: readonly PoolJob[], now: Timestamp): void {
-    const listed = new Set(jobs.map((job) => job.id));
-    for (const job of [...this.#jobs.values()]) {
-      if (job.vm !== vm || listed.has(job.id)) continue;
-      if (now - job.placedAt > UNREPORTED_MS) this.ended(job.id, now);
+  /** Forgets a daemon with all that it runs or waits for. */
+  forget(vm: VmId, now: Timestamp): void {
+    for (const [job, { req }] of this.#waiting) {
+      if (req.ask.vm === vm) this.#waiting.delete(job);
     }
-    for (const job of jobs) this.adoptOne({ ...job, placedAt: now }, now);
+    this.accounts.forget(vm, now);
   }
 
-  /** Takes in a job that another daemon has placed. */
-  adoptOne(job: PoolJob, now: Timestamp): void {
-    if (!this.#jobs.has(job.id)) this.#add({ ...job, writing: false }, now);
-    if (job.writing) this.started(job.id, now);
+  #inOrder(now: Timestamp): readonly Waiting[] {
+    const waiters = [...this.#waiting.values()].map((one) => one.waiter);
+    if (waiters.length === 0) return [];
+    const engines = this.#engines();
+    return orderQueue(waiters, { engines, now })
+      .map((one) => this.#waiting.get(one.job)!);
   }
 
-  /** Forgets a daemon that is gone, with all that it ran. */
-  forget(vm: VmId, now: Timestamp): void {
-    this.adopt(vm, [], (now + UNREPORTED_MS + 1) as Timestamp);
-  }
-
-  /** Forgets upstreams that are no longer listed. */
-  retain(ids: ReadonlySet<UpstreamId>): void {
-    for (const [id, load] of this.#loads) {
-      if (!ids.has(id) && load.jobs.size === 0) this.#loads.delete(id);
-    }
+  /** Engines that read long prompts side by side. */
+  #engines(): number {
+    const [one] = this.#waiting.values();
+    return Math.max(1, one?.req.members.length ?? 1);
   }
 
-  #placePrompt(choice: Choice, pace: EnginePace): Result<Placed, Problem> {
-    const { ask } = choice;
-    const soloMs = prefillMs(pace, ask.promptTokens);
-    if (soloMs <= LONG_PREFILL_MS) {
-      const place = placeShort({ ...choice, pace });
-      if (place === undefined) return err(noMemory());
-      const job = jobOf(choice, { upstream: place.engine.id, partMs: soloMs });
-      return ok({ job, expectMs: place.expectMs });
+  #placeLong(
+    req: Waiting["req"],
+    waiter: LongWaiter,
+    now: Timestamp,
+  ): Result<PoolGrant, Problem> | undefined {
+    const { ask, pace } = req;
+    if (req.members.length === 0) return err(noUpstream());
+    const choice = { ...this.#choice(req, now), pace };
+    const dueInMs = waiter.dueAt - now;
+    const place = placeLong(choice, { dueInMs });
+    if (place === "busy" || place === "no_memory") {
+      const engines = this.#engines();
+      const soonest = now + waiter.workMs / engines;
+      if (soonest < waiter.endsAt) return undefined;
+      const waiters = [...this.#waiting.values()].map((one) => one.waiter);
+      return err(problem(
+        place === "busy" ? "deadline_unreachable" : "no_memory",
+        "The engines are not free in time",
+        {
+          retryAfterMs: Math.max(
+            COME_BACK_MS,
+            backlogMs(waiters, { engines, now }),
+          ),
+        },
+      ));
     }
-    const place = placeLong({ ...choice, pace });
-    if (place === undefined) return err(noMemory());
-    const job = jobOf(choice, {
+    const job = jobOf(ask, now, {
       upstream: place.engine.id,
       partMs: place.partMs,
       helpers: place.helpers.map((one) => one.id),
       tickets: place.tickets,
     });
-    return ok({ job, expectMs: place.expectMs });
+    this.accounts.add(job, now);
+    return ok(grantOf(job, req, place.expectMs));
   }
 
-  #placeCall(choice: Choice): Result<Placed, Problem> {
-    const place = placeCall(choice);
-    if (place === undefined) return err(noMemory());
-    const job = jobOf(choice, { upstream: place.instance.id, partMs: 0 });
-    return ok({ job, expectMs: place.expectMs });
+  #placeShort(
+    req: Waiting["req"],
+    now: Timestamp,
+  ): Result<PoolGrant, Problem> {
+    const { ask, pace } = req;
+    const place = placeShort({ ...this.#choice(req, now), pace });
+    if (place === undefined) return err(noUpstream());
+    const { engine, expectMs } = place;
+    const limitMs = Math.min(ask.leftMs, patienceMs(ask));
+    if (expectMs > limitMs) {
+      return err(problem(
+        "deadline_unreachable",
+        `The first event is expected in ${Math.round(expectMs)} ms`,
+        { retryAfterMs: Math.max(COME_BACK_MS, expectMs - limitMs) },
+      ));
+    }
+    const partMs = prefillMs(pace, ask.promptTokens);
+    const job = jobOf(ask, now, { upstream: engine.id, partMs });
+    this.accounts.add(job, now);
+    return ok(grantOf(job, req, expectMs));
   }
 
-  #add(job: PoolJob, now: Timestamp): void {
-    this.#jobs.set(job.id, job);
-    for (const upstream of [job.upstream, ...job.helpers]) {
-      this.#load(upstream).add(job, now);
-    }
+  #placeCall(req: PoolRequest, now: Timestamp): Result<PoolGrant, Problem> {
+    const place = placeCall(this.#choice(req, now));
+    if (place === undefined) return err(noUpstream());
+    const { instance, expectMs } = place;
+    const job = jobOf(req.ask, now, { upstream: instance.id, partMs: 0 });
+    this.accounts.add(job, now);
+    return ok(grantOf(job, req, expectMs));
   }
 
-  #load(id: UpstreamId): UpstreamLoad {
-    let load = this.#loads.get(id);
-    if (load === undefined) {
-      load = UpstreamLoad.create(id);
-      this.#loads.set(id, load);
-    }
-    return load;
+  #choice(req: PoolRequest, now: Timestamp): Choice {
+    const { ask } = req;
+    const candidates = usable(req.members, ask.avoid).map((one) => ({
+      ...one,
+      load: this.accounts.load(one.id),
+    }));
+    return { ask, candidates, now };
   }
 }
 
-type Placed = Readonly<{ job: PoolJob; expectMs: Millis }>;
+function waiterOf(
+  ask: PoolAsk,
+  pace: EnginePace,
+  now: Timestamp,
+): LongWaiter {
+  const limitMs = Math.min(ask.leftMs, patienceMs(ask));
+  const pass = passMs(pace, 1, ask.promptTokens);
+  return {
+    job: ask.job,
+    workMs: prefillMs(pace, ask.promptTokens),
+    dueAt: addMs(now, ask.targetMs - pass),
+    endsAt: addMs(now, limitMs - pass),
+    value: ask.promptTokens,
+  };
+}
+
+/** How long a caller waits for the first event. */
+function patienceMs(ask: PoolAsk): Millis {
+  return Math.max(
+    MIN_PATIENCE_MS,
+    ask.targetMs * PATIENCE_TARGETS,
+    ask.pauseMs * PATIENCE_PAUSES,
+  );
+}
 
 function jobOf(
-  choice: Choice,
+  ask: PoolAsk,
+  now: Timestamp,
   place: Pick<PoolJob, "upstream" | "partMs"> & Partial<PoolJob>,
 ): PoolJob {
-  const { ask, now } = choice;
   return {
     id: ask.job,
     vm: ask.vm,
@@ -233,8 +282,8 @@
   return rest.length > 0 ? rest : members;
 }
 
-function noMemory(): Problem {
-  return problem("no_memory", "No engines have memory for this prompt now", {
+function noUpstream(): Problem {
+  return problem("no_upstream", "No upstream of the service is known", {
     retryAfterMs: COME_BACK_MS,
   });
 }
