--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -39,7 +39,7 @@
  */
 export function placeLong(
   choice: PromptChoice,
-  options: Readonly<{ dueInMs: Millis }>,
+  options: Readonly<{ dueInMs: Millis; endsInMs: Millis }>,
 ): LongPlace | NoLongPlace {
   const { ask, pace, now } = choice;
   const free = choice.candidates.filter((one) =>
@@ -62,6 +62,7 @@
     const pass = passMs(pace, chosen[0]!.load.own + 1, ask.promptTokens);
     const faults = Math.max(...chosen.map((one) => handicapMs(choice, one)));
     const expectMs = FREE_MS / 2 + partMs + pass + faults;
+    if (expectMs > options.endsInMs) continue;
     const late = expectMs > options.dueInMs ? ask.promptTokens : 0;
     let harm = 0;
     for (const one of chosen) harm += harmOf(one, partMs, pass);
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -11,8 +11,8 @@
 import { PoolAccounts } from "./pool_accounts.ts";
 import type { JobId, PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
 
-/** Prompts with a longer prefill are split over several engines; about one pass of writing. */
-const LONG_PREFILL_MS: Millis = 120;
+/** Prompts with a longer prefill are split over several engines; with a pass it is what tight streams bear. */
+const LONG_PREFILL_MS: Millis = 190;
 /** When to come back if nothing better is known: about the time in which a large prompt leaves an engine. */
 const COME_BACK_MS: Millis = 800;
 /** Lowest rank inside an engine. */
@@ -130,10 +130,14 @@
       .map((one) => this.#waiting.get(one.job)!);
   }
 
-  /** Engines that read long prompts side by side. */
+  /** Engines that read long prompts side by side: those without streams that bear no pause. */
   #engines(): number {
     const [one] = this.#waiting.values();
-    return Math.max(1, one?.req.members.length ?? 1);
+    const members = one?.req.members ?? [];
+    const loose = members.filter(({ id }) =>
+      this.accounts.load(id).tight === 0
+    );
+    return Math.max(1, loose.length);
   }
 
   #placeLong(
@@ -144,8 +148,10 @@
     const { ask, pace } = req;
     if (req.members.length === 0) return err(noUpstream());
     const choice = { ...this.#choice(req, now), pace };
-    const dueInMs = waiter.dueAt - now;
-    const place = placeLong(choice, { dueInMs });
+    const place = placeLong(choice, {
+      dueInMs: waiter.dueAt - now,
+      endsInMs: waiter.endsAt - now,
+    });
     if (place === "busy" || place === "no_memory") {
       const engines = this.#engines();
       const soonest = now + waiter.workMs / engines;
