--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -8,8 +8,13 @@
 export const MAX_HELPERS = 16;
 /** Prefill that may still be left on an engine that counts as free; a part that ends within a pass. */
 export const FREE_MS: Millis = 40;
-/** Part of the engines without tight streams that must be free, lest a prompt is split over too few. */
+/** Part of the engines without tight streams that are enough for the longest prompt. */
 const ENOUGH_FREE = 0.5;
+/** Prefill for which one engine more is waited for. */
+const WAIT_PART_MS: Millis = 250;
+/** A longer part keeps an engine from prompts that come meanwhile, at a cost for each ms. */
+const LONG_PART_MS: Millis = 1_000;
+const LONG_PART_COST = 20;
 /** Costs in tokens that are late: of each ms until the first event, of each engine, and of each ms beside a stream. */
 const FINISH_COST = 2;
 const ENGINE_COST = 60;
@@ -47,13 +52,13 @@
   );
   const loose = (one: Candidate) => one.load.tight === 0;
   const looseFree = free.filter(loose).length;
-  const looseAll = choice.candidates.filter(loose).length;
-  if (free.length === 0 || looseFree < looseAll * ENOUGH_FREE) return "busy";
+  const total = prefillMs(pace, ask.promptTokens);
+  const wanted = enginesWanted(choice.candidates.filter(loose).length, total);
+  if (free.length === 0 || looseFree < wanted) return "busy";
   const ranked = [...free].sort((a, b) =>
     a.load.tight - b.load.tight ||
     handicapMs(choice, a) - handicapMs(choice, b) || a.load.own - b.load.own
   );
-  const total = prefillMs(pace, ask.promptTokens);
   let best: { count: number; cost: number; expectMs: Millis } | undefined;
   const most = Math.min(ranked.length, MAX_HELPERS + 1);
   for (let count = 1; count <= most; count += 1) {
@@ -66,7 +71,9 @@
     const late = expectMs > options.dueInMs ? ask.promptTokens : 0;
     let harm = 0;
     for (const one of chosen) harm += harmOf(one, partMs, pass);
-    const cost = late + harm + expectMs * FINISH_COST + count * ENGINE_COST;
+    const hold = Math.max(0, partMs - LONG_PART_MS) * LONG_PART_COST;
+    const cost = late + harm + hold + expectMs * FINISH_COST +
+      count * ENGINE_COST;
     if (best === undefined || cost < best.cost) {
       best = { count, cost, expectMs };
     }
@@ -82,6 +89,24 @@
   return { ...memory, partMs, expectMs: best.expectMs };
 }
 
+/** Free engines that a prompt waits for, of those that bear long parts. */
+function enginesWanted(loose: number, totalMs: Millis): number {
+  return Math.min(
+    Math.ceil(loose * ENOUGH_FREE),
+    Math.ceil(totalMs / WAIT_PART_MS),
+  );
+}
+
+/** Time until enough engines are free for a prompt, as far as is known. */
+export function freeInMs(choice: PromptChoice): Millis {
+  const loose = choice.candidates.filter((one) => one.load.tight === 0);
+  const total = prefillMs(choice.pace, choice.ask.promptTokens);
+  const wanted = enginesWanted(loose.length, total);
+  const waits = loose.map((one) => one.load.waitMs(choice.now))
+    .sort((a, b) => a - b);
+  return waits[wanted - 1] ?? 0;
+}
+
 /** Tokens of the streams on an engine that a part makes late, and what a part costs beside others. */
 function harmOf(one: Candidate, partMs: Millis, pass: Millis): number {
   let harm = 0;
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -6,7 +6,7 @@
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
 import { placeCall } from "./place_call.ts";
-import { placeLong } from "./place_long.ts";
+import { freeInMs, placeLong } from "./place_long.ts";
 import { placeShort } from "./place_short.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
 import type { JobId, PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
@@ -92,11 +92,18 @@
     members: (ask: PoolAsk) => readonly PoolMember[],
   ): readonly PoolDecision[] {
     const decisions: PoolDecision[] = [];
+    // Once a prompt waits for engines, others may only use them for as long as it must wait anyway.
+    let roomMs = Infinity;
     for (const waiting of this.#inOrder(now)) {
       const { ask, pace } = waiting.req;
       const req = { ask, pace, members: members(ask) };
-      const result = this.#placeLong(req, waiting.waiter, now);
-      if (result === undefined) break;
+      const { waiter } = waiting;
+      const result = this.#placeLong(req, waiter, { now, roomMs });
+      if (result === undefined) {
+        const choice = { ...this.#choice(req, now), pace };
+        roomMs = Math.min(roomMs, freeInMs(choice));
+        continue;
+      }
       this.#waiting.delete(ask.job);
       decisions.push({ ask, result });
     }
@@ -143,14 +150,15 @@
   #placeLong(
     req: Waiting["req"],
     waiter: LongWaiter,
-    now: Timestamp,
+    options: Readonly<{ now: Timestamp; roomMs: Millis }>,
   ): Result<PoolGrant, Problem> | undefined {
+    const { now, roomMs } = options;
     const { ask, pace } = req;
     if (req.members.length === 0) return err(noUpstream());
     const choice = { ...this.#choice(req, now), pace };
     const place = placeLong(choice, {
       dueInMs: waiter.dueAt - now,
-      endsInMs: waiter.endsAt - now,
+      endsInMs: Math.min(waiter.endsAt - now, roomMs),
     });
     if (place === "busy" || place === "no_memory") {
       const engines = this.#engines();
