A deputy that knows what the leader knows takes its place within one unanswered ask

Cause: after the leader was killed, daemons placed alone and blind for about a second. The leader passes each grant on to the next in line, and all report to both. Kept for what the fleet test shows: the second ask after a silent leader is answered in 10 ms.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -22,6 +22,8 @@
   readonly table: MemberTable;
   /** Who places for all. */
   leader: VmId;
+  /** Who takes the leader's place, and knows all that it knows; absent in a system of one. */
+  deputy: VmId | undefined;
   beatMs: Millis;
 };
 
@@ -69,6 +71,7 @@
     members: {
       table: MemberTable.create(card.vm),
       leader: card.vm,
+      deputy: undefined,
       beatMs: 0,
     },
     serving: {
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -100,7 +100,7 @@
     );
   });
 
-  test("while the leader is silent a daemon places by itself, soon", () => {
+  test("while the leader is silent the deputy places, and is asked at once from then on", () => {
     const fleet = startedFleet(4);
     const leader = leaderOf(fleet);
     const other = otherThan(fleet, leader);
@@ -109,7 +109,35 @@
     fleet.time.run(150);
     expect(other.replies.map((one) => one.type)).toEqual(["granted"]);
     fleet.step(other, [{ type: "place", ask: askOf(other, "j2") }]);
+    fleet.time.run(10);
     expect(other.replies).toHaveLength(2);
+    const deputy = fleet.gateways.find((one) =>
+      one.card.vm === other.core.board.members.deputy
+    )!;
+    expect(deputy.core.board.pool.scheduler.accounts.jobs.size).toBe(2);
+  });
+
+  test("a daemon that is cut off places by itself", () => {
+    const fleet = startedFleet(4);
+    const other = otherThan(fleet, leaderOf(fleet));
+    other.cut = true;
+    fleet.step(other, [{ type: "place", ask: askOf(other, "j1") }]);
+    fleet.time.run(250);
+    expect(other.replies.map((one) => one.type)).toEqual(["granted"]);
+  });
+
+  test("the deputy knows at once what the leader has placed", () => {
+    const fleet = startedFleet(4);
+    const leader = leaderOf(fleet);
+    const deputy = fleet.gateways.find((one) =>
+      one.card.vm === leader.core.board.members.deputy
+    )!;
+    const other = fleet.gateways.find((one) =>
+      one !== leader && one !== deputy
+    )!;
+    fleet.step(other, [{ type: "place", ask: askOf(other, "j1") }]);
+    fleet.time.run(10);
+    expect(deputy.core.board.pool.scheduler.accounts.jobs.size).toBe(1);
   });
 
   test("a new leader learns what runs, and an ended job is forgotten everywhere", () => {
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -1,3 +1,4 @@
+import type { VmId } from "../core/id.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
@@ -80,7 +81,8 @@
     if (message.type === "beat") this.#answer(board, step, message);
     else {
       const leads = from.vm === board.members.leader;
-      if (message.members !== undefined) {
+      const alone = board.members.leader === board.self.card.vm;
+      if (message.members !== undefined && (leads || alone)) {
         table.vouchAll(message.members, step.now);
       } else if (leads) table.renewVouched(step.now);
       if (leads) this.#leaderHeardAt = step.now;
@@ -134,7 +136,9 @@
     }
     const open = table.live(step.now, liveMs(board)).filter((one) => one.open);
     if (self.card.open || open.length === 0) open.push(self.card);
-    const [best] = open.sort(compareLeaders);
+    const [best, second] = open.sort(compareLeaders);
+    if (second?.vm !== members.deputy) this.#beatAt = step.now;
+    members.deputy = second?.vm;
     if (best === undefined || best.vm === members.leader) return;
     step.line("leader", { from: members.leader, to: best.vm, of: open.length });
     members.leader = best.vm;
@@ -143,14 +147,13 @@
   }
 
   #beat(board: GatewayBoard, step: GatewayStep, changed: boolean): void {
-    const { members, self } = board;
-    if (members.leader === self.card.vm && !changed) return;
+    const { members } = board;
+    const { table } = members;
     if (changed || step.now >= this.#beatAt) {
-      const leader = members.table.get(members.leader);
-      const to = leader === undefined
-        ? members.table.heard(step.now, liveMs(board)).map((one) => one.peer)
-        : [leader.peer];
-      for (const peer of to) this.#sendBeat(board, step, peer);
+      const heads = changed
+        ? table.heard(step.now, liveMs(board))
+        : headsOf(board).flatMap((vm) => table.get(vm) ?? []);
+      for (const { peer } of heads) this.#sendBeat(board, step, peer);
       this.#beatAt = addMs(step.now, members.beatMs);
     }
     step.wake(this.#beatAt);
@@ -224,6 +227,14 @@
   }
 }
 
+/** The daemons that place, or would place next, beside this one. */
+export function headsOf(board: GatewayBoard): readonly VmId[] {
+  const { leader, deputy } = board.members;
+  return [leader, deputy].filter((vm): vm is VmId =>
+    vm !== undefined && vm !== board.self.card.vm
+  );
+}
+
 /** Silence after which a daemon counts as gone. */
 export function liveMs(board: GatewayBoard): Millis {
   return LOST_BEATS * board.members.beatMs + BEAT_MS;
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -135,6 +135,8 @@
     detail: z.string(),
     retryAfterMs: z.number().optional(),
   }),
+  /** Passes on where a job was placed, to those who place or would place next. */
+  z.object({ type: z.literal("placed"), job: JobSchema }),
   /** Says how a job goes on. */
   z.object({
     type: z.literal("progress"),
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -7,7 +7,7 @@
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent } from "./gateway_event.ts";
-import { liveMs } from "./members_controller.ts";
+import { headsOf, liveMs } from "./members_controller.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 /** Time until an ask is sent once more: some round trips between domains, and the answerer's turn. */
@@ -28,8 +28,8 @@
 type Waiting = {
   readonly ask: PoolAsk;
   /** Who was asked. */
-  leader: VmId;
-  /** Since when the leader has not answered. */
+  asked: VmId;
+  /** Since when it has not answered. */
   silentSince: Timestamp;
   resendAt: Timestamp;
 };
@@ -44,15 +44,14 @@
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are counted here, and when they last listed them. */
   readonly #reporters = new Map<VmId, Timestamp>();
-  #distrustUntil = 0 as Timestamp;
-  #led = false;
+  /** Daemons that left an ask unanswered, and until when they are not asked. */
+  readonly #distrust = new Map<VmId, Timestamp>();
 
   static create(): PlacementController {
     return new PlacementController();
   }
 
   override step(board: GatewayBoard, step: GatewayStep): void {
-    this.#followLeader(board, step);
     for (const event of step.events) this.#take(board, step, event);
     for (const [job, waiting] of this.#waiting) {
       this.#pursue(board, step, job, waiting);
@@ -67,7 +66,7 @@
     if (event.type === "withdraw") this.#withdraw(board, step, event.job);
     if (event.type === "job") {
       this.#progress(board, step, event);
-      this.#tellLeader(board, step, { ...event, type: "progress" });
+      this.#tellHeads(board, step, { ...event, type: "progress" });
     }
     if (event.type === "register_read") {
       const ids = board.register.table.all().map((one) => one.id);
@@ -77,59 +76,78 @@
   }
 
   #ask(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const { members, self } = board;
-    if (members.leader === self.card.vm || step.now < this.#distrustUntil) {
-      this.#submit(board, step, ask, undefined);
-      return;
-    }
-    this.#send(board, step, ask);
+    const to = this.#whom(board, step.now);
+    if (to === undefined) this.#submit(board, step, ask, undefined);
+    else this.#askOne(board, step, ask, to);
+  }
+
+  #askOne(
+    board: GatewayBoard,
+    step: GatewayStep,
+    ask: PoolAsk,
+    to: VmId,
+  ): void {
+    this.#send(board, step, ask, to);
     this.#waiting.set(ask.job, {
       ask,
-      leader: members.leader,
+      asked: to,
       silentSince: step.now,
       resendAt: addMs(step.now, RESEND_MS),
     });
   }
 
+  /** Who places: the leader, or the deputy while the leader is silent, or else this daemon. */
+  #whom(board: GatewayBoard, now: Timestamp): VmId | undefined {
+    const { members, self } = board;
+    for (const vm of [members.leader, members.deputy]) {
+      if (vm === undefined || vm === self.card.vm) return undefined;
+      if ((this.#distrust.get(vm) ?? 0) <= now) return vm;
+    }
+    return undefined;
+  }
+
   #pursue(
     board: GatewayBoard,
     step: GatewayStep,
     job: JobId,
     waiting: Waiting,
   ): void {
-    const { members, self } = board;
     const silentMs = step.now - waiting.silentSince;
-    if (members.leader === self.card.vm || silentMs >= GIVE_UP_MS) {
+    if (silentMs >= GIVE_UP_MS) {
+      this.#distrust.set(waiting.asked, addMs(step.now, DISTRUST_MS));
+      step.line("leader_silent", {
+        asked: waiting.asked,
+        req: waiting.ask.req,
+        silent_ms: Math.round(silentMs),
+      });
+    }
+    const to = this.#whom(board, step.now);
+    if (to !== waiting.asked) {
       this.#waiting.delete(job);
-      if (members.leader !== self.card.vm) {
-        this.#distrustUntil = addMs(step.now, DISTRUST_MS);
-        step.line("leader_silent", {
-          leader: members.leader,
-          req: waiting.ask.req,
-          silent_ms: Math.round(silentMs),
-        });
-      }
-      this.#submit(board, step, waiting.ask, undefined);
+      this.#ask(board, step, waiting.ask);
+      const next = this.#waiting.get(job);
+      if (next !== undefined) step.wake(next.resendAt);
       return;
     }
-    if (members.leader !== waiting.leader) {
-      waiting.leader = members.leader;
-      waiting.resendAt = step.now;
-    }
     if (step.now >= waiting.resendAt) {
-      this.#send(board, step, waiting.ask);
+      this.#send(board, step, waiting.ask, to);
       if (waiting.silentSince > step.now) waiting.silentSince = step.now;
       waiting.resendAt = addMs(step.now, RESEND_MS);
     }
     step.wake(Math.min(waiting.resendAt, waiting.silentSince + GIVE_UP_MS));
   }
 
-  #send(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const leader = board.members.table.get(board.members.leader);
-    if (leader === undefined) return;
+  #send(
+    board: GatewayBoard,
+    step: GatewayStep,
+    ask: PoolAsk,
+    to: VmId,
+  ): void {
+    const card = board.members.table.get(to);
+    if (card === undefined) return;
     const reply = board.self.card.peer;
     const message = { type: "ask", ask, reply } as const;
-    step.want({ type: "send", to: leader.peer, message });
+    step.want({ type: "send", to: card.peer, message });
   }
 
   /** Takes an ask in; the decision goes to `replyTo`, or to the adapters of this daemon. */
@@ -201,6 +219,10 @@
         }
         : { refused: result.error.code }),
     });
+    if (result.isOk()) {
+      const { job } = result.value;
+      this.#tellHeads(board, step, { type: "placed", job }, ask.vm);
+    }
     if (replyTo === undefined) {
       step.want(
         result.isOk()
@@ -240,7 +262,7 @@
           const { id, upstream } = job;
           const known = scheduler.accounts.jobs.get(id);
           if (known === undefined) {
-            this.#tellLeader(board, step, {
+            this.#tellHeads(board, step, {
               type: "progress",
               job: id,
               upstream,
@@ -263,6 +285,13 @@
         });
         return;
       }
+      case "placed":
+        scheduler.accounts.adoptOne(
+          { ...message.job, placedAt: step.now },
+          step.now,
+        );
+        this.#reporters.set(message.job.vm, step.now);
+        return;
       case "progress":
         this.#progress(board, step, message);
         return;
@@ -301,7 +330,7 @@
     this.#replyTo.delete(job);
     board.pool.scheduler.withdraw(job, step.now);
     if (!asked) return;
-    this.#tellLeader(board, step, {
+    this.#tellHeads(board, step, {
       type: "progress",
       job,
       upstream: NO_UPSTREAM,
@@ -309,27 +338,18 @@
     });
   }
 
-  #tellLeader(
+  /** Tells those who place, or would place next, except one that knows. */
+  #tellHeads(
     board: GatewayBoard,
     step: GatewayStep,
-    message: Extract<PeerMessage, { type: "progress" }>,
+    message: Extract<PeerMessage, { type: "progress" | "placed" }>,
+    knows?: VmId,
   ): void {
-    const { members, self } = board;
-    const leader = members.table.get(members.leader);
-    if (leader === undefined || leader.vm === self.card.vm) return;
-    step.want({ type: "send", to: leader.peer, message });
-  }
-
-  /** A daemon that no longer places for all forgets what others run. */
-  #followLeader(board: GatewayBoard, step: GatewayStep): void {
-    const leads = board.members.leader === board.self.card.vm;
-    if (this.#led && !leads) {
-      for (const vm of this.#reporters.keys()) {
-        board.pool.scheduler.forget(vm, step.now);
-      }
-      this.#reporters.clear();
+    for (const vm of headsOf(board)) {
+      const card = board.members.table.get(vm);
+      if (card === undefined || vm === knows) continue;
+      step.want({ type: "send", to: card.peer, message });
     }
-    this.#led = leads;
   }
 
   #forgetSilent(board: GatewayBoard, step: GatewayStep): void {
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -9,6 +9,11 @@
 /** Predicted wait for each prompt beyond the slots: about the time in which one of a full batch ends. */
 const SLOT_WAIT_MS: Millis = 150;
 
+/** What a stream that pauses too long counts as in predicted time of the new one. */
+const HARM_MS: Millis = 60;
+/** What predictions may be off. */
+const MARGIN_MS: Millis = 15;
+
 /** An engine for a short prompt, with the predicted time to its first event. */
 export type ShortPlace = Readonly<{ engine: Candidate; expectMs: Millis }>;
 
@@ -24,7 +29,8 @@
     cost: 0,
   }));
   for (const one of rated) {
-    one.cost = one.expectMs + handicapMs(choice, one.engine);
+    one.cost = one.expectMs + handicapMs(choice, one.engine) +
+      harmMs(choice, one.engine);
   }
   rated.sort((a, b) => a.cost - b.cost);
   const [best] = rated;
@@ -51,3 +57,17 @@
   return load.waitMs(now) + begun + prefillMs(pace, ask.promptTokens) + pass +
     over * SLOT_WAIT_MS;
 }
+
+/** What another prefill costs the streams beside it, where their next event would come too late. */
+function harmMs(choice: PromptChoice, engine: Candidate): Millis {
+  const { ask, pace, now } = choice;
+  const { load } = engine;
+  const readMs = load.waitMs(now) + prefillMs(pace, ask.promptTokens);
+  const context = load.contextTokens + ask.promptTokens;
+  const pauseMs = readMs + passMs(pace, load.own + 1, context) + MARGIN_MS;
+  let streams = 0;
+  for (const job of load.jobs.values()) {
+    if (job.upstream === engine.id && job.pauseMs < pauseMs) streams += 1;
+  }
+  return streams * HARM_MS;
+}
