--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -6,18 +6,14 @@
 
 /** Engines that may prefill parts of one prompt besides the one that answers; the protocol's limit. */
 export const MAX_HELPERS = 16;
-/** Prefill that may still be left on an engine that counts as free; a part that ends within a pass. */
-export const FREE_MS: Millis = 40;
+/** Prefill that may still be left on an engine that counts as free; a part that ends well within a pass. */
+export const FREE_MS: Millis = 20;
 /** Part of the engines without tight streams that are enough for the longest prompt. */
 const ENOUGH_FREE = 0.5;
 /** Prefill for which one engine more is waited for. */
-const WAIT_PART_MS: Millis = 250;
-/** A longer part keeps an engine from prompts that come meanwhile, at a cost for each ms. */
-const LONG_PART_MS: Millis = 1_000;
-const LONG_PART_COST = 20;
-/** Costs in tokens that are late: of each ms until the first event, of each engine, and of each ms beside a stream. */
-const FINISH_COST = 2;
-const ENGINE_COST = 60;
+const WAIT_PART_MS: Millis = 500;
+/** Costs, in tokens that are late, of each ms until the first event, and of each ms of prefill beside a stream. */
+const FINISH_COST = 30;
 const BESIDE_COST = 1;
 /** Tokens that any stream counts at least, as short ones are worth more than their size. */
 const STREAM_TOKENS = 5_000;
@@ -71,9 +67,7 @@
     const late = expectMs > options.dueInMs ? ask.promptTokens : 0;
     let harm = 0;
     for (const one of chosen) harm += harmOf(one, partMs, pass);
-    const hold = Math.max(0, partMs - LONG_PART_MS) * LONG_PART_COST;
-    const cost = late + harm + hold + expectMs * FINISH_COST +
-      count * ENGINE_COST;
+    const cost = late + harm + expectMs * FINISH_COST;
     if (best === undefined || cost < best.cost) {
       best = { count, cost, expectMs };
     }
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -3,14 +3,14 @@
 import { passMs, prefillMs } from "./engine_pace.ts";
 
 /** Part of the target within which a prediction is good enough to prefer an engine with more streams. */
-const COMFORT = 0.55;
+const COMFORT = 0.6;
 /** Slots that are left free on an engine that streams are gathered on, for those that were placed meanwhile. */
 const SPARE_SLOTS = 4;
 /** Predicted wait for each prompt beyond the slots: about the time in which one of a full batch ends. */
 const SLOT_WAIT_MS: Millis = 150;
 
 /** What a stream that pauses too long counts as in predicted time of the new one. */
-const HARM_MS: Millis = 60;
+const HARM_MS: Millis = 100;
 /** What predictions may be off. */
 const MARGIN_MS: Millis = 15;
 
@@ -52,9 +52,10 @@
   const { load } = engine;
   const context = load.contextTokens + ask.promptTokens;
   const pass = passMs(pace, load.own + 1, context);
-  const begun = load.own > 0 ? pass / 2 : 0;
+  // On an engine without streams the first event follows the prefill at once.
+  const passes = load.own > 0 ? 1.5 * pass : 0;
   const over = Math.max(0, load.own + 1 - engine.slots);
-  return load.waitMs(now) + begun + prefillMs(pace, ask.promptTokens) + pass +
+  return load.waitMs(now) + passes + prefillMs(pace, ask.promptTokens) +
     over * SLOT_WAIT_MS;
 }
 
--- /dev/null
+++ b/stand_ins/pass_engine/pass_engine.ts
@@ -0,0 +1,152 @@
+import {
+  type EnginePace,
+  prefillMs,
+} from "../../src/scheduling/pool/engine_pace.ts";
+
+/** A prompt's part that one engine reads. */
+export type Part = {
+  readonly job: SimJob;
+  tokensLeft: number;
+  /** Prefill time of one token of the part. */
+  readonly tokenMs: number;
+};
+
+/** A prompt on its way through engines. */
+export type SimJob = {
+  readonly id: string;
+  readonly promptTokens: number;
+  /** Parts that are not read yet. */
+  partsLeft: number;
+  tokensLeft: number;
+  readonly onEvent: (at: number) => void;
+  readonly onEnd: (at: number) => void;
+};
+
+/** What an engine needs of the simulated time. */
+export type EngineTime = Readonly<{
+  now: () => number;
+  after: (ms: number, run: () => void) => void;
+}>;
+
+/**
+ * An engine that works in passes. A pass with writing streams runs `stride` steps, one without runs one; each step
+ * prefills a chunk at most. Whatever arrives waits for the next pass. At the end of a pass each stream that writes
+ * gets one event, those included that were read up in it.
+ */
+export class PassEngine {
+  readonly #pace: EnginePace;
+  readonly #time: EngineTime;
+  readonly #helped: Part[] = [];
+  readonly #own: Part[] = [];
+  readonly #queue: SimJob[] = [];
+  readonly #batch = new Set<SimJob>();
+  readonly #writers = new Set<SimJob>();
+  #running = false;
+
+  private constructor(pace: EnginePace, time: EngineTime) {
+    this.#pace = pace;
+    this.#time = time;
+  }
+
+  static create(pace: EnginePace, time: EngineTime): PassEngine {
+    return new PassEngine(pace, time);
+  }
+
+  /** Takes a prompt that this engine answers, with the number of engines that read it. */
+  answer(job: SimJob, engines: number): void {
+    job.partsLeft = engines;
+    this.#queue.push(job);
+    this.#parts.set(job, this.#partOf(job, engines));
+    this.#start();
+  }
+
+  /** Takes a part of a prompt that another engine answers. */
+  help(job: SimJob, engines: number): void {
+    this.#helped.push(this.#partOf(job, engines));
+    this.#start();
+  }
+
+  readonly #parts = new Map<SimJob, Part>();
+
+  #partOf(job: SimJob, engines: number): Part {
+    const ms = prefillMs(this.#pace, job.promptTokens) / engines;
+    const tokens = job.promptTokens / engines;
+    return { job, tokensLeft: tokens, tokenMs: ms / tokens };
+  }
+
+  #start(): void {
+    if (this.#running) return;
+    this.#running = true;
+    this.#time.after(0, () => this.#pass());
+  }
+
+  #pass(): void {
+    this.#admit();
+    const reads = [...this.#helped, ...this.#own];
+    const writers = [...this.#writers].filter((job) => job.partsLeft === 0);
+    if (reads.length === 0 && writers.length === 0) {
+      this.#running = false;
+      return;
+    }
+    const steps = writers.length > 0 ? this.#pace.stride : 1;
+    const writeMs = this.#stepMs(writers);
+    const ms = steps * writeMs + this.#read(reads, steps);
+    this.#time.after(ms, () => {
+      for (const job of writers) this.#write(job, steps);
+      this.#finishReads();
+      for (const job of this.#writers) {
+        if (job.partsLeft === 0 && !writers.includes(job)) this.#write(job, 1);
+      }
+      this.#pass();
+    });
+  }
+
+  #admit(): void {
+    while (this.#queue.length > 0 && this.#batch.size < this.#pace.slots) {
+      const job = this.#queue.shift()!;
+      this.#batch.add(job);
+      this.#writers.add(job);
+      this.#own.push(this.#parts.get(job)!);
+      this.#parts.delete(job);
+    }
+  }
+
+  #stepMs(writers: readonly SimJob[]): number {
+    let context = 0;
+    for (const job of writers) context += job.promptTokens;
+    return this.#pace.stepMs + writers.length * this.#pace.streamMs +
+      context / 1_000 * this.#pace.contextMs;
+  }
+
+  #read(reads: readonly Part[], steps: number): number {
+    let budget = steps * this.#pace.chunkTokens;
+    let ms = 0;
+    for (const part of reads) {
+      const tokens = Math.min(budget, part.tokensLeft);
+      part.tokensLeft -= tokens;
+      budget -= tokens;
+      ms += tokens * part.tokenMs;
+      if (budget <= 0) break;
+    }
+    return ms;
+  }
+
+  #finishReads(): void {
+    for (const list of [this.#helped, this.#own]) {
+      for (let i = list.length - 1; i >= 0; i -= 1) {
+        if (list[i]!.tokensLeft > 1e-6) continue;
+        list[i]!.job.partsLeft -= 1;
+        list.splice(i, 1);
+      }
+    }
+  }
+
+  #write(job: SimJob, tokens: number): void {
+    job.tokensLeft -= tokens;
+    job.onEvent(this.#time.now());
+    if (job.tokensLeft > 0) return;
+    this.#writers.delete(job);
+    this.#batch.delete(job);
+    job.onEnd(this.#time.now());
+  }
+}
--- /dev/null
+++ b/tools/pool/play.ts
@@ -0,0 +1,160 @@
+import type {
+  DomainId,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+  VmId,
+} from "../../src/core/id.ts";
+import type { Timestamp } from "../../src/core/time.ts";
+import type { EnginePace } from "../../src/scheduling/pool/engine_pace.ts";
+import type {
+  JobId,
+  PoolAsk,
+  PoolGrant,
+} from "../../src/scheduling/pool/pool_job.ts";
+import { VirtualTime } from "../../src/testing/virtual_time.ts";
+import {
+  PassEngine,
+  type SimJob,
+} from "../../stand_ins/pass_engine/pass_engine.ts";
+import type { Policy } from "./policies.ts";
+import type { Arrival } from "./workload.ts";
+
+/** Engines of both deployments. */
+export const PACE: EnginePace = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stride: 51,
+  chunkTokens: 2_048,
+  stepMs: 0.85,
+  streamMs: 0.00618,
+  contextMs: 0.00285,
+  prefillTokensPerMs: 177,
+  pairsMs: 0.184,
+};
+const ENGINES = 16;
+const SERVICE = "pool" as ServiceId;
+/** Way of a request to an engine, and of an event back, with the ask for a place. */
+const LINK_MS = 5;
+/** Time for what still runs when the last prompt has come. */
+const TAIL_MS = 25_000;
+
+/** How one prompt was served. */
+export type Served = Readonly<{
+  arrival: Arrival;
+  outcome: "in_time" | "late" | "refused";
+  firstMs: number;
+  longestPauseMs: number;
+}>;
+
+/** Plays a drawn load against simulated engines. */
+export function play(
+  arrivals: readonly Arrival[],
+  createPolicy: () => Policy,
+): readonly Served[] {
+  const time = VirtualTime.create(0 as Timestamp);
+  const clock = {
+    now: () => time.now,
+    after: (ms: number, run: () => void) => time.after(ms, run),
+  };
+  const members = Array.from({ length: ENGINES }, (_, i) => ({
+    id: `e${i}` as UpstreamId,
+    address: `e${i}:1`,
+    domain: `d${i % 3}` as DomainId,
+    slots: PACE.slots,
+  }));
+  const engines = new Map(
+    members.map((one) => [one.id, PassEngine.create(PACE, clock)]),
+  );
+  const policy = createPolicy();
+  const served: Served[] = [];
+  const open = new Map<JobId, Arrival>();
+
+  const look = () => {
+    for (const { ask, result } of policy.decide(time.now, members)) {
+      if (result.isErr()) refuse(ask.job);
+      else send(result.value);
+    }
+    const next = policy.nextLook(time.now);
+    if (next !== undefined) time.after(Math.max(1, next - time.now), look);
+  };
+  const refuse = (job: JobId) => {
+    const arrival = open.get(job)!;
+    open.delete(job);
+    served.push({ arrival, outcome: "refused", firstMs: 0, longestPauseMs: 0 });
+  };
+  const send = ({ job }: PoolGrant) => {
+    const arrival = open.get(job.id)!;
+    const all = [job.upstream, ...job.helpers];
+    let last: number | undefined;
+    let firstMs = 0;
+    let longest = 0;
+    const sim: SimJob = {
+      id: job.id,
+      promptTokens: arrival.tokens,
+      partsLeft: all.length,
+      tokensLeft: arrival.answerTokens,
+      onEvent: (at) => {
+        if (last === undefined) {
+          firstMs = at + LINK_MS - arrival.at;
+          policy.started(job.id, time.now);
+          look();
+        } else longest = Math.max(longest, at - last);
+        last = at;
+      },
+      onEnd: () => {
+        open.delete(job.id);
+        policy.ended(job.id, time.now);
+        const { kind } = arrival;
+        const inTime = firstMs <= kind.targetMs && longest <= kind.pauseMs;
+        served.push({
+          arrival,
+          outcome: inTime ? "in_time" : "late",
+          firstMs,
+          longestPauseMs: longest,
+        });
+        look();
+      },
+    };
+    time.after(LINK_MS, () => {
+      engines.get(job.upstream)!.answer(sim, all.length);
+      for (const id of job.helpers) engines.get(id)!.help(sim, all.length);
+    });
+  };
+
+  arrivals.forEach((arrival, i) => {
+    time.after(arrival.at, () => {
+      const ask = askOf(arrival, `j${i}`);
+      open.set(ask.job, arrival);
+      const decision = policy.submit({ ask, members, pace: PACE }, time.now);
+      if (decision === undefined) return look();
+      if (decision.result.isErr()) refuse(ask.job);
+      else send(decision.result.value);
+    });
+  });
+  time.run((arrivals.at(-1)?.at ?? 0) + TAIL_MS);
+  for (const arrival of open.values()) {
+    served.push({ arrival, outcome: "refused", firstMs: 0, longestPauseMs: 0 });
+  }
+  return served;
+}
+
+function askOf(arrival: Arrival, job: string): PoolAsk {
+  const { kind, tokens, answerTokens } = arrival;
+  return {
+    job: job as JobId,
+    req: job as RequestId,
+    vm: "vm" as VmId,
+    domain: "d0",
+    service: SERVICE,
+    kind: "prompt",
+    promptTokens: tokens,
+    answerTokens,
+    targetMs: kind.targetMs,
+    pauseMs: kind.pauseMs,
+    leftMs: kind.leftMs,
+    rank: 1,
+    digest: job,
+    avoid: [],
+  };
+}
--- /dev/null
+++ b/tools/pool/policies.ts
@@ -0,0 +1,114 @@
+import { ok } from "neverthrow";
+import type { UpstreamId } from "../../src/core/id.ts";
+import type { Timestamp } from "../../src/core/time.ts";
+import { prefillMs } from "../../src/scheduling/pool/engine_pace.ts";
+import type { JobId, PoolJob } from "../../src/scheduling/pool/pool_job.ts";
+import {
+  type PoolDecision,
+  type PoolMember,
+  type PoolRequest,
+  PoolScheduler,
+} from "../../src/scheduling/pool/pool_scheduler.ts";
+
+/** Chooses places in a played load. */
+export abstract class Policy {
+  abstract submit(req: PoolRequest, now: Timestamp): PoolDecision | undefined;
+  abstract decide(
+    now: Timestamp,
+    members: readonly PoolMember[],
+  ): readonly PoolDecision[];
+  abstract nextLook(now: Timestamp): Timestamp | undefined;
+  abstract started(job: JobId, now: Timestamp): void;
+  abstract ended(job: JobId, now: Timestamp): void;
+}
+
+/** The scheduler as daemons use it. */
+export class ScheduledPolicy extends Policy {
+  readonly #scheduler = PoolScheduler.create();
+
+  static create(): ScheduledPolicy {
+    return new ScheduledPolicy();
+  }
+
+  override submit(req: PoolRequest, now: Timestamp): PoolDecision | undefined {
+    return this.#scheduler.submit(req, now);
+  }
+
+  override decide(
+    now: Timestamp,
+    members: readonly PoolMember[],
+  ): readonly PoolDecision[] {
+    return this.#scheduler.decide(now, () => members);
+  }
+
+  override nextLook(now: Timestamp): Timestamp | undefined {
+    return this.#scheduler.nextLook(now);
+  }
+
+  override started(job: JobId, now: Timestamp): void {
+    this.#scheduler.accounts.started(job, now);
+  }
+
+  override ended(job: JobId, now: Timestamp): void {
+    this.#scheduler.accounts.ended(job, now);
+  }
+}
+
+/** A plain forwarder: the engine with the least prefill outstanding, no queue, no parts. */
+export class ForwardingPolicy extends Policy {
+  readonly #work = new Map<UpstreamId, number>();
+  readonly #jobs = new Map<JobId, PoolJob>();
+
+  static create(): ForwardingPolicy {
+    return new ForwardingPolicy();
+  }
+
+  override submit(req: PoolRequest): PoolDecision {
+    const { ask, members, pace } = req;
+    const partMs = prefillMs(pace!, ask.promptTokens);
+    const [best] = [...members].sort((a, b) =>
+      (this.#work.get(a.id) ?? 0) - (this.#work.get(b.id) ?? 0)
+    );
+    const upstream = best!.id;
+    this.#work.set(upstream, (this.#work.get(upstream) ?? 0) + partMs);
+    const job: PoolJob = {
+      id: ask.job,
+      vm: ask.vm,
+      service: ask.service,
+      kind: ask.kind,
+      upstream,
+      helpers: [],
+      tickets: [],
+      tokens: ask.promptTokens,
+      partMs,
+      pauseMs: ask.pauseMs,
+      writing: false,
+      placedAt: 0 as Timestamp,
+    };
+    this.#jobs.set(ask.job, job);
+    const grant = { job, addresses: {}, priority: 0, expectMs: 0 };
+    return { ask, result: ok(grant) };
+  }
+
+  override decide(): readonly PoolDecision[] {
+    return [];
+  }
+
+  override nextLook(): undefined {
+    return undefined;
+  }
+
+  override started(id: JobId): void {
+    const job = this.#jobs.get(id)!;
+    const left = this.#work.get(job.upstream)! - job.partMs;
+    this.#work.set(job.upstream, left);
+  }
+
+  override ended(): void {}
+}
+
+/** Policies by name. */
+export const POLICIES = {
+  scheduled: () => ScheduledPolicy.create(),
+  forwarding: () => ForwardingPolicy.create(),
+} as const;
