--- a/src/gateway/watchdog.ts
+++ b/src/gateway/watchdog.ts
@@ -1,15 +1,13 @@
 import type { Millis } from "../core/time.ts";
+import { callerPatienceMs } from "../scheduling/pool/caller_patience.ts";
 import type { Route } from "./serving.ts";
 
-/** Silence after which an upstream that never sent anything is given up at the earliest. */
-const MIN_FIRST_MS: Millis = 900;
+/** Silence after which an upstream is given up at the earliest; several passes of a loaded engine. */
+const MIN_SILENCE_MS: Millis = 1_200;
+/** Part of the caller's patience that one upstream may use up, so that another one can still answer. */
+const PATIENCE_PART = 0.4;
 /** How far a prediction of the first event may be off. */
-const FIRST_FACTOR = 3;
-const FIRST_SLACK_MS: Millis = 400;
-/** Silence within an answer after which its upstream is given up; several passes of a loaded engine. */
-const MIN_GAP_MS: Millis = 1_000;
-/** Pauses, as the route bounds them, that an upstream may be late. */
-const GAP_PAUSES = 2.5;
+const FIRST_FACTOR = 2;
 /** Part of a call's time after which a repeatable call is tried elsewhere. */
 const CALL_PART = 0.45;
 
@@ -29,8 +27,9 @@
     const firstMs = leftMs - tryMs < route.targetMs / 2 ? leftMs : tryMs;
     return { firstMs, gapMs: firstMs };
   }
-  return {
-    firstMs: Math.max(MIN_FIRST_MS, expectMs * FIRST_FACTOR + FIRST_SLACK_MS),
-    gapMs: Math.max(MIN_GAP_MS, route.pauseMs * GAP_PAUSES),
-  };
+  const gapMs = Math.max(
+    MIN_SILENCE_MS,
+    callerPatienceMs(route) * PATIENCE_PART,
+  );
+  return { firstMs: gapMs + expectMs * FIRST_FACTOR, gapMs };
 }
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -2,6 +2,7 @@
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { callerPatienceMs } from "./caller_patience.ts";
 import type { Choice } from "./candidate.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
@@ -17,10 +18,6 @@
 const COME_BACK_MS: Millis = 800;
 /** Lowest rank inside an engine. */
 const MAX_PRIORITY = 9;
-/** Patience of callers before the first event, as the platform states it. */
-const MIN_PATIENCE_MS: Millis = 2_000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_PAUSES = 8;
 /** Time between looks at the queue while engines are busy. */
 const LOOK_MS: Millis = 15;
 
@@ -194,7 +191,7 @@
     const place = placeShort({ ...this.#choice(req, now), pace });
     if (place === undefined) return err(noUpstream());
     const { engine, expectMs } = place;
-    const limitMs = Math.min(ask.leftMs, patienceMs(ask));
+    const limitMs = Math.min(ask.leftMs, callerPatienceMs(ask));
     if (expectMs > limitMs) {
       return err(problem(
         "deadline_unreachable",
@@ -232,7 +229,7 @@
   pace: EnginePace,
   now: Timestamp,
 ): LongWaiter {
-  const limitMs = Math.min(ask.leftMs, patienceMs(ask));
+  const limitMs = Math.min(ask.leftMs, callerPatienceMs(ask));
   const pass = passMs(pace, 1, ask.promptTokens);
   return {
     job: ask.job,
@@ -243,15 +240,6 @@
   };
 }
 
-/** How long a caller waits for the first event. */
-function patienceMs(ask: PoolAsk): Millis {
-  return Math.max(
-    MIN_PATIENCE_MS,
-    ask.targetMs * PATIENCE_TARGETS,
-    ask.pauseMs * PATIENCE_PAUSES,
-  );
-}
-
 function jobOf(
   ask: PoolAsk,
   now: Timestamp,
