--- /dev/null
+++ b/src/gateway/retry_rule_test.ts
@@ -0,0 +1,117 @@
+import { describe, expect, test } from "vitest";
+import type { ServiceId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { Verdict } from "../core/verdict.ts";
+import { RepeatBudget } from "./repeat_budget.ts";
+import { decideRetry, type Tries } from "./retry_rule.ts";
+import type { Route, RouteKind } from "./serving.ts";
+
+function route(kind: RouteKind, resumable = false): Route {
+  return {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind,
+    backends: [],
+    timeoutMs: 1_000,
+    targetMs: 300,
+    pauseMs: 250,
+    rank: 1,
+    maxAttempts: 2,
+    open: false,
+    resumable,
+  };
+}
+
+function decide(of: Route, verdict: Verdict, tries: Partial<Tries> = {}) {
+  const failure = {
+    cause: "upstream_refused",
+    verdict,
+    detail: "",
+    blamed: false,
+  } as const;
+  return decideRetry(of, failure, {
+    placed: 1,
+    runs: verdict === "not_run" ? 0 : 1,
+    leftMs: 500,
+    ...tries,
+  });
+}
+
+describe("what may be sent once more", () => {
+  test("by the kind of route and what may have run", () => {
+    const table = [
+      route("once"),
+      route("repeatable"),
+      route("stream"),
+      route("stream", true),
+    ].map((of) => [
+      `${of.kind}${of.resumable ? ", resumable" : ""}`,
+      decide(of, "not_run").type,
+      decide(of, "may_have_run").type,
+      decide(of, "ran").type,
+    ]);
+    expect(table).toMatchInlineSnapshot(`
+      [
+        [
+          "once",
+          "retry",
+          "give_up",
+          "give_up",
+        ],
+        [
+          "repeatable",
+          "retry",
+          "retry",
+          "retry",
+        ],
+        [
+          "stream",
+          "retry",
+          "give_up",
+          "give_up",
+        ],
+        [
+          "stream, resumable",
+          "retry",
+          "retry",
+          "retry",
+        ],
+      ]
+    `);
+  });
+
+  test("not on more upstreams than the route allows", () => {
+    expect(decide(route("repeatable"), "ran", { runs: 2 }).type)
+      .toBe("give_up");
+  });
+
+  test("not without the time for it", () => {
+    expect(decide(route("repeatable"), "ran", { leftMs: 10 }))
+      .toEqual({ type: "give_up", code: "deadline_exceeded" });
+  });
+});
+
+describe("the budget of repeats", () => {
+  const terms = { ratio: 0.2, slack: 200, windowMs: 10_000 };
+  const service = "s" as ServiceId;
+
+  test("all daemons together stay below the terms", () => {
+    const daemons = 12;
+    let sent = 0;
+    for (let i = 0; i < daemons; i += 1) {
+      const budget = RepeatBudget.create(terms);
+      for (let j = 0; j < 10; j += 1) budget.first(service, 0 as Timestamp);
+      while (budget.spend(service, 1 as Timestamp, { daemons })) sent += 1;
+    }
+    expect(sent).toBeGreaterThan(100);
+    expect(sent).toBeLessThanOrEqual(0.2 * 10 * daemons + 200);
+  });
+
+  test("is whole again after the window", () => {
+    const budget = RepeatBudget.create(terms);
+    while (budget.spend(service, 0 as Timestamp, { daemons: 1 }));
+    expect(budget.spend(service, 10_001 as Timestamp, { daemons: 1 }))
+      .toBe(true);
+  });
+});
--- /dev/null
+++ b/src/scheduling/pool/place_test.ts
@@ -0,0 +1,214 @@
+import { describe, expect, test } from "vitest";
+import type {
+  DomainId,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+  VmId,
+} from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { Candidate, PromptChoice } from "./candidate.ts";
+import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
+import { placeCall } from "./place_call.ts";
+import { placeLong } from "./place_long.ts";
+import { placeShort } from "./place_short.ts";
+import type { JobId, PoolAsk, PoolJob } from "./pool_job.ts";
+import { UpstreamLoad } from "./upstream_load.ts";
+
+const NOW = 10_000 as Timestamp;
+const PACE: EnginePace = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stride: 51,
+  chunkTokens: 2_048,
+  stepMs: 0.85,
+  streamMs: 0.00618,
+  contextMs: 0.00285,
+  prefillTokensPerMs: 177,
+  pairsMs: 0.184,
+};
+
+let jobs = 0;
+
+function jobOn(upstream: string, fields: Partial<PoolJob> = {}): PoolJob {
+  jobs += 1;
+  return {
+    id: `j${jobs}` as JobId,
+    vm: "vm" as VmId,
+    service: "pool" as ServiceId,
+    kind: "prompt",
+    upstream: upstream as UpstreamId,
+    helpers: [],
+    tickets: [],
+    tokens: 6_000,
+    partMs: 30,
+    pauseMs: 250,
+    writing: true,
+    placedAt: NOW,
+    ...fields,
+  };
+}
+
+function engine(
+  id: string,
+  options: { streams?: number; reading?: number; fields?: Partial<PoolJob> } =
+    {},
+): Candidate {
+  const load = UpstreamLoad.create(id as UpstreamId);
+  for (let i = 0; i < (options.streams ?? 0); i += 1) {
+    load.add(jobOn(id, options.fields), NOW);
+  }
+  if (options.reading !== undefined) {
+    const partMs = options.reading;
+    load.add(
+      jobOn("other", { helpers: [id as UpstreamId], partMs, writing: false }),
+      NOW,
+    );
+  }
+  return { id: id as UpstreamId, domain: "a" as DomainId, slots: 11, load };
+}
+
+function choice(
+  candidates: readonly Candidate[],
+  fields: Partial<PoolAsk> = {},
+): PromptChoice {
+  const ask: PoolAsk = {
+    job: "ask" as JobId,
+    req: "r" as RequestId,
+    vm: "vm" as VmId,
+    domain: "a",
+    service: "pool" as ServiceId,
+    kind: "prompt",
+    promptTokens: 5_000,
+    answerTokens: 1_600,
+    targetMs: 300,
+    pauseMs: 250,
+    leftMs: 10_000,
+    rank: 1,
+    digest: "d",
+    avoid: [],
+    ...fields,
+  };
+  return { ask, candidates, now: NOW, pace: PACE };
+}
+
+describe("the cost of work", () => {
+  test("prefill follows the platform's formula", () => {
+    expect(prefillMs(PACE, 5_000)).toBeCloseTo(30.5, 1);
+    expect(prefillMs(PACE, 154_000)).toBeCloseTo(3_052, 0);
+  });
+
+  test("a pass writes one event for each stream", () => {
+    expect(passMs(PACE, 1, 5_000)).toBeCloseTo(44.4, 1);
+  });
+});
+
+describe("short prompts", () => {
+  test("gather where streams write already, so that other engines stay free", () => {
+    const engines = [engine("e0"), engine("e1", { streams: 3 }), engine("e2")];
+    expect(placeShort(choice(engines))?.engine.id).toBe("e1");
+  });
+
+  test("leave an engine whose slots are nearly taken", () => {
+    const engines = [engine("e0"), engine("e1", { streams: 8 })];
+    expect(placeShort(choice(engines))?.engine.id).toBe("e0");
+  });
+
+  test("avoid an engine that reads a long part", () => {
+    const engines = [
+      engine("e0", { streams: 2, reading: 400 }),
+      engine("e1"),
+    ];
+    expect(placeShort(choice(engines))?.engine.id).toBe("e1");
+  });
+
+  test("a large one spares streams that would pause too long", () => {
+    const engines = [
+      engine("e0", { streams: 3, reading: 60 }),
+      engine("e1"),
+    ];
+    const place = placeShort(choice(engines, { promptTokens: 23_000 }));
+    expect(place?.engine.id).toBe("e1");
+  });
+
+  test("avoid an engine that has failed of late", () => {
+    const bad = engine("e0", { streams: 2 });
+    bad.load.blame(NOW);
+    expect(placeShort(choice([bad, engine("e1")]))?.engine.id).toBe("e1");
+  });
+});
+
+describe("long prompts", () => {
+  const long = { promptTokens: 154_000, targetMs: 3_000, pauseMs: 1_000 };
+
+  test("are split over the engines without tight streams", () => {
+    const free = Array.from({ length: 12 }, (_, i) => engine(`e${i}`));
+    const tight = Array.from(
+      { length: 4 },
+      (_, i) => engine(`t${i}`, { streams: 6 }),
+    );
+    const place = placeLong(choice([...tight, ...free], long), {
+      dueInMs: 2_950,
+      endsInMs: 11_000,
+    });
+    if (typeof place === "string") throw new Error(place);
+    const ids = [place.engine, ...place.helpers].map((one) => one.id);
+    expect(ids.filter((id) => id.startsWith("t"))).toEqual([]);
+    expect(ids).toHaveLength(12);
+  });
+
+  test("wait while too few engines are free", () => {
+    const busy = Array.from(
+      { length: 13 },
+      (_, i) => engine(`b${i}`, { reading: 300 }),
+    );
+    const free = Array.from({ length: 3 }, (_, i) => engine(`e${i}`));
+    const options = { dueInMs: 2_950, endsInMs: 11_000 };
+    expect(placeLong(choice([...busy, ...free], long), options)).toBe("busy");
+    const small = { ...long, promptTokens: 40_000 };
+    expect(typeof placeLong(choice([...busy, ...free], small), options))
+      .toBe("object");
+  });
+
+  test("use tight engines for parts that their streams bear", () => {
+    const all = Array.from(
+      { length: 16 },
+      (_, i) => engine(`t${i}`, { streams: 3 }),
+    );
+    const place = placeLong(
+      choice(all, { ...long, promptTokens: 110_000 }),
+      { dueInMs: 2_950, endsInMs: 11_000 },
+    );
+    if (typeof place === "string") throw new Error(place);
+    expect(place.partMs).toBeLessThan(200);
+  });
+
+  test("reserve memory on other engines where one can't hold them", () => {
+    const all = Array.from({ length: 8 }, (_, i) => engine(`e${i}`));
+    const place = placeLong(
+      choice(all, { ...long, promptTokens: 500_000 }),
+      { dueInMs: 2_950, endsInMs: 11_000 },
+    );
+    if (typeof place === "string") throw new Error(place);
+    const reserved = place.tickets.reduce((sum, one) => sum + one.tokens, 0);
+    expect(reserved).toBeGreaterThanOrEqual(501_600 - 315_000);
+    expect(place.tickets.every((one) => one.upstream !== place.engine.id))
+      .toBe(true);
+  });
+
+  test("get no place where all memory is too small", () => {
+    const all = [engine("e0"), engine("e1")];
+    const place = placeLong(
+      choice(all, { ...long, promptTokens: 700_000 }),
+      { dueInMs: 2_950, endsInMs: 60_000 },
+    );
+    expect(place).toBe("no_memory");
+  });
+});
+
+test("calls go to the instance with the most room, near ones first", () => {
+  const busy = engine("e0", { streams: 5, fields: { kind: "call" } });
+  const far = { ...engine("e1"), domain: "b" };
+  expect(placeCall(choice([busy, far]))?.instance.id).toBe("e1");
+  expect(placeCall(choice([engine("e2"), far]))?.instance.id).toBe("e2");
+});
--- /dev/null
+++ b/tools/pool/play_test.ts
@@ -0,0 +1,100 @@
+import { expect, test } from "vitest";
+import { play, type Served } from "./play.ts";
+import { POLICIES } from "./policies.ts";
+import { type Credit, creditOf } from "./summary.ts";
+import { drawArrivals, type Phase, WAVES } from "./workload.ts";
+
+const SEEDS = [1, 2, 3, 4];
+
+function mean(phases: readonly Phase[], policy: keyof typeof POLICIES): Credit {
+  const served: Served[] = SEEDS.flatMap((seed) =>
+    play(drawArrivals(phases, seed), POLICIES[policy])
+  );
+  return creditOf(served);
+}
+
+function rounded(credit: Credit): Record<string, number> {
+  const { whole, kinds, largest } = credit;
+  return Object.fromEntries(
+    Object.entries({ whole, ...kinds, largest }).map(
+      ([name, value]) => [name, Number(value.toFixed(2))],
+    ),
+  );
+}
+
+test("waves of long prompts beside short streams: the scheduler against a plain forwarder", () => {
+  const before = mean(WAVES, "forwarding");
+  const after = mean(WAVES, "scheduled");
+  expect({ before: rounded(before), after: rounded(after) })
+    .toMatchInlineSnapshot(`
+      {
+        "after": {
+          "largest": 0.55,
+          "long": 0.85,
+          "middle": 0.73,
+          "short": 0.96,
+          "whole": 0.89,
+        },
+        "before": {
+          "largest": 0.25,
+          "long": 0.49,
+          "middle": 0.66,
+          "short": 0.79,
+          "whole": 0.64,
+        },
+      }
+    `);
+  expect(after.whole).toBeGreaterThan(before.whole);
+});
+
+test("a crest of short prompts: few wait for the long ones beside them", () => {
+  const crest: readonly Phase[] = [{ ms: 9_500, factors: [2.5, 0.5, 0.05] }];
+  const before = mean(crest, "forwarding");
+  const after = mean(crest, "scheduled");
+  expect({ before: rounded(before), after: rounded(after) })
+    .toMatchInlineSnapshot(`
+      {
+        "after": {
+          "largest": 1,
+          "long": 1,
+          "middle": 0.84,
+          "short": 0.99,
+          "whole": 0.99,
+        },
+        "before": {
+          "largest": 0.25,
+          "long": 0.46,
+          "middle": 0.86,
+          "short": 0.9,
+          "whole": 0.89,
+        },
+      }
+    `);
+  expect(after.kinds.short).toBeGreaterThan(0.95);
+});
+
+test("a wave of long prompts at twice its rate: the short ones are served", () => {
+  const flood: readonly Phase[] = [{ ms: 9_500, factors: [0.35, 1.3, 5.6] }];
+  const before = mean(flood, "forwarding");
+  const after = mean(flood, "scheduled");
+  expect({ before: rounded(before), after: rounded(after) })
+    .toMatchInlineSnapshot(`
+      {
+        "after": {
+          "largest": 0.48,
+          "long": 0.77,
+          "middle": 0.56,
+          "short": 0.74,
+          "whole": 0.75,
+        },
+        "before": {
+          "largest": 0.25,
+          "long": 0.44,
+          "middle": 0.47,
+          "short": 0.45,
+          "whole": 0.44,
+        },
+      }
+    `);
+  expect(after.kinds.short).toBeGreaterThan(before.kinds.short!);
+});
