Count a crash only where the register shows that the upstream's process is gone

A crash counts now once the entry lapses or another process takes its place, and an answer clears the content; the new tests were red with the count of before.

--- /dev/null
+++ b/src/gateway/crash_suspects.ts
@@ -0,0 +1,64 @@
+import type { UpstreamId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+
+/** Time in which an upstream's crash shows in the register: its entry lapses, or another process takes its place. */
+const CONFIRM_MS: Millis = 10_000;
+/** How long a content that has crashed upstreams is held against it. */
+const REMEMBER_MS: Millis = 60_000;
+/** Confirmed crashes after which the content is refused. */
+const MAX_CRASHES = 2;
+/** Contents and connections that are remembered at most. */
+const MAX_ENTRIES = 256;
+
+type Broken = Readonly<{ digest: string; upstream: UpstreamId; at: Timestamp }>;
+type Suspect = { crashes: number; at: Timestamp };
+
+/**
+ * Tells content that crashes the upstreams that run it. A broken connection alone proves nothing: a crash counts
+ * only once the register shows that the upstream's process is gone, and an answer clears the content.
+ */
+export class CrashSuspects {
+  #broken: Broken[] = [];
+  readonly #suspects = new Map<string, Suspect>();
+
+  static create(): CrashSuspects {
+    return new CrashSuspects();
+  }
+
+  /** Takes in that the connection broke on which an upstream ran some content. */
+  connectionBroke(digest: string, upstream: UpstreamId, at: Timestamp): void {
+    this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
+    if (this.#broken.length < MAX_ENTRIES) {
+      this.#broken.push({ digest, upstream, at });
+    }
+  }
+
+  /** Takes in that an upstream's process is gone. */
+  upstreamGone(upstream: UpstreamId, now: Timestamp): void {
+    for (const one of this.#broken) {
+      if (one.upstream !== upstream || now - one.at > CONFIRM_MS) continue;
+      const crashes = (this.#suspects.get(one.digest)?.crashes ?? 0) + 1;
+      if (this.#suspects.size >= MAX_ENTRIES) this.#dropOldest();
+      this.#suspects.set(one.digest, { crashes, at: now });
+    }
+    this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
+  }
+
+  /** Takes in that some content was answered. */
+  answered(digest: string): void {
+    this.#suspects.delete(digest);
+    this.#broken = this.#broken.filter((one) => one.digest !== digest);
+  }
+
+  /** Whether content is to be refused. */
+  isBad(digest: string, now: Timestamp): boolean {
+    const suspect = this.#suspects.get(digest);
+    return suspect !== undefined && suspect.crashes >= MAX_CRASHES &&
+      now - suspect.at <= REMEMBER_MS;
+  }
+
+  #dropOldest(): void {
+    const [oldest] = this.#suspects.keys();
+    if (oldest !== undefined) this.#suspects.delete(oldest);
+  }
+}
--- /dev/null
+++ b/src/gateway/crash_suspects_test.ts
@@ -0,0 +1,45 @@
+import { expect, test } from "vitest";
+import type { UpstreamId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
+
+const at = (ms: number) => ms as Timestamp;
+const upstream = (name: string) => name as UpstreamId;
+
+function crash(suspects: CrashSuspects, name: string, ms: number): void {
+  suspects.connectionBroke("poison", upstream(name), at(ms));
+  suspects.upstreamGone(upstream(name), at(ms + 3_600));
+}
+
+test("content that has crashed two upstreams is refused", () => {
+  const suspects = CrashSuspects.create();
+  crash(suspects, "e1", 0);
+  expect(suspects.isBad("poison", at(4_000))).toBe(false);
+  crash(suspects, "e2", 4_000);
+  expect(suspects.isBad("poison", at(8_000))).toBe(true);
+});
+
+test("broken connections to upstreams that live on prove nothing", () => {
+  const suspects = CrashSuspects.create();
+  for (const name of ["e1", "e2", "e3"]) {
+    suspects.connectionBroke("healthy", upstream(name), at(0));
+  }
+  expect(suspects.isBad("healthy", at(1_000))).toBe(false);
+});
+
+test("an answer clears the content, as popular content was running wherever something crashed", () => {
+  const suspects = CrashSuspects.create();
+  crash(suspects, "e1", 0);
+  suspects.answered("poison");
+  crash(suspects, "e2", 4_000);
+  expect(suspects.isBad("poison", at(8_000))).toBe(false);
+});
+
+test("an upstream that leaves long after a connection broke is not counted", () => {
+  const suspects = CrashSuspects.create();
+  for (const name of ["e1", "e2"]) {
+    suspects.connectionBroke("healthy", upstream(name), at(0));
+    suspects.upstreamGone(upstream(name), at(20_000));
+  }
+  expect(suspects.isBad("healthy", at(20_000))).toBe(false);
+});
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -53,6 +53,7 @@
   #longestPauseMs: Millis = 0;
   #limit: NodeJS.Timeout | undefined;
   #over = false;
+  #answered = false;
 
   private constructor(
     port: ExchangePort,
@@ -383,11 +384,13 @@
     this.#port.progress(job.id, culprit ?? job.upstream, {
       phase: failure?.blamed === true ? "failed" : "ended",
       crashed,
+      answered: this.#answered ? this.#req.digest : undefined,
     });
   }
 
   #finish(outcome: "answered" | "failed" | "left"): void {
     this.#over = true;
+    this.#answered = outcome === "answered";
     clearTimeout(this.#limit);
     this.#endAttempt();
     this.#port.observe.ended(outcome);
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -10,6 +10,13 @@
 import type { LineFields } from "./event_log.ts";
 import type { ServiceId } from "../core/id.ts";
 
+/** How a job goes on; the digests tell content that crashes upstreams from content that doesn't. */
+export type JobNews = Readonly<{
+  phase: "started" | "ended" | "failed";
+  crashed?: string;
+  answered?: string;
+}>;
+
 /** What an exchange needs of the daemon that it runs in. */
 export type ExchangePort = Readonly<{
   dialect: Dialect;
@@ -25,9 +32,7 @@
   progress: (
     job: JobId,
     upstream: UpstreamId,
-    news: Readonly<
-      { phase: "started" | "ended" | "failed"; crashed?: string }
-    >,
+    news: JobNews,
   ) => void;
   /** Upstream with an address, if one is listed. */
   upstreamAt: (address: string) => UpstreamId | undefined;
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -1,11 +1,12 @@
 import type { VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import { PoolScheduler } from "../scheduling/pool/pool_scheduler.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
 import { MemberTable } from "./member_table.ts";
 import type { PeerCard, Stand } from "./peer_message.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { ConfigVersion } from "./serving.ts";
-import { UpstreamTable } from "./upstream_table.ts";
+import { type UpstreamNews, UpstreamTable } from "./upstream_table.ts";
 
 const LONG_AGO = -Infinity as Timestamp;
 
@@ -43,13 +44,14 @@
   changedAt: number;
   /** As of when the table is known to be right. */
   asOf: Timestamp;
+  /** What the last step has changed. */
+  news: readonly UpstreamNews[];
 };
 
 /** Written by the placement controller. */
 export type PoolSection = {
   readonly scheduler: PoolScheduler;
-  /** Content that was running when an upstream crashed, and how often. */
-  readonly crashes: Map<string, number>;
+  readonly suspects: CrashSuspects;
 };
 
 /** The one place for the state of a daemon; each section has exactly one writer. */
@@ -84,8 +86,12 @@
       offset: -1,
       changedAt: -1,
       asOf: LONG_AGO,
+      news: [],
+    },
+    pool: {
+      scheduler: PoolScheduler.create(),
+      suspects: CrashSuspects.create(),
     },
-    pool: { scheduler: PoolScheduler.create(), crashes: new Map() },
   };
 }
 
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -143,8 +143,10 @@
     job: z.string().transform((id) => id as JobId),
     upstream,
     phase: z.enum(["started", "ended", "failed"]),
-    /** Digest of the content that was running when its upstream crashed. */
+    /** Digest of the content that was running when its connection broke. */
     crashed: z.string().optional(),
+    /** Digest of content that was answered well. */
+    answered: z.string().optional(),
   }),
 ]);
 /** What daemons tell each other. */
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -18,10 +18,6 @@
 const ASK_AGAIN_MS: Millis = 400;
 /** How long a leader that left an ask unanswered is not asked again. */
 const DISTRUST_MS: Millis = 800;
-/** Crashes of upstreams after which the content is refused. */
-const MAX_CRASHES = 2;
-/** Contents that are remembered for crashes. */
-const MAX_SUSPECTS = 256;
 /** Stands for the upstream of a request that had no place yet. */
 const NO_UPSTREAM = "-" as UpstreamId;
 
@@ -53,6 +49,10 @@
 
   override step(board: GatewayBoard, step: GatewayStep): void {
     for (const event of step.events) this.#take(board, step, event);
+    for (const { kind, id } of board.register.news) {
+      if (kind !== "gone" && kind !== "restarted") continue;
+      board.pool.suspects.upstreamGone(id, step.now);
+    }
     for (const [job, waiting] of this.#waiting) {
       this.#pursue(board, step, job, waiting);
     }
@@ -158,7 +158,7 @@
     replyTo: ReplyTo,
   ): void {
     const { serving, register, pool } = board;
-    if ((pool.crashes.get(ask.digest) ?? 0) >= MAX_CRASHES) {
+    if (pool.suspects.isBad(ask.digest, step.now)) {
       const detail = "This content has crashed its upstreams";
       const result = err(problem("quarantined", detail));
       this.#report(board, step, { ask, result }, replyTo);
@@ -310,7 +310,7 @@
     step: GatewayStep,
     one: Omit<Extract<PeerMessage, { type: "progress" }>, "type">,
   ): void {
-    const { scheduler, crashes } = board.pool;
+    const { scheduler, suspects } = board.pool;
     const { accounts } = scheduler;
     if (one.phase === "started") accounts.started(one.job, step.now);
     else {
@@ -320,9 +320,10 @@
       if (one.phase === "failed") load.blame(step.now);
       else load.clear(step.now);
     }
-    if (one.crashed === undefined) return;
-    if (crashes.size >= MAX_SUSPECTS) crashes.delete([...crashes.keys()][0]!);
-    crashes.set(one.crashed, (crashes.get(one.crashed) ?? 0) + 1);
+    if (one.crashed !== undefined) {
+      suspects.connectionBroke(one.crashed, one.upstream, step.now);
+    }
+    if (one.answered !== undefined) suspects.answered(one.answered);
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -35,6 +35,7 @@
 
   override step(board: GatewayBoard, step: GatewayStep): void {
     const { register } = board;
+    register.news = [];
     for (const event of step.events) {
       if (event.type === "register_read") {
         this.#reader.done(step, event.next);
@@ -49,7 +50,7 @@
       }
     }
     const expired = register.table.expire(step.now);
-    this.#report(step, expired);
+    this.#report(board, step, expired);
     this.#push(board, step, changesOf(board, expired));
     this.#changedSince ||= expired.length > 0;
     const next = register.table.nextExpiry();
@@ -92,7 +93,7 @@
       ? table.replace(entriesOf(batch.changes), { lapseUntil })
       : batch.changes.flatMap((one) => table.take(one, { lapseUntil }) ?? []);
     register.offset = batch.next;
-    this.#report(step, news);
+    this.#report(board, step, news);
     const changes = changesOf(board, news);
     this.#push(board, step, changes);
     if (changes.length === 0 && !this.#changedSince) return;
@@ -122,7 +123,7 @@
       const { stand, since, changes } = message;
       if (since > register.offset || stand.offset < register.offset) return;
       const news = changes.flatMap((one) => register.table.take(one) ?? []);
-      this.#report(step, news);
+      this.#report(board, step, news);
       if (news.length > 0) register.changedAt = stand.offset;
       this.#goOn(board, step, stand);
     }
@@ -135,7 +136,7 @@
   ): void {
     const { register } = board;
     const news = register.table.replace(entries);
-    this.#report(step, news);
+    this.#report(board, step, news);
     if (news.length > 0) this.#changedSince = true;
   }
 
@@ -182,7 +183,12 @@
     }
   }
 
-  #report(step: GatewayStep, news: readonly UpstreamNews[]): void {
+  #report(
+    board: GatewayBoard,
+    step: GatewayStep,
+    news: readonly UpstreamNews[],
+  ): void {
+    board.register.news = [...board.register.news, ...news];
     for (const { kind, id } of news) {
       step.line("upstream", { upstream: id, how: kind });
       if (kind === "restarted") {
