--- a/src/cli/app.ts
+++ b/src/cli/app.ts
@@ -5,6 +5,7 @@
 import { checkCommand } from "./verbs/check.ts";
 import { diffCommand } from "./verbs/diff.ts";
 import { drainCommand } from "./verbs/drain.ts";
+import { explainCommand } from "./verbs/explain.ts";
 import { historyCommand } from "./verbs/history.ts";
 import { recordCommand } from "./verbs/record.ts";
 import { sendCommand } from "./verbs/send.ts";
@@ -23,6 +24,7 @@
     drain: drainCommand(run),
     send: sendCommand(run),
     record: recordCommand(run),
+    explain: explainCommand(run),
   };
 }
 
