--- /dev/null
+++ b/src/gateway/event_log_test.ts
@@ -0,0 +1,31 @@
+import { mkdtempSync, openSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import type { Timestamp } from "../core/time.ts";
+import { EventLog } from "./event_log.ts";
+
+function logTo(file: string, now: () => number): EventLog {
+  return EventLog.create({ vm: "vm-1" }, {
+    now: () => now() as Timestamp,
+    fd: openSync(file, "w"),
+  });
+}
+
+test("a kind has a budget in each second, and what it left out is counted", async () => {
+  const file = join(mkdtempSync(join(tmpdir(), "log-")), "out");
+  let now = 0;
+  const log = logTo(file, () => now);
+  for (let i = 0; i < 100; i += 1) log.line("place", { i });
+  log.line("config", { to: 2 });
+  now = 1_000;
+  log.line("place", { i: 100 });
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  log.close();
+  const lines = readFileSync(file, "utf8").trim().split("\n")
+    .map((line) => JSON.parse(line));
+  expect(lines.filter((line) => line.kind === "place")).toHaveLength(61);
+  expect(lines.find((line) => line.kind === "left_out"))
+    .toMatchObject({ of: "place", count: 40, vm: "vm-1" });
+  expect(lines.filter((line) => line.kind === "config")).toHaveLength(1);
+});
--- /dev/null
+++ b/src/gateway/front_server_test.ts
@@ -0,0 +1,377 @@
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { PlatformDialect } from "../../platform/wire/dialect.ts";
+import type { Timestamp } from "../core/time.ts";
+import { createFakePort, servingOf } from "../testing/fake_gateway_port.ts";
+import { FrontServer } from "./front_server.ts";
+import { RouteTable } from "./route_table.ts";
+import type { Route } from "./serving.ts";
+
+/** How long after a time-out the platform accepts the final answer. */
+const LATE_MS = 500;
+
+type Handler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  body: string,
+) => void;
+
+let upstreams: Server[] = [];
+let front: FrontServer;
+let port = 0;
+let fake: ReturnType<typeof createFakePort>;
+let routes: RouteTable | undefined;
+let drainingSince: Timestamp | undefined;
+let seen: { headers: IncomingMessage["headers"]; body: string; url: string }[] =
+  [];
+
+async function start(
+  handlers: readonly Handler[],
+  fields: Partial<Route> = {},
+): Promise<void> {
+  const addresses: string[] = [];
+  for (const handle of handlers) {
+    const server = createServer((req, res) => {
+      let body = "";
+      req.on("data", (chunk) => body += chunk);
+      req.on("end", () => {
+        seen.push({ headers: req.headers, body, url: req.url ?? "" });
+        res.setHeader("X-Request-Id", String(req.headers["x-request-id"]));
+        handle(req, res, body);
+      });
+    });
+    upstreams.push(server);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  }
+  fake = createFakePort(PlatformDialect.create(), addresses);
+  routes = RouteTable.create(servingOf(fields));
+  front = FrontServer.create(fake, {
+    routes: () => routes,
+    drainingSince: () => drainingSince,
+  });
+  port = await freePort();
+  await front.listen("127.0.0.1", port);
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port: free } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return free;
+}
+
+beforeEach(() => {
+  upstreams = [];
+  seen = [];
+  routes = undefined;
+  drainingSince = undefined;
+});
+afterEach(() => {
+  front.close();
+  for (const server of upstreams) {
+    server.closeAllConnections();
+    server.close();
+  }
+});
+
+type Answer = {
+  status: number;
+  headers: IncomingMessage["headers"];
+  body: string;
+  whole: boolean;
+};
+
+function send(
+  path: string,
+  options: {
+    method?: string;
+    headers?: Record<string, string>;
+    body?: string | Buffer;
+  } = {},
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host: "127.0.0.1",
+      port,
+      path,
+      method: options.method ?? "POST",
+      agent: false,
+      headers: {
+        host: "h.example",
+        "x-request-id": "r1",
+        "x-deadline-ms": "900",
+        authorization: "Bearer key-1",
+        ...options.headers,
+      },
+    }, (res) => {
+      let body = "";
+      res.on("data", (chunk) => body += chunk);
+      res.on("error", () => {});
+      res.on("close", () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body,
+          whole: res.complete,
+        }));
+    });
+    req.on("error", reject);
+    req.end(options.body);
+  });
+}
+
+function answer(res: ServerResponse, body: string, status = 200): void {
+  res.writeHead(status, {
+    "X-Response-Seal": "seal",
+    "Content-Length": body.length,
+  });
+  res.end(body);
+}
+
+function events(res: ServerResponse, ids: readonly number[]): void {
+  res.writeHead(200, {
+    "X-Response-Seal": "seal",
+    "Content-Type": "text/event-stream",
+  });
+  for (const id of ids) res.write(`id: ${id}\ndata: ${id}\n\n`);
+}
+
+describe("what passes through", () => {
+  test("method, path, body and the client's headers, not those of a connection or of the system", async () => {
+    await start([(_req, res) => answer(res, "fine")]);
+    const res = await send("/lookup/a%20b?x=1", {
+      headers: {
+        "x-custom": "kept",
+        "x-tenant": "forged",
+        "x-helper-nodes": "10.0.0.1:1",
+        "keep-alive": "timeout=5",
+      },
+      body: "bytes",
+    });
+    expect([res.status, res.body, res.headers["x-response-seal"]])
+      .toEqual([200, "fine", "seal"]);
+    const [one] = seen;
+    expect(one?.url).toBe("/lookup/a%20b?x=1");
+    expect(one?.body).toBe("bytes");
+    expect(one?.headers["x-custom"]).toBe("kept");
+    expect(one?.headers["x-tenant"]).toBe("makers");
+    expect(one?.headers["x-helper-nodes"]).toBeUndefined();
+    expect(one?.headers.authorization).toBeUndefined();
+    expect(one?.headers["x-expect-instance"]).toBe("e0");
+    expect(Number(one?.headers["x-deadline-ms"])).toBeLessThanOrEqual(900);
+  });
+
+  test("an upstream's failure of a request that may not be repeated", async () => {
+    await start([(_req, res) => answer(res, "broken", 500)]);
+    const res = await send("/reserve/x");
+    expect([res.status, res.body]).toEqual([500, "broken"]);
+    expect(seen).toHaveLength(1);
+  });
+});
+
+describe("what is turned away at once", () => {
+  const ok: Handler = (_req, res) => answer(res, "fine");
+
+  test.each([
+    ["an unknown path", "/none/x", {}, 404],
+    ["another host", "/lookup/x", { host: "other.example" }, 404],
+    ["an unknown key", "/lookup/x", { authorization: "Bearer no" }, 401],
+    ["no key", "/lookup/x", { authorization: "" }, 401],
+    [
+      "a head that is too large",
+      "/lookup/x",
+      { "x-big": "y".repeat(17_000) },
+      431,
+    ],
+    [
+      "a body that says it is too large",
+      "/lookup/x",
+      { "content-length": "5000000" },
+      413,
+    ],
+  ])("%s", async (_name, path, headers, status) => {
+    await start([ok]);
+    const res = await send(path, { headers, method: "GET" }).catch(() => ({
+      status,
+    }));
+    expect(res.status).toBe(status);
+    expect(seen).toEqual([]);
+  });
+
+  test("a public route needs no key, and an unknown one names no team", async () => {
+    await start([ok]);
+    const headers = { authorization: "Bearer no", "x-tenant": "forged" };
+    expect((await send("/public/x", { headers })).status).toBe(200);
+    expect(seen[0]?.headers["x-tenant"]).toBeUndefined();
+  });
+
+  test("anything before a configuration is known, with a time to come back", async () => {
+    await start([ok]);
+    routes = undefined;
+    const res = await send("/lookup/x");
+    expect([res.status, res.headers["retry-after"]]).toEqual([503, "0.50"]);
+  });
+
+  test("anything long after the daemon began to leave", async () => {
+    await start([ok]);
+    drainingSince = (performance.now() - 4_000) as Timestamp;
+    const res = await send("/lookup/x");
+    expect([res.status, res.headers.connection]).toEqual([503, "close"]);
+    drainingSince = (performance.now() - 1_000) as Timestamp;
+    expect((await send("/lookup/x")).status).toBe(200);
+  });
+
+  test.each([
+    ["two lengths", "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc"],
+    [
+      "a length beside chunks",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+    ["a broken header", "Bad Header: x\r\n\r\n"],
+  ])("smuggled framing: %s", async (_name, rest) => {
+    await start([ok]);
+    const text = await new Promise<string>((resolve) => {
+      const socket = connect(port, "127.0.0.1");
+      let got = "";
+      socket.on("data", (chunk) => got += chunk);
+      socket.on("error", () => {});
+      socket.on("close", () => resolve(got));
+      socket.write(
+        "POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n" +
+          `Authorization: Bearer key-1\r\n${rest}`,
+      );
+    });
+    expect(text.startsWith("HTTP/1.1 400")).toBe(true);
+    expect(seen).toEqual([]);
+  });
+});
+
+describe("failures of upstreams", () => {
+  test("a repeatable request is answered by another one", async () => {
+    await start([
+      (_req, res) => answer(res, "broken", 500),
+      (_req, res) => answer(res, "fine"),
+    ]);
+    const res = await send("/lookup/x");
+    expect([res.status, res.body]).toEqual([200, "fine"]);
+  });
+
+  test("a request that may not be repeated ends in 502 once a byte was sent", async () => {
+    await start([
+      (req) => req.socket.destroy(),
+      (_req, res) => answer(res, "fine"),
+    ]);
+    const res = await send("/reserve/x");
+    expect(res.status).toBe(502);
+    expect(seen).toHaveLength(1);
+    expect(fake.notes.problems).toEqual(["upstream_failed may_have_run"]);
+  });
+
+  test("it is sent to another upstream where the first has not run it", async () => {
+    await start([
+      (_req, res) => {
+        res.writeHead(503, { "X-Not-Executed": "1" });
+        res.end();
+      },
+      (_req, res) => answer(res, "fine"),
+    ]);
+    expect((await send("/reserve/x")).body).toBe("fine");
+  });
+
+  test("an answer without a digest is none", async () => {
+    await start([(_req, res) => res.end("who knows")]);
+    expect((await send("/reserve/x")).status).toBe(502);
+  });
+
+  test("a silent upstream of a request that may not be repeated: 504 at the route's time-out", async () => {
+    await start([() => {}], { timeoutMs: 200 });
+    const from = performance.now();
+    const res = await send("/reserve/x");
+    expect(res.status).toBe(504);
+    expect(performance.now() - from).toBeLessThan(200 + LATE_MS);
+  });
+});
+
+describe("streams", () => {
+  test("go on at another upstream within one answer", async () => {
+    await start([
+      (req, res) => {
+        events(res, [1, 2]);
+        setTimeout(() => req.socket.destroy(), 20);
+      },
+      (_req, res) => {
+        events(res, [3, 4]);
+        res.end();
+      },
+    ]);
+    const res = await send("/ask/x");
+    expect(res.whole).toBe(true);
+    expect(res.body).toBe(
+      [1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`).join(""),
+    );
+    expect(seen[1]?.headers["last-event-id"]).toBe("2");
+  });
+
+  test("that can't go on end broken, never as if they were whole", async () => {
+    await start([
+      (req, res) => {
+        events(res, [1]);
+        setTimeout(() => req.socket.destroy(), 20);
+      },
+    ], { resumable: false });
+    const res = await send("/ask/x");
+    expect([res.status, res.whole]).toEqual([200, false]);
+  });
+
+  test("that last longer than their route allows are cut at the time-out", async () => {
+    await start([(_req, res) => events(res, [1])], { timeoutMs: 300 });
+    const from = performance.now();
+    const res = await send("/ask/x");
+    expect(res.whole).toBe(false);
+    expect(performance.now() - from).toBeLessThan(300 + LATE_MS);
+  });
+
+  test("are cancelled at the upstream when the client leaves", async () => {
+    let closed = false;
+    await start([(req, res) => {
+      events(res, [1]);
+      req.socket.on("close", () => closed = true);
+    }]);
+    await new Promise<void>((resolve) => {
+      const req = request({
+        host: "127.0.0.1",
+        port,
+        path: "/ask/x",
+        method: "POST",
+        agent: false,
+        headers: {
+          host: "h.example",
+          "x-request-id": "r1",
+          authorization: "Bearer key-1",
+        },
+      }, (res) => {
+        res.on("error", () => {});
+        res.once("data", () => {
+          req.destroy();
+          resolve();
+        });
+      });
+      req.on("error", () => {});
+      req.end();
+    });
+    await expect.poll(() => closed, { timeout: 2_000 }).toBe(true);
+    expect(fake.notes.lines).toContain("client_left");
+  });
+});
--- /dev/null
+++ b/src/gateway/gateway_metrics_test.ts
@@ -0,0 +1,24 @@
+import { expect, test } from "vitest";
+import { REFUSALS, RetrySchema } from "../core/reason.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+
+test("every reason to refuse and to retry has a counter from the start", async () => {
+  const text = await GatewayMetrics.create().text({});
+  for (const code of Object.keys(REFUSALS)) {
+    expect(text).toContain(`parsleyfield_problems_total{code="${code}"`);
+  }
+  for (const cause of RetrySchema.options) {
+    expect(text).toContain(`parsleyfield_retries_total{cause="${cause}"}`);
+  }
+});
+
+test("the number of series is bounded, whatever is measured", async () => {
+  const metrics = GatewayMetrics.create();
+  for (let tokens = 0; tokens < 1_000_000; tokens += 1_000) {
+    metrics.firstEvent(tokens, tokens / 100);
+    metrics.placed(tokens, 1);
+    metrics.whole(tokens, tokens / 50);
+  }
+  const text = await metrics.text({ peers: 3 });
+  expect(text.split("\n").length).toBeLessThan(400);
+});
--- /dev/null
+++ b/src/testing/fake_gateway_port.ts
@@ -0,0 +1,124 @@
+import { performance } from "node:perf_hooks";
+import { ok, okAsync } from "neverthrow";
+import type {
+  DomainId,
+  ServiceId,
+  TeamId,
+  UpstreamId,
+  VmId,
+} from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { Dialect } from "../gateway/dialect.ts";
+import { EngineOrders } from "../gateway/engine_orders.ts";
+import type { ExchangePort } from "../gateway/exchange_port.ts";
+import type { Route, Serving } from "../gateway/serving.ts";
+import { emptyServing } from "./fake_gateway_fleet.ts";
+
+/** Orders that always succeed. */
+export class FakeOrders extends EngineOrders {
+  readonly seen: string[] = [];
+
+  override reserve(one: Parameters<EngineOrders["reserve"]>[0]) {
+    this.seen.push(`reserve ${one.ticket} ${one.tokens}`);
+    return okAsync(undefined);
+  }
+
+  override release(_address: string, ticket: string) {
+    this.seen.push(`release ${ticket}`);
+    return okAsync(undefined);
+  }
+}
+
+/** What a fake port has noted. */
+export type PortNotes = {
+  readonly lines: string[];
+  readonly progress: string[];
+  readonly problems: string[];
+};
+
+/** A port that places requests on the given upstreams, one after the other. */
+export function createFakePort(
+  dialect: Dialect,
+  addresses: readonly string[],
+): ExchangePort & { readonly notes: PortNotes } {
+  const notes: PortNotes = { lines: [], progress: [], problems: [] };
+  let placed = 0;
+  return {
+    notes,
+    dialect,
+    orders: new FakeOrders(),
+    now: () => performance.now() as Timestamp,
+    draw: () => 0,
+    self: { vm: "vm" as VmId, domain: "a" as DomainId },
+    place: (ask, reply) => {
+      const address = addresses[placed % addresses.length]!;
+      const upstream = `e${placed % addresses.length}` as UpstreamId;
+      placed += 1;
+      const grant = {
+        job: {
+          id: ask.job,
+          vm: ask.vm,
+          service: ask.service,
+          kind: ask.kind,
+          upstream,
+          helpers: [],
+          tickets: [],
+          tokens: ask.promptTokens,
+          partMs: 0,
+          pauseMs: ask.pauseMs,
+          writing: false,
+          placedAt: 0 as Timestamp,
+        },
+        addresses: { [upstream]: address },
+        priority: 1,
+        expectMs: 0,
+      };
+      queueMicrotask(() => reply(ok(grant)));
+    },
+    withdraw: () => {},
+    progress: (_job, upstream, news) =>
+      notes.progress.push(`${upstream} ${news.phase}`),
+    upstreamAt: () => undefined,
+    isClosed: () => false,
+    firstSend: () => {},
+    spendRepeat: () => true,
+    line: (kind) => notes.lines.push(kind),
+    observe: {
+      placed: () => {},
+      firstEvent: () => {},
+      whole: () => {},
+      retried: () => {},
+      problem: (code, verdict) => notes.problems.push(`${code} ${verdict}`),
+      ended: () => {},
+    },
+  };
+}
+
+/** A configuration with one route of each kind, and one team. */
+export function servingOf(fields: Partial<Route> = {}): Serving {
+  const route = (name: string, kind: Route["kind"]): Route => ({
+    name,
+    host: "h.example",
+    prefix: `/${name}/`,
+    kind,
+    backends: [{ service: "s" as ServiceId, weight: 1 }],
+    timeoutMs: 1_000,
+    targetMs: 300,
+    pauseMs: 250,
+    rank: 1,
+    maxAttempts: 2,
+    open: false,
+    resumable: kind === "stream",
+    ...fields,
+  });
+  return {
+    ...emptyServing(1),
+    routes: [
+      route("lookup", "repeatable"),
+      route("reserve", "once"),
+      route("ask", "stream"),
+      { ...route("public", "repeatable"), open: true },
+    ],
+    teams: [{ id: "makers" as TeamId, keys: ["key-1"] }],
+  };
+}
