--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -43,13 +43,12 @@
   options: Readonly<{ dueInMs: Millis; endsInMs: Millis }>,
 ): LongPlace | NoLongPlace {
   const { ask, pace, now } = choice;
-  const free = choice.candidates.filter((one) =>
-    one.load.waitMs(now) <= FREE_MS
-  );
+  const candidates = trusted(choice);
+  const free = candidates.filter((one) => one.load.waitMs(now) <= FREE_MS);
   const loose = (one: Candidate) => one.load.tight === 0;
   const looseFree = free.filter(loose).length;
   const total = prefillMs(pace, ask.promptTokens);
-  const wanted = enginesWanted(choice.candidates.filter(loose).length, total);
+  const wanted = enginesWanted(candidates.filter(loose).length, total);
   if (free.length === 0 || looseFree < wanted) return "busy";
   const ranked = [...free].sort((a, b) =>
     a.load.tight - b.load.tight ||
@@ -75,7 +74,7 @@
   if (best === undefined) return "busy";
   const memory = planMemory(choice, {
     chosen: ranked.slice(0, best.count),
-    rest: choice.candidates.filter((one) => !ranked.includes(one))
+    rest: candidates.filter((one) => !ranked.includes(one))
       .concat(ranked.slice(best.count)),
   });
   if (memory === undefined) return "no_memory";
@@ -83,6 +82,13 @@
   return { ...memory, partMs, expectMs: best.expectMs };
 }
 
+/** Leaves out engines that have just failed, unless most have: a silent helper holds up the whole prompt. */
+function trusted(choice: PromptChoice): readonly Candidate[] {
+  const { candidates, now } = choice;
+  const rest = candidates.filter((one) => !one.load.isSuspect(now));
+  return rest.length >= candidates.length / 2 ? rest : candidates;
+}
+
 /** Free engines that a prompt waits for, of those that bear long parts. */
 function enginesWanted(loose: number, totalMs: Millis): number {
   return Math.min(
@@ -93,7 +99,7 @@
 
 /** Time until enough engines are free for a prompt, as far as is known. */
 export function freeInMs(choice: PromptChoice): Millis {
-  const loose = choice.candidates.filter((one) => one.load.tight === 0);
+  const loose = trusted(choice).filter((one) => one.load.tight === 0);
   const total = prefillMs(choice.pace, choice.ask.promptTokens);
   const wanted = enginesWanted(loose.length, total);
   const waits = loose.map((one) => one.load.waitMs(choice.now))
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -183,6 +183,19 @@
     expect(place.partMs).toBeLessThan(200);
   });
 
+  test("don't depend on an engine that has just failed", () => {
+    const all = Array.from({ length: 8 }, (_, i) => engine(`e${i}`));
+    all[3]!.load.blame(NOW);
+    const place = placeLong(choice(all, long), {
+      dueInMs: 2_950,
+      endsInMs: 11_000,
+    });
+    if (typeof place === "string") throw new Error(place);
+    const ids = [place.engine, ...place.helpers].map((one) => one.id);
+    expect(ids).not.toContain("e3");
+    expect(ids).toHaveLength(7);
+  });
+
   test("reserve memory on other engines where one can't hold them", () => {
     const all = Array.from({ length: 8 }, (_, i) => engine(`e${i}`));
     const place = placeLong(
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -8,6 +8,8 @@
 /** How long a failure keeps an upstream at a disadvantage; longer than most transient faults last. */
 const DISTRUST_MS: Millis = 4_000;
 const MAX_FAULTS = 8;
+/** What is left of one failure after three of the four seconds. */
+const SUSPECT_FAULTS = 0.25;
 
 /** What is known of the work of one upstream: all that was placed there and has not ended. */
 export class UpstreamLoad {
@@ -89,6 +91,11 @@
     this.#faultAt = now;
   }
 
+  /** Whether it failed so lately that nothing should depend on it. */
+  isSuspect(now: Timestamp): boolean {
+    return this.#faultsAt(now) >= SUSPECT_FAULTS;
+  }
+
   /** Recent failures, fading with time. */
   faults(now: Timestamp): number {
     return this.#faultsAt(now);
