--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -3,6 +3,8 @@
 
 /** Time in which an upstream's crash shows in the register: its entry lapses, or another process takes its place. */
 const CONFIRM_MS: Millis = 10_000;
+/** Connections with different contents that break within this time broke because their upstream crashed. */
+const TOGETHER_MS: Millis = 300;
 /** How long a content that has crashed upstreams is held against it. */
 const REMEMBER_MS: Millis = 60_000;
 /** Confirmed crashes after which the content is refused. */
@@ -15,7 +17,8 @@
 
 /**
  * Tells content that crashes the upstreams that run it. A broken connection alone proves nothing: a crash counts
- * only once the register shows that the upstream's process is gone, and an answer clears the content.
+ * only once the upstream's process is seen to be gone (by the register, by a refused connection, or by others that
+ * broke with it), and an answer clears the content.
  */
 export class CrashSuspects {
   #broken: Broken[] = [];
@@ -28,9 +31,14 @@
   /** Takes in that the connection broke on which an upstream ran some content. */
   connectionBroke(digest: string, upstream: UpstreamId, at: Timestamp): void {
     this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
+    const together = this.#broken.some((one) =>
+      one.upstream === upstream && one.digest !== digest &&
+      at - one.at <= TOGETHER_MS
+    );
     if (this.#broken.length < MAX_ENTRIES) {
       this.#broken.push({ digest, upstream, at });
     }
+    if (together) this.upstreamGone(upstream, at);
   }
 
   /** Takes in that an upstream's process is gone. */
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -27,6 +27,16 @@
   expect(suspects.isBad("healthy", at(1_000))).toBe(false);
 });
 
+test("connections that break together show a crash at once", () => {
+  const suspects = CrashSuspects.create();
+  for (const name of ["e1", "e2"]) {
+    suspects.connectionBroke(`beside on ${name}`, upstream(name), at(0));
+    suspects.connectionBroke("poison", upstream(name), at(10));
+  }
+  expect(suspects.isBad("poison", at(20))).toBe(true);
+  expect(suspects.isBad("beside on e1", at(20))).toBe(false);
+});
+
 test("an answer clears the content, as popular content was running wherever something crashed", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -384,6 +384,7 @@
     this.#port.progress(job.id, culprit ?? job.upstream, {
       phase: failure?.blamed === true ? "failed" : "ended",
       crashed,
+      unreachable: failure?.cause === "connect_failed" ? true : undefined,
       answered: this.#answered ? this.#req.digest : undefined,
     });
   }
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -14,6 +14,7 @@
 export type JobNews = Readonly<{
   phase: "started" | "ended" | "failed";
   crashed?: string;
+  unreachable?: boolean;
   answered?: string;
 }>;
 
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -19,6 +19,7 @@
     upstream: UpstreamId;
     phase: "started" | "ended" | "failed";
     crashed?: string;
+    unreachable?: boolean;
     answered?: string;
   }>
   | Readonly<{ type: "serving_read"; serving?: Serving; next: number }>
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -145,6 +145,8 @@
     phase: z.enum(["started", "ended", "failed"]),
     /** Digest of the content that was running when its connection broke. */
     crashed: z.string().optional(),
+    /** Whether nobody took a connection at the upstream's address. */
+    unreachable: z.boolean().optional(),
     /** Digest of content that was answered well. */
     answered: z.string().optional(),
   }),
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -323,6 +323,7 @@
     if (one.crashed !== undefined) {
       suspects.connectionBroke(one.crashed, one.upstream, step.now);
     }
+    if (one.unreachable === true) suspects.upstreamGone(one.upstream, step.now);
     if (one.answered !== undefined) suspects.answered(one.answered);
   }
 
