--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -12,6 +12,10 @@
 const ENOUGH_FREE = 0.5;
 /** Prefill for which one engine more is waited for. */
 const WAIT_PART_MS: Millis = 500;
+/** Part of the engines that is kept free of larger parts, for short prompts that come meanwhile. */
+const SPARE_ENGINES = 0.125;
+/** A part that a short prompt can wait for. */
+const SMALL_PART_MS: Millis = 150;
 /** Costs, in tokens that are late, of each ms until the first event, and of each ms of prefill beside a stream. */
 const FINISH_COST = 30;
 const BESIDE_COST = 1;
@@ -55,7 +59,11 @@
     handicapMs(choice, a) - handicapMs(choice, b) || a.load.own - b.load.own
   );
   let best: { count: number; cost: number; expectMs: Millis } | undefined;
-  const most = Math.min(ranked.length, MAX_HELPERS + 1);
+  const all = Math.min(ranked.length, MAX_HELPERS + 1);
+  const spare = enginesToSpare(candidates);
+  const most = total / all <= SMALL_PART_MS
+    ? all
+    : Math.max(1, Math.min(all, ranked.length - spare));
   for (let count = 1; count <= most; count += 1) {
     const chosen = ranked.slice(0, count);
     const partMs = total / count;
@@ -89,6 +97,12 @@
   return rest.length >= candidates.length / 2 ? rest : candidates;
 }
 
+/** Engines without tight streams that are left to short prompts, where those have fewer than their part already. */
+function enginesToSpare(candidates: readonly Candidate[]): number {
+  const tight = candidates.filter((one) => one.load.tight > 0).length;
+  return Math.max(0, Math.ceil(candidates.length * SPARE_ENGINES) - tight);
+}
+
 /** Free engines that a prompt waits for, of those that bear long parts. */
 function enginesWanted(loose: number, totalMs: Millis): number {
   return Math.min(
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -168,7 +168,7 @@
         {
           retryAfterMs: Math.max(
             COME_BACK_MS,
-            backlogMs(waiters, { engines, now }),
+            Math.ceil(backlogMs(waiters, { engines, now })),
           ),
         },
       ));
@@ -196,7 +196,7 @@
       return err(problem(
         "deadline_unreachable",
         `The first event is expected in ${Math.round(expectMs)} ms`,
-        { retryAfterMs: Math.max(COME_BACK_MS, expectMs - limitMs) },
+        { retryAfterMs: Math.ceil(Math.max(COME_BACK_MS, expectMs - limitMs)) },
       ));
     }
     const partMs = prefillMs(pace, ask.promptTokens);
