--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,21 +2,29 @@
 import type { UpstreamId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
-import { joinVerdicts, type Verdict } from "../core/verdict.ts";
+import { joinVerdicts } from "../core/verdict.ts";
 import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientAnswer } from "./client_answer.ts";
 import type { ClientHead } from "./dialect.ts";
+import {
+  AnswerTimes,
+  askOf,
+  chooseBackend,
+  helpersOf,
+  notSent,
+} from "./exchange_parts.ts";
 import type { ExchangePort } from "./exchange_port.ts";
-import { type AttemptFailure, decideRetry } from "./retry_rule.ts";
+import type { AttemptFailure } from "./retry_rule.ts";
 import type { Admitted } from "./route_table.ts";
 import { type Backend, isRepeatable } from "./serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
+import { TryHistory } from "./try_history.ts";
 import { type Patience, patienceOf } from "./watchdog.ts";
 
-/** Time that the last answer takes to the client. */
-const ANSWER_MS: Millis = 20;
+/** When to come back after a failure that may be over soon. */
+const COME_BACK_MS: Millis = 200;
 
 /** What an exchange is about. */
 export type ExchangeRequest = Readonly<{
@@ -37,10 +45,7 @@
   readonly #answer: ClientAnswer;
   readonly #relay: AnswerRelay;
   readonly #backend: Backend;
-  readonly #avoid: UpstreamId[] = [];
-  #verdict: Verdict = "not_run";
-  #placed = 0;
-  #runs = 0;
+  readonly #tries: TryHistory;
   #job: JobId | undefined;
   #grant: PoolGrant | undefined;
   #tickets: TicketKeeper | undefined;
@@ -48,9 +53,7 @@
   #patience: Patience = { firstMs: 0, gapMs: 0 };
   #silence: NodeJS.Timeout | undefined;
   #expectMs: Millis = 0;
-  #firstMs: Millis = 0;
-  #lastAt = 0 as Timestamp;
-  #longestPauseMs: Millis = 0;
+  readonly #times = AnswerTimes.create();
   #limit: NodeJS.Timeout | undefined;
   #over = false;
   #answered = false;
@@ -63,6 +66,7 @@
     this.#port = port;
     this.#req = req;
     this.#answer = answer;
+    this.#tries = TryHistory.create(req.admitted.route);
     this.#backend = chooseBackend(req.admitted.route.backends, port.draw());
     this.#relay = AnswerRelay.create(answer, {
       lastEventId: req.head.lastEventId,
@@ -90,7 +94,7 @@
     if (this.#over) return;
     this.#finish("left");
     this.#line("client_left", {
-      placed: this.#placed,
+      placed: this.#tries.placed,
       events: this.#relay.events,
     });
   }
@@ -112,28 +116,16 @@
   }
 
   #place(): void {
-    const { head, admitted, digest } = this.#req;
-    const { route, team } = admitted;
-    this.#placed += 1;
-    const job = `${head.id}.${this.#placed}` as JobId;
+    const { head } = this.#req;
+    const job = `${head.id}.${this.#tries.place()}` as JobId;
     this.#job = job;
     const askedAt = this.#port.now();
-    const ask = {
+    const ask = askOf(this.#req, this.#port.self, {
       job,
-      req: head.id,
-      vm: this.#port.self.vm,
-      domain: this.#port.self.domain,
-      service: this.#backend.service,
-      kind: route.kind === "stream" ? "prompt" as const : "call" as const,
-      promptTokens: head.promptTokens,
-      answerTokens: head.answerTokens,
-      targetMs: route.targetMs,
-      pauseMs: route.pauseMs,
+      backend: this.#backend,
       leftMs: this.#leftMs(),
-      rank: team?.rank ?? route.rank,
-      digest,
-      avoid: this.#avoid,
-    };
+      avoid: this.#tries.failedOn,
+    });
     this.#port.place(ask, (reply) => {
       if (this.#over || this.#job !== job) return;
       this.#port.observe.placed(head.promptTokens, this.#port.now() - askedAt);
@@ -203,7 +195,7 @@
 
   #onHead(status: number, head: Parameters<AnswerRelay["head"]>[1]): void {
     const refused = this.#relay.head(status, head, {
-      mayRetry: this.#mayRetry("ran"),
+      mayRetry: this.#tries.mayReplaceFailure(this.#leftMs()),
     });
     if (refused === undefined) return;
     const culprit = head.culprit === undefined
@@ -226,21 +218,11 @@
     }
     if (result === "full") attempt?.pause();
     if (this.#relay.progress === before) return;
-    this.#notePause();
+    this.#times.note(this.#port.now(), this.#req.arrivedAt);
     if (before === 0) this.#onFirst();
     this.#watch(this.#patience.gapMs);
   }
 
-  #notePause(): void {
-    const now = this.#port.now();
-    if (this.#firstMs === 0) this.#firstMs = now - this.#req.arrivedAt;
-    else {
-      const pause = now - this.#lastAt;
-      this.#longestPauseMs = Math.max(this.#longestPauseMs, pause);
-    }
-    this.#lastAt = now;
-  }
-
   #onFirst(): void {
     const { head, arrivedAt } = this.#req;
     const job = this.#grant?.job;
@@ -261,10 +243,10 @@
       status: this.#relay.status,
       ms: Math.round(ms),
       expect_ms: Math.round(this.#expectMs),
-      first_ms: Math.round(this.#firstMs),
-      longest_pause_ms: Math.round(this.#longestPauseMs),
+      first_ms: Math.round(this.#times.firstMs),
+      longest_pause_ms: Math.round(this.#times.longestPauseMs),
       events: this.#relay.events,
-      attempts: this.#placed,
+      attempts: this.#tries.placed,
       tokens: head.promptTokens,
     });
     this.#finish("answered");
@@ -273,13 +255,9 @@
   #failAttempt(failure: AttemptFailure, culprit?: UpstreamId): void {
     const grant = this.#grant;
     this.#endAttempt(failure, culprit);
-    if (failure.verdict !== "not_run") this.#runs += 1;
-    this.#verdict = joinVerdicts(this.#verdict, failure.verdict);
-    if (grant !== undefined) this.#avoid.push(culprit ?? grant.job.upstream);
-    const decision = decideRetry(this.#req.admitted.route, failure, {
-      placed: this.#placed,
-      runs: this.#runs,
+    const decision = this.#tries.fail(failure, {
       leftMs: this.#leftMs(),
+      upstream: culprit ?? grant?.job.upstream,
     });
     const retry = decision.type === "retry" && !this.#relay.sealed &&
       this.#port.spendRepeat(this.#backend.service);
@@ -300,27 +278,11 @@
     }
     const code = decision.type === "retry" ? "retry_budget" : decision.code;
     this.#refuse(problem(code, failure.detail, {
-      verdict: this.#verdict,
-      retryAfterMs: failure.retryAfterMs ?? 200,
+      verdict: this.#tries.verdict,
+      retryAfterMs: failure.retryAfterMs ?? COME_BACK_MS,
     }));
   }
 
-  /** Whether a failure with this verdict would be retried. */
-  #mayRetry(verdict: Verdict): boolean {
-    const { route } = this.#req.admitted;
-    const failure = {
-      cause: "upstream_refused",
-      verdict,
-      detail: "",
-      blamed: true,
-    } as const;
-    return decideRetry(route, failure, {
-          placed: this.#placed,
-          runs: this.#runs + 1,
-          leftMs: this.#leftMs(),
-        }).type === "retry" && isRepeatable(route);
-  }
-
   #watch(ms: Millis): void {
     clearTimeout(this.#silence);
     if (!isRepeatable(this.#req.admitted.route)) return;
@@ -337,17 +299,17 @@
   #expire(): void {
     if (this.#over) return;
     const sent = this.#attempt?.verdict ?? "not_run";
-    this.#verdict = joinVerdicts(this.#verdict, sent);
+    this.#tries.weaken(sent);
     this.#refuse(problem("deadline_exceeded", "The time is used up", {
-      verdict: this.#verdict,
-      retryAfterMs: 200,
+      verdict: this.#tries.verdict,
+      retryAfterMs: COME_BACK_MS,
     }));
   }
 
   #refuse(err: Problem): void {
     const joined = {
       ...err,
-      verdict: joinVerdicts(err.verdict, this.#verdict),
+      verdict: joinVerdicts(err.verdict, this.#tries.verdict),
     };
     this.#port.observe.problem(joined.code, joined.verdict);
     this.#line("refused", {
@@ -356,7 +318,7 @@
       detail: joined.detail,
       retry_after_ms: joined.retryAfterMs,
       ms: Math.round(this.#port.now() - this.#req.arrivedAt),
-      attempts: this.#placed,
+      attempts: this.#tries.placed,
       events: this.#relay.events,
     });
     this.#finish("failed");
@@ -406,38 +368,3 @@
     });
   }
 }
-
-/** When the final answer of a request must have been given. */
-export function endOf(
-  arrivedAt: Timestamp,
-  options: Readonly<{ timeoutMs: Millis; leftMs?: Millis }>,
-): Timestamp {
-  const left = options.leftMs ?? Infinity;
-  return arrivedAt + Math.min(options.timeoutMs, left - ANSWER_MS) as Timestamp;
-}
-
-function chooseBackend(backends: readonly Backend[], draw: number): Backend {
-  const total = backends.reduce((sum, one) => sum + one.weight, 0);
-  let left = draw * total;
-  for (const one of backends) {
-    left -= one.weight;
-    if (left < 0) return one;
-  }
-  return backends[backends.length - 1]!;
-}
-
-function helpersOf(grant: PoolGrant, ticket: string | undefined) {
-  const held = new Set(grant.job.tickets.map((one) => one.upstream));
-  return grant.job.helpers.flatMap((id) => {
-    const address = grant.addresses[id];
-    if (address === undefined) return [];
-    return [held.has(id) ? { address, ticket } : { address }];
-  });
-}
-
-function notSent(
-  cause: AttemptFailure["cause"],
-  detail: string,
-): AttemptFailure {
-  return { cause, verdict: "not_run", detail, blamed: false };
-}
--- /dev/null
+++ b/src/gateway/exchange_parts.ts
@@ -0,0 +1,111 @@
+import type { Millis, Timestamp } from "../core/time.ts";
+import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { ExchangePort } from "./exchange_port.ts";
+import type { ExchangeRequest } from "./exchange.ts";
+import type { AttemptFailure } from "./retry_rule.ts";
+import type { Backend } from "./serving.ts";
+
+/** Time that the last answer takes to the client. */
+const ANSWER_MS: Millis = 20;
+
+/** When the final answer of a request must have been given. */
+export function endOf(
+  arrivedAt: Timestamp,
+  options: Readonly<{ timeoutMs: Millis; leftMs?: Millis }>,
+): Timestamp {
+  const left = options.leftMs ?? Infinity;
+  return arrivedAt + Math.min(options.timeoutMs, left - ANSWER_MS) as Timestamp;
+}
+
+/** Draws one of the services that a route goes to, by their weights. */
+export function chooseBackend(
+  backends: readonly Backend[],
+  draw: number,
+): Backend {
+  const total = backends.reduce((sum, one) => sum + one.weight, 0);
+  let left = draw * total;
+  for (const one of backends) {
+    left -= one.weight;
+    if (left < 0) return one;
+  }
+  return backends[backends.length - 1]!;
+}
+
+/** The engines that prefill a part, with the ticket of those that hold memory. */
+export function helpersOf(grant: PoolGrant, ticket: string | undefined) {
+  const held = new Set(grant.job.tickets.map((one) => one.upstream));
+  return grant.job.helpers.flatMap((id) => {
+    const address = grant.addresses[id];
+    if (address === undefined) return [];
+    return [held.has(id) ? { address, ticket } : { address }];
+  });
+}
+
+/** An attempt that was given up before a byte was sent. */
+export function notSent(
+  cause: AttemptFailure["cause"],
+  detail: string,
+): AttemptFailure {
+  return { cause, verdict: "not_run", detail, blamed: false };
+}
+
+/** What the scheduler is asked for one attempt. */
+export function askOf(
+  req: ExchangeRequest,
+  self: ExchangePort["self"],
+  attempt: Readonly<{
+    job: JobId;
+    backend: Backend;
+    leftMs: Millis;
+    avoid: PoolAsk["avoid"];
+  }>,
+): PoolAsk {
+  const { head, admitted, digest } = req;
+  const { route, team } = admitted;
+  return {
+    job: attempt.job,
+    req: head.id,
+    vm: self.vm,
+    domain: self.domain,
+    service: attempt.backend.service,
+    kind: route.kind === "stream" ? "prompt" : "call",
+    promptTokens: head.promptTokens,
+    answerTokens: head.answerTokens,
+    targetMs: route.targetMs,
+    pauseMs: route.pauseMs,
+    leftMs: attempt.leftMs,
+    rank: team?.rank ?? route.rank,
+    digest,
+    avoid: attempt.avoid,
+  };
+}
+
+/** Notes when an answer's bytes came. */
+export class AnswerTimes {
+  #firstMs: Millis = 0;
+  #lastAt = 0 as Timestamp;
+  #longestPauseMs: Millis = 0;
+
+  static create(): AnswerTimes {
+    return new AnswerTimes();
+  }
+
+  /** Time from the request's arrival to the first bytes; 0 before them. */
+  get firstMs(): Millis {
+    return this.#firstMs;
+  }
+
+  get longestPauseMs(): Millis {
+    return this.#longestPauseMs;
+  }
+
+  /** Takes in that bytes have come. */
+  note(now: Timestamp, arrivedAt: Timestamp): void {
+    if (this.#firstMs === 0) this.#firstMs = now - arrivedAt;
+    else {
+      const pauseMs = now - this.#lastAt;
+      this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    }
+    this.#lastAt = now;
+  }
+}
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -11,7 +11,8 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import { ClientAnswer } from "./client_answer.ts";
 import type { ClientHead } from "./dialect.ts";
-import { endOf, Exchange } from "./exchange.ts";
+import { Exchange } from "./exchange.ts";
+import { endOf } from "./exchange_parts.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import type { Admitted, RouteTable } from "./route_table.ts";
 
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -1,47 +1,29 @@
 import { err } from "neverthrow";
 import type { UpstreamId, VmId } from "../core/id.ts";
 import { problem } from "../core/problem.ts";
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import type { Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
+import { AskCourier } from "./ask_courier.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent } from "./gateway_event.ts";
 import { headsOf, liveMs } from "./members_controller.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
-/** Time until an ask is sent once more: some round trips between domains, and the answerer's turn. */
-const RESEND_MS: Millis = 45;
-/** Time until a daemon places by itself. */
-const GIVE_UP_MS: Millis = 110;
-/** Time until an ask that waits for engines is repeated. */
-const ASK_AGAIN_MS: Millis = 400;
-/** How long a leader that left an ask unanswered is not asked again. */
-const DISTRUST_MS: Millis = 800;
 /** Stands for the upstream of a request that had no place yet. */
 const NO_UPSTREAM = "-" as UpstreamId;
 
-type Waiting = {
-  readonly ask: PoolAsk;
-  /** Who was asked. */
-  asked: VmId;
-  /** Since when it has not answered. */
-  silentSince: Timestamp;
-  resendAt: Timestamp;
-};
-
 /** Where the decision on a job goes: to a peer address, or nowhere else. */
 type ReplyTo = string | undefined;
 
 /** Gets a place for each request: from the daemon that places for all or, while that is silent, by itself. */
 export class PlacementController extends GatewayController {
-  readonly #waiting = new Map<JobId, Waiting>();
+  readonly #courier = AskCourier.create();
   /** Where the decisions on jobs that wait for engines go. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are counted here, and when they last listed them. */
   readonly #reporters = new Map<VmId, Timestamp>();
-  /** Daemons that left an ask unanswered, and until when they are not asked. */
-  readonly #distrust = new Map<VmId, Timestamp>();
 
   static create(): PlacementController {
     return new PlacementController();
@@ -49,105 +31,38 @@
 
   override step(board: GatewayBoard, step: GatewayStep): void {
     for (const event of step.events) this.#take(board, step, event);
-    for (const { kind, id } of board.register.news) {
-      if (kind !== "gone" && kind !== "restarted") continue;
-      board.pool.suspects.upstreamGone(id, step.now);
-    }
-    for (const [job, waiting] of this.#waiting) {
-      this.#pursue(board, step, job, waiting);
+    this.#followRegister(board, step);
+    for (const ask of this.#courier.pursue(board, step)) {
+      this.#submit(board, step, ask, undefined);
     }
     this.#forgetSilent(board, step);
     this.#decide(board, step);
   }
 
+  #followRegister(board: GatewayBoard, step: GatewayStep): void {
+    const { register, pool } = board;
+    const gone = register.news.filter(({ kind }) =>
+      kind === "gone" || kind === "restarted"
+    );
+    if (gone.length === 0) return;
+    for (const { id } of gone) pool.suspects.upstreamGone(id, step.now);
+    const ids = register.table.all().map((one) => one.id);
+    pool.scheduler.accounts.retain(new Set(ids));
+  }
+
   #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
-    const { scheduler } = board.pool;
     if (event.type === "place") this.#ask(board, step, event.ask);
     if (event.type === "withdraw") this.#withdraw(board, step, event.job);
     if (event.type === "job") {
       this.#progress(board, step, event);
       this.#tellHeads(board, step, { ...event, type: "progress" });
     }
-    if (event.type === "register_read") {
-      const ids = board.register.table.all().map((one) => one.id);
-      scheduler.accounts.retain(new Set(ids));
-    }
     if (event.type === "message") this.#hear(board, step, event.message);
   }
 
   #ask(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const to = this.#whom(board, step.now);
-    if (to === undefined) this.#submit(board, step, ask, undefined);
-    else this.#askOne(board, step, ask, to);
-  }
-
-  #askOne(
-    board: GatewayBoard,
-    step: GatewayStep,
-    ask: PoolAsk,
-    to: VmId,
-  ): void {
-    this.#send(board, step, ask, to);
-    this.#waiting.set(ask.job, {
-      ask,
-      asked: to,
-      silentSince: step.now,
-      resendAt: addMs(step.now, RESEND_MS),
-    });
-  }
-
-  /** Who places: the leader, or the deputy while the leader is silent, or else this daemon. */
-  #whom(board: GatewayBoard, now: Timestamp): VmId | undefined {
-    const { members, self } = board;
-    for (const vm of [members.leader, members.deputy]) {
-      if (vm === undefined || vm === self.card.vm) return undefined;
-      if ((this.#distrust.get(vm) ?? 0) <= now) return vm;
-    }
-    return undefined;
-  }
-
-  #pursue(
-    board: GatewayBoard,
-    step: GatewayStep,
-    job: JobId,
-    waiting: Waiting,
-  ): void {
-    const silentMs = step.now - waiting.silentSince;
-    if (silentMs >= GIVE_UP_MS) {
-      this.#distrust.set(waiting.asked, addMs(step.now, DISTRUST_MS));
-      step.line("leader_silent", {
-        asked: waiting.asked,
-        req: waiting.ask.req,
-        silent_ms: Math.round(silentMs),
-      });
-    }
-    const to = this.#whom(board, step.now);
-    if (to !== waiting.asked) {
-      this.#waiting.delete(job);
-      this.#ask(board, step, waiting.ask);
-      const next = this.#waiting.get(job);
-      if (next !== undefined) step.wake(next.resendAt);
-      return;
-    }
-    if (step.now >= waiting.resendAt) {
-      this.#send(board, step, waiting.ask, to);
-      if (waiting.silentSince > step.now) waiting.silentSince = step.now;
-      waiting.resendAt = addMs(step.now, RESEND_MS);
-    }
-    step.wake(Math.min(waiting.resendAt, waiting.silentSince + GIVE_UP_MS));
-  }
-
-  #send(
-    board: GatewayBoard,
-    step: GatewayStep,
-    ask: PoolAsk,
-    to: VmId,
-  ): void {
-    const card = board.members.table.get(to);
-    if (card === undefined) return;
-    const reply = board.self.card.peer;
-    const message = { type: "ask", ask, reply } as const;
-    step.want({ type: "send", to: card.peer, message });
+    const sent = this.#courier.ask(board, step, ask);
+    if (!sent) this.#submit(board, step, ask, undefined);
   }
 
   /** Takes an ask in; the decision goes to `replyTo`, or to the adapters of this daemon. */
@@ -247,17 +162,12 @@
         this.#reporters.set(message.ask.vm, step.now);
         this.#submit(board, step, message.ask, message.reply);
         return;
-      case "wait": {
-        const waiting = this.#waiting.get(message.job);
-        if (waiting === undefined) return;
-        // Asked again after a while, in case the leader has lost it meanwhile.
-        waiting.resendAt = addMs(step.now, ASK_AGAIN_MS);
-        waiting.silentSince = waiting.resendAt;
+      case "wait":
+        this.#courier.mustWait(message.job, step.now);
         return;
-      }
       case "grant": {
         const { job } = message.grant;
-        if (!this.#waiting.delete(job.id)) {
+        if (!this.#courier.answered(job.id)) {
           // The request went elsewhere or is over.
           const { id, upstream } = job;
           const known = scheduler.accounts.jobs.get(id);
@@ -276,7 +186,7 @@
         return;
       }
       case "deny": {
-        if (!this.#waiting.delete(message.job)) return;
+        if (!this.#courier.answered(message.job)) return;
         const { code, detail, retryAfterMs } = message;
         step.want({
           type: "denied",
@@ -328,7 +238,7 @@
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
-    const asked = this.#waiting.delete(job);
+    const asked = this.#courier.answered(job);
     this.#replyTo.delete(job);
     board.pool.scheduler.withdraw(job, step.now);
     if (!asked) return;
