--- a/src/gateway/event_log_test.ts
+++ b/src/gateway/event_log_test.ts
@@ -29,3 +29,14 @@
     .toMatchObject({ of: "place", count: 40, vm: "vm-1" });
   expect(lines.filter((line) => line.kind === "config")).toHaveLength(1);
 });
+
+test("a reader that takes nothing stops nothing, and what is lost is counted", async () => {
+  const log = logTo("/dev/full", () => Date.now());
+  const from = performance.now();
+  for (let i = 0; i < 20_000; i += 1) {
+    log.line(`kind ${i}`, { text: "x".repeat(100) });
+  }
+  expect(performance.now() - from).toBeLessThan(5_000);
+  await expect.poll(() => log.dropped, { timeout: 5_000 }).toBeGreaterThan(0);
+  log.close();
+});
