Bear a second SIGTERM, heads that can't be written, and bodies that never end

Found in a read of the code: a second SIGTERM ended the process at once, since its handler was used up by the first; a head that node refuses to write would have ended it as well; an answer without a body and length waited for its connection.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import { connect } from "node:net";
 import type { Retry } from "../core/reason.ts";
 import type { Millis } from "../core/time.ts";
+import { unexpectedFields } from "../core/unexpected_error.ts";
 import type { Verdict } from "../core/verdict.ts";
 import { splitAddress } from "./address.ts";
 import type { AnswerHead, ClientHead, Dialect } from "./dialect.ts";
@@ -65,16 +66,9 @@
   }
 
   start(): void {
-    const { address, head, headers, body } = this.#target;
-    const req = request({
-      createConnection: () =>
-        connect({ ...splitAddress(address), allowHalfOpen: true }),
-      method: head.method,
-      path: head.path,
-      headers,
-      maxHeaderSize: MAX_HEAD_BYTES,
-      setHost: false,
-    });
+    const { body } = this.#target;
+    const req = this.#request();
+    if (req === undefined) return;
     this.#req = req;
     this.#connectTimer = setTimeout(
       () => this.#fail("connect_failed", "No connection in time"),
@@ -92,6 +86,25 @@
     req.end(body);
   }
 
+  /** Writes the head; one that can't be written fails the attempt before a byte is sent. */
+  #request(): ClientRequest | undefined {
+    const { address, head, headers } = this.#target;
+    try {
+      return request({
+        createConnection: () =>
+          connect({ ...splitAddress(address), allowHalfOpen: true }),
+        method: head.method,
+        path: head.path,
+        headers,
+        maxHeaderSize: MAX_HEAD_BYTES,
+        setHost: false,
+      });
+    } catch (cause) {
+      this.#fail("connect_failed", unexpectedFields(cause).cause);
+      return undefined;
+    }
+  }
+
   /** Gives the attempt up; the upstream sees its connection close. */
   abort(): void {
     this.#over = true;
@@ -122,7 +135,9 @@
     res.on("data", (chunk: Buffer) => {
       if (!this.#over) this.#listener.data(chunk);
     });
-    const closed = isUndelimited(res) ? wasClosed(res) : undefined;
+    const closed = isUndelimited(res, this.#target.head.method)
+      ? wasClosed(res)
+      : undefined;
     res.on("end", () => {
       ended = true;
       void this.#end(res, closed);
--- a/src/gateway/attempt_test.ts
+++ b/src/gateway/attempt_test.ts
@@ -133,3 +133,27 @@
   });
   expect(seen).toBe("connect_failed not_run");
 });
+
+test("a head that can't be written has run nothing", async () => {
+  const seen = await new Promise<string>((resolve) => {
+    Attempt.create(PlatformDialect.create(), {
+      address: "127.0.0.1:1",
+      head: { ...HEAD, path: "/a path" },
+      headers: ["Host", "h"],
+      body: Buffer.alloc(0),
+    }, {
+      head: () => {},
+      data: () => {},
+      end: () => {},
+      fail: ({ cause, verdict }) => resolve(`${cause} ${verdict}`),
+    }).start();
+  });
+  expect(seen).toBe("connect_failed not_run");
+});
+
+test("an answer without a body needs no length", async () => {
+  const seen = await attempt((socket) =>
+    socket.write("HTTP/1.1 204 No Content\r\nX-Request-Id: r1\r\n\r\n")
+  );
+  expect(seen).toEqual(["head 204", "end"]);
+});
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -21,6 +21,8 @@
 /** Limits before any configuration is known. */
 const FIRST_HEAD_MS: Millis = 5_000;
 const FIRST_IDLE_MS: Millis = 15_000;
+/** Time in which a whole request must come. */
+const REQUEST_MS: Millis = 30_000;
 /** How often slow clients are looked for. */
 const CHECK_MS: Millis = 1_000;
 /** Added to the idle time that clients count on. */
@@ -53,7 +55,7 @@
         maxHeaderSize: PARSER_HEAD_BYTES,
         keepAliveTimeout: FIRST_IDLE_MS + IDLE_MARGIN_MS,
         headersTimeout: FIRST_HEAD_MS,
-        requestTimeout: 0,
+        requestTimeout: REQUEST_MS,
         connectionsCheckingInterval: CHECK_MS,
         noDelay: true,
       },
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -55,6 +55,7 @@
   readonly #replies = new Map<JobId, (reply: PoolReply) => void>();
   #limitsOf = 0;
   #unreadable = 0;
+  #draining = false;
 
   private constructor(settings: GatewaySettings, parts: GatewayParts) {
     this.#settings = settings;
@@ -112,8 +113,10 @@
     this.#loop.step();
   }
 
-  /** Leaves: takes no new clients, ends what runs, then calls `exit`. */
+  /** Leaves: takes no new clients, ends what runs, then calls `exit`; further calls change nothing. */
   drain(exit: () => void): void {
+    if (this.#draining) return;
+    this.#draining = true;
     const since = this.#loop.now();
     this.#line("stop", { open: this.#front.open });
     this.#loop.push({ type: "drain" });
--- a/src/gateway/undelimited.ts
+++ b/src/gateway/undelimited.ts
@@ -1,7 +1,12 @@
 import type { IncomingMessage } from "node:http";
 
+const EMPTY_STATUSES = new Set([204, 304]);
+
 /** Whether only the end of its connection ends an answer's body. */
-export function isUndelimited(res: IncomingMessage): boolean {
+export function isUndelimited(res: IncomingMessage, method: string): boolean {
+  if (method === "HEAD" || EMPTY_STATUSES.has(res.statusCode ?? 0)) {
+    return false;
+  }
   return res.headers["content-length"] === undefined &&
     res.headers["transfer-encoding"] === undefined;
 }
