--- a/src/controllers/poison_test.ts
+++ b/src/controllers/poison_test.ts
@@ -103,3 +103,34 @@
   expect(runs).toHaveLength(6);
   expect(new Set(runs.map((run) => run.upstream)).size).toBe(2);
 });
+
+function silent(req: RequestId, attempt: AttemptId) {
+  const outcome = {
+    type: "failed",
+    cause: "upstream_silent",
+    verdict: "may_have_run",
+    tokens: 0,
+    crashed: false,
+    detail: "Nothing came in time",
+  } as const;
+  return { type: "attempt_ended", req, attempt, outcome } as const;
+}
+
+test("content that has crashed an engine and then made one silent is not placed on a third", () => {
+  const core = create();
+  const req = promptFixture("poison");
+  const [first] = started(core.step({ type: "request_arrived", req }));
+  const [second] = started(
+    core.after(10, crashed(first!.req, first!.attempt)),
+  );
+  expect(second!.upstream).not.toBe(first!.upstream);
+  // The connection is tried once more, then the engine counts as one that the content may yet crash.
+  const [again] = started(
+    core.after(2_000, silent(second!.req, second!.attempt)),
+  );
+  expect(again!.upstream).toBe(second!.upstream);
+  const last = core.after(2_000, silent(again!.req, again!.attempt));
+  expect(started(last)).toEqual([]);
+  expect(intentsOf(last, "answer").map((one) => one.problem.verdict))
+    .toEqual(["may_have_run"]);
+});
--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -39,6 +39,7 @@
   if (!entry.replayable && !canReattach(entry, outcome)) {
     return giveUp(entry, outcome);
   }
+  if (mayCrashAnother(entry, outcome, board)) return giveUp(entry, outcome);
   const maxAttempts = board.config.serving?.limits.maxAttempts ?? 1;
   if (!canReattach(entry, outcome) && entry.attempts >= maxAttempts) {
     return giveUp(entry, outcome);
@@ -69,6 +70,20 @@
     outcome.cause === "answer_broken";
 }
 
+/**
+ * Content that has crashed an engine and may still run on a silent one counts as having crashed both: a third engine
+ * is not risked for it.
+ */
+function mayCrashAnother(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+  board: Blackboard,
+): boolean {
+  return outcome.cause === "upstream_silent" &&
+    outcome.verdict === "may_have_run" && !canReattach(entry, outcome) &&
+    board.quarantine.suspects.has(entry.req.digest);
+}
+
 function giveUp(
   entry: RequestEntry,
   outcome: Extract<Outcome, { type: "failed" }>,
