Refuse at once what all engines together can't hold, and nothing that could still be served

A read of the code: a prompt larger than all memory waited until its caller gave up, and one was refused as too late by the engines that were loose at that moment, not by those that may help. Tests of the scheduler's queue come with it.

--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -1,13 +1,11 @@
 import type { Millis } from "../../core/time.ts";
 import { type Candidate, handicapMs, type PromptChoice } from "./candidate.ts";
 import { passMs, prefillMs } from "./engine_pace.ts";
-import { planMemory } from "./plan_memory.ts";
-import type { MemoryTicket, PoolJob } from "./pool_job.ts";
+import { MAX_HELPERS, planMemory } from "./plan_memory.ts";
+import type { MemoryTicket } from "./pool_job.ts";
 
-/** Engines that may prefill parts of one prompt besides the one that answers; the protocol's limit. */
-export const MAX_HELPERS = 16;
 /** Prefill that may still be left on an engine that counts as free; a part that ends well within a pass. */
-export const FREE_MS: Millis = 20;
+const FREE_MS: Millis = 20;
 /** Part of the engines without tight streams that are enough for the longest prompt. */
 const ENOUGH_FREE = 0.5;
 /** Prefill for which one engine more is waited for. */
@@ -127,12 +125,8 @@
   for (const job of one.load.jobs.values()) {
     if (job.upstream !== one.id || job.kind !== "prompt") continue;
     harm += partMs + pass + MARGIN_MS > job.pauseMs
-      ? STREAM_TOKENS + sizeOf(job)
+      ? STREAM_TOKENS + job.tokens
       : partMs * BESIDE_COST;
   }
   return harm;
 }
-
-function sizeOf(job: PoolJob): number {
-  return job.tokens;
-}
--- a/src/scheduling/pool/plan_memory.ts
+++ b/src/scheduling/pool/plan_memory.ts
@@ -1,9 +1,10 @@
 import type { Candidate, PromptChoice } from "./candidate.ts";
-import { MAX_HELPERS } from "./place_long.ts";
 import type { MemoryTicket } from "./pool_job.ts";
 
+/** Engines that may prefill parts of one prompt besides the one that answers; the protocol's limit. */
+export const MAX_HELPERS = 16;
 /** Part of an engine's memory that is planned with; the rest is for what is not known here. */
-const MEMORY_SHARE = 0.94;
+export const MEMORY_SHARE = 0.94;
 /** A stream that accepts only short pauses counts as much as these others where a long prompt is answered. */
 const TIGHT_WEIGHT = 4;
 
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -8,6 +8,7 @@
 import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
 import { placeCall } from "./place_call.ts";
 import { freeInMs, placeLong } from "./place_long.ts";
+import { MAX_HELPERS, MEMORY_SHARE } from "./plan_memory.ts";
 import { placeShort } from "./place_short.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
 import type { JobId, PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
@@ -78,6 +79,9 @@
     if (prefillMs(pace, ask.promptTokens) <= LONG_PREFILL_MS) {
       return { ask, result: this.#placeShort({ ...req, pace }, now) };
     }
+    if (isTooLarge(ask, pace, req.members.length)) {
+      return { ask, result: err(tooLarge()) };
+    }
     const waiter = waiterOf(ask, pace, now);
     this.#waiting.set(ask.job, { req: { ...req, pace }, waiter });
     return undefined;
@@ -158,9 +162,9 @@
       endsInMs: Math.min(waiter.endsAt - now, roomMs),
     });
     if (place === "busy" || place === "no_memory") {
+      const most = Math.min(req.members.length, MAX_HELPERS + 1);
+      if (now + waiter.workMs / most < waiter.endsAt) return undefined;
       const engines = this.#engines();
-      const soonest = now + waiter.workMs / engines;
-      if (soonest < waiter.endsAt) return undefined;
       const waiters = [...this.#waiting.values()].map((one) => one.waiter);
       return err(problem(
         place === "busy" ? "deadline_unreachable" : "no_memory",
@@ -284,6 +288,17 @@
   return rest.length > 0 ? rest : members;
 }
 
+/** Whether all engines together can't hold a prompt, however long it waits. */
+function isTooLarge(ask: PoolAsk, pace: EnginePace, engines: number): boolean {
+  const most = Math.min(engines, MAX_HELPERS + 1);
+  return ask.promptTokens + ask.answerTokens >
+    most * pace.memoryTokens * MEMORY_SHARE;
+}
+
+function tooLarge(): Problem {
+  return problem("no_memory", "All engines together can't hold this prompt");
+}
+
 function noUpstream(): Problem {
   return problem("no_upstream", "No upstream of the service is known", {
     retryAfterMs: COME_BACK_MS,
--- /dev/null
+++ b/src/scheduling/pool/pool_scheduler_test.ts
@@ -0,0 +1,112 @@
+import { describe, expect, test } from "vitest";
+import type { RequestId, ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { EnginePace } from "./engine_pace.ts";
+import type { JobId, PoolAsk } from "./pool_job.ts";
+import { type PoolMember, PoolScheduler } from "./pool_scheduler.ts";
+
+const PACE: EnginePace = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stride: 51,
+  chunkTokens: 2_048,
+  stepMs: 0.85,
+  streamMs: 0.00618,
+  contextMs: 0.00285,
+  prefillTokensPerMs: 177,
+  pairsMs: 0.184,
+};
+
+const MEMBERS: readonly PoolMember[] = Array.from({ length: 4 }, (_, i) => ({
+  id: `e${i}` as UpstreamId,
+  address: `e${i}:1`,
+  domain: "a",
+  slots: PACE.slots,
+}));
+
+function at(ms: number): Timestamp {
+  return (10_000 + ms) as Timestamp;
+}
+
+function askOf(job: string, fields: Partial<PoolAsk> = {}): PoolAsk {
+  return {
+    job: job as JobId,
+    req: job as RequestId,
+    vm: "vm" as VmId,
+    domain: "a",
+    service: "pool" as ServiceId,
+    kind: "prompt",
+    promptTokens: 154_000,
+    answerTokens: 800,
+    targetMs: 3_000,
+    pauseMs: 1_000,
+    leftMs: 15_000,
+    rank: 1,
+    digest: job,
+    avoid: [],
+    ...fields,
+  };
+}
+
+function submit(scheduler: PoolScheduler, ask: PoolAsk, ms = 0) {
+  return scheduler.submit({ ask, members: MEMBERS, pace: PACE }, at(ms));
+}
+
+function decide(scheduler: PoolScheduler, ms: number) {
+  return scheduler.decide(at(ms), () => MEMBERS)
+    .map(({ ask, result }) => [ask.job, result.isOk()]);
+}
+
+describe("long prompts", () => {
+  test("wait for each other, and all get their place", () => {
+    const scheduler = PoolScheduler.create();
+    expect(submit(scheduler, askOf("a"))).toBeUndefined();
+    expect(submit(scheduler, askOf("b"))).toBeUndefined();
+    expect(decide(scheduler, 0)).toEqual([["a", true]]);
+    expect(decide(scheduler, 15)).toEqual([]);
+    scheduler.accounts.started("a" as JobId, at(1_100));
+    expect(decide(scheduler, 1_100)).toEqual([["b", true]]);
+    expect(scheduler.nextLook(at(1_100))).toBeUndefined();
+  });
+
+  test("that all engines together can't hold are refused at once, without a time to come back", () => {
+    const scheduler = PoolScheduler.create();
+    const decision = submit(scheduler, askOf("a", { promptTokens: 1_250_000 }));
+    const err = decision?.result._unsafeUnwrapErr();
+    expect([err?.code, err?.verdict, err?.retryAfterMs])
+      .toEqual(["no_memory", "not_run", undefined]);
+  });
+
+  test("that no engines can read in time are refused at once", () => {
+    const scheduler = PoolScheduler.create();
+    submit(scheduler, askOf("a", { leftMs: 600 }));
+    expect(decide(scheduler, 0)).toEqual([["a", false]]);
+  });
+
+  test("wait while engines may become free in time, and are refused when they don't", () => {
+    const scheduler = PoolScheduler.create();
+    submit(scheduler, askOf("a", { promptTokens: 250_000 }));
+    decide(scheduler, 0);
+    submit(scheduler, askOf("b", { leftMs: 2_000 }), 10);
+    expect(decide(scheduler, 10)).toEqual([]);
+    expect(decide(scheduler, 1_500)).toEqual([["b", false]]);
+  });
+
+  test("that are withdrawn, or whose daemon is gone, wait no more", () => {
+    const scheduler = PoolScheduler.create();
+    submit(scheduler, askOf("a"));
+    submit(scheduler, askOf("b"));
+    scheduler.withdraw("a" as JobId, at(1));
+    scheduler.forget("vm" as VmId, at(2));
+    expect(scheduler.waiting).toBe(0);
+  });
+});
+
+test("asked again for a job that has its place, it names the same place", () => {
+  const scheduler = PoolScheduler.create();
+  const ask = askOf("a", { promptTokens: 5_000, targetMs: 300 });
+  const first = submit(scheduler, ask)?.result._unsafeUnwrap();
+  const second = submit(scheduler, ask, 50)?.result._unsafeUnwrap();
+  expect(second?.job.upstream).toBe(first?.job.upstream);
+  expect(scheduler.accounts.jobs.size).toBe(1);
+});
