--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,13 +1,12 @@
 import type { Buffer } from "node:buffer";
 import type { UpstreamId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { Millis } from "../core/time.ts";
 import { joinVerdicts } from "../core/verdict.ts";
 import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientAnswer } from "./client_answer.ts";
-import type { ClientHead } from "./dialect.ts";
 import {
   AnswerTimes,
   askOf,
@@ -15,9 +14,8 @@
   helpersOf,
   notSent,
 } from "./exchange_parts.ts";
-import type { ExchangePort } from "./exchange_port.ts";
+import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
-import type { Admitted } from "./route_table.ts";
 import { type Backend, isRepeatable } from "./serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
 import { TryHistory } from "./try_history.ts";
@@ -26,18 +24,6 @@
 /** When to come back after a failure that may be over soon. */
 const COME_BACK_MS: Millis = 200;
 
-/** What an exchange is about. */
-export type ExchangeRequest = Readonly<{
-  head: ClientHead;
-  body: Buffer;
-  admitted: Admitted;
-  arrivedAt: Timestamp;
-  /** When the final answer must have been given. */
-  endsAt: Timestamp;
-  /** Digest of the caller and the content. */
-  digest: string;
-}>;
-
 /** One request of a client, from its place to its one final answer. */
 export class Exchange {
   readonly #port: ExchangePort;
--- a/src/gateway/exchange_parts.ts
+++ b/src/gateway/exchange_parts.ts
@@ -1,7 +1,6 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
-import type { ExchangePort } from "./exchange_port.ts";
-import type { ExchangeRequest } from "./exchange.ts";
+import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
 import type { Backend } from "./serving.ts";
 
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import type { UpstreamId } from "../core/id.ts";
 import type { Refusal } from "../core/reason.ts";
 import type { Retry } from "../core/reason.ts";
@@ -5,11 +6,24 @@
 import type { Verdict } from "../core/verdict.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolReply } from "./placement_port.ts";
-import type { Dialect } from "./dialect.ts";
+import type { ClientHead, Dialect } from "./dialect.ts";
 import type { EngineOrders } from "./engine_orders.ts";
+import type { Admitted } from "./route_table.ts";
 import type { LineFields } from "./event_log.ts";
 import type { ServiceId } from "../core/id.ts";
 
+/** What an exchange is about. */
+export type ExchangeRequest = Readonly<{
+  head: ClientHead;
+  body: Buffer;
+  admitted: Admitted;
+  arrivedAt: Timestamp;
+  /** When the final answer must have been given. */
+  endsAt: Timestamp;
+  /** Digest of the caller and the content. */
+  digest: string;
+}>;
+
 /** How a job goes on; the digests tell content that crashes upstreams from content that doesn't. */
 export type JobNews = Readonly<{
   phase: "started" | "ended" | "failed";
