--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from "vitest";
-import type { RequestId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
+import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
+import { poolAsk } from "../testing/pool_fixtures.ts";
 import {
   emptyServing,
   entryOf,
@@ -38,22 +39,8 @@
 }
 
 function askOf(gateway: FakeGateway, job: string): PoolAsk {
-  return {
-    job: job as JobId,
-    req: job as RequestId,
-    vm: gateway.card.vm,
-    domain: "a",
-    service: "pool" as ServiceId,
-    kind: "call",
-    promptTokens: 0,
-    answerTokens: 0,
-    targetMs: 300,
-    pauseMs: 250,
-    leftMs: 1_000,
-    rank: 1,
-    digest: job,
-    avoid: [],
-  };
+  const { vm } = gateway.card;
+  return poolAsk(job, { vm, kind: "call", promptTokens: 0, leftMs: 1_000 });
 }
 
 describe("members", () => {
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -1,52 +1,21 @@
 import { describe, expect, test } from "vitest";
-import type {
-  DomainId,
-  RequestId,
-  ServiceId,
-  UpstreamId,
-  VmId,
-} from "../../core/id.ts";
+import type { DomainId, UpstreamId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
+import { ENGINE_PACE, poolAsk, poolJob } from "../../testing/pool_fixtures.ts";
 import type { Candidate, PromptChoice } from "./candidate.ts";
-import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
+import { passMs, prefillMs } from "./engine_pace.ts";
 import { placeCall } from "./place_call.ts";
 import { placeLong } from "./place_long.ts";
 import { placeShort } from "./place_short.ts";
-import type { JobId, PoolAsk, PoolJob } from "./pool_job.ts";
+import type { PoolAsk, PoolJob } from "./pool_job.ts";
 import { UpstreamLoad } from "./upstream_load.ts";
 
 const NOW = 10_000 as Timestamp;
-const PACE: EnginePace = {
-  slots: 11,
-  memoryTokens: 315_000,
-  stride: 51,
-  chunkTokens: 2_048,
-  stepMs: 0.85,
-  streamMs: 0.00618,
-  contextMs: 0.00285,
-  prefillTokensPerMs: 177,
-  pairsMs: 0.184,
-};
-
 let jobs = 0;
 
 function jobOn(upstream: string, fields: Partial<PoolJob> = {}): PoolJob {
   jobs += 1;
-  return {
-    id: `j${jobs}` as JobId,
-    vm: "vm" as VmId,
-    service: "pool" as ServiceId,
-    kind: "prompt",
-    upstream: upstream as UpstreamId,
-    helpers: [],
-    tickets: [],
-    tokens: 6_000,
-    partMs: 30,
-    pauseMs: 250,
-    writing: true,
-    placedAt: NOW,
-    ...fields,
-  };
+  return poolJob(`j${jobs}`, upstream, { writing: true, ...fields });
 }
 
 function engine(
@@ -72,34 +41,18 @@
   candidates: readonly Candidate[],
   fields: Partial<PoolAsk> = {},
 ): PromptChoice {
-  const ask: PoolAsk = {
-    job: "ask" as JobId,
-    req: "r" as RequestId,
-    vm: "vm" as VmId,
-    domain: "a",
-    service: "pool" as ServiceId,
-    kind: "prompt",
-    promptTokens: 5_000,
-    answerTokens: 1_600,
-    targetMs: 300,
-    pauseMs: 250,
-    leftMs: 10_000,
-    rank: 1,
-    digest: "d",
-    avoid: [],
-    ...fields,
-  };
-  return { ask, candidates, now: NOW, pace: PACE };
+  const ask = poolAsk("ask", fields);
+  return { ask, candidates, now: NOW, pace: ENGINE_PACE };
 }
 
 describe("the cost of work", () => {
   test("prefill follows the platform's formula", () => {
-    expect(prefillMs(PACE, 5_000)).toBeCloseTo(30.5, 1);
-    expect(prefillMs(PACE, 154_000)).toBeCloseTo(3_052, 0);
+    expect(prefillMs(ENGINE_PACE, 5_000)).toBeCloseTo(30.5, 1);
+    expect(prefillMs(ENGINE_PACE, 154_000)).toBeCloseTo(3_052, 0);
   });
 
   test("a pass writes one event for each stream", () => {
-    expect(passMs(PACE, 1, 5_000)).toBeCloseTo(44.4, 1);
+    expect(passMs(ENGINE_PACE, 1, 5_000)).toBeCloseTo(44.4, 1);
   });
 });
 
--- a/src/scheduling/pool/pool_scheduler_test.ts
+++ b/src/scheduling/pool/pool_scheduler_test.ts
@@ -1,55 +1,35 @@
 import { describe, expect, test } from "vitest";
-import type { RequestId, ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import type { UpstreamId, VmId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
-import type { EnginePace } from "./engine_pace.ts";
+import { ENGINE_PACE, poolAsk } from "../../testing/pool_fixtures.ts";
 import type { JobId, PoolAsk } from "./pool_job.ts";
 import { type PoolMember, PoolScheduler } from "./pool_scheduler.ts";
 
-const PACE: EnginePace = {
-  slots: 11,
-  memoryTokens: 315_000,
-  stride: 51,
-  chunkTokens: 2_048,
-  stepMs: 0.85,
-  streamMs: 0.00618,
-  contextMs: 0.00285,
-  prefillTokensPerMs: 177,
-  pairsMs: 0.184,
-};
-
 const MEMBERS: readonly PoolMember[] = Array.from({ length: 4 }, (_, i) => ({
   id: `e${i}` as UpstreamId,
   address: `e${i}:1`,
   domain: "a",
-  slots: PACE.slots,
+  slots: ENGINE_PACE.slots,
 }));
 
 function at(ms: number): Timestamp {
   return (10_000 + ms) as Timestamp;
 }
 
+/** An ask for a long prompt, unless fields say otherwise. */
 function askOf(job: string, fields: Partial<PoolAsk> = {}): PoolAsk {
-  return {
-    job: job as JobId,
-    req: job as RequestId,
-    vm: "vm" as VmId,
-    domain: "a",
-    service: "pool" as ServiceId,
-    kind: "prompt",
+  return poolAsk(job, {
     promptTokens: 154_000,
     answerTokens: 800,
     targetMs: 3_000,
     pauseMs: 1_000,
     leftMs: 15_000,
-    rank: 1,
-    digest: job,
-    avoid: [],
     ...fields,
-  };
+  });
 }
 
 function submit(scheduler: PoolScheduler, ask: PoolAsk, ms = 0) {
-  return scheduler.submit({ ask, members: MEMBERS, pace: PACE }, at(ms));
+  return scheduler.submit({ ask, members: MEMBERS, pace: ENGINE_PACE }, at(ms));
 }
 
 function decide(scheduler: PoolScheduler, ms: number) {
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -12,6 +12,7 @@
 import { EngineOrders } from "../gateway/engine_orders.ts";
 import type { ExchangePort } from "../gateway/exchange_port.ts";
 import type { Route, Serving } from "../gateway/serving.ts";
+import { poolJob } from "./pool_fixtures.ts";
 import { emptyServing } from "./fake_gateway_fleet.ts";
 
 /** Orders that always succeed. */
@@ -55,20 +56,7 @@
       const upstream = `e${placed % addresses.length}` as UpstreamId;
       placed += 1;
       const grant = {
-        job: {
-          id: ask.job,
-          vm: ask.vm,
-          service: ask.service,
-          kind: ask.kind,
-          upstream,
-          helpers: [],
-          tickets: [],
-          tokens: ask.promptTokens,
-          partMs: 0,
-          pauseMs: ask.pauseMs,
-          writing: false,
-          placedAt: 0 as Timestamp,
-        },
+        job: poolJob(ask.job, upstream, { kind: ask.kind, partMs: 0 }),
         addresses: { [upstream]: address },
         priority: 1,
         expectMs: 0,
--- /dev/null
+++ b/src/testing/pool_fixtures.ts
@@ -0,0 +1,61 @@
+import type { RequestId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import type { EnginePace } from "../scheduling/pool/engine_pace.ts";
+import type { JobId, PoolAsk, PoolJob } from "../scheduling/pool/pool_job.ts";
+
+/** Engines of both deployments of the users' platform. */
+export const ENGINE_PACE: EnginePace = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stride: 51,
+  chunkTokens: 2_048,
+  stepMs: 0.85,
+  streamMs: 0.00618,
+  contextMs: 0.00285,
+  prefillTokensPerMs: 177,
+  pairsMs: 0.184,
+};
+
+/** An ask for a short prompt, unless fields say otherwise. */
+export function poolAsk(job: string, fields: Partial<PoolAsk> = {}): PoolAsk {
+  return {
+    job: job as JobId,
+    req: job as RequestId,
+    vm: "vm" as VmId,
+    domain: "a",
+    service: "pool" as ServiceId,
+    kind: "prompt",
+    promptTokens: 5_000,
+    answerTokens: 1_600,
+    targetMs: 300,
+    pauseMs: 250,
+    leftMs: 10_000,
+    rank: 1,
+    digest: job,
+    avoid: [],
+    ...fields,
+  };
+}
+
+/** A job that has just been placed on an upstream. */
+export function poolJob(
+  id: string,
+  upstream: string,
+  fields: Partial<PoolJob> = {},
+): PoolJob {
+  return {
+    id: id as JobId,
+    vm: "vm" as VmId,
+    service: "pool" as ServiceId,
+    kind: "prompt",
+    upstream: upstream as UpstreamId,
+    helpers: [],
+    tickets: [],
+    tokens: 6_000,
+    partMs: 30,
+    pauseMs: 250,
+    writing: false,
+    placedAt: 0 as Timestamp,
+    ...fields,
+  };
+}
--- a/tools/pool/play.ts
+++ b/tools/pool/play.ts
@@ -1,17 +1,11 @@
-import type {
-  DomainId,
-  RequestId,
-  ServiceId,
-  UpstreamId,
-  VmId,
-} from "../../src/core/id.ts";
+import type { DomainId, UpstreamId } from "../../src/core/id.ts";
 import type { Timestamp } from "../../src/core/time.ts";
-import type { EnginePace } from "../../src/scheduling/pool/engine_pace.ts";
 import type {
   JobId,
   PoolAsk,
   PoolGrant,
 } from "../../src/scheduling/pool/pool_job.ts";
+import { ENGINE_PACE, poolAsk } from "../../src/testing/pool_fixtures.ts";
 import { VirtualTime } from "../../src/testing/virtual_time.ts";
 import {
   PassEngine,
@@ -20,20 +14,7 @@
 import type { Policy } from "./policies.ts";
 import type { Arrival } from "./workload.ts";
 
-/** Engines of both deployments. */
-export const PACE: EnginePace = {
-  slots: 11,
-  memoryTokens: 315_000,
-  stride: 51,
-  chunkTokens: 2_048,
-  stepMs: 0.85,
-  streamMs: 0.00618,
-  contextMs: 0.00285,
-  prefillTokensPerMs: 177,
-  pairsMs: 0.184,
-};
 const ENGINES = 16;
-const SERVICE = "pool" as ServiceId;
 /** Way of a request to an engine, and of an event back, with the ask for a place. */
 const LINK_MS = 5;
 /** Time for what still runs when the last prompt has come. */
@@ -61,10 +42,10 @@
     id: `e${i}` as UpstreamId,
     address: `e${i}:1`,
     domain: `d${i % 3}` as DomainId,
-    slots: PACE.slots,
+    slots: ENGINE_PACE.slots,
   }));
   const engines = new Map(
-    members.map((one) => [one.id, PassEngine.create(PACE, clock)]),
+    members.map((one) => [one.id, PassEngine.create(ENGINE_PACE, clock)]),
   );
   const policy = createPolicy();
   const served: Served[] = [];
@@ -126,7 +107,10 @@
     time.after(arrival.at, () => {
       const ask = askOf(arrival, `j${i}`);
       open.set(ask.job, arrival);
-      const decision = policy.submit({ ask, members, pace: PACE }, time.now);
+      const decision = policy.submit(
+        { ask, members, pace: ENGINE_PACE },
+        time.now,
+      );
       if (decision === undefined) return look();
       if (decision.result.isErr()) refuse(ask.job);
       else send(decision.result.value);
@@ -141,20 +125,13 @@
 
 function askOf(arrival: Arrival, job: string): PoolAsk {
   const { kind, tokens, answerTokens } = arrival;
-  return {
-    job: job as JobId,
-    req: job as RequestId,
-    vm: "vm" as VmId,
+  const { targetMs, pauseMs, leftMs } = kind;
+  return poolAsk(job, {
     domain: "d0",
-    service: SERVICE,
-    kind: "prompt",
     promptTokens: tokens,
     answerTokens,
-    targetMs: kind.targetMs,
-    pauseMs: kind.pauseMs,
-    leftMs: kind.leftMs,
-    rank: 1,
-    digest: job,
-    avoid: [],
-  };
+    targetMs,
+    pauseMs,
+    leftMs,
+  });
 }
--- a/tools/pool/policies.ts
+++ b/tools/pool/policies.ts
@@ -2,6 +2,7 @@
 import type { UpstreamId } from "../../src/core/id.ts";
 import type { Timestamp } from "../../src/core/time.ts";
 import { prefillMs } from "../../src/scheduling/pool/engine_pace.ts";
+import { poolJob } from "../../src/testing/pool_fixtures.ts";
 import type { JobId, PoolJob } from "../../src/scheduling/pool/pool_job.ts";
 import {
   type PoolDecision,
@@ -71,20 +72,7 @@
     );
     const upstream = best!.id;
     this.#work.set(upstream, (this.#work.get(upstream) ?? 0) + partMs);
-    const job: PoolJob = {
-      id: ask.job,
-      vm: ask.vm,
-      service: ask.service,
-      kind: ask.kind,
-      upstream,
-      helpers: [],
-      tickets: [],
-      tokens: ask.promptTokens,
-      partMs,
-      pauseMs: ask.pauseMs,
-      writing: false,
-      placedAt: 0 as Timestamp,
-    };
+    const job = poolJob(ask.job, upstream, { partMs });
     this.#jobs.set(ask.job, job);
     const grant = { job, addresses: {}, priority: 0, expectMs: 0 };
     return { ask, result: ok(grant) };
