Release tickets when the engine that answers is dead, not when its silence is noticed

Each renewal now asks the answering engine as well, and two unanswered questions end the attempt. The new test fails without it.

--- a/src/gateway/engine_orders.ts
+++ b/src/gateway/engine_orders.ts
@@ -18,6 +18,8 @@
 /** Orders that reserve and release memory of engines. */
 export abstract class EngineOrders {
   abstract reserve(one: Reservation): ResultAsync<void, ReservationError>;
+  /** Whether an engine answers at all. */
+  abstract isAlive(address: string): ResultAsync<void, ReservationError>;
   abstract release(
     address: string,
     ticket: string,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -87,14 +87,15 @@
 
   /** The upstream's process is gone, although its connection may not show it. */
   upstreamLost(id: UpstreamId): void {
+    this.#loseUpstream(id, "The upstream was started anew");
+  }
+
+  #loseUpstream(id: UpstreamId, detail: string): void {
     if (this.#over || this.#grant?.job.upstream !== id) return;
     if (this.#attempt === undefined) return;
-    this.#failAttempt({
-      cause: "upstream_crashed",
-      verdict: this.#attempt.verdict,
-      detail: "The upstream was started anew",
-      blamed: false,
-    });
+    const { verdict } = this.#attempt;
+    const cause = "upstream_crashed";
+    this.#failAttempt({ cause, verdict, detail, blamed: true });
   }
 
   #leftMs(): Millis {
@@ -131,7 +132,9 @@
         report: (err) => this.#line("ticket", { ...err }),
       });
       this.#tickets = keeper;
-      const reserved = await keeper.reserve();
+      const reserved = await keeper.reserve(() =>
+        this.#loseUpstream(upstream, "It no longer answers")
+      );
       if (this.#over || this.#grant !== grant) return keeper.release();
       if (reserved.isErr()) {
         return this.#failAttempt(notSent("plan_broken", reserved.error.detail));
--- a/src/gateway/ticket_keeper.ts
+++ b/src/gateway/ticket_keeper.ts
@@ -15,6 +15,7 @@
   readonly id: string;
   readonly #orders: EngineOrders;
   readonly #tickets: readonly Ticket[];
+  readonly #answering: string | undefined;
   readonly #report: (err: ReservationError) => void;
   #timer: NodeJS.Timeout | undefined;
 
@@ -26,6 +27,7 @@
     this.#orders = orders;
     this.#report = report;
     this.id = grant.job.id;
+    this.#answering = grant.addresses[grant.job.upstream];
     this.#tickets = grant.job.tickets.flatMap(({ upstream, tokens }) => {
       const address = grant.addresses[upstream];
       return address === undefined ? [] : [{ address, tokens }];
@@ -40,26 +42,48 @@
     return new TicketKeeper(orders, grant, options.report);
   }
 
-  /** Reserves everything, or nothing. */
-  async reserve(): Promise<Result<void, ReservationError>> {
+  /**
+   * Reserves everything, or nothing. Calls `lost` when the engine that answers is dead: what it would have used must
+   * not stay reserved until its silence is noticed.
+   */
+  async reserve(lost: () => void): Promise<Result<void, ReservationError>> {
     const results = await this.#order();
     const failed = results.find((one) => one.isErr());
     if (failed !== undefined && failed.isErr()) {
       this.release();
       return err(failed.error);
     }
-    this.#timer = setInterval(() => void this.#order(), RENEW_MS);
+    this.#timer = setInterval(() => void this.#renew(lost), RENEW_MS);
     return ok(undefined);
   }
 
   /** Frees everything; a ticket that the order does not reach lapses by itself. */
   release(): void {
     clearInterval(this.#timer);
+    this.#timer = undefined;
     for (const { address } of this.#tickets) {
       void this.#orders.release(address, this.id).mapErr(this.#report);
     }
   }
 
+  async #renew(lost: () => void): Promise<void> {
+    const timer = this.#timer;
+    const [alive] = await Promise.all([this.#isAlive(), this.#order()]);
+    if (alive || timer !== this.#timer) return;
+    clearInterval(this.#timer);
+    lost();
+  }
+
+  /** Asks twice, as one answer may be lost. */
+  async #isAlive(): Promise<boolean> {
+    if (this.#answering === undefined) return false;
+    const first = await this.#orders.isAlive(this.#answering);
+    if (first.isOk()) return true;
+    const second = await this.#orders.isAlive(this.#answering);
+    if (second.isErr()) this.#report(second.error);
+    return second.isOk();
+  }
+
   #order(): Promise<Result<void, ReservationError>[]> {
     return Promise.all(
       this.#tickets.map(({ address, tokens }) =>
--- a/src/gateway/ticket_keeper_test.ts
+++ b/src/gateway/ticket_keeper_test.ts
@@ -14,6 +14,7 @@
 class LeasedMemory extends EngineOrders {
   readonly until = new Map<string, number>();
   refusing = "";
+  dead = "";
   unreachable = false;
 
   override reserve(one: Reservation) {
@@ -24,6 +25,12 @@
     return okAsync(undefined);
   }
 
+  override isAlive(address: string) {
+    return this.dead === address
+      ? errAsync({ code: "unknown", detail: "silent" } as const)
+      : okAsync(undefined);
+  }
+
   override release(address: string) {
     if (!this.unreachable) this.until.delete(address);
     return okAsync(undefined);
@@ -54,6 +61,7 @@
     placedAt: 0 as Timestamp,
   },
   addresses: {
+    ["e0" as UpstreamId]: "e0:1",
     ["e1" as UpstreamId]: "e1:1",
     ["e2" as UpstreamId]: "e2:1",
   } as PoolGrant["addresses"],
@@ -66,12 +74,18 @@
 
 let memory: LeasedMemory;
 let failures: ReservationError[];
+let losses = 0;
+const lost = () => {
+  losses += 1;
+  keeper.release();
+};
 let keeper: TicketKeeper;
 
 beforeEach(() => {
   vi.useFakeTimers();
   memory = new LeasedMemory();
   failures = [];
+  losses = 0;
   keeper = TicketKeeper.create(memory, GRANT, {
     report: (err) => failures.push(err),
   });
@@ -82,7 +96,7 @@
 });
 
 test("memory is held for as long as the prompt runs, and free afterwards", async () => {
-  await keeper.reserve();
+  await keeper.reserve(lost);
   await vi.advanceTimersByTimeAsync(14_000);
   expect(memory.held()).toEqual(["e1:1", "e2:1"]);
   keeper.release();
@@ -91,15 +105,24 @@
 
 test("all of it is set aside, or none", async () => {
   memory.refusing = "e2:1";
-  expect((await keeper.reserve()).isErr()).toBe(true);
+  expect((await keeper.reserve(lost)).isErr()).toBe(true);
   expect(memory.held()).toEqual([]);
   expect(failures.map((one) => one.code)).toEqual(["refused"]);
 });
 
 test("what a daemon that vanished held is free in time", async () => {
-  await keeper.reserve();
+  await keeper.reserve(lost);
   await vi.advanceTimersByTimeAsync(5_000);
   memory.unreachable = true;
   await vi.advanceTimersByTimeAsync(FREE_MS);
   expect(memory.held()).toEqual([]);
 });
+
+test("what a dead engine would have used is free in time, although its connection is silent", async () => {
+  await keeper.reserve(lost);
+  await vi.advanceTimersByTimeAsync(2_000);
+  memory.dead = "e0:1";
+  await vi.advanceTimersByTimeAsync(FREE_MS);
+  expect(losses).toBe(1);
+  expect(memory.held()).toEqual([]);
+});
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -24,6 +24,10 @@
     return okAsync(undefined);
   }
 
+  override isAlive() {
+    return okAsync(undefined);
+  }
+
   override release(_address: string, ticket: string) {
     this.seen.push(`release ${ticket}`);
     return okAsync(undefined);
