--- a/src/gateway/attempt_test.ts
+++ b/src/gateway/attempt_test.ts
@@ -70,6 +70,23 @@
   return seen;
 }
 
+/** How an attempt fails that never gets a connection. */
+function failureOf(address: string, head: ClientHead): Promise<string> {
+  return new Promise((resolve) => {
+    Attempt.create(PlatformDialect.create(), {
+      address,
+      head,
+      headers: ["Host", "h"],
+      body: Buffer.alloc(0),
+    }, {
+      head: () => {},
+      data: () => {},
+      end: () => {},
+      fail: ({ cause, verdict }) => resolve(`${cause} ${verdict}`),
+    }).start();
+  });
+}
+
 /** Resets a connection after what was written, without closing it first. */
 function reset(socket: Socket): void {
   const { _handle } = socket as unknown as {
@@ -118,36 +135,12 @@
   await new Promise<void>((resolve) => closed.listen(0, "127.0.0.1", resolve));
   const { port } = closed.address() as AddressInfo;
   await new Promise<void>((resolve) => closed.close(() => resolve()));
-  const seen = await new Promise<string>((resolve) => {
-    Attempt.create(PlatformDialect.create(), {
-      address: `127.0.0.1:${port}`,
-      head: HEAD,
-      headers: ["Host", "h"],
-      body: Buffer.alloc(0),
-    }, {
-      head: () => {},
-      data: () => {},
-      end: () => {},
-      fail: ({ cause, verdict }) => resolve(`${cause} ${verdict}`),
-    }).start();
-  });
+  const seen = await failureOf(`127.0.0.1:${port}`, HEAD);
   expect(seen).toBe("connect_failed not_run");
 });
 
 test("a head that can't be written has run nothing", async () => {
-  const seen = await new Promise<string>((resolve) => {
-    Attempt.create(PlatformDialect.create(), {
-      address: "127.0.0.1:1",
-      head: { ...HEAD, path: "/a path" },
-      headers: ["Host", "h"],
-      body: Buffer.alloc(0),
-    }, {
-      head: () => {},
-      data: () => {},
-      end: () => {},
-      fail: ({ cause, verdict }) => resolve(`${cause} ${verdict}`),
-    }).start();
-  });
+  const seen = await failureOf("127.0.0.1:1", { ...HEAD, path: "/a path" });
   expect(seen).toBe("connect_failed not_run");
 });
 
--- a/src/gateway/route_table.ts
+++ b/src/gateway/route_table.ts
@@ -1,5 +1,4 @@
 import { err, ok, type Result } from "neverthrow";
-import type { TeamId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Route, Serving, Team } from "./serving.ts";
 
@@ -47,11 +46,6 @@
     return ok({ route, team });
   }
 
-  /** The team that holds a key. */
-  teamOf(key: string): TeamId | undefined {
-    return this.#keys.get(key)?.id;
-  }
-
   #match(host: string, url: string): Route | undefined {
     const name = host.toLowerCase();
     const prefixes = this.#hosts.get(name) ??
