Count silent engines as engines that content may yet crash

And a frozen engine that thawed and crashed over runs that had been cancelled was counted by nobody.

Ruled out: more crashes seen by other daemons (the traces have one cell each); a shorter silence (the engine would be left sooner, but still not counted).

Change: a prompt that is left on a silent engine is remembered for its content (silences), told to peers, and settled by what becomes of the engine: back as another run, or gone, it has crashed; answering for a second, it has not. Until then no third engine is risked. Engines that stopped answering while others answer get prompts only where there is no other, and answers are not taken up again there.

--- a/src/board/quarantine_section.ts
+++ b/src/board/quarantine_section.ts
@@ -1,4 +1,4 @@
-import type { Digest, UpstreamId } from "../core/id.ts";
+import type { Digest, Incarnation, UpstreamId } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
 
 /** Content that was running on engines when they crashed. */
@@ -9,15 +9,33 @@
   seenAt: Timestamp;
 }>;
 
+/** A run on an engine that fell silent; whether it crashes the engine is not known yet. */
+export type Silence = Readonly<{
+  upstream: UpstreamId;
+  incarnation: Incarnation;
+  /** Whether this daemon saw it; only then it tells others. */
+  own: boolean;
+  silentAt: Timestamp;
+  /** When the engine was first heard of again. */
+  heardAt?: Timestamp;
+}>;
+
 /** Content that is suspected or refused; written by `QuarantineController`. */
 export type QuarantineSection = {
   suspects: Map<Digest, Suspect>;
   quarantined: Map<Digest, Timestamp>;
+  /** Content that may yet crash engines on which it runs, or did. */
+  silences: Map<Digest, readonly Silence[]>;
   /** Grows with each crash that this daemon has seen itself. */
   crashesSeen: number;
 };
 
 /** A daemon's view at its start. */
 export function createQuarantineSection(): QuarantineSection {
-  return { suspects: new Map(), quarantined: new Map(), crashesSeen: 0 };
+  return {
+    suspects: new Map(),
+    quarantined: new Map(),
+    silences: new Map(),
+    crashesSeen: 0,
+  };
 }
--- a/src/board/upstreams_section.ts
+++ b/src/board/upstreams_section.ts
@@ -25,9 +25,9 @@
   group?: GroupId;
   service?: ServiceId;
   load?: LoadReport;
-  loadHeardAt?: Timestamp;
   engine?: EngineState;
-  engineHeardAt?: Timestamp;
+  /** When it last answered a question about its state or load. */
+  heardAt?: Timestamp;
 }>;
 
 /** All upstreams of the cell; written by `UpstreamController`. */
--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -27,7 +27,7 @@
     queued: board.placement.queued,
     teams: [],
     upstreams: leavingUpstreams(board),
-    suspects: suspects(board),
+    suspects: [...suspects(board), ...silences(board)],
     atMs: options.now,
   };
 }
@@ -48,7 +48,19 @@
     .flatMap(([digest, suspect]) =>
       suspect.crashes.map((crash) => {
         const [upstream = "", incarnation = ""] = crash.split("/", 2);
-        return { digest, upstream, incarnation, atMs: suspect.seenAt };
+        const atMs = suspect.seenAt;
+        return { digest, upstream, incarnation, atMs, silent: false };
+      })
+    )
+    .slice(-MAX_ITEMS);
+}
+
+/** Engines that fell silent over content, as this daemon itself saw; hearsay would never end. */
+function silences(board: Blackboard): Suspect[] {
+  return [...board.quarantine.silences]
+    .flatMap(([digest, silences]) =>
+      silences.filter((one) => one.own).map(({ upstream, incarnation }) => {
+        return { digest, upstream, incarnation, atMs: 0, silent: true };
       })
     )
     .slice(-MAX_ITEMS);
--- a/src/controllers/membership_controller_test.ts
+++ b/src/controllers/membership_controller_test.ts
@@ -276,6 +276,7 @@
           "atMs": 1700000000020,
           "digest": "digest-p1",
           "incarnation": "e1-run-1",
+          "silent": false,
           "upstream": "e1",
         },
       ],
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -23,9 +23,10 @@
   toPlaceGrant,
   toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
+import { mayCrashNoOther } from "./crash_bound.ts";
 import { toAsk, withSuspicion } from "./place_ask.ts";
 import { placeCall } from "./call_placement.ts";
-import { canReattach } from "./retry_decision.ts";
+import { canReattach, isLeftSilent } from "./retry_decision.ts";
 import { freshPeers } from "./membership_controller.ts";
 
 /** Silence after which an asker places by itself. */
@@ -100,18 +101,23 @@
     if (entry?.attempt?.id !== event.attempt) return;
     const { outcome } = event;
     // The same answer is connected to again, so its place is still taken.
-    if (outcome.type === "failed" && canReattach(entry, outcome)) return;
+    if (outcome.type === "failed" && canReattach(entry, outcome, { board })) {
+      return;
+    }
     const crashed = outcome.type === "failed" && outcome.crashed;
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
       : entry.attempt.placement.upstream;
     if (crashed) this.#scheduler.engineCrashed(upstream);
-    const suspect = crashed
+    const silent = outcome.type === "failed" &&
+      isLeftSilent(entry, outcome, { board });
+    const suspect = crashed || silent
       ? {
         digest: entry.req.digest,
         upstream,
         incarnation: board.upstreams.byId.get(upstream)?.incarnation ?? "",
         atMs: ctx.now,
+        silent,
       }
       : undefined;
     this.#tell(board, ctx, { request: event.req, state: "ended", suspect });
@@ -166,10 +172,12 @@
     return { type: "refused", problem: problem("quarantined", detail) };
   }
 
-  /** Content that has crashed an engine runs once at a time; its asker asks again. */
+  /** Content that may have crashed an engine runs once at a time; its asker asks again. */
   #mustWait(board: Blackboard, ask: Ask): boolean {
-    if (!board.quarantine.suspects.has(ask.digest)) return false;
-    if (board.quarantine.quarantined.has(ask.digest)) return false;
+    const { suspects, quarantined } = board.quarantine;
+    if (quarantined.has(ask.digest)) return false;
+    if (mayCrashNoOther(board, ask.digest)) return true;
+    if (!suspects.has(ask.digest)) return false;
     return [...this.#scheduler.jobs.values()].some((job) =>
       job.ask.digest === ask.digest && job.ask.request !== ask.request
     );
@@ -189,7 +197,7 @@
         answer: { type: "queued" },
       });
     }
-    if (message.suspect !== undefined) {
+    if (message.suspect?.silent === false) {
       this.#scheduler.engineCrashed(message.suspect.upstream as never);
     }
     const news = message.state as JobNews;
@@ -410,7 +418,7 @@
     >,
   ): void {
     const { request, round, state, suspect } = update;
-    const crashed = suspect !== undefined;
+    const crashed = suspect?.silent === false;
     const value = { request, round, state, suspect, crashed, tokens: 0 };
     this.#send(board, ctx, to, { $case: "placeUpdate", value });
   }
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -1,21 +1,26 @@
 import type { Blackboard } from "../board/blackboard.ts";
-import type { Suspect } from "../board/quarantine_section.ts";
+import type { Silence, Suspect } from "../board/quarantine_section.ts";
 import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { Digest, UpstreamId } from "../core/id.ts";
+import type { Digest, Incarnation, UpstreamId } from "../core/id.ts";
 import type { Outcome } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
 import {
+  addMs,
   HOUR_MS,
   type Millis,
   MINUTE_MS,
+  SECOND_MS,
   type Timestamp,
 } from "../core/time.ts";
 import type { Envelope, Suspect as SuspectNews } from "../gen/peer.ts";
+import { CRASHES_TO_QUARANTINE } from "./crash_bound.ts";
+import { isLeftSilent } from "./retry_decision.ts";
 
-/** Upstreams that content may crash before it is refused. */
-const CRASHES_TO_QUARANTINE = 2;
+/** Time for which an engine must answer again before its silence counts as harmless; crashes come sooner. */
+const SETTLE_MS: Millis = SECOND_MS;
+const MAX_SILENCES = 1_024;
 const SUSPECT_MS: Millis = 10 * MINUTE_MS;
 const QUARANTINE_MS: Millis = HOUR_MS;
 const MAX_SUSPECTS = 1_024;
@@ -35,6 +40,7 @@
 
   override step(board: Blackboard, ctx: StepContext): void {
     for (const event of ctx.events) this.#take(board, ctx, event);
+    this.#settleSilences(board, ctx);
     this.#forget(board, ctx.now);
   }
 
@@ -44,11 +50,14 @@
     }
     if (event.type !== "peer_message") return;
     for (const news of suspectNews(event.envelope)) {
-      this.#suspect(board, ctx, {
+      const crash = {
         digest: news.digest as Digest,
         upstream: news.upstream as UpstreamId,
         incarnation: news.incarnation,
-      });
+      };
+      if (news.silent) {
+        this.#fellSilent(board, crash, { own: false, silentAt: ctx.now });
+      } else this.#suspect(board, ctx, crash);
     }
   }
 
@@ -62,6 +71,15 @@
     if (event.outcome.type === "ok") {
       return this.#clear(board, entry.req.digest);
     }
+    if (isLeftSilent(entry, event.outcome, { board })) {
+      const { upstream } = entry.attempt.placement;
+      const incarnation = board.upstreams.byId.get(upstream)?.incarnation ?? "";
+      const { digest } = entry.req;
+      return this.#fellSilent(board, { digest, upstream, incarnation }, {
+        own: true,
+        silentAt: ctx.now,
+      });
+    }
     if (!event.outcome.crashed && !hasLostAnswer(entry, event.outcome)) return;
     board.quarantine.crashesSeen += 1;
     ctx.counters.add("upstreams_crashed");
@@ -95,20 +113,69 @@
     dropOldest(quarantined, MAX_QUARANTINED);
   }
 
+  #fellSilent(
+    board: Blackboard,
+    run: Crash,
+    options: Pick<Silence, "own" | "silentAt">,
+  ): void {
+    const { silences } = board.quarantine;
+    const known = silences.get(run.digest) ?? [];
+    if (known.some((one) => one.upstream === run.upstream)) return;
+    const silence = {
+      upstream: run.upstream,
+      incarnation: run.incarnation as Incarnation,
+      ...options,
+    };
+    silences.set(run.digest, [...known, silence]);
+    dropOldest(silences, MAX_SILENCES);
+  }
+
+  /** An engine that comes back as another run, or not at all, has probably crashed; one that answers again has not. */
+  #settleSilences(board: Blackboard, ctx: StepContext): void {
+    const { silences } = board.quarantine;
+    for (const [digest, known] of silences) {
+      const open: Silence[] = [];
+      for (const silence of known) {
+        const { upstream, incarnation } = silence;
+        const now = board.upstreams.byId.get(upstream);
+        if (now?.incarnation !== incarnation) {
+          this.#suspect(board, ctx, { digest, upstream, incarnation });
+          ctx.repeat();
+          continue;
+        }
+        const answersAt = now.heardAt ?? silence.silentAt;
+        const isBack = answersAt > silence.silentAt;
+        const heardAt = silence.heardAt ?? (isBack ? answersAt : undefined);
+        if (heardAt === undefined) open.push(silence);
+        else if (answersAt < addMs(heardAt, SETTLE_MS)) {
+          open.push({ ...silence, heardAt });
+        }
+      }
+      if (open.length === 0) silences.delete(digest);
+      else silences.set(digest, open);
+    }
+  }
+
   /** Content that has run to its end is innocent of the crash. */
   #clear(board: Blackboard, digest: Digest): void {
+    board.quarantine.silences.delete(digest);
     if (board.quarantine.quarantined.has(digest)) return;
     board.quarantine.suspects.delete(digest);
   }
 
   #forget(board: Blackboard, now: Timestamp): void {
-    const { suspects, quarantined } = board.quarantine;
+    const { suspects, quarantined, silences } = board.quarantine;
     for (const [digest, suspect] of suspects) {
       if (now - suspect.seenAt > SUSPECT_MS) suspects.delete(digest);
     }
     for (const [digest, at] of quarantined) {
       if (isOver(at, now)) quarantined.delete(digest);
     }
+    for (const [digest, open] of silences) {
+      const left = open.filter(({ silentAt }) => now - silentAt <= SUSPECT_MS);
+      if (left.length === 0) silences.delete(digest);
+      else if (left.length < open.length) silences.set(digest, left);
+    }
   }
 }
 
--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -5,6 +5,7 @@
 import type { Outcome } from "../core/request.ts";
 import type { RetryBudget } from "../core/retry_budget.ts";
 import type { Timestamp } from "../core/time.ts";
+import { quietEngines } from "../scheduling/quiet_engines.ts";
 
 /** What follows a failed attempt. */
 export type RetryDecision =
@@ -14,6 +15,8 @@
   /** Asks for another place. */
   | Readonly<{ type: "again" }>;
 
+type Failure = Extract<Outcome, { type: "failed" }>;
+
 const FINAL_CODES: Readonly<Record<Retry, Refusal>> = {
   connect_failed: "no_upstream",
   upstream_refused: "upstream_refused",
@@ -28,7 +31,7 @@
 /** Decides after a failed attempt; a call that may not be repeated goes on only after `not_run`. */
 export function decideRetry(
   entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
+  outcome: Failure,
   options: { board: Blackboard; budget: RetryBudget; now: Timestamp },
 ): RetryDecision {
   const { board, budget, now } = options;
@@ -36,12 +39,11 @@
   if (board.quarantine.quarantined.has(entry.req.digest)) {
     return { type: "give_up", problem: quarantined(entry) };
   }
-  if (!entry.replayable && !canReattach(entry, outcome)) {
-    return giveUp(entry, outcome);
-  }
+  const reattaches = canReattach(entry, outcome, { board });
+  if (!entry.replayable && !reattaches) return giveUp(entry, outcome);
   if (mayCrashAnother(entry, outcome, board)) return giveUp(entry, outcome);
   const maxAttempts = board.config.serving?.limits.maxAttempts ?? 1;
-  if (!canReattach(entry, outcome) && entry.attempts >= maxAttempts) {
+  if (!reattaches && entry.attempts >= maxAttempts) {
     return giveUp(entry, outcome);
   }
   if (!budget.spend(now)) {
@@ -55,19 +57,34 @@
       }),
     };
   }
-  return { type: canReattach(entry, outcome) ? "reattach" : "again" };
+  return { type: reattaches ? "reattach" : "again" };
 }
 
-/** The engine may still run the answer when only the connection was lost. */
+/** The engine may still run the answer when only the connection was lost; one that is quiet altogether is left. */
 export function canReattach(
   entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
+  outcome: Failure,
+  options: Readonly<{ board: Blackboard }>,
 ): boolean {
   if (entry.req.kind !== "prompt" || entry.reattached || outcome.crashed) {
     return false;
   }
-  return outcome.cause === "upstream_silent" ||
-    outcome.cause === "answer_broken";
+  if (outcome.cause === "answer_broken") return true;
+  const upstream = entry.attempt?.placement.upstream;
+  const quiet = quietEngines(options.board.upstreams.byId.values());
+  return outcome.cause === "upstream_silent" &&
+    (upstream === undefined || !quiet.has(upstream));
+}
+
+/** Whether the engine may still run what it was given, and crash over it, after its silence. */
+export function isLeftSilent(
+  entry: RequestEntry,
+  outcome: Failure,
+  options: Readonly<{ board: Blackboard }>,
+): boolean {
+  return entry.req.kind === "prompt" && outcome.cause === "upstream_silent" &&
+    outcome.verdict === "may_have_run" &&
+    !canReattach(entry, outcome, options);
 }
 
 /**
@@ -76,17 +93,16 @@
  */
 function mayCrashAnother(
   entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
+  outcome: Failure,
   board: Blackboard,
 ): boolean {
-  return outcome.cause === "upstream_silent" &&
-    outcome.verdict === "may_have_run" && !canReattach(entry, outcome) &&
+  return isLeftSilent(entry, outcome, { board }) &&
     board.quarantine.suspects.has(entry.req.digest);
 }
 
 function giveUp(
   entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
+  outcome: Failure,
 ): RetryDecision {
   const code = FINAL_CODES[outcome.cause];
   return {
--- /dev/null
+++ b/src/controllers/silent_runs_test.ts
@@ -0,0 +1,164 @@
+import { expect, test } from "vitest";
+import type {
+  AttemptId,
+  Incarnation,
+  RequestId,
+  UpstreamId,
+} from "../core/id.ts";
+import type { StepResult } from "../core/core.ts";
+import {
+  CoreFixture,
+  engineFixture,
+  intentsOf,
+  promptFixture,
+} from "../testing/fixtures.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
+import { RequestController } from "./request_controller.ts";
+
+const ENGINES = ["e1", "e2", "e3", "e4"];
+const DIGEST = promptFixture("poison").digest;
+
+/** A daemon whose engines answer when the test says so. */
+class Rig {
+  readonly core = CoreFixture.create([
+    QuarantineController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+
+  constructor() {
+    this.core.add(...ENGINES.map((id) => engineFixture(id)));
+  }
+
+  /** All engines but the silent ones answer now. */
+  hear(silent: readonly UpstreamId[] = []): void {
+    for (const [id, upstream] of this.core.board.upstreams.byId) {
+      if (silent.includes(id)) continue;
+      const heardAt = this.core.now;
+      this.core.board.upstreams.byId.set(id, { ...upstream, heardAt });
+    }
+  }
+
+  /** An engine comes back as another run. */
+  restart(id: UpstreamId): void {
+    const upstream = this.core.board.upstreams.byId.get(id)!;
+    this.core.board.upstreams.byId.set(id, {
+      ...upstream,
+      incarnation: `${upstream.incarnation}-next` as Incarnation,
+      heardAt: this.core.now,
+    });
+  }
+
+  send(id: string) {
+    const req = promptFixture(id, { digest: DIGEST });
+    return started(this.core.after(10, { type: "request_arrived", req }));
+  }
+
+  end(run: Run, cause: "upstream_silent" | "upstream_crashed") {
+    const outcome = {
+      type: "failed",
+      cause,
+      verdict: "may_have_run",
+      tokens: 0,
+      crashed: cause === "upstream_crashed",
+      detail: "",
+    } as const;
+    const { req, attempt } = run;
+    return started(
+      this.core.after(2_000, { type: "attempt_ended", req, attempt, outcome }),
+    );
+  }
+}
+
+type Run = Readonly<
+  { req: RequestId; attempt: AttemptId; upstream: UpstreamId }
+>;
+
+function started(result: StepResult): readonly Run[] {
+  return intentsOf(result, "start_attempt").map((intent) => ({
+    req: intent.req,
+    attempt: intent.attempt,
+    upstream: intent.placement.upstream,
+  }));
+}
+
+test("a copy waits while content that crashed one engine may still crash a silent one", () => {
+  const rig = new Rig();
+  const [first] = rig.send("a");
+  const [second] = rig.end(first!, "upstream_crashed");
+  expect(rig.send("b")).toEqual([]);
+  // The connection is tried once more, then the request is given up.
+  const [again] = rig.end(second!, "upstream_silent");
+  expect(rig.end(again!, "upstream_silent")).toEqual([]);
+  expect(started(rig.core.after(2_500))).toEqual([]);
+  expect(rig.core.board.requests.byId.get("b" as RequestId)?.state)
+    .toBe("placing");
+});
+
+test("the copy is refused when the silent engine turns out to have crashed", () => {
+  const rig = new Rig();
+  const [first] = rig.send("a");
+  const [second] = rig.end(first!, "upstream_crashed");
+  rig.send("b");
+  const [again] = rig.end(second!, "upstream_silent");
+  rig.end(again!, "upstream_silent");
+  rig.restart(second!.upstream);
+  const answers = intentsOf(rig.core.after(10), "answer");
+  expect(answers.map((one) => one.problem.code)).toEqual(["quarantined"]);
+});
+
+test("the copy goes on when the silent engine answers again for a while", () => {
+  const rig = new Rig();
+  const [first] = rig.send("a");
+  const [second] = rig.end(first!, "upstream_crashed");
+  rig.send("b");
+  const [again] = rig.end(second!, "upstream_silent");
+  rig.end(again!, "upstream_silent");
+  rig.core.after(10);
+  rig.hear();
+  expect(started(rig.core.after(900))).toEqual([]);
+  rig.core.after(200);
+  rig.hear();
+  rig.core.after(1);
+  const [third] = started(rig.core.after(2_500));
+  expect(third?.req).toBe("b");
+});
+
+test("a crash after the run on a frozen engine was cancelled counts, and no third engine is lost", () => {
+  const rig = new Rig();
+  const [first] = rig.send("a");
+  const [again] = rig.end(first!, "upstream_silent");
+  const [second] = rig.end(again!, "upstream_silent");
+  expect(second!.upstream).not.toBe(first!.upstream);
+  rig.restart(first!.upstream);
+  expect(rig.end(second!, "upstream_crashed")).toEqual([]);
+  expect(rig.core.board.quarantine.quarantined.has(DIGEST)).toBe(true);
+});
+
+test("an engine that stopped answering a second ago gets no prompt while others answer", () => {
+  const rig = new Rig();
+  const [first] = rig.send("a");
+  const frozen = first!.upstream;
+  rig.hear();
+  for (let i = 0; i < 6; i += 1) {
+    rig.core.after(200);
+    rig.hear([frozen]);
+  }
+  const places = Array.from({ length: 8 }, (_, i) => {
+    const req = promptFixture(`p${i}`);
+    return started(rig.core.after(1, { type: "request_arrived", req }))[0]!
+      .upstream;
+  });
+  expect(places).not.toContain(frozen);
+  // Nor is an answer taken up again there.
+  const [second] = rig.end(first!, "upstream_silent");
+  expect(second!.upstream).not.toBe(frozen);
+});
+
+test("engines of which none has been heard lately stay in use", () => {
+  const rig = new Rig();
+  rig.hear();
+  rig.core.after(5_000);
+  expect(rig.send("a")).toHaveLength(1);
+});
--- a/src/controllers/upstream_controller.ts
+++ b/src/controllers/upstream_controller.ts
@@ -38,9 +38,15 @@
       case "vms_listed":
         return this.#list(board, event.vms);
       case "load_reported":
-        return this.#report(board, event.upstream, event.report);
+        return this.#report(board, event.upstream, {
+          report: event.report,
+          now: ctx.now,
+        });
       case "state_reported":
-        return this.#report(board, event.upstream, event.state);
+        return this.#report(board, event.upstream, {
+          report: event.state,
+          now: ctx.now,
+        });
       case "upstream_unreachable":
         return this.#lose(board, event.upstream, ctx.now);
       case "attempt_ended":
@@ -96,8 +102,9 @@
   #report(
     board: Blackboard,
     id: UpstreamId,
-    report: LoadReport | EngineState,
+    options: Readonly<{ report: LoadReport | EngineState; now: Timestamp }>,
   ): void {
+    const { report, now: heardAt } = options;
     const known = board.upstreams.byId.get(id);
     if (known === undefined || this.#isOutdated(id, report)) return;
     if (known.incarnation !== report.incarnation) {
@@ -106,9 +113,10 @@
     }
     const state = known.state === "unreachable" ? "live" : known.state;
     const base = known.incarnation === report.incarnation
-      ? { ...known, state }
+      ? { ...known, state, heardAt }
       : {
         ...known,
+        heardAt,
         state: this.#firstState(id, report.incarnation),
         load: undefined,
         engine: undefined,
--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -79,6 +79,8 @@
   upstream: string;
   incarnation: string;
   atMs: number;
+  /** The engine fell silent over it, so that a crash is only possible. */
+  silent: boolean;
 }
 
 /** Asks the daemon that schedules a cell for a place for one prompt. */
@@ -920,7 +922,7 @@
 };
 
 function createBaseSuspect(): Suspect {
-  return { digest: "", upstream: "", incarnation: "", atMs: 0 };
+  return { digest: "", upstream: "", incarnation: "", atMs: 0, silent: false };
 }
 
 export const Suspect: MessageFns<Suspect> = {
@@ -937,6 +939,9 @@
     if (message.atMs !== 0) {
       writer.uint32(32).uint64(message.atMs);
     }
+    if (message.silent !== false) {
+      writer.uint32(40).bool(message.silent);
+    }
     return writer;
   },
 
@@ -985,6 +990,14 @@
             message.atMs = longToNumber(reader.uint64());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.silent = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1007,6 +1020,7 @@
         : isSet(object.at_ms)
         ? globalThis.Number(object.at_ms)
         : 0,
+      silent: isSet(object.silent) ? globalThis.Boolean(object.silent) : false,
     };
   },
 
@@ -1024,6 +1038,9 @@
     if (message.atMs !== 0) {
       obj.atMs = Math.round(message.atMs);
     }
+    if (message.silent !== false) {
+      obj.silent = message.silent;
+    }
     return obj;
   },
 
@@ -1036,6 +1053,7 @@
     message.upstream = object.upstream ?? "";
     message.incarnation = object.incarnation ?? "";
     message.atMs = object.atMs ?? 0;
+    message.silent = object.silent ?? false;
     return message;
   },
 };
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -29,6 +29,7 @@
 import type { Policy } from "./policy.ts";
 import { couldHold } from "./oversized.ts";
 import { PrefixIndex } from "./prefix_index.ts";
+import { quietEngines } from "./quiet_engines.ts";
 import {
   cachedOn,
   chooseDecoder,
@@ -90,13 +91,12 @@
 
   /** Takes in what the daemon knows of the engines. */
   takeUpstreams(upstreams: Iterable<Upstream>): void {
-    const seen = new Set<UpstreamId>();
-    for (const upstream of upstreams) {
-      if (upstream.kind !== "engine") continue;
-      seen.add(upstream.id);
-      this.#takeUpstream(upstream);
-    }
-    for (const id of this.#engines.keys()) {
+    const engines = [...upstreams].filter(({ kind }) => kind === "engine");
+    const seen = new Set(engines.map(({ id }) => id));
+    for (const upstream of engines) this.#takeUpstream(upstream);
+    const quiet = quietEngines(engines);
+    for (const [id, engine] of this.#engines) {
+      engine.quiet = quiet.has(id);
       if (!seen.has(id)) this.#forgetEngine(id);
     }
   }
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -20,6 +20,8 @@
   readonly id: UpstreamId;
   incarnation: Incarnation;
   live = true;
+  /** Whether it has stopped answering while others answer. */
+  quiet = false;
   loaded: readonly Loaded[] = [];
   report: LoadReport | undefined;
   readonly jobs = new Map<JobKey, Job>();
--- a/src/scheduling/short_placement.ts
+++ b/src/scheduling/short_placement.ts
@@ -54,16 +54,18 @@
   return best;
 }
 
-/** Returns the engines that may run this prompt at all. */
+/** Returns the engines that may run this prompt; quiet ones only where there is no other. */
 export function eligible(
   ask: Ask,
   engines: Iterable<EngineView>,
 ): readonly EngineView[] {
-  return [...engines].filter((engine) =>
+  const able = [...engines].filter((engine) =>
     engine.live && engine.serves(ask.weights) &&
     !ask.excluded.includes(engine.id) &&
     !(ask.suspect && engine.hasSuspect())
   );
+  const heard = able.filter((engine) => !engine.quiet);
+  return heard.length > 0 ? heard : able;
 }
 
 /** Returns how many tokens of the prompt the engine is believed to have cached. */
--- a/tools/faults/faults_test.ts
+++ b/tools/faults/faults_test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from "vitest";
 import { explore } from "./explore.ts";
+import { REGRESSIONS } from "./regressions.ts";
+import { runSchedule } from "./run.ts";
 
 const SEEDS = [20_261_204, 11];
 const RUNS = 20;
@@ -14,3 +16,8 @@
   };
   expect(shown, JSON.stringify(finding?.schedule)).toBeUndefined();
 });
+
+test.each(REGRESSIONS)("$name", async ({ schedule }) => {
+  const violation = await runSchedule(schedule);
+  expect(violation?.detail, violation?.trace.join("\n")).toBeUndefined();
+});
