Read long prompts where they harm least, and answer them side by side

The log shows middle and long streams that pause for 820 to 870 ms, the length of one part of a long prompt spread over 12 engines; and prompts of 425,000 and 297,000 tokens placed on 4 and 6 engines for 6.5 and 2.1 s although eight more were free 0.2 s later, which silenced four other prompts for 5 s.

Change: parts go to the engines whose streams bear them; a long prompt is answered beside one or two streams like its own rather than on an empty engine; one that would be late now waits where engines that are free soon end it sooner.

Each of the three rules has a test that fails without it.

--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -19,6 +19,8 @@
 const BESIDE_COST = 1;
 /** Tokens that any stream counts at least, as short ones are worth more than their size. */
 const STREAM_TOKENS = 5_000;
+/** Part of the time that waiting for more engines has to leave of a late answer. */
+const WORTH_WAITING = 0.8;
 /** What predictions may be off. */
 const MARGIN_MS: Millis = 20;
 
@@ -56,16 +58,18 @@
     a.load.tight - b.load.tight ||
     handicapMs(choice, a) - handicapMs(choice, b) || a.load.own - b.load.own
   );
-  let best: { count: number; cost: number; expectMs: Millis } | undefined;
+  let best:
+    | { chosen: readonly Candidate[]; cost: number; expectMs: Millis }
+    | undefined;
   const all = Math.min(ranked.length, MAX_HELPERS + 1);
   const spare = enginesToSpare(candidates);
   const most = total / all <= SMALL_PART_MS
     ? all
     : Math.max(1, Math.min(all, ranked.length - spare));
   for (let count = 1; count <= most; count += 1) {
-    const chosen = ranked.slice(0, count);
     const partMs = total / count;
-    const pass = passMs(pace, chosen[0]!.load.own + 1, ask.promptTokens);
+    const pass = passMs(pace, ranked[0]!.load.own + 1, ask.promptTokens);
+    const chosen = leastHarmed(ranked, { count, partMs, pass });
     const faults = Math.max(...chosen.map((one) => handicapMs(choice, one)));
     const expectMs = FREE_MS / 2 + partMs + pass + faults;
     if (expectMs > options.endsInMs) continue;
@@ -74,20 +78,35 @@
     for (const one of chosen) harm += harmOf(one, partMs, pass);
     const cost = late + harm + expectMs * FINISH_COST;
     if (best === undefined || cost < best.cost) {
-      best = { count, cost, expectMs };
+      best = { chosen, cost, expectMs };
     }
   }
   if (best === undefined) return "busy";
+  if (best.expectMs > options.dueInMs) {
+    const waitedMs = waitedExpectMs(choice, { total, spare });
+    if (waitedMs < best.expectMs * WORTH_WAITING) return "busy";
+  }
+  const { chosen } = best;
   const memory = planMemory(choice, {
-    chosen: ranked.slice(0, best.count),
-    rest: candidates.filter((one) => !ranked.includes(one))
-      .concat(ranked.slice(best.count)),
+    chosen: best.chosen,
+    rest: candidates.filter((one) => !chosen.includes(one)),
   });
   if (memory === undefined) return "no_memory";
   const partMs = total / (memory.helpers.length + 1);
   return { ...memory, partMs, expectMs: best.expectMs };
 }
 
+/** The engines whose streams a part of this length makes late least, in the given order otherwise. */
+function leastHarmed(
+  ranked: readonly Candidate[],
+  part: Readonly<{ count: number; partMs: Millis; pass: Millis }>,
+): readonly Candidate[] {
+  const { count, partMs, pass } = part;
+  const harms = new Map(ranked.map((one) => [one, harmOf(one, partMs, pass)]));
+  return [...ranked].sort((a, b) => harms.get(a)! - harms.get(b)!)
+    .slice(0, count);
+}
+
 /** Leaves out engines that have just failed, unless most have: a silent helper holds up the whole prompt. */
 function trusted(choice: PromptChoice): readonly Candidate[] {
   const { candidates, now } = choice;
@@ -119,6 +138,24 @@
   return waits[wanted - 1] ?? 0;
 }
 
+/**
+ * Predicted time to the first event if the prompt waits until more engines are free.
+ * Load pattern: a wave of long prompts, the largest of which comes while most engines read the one before it.
+ */
+function waitedExpectMs(
+  choice: PromptChoice,
+  options: Readonly<{ total: Millis; spare: number }>,
+): Millis {
+  const waits = trusted(choice).filter((one) => one.load.tight === 0)
+    .map((one) => one.load.waitMs(choice.now)).sort((a, b) => a - b);
+  const most = Math.min(MAX_HELPERS + 1, waits.length - options.spare);
+  const expects = waits.slice(0, Math.max(1, most))
+    .map((wait, i) =>
+      wait <= FREE_MS ? Infinity : wait + options.total / (i + 1)
+    );
+  return Math.min(...expects) + passMs(choice.pace, 1, choice.ask.promptTokens);
+}
+
 /** Tokens of the streams on an engine that a part makes late, and what a part costs beside others. */
 function harmOf(one: Candidate, partMs: Millis, pass: Millis): number {
   let harm = 0;
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -110,6 +110,54 @@
     expect(ids).toHaveLength(12);
   });
 
+  /** Streams of long prompts, which bear pauses of up to a second, and of middle ones, which don't. */
+  const loose = { pauseMs: 1_000 };
+  const firm = { pauseMs: 600 };
+
+  test("are read where the streams bear it, not where they pause too long", () => {
+    const bears = Array.from(
+      { length: 13 },
+      (_, i) => engine(`b${i}`, { streams: 2, fields: loose }),
+    );
+    const suffers = Array.from(
+      { length: 3 },
+      (_, i) => engine(`s${i}`, { streams: 1, fields: firm }),
+    );
+    const place = placeLong(
+      choice([...suffers, ...bears], { ...long, promptTokens: 270_000 }),
+      { dueInMs: 2_950, endsInMs: 11_000 },
+    );
+    if (typeof place === "string") throw new Error(place);
+    const ids = [place.engine, ...place.helpers].map((one) => one.id);
+    expect(ids.filter((id) => id.startsWith("s"))).toEqual([]);
+  });
+
+  test("are answered beside a few such streams rather than on an empty engine", () => {
+    const engines = [
+      engine("e0"),
+      engine("e1", { streams: 1, fields: loose }),
+      engine("e2", { streams: 3, fields: loose }),
+    ];
+    const place = placeLong(choice(engines, long), {
+      dueInMs: 2_950,
+      endsInMs: 11_000,
+    });
+    if (typeof place === "string") throw new Error(place);
+    expect(place.engine.id).toBe("e1");
+  });
+
+  test("wait for engines that are free soon rather than be late on the few that are free now", () => {
+    const free = Array.from({ length: 8 }, (_, i) => engine(`f${i}`));
+    const soon = (reading: number) =>
+      Array.from({ length: 8 }, (_, i) => engine(`r${i}`, { reading }));
+    const ask = { ...long, promptTokens: 220_000 };
+    const options = { dueInMs: 700, endsInMs: 11_000 };
+    expect(placeLong(choice([...free, ...soon(200)], ask), options))
+      .toBe("busy");
+    expect(placeLong(choice([...free, ...soon(6_000)], ask), options))
+      .not.toBe("busy");
+  });
+
   test("wait while too few engines are free", () => {
     const busy = Array.from(
       { length: 13 },
--- a/src/scheduling/pool/plan_memory.ts
+++ b/src/scheduling/pool/plan_memory.ts
@@ -8,6 +8,9 @@
 /** A stream that accepts only short pauses counts as much as these others where a long prompt is answered. */
 const TIGHT_WEIGHT = 4;
 
+/** Streams that are gathered on one engine; more of them would make each of its steps slower. */
+const GATHERED_STREAMS = 3;
+
 /** Who answers a long prompt, who helps, and what memory they set aside. */
 export type MemoryPlan = Readonly<{
   engine: Candidate;
@@ -61,7 +64,13 @@
   return { engine, helpers, tickets };
 }
 
-/** A long prompt is answered where few streams write, as each of its steps reads a long context. */
+/**
+ * A long prompt is answered beside a few streams like its own rather than on an empty engine.
+ * Load pattern: a wave of long prompts. Each answer that has an engine to itself is one engine fewer whose parts
+ * make nobody wait.
+ */
 function answerCost(one: Candidate): number {
-  return one.load.tight * TIGHT_WEIGHT + one.load.own;
+  const { tight, own } = one.load;
+  const gathers = own > tight && own < GATHERED_STREAMS;
+  return tight * TIGHT_WEIGHT + (gathers ? -own : own);
 }
--- a/stand_ins/pass_engine/pass_engine.ts
+++ b/stand_ins/pass_engine/pass_engine.ts
@@ -18,6 +18,8 @@
   /** Parts that are not read yet. */
   partsLeft: number;
   tokensLeft: number;
+  /** Starts the engine that answers once all parts are read; it may have run out of work by then. */
+  onRead?: () => void;
   readonly onEvent: (at: number) => void;
   readonly onEnd: (at: number) => void;
 };
@@ -55,6 +57,7 @@
   /** Takes a prompt that this engine answers, with the number of engines that read it. */
   answer(job: SimJob, engines: number): void {
     job.partsLeft = engines;
+    job.onRead = () => this.#start();
     this.#queue.push(job);
     this.#parts.set(job, this.#partOf(job, engines));
     this.#start();
@@ -135,8 +138,10 @@
     for (const list of [this.#helped, this.#own]) {
       for (let i = list.length - 1; i >= 0; i -= 1) {
         if (list[i]!.tokensLeft > 1e-6) continue;
-        list[i]!.job.partsLeft -= 1;
+        const { job } = list[i]!;
+        job.partsLeft -= 1;
         list.splice(i, 1);
+        if (job.partsLeft === 0) job.onRead?.();
       }
     }
   }
