Refuse waiting prompts that can't be read in time behind those before them

Change: the queue adds up what the engines still read and what goes before a prompt, spread over all engines, a bound that nothing can beat; what ends later than its caller waits is refused at once, with the backlog as Retry-After. One look tries eight waiting prompts at most.

--- /dev/null
+++ b/src/scheduling/pool/pool_grant.ts
@@ -0,0 +1,52 @@
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
+
+/** Lowest rank inside an engine. */
+const MAX_PRIORITY = 9;
+
+/** Upstreams that may take a request, as the configuration and the members list them. */
+export type PoolMember = Readonly<{
+  id: UpstreamId;
+  /** Host and port. */
+  address: string;
+  domain: string;
+  slots: number;
+}>;
+
+/** The job of a prompt or call that gets a place. */
+export function jobOf(
+  ask: PoolAsk,
+  now: Timestamp,
+  place: Pick<PoolJob, "upstream" | "partMs"> & Partial<PoolJob>,
+): PoolJob {
+  return {
+    id: ask.job,
+    vm: ask.vm,
+    service: ask.service,
+    kind: ask.kind,
+    helpers: [],
+    tickets: [],
+    tokens: ask.promptTokens + ask.answerTokens,
+    pauseMs: ask.pauseMs,
+    writing: false,
+    placedAt: now,
+    ...place,
+  };
+}
+
+/** What a daemon is told that may send a request. */
+export function grantOf(
+  job: PoolJob,
+  req: Readonly<{ ask: PoolAsk; members: readonly PoolMember[] }>,
+  expectMs: Millis = 0,
+): PoolGrant {
+  const addresses: Record<UpstreamId, string> = {};
+  for (const one of req.members) {
+    const takesPart = one.id === job.upstream || job.helpers.includes(one.id);
+    if (takesPart) addresses[one.id] = one.address;
+  }
+  const long = job.helpers.length > 0 ? 1 : 0;
+  const priority = Math.min(MAX_PRIORITY, 2 * req.ask.rank + long);
+  return { job, addresses, priority, expectMs };
+}
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -11,26 +11,18 @@
 import { MAX_HELPERS, MEMORY_SHARE } from "./plan_memory.ts";
 import { placeShort } from "./place_short.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
-import type { JobId, PoolAsk, PoolGrant, PoolJob } from "./pool_job.ts";
+import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
+import type { JobId, PoolAsk, PoolGrant } from "./pool_job.ts";
 
 /** Prompts with a longer prefill are split over several engines; with a pass it is what tight streams bear. */
 const LONG_PREFILL_MS: Millis = 190;
 /** When to come back if nothing better is known: about the time in which a large prompt leaves an engine. */
 const COME_BACK_MS: Millis = 800;
-/** Lowest rank inside an engine. */
-const MAX_PRIORITY = 9;
+/** Waiting prompts that are tried in one look and find engines busy; further ones would hardly fare better. */
+const MAX_TRIES = 8;
 /** Time between looks at the queue while engines are busy. */
 const LOOK_MS: Millis = 15;
 
-/** Upstreams that may take a request, as the configuration and the members list them. */
-export type PoolMember = Readonly<{
-  id: UpstreamId;
-  /** Host and port. */
-  address: string;
-  domain: string;
-  slots: number;
-}>;
-
 /** A request for a place, with what may serve it. */
 export type PoolRequest = Readonly<{
   ask: PoolAsk;
@@ -95,12 +87,23 @@
     const decisions: PoolDecision[] = [];
     // Once a prompt waits for engines, others may only use them for as long as it must wait anyway.
     let roomMs = Infinity;
+    let tries = 0;
+    let aheadMs: Millis | undefined;
     for (const waiting of this.#inOrder(now)) {
       const { ask, pace } = waiting.req;
       const req = { ask, pace, members: members(ask) };
       const { waiter } = waiting;
-      const result = this.#placeLong(req, waiter, { now, roomMs });
+      aheadMs ??= this.#readingMs(req.members, now);
+      const endsInMs = (aheadMs + waiter.workMs) / req.members.length;
+      let result = tries < MAX_TRIES
+        ? this.#placeLong(req, waiter, { now, roomMs })
+        : undefined;
+      if (result === undefined && addMs(now, endsInMs) > waiter.endsAt) {
+        result = err(this.#notInTime("deadline_unreachable", now));
+      }
       if (result === undefined) {
+        tries += 1;
+        aheadMs += waiter.workMs;
         const choice = { ...this.#choice(req, now), pace };
         roomMs = Math.min(roomMs, freeInMs(choice));
         continue;
@@ -164,18 +167,8 @@
     if (place === "busy" || place === "no_memory") {
       const most = Math.min(req.members.length, MAX_HELPERS + 1);
       if (now + waiter.workMs / most < waiter.endsAt) return undefined;
-      const engines = this.#engines();
-      const waiters = [...this.#waiting.values()].map((one) => one.waiter);
-      return err(problem(
-        place === "busy" ? "deadline_unreachable" : "no_memory",
-        "The engines are not free in time",
-        {
-          retryAfterMs: Math.max(
-            COME_BACK_MS,
-            Math.ceil(backlogMs(waiters, { engines, now })),
-          ),
-        },
-      ));
+      const code = place === "busy" ? "deadline_unreachable" : "no_memory";
+      return err(this.#notInTime(code, now));
     }
     const job = jobOf(ask, now, {
       upstream: place.engine.id,
@@ -187,6 +180,24 @@
     return ok(grantOf(job, req, place.expectMs));
   }
 
+  /** Prefill time that is left on all engines together. */
+  #readingMs(members: readonly PoolMember[], now: Timestamp): Millis {
+    let sum = 0;
+    for (const { id } of members) sum += this.accounts.load(id).waitMs(now);
+    return sum;
+  }
+
+  #notInTime(
+    code: "deadline_unreachable" | "no_memory",
+    now: Timestamp,
+  ): Problem {
+    const waiters = [...this.#waiting.values()].map((one) => one.waiter);
+    const leftMs = backlogMs(waiters, { engines: this.#engines(), now });
+    return problem(code, "The engines are not free in time", {
+      retryAfterMs: Math.max(COME_BACK_MS, Math.ceil(leftMs)),
+    });
+  }
+
   #placeShort(
     req: Waiting["req"],
     now: Timestamp,
@@ -244,41 +255,6 @@
   };
 }
 
-function jobOf(
-  ask: PoolAsk,
-  now: Timestamp,
-  place: Pick<PoolJob, "upstream" | "partMs"> & Partial<PoolJob>,
-): PoolJob {
-  return {
-    id: ask.job,
-    vm: ask.vm,
-    service: ask.service,
-    kind: ask.kind,
-    helpers: [],
-    tickets: [],
-    tokens: ask.promptTokens + ask.answerTokens,
-    pauseMs: ask.pauseMs,
-    writing: false,
-    placedAt: now,
-    ...place,
-  };
-}
-
-function grantOf(
-  job: PoolJob,
-  req: PoolRequest,
-  expectMs: Millis = 0,
-): PoolGrant {
-  const addresses: Record<UpstreamId, string> = {};
-  for (const one of req.members) {
-    const takesPart = one.id === job.upstream || job.helpers.includes(one.id);
-    if (takesPart) addresses[one.id] = one.address;
-  }
-  const long = job.helpers.length > 0 ? 1 : 0;
-  const priority = Math.min(MAX_PRIORITY, 2 * req.ask.rank + long);
-  return { job, addresses, priority, expectMs };
-}
-
 /** Leaves out what has failed for this request, unless nothing else is there. */
 function usable(
   members: readonly PoolMember[],
--- a/tools/pool/policies.ts
+++ b/tools/pool/policies.ts
@@ -4,9 +4,9 @@
 import { prefillMs } from "../../src/scheduling/pool/engine_pace.ts";
 import { poolJob } from "../../src/testing/pool_fixtures.ts";
 import type { JobId, PoolJob } from "../../src/scheduling/pool/pool_job.ts";
+import type { PoolMember } from "../../src/scheduling/pool/pool_grant.ts";
 import {
   type PoolDecision,
-  type PoolMember,
   type PoolRequest,
   PoolScheduler,
 } from "../../src/scheduling/pool/pool_scheduler.ts";
