--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -58,7 +58,7 @@
 
   override step(board: Blackboard, ctx: StepContext): void {
     this.#scheduler.setPolicy(board.config.serving?.limits ?? DEFAULT_POLICY);
-    this.#scheduler.takeUpstreams(board.upstreams.byId.values());
+    this.#scheduler.accounts.takeUpstreams(board.upstreams.byId.values());
     for (const event of ctx.events) this.#take(board, ctx, event);
     this.#dropEnded(board, ctx);
     this.#dropLostAskers(board, ctx);
@@ -76,7 +76,7 @@
           ...one,
           blocks: one.blocks.map(shortDigest),
         }));
-        return this.#scheduler.takeCacheEvents(event.upstream, events);
+        return this.#scheduler.accounts.takeCacheEvents(event.upstream, events);
       }
       case "peer_message":
         return this.#receive(board, ctx, event.envelope);
@@ -108,7 +108,7 @@
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
       : entry.attempt.placement.upstream;
-    if (crashed) this.#scheduler.engineCrashed(upstream);
+    if (crashed) this.#scheduler.accounts.engineCrashed(upstream);
     const silent = outcome.type === "failed" &&
       isLeftSilent(entry, outcome, { board });
     const suspect = crashed || silent
@@ -178,7 +178,7 @@
     if (quarantined.has(ask.digest)) return false;
     if (mayCrashNoOther(board, ask.digest)) return true;
     if (!suspects.has(ask.digest)) return false;
-    return [...this.#scheduler.jobs.values()].some((job) =>
+    return [...this.#scheduler.accounts.jobs.values()].some((job) =>
       job.ask.digest === ask.digest && job.ask.request !== ask.request
     );
   }
@@ -198,7 +198,7 @@
       });
     }
     if (message.suspect?.silent === false) {
-      this.#scheduler.engineCrashed(message.suspect.upstream as never);
+      this.#scheduler.accounts.engineCrashed(message.suspect.upstream as never);
     }
     const news = message.state as JobNews;
     const { round } = message;
--- a/src/scheduling/copies_test.ts
+++ b/src/scheduling/copies_test.ts
@@ -21,7 +21,7 @@
 
 test("suspect copies that wait together are placed one at a time", () => {
   const scheduler = CellScheduler.create(DEFAULT_POLICY);
-  scheduler.takeUpstreams([engineFixture("e1"), engineFixture("e2")]);
+  scheduler.accounts.takeUpstreams([engineFixture("e1"), engineFixture("e2")]);
   const others = [askFor("x", "dx"), askFor("y", "dy")];
   const copies = [askFor("a", "poison"), askFor("b", "poison")];
   const answers = [...others, ...copies].map((ask) =>
--- a/src/scheduling/oversized_test.ts
+++ b/src/scheduling/oversized_test.ts
@@ -37,7 +37,7 @@
       },
     });
   });
-  scheduler.takeUpstreams(upstreams);
+  scheduler.accounts.takeUpstreams(upstreams);
   return scheduler;
 }
 
