--- /dev/null
+++ b/src/controllers/place_mail.ts
@@ -0,0 +1,74 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { DaemonId, RequestId } from "../core/id.ts";
+import type { StepContext } from "../core/step_context.ts";
+import type { Envelope, Suspect } from "../gen/peer.ts";
+import type { Answer, Ask } from "../scheduling/ask.ts";
+import { toPlaceGrant, toPlaceRefusal } from "../scheduling/place_messages.ts";
+
+/** Sends other daemons what concerns places. */
+export class PlaceMail {
+  #seq = 0;
+
+  static create(): PlaceMail {
+    return new PlaceMail();
+  }
+
+  /** Answers the daemon that asked for a place. */
+  answer(
+    board: Blackboard,
+    ctx: StepContext,
+    options: Readonly<{ ask: Ask; answer: Answer }>,
+  ): void {
+    const { ask, answer } = options;
+    switch (answer.type) {
+      case "granted": {
+        const value = toPlaceGrant(ask, answer.placement);
+        this.send(board, ctx, ask.from, { $case: "placeGrant", value });
+        return;
+      }
+      case "refused": {
+        const value = toPlaceRefusal(ask, answer.problem);
+        this.send(board, ctx, ask.from, { $case: "placeRefusal", value });
+        return;
+      }
+      case "queued": {
+        const { request, round } = ask;
+        return this.update(board, ctx, ask.from, {
+          request,
+          round,
+          state: "queued",
+        });
+      }
+    }
+  }
+
+  /** Tells a daemon how a prompt fares that it placed, or asked for. */
+  update(
+    board: Blackboard,
+    ctx: StepContext,
+    to: DaemonId,
+    update: Readonly<
+      { request: RequestId; round: number; state: string; suspect?: Suspect }
+    >,
+  ): void {
+    const { request, round, state, suspect } = update;
+    const crashed = suspect?.silent === false;
+    const value = { request, round, state, suspect, crashed, tokens: 0 };
+    this.send(board, ctx, to, { $case: "placeUpdate", value });
+  }
+
+  /** Sends one message; false if the daemon is not known. */
+  send(
+    board: Blackboard,
+    ctx: StepContext,
+    to: DaemonId,
+    body: NonNullable<Envelope["body"]>,
+  ): boolean {
+    const address = board.members.peers.get(to)?.peerAddress;
+    if (address === undefined) return false;
+    this.#seq += 1;
+    const envelope = { from: board.self.id, seq: this.#seq, body };
+    ctx.emit({ type: "send_peer", address, envelope });
+    return true;
+  }
+}
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -20,10 +20,9 @@
   fromPlaceRefusal,
   shortDigest,
   toPlaceAsk,
-  toPlaceGrant,
-  toPlaceRefusal,
 } from "../scheduling/place_messages.ts";
 import { mayCrashNoOther } from "./crash_bound.ts";
+import { PlaceMail } from "./place_mail.ts";
 import { toAsk, withSuspicion } from "./place_ask.ts";
 import { placeCall } from "./call_placement.ts";
 import { canReattach, isLeftSilent } from "./retry_decision.ts";
@@ -47,10 +46,10 @@
 export class PlacementController extends Controller {
   override readonly name = "placement";
   readonly #scheduler = CellScheduler.create(DEFAULT_POLICY);
+  readonly #mail = PlaceMail.create();
   readonly #rounds = new Map<RequestId, Round>();
   /** The live daemons, this one included, as they were last. */
   #live = "";
-  #seq = 0;
 
   static create(): PlacementController {
     return new PlacementController();
@@ -219,7 +218,7 @@
     if (!stale && round.state === "placed") return;
     if (!stale) return this.#settle(board, ctx, round, answer);
     if (answer.type === "granted") {
-      this.#sendUpdate(board, ctx, from, {
+      this.#mail.update(board, ctx, from, {
         request,
         round: options.round,
         state: "withdrawn",
@@ -291,7 +290,7 @@
   #sendAsk(board: Blackboard, ctx: StepContext, round: Round): boolean {
     const { scheduler } = board.members;
     const sent = scheduler !== board.self.id &&
-      this.#send(board, ctx, scheduler, {
+      this.#mail.send(board, ctx, scheduler, {
         $case: "placeAsk",
         value: toPlaceAsk(round.ask, ctx.now),
       });
@@ -343,26 +342,7 @@
       if (round !== undefined) this.#settle(board, ctx, round, answer);
       return;
     }
-    switch (answer.type) {
-      case "granted": {
-        const value = toPlaceGrant(ask, answer.placement);
-        this.#send(board, ctx, ask.from, { $case: "placeGrant", value });
-        return;
-      }
-      case "refused": {
-        const value = toPlaceRefusal(ask, answer.problem);
-        this.#send(board, ctx, ask.from, { $case: "placeRefusal", value });
-        return;
-      }
-      case "queued": {
-        const { request, round } = ask;
-        return this.#sendUpdate(board, ctx, ask.from, {
-          request,
-          round,
-          state: "queued",
-        });
-      }
-    }
+    this.#mail.answer(board, ctx, { ask, answer });
   }
 
   /** Forgets requests that are over, and says so where a place is held for them. */
@@ -401,39 +381,11 @@
       const news = { round: round.ask.round, now: ctx.now };
       return this.#scheduler.update(request, state, news);
     }
-    this.#sendUpdate(board, ctx, round.scheduler, {
+    this.#mail.update(board, ctx, round.scheduler, {
       request,
       round: round.ask.round,
       state,
       suspect,
     });
   }
-
-  #sendUpdate(
-    board: Blackboard,
-    ctx: StepContext,
-    to: DaemonId,
-    update: Readonly<
-      { request: RequestId; round: number; state: string; suspect?: Suspect }
-    >,
-  ): void {
-    const { request, round, state, suspect } = update;
-    const crashed = suspect?.silent === false;
-    const value = { request, round, state, suspect, crashed, tokens: 0 };
-    this.#send(board, ctx, to, { $case: "placeUpdate", value });
-  }
-
-  #send(
-    board: Blackboard,
-    ctx: StepContext,
-    to: DaemonId,
-    body: NonNullable<Envelope["body"]>,
-  ): boolean {
-    const address = board.members.peers.get(to)?.peerAddress;
-    if (address === undefined) return false;
-    this.#seq += 1;
-    const envelope = { from: board.self.id, seq: this.#seq, body };
-    ctx.emit({ type: "send_peer", address, envelope });
-    return true;
-  }
 }
