Write twice-written pieces once

Found on reading the whole change again; no decision changes.

- tools/lib/loopback.ts listens and closes for the canned server, the counting relay, the token source and freePort, which each had their own copy.
- The settings of a cell's scheduler are kept once, in its accounts, not in three places that had to be set alike.
- knownRun names an upstream's run for the three places that looked it up.
- The pool: waits of engines without tight streams, a caller's patience, the shortest time to come back and the list of waiters are each worked out in one place; after the last try of a look the room for others, which nobody asks for then, is no longer computed for each prompt that waits.
- The doc of GIVEN_UP_PART had been copied from the watchdog's own part, which is another figure; it now says what it is.
- Tests of silent runs share their set-up; their assertions stay.

--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -22,6 +22,7 @@
   toPlaceAsk,
 } from "../scheduling/place_messages.ts";
 import { mayCrashNoOther } from "./crash_bound.ts";
+import { knownRun } from "./known_run.ts";
 import { PlaceMail } from "./place_mail.ts";
 import { toAsk, withSuspicion } from "./place_ask.ts";
 import { placeCall } from "./call_placement.ts";
@@ -114,7 +115,7 @@
       ? {
         digest: entry.req.digest,
         upstream,
-        incarnation: board.upstreams.byId.get(upstream)?.incarnation ?? "",
+        incarnation: knownRun(board, upstream),
         atMs: ctx.now,
         silent,
       }
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -16,6 +16,7 @@
 } from "../core/time.ts";
 import type { Envelope, Suspect as SuspectNews } from "../gen/peer.ts";
 import { CRASHES_TO_QUARANTINE } from "./crash_bound.ts";
+import { knownRun } from "./known_run.ts";
 import { isLeftSilent } from "./retry_decision.ts";
 
 /** Time for which an engine must answer again before its silence counts as harmless; crashes come sooner. */
@@ -73,7 +74,7 @@
     }
     if (isLeftSilent(entry, event.outcome, { board })) {
       const { upstream } = entry.attempt.placement;
-      const incarnation = board.upstreams.byId.get(upstream)?.incarnation ?? "";
+      const incarnation = knownRun(board, upstream);
       const { digest } = entry.req;
       return this.#fellSilent(board, { digest, upstream, incarnation }, {
         own: true,
@@ -185,7 +186,7 @@
   entry: RequestEntry,
   upstream: UpstreamId,
 ): string {
-  const incarnation = board.upstreams.byId.get(upstream)?.incarnation ?? "";
+  const incarnation = knownRun(board, upstream);
   const known = board.quarantine.suspects.get(entry.req.digest);
   const startedAt = entry.attempt?.startedAt ?? 0;
   const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
--- a/src/controllers/silent_runs_test.ts
+++ b/src/controllers/silent_runs_test.ts
@@ -83,14 +83,22 @@
   }));
 }
 
-test("a copy waits while content that crashed one engine may still crash a silent one", () => {
-  const rig = new Rig();
+/** One engine is lost to the content, another one falls silent over it, and a copy comes in between. */
+function crashedThenSilent(rig: Rig) {
   const [first] = rig.send("a");
   const [second] = rig.end(first!, "upstream_crashed");
-  expect(rig.send("b")).toEqual([]);
+  const copy = rig.send("b");
   // The connection is tried once more, then the request is given up.
   const [again] = rig.end(second!, "upstream_silent");
-  expect(rig.end(again!, "upstream_silent")).toEqual([]);
+  const after = rig.end(again!, "upstream_silent");
+  return { silent: second!.upstream, copy, after };
+}
+
+test("a copy waits while content that crashed one engine may still crash a silent one", () => {
+  const rig = new Rig();
+  const { copy, after } = crashedThenSilent(rig);
+  expect(copy).toEqual([]);
+  expect(after).toEqual([]);
   expect(started(rig.core.after(2_500))).toEqual([]);
   expect(rig.core.board.requests.byId.get("b" as RequestId)?.state)
     .toBe("placing");
@@ -98,23 +106,15 @@
 
 test("the copy is refused when the silent engine turns out to have crashed", () => {
   const rig = new Rig();
-  const [first] = rig.send("a");
-  const [second] = rig.end(first!, "upstream_crashed");
-  rig.send("b");
-  const [again] = rig.end(second!, "upstream_silent");
-  rig.end(again!, "upstream_silent");
-  rig.restart(second!.upstream);
+  const { silent } = crashedThenSilent(rig);
+  rig.restart(silent);
   const answers = intentsOf(rig.core.after(10), "answer");
   expect(answers.map((one) => one.problem.code)).toEqual(["quarantined"]);
 });
 
 test("the copy goes on when the silent engine answers again for a while", () => {
   const rig = new Rig();
-  const [first] = rig.send("a");
-  const [second] = rig.end(first!, "upstream_crashed");
-  rig.send("b");
-  const [again] = rig.end(second!, "upstream_silent");
-  rig.end(again!, "upstream_silent");
+  crashedThenSilent(rig);
   rig.core.after(10);
   rig.hear();
   expect(started(rig.core.after(900))).toEqual([]);
--- a/src/scheduling/cell_accounts.ts
+++ b/src/scheduling/cell_accounts.ts
@@ -5,6 +5,7 @@
 import { CostModel } from "./cost_model.ts";
 import { EngineView } from "./engine_view.ts";
 import { currentPart, type Job, moveEnd, partOn } from "./job.ts";
+import type { Policy } from "./policy.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import { quietEngines } from "./quiet_engines.ts";
 
@@ -17,11 +18,15 @@
   readonly prefixes = PrefixIndex.create();
   readonly #engines = new Map<UpstreamId, EngineView>();
   readonly #jobs = new Map<RequestId, Job>();
-  /** Cost of a part of a plan, against the same part read on its first engine. */
-  #planCostFactor = 1;
+  /** The settings that are in force now. */
+  policy: Policy;
 
-  static create(): CellAccounts {
-    return new CellAccounts();
+  private constructor(policy: Policy) {
+    this.policy = policy;
+  }
+
+  static create(policy: Policy): CellAccounts {
+    return new CellAccounts(policy);
   }
 
   get engines(): ReadonlyMap<UpstreamId, EngineView> {
@@ -32,10 +37,6 @@
     return this.#jobs;
   }
 
-  setPlanCostFactor(factor: number): void {
-    this.#planCostFactor = factor;
-  }
-
   /** Takes in what the daemon knows of the engines. */
   takeUpstreams(upstreams: Iterable<Upstream>): void {
     const engines = [...upstreams].filter(({ kind }) => kind === "engine");
@@ -118,7 +119,7 @@
       const isCurrent = currentPart(job, at) === part;
       if (left === 0 && !isCurrent) continue;
       const from = Math.max(part.from, part.to - left);
-      const factor = part.from === 0 ? 1 : this.#planCostFactor;
+      const factor = part.from === 0 ? 1 : this.policy.planCostFactor;
       const leftMs = factor * this.cost.prefillMs(from, part.to);
       moveEnd(job, part, addMs(at, leftMs));
     }
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -40,8 +40,7 @@
 
 /** Places all prompts of a cell; it knows each engine by its reports and by what it sent there. */
 export class CellScheduler {
-  #policy: Policy;
-  readonly accounts = CellAccounts.create();
+  readonly accounts: CellAccounts;
   readonly #kept: KeptEngines;
   readonly #queue = LongQueue.create();
   #decodeMs = FIRST_DECODE_MS;
@@ -49,9 +48,8 @@
   #dispatchAt = 0 as Timestamp;
 
   private constructor(policy: Policy) {
-    this.#policy = policy;
-    this.accounts.setPlanCostFactor(policy.planCostFactor);
-    this.#kept = KeptEngines.create(this.accounts, policy);
+    this.accounts = CellAccounts.create(policy);
+    this.#kept = KeptEngines.create(this.accounts);
   }
 
   static create(policy: Policy): CellScheduler {
@@ -60,9 +58,7 @@
 
   /** Takes the settings that are in force now. */
   setPolicy(policy: Policy): void {
-    this.#policy = policy;
-    this.#kept.policy = policy;
-    this.accounts.setPlanCostFactor(policy.planCostFactor);
+    this.accounts.policy = policy;
   }
 
   get queued(): number {
@@ -113,7 +109,7 @@
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
       } else if (
-        !ask.suspect && this.#slack(ask, now) < this.#policy.overtakeMs
+        !ask.suspect && this.#slack(ask, now) < this.accounts.policy.overtakeMs
       ) break;
     }
     return answered;
@@ -135,7 +131,7 @@
   /** Suspected content runs apart from other such content, and waits for an engine without any. */
   #askApart(ask: Ask, now: Timestamp): Answer {
     if (!this.#waitsApart(ask)) return refuseNoUpstream();
-    const limit = this.#policy.queuedPrompts;
+    const limit = this.accounts.policy.queuedPrompts;
     if (!this.#queue.add(ask, { now, limit })) {
       return refuseFull(SHORT_RETRY_MS);
     }
@@ -190,10 +186,10 @@
     const waitMs = this.#predictWaitMs(view);
     const left = ask.deadlineAt - view.now;
     const neededMs = waitMs + this.#runMs(ask);
-    if (neededMs > left * this.#policy.admissionRatio) {
-      return refuseLate(neededMs - left * this.#policy.admissionRatio);
+    if (neededMs > left * this.accounts.policy.admissionRatio) {
+      return refuseLate(neededMs - left * this.accounts.policy.admissionRatio);
     }
-    const limit = this.#policy.queuedPrompts;
+    const limit = this.accounts.policy.queuedPrompts;
     const { now } = view;
     if (!this.#queue.add(ask, { now, limit })) return refuseFull(waitMs);
     this.#dispatchAt = view.now;
@@ -218,14 +214,14 @@
     }
     for (const engine of openToLong(view.engines, view.shortEngines)) {
       const capacity = engine.report?.kv_capacity_tokens ?? 0;
-      memory += Math.max(0, capacity - this.#policy.shortMemoryTokens);
+      memory += Math.max(0, capacity - this.accounts.policy.shortMemoryTokens);
     }
     const lanes = Math.max(
       1,
       view.engines.length - this.#kept.target(view.now),
     );
     if (lanes > this.#kept.longRunning() && this.#queue.size === 0) return 0;
-    const usable = Math.max(1, memory * this.#policy.packingRatio);
+    const usable = Math.max(1, memory * this.accounts.policy.packingRatio);
     return Math.max(workMs / lanes, memoryMs / usable);
   }
 
@@ -292,11 +288,11 @@
 
   #isLong(ask: Ask, view: PlacementView): boolean {
     let cached = 0;
-    if (ask.promptTokens <= this.#policy.longPromptTokens) return false;
+    if (ask.promptTokens <= this.accounts.policy.longPromptTokens) return false;
     for (const engine of view.engines) {
       cached = Math.max(cached, cachedOn(ask, engine, view.prefixes));
     }
-    return ask.promptTokens - cached > this.#policy.longPromptTokens;
+    return ask.promptTokens - cached > this.accounts.policy.longPromptTokens;
   }
 
   #prefillMs(ask: Ask): Millis {
@@ -316,7 +312,7 @@
     return {
       now,
       engines,
-      policy: this.#policy,
+      policy: this.accounts.policy,
       cost: this.accounts.cost,
       prefixes: this.accounts.prefixes,
       prefixEngines: this.#kept.prefixEngines(),
--- a/src/scheduling/kept_engines.ts
+++ b/src/scheduling/kept_engines.ts
@@ -2,7 +2,6 @@
 import type { CellAccounts } from "./cell_accounts.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import type { EngineView } from "./engine_view.ts";
-import type { Policy } from "./policy.ts";
 
 /** Time over which the demand of short prompts is averaged. */
 const DEMAND_WINDOW_MS: Millis = 10 * SECOND_MS;
@@ -11,18 +10,15 @@
 
 /** Which engines are kept for short prompts, by what those have lately needed. */
 export class KeptEngines {
-  /** The settings that are in force now. */
-  policy: Policy;
   readonly #accounts: CellAccounts;
   readonly #demand = DemandMeter.create(DEMAND_WINDOW_MS);
 
-  private constructor(accounts: CellAccounts, policy: Policy) {
+  private constructor(accounts: CellAccounts) {
     this.#accounts = accounts;
-    this.policy = policy;
   }
 
-  static create(accounts: CellAccounts, policy: Policy): KeptEngines {
-    return new KeptEngines(accounts, policy);
+  static create(accounts: CellAccounts): KeptEngines {
+    return new KeptEngines(accounts);
   }
 
   /** Takes in the prefill time of a short prompt that was placed. */
@@ -32,7 +28,7 @@
 
   /** Engines that are kept for short prompts now. */
   target(now: Timestamp): number {
-    const { shortUtilization } = this.policy;
+    const { shortUtilization } = this.#accounts.policy;
     const demanded = this.#demand.engines(now) / shortUtilization;
     return this.#prefixTarget() + Math.ceil(demanded);
   }
@@ -44,7 +40,7 @@
 
   /** A small cell keeps no engine for shared prefixes alone. */
   #prefixTarget(): number {
-    const { shortEngines } = this.policy;
+    const { shortEngines } = this.#accounts.policy;
     const most = Math.floor(
       this.#accounts.engines.size / ENGINES_FOR_EACH_KEPT,
     );
--- a/src/scheduling/pool/caller_patience.ts
+++ b/src/scheduling/pool/caller_patience.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../../core/time.ts";
+import type { PoolAsk } from "./pool_job.ts";
 
 /** Patience of callers with a silent stream, as the platform states it: the longest of three spans. */
 const MIN_PATIENCE_MS: Millis = 2_000;
@@ -16,10 +17,15 @@
   );
 }
 
-/** Part of the caller's patience that one upstream may use up, so that another one can still answer. */
-const UPSTREAM_PART = 0.5;
+/** How long the caller of an ask still waits for its first event. */
+export function askPatienceMs(ask: PoolAsk): Millis {
+  return Math.min(ask.leftMs, callerPatienceMs(ask));
+}
+
+/** Part of its caller's patience after which a silent stream is likely to be given up, by daemon or caller. */
+const GIVEN_UP_PART = 0.5;
 
-/** Silence of a stream, once it writes, after which it is about to be given up. */
+/** Silence of a stream, once it writes, after which it is likely to be given up. */
 export function streamPatienceMs(pauseMs: Millis): Millis {
-  return UPSTREAM_PART * callerPatienceMs({ targetMs: 0, pauseMs });
+  return GIVEN_UP_PART * callerPatienceMs({ targetMs: 0, pauseMs });
 }
--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -91,7 +91,7 @@
   }
   const { chosen } = best;
   const memory = planMemory(choice, {
-    chosen: best.chosen,
+    chosen,
     rest: candidates.filter((one) => !chosen.includes(one)),
   });
   if (memory === undefined) return "no_memory";
@@ -131,13 +131,17 @@
   );
 }
 
+/** Times until the engines without tight streams are free, the shortest first. */
+function looseWaits(choice: PromptChoice): readonly Millis[] {
+  return trusted(choice).filter((one) => one.load.tight === 0)
+    .map((one) => one.load.waitMs(choice.now)).sort((a, b) => a - b);
+}
+
 /** Time until enough engines are free for a prompt, as far as is known. */
 export function freeInMs(choice: PromptChoice): Millis {
-  const loose = trusted(choice).filter((one) => one.load.tight === 0);
+  const waits = looseWaits(choice);
   const total = prefillMs(choice.pace, choice.ask.promptTokens);
-  const wanted = enginesWanted(loose.length, total);
-  const waits = loose.map((one) => one.load.waitMs(choice.now))
-    .sort((a, b) => a - b);
+  const wanted = enginesWanted(waits.length, total);
   return waits[wanted - 1] ?? 0;
 }
 
@@ -149,8 +153,7 @@
   choice: PromptChoice,
   options: Readonly<{ total: Millis; spare: number }>,
 ): Millis {
-  const waits = trusted(choice).filter((one) => one.load.tight === 0)
-    .map((one) => one.load.waitMs(choice.now)).sort((a, b) => a - b);
+  const waits = looseWaits(choice);
   const most = Math.min(MAX_HELPERS + 1, waits.length - options.spare);
   const expects = waits.slice(0, Math.max(1, most))
     .map((wait, i) =>
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -2,7 +2,7 @@
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
-import { callerPatienceMs } from "./caller_patience.ts";
+import { askPatienceMs } from "./caller_patience.ts";
 import type { Choice } from "./candidate.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
@@ -11,15 +11,13 @@
 import { MAX_HELPERS, MEMORY_SHARE } from "./plan_memory.ts";
 import { placeShort } from "./place_short.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
-import { ReturnTimes } from "./return_times.ts";
+import { COME_BACK_MS, ReturnTimes } from "./return_times.ts";
 import { shortLimitMs } from "./short_limit.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
 import type { JobId, PoolAsk, PoolGrant } from "./pool_job.ts";
 
 /** Prompts with a longer prefill are split over several engines; with a pass it is what tight streams bear. */
 const LONG_PREFILL_MS: Millis = 190;
-/** When to come back if nothing better is known: about the time in which a large prompt leaves an engine. */
-const COME_BACK_MS: Millis = 800;
 /** Waiting prompts that are tried in one look and find engines busy; further ones would hardly fare better. */
 const MAX_TRIES = 8;
 /** Time between looks at the queue while engines are busy. */
@@ -107,8 +105,11 @@
       if (result === undefined) {
         tries += 1;
         aheadMs += waiter.workMs;
-        const choice = { ...this.#choice(req, now), pace };
-        roomMs = Math.min(roomMs, freeInMs(choice));
+        // Beyond the last try nobody asks for the room any more.
+        if (tries < MAX_TRIES) {
+          const choice = { ...this.#choice(req, now), pace };
+          roomMs = Math.min(roomMs, freeInMs(choice));
+        }
         continue;
       }
       this.#waiting.delete(ask.job);
@@ -136,11 +137,14 @@
     this.accounts.forget(vm, now);
   }
 
+  #waiters(): readonly LongWaiter[] {
+    return [...this.#waiting.values()].map((one) => one.waiter);
+  }
+
   #inOrder(now: Timestamp): readonly Waiting[] {
-    const waiters = [...this.#waiting.values()].map((one) => one.waiter);
-    if (waiters.length === 0) return [];
+    if (this.#waiting.size === 0) return [];
     const engines = this.#engines();
-    return orderQueue(waiters, { engines, now })
+    return orderQueue(this.#waiters(), { engines, now })
       .map((one) => this.#waiting.get(one.job)!);
   }
 
@@ -194,8 +198,10 @@
     code: "deadline_unreachable" | "no_memory",
     now: Timestamp,
   ): Problem {
-    const waiters = [...this.#waiting.values()].map((one) => one.waiter);
-    const leftMs = backlogMs(waiters, { engines: this.#engines(), now });
+    const leftMs = backlogMs(this.#waiters(), {
+      engines: this.#engines(),
+      now,
+    });
     return problem(code, "The engines are not free in time", {
       retryAfterMs: Math.max(COME_BACK_MS, Math.ceil(leftMs)),
     });
@@ -252,13 +258,12 @@
   pace: EnginePace,
   now: Timestamp,
 ): LongWaiter {
-  const limitMs = Math.min(ask.leftMs, callerPatienceMs(ask));
   const pass = passMs(pace, 1, ask.promptTokens);
   return {
     job: ask.job,
     workMs: prefillMs(pace, ask.promptTokens),
     dueAt: addMs(now, ask.targetMs - pass),
-    endsAt: addMs(now, limitMs - pass),
+    endsAt: addMs(now, askPatienceMs(ask) - pass),
     value: ask.promptTokens,
   };
 }
--- a/src/scheduling/pool/return_times.ts
+++ b/src/scheduling/pool/return_times.ts
@@ -5,8 +5,8 @@
   type Timestamp,
 } from "../../core/time.ts";
 
-/** When a caller comes back at the earliest: about the time in which a line of prompts that are in time is served. */
-const COME_BACK_MS: Millis = 800;
+/** When a caller comes back at the earliest: about the time in which a large prompt leaves an engine. */
+export const COME_BACK_MS: Millis = 800;
 /** Part of its time that a caller waits at most before it comes back, as the platform states it. */
 const CALLER_WAITS = 1 / 3;
 /** Callers that come back in a second for each engine; a part of what one serves, as fresh prompts come too. */
--- a/src/scheduling/pool/short_limit.ts
+++ b/src/scheduling/pool/short_limit.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../../core/time.ts";
-import { callerPatienceMs } from "./caller_patience.ts";
+import { askPatienceMs } from "./caller_patience.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import type { PoolAsk } from "./pool_job.ts";
 
@@ -14,7 +14,7 @@
  * elsewhere has waited already, and is taken as long as its caller waits.
  */
 export function shortLimitMs(ask: PoolAsk, pace: EnginePace): Millis {
-  const patienceMs = Math.min(ask.leftMs, callerPatienceMs(ask));
+  const patienceMs = askPatienceMs(ask);
   if (ask.avoid.length > 0) return patienceMs;
   const idleMs = prefillMs(pace, ask.promptTokens) +
     passMs(pace, 1, ask.promptTokens);
--- a/tools/bench/token_source.ts
+++ b/tools/bench/token_source.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { listenOnLoopback } from "../lib/loopback.ts";
 import {
   type GenerateHead,
   GenerateHeadSchema,
@@ -31,11 +32,8 @@
   res.setHeader("content-type", "application/json");
   res.end(JSON.stringify(report(req.url ?? "")));
 });
-server.listen(0, "127.0.0.1", () => {
-  const address = server.address();
-  const port = typeof address === "object" ? address?.port : 0;
-  console.log(JSON.stringify({ address: `127.0.0.1:${port}` }));
-});
+const port = await listenOnLoopback(server);
+console.log(JSON.stringify({ address: `127.0.0.1:${port}` }));
 
 async function answer(
   req: IncomingMessage,
--- a/tools/capacity/canned_server.ts
+++ b/tools/capacity/canned_server.ts
@@ -1,5 +1,5 @@
-import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
+import { closeServer, listenOnLoopback } from "../lib/loopback.ts";
 
 /** Answers every packet with the same bytes, so that only its client's cost shows. */
 export class CannedServer {
@@ -26,17 +26,10 @@
 
   /** Resolves with `host:port`. */
   async listen(): Promise<string> {
-    this.#server.listen(0, "127.0.0.1");
-    await once(this.#server, "listening");
-    const address = this.#server.address();
-    const port = typeof address === "object" ? address?.port : 0;
-    return `127.0.0.1:${port}`;
+    return `127.0.0.1:${await listenOnLoopback(this.#server)}`;
   }
 
-  async close(): Promise<void> {
-    const closed = once(this.#server, "close");
-    this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
-    await closed;
+  close(): Promise<void> {
+    return closeServer(this.#server, this.#sockets);
   }
 }
--- a/tools/capacity/counting_relay.ts
+++ b/tools/capacity/counting_relay.ts
@@ -1,5 +1,5 @@
-import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
+import { closeServer, listenOnLoopback } from "../lib/loopback.ts";
 
 /** Bytes of the TCP payload in both directions. */
 export type Traffic = Readonly<{ toServer: number; toClient: number }>;
@@ -31,18 +31,11 @@
 
   /** Resolves with `host:port`. */
   async listen(): Promise<string> {
-    this.#server.listen(0, "127.0.0.1");
-    await once(this.#server, "listening");
-    const address = this.#server.address();
-    const port = typeof address === "object" ? address?.port : 0;
-    return `127.0.0.1:${port}`;
+    return `127.0.0.1:${await listenOnLoopback(this.#server)}`;
   }
 
-  async close(): Promise<void> {
-    const closed = once(this.#server, "close");
-    this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
-    await closed;
+  close(): Promise<void> {
+    return closeServer(this.#server, this.#sockets);
   }
 
   #pass(client: Socket, target: string): void {
--- a/tools/lib/program.ts
+++ b/tools/lib/program.ts
@@ -7,6 +7,7 @@
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 import { z } from "zod";
+import { closeServer, listenOnLoopback } from "./loopback.ts";
 
 /** The folder of the built programs. */
 export const DIST = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
@@ -143,13 +144,7 @@
 /** Finds a free loopback port. */
 export async function freePort(): Promise<number> {
   const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const address = server.address();
-  const port = typeof address === "object" && address !== null
-    ? address.port
-    : 0;
-  server.close();
-  await once(server, "close");
+  const port = await listenOnLoopback(server);
+  await closeServer(server);
   return port;
 }
