Read the configuration in few places, and tell daemons only what changed

The leader and two readers in each failure domain read the store; the others are told by the leader and fetch from a reader of their domain, and read by themselves once they hear of no reading for a heartbeat and 0.9 s. Heartbeats name the position in the leader's list, answers carry the changes since.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -33,6 +33,8 @@
   routes: RouteTable | undefined;
   version: ConfigVersion;
   takenAt: Timestamp;
+  /** As of when the version is known to be the newest. */
+  asOf: Timestamp;
 };
 
 /** Written by the register controller. */
@@ -80,6 +82,7 @@
       routes: undefined,
       version: 0 as ConfigVersion,
       takenAt: LONG_AGO,
+      asOf: LONG_AGO,
     },
     register: {
       table: UpstreamTable.create(),
@@ -103,7 +106,12 @@
   const { serving, register } = board;
   return {
     version: serving.version,
+    versionAgeMs: ageOf(serving.asOf, now),
     offset: register.offset,
-    ageMs: Math.min(MAX_AGE_MS, Math.max(0, now - register.asOf)),
+    ageMs: ageOf(register.asOf, now),
   };
 }
+
+function ageOf(asOf: Timestamp, now: Timestamp): Millis {
+  return Math.min(MAX_AGE_MS, Math.max(0, now - asOf));
+}
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
+import { READERS_PER_DOMAIN } from "./serving_readers.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import { poolAsk } from "../testing/pool_fixtures.ts";
 import {
@@ -44,6 +45,20 @@
 }
 
 describe("members", () => {
+  test("the list of 60 daemons is not sent again to everyone when one of them goes", () => {
+    const fleet = startedFleet(60);
+    const gone = otherThan(fleet, leaderOf(fleet));
+    fleet.remove(gone);
+    const before = fleet.bytes;
+    fleet.time.run(5_000);
+    const live = fleet.gateways.map((one) =>
+      one.core.board.members.table.live(fleet.time.now, 2_000).length
+    );
+    expect(new Set(live)).toEqual(new Set([58]));
+    const heartbeats = 5_000 / 480 * 60 * 2;
+    expect((fleet.bytes - before) / heartbeats).toBeLessThan(2_000);
+  });
+
   test("all daemons agree on one that places for all", () => {
     const fleet = startedFleet(18);
     expect(leadersOf(fleet)).toHaveLength(1);
@@ -169,8 +184,10 @@
     const reads = fleet.gateways.map((one, i) => one.reads - before[i]!);
     const leader = fleet.gateways.indexOf(leaderOf(fleet));
     const others = reads.filter((_, i) => i !== leader);
-    // A waiting read of the configuration each, and nothing else.
+    // Waiting reads of the configuration by its readers, and nothing else.
     expect(Math.max(...others)).toBeLessThanOrEqual(2);
+    expect(others.filter((count) => count > 0).length)
+      .toBeLessThanOrEqual(READERS_PER_DOMAIN);
   });
 
   test("a leaving upstream is closed everywhere in time", () => {
@@ -253,6 +270,57 @@
     expect(new Set(versions)).toEqual(new Set([7]));
   });
 
+  test("a series of versions in a system of 60 costs the store a few readings, not one for each daemon", () => {
+    const fleet = startedFleet(60);
+    const before = fleet.gateways.map((one) => one.reads);
+    for (let version = 2; version < 12; version += 1) {
+      fleet.publish(emptyServing(version));
+      fleet.time.run(1_000);
+    }
+    const versions = fleet.gateways.map((one) =>
+      one.core.board.serving.version
+    );
+    expect(new Set(versions)).toEqual(new Set([11]));
+    const readers = fleet.gateways.filter((one, i) => one.reads > before[i]!);
+    expect(readers.length).toBeLessThanOrEqual(READERS_PER_DOMAIN + 1);
+  });
+
+  test("a daemon that hears of no reading reads by itself, in time", () => {
+    const fleet = startedFleet(6);
+    const leader = leaderOf(fleet);
+    const other = fleet.gateways.findLast((one) => one !== leader)!;
+    other.cut = true;
+    fleet.publish(emptyServing(7));
+    fleet.time.run(APPLY_MS);
+    expect(other.core.board.serving.version).toBe(7);
+  });
+
+  test("where the store refuses the leader, the others read by themselves, in time", () => {
+    const fleet = startedFleet(6);
+    const leader = leaderOf(fleet);
+    leader.storeRefuses = true;
+    fleet.time.run(2_000);
+    fleet.publish(emptyServing(7));
+    fleet.time.run(APPLY_MS);
+    const versions = fleet.gateways.map((one) =>
+      one.core.board.serving.version
+    );
+    expect(new Set(versions)).toEqual(new Set([7]));
+  });
+
+  test("a reader that fails to pass a version on is left out", () => {
+    const fleet = startedFleet(6);
+    const leader = leaderOf(fleet);
+    const readers = fleet.gateways.filter((one) => one.reads > 3);
+    for (const one of readers) if (one !== leader) one.cut = true;
+    fleet.publish(emptyServing(7));
+    fleet.time.run(APPLY_MS);
+    const versions = fleet.gateways.map((one) =>
+      one.core.board.serving.version
+    );
+    expect(new Set(versions)).toEqual(new Set([7]));
+  });
+
   test("an older version never takes the place of a newer one", () => {
     const fleet = startedFleet(2);
     fleet.publish(emptyServing(7));
--- a/src/gateway/member_table.ts
+++ b/src/gateway/member_table.ts
@@ -1,6 +1,7 @@
 import type { VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { PeerCard } from "./peer_message.ts";
+import { NO_ROSTER, type RosterPosition, type RosterUpdate } from "./roster.ts";
 
 /** What is known of another daemon. */
 type Member = {
@@ -20,6 +21,7 @@
 export class MemberTable {
   readonly #self: VmId;
   readonly #members = new Map<VmId, Member>();
+  #position = NO_ROSTER;
 
   private constructor(self: VmId) {
     this.#self = self;
@@ -37,21 +39,32 @@
     return news;
   }
 
-  /** Takes in the list of all daemons that another one has heard from lately. */
-  vouchAll(cards: readonly PeerCard[], now: Timestamp): void {
-    for (const one of this.#members.values()) one.vouchedAt = NEVER;
-    for (const card of cards) {
+  /** Updates the daemons that another one vouches for; false where the update doesn't follow what is known. */
+  follow(update: RosterUpdate, now: Timestamp): boolean {
+    const { epoch, seq, since, joined, gone } = update;
+    const position = this.#position;
+    if (since !== undefined) {
+      const follows = position.epoch === epoch &&
+        (position.seq === since || position.seq === seq);
+      if (!follows) return false;
+    }
+    for (const [vm, one] of this.#members) {
+      const left = since === undefined || gone.includes(vm);
+      if (left) one.vouchedAt = NEVER;
+      else if (one.vouchedAt !== NEVER) one.vouchedAt = now;
+    }
+    for (const card of joined) {
       this.#take(card);
       const known = this.#members.get(card.vm);
       if (known !== undefined) known.vouchedAt = now;
     }
+    this.#position = { epoch, seq };
+    return true;
   }
 
-  /** Takes in that the list that was vouched for is still the same. */
-  renewVouched(now: Timestamp): void {
-    for (const one of this.#members.values()) {
-      if (one.vouchedAt !== NEVER) one.vouchedAt = now;
-    }
+  /** How far the leader's list is known. */
+  get position(): RosterPosition {
+    return this.#position;
   }
 
   /** Takes back that a daemon lives, until it is heard from again. */
@@ -127,15 +140,6 @@
     (a.vm < b.vm ? -1 : a.vm > b.vm ? 1 : 0);
 }
 
-/** Digest of a list of members, to see whether two daemons have the same one. */
-export function digestMembers(cards: readonly PeerCard[]): number {
-  let sum = 0;
-  for (const card of cards) {
-    sum = (sum + hash(`${card.vm}/${card.startedAt}/${card.open}`)) >>> 0;
-  }
-  return sum;
-}
-
 /** FNV-1a, 32 bits. */
 export function hash(text: string): number {
   let value = 0x811c9dc5;
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -2,8 +2,9 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { compareLeaders, digestMembers } from "./member_table.ts";
+import { compareLeaders } from "./member_table.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
+import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
 
 /** Time between beats in a small system; a silent leader is noticed after two of them. */
 const BEAT_MS: Millis = 400;
@@ -34,6 +35,8 @@
   /** When the leader was last heard, or became the leader. */
   #leaderHeardAt = 0 as Timestamp;
   #probed = 0;
+  #roster: Roster | undefined;
+  #rosterAt: Timestamp | undefined;
 
   static create(): MembersController {
     return new MembersController();
@@ -81,10 +84,10 @@
     if (message.type === "beat") this.#answer(board, step, message);
     else {
       const leads = from.vm === board.members.leader;
-      const alone = board.members.leader === board.self.card.vm;
-      if (message.members !== undefined && (leads || alone)) {
-        table.vouchAll(message.members, step.now);
-      } else if (leads) table.renewVouched(step.now);
+      const leading = board.members.leader === board.self.card.vm;
+      if (message.roster !== undefined && (leads || leading)) {
+        table.follow(message.roster, step.now);
+      }
       if (leads) this.#leaderHeardAt = step.now;
     }
   }
@@ -95,8 +98,6 @@
     beat: Extract<PeerMessage, { type: "beat" }>,
   ): void {
     const { members, register, self } = board;
-    const heard = members.table.heard(step.now, liveMs(board));
-    const known = digestMembers([...heard, self.card]) === beat.members;
     const behind = beat.stand.offset < register.changedAt;
     step.want({
       type: "send",
@@ -106,12 +107,26 @@
         from: self.card,
         stand: standOf(board, step.now),
         leader: members.leader,
-        members: known ? undefined : heard,
+        roster: beat.roster === undefined
+          ? undefined
+          : this.#currentRoster(board, step).since(beat.roster),
         entries: behind ? register.table.all() : undefined,
       },
     });
   }
 
+  /** The list of daemons that were heard here, brought up to date once in each step. */
+  #currentRoster(board: GatewayBoard, step: GatewayStep): Roster {
+    const { members, self } = board;
+    const { vm, startedAt } = self.card;
+    this.#roster ??= Roster.create(`${vm}/${startedAt}`);
+    if (this.#rosterAt !== step.now) {
+      this.#roster.update(members.table.heard(step.now, liveMs(board)));
+      this.#rosterAt = step.now;
+    }
+    return this.#roster;
+  }
+
   /** Says hello to daemons that the store or a seed named. */
   #greet(
     board: GatewayBoard,
@@ -208,9 +223,8 @@
   }
 
   #sendBeat(board: GatewayBoard, step: GatewayStep, to: string): void {
-    const { self, members, pool } = board;
+    const { self, pool } = board;
     if (to === self.card.peer) return;
-    const live = members.table.live(step.now, liveMs(board));
     const jobs = [...pool.scheduler.accounts.jobs.values()]
       .filter((job) => job.vm === self.card.vm);
     step.want({
@@ -220,11 +234,26 @@
         type: "beat",
         from: self.card,
         stand: standOf(board, step.now),
-        members: digestMembers([...live, self.card]),
+        roster: this.#wantedRoster(board, step, to),
         jobs,
       },
     });
   }
+
+  /** The list is the leader's; the leader compares it with its deputy's, and a daemon that knows nobody takes any. */
+  #wantedRoster(
+    board: GatewayBoard,
+    step: GatewayStep,
+    to: string,
+  ): RosterPosition | undefined {
+    const { members, self } = board;
+    const { table, leader, deputy } = members;
+    const alone = table.live(step.now, liveMs(board)).length === 0;
+    if (alone) return NO_ROSTER;
+    const keeper = leader === self.card.vm ? deputy : leader;
+    const asked = keeper !== undefined && table.get(keeper)?.peer === to;
+    return asked ? table.position : undefined;
+  }
 }
 
 /** The daemons that place, or would place next, beside this one. */
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -86,6 +86,8 @@
 const StandSchema = z.object({
   /** The newest configuration version that the sender has; 0 for none. */
   version: z.number().transform((one) => one as ConfigVersion),
+  /** How long ago that version was known to be the newest. */
+  versionAgeMs: z.number(),
   /** How far the sender has read the register of upstreams; -1 for not at all. */
   offset: z.number(),
   /** How old that reading is. */
@@ -94,14 +96,28 @@
 /** How much a daemon knows of what the platform's store holds. */
 export type Stand = z.infer<typeof StandSchema>;
 
+/** How far a daemon knows its leader's list of live daemons. */
+const RosterPositionSchema = z.object({
+  epoch: z.string(),
+  seq: z.number(),
+}).readonly();
+
+const RosterUpdateSchema = z.object({
+  epoch: z.string(),
+  seq: z.number(),
+  since: z.number().optional(),
+  joined: z.array(PeerCardSchema).readonly(),
+  gone: z.array(idSchema<VmId>()).readonly(),
+}).readonly();
+
 const PeerMessageSchema = z.discriminatedUnion("type", [
   /** Says that a daemon lives and what it runs, to the one that places. */
   z.object({
     type: z.literal("beat"),
     from: PeerCardSchema,
     stand: StandSchema,
-    /** Digest of the list of members that the sender has. */
-    members: z.number(),
+    /** How far the sender knows the receiver's list of live daemons; absent where it wants no list. */
+    roster: RosterPositionSchema.optional(),
     jobs: z.array(JobSchema).readonly(),
   }),
   /** Answers a beat. */
@@ -110,7 +126,7 @@
     from: PeerCardSchema,
     stand: StandSchema,
     leader: idSchema<VmId>(),
-    members: z.array(PeerCardSchema).readonly().optional(),
+    roster: RosterUpdateSchema.optional(),
     entries: z.array(EntrySchema).readonly().optional(),
   }),
   /** Passes on changes of the register that were read after `since`. */
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -159,7 +159,6 @@
         type: "beat",
         from: board.self.card,
         stand: standOf(board, step.now),
-        members: 0,
         jobs: [],
       },
     });
--- /dev/null
+++ b/src/gateway/roster_test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, test } from "vitest";
+import type { VmId } from "../core/id.ts";
+import { peerCard } from "../testing/fake_gateway_fleet.ts";
+import { NO_ROSTER, Roster } from "./roster.ts";
+
+const EPOCH = "leader/77";
+
+function names(count: number): string[] {
+  return Array.from({ length: count }, (_, i) => `vm-${i}`);
+}
+
+function rosterOf(vms: readonly string[]): Roster {
+  const roster = Roster.create(EPOCH);
+  roster.update(vms.map((vm) => peerCard(vm)));
+  return roster;
+}
+
+describe("the leader's list of live daemons", () => {
+  test("goes whole to a daemon that knows nothing, or another leader's list", () => {
+    const roster = rosterOf(names(3));
+    expect(roster.since(NO_ROSTER).since).toBeUndefined();
+    expect(roster.since(NO_ROSTER).joined).toHaveLength(3);
+    expect(roster.since({ epoch: "leader/78", seq: 3 }).joined).toHaveLength(3);
+  });
+
+  test("one daemon of 195 that leaves is one change for each of the others", () => {
+    const roster = rosterOf(names(195));
+    const { epoch, seq } = roster.since(NO_ROSTER);
+    roster.update(names(194).map((vm) => peerCard(vm)));
+    expect(roster.since({ epoch, seq })).toEqual({
+      epoch,
+      seq: seq + 1,
+      since: seq,
+      joined: [],
+      gone: ["vm-194" as VmId],
+    });
+    expect(JSON.stringify(roster.since({ epoch, seq })).length)
+      .toBeLessThan(200);
+  });
+
+  test("a daemon that left and came back is told of once, as it is now", () => {
+    const roster = rosterOf(names(2));
+    const { epoch, seq } = roster.since(NO_ROSTER);
+    roster.update([peerCard("vm-0")]);
+    roster.update([peerCard("vm-0"), peerCard("vm-1", { startedAt: 5 })]);
+    const { joined, gone } = roster.since({ epoch, seq });
+    expect(joined.map((one) => one.startedAt)).toEqual([5]);
+    expect(gone).toEqual([]);
+  });
+
+  test("a daemon that no longer takes clients is a change", () => {
+    const roster = rosterOf(["vm-0"]);
+    const { epoch, seq } = roster.since(NO_ROSTER);
+    roster.update([peerCard("vm-0", { open: false })]);
+    expect(roster.since({ epoch, seq }).joined).toHaveLength(1);
+  });
+
+  test("whoever is further behind than the kept changes gets the whole list", () => {
+    const roster = rosterOf(["vm-0"]);
+    const { epoch, seq } = roster.since(NO_ROSTER);
+    for (let i = 0; i < 600; i += 1) {
+      roster.update([peerCard("vm-0", { open: i % 2 === 1 })]);
+    }
+    expect(roster.since({ epoch, seq }).since).toBeUndefined();
+  });
+});
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -1,37 +1,50 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
+import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import type { PeerCard, Stand } from "./peer_message.ts";
+import { liveMs } from "./members_controller.ts";
+import type { PeerCard, PeerMessage, Stand } from "./peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
+import { fetchSource, servingReaders } from "./serving_readers.ts";
 import { StoreReader } from "./store_reader.ts";
 
-/** How long the store may wait for a new version; the leader asks more often, to notice a silent connection. */
+/** How long the store may wait for a new version; the leader asks more often, as its readings vouch for the others. */
 const WAIT_MS: Millis = 10_000;
-const LEADER_WAIT_MS: Millis = 1_000;
+const LEADER_WAIT_MS: Millis = 600;
 /** Shortest time between two readings, so that a series of versions is read in few calls. */
 const SPACING_MS: Millis = 300;
-/** How long a version that a peer has may take to come from the store. */
+/** How long a version that a peer has may take to come from the store, where this daemon reads it itself. */
 const BEHIND_MS: Millis = 200;
 /** Time between two tries to fetch a version from a peer. */
 const FETCH_MS: Millis = 500;
+/** Tries after which the version is read from the store. */
+const MAX_FETCHES = 3;
+/** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
+const STALE_MARGIN_MS: Millis = 300;
 
-/** Takes newer versions of the configuration from the store, or from a peer where that is faster; never goes back. */
+/** A version that a peer has and this daemon has not. */
+type Ahead = Readonly<{ peer: PeerCard; version: number; since: Timestamp }>;
+
+/**
+ * Keeps the configuration at the newest version; it never goes back. The leader and a few readers in each failure
+ * domain read the store, the others fetch from them; whoever hears of no fresh reading reads the store itself.
+ */
 export class ServingController extends GatewayController {
   readonly #reader = StoreReader.create("serving");
-  /** A peer with a newer version, and since when that is known. */
-  #ahead: Readonly<{ peer: PeerCard; version: number }> | undefined;
-  #aheadAt = 0 as Timestamp;
+  #ahead: Ahead | undefined;
   #fetchAt = 0 as Timestamp;
+  #fetches = 0;
 
   static create(): ServingController {
     return new ServingController();
   }
 
   override step(board: GatewayBoard, step: GatewayStep): void {
+    const { serving } = board;
     for (const event of step.events) {
       if (event.type === "serving_read") {
         this.#reader.done(step, event.next);
+        serving.asOf = step.now;
         if (event.serving !== undefined) {
           this.#take(board, step, event.serving, "store");
         }
@@ -45,48 +58,92 @@
       if (event.type === "read_failed" && event.what === "serving") {
         this.#reader.failed(step, event.err);
       }
-      if (event.type === "message") {
-        const { message } = event;
-        if (message.type === "beat" || message.type === "news") {
-          this.#compare(board, step, message.from, message.stand);
-        }
+      if (event.type === "woke") {
+        serving.asOf = addMs(serving.asOf, -event.lostMs);
       }
+      if (event.type === "message") this.#hear(board, step, event.message);
     }
-    const leads = board.members.leader === board.self.card.vm;
-    this.#reader.poll(step, {
-      waitMs: leads ? LEADER_WAIT_MS : WAIT_MS,
-      spacingMs: SPACING_MS,
-    });
+    this.#poll(board, step);
     this.#fetch(board, step);
   }
 
+  #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
+    if (message.type === "beat" || message.type === "news") {
+      this.#compare(board, step, message.from, message.stand);
+    }
+    if (message.type !== "changes") return;
+    const peer = board.members.table.get(message.from);
+    if (peer !== undefined) this.#compare(board, step, peer, message.stand);
+  }
+
   #compare(
     board: GatewayBoard,
     step: GatewayStep,
     peer: PeerCard,
     stand: Stand,
   ): void {
-    if (stand.version <= board.serving.version) return;
-    if (this.#ahead === undefined) this.#aheadAt = step.now;
-    if (this.#ahead === undefined || stand.version >= this.#ahead.version) {
-      this.#ahead = { peer, version: stand.version };
+    const { serving } = board;
+    if (stand.version === serving.version) {
+      const asOf = addMs(step.now, -stand.versionAgeMs);
+      if (asOf > serving.asOf) serving.asOf = asOf;
+    }
+    if (stand.version <= serving.version) return;
+    if (this.#ahead !== undefined && stand.version <= this.#ahead.version) {
+      return;
     }
+    const since = this.#ahead?.since ?? step.now;
+    this.#ahead = { peer, version: stand.version, since };
+  }
+
+  /** Reads the store where this daemon is one of those that do, or where nobody else's reading reaches it. */
+  #poll(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self, serving } = board;
+    const leads = members.leader === self.card.vm;
+    const staleAt = serving.asOf + members.beatMs + LEADER_WAIT_MS +
+      STALE_MARGIN_MS;
+    const reads = leads || step.now >= staleAt ||
+      this.#fetches >= MAX_FETCHES ||
+      this.#readers(board, step).some((one) => one.vm === self.card.vm);
+    if (!reads) {
+      step.wake(staleAt);
+      return;
+    }
+    this.#reader.poll(step, {
+      waitMs: leads ? LEADER_WAIT_MS : WAIT_MS,
+      spacingMs: SPACING_MS,
+    });
+  }
+
+  #readers(board: GatewayBoard, step: GatewayStep): readonly PeerCard[] {
+    const { members, self } = board;
+    const live = members.table.live(step.now, liveMs(board));
+    return servingReaders([self.card, ...live], self.card.domain);
   }
 
   #fetch(board: GatewayBoard, step: GatewayStep): void {
     const ahead = this.#ahead;
     if (ahead === undefined) return;
-    if (ahead.version <= board.serving.version) {
+    const { self, serving } = board;
+    if (ahead.version <= serving.version) {
       this.#ahead = undefined;
+      this.#fetches = 0;
       return;
     }
-    const wait = board.serving.routes === undefined ? 0 : BEHIND_MS;
-    const at = Math.max(addMs(this.#aheadAt, wait), this.#fetchAt);
+    const readers = this.#readers(board, step);
+    const reads = readers.some((one) => one.vm === self.card.vm);
+    const wait = reads && serving.routes !== undefined ? BEHIND_MS : 0;
+    const at = Math.max(addMs(ahead.since, wait), this.#fetchAt);
     if (step.now < at) {
       step.wake(at);
       return;
     }
-    step.want({ type: "fetch_serving", peer: ahead.peer });
+    const peer = fetchSource(readers, {
+      self: self.card.vm,
+      announcer: ahead.peer,
+      attempt: this.#fetches,
+    });
+    step.want({ type: "fetch_serving", peer });
+    this.#fetches += 1;
     this.#fetchAt = addMs(step.now, FETCH_MS);
     step.wake(this.#fetchAt);
   }
@@ -110,5 +167,22 @@
     section.routes = RouteTable.create(serving);
     section.version = serving.version;
     section.takenAt = step.now;
+    this.#announce(board, step);
+  }
+
+  /** The leader tells all others of a new version at once. */
+  #announce(board: GatewayBoard, step: GatewayStep): void {
+    const { members, register, self } = board;
+    if (members.leader !== self.card.vm) return;
+    const message = {
+      type: "changes",
+      from: self.card.vm,
+      stand: standOf(board, step.now),
+      since: register.changedAt,
+      changes: [],
+    } as const;
+    for (const { peer } of members.table.live(step.now, liveMs(board))) {
+      step.want({ type: "send", to: peer, message });
+    }
   }
 }
--- /dev/null
+++ b/src/gateway/serving_readers.ts
@@ -0,0 +1,29 @@
+import type { VmId } from "../core/id.ts";
+import { compareLeaders } from "./member_table.ts";
+import type { PeerCard } from "./peer_message.ts";
+
+/** Daemons of a failure domain that read the configuration from the store, so that the loss of one leaves another. */
+export const READERS_PER_DOMAIN = 2;
+
+/**
+ * The daemons of one failure domain that read the configuration from the store: the strongest of those that are open.
+ * Load pattern: hundreds of daemons and a series of versions. If each daemon kept a reading open, every version would
+ * cost the store as many answers as there are daemons; the others fetch it from a reader of their own domain.
+ */
+export function servingReaders(
+  cards: readonly PeerCard[],
+  domain: PeerCard["domain"],
+): readonly PeerCard[] {
+  return cards.filter((one) => one.open && one.domain === domain)
+    .sort(compareLeaders).slice(0, READERS_PER_DOMAIN);
+}
+
+/** Where a daemon fetches a version: from the readers of its domain in turn, then from the one that announced it. */
+export function fetchSource(
+  readers: readonly PeerCard[],
+  options: Readonly<{ self: VmId; announcer: PeerCard; attempt: number }>,
+): PeerCard {
+  const { self, announcer, attempt } = options;
+  const others = readers.filter((one) => one.vm !== self);
+  return others[attempt] ?? announcer;
+}
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -2,7 +2,7 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import { GatewayCore } from "../gateway/gateway_core.ts";
 import type { GatewayEvent, GatewayIntent } from "../gateway/gateway_event.ts";
-import type { PeerCard } from "../gateway/peer_message.ts";
+import { encodePeerMessage, type PeerCard } from "../gateway/peer_message.ts";
 import type { ConfigVersion, Serving } from "../gateway/serving.ts";
 import type {
   UpstreamChange,
@@ -26,6 +26,8 @@
   storeRefuses: boolean;
   wakeAt: number;
   reads: number;
+  /** Versions that were fetched from other daemons. */
+  fetches: number;
 };
 
 /** Cores of several daemons with a network and a store between them, under virtual time. */
@@ -36,6 +38,8 @@
   readonly #versions: Serving[] = [];
   readonly #announced = new Map<VmId, PeerCard>();
   storeDown = false;
+  /** Bytes of the messages between daemons. */
+  bytes = 0;
 
   /** Builds daemons that know only the first of them. */
   static create(count: number): FakeGatewayFleet {
@@ -45,16 +49,7 @@
   }
 
   add(name: string, seeds: readonly string[] = ["vm-0:1"]): FakeGateway {
-    const card: PeerCard = {
-      vm: name as VmId,
-      peer: `${name}:1`,
-      front: `${name}:80`,
-      domain: "a" as DomainId,
-      region: "r",
-      power: 0.5,
-      startedAt: this.time.now,
-      open: false,
-    };
+    const card = peerCard(name, { startedAt: this.time.now, open: false });
     const gateway: FakeGateway = {
       core: GatewayCore.create(card, seeds),
       card,
@@ -66,6 +61,7 @@
       storeRefuses: false,
       wakeAt: Infinity,
       reads: 0,
+      fetches: 0,
     };
     this.gateways.push(gateway);
     this.time.after(0, () => this.step(gateway, []));
@@ -111,6 +107,7 @@
         const to = this.gateways.find((one) => one.card.peer === intent.to);
         if (to === undefined || to.cut || gateway.cut) return;
         const { message } = intent;
+        this.bytes += encodePeerMessage(message).length;
         this.time.after(
           LINK_MS,
           () => this.step(to, [{ type: "message", message }]),
@@ -122,6 +119,7 @@
         this.#read(gateway, intent, this.time.now + intent.waitMs);
         return;
       case "fetch_serving": {
+        gateway.fetches += 1;
         const peer = this.gateways.find((one) =>
           one.card.vm === intent.peer.vm
         );
@@ -204,6 +202,24 @@
   }
 }
 
+/** The card of a daemon that takes clients. */
+export function peerCard(
+  name: string,
+  fields: Partial<PeerCard> = {},
+): PeerCard {
+  return {
+    vm: name as VmId,
+    peer: `${name}:1`,
+    front: `${name}:80`,
+    domain: "a" as DomainId,
+    region: "r",
+    power: 0.5,
+    startedAt: 1,
+    open: true,
+    ...fields,
+  };
+}
+
 /** A configuration without routes. */
 export function emptyServing(version: number): Serving {
   return {
