Pass on what any daemon reads of the register, while the store refuses the leader

Daemons that the store served noticed after 2.6 s that the leader's reading was old and read by themselves, but told nobody until their next heartbeat.

Now whoever reads something new tells those who place at once, and the leader passes on what it hears. Versions of the configuration likewise. Ruled out: a lost datagram (the test loses none).

--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -245,6 +245,54 @@
   });
 });
 
+/** Daemons of the grown deployments, and what the platform allows for a leaving upstream there. */
+const GROWN_SIZE = 142;
+const GROWN_DRAIN_MS = 3_000;
+
+describe("a store that refuses the leader and a third of the others", () => {
+  function refusingFleet(phaseMs: number): FakeGatewayFleet {
+    const fleet = startedFleet(GROWN_SIZE);
+    fleet.time.run(5_000 + phaseMs);
+    const leader = leaderOf(fleet);
+    fleet.gateways.forEach((one, i) => {
+      one.storeRefuses = one === leader || i % 3 === 0;
+    });
+    return fleet;
+  }
+
+  // The phase of the heartbeats decides how old the leader's last reading is, and who reads next.
+  const PHASES_MS = [0, 150, 400, 777];
+
+  test.each(PHASES_MS)(
+    "a leaving upstream is closed everywhere in time, phase %i ms",
+    (phaseMs) => {
+      const fleet = refusingFleet(phaseMs);
+      fleet.register({
+        type: "entry",
+        entry: entryOf("e1", { leaving: true }),
+      });
+      fleet.time.run(GROWN_DRAIN_MS);
+      const open = fleet.gateways.filter(({ core }) =>
+        core.board.register.table.get("e1" as UpstreamId)?.leaving !== true
+      );
+      expect(open.map((one) => one.card.vm)).toEqual([]);
+    },
+  );
+
+  test.each(PHASES_MS)(
+    "a new version is in force everywhere in time, phase %i ms",
+    (phaseMs) => {
+      const fleet = refusingFleet(phaseMs);
+      fleet.publish(emptyServing(7));
+      fleet.time.run(GROWN_DRAIN_MS);
+      const behind = fleet.gateways.filter(({ core }) =>
+        core.board.serving.version !== 7
+      );
+      expect(behind.map((one) => one.card.vm)).toEqual([]);
+    },
+  );
+});
+
 describe("the configuration", () => {
   test("a new version is in force everywhere in time", () => {
     const fleet = startedFleet(6);
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -1,7 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { liveMs } from "./members_controller.ts";
+import { headsOf, liveMs } from "./members_controller.ts";
 import type { PeerMessage, Stand } from "./peer_message.ts";
 import { StoreReader } from "./store_reader.ts";
 import {
@@ -51,7 +51,10 @@
     }
     const expired = register.table.expire(step.now);
     this.#report(board, step, expired);
-    this.#push(board, step, changesOf(board, expired));
+    // Each daemon drops lapsed entries by itself; only the leader's word is passed on.
+    if (board.members.leader === board.self.card.vm) {
+      this.#passOn(board, step, expired);
+    }
     this.#changedSince ||= expired.length > 0;
     const next = register.table.nextExpiry();
     if (next !== undefined) step.wake(next);
@@ -94,9 +97,8 @@
       : batch.changes.flatMap((one) => table.take(one, { lapseUntil }) ?? []);
     register.offset = batch.next;
     this.#report(board, step, news);
-    const changes = changesOf(board, news);
-    this.#push(board, step, changes);
-    if (changes.length === 0 && !this.#changedSince) return;
+    const changed = this.#passOn(board, step, news);
+    if (!changed && !this.#changedSince) return;
     register.changedAt = batch.next;
     this.#changedSince = false;
   }
@@ -113,7 +115,9 @@
     if (message.type === "news") {
       const { stand, entries } = message;
       if (stand.offset < register.offset) return;
-      if (entries !== undefined) this.#replace(board, step, entries);
+      if (entries !== undefined) {
+        this.#replace(board, step, { stand, entries });
+      }
       if (register.offset >= 0 || entries !== undefined) {
         this.#goOn(board, step, stand);
       }
@@ -121,9 +125,15 @@
     }
     if (message.type === "changes") {
       const { stand, since, changes } = message;
-      if (since > register.offset || stand.offset < register.offset) return;
+      if (stand.offset < register.offset) return;
+      if (since > register.offset) {
+        const peer = board.members.table.get(message.from)?.peer;
+        if (peer !== undefined) this.#askFor(board, step, peer);
+        return;
+      }
       const news = changes.flatMap((one) => register.table.take(one) ?? []);
       this.#report(board, step, news);
+      this.#passOnHeard(board, step, { stand, news });
       if (news.length > 0) register.changedAt = stand.offset;
       this.#goOn(board, step, stand);
     }
@@ -132,11 +142,13 @@
   #replace(
     board: GatewayBoard,
     step: GatewayStep,
-    entries: readonly UpstreamEntry[],
+    message: Readonly<{ stand: Stand; entries: readonly UpstreamEntry[] }>,
   ): void {
     const { register } = board;
+    const { stand, entries } = message;
     const news = register.table.replace(entries);
     this.#report(board, step, news);
+    this.#passOnHeard(board, step, { stand, news });
     if (news.length > 0) this.#changedSince = true;
   }
 
@@ -164,21 +176,60 @@
     });
   }
 
+  /**
+   * Passes on what this daemon has read: the leader to all, any other one to those who place. Where the store refuses
+   * the leader, the first that reads by itself thereby tells everyone. Returns whether there was anything to pass on.
+   */
+  #passOn(
+    board: GatewayBoard,
+    step: GatewayStep,
+    news: readonly UpstreamNews[],
+  ): boolean {
+    const { members, self } = board;
+    const changes = changesOf(board, news);
+    if (changes.length === 0) return false;
+    const leads = members.leader === self.card.vm;
+    const stand = standOf(board, step.now);
+    this.#push(board, step, { stand, changes, to: leads ? "all" : "heads" });
+    return true;
+  }
+
+  /** The leader passes on what another daemon has read before it. */
+  #passOnHeard(
+    board: GatewayBoard,
+    step: GatewayStep,
+    heard: Readonly<{ stand: Stand; news: readonly UpstreamNews[] }>,
+  ): void {
+    const { members, self } = board;
+    const changes = changesOf(board, heard.news);
+    if (changes.length === 0 || members.leader !== self.card.vm) return;
+    this.#push(board, step, { stand: heard.stand, changes, to: "all" });
+  }
+
   #push(
     board: GatewayBoard,
     step: GatewayStep,
-    changes: readonly UpstreamChange[],
+    update: Readonly<{
+      stand: Stand;
+      changes: readonly UpstreamChange[];
+      to: "all" | "heads";
+    }>,
   ): void {
     const { members, self, register } = board;
-    if (changes.length === 0 || members.leader !== self.card.vm) return;
-    const stand = standOf(board, step.now);
+    const { stand, changes } = update;
+    const peers = update.to === "all"
+      ? members.table.live(step.now, liveMs(board))
+      : headsOf(board).flatMap((vm) => members.table.get(vm) ?? []);
     const since = register.changedAt;
-    for (const peer of members.table.live(step.now, liveMs(board))) {
-      step.want({
-        type: "send",
-        to: peer.peer,
-        message: { type: "changes", from: self.card.vm, stand, since, changes },
-      });
+    const message = {
+      type: "changes",
+      from: self.card.vm,
+      stand,
+      since,
+      changes,
+    } as const;
+    for (const { peer } of peers) {
+      step.want({ type: "send", to: peer, message });
     }
   }
 
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -1,7 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { liveMs } from "./members_controller.ts";
+import { headsOf, liveMs } from "./members_controller.ts";
 import type { PeerCard, PeerMessage, Stand } from "./peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
@@ -167,13 +167,21 @@
     section.routes = RouteTable.create(serving);
     section.version = serving.version;
     section.takenAt = step.now;
-    this.#announce(board, step);
+    this.#announce(board, step, source);
   }
 
-  /** The leader tells all others of a new version at once. */
-  #announce(board: GatewayBoard, step: GatewayStep): void {
+  /** The leader tells all others of a new version at once, and whoever has it from the store tells the leader. */
+  #announce(
+    board: GatewayBoard,
+    step: GatewayStep,
+    source: "store" | "peer",
+  ): void {
     const { members, register, self } = board;
-    if (members.leader !== self.card.vm) return;
+    const leads = members.leader === self.card.vm;
+    if (!leads && source === "peer") return;
+    const peers = leads
+      ? members.table.live(step.now, liveMs(board))
+      : headsOf(board).flatMap((vm) => members.table.get(vm) ?? []);
     const message = {
       type: "changes",
       from: self.card.vm,
@@ -181,7 +189,7 @@
       since: register.changedAt,
       changes: [],
     } as const;
-    for (const { peer } of members.table.live(step.now, liveMs(board))) {
+    for (const { peer } of peers) {
       step.want({ type: "send", to: peer, message });
     }
   }
