Ask engines for their pace when first events are late, and spare the slow ones

Cause: placement trusted the stated pace, and an engine that is overdue looked free. Slow engines read no parts and get short prompts last; they are asked each second until they have recovered. The leader's heartbeat tells its deputy. Ruled out: learning the pace from first events alone, since prompts read by 16 engines accuse 15 sound ones.

--- a/src/gateway/engine_orders.ts
+++ b/src/gateway/engine_orders.ts
@@ -15,11 +15,19 @@
   detail: string;
 }>;
 
+/** What an engine says of itself. */
+export type EngineReport = Readonly<{
+  /** Times that it takes of what is stated; absent where the report can't be read. */
+  pace?: number;
+}>;
+
 /** Orders that reserve and release memory of engines. */
 export abstract class EngineOrders {
   abstract reserve(one: Reservation): ResultAsync<void, ReservationError>;
-  /** Whether an engine answers at all. */
-  abstract isAlive(address: string): ResultAsync<void, ReservationError>;
+  /** Asks an engine for its report; an error says that it does not answer at all. */
+  abstract inspect(
+    address: string,
+  ): ResultAsync<EngineReport, ReservationError>;
   abstract release(
     address: string,
     ticket: string,
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -2,7 +2,7 @@
 import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
 import { READERS_PER_DOMAIN } from "./serving_readers.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
-import { poolAsk } from "../testing/pool_fixtures.ts";
+import { poolAsk, poolJob } from "../testing/pool_fixtures.ts";
 import {
   emptyServing,
   entryOf,
@@ -176,6 +176,59 @@
   });
 });
 
+describe("engines that turn slow", () => {
+  const E1 = "e1" as UpstreamId;
+
+  function fleetWithPrompt(): FakeGatewayFleet {
+    const fleet = startedFleet(4);
+    for (const id of ["e1", "e2", "e3"]) {
+      fleet.paces.set(id as UpstreamId, id === "e1" ? 6 : 1);
+    }
+    const scheduler = leaderOf(fleet).core.board.pool.scheduler;
+    const job = poolJob("j1", "e1", { vm: leaderOf(fleet).card.vm });
+    scheduler.accounts.add(job, fleet.time.now);
+    scheduler.slowWatch.placed(job, 50, fleet.time.now);
+    return fleet;
+  }
+
+  test("are asked when a first event is late, and the deputy learns of them", () => {
+    const fleet = fleetWithPrompt();
+    fleet.time.run(2_000);
+    const paces = fleet.gateways.map(({ core, card }) => [
+      card.vm === core.board.members.leader ||
+      core.board.members.deputy === card.vm,
+      core.board.pool.scheduler.accounts.load(E1).paceAt(fleet.time.now),
+    ]);
+    expect(paces.filter(([places]) => places).map(([, pace]) => pace))
+      .toEqual([6, 6]);
+    const known = leaderOf(fleet).lines.filter((one) =>
+      one.kind === "engine_pace"
+    );
+    expect(known.map((one) => one.fields)).toEqual([
+      { upstream: "e1", pace: 6, before: 1, source: "report" },
+    ]);
+  });
+
+  test("are asked until they have recovered, at a bounded rate", () => {
+    const fleet = fleetWithPrompt();
+    fleet.time.run(1_000);
+    leaderOf(fleet).core.board.pool.scheduler.withdraw(
+      "j1" as JobId,
+      fleet.time.now,
+    );
+    const before = fleet.inspections;
+    fleet.time.run(5_000);
+    expect(fleet.inspections - before).toBeLessThanOrEqual(6);
+    fleet.paces.set(E1, 1);
+    fleet.time.run(2_000);
+    const { accounts } = leaderOf(fleet).core.board.pool.scheduler;
+    expect(accounts.slow(fleet.time.now)).toEqual([]);
+    const after = fleet.inspections;
+    fleet.time.run(5_000);
+    expect(fleet.inspections).toBe(after);
+  });
+});
+
 describe("the register", () => {
   test("one daemon reads for all", () => {
     const fleet = startedFleet(18);
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import { err, ok } from "neverthrow";
 import type { Millis, Timestamp } from "../core/time.ts";
+import type { UpstreamId } from "../core/id.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import { splitAddress } from "./address.ts";
 import { CoreLoop } from "./core_loop.ts";
@@ -52,6 +53,7 @@
   readonly #front: FrontServer;
   readonly #store: StoreCaller;
   readonly #budget: RepeatBudget;
+  readonly #orders: EngineOrders;
   readonly #replies = new Map<JobId, (reply: PoolReply) => void>();
   #limitsOf = 0;
   #unreadable = 0;
@@ -60,6 +62,7 @@
   private constructor(settings: GatewaySettings, parts: GatewayParts) {
     this.#settings = settings;
     const { card } = settings;
+    this.#orders = parts.orders;
     this.#core = GatewayCore.create(card, settings.seeds);
     this.#loop = CoreLoop.create(this.#core, (one) => this.#perform(one));
     this.#log = EventLog.create(
@@ -157,6 +160,9 @@
       case "read":
         void this.#store.read(intent);
         return;
+      case "inspect":
+        void this.#inspect(intent.upstream, intent.address);
+        return;
       case "fetch_serving":
         void this.#store.fetch(intent.peer.peer);
         return;
@@ -176,6 +182,12 @@
     }
   }
 
+  async #inspect(upstream: UpstreamId, address: string): Promise<void> {
+    const report = await this.#orders.inspect(address);
+    const pace = report.isOk() ? report.value.pace : undefined;
+    this.#loop.push({ type: "inspected", upstream, pace });
+  }
+
   #applyLimits(): void {
     const { routes, version } = this.#core.board.serving;
     if (routes === undefined || version === this.#limitsOf) return;
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -34,6 +34,8 @@
   }>
   | Readonly<{ type: "read_failed"; what: StoreTopic; err: StoreError }>
   | Readonly<{ type: "announced"; cards: readonly PeerCard[] }>
+  /** An engine's own report of its pace; absent where it gave none. */
+  | Readonly<{ type: "inspected"; upstream: UpstreamId; pace?: number }>
   /** The process stood still: what it believes may be older than its clock says. */
   | Readonly<{ type: "woke"; lostMs: Millis }>
   | Readonly<{ type: "drain" }>;
@@ -53,6 +55,7 @@
     from?: number;
     waitMs: Millis;
   }>
+  | Readonly<{ type: "inspect"; upstream: UpstreamId; address: string }>
   | Readonly<{ type: "fetch_serving"; peer: PeerCard }>
   | Readonly<{ type: "announce"; card: PeerCard }>
   | Readonly<{ type: "read_announced" }>
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -236,10 +236,23 @@
         stand: standOf(board, step.now),
         roster: this.#wantedRoster(board, step, to),
         jobs,
+        paces: this.#knownPaces(board, step),
       },
     });
   }
 
+  /** The leader tells its deputy which engines are slow, so that this outlives a change of leader. */
+  #knownPaces(board: GatewayBoard, step: GatewayStep) {
+    const { members, pool, self } = board;
+    if (members.leader !== self.card.vm) return undefined;
+    const slow = pool.scheduler.accounts.slow(step.now);
+    if (slow.length === 0) return undefined;
+    return slow.map((one) => ({
+      upstream: one.id,
+      pace: one.paceAt(step.now),
+    }));
+  }
+
   /** The list is the leader's; the leader compares it with its deputy's, and a daemon that knows nobody takes any. */
   #wantedRoster(
     board: GatewayBoard,
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -119,6 +119,9 @@
     /** How far the sender knows the receiver's list of live daemons; absent where it wants no list. */
     roster: RosterPositionSchema.optional(),
     jobs: z.array(JobSchema).readonly(),
+    /** The engines that the leader knows to be slow. */
+    paces: z.array(z.object({ upstream, pace: z.number() })).readonly()
+      .optional(),
   }),
   /** Answers a beat. */
   z.object({
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -5,6 +5,7 @@
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
 import { AskCourier } from "./ask_courier.ts";
+import { EngineInspector } from "./engine_inspector.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent } from "./gateway_event.ts";
@@ -20,6 +21,7 @@
 /** Gets a place for each request: from the daemon that places for all or, while that is silent, by itself. */
 export class PlacementController extends GatewayController {
   readonly #courier = AskCourier.create();
+  readonly #inspector = EngineInspector.create();
   /** Where the decisions on jobs that wait for engines go. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are counted here, and when they last listed them. */
@@ -36,6 +38,7 @@
       this.#submit(board, step, ask, undefined);
     }
     this.#forgetSilent(board, step);
+    this.#inspector.step(board, step);
     this.#decide(board, step);
   }
 
@@ -47,7 +50,9 @@
     if (gone.length === 0) return;
     for (const { id } of gone) pool.suspects.upstreamGone(id, step.now);
     const ids = register.table.all().map((one) => one.id);
-    pool.scheduler.accounts.retain(new Set(ids));
+    const listed = new Set(ids);
+    pool.scheduler.accounts.retain(listed);
+    pool.scheduler.slowWatch.retain(listed);
   }
 
   #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
@@ -222,7 +227,7 @@
   ): void {
     const { scheduler, suspects } = board.pool;
     const { accounts } = scheduler;
-    if (one.phase === "started") accounts.started(one.job, step.now);
+    if (one.phase === "started") scheduler.started(one.job, step.now);
     else {
       scheduler.withdraw(one.job, step.now);
       this.#replyTo.delete(one.job);
--- a/src/gateway/ticket_keeper.ts
+++ b/src/gateway/ticket_keeper.ts
@@ -77,9 +77,9 @@
   /** Asks twice, as one answer may be lost. */
   async #isAlive(): Promise<boolean> {
     if (this.#answering === undefined) return false;
-    const first = await this.#orders.isAlive(this.#answering);
+    const first = await this.#orders.inspect(this.#answering);
     if (first.isOk()) return true;
-    const second = await this.#orders.isAlive(this.#answering);
+    const second = await this.#orders.inspect(this.#answering);
     if (second.isErr()) this.#report(second.error);
     return second.isOk();
   }
--- a/src/gateway/ticket_keeper_test.ts
+++ b/src/gateway/ticket_keeper_test.ts
@@ -25,10 +25,10 @@
     return okAsync(undefined);
   }
 
-  override isAlive(address: string) {
+  override inspect(address: string) {
     return this.dead === address
       ? errAsync({ code: "unknown", detail: "silent" } as const)
-      : okAsync(undefined);
+      : okAsync({ pace: 1 });
   }
 
   override release(address: string) {
--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -4,6 +4,7 @@
 import { passMs, prefillMs } from "./engine_pace.ts";
 import { MAX_HELPERS, planMemory } from "./plan_memory.ts";
 import type { MemoryTicket } from "./pool_job.ts";
+import { isSlow } from "./upstream_load.ts";
 
 /** Prefill that may still be left on an engine that counts as free; a part that ends well within a pass. */
 const FREE_MS: Millis = 20;
@@ -110,10 +111,12 @@
     .slice(0, count);
 }
 
-/** Leaves out engines that have just failed, unless most have: a silent helper holds up the whole prompt. */
+/** Leaves out engines that have just failed or are slow, unless most are: the slowest part holds up the whole prompt. */
 function trusted(choice: PromptChoice): readonly Candidate[] {
   const { candidates, now } = choice;
-  const rest = candidates.filter((one) => !one.load.isSuspect(now));
+  const rest = candidates.filter(({ load }) =>
+    !load.isSuspect(now) && !isSlow(load.paceAt(now))
+  );
   return rest.length >= candidates.length / 2 ? rest : candidates;
 }
 
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -30,7 +30,7 @@
   }));
   for (const one of rated) {
     one.cost = one.expectMs + handicapMs(choice, one.engine) +
-      harmMs(choice, one.engine);
+      harmMs(choice, one.engine) + ownHarmMs(choice, one.engine);
   }
   rated.sort((a, b) => a.cost - b.cost);
   const [best] = rated;
@@ -55,17 +55,28 @@
   // On an engine without streams the first event follows the prefill at once.
   const passes = load.own > 0 ? 1.5 * pass : 0;
   const over = Math.max(0, load.own + 1 - engine.slots);
-  return load.waitMs(now) + passes + prefillMs(pace, ask.promptTokens) +
+  const ownMs = passes + prefillMs(pace, ask.promptTokens) +
     over * SLOT_WAIT_MS;
+  return load.waitMs(now) + ownMs * load.paceAt(now);
+}
+
+/** What the new stream itself loses on an engine that is too slow for its pauses. */
+function ownHarmMs(choice: PromptChoice, engine: Candidate): Millis {
+  const { ask, pace, now } = choice;
+  const { load } = engine;
+  const context = load.contextTokens + ask.promptTokens;
+  const pauseMs = passMs(pace, load.own + 1, context) * load.paceAt(now);
+  return pauseMs + MARGIN_MS > ask.pauseMs ? HARM_MS : 0;
 }
 
 /** What another prefill costs the streams beside it, where their next event would come too late. */
 function harmMs(choice: PromptChoice, engine: Candidate): Millis {
   const { ask, pace, now } = choice;
   const { load } = engine;
-  const readMs = load.waitMs(now) + prefillMs(pace, ask.promptTokens);
   const context = load.contextTokens + ask.promptTokens;
-  const pauseMs = readMs + passMs(pace, load.own + 1, context) + MARGIN_MS;
+  const ownMs = prefillMs(pace, ask.promptTokens) +
+    passMs(pace, load.own + 1, context);
+  const pauseMs = load.waitMs(now) + ownMs * load.paceAt(now) + MARGIN_MS;
   let streams = 0;
   for (const job of load.jobs.values()) {
     if (job.upstream === engine.id && job.pauseMs < pauseMs) streams += 1;
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -251,3 +251,45 @@
   expect(placeCall(choice([busy, far]))?.instance.id).toBe("e1");
   expect(placeCall(choice([engine("e2"), far]))?.instance.id).toBe("e2");
 });
+
+describe("engines that are known to be slow", () => {
+  const slow = (id: string, options: Parameters<typeof engine>[1] = {}) => {
+    const one = engine(id, options);
+    one.load.setPace(6, NOW);
+    return one;
+  };
+
+  test("get no short prompt, although streams are gathered there", () => {
+    const engines = [slow("e0", { streams: 3 }), engine("e1")];
+    expect(placeShort(choice(engines))?.engine.id).toBe("e1");
+  });
+
+  test("read no part of a long prompt", () => {
+    const engines = [
+      ...Array.from({ length: 4 }, (_, i) => slow(`s${i}`)),
+      ...Array.from({ length: 12 }, (_, i) => engine(`e${i}`)),
+    ];
+    const long = { promptTokens: 154_000, targetMs: 3_000, pauseMs: 1_000 };
+    const place = placeLong(choice(engines, long), {
+      dueInMs: 2_950,
+      endsInMs: 11_000,
+    });
+    if (typeof place === "string") throw new Error(place);
+    const used = [place.engine, ...place.helpers].map((one) => one.id);
+    expect(used.filter((id) => id.startsWith("s"))).toEqual([]);
+  });
+
+  test("count as sound again when nothing has confirmed it for a while", () => {
+    const one = slow("e0");
+    expect(one.load.paceAt((NOW + 4_000) as Timestamp)).toBe(6);
+    expect(one.load.paceAt((NOW + 4_001) as Timestamp)).toBe(1);
+  });
+
+  test("take as many times longer for what they still have to read", () => {
+    const one = engine("e0", { reading: 100 });
+    one.load.setPace(6, NOW);
+    expect(one.load.waitMs(NOW)).toBe(600);
+    one.load.setPace(1, NOW);
+    expect(one.load.waitMs(NOW)).toBe(100);
+  });
+});
--- a/src/scheduling/pool/pool_accounts.ts
+++ b/src/scheduling/pool/pool_accounts.ts
@@ -1,7 +1,7 @@
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import type { JobId, PoolJob } from "./pool_job.ts";
-import { UpstreamLoad } from "./upstream_load.ts";
+import { isSlow, UpstreamLoad } from "./upstream_load.ts";
 
 /** A job that its daemon does not list for so long has ended; news of its grant may be on the way. */
 const UNREPORTED_MS: Millis = 1_000;
@@ -30,6 +30,11 @@
     return load;
   }
 
+  /** Engines that are known to be slow. */
+  slow(now: Timestamp): readonly UpstreamLoad[] {
+    return [...this.#loads.values()].filter((one) => isSlow(one.paceAt(now)));
+  }
+
   /** Counts a place as taken. */
   add(job: PoolJob, now: Timestamp): void {
     this.#jobs.set(job.id, job);
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -13,6 +13,7 @@
 import { PoolAccounts } from "./pool_accounts.ts";
 import { COME_BACK_MS, ReturnTimes } from "./return_times.ts";
 import { shortLimitMs } from "./short_limit.ts";
+import { SlowWatch } from "./slow_watch.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
 import type { JobId, PoolAsk, PoolGrant } from "./pool_job.ts";
 
@@ -45,6 +46,7 @@
 /** Chooses places, and lets long prompts wait for engines; it does no I/O and reads no clock. */
 export class PoolScheduler {
   readonly accounts = PoolAccounts.create();
+  readonly slowWatch = SlowWatch.create();
   readonly #waiting = new Map<JobId, Waiting>();
   readonly #returns = ReturnTimes.create();
 
@@ -123,9 +125,16 @@
     return this.#waiting.size === 0 ? undefined : addMs(now, LOOK_MS);
   }
 
+  /** The first event of a request has come. */
+  started(job: JobId, now: Timestamp): void {
+    this.slowWatch.started(job, now);
+    this.accounts.started(job, now);
+  }
+
   /** Takes back a request that waits or holds a place. */
   withdraw(job: JobId, now: Timestamp): void {
     this.#waiting.delete(job);
+    this.slowWatch.ended(job);
     this.accounts.ended(job, now);
   }
 
@@ -184,6 +193,7 @@
       tickets: place.tickets,
     });
     this.accounts.add(job, now);
+    this.slowWatch.placed(job, place.expectMs, now);
     return ok(grantOf(job, req, place.expectMs));
   }
 
@@ -231,6 +241,7 @@
     const partMs = prefillMs(pace, ask.promptTokens);
     const job = jobOf(ask, now, { upstream: engine.id, partMs });
     this.accounts.add(job, now);
+    this.slowWatch.placed(job, expectMs, now);
     return ok(grantOf(job, req, expectMs));
   }
 
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -11,6 +11,16 @@
 /** What is left of one failure after three of the four seconds. */
 const SUSPECT_FAULTS = 0.25;
 
+/** An engine that takes this many times the stated time, or more, is slow. */
+const SLOW_PACE = 1.3;
+/** How long a pace counts after it was last confirmed; some rechecks may be lost. */
+const PACE_VALID_MS: Millis = 4_000;
+
+/** Whether an engine at a pace, in multiples of the stated time, is slow. */
+export function isSlow(pace: number): boolean {
+  return pace >= SLOW_PACE;
+}
+
 /** What is known of the work of one upstream: all that was placed there and has not ended. */
 export class UpstreamLoad {
   readonly id: UpstreamId;
@@ -18,6 +28,8 @@
   #busyUntil = 0 as Timestamp;
   #faults = 0;
   #faultAt = 0 as Timestamp;
+  #pace = 1;
+  #paceAt = 0 as Timestamp;
 
   private constructor(id: UpstreamId) {
     this.id = id;
@@ -31,7 +43,7 @@
     this.jobs.set(job.id, job);
     if (job.writing) return;
     const start = Math.max(now, this.#busyUntil);
-    this.#busyUntil = (start + job.partMs) as Timestamp;
+    this.#busyUntil = (start + job.partMs * this.paceAt(now)) as Timestamp;
   }
 
   /** Takes in that a job has been prefilled, or has ended. */
@@ -40,9 +52,24 @@
     else this.jobs.set(id, writing);
     let left = 0;
     for (const job of this.jobs.values()) if (!job.writing) left += job.partMs;
+    left *= this.paceAt(now);
     this.#busyUntil = Math.min(this.#busyUntil, now + left) as Timestamp;
   }
 
+  /** Times that the engine takes of what is stated; 1 unless it is known to be slow. */
+  paceAt(now: Timestamp): number {
+    return now - this.#paceAt > PACE_VALID_MS ? 1 : this.#pace;
+  }
+
+  /** Updates the pace; what is left to read takes as many times longer. */
+  setPace(pace: number, now: Timestamp): void {
+    const known = Math.max(1, pace);
+    const leftMs = this.waitMs(now) * known / this.paceAt(now);
+    this.#pace = known;
+    this.#paceAt = now;
+    this.#busyUntil = (now + leftMs) as Timestamp;
+  }
+
   /** Predicted time until all prefill that was placed here is done. */
   waitMs(now: Timestamp): Millis {
     return Math.max(0, this.#busyUntil - now);
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -38,6 +38,9 @@
   readonly #versions: Serving[] = [];
   readonly #announced = new Map<VmId, PeerCard>();
   storeDown = false;
+  /** What engines report of their pace; 1 where nothing is set. */
+  readonly paces = new Map<UpstreamId, number>();
+  inspections = 0;
   /** Bytes of the messages between daemons. */
   bytes = 0;
 
@@ -118,6 +121,16 @@
         gateway.reads += 1;
         this.#read(gateway, intent, this.time.now + intent.waitMs);
         return;
+      case "inspect": {
+        this.inspections += 1;
+        const { upstream } = intent;
+        const pace = this.paces.get(upstream) ?? 1;
+        this.time.after(
+          2 * LINK_MS,
+          () => this.step(gateway, [{ type: "inspected", upstream, pace }]),
+        );
+        return;
+      }
       case "fetch_serving": {
         gateway.fetches += 1;
         const peer = this.gateways.find((one) =>
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -24,8 +24,8 @@
     return okAsync(undefined);
   }
 
-  override isAlive() {
-    return okAsync(undefined);
+  override inspect() {
+    return okAsync({ pace: 1 });
   }
 
   override release(_address: string, ticket: string) {
--- a/stand_ins/pass_engine/pass_engine.ts
+++ b/stand_ins/pass_engine/pass_engine.ts
@@ -44,6 +44,8 @@
   readonly #batch = new Set<SimJob>();
   readonly #writers = new Set<SimJob>();
   #running = false;
+  /** Times that everything takes of what the pace states. */
+  slowness = 1;
 
   private constructor(pace: EnginePace, time: EngineTime) {
     this.#pace = pace;
@@ -93,7 +95,7 @@
     }
     const steps = writers.length > 0 ? this.#pace.stride : 1;
     const writeMs = this.#stepMs(writers);
-    const ms = steps * writeMs + this.#read(reads, steps);
+    const ms = this.slowness * (steps * writeMs + this.#read(reads, steps));
     this.#time.after(ms, () => {
       for (const job of writers) this.#write(job, steps);
       this.#finishReads();
--- a/tools/pool/play.ts
+++ b/tools/pool/play.ts
@@ -20,6 +20,18 @@
 /** Time for what still runs when the last prompt has come. */
 const TAIL_MS = 25_000;
 
+/** Age of an engine's report, and the time between a policy's looks for late first events. */
+const REPORT_LAG_MS = 300;
+const INSPECT_MS = 50;
+
+/** Engines that turn slow for a while; the first ones are taken. */
+export type SlowSpan = Readonly<{
+  engines: number;
+  factor: number;
+  fromMs: number;
+  toMs: number;
+}>;
+
 /** How one prompt was served. */
 export type Served = Readonly<{
   arrival: Arrival;
@@ -32,6 +44,7 @@
 export function play(
   arrivals: readonly Arrival[],
   createPolicy: () => Policy,
+  options: Readonly<{ slow?: SlowSpan }> = {},
 ): readonly Served[] {
   const time = VirtualTime.create(0 as Timestamp);
   const clock = {
@@ -110,6 +123,16 @@
     });
   };
 
+  const endMs = (arrivals.at(-1)?.at ?? 0) + TAIL_MS;
+  slowDown([...engines.values()], time, options.slow);
+  const inspect = () => {
+    for (const id of policy.inspections(time.now)) {
+      const pace = engines.get(id)!.slowness;
+      time.after(REPORT_LAG_MS, () => policy.inspected(id, pace, time.now));
+    }
+    if (time.now < endMs) time.after(INSPECT_MS, inspect);
+  };
+  inspect();
   arrivals.forEach((arrival, i) => {
     time.after(arrival.at, () => {
       const ask = askOf(arrival, `j${i}`);
@@ -123,13 +146,26 @@
       else send(decision.result.value);
     });
   });
-  time.run((arrivals.at(-1)?.at ?? 0) + TAIL_MS);
+  time.run(endMs);
   for (const arrival of open.values()) {
     served.push({ arrival, outcome: "refused", firstMs: 0, longestPauseMs: 0 });
   }
   return served;
 }
 
+function slowDown(
+  engines: readonly PassEngine[],
+  time: VirtualTime,
+  slow: SlowSpan | undefined,
+): void {
+  if (slow === undefined) return;
+  const set = (slowness: number) => {
+    for (const one of engines.slice(0, slow.engines)) one.slowness = slowness;
+  };
+  time.after(slow.fromMs, () => set(slow.factor));
+  time.after(slow.toMs, () => set(1));
+}
+
 function askOf(arrival: Arrival, job: string): PoolAsk {
   const { kind, tokens, answerTokens } = arrival;
   const { targetMs, pauseMs, leftMs } = kind;
--- a/tools/pool/play_test.ts
+++ b/tools/pool/play_test.ts
@@ -119,3 +119,36 @@
   // Without the limit on their wait 0.34 are in time and 0.6 late.
   expect(share("in_time")).toBeGreaterThan(share("late"));
 });
+
+test("a quarter of the engines six times slower at a light load: the others serve nearly all", () => {
+  const light: readonly Phase[] = [{ ms: 20_000, factors: [1, 1, 1] }];
+  const slow = { engines: 4, factor: 6, fromMs: 2_000, toMs: 18_000 };
+  const credit = (policy: keyof typeof POLICIES) =>
+    creditOf(
+      SEEDS.flatMap((seed) =>
+        play(drawArrivals(light, seed), POLICIES[policy], { slow })
+      ),
+    );
+  const before = credit("nominal");
+  const after = credit("scheduled");
+  expect({ before: rounded(before), after: rounded(after) })
+    .toMatchInlineSnapshot(`
+      {
+        "after": {
+          "largest": 0.6,
+          "long": 0.9,
+          "middle": 0.98,
+          "short": 0.94,
+          "whole": 0.93,
+        },
+        "before": {
+          "largest": 0.75,
+          "long": 0.94,
+          "middle": 0.91,
+          "short": 0.87,
+          "whole": 0.9,
+        },
+      }
+    `);
+  expect(after.whole).toBeGreaterThan(0.9);
+});
--- a/tools/pool/policies.ts
+++ b/tools/pool/policies.ts
@@ -21,6 +21,11 @@
   abstract nextLook(now: Timestamp): Timestamp | undefined;
   abstract started(job: JobId, now: Timestamp): void;
   abstract ended(job: JobId, now: Timestamp): void;
+  /** Engines whose report the policy wants now. */
+  inspections(_now: Timestamp): readonly UpstreamId[] {
+    return [];
+  }
+  inspected(_id: UpstreamId, _pace: number, _now: Timestamp): void {}
 }
 
 /** The scheduler as daemons use it. */
@@ -47,11 +52,31 @@
   }
 
   override started(job: JobId, now: Timestamp): void {
-    this.#scheduler.accounts.started(job, now);
+    this.#scheduler.started(job, now);
   }
 
   override ended(job: JobId, now: Timestamp): void {
-    this.#scheduler.accounts.ended(job, now);
+    this.#scheduler.withdraw(job, now);
+  }
+
+  override inspections(now: Timestamp): readonly UpstreamId[] {
+    const slow = this.#scheduler.accounts.slow(now).map((one) => one.id);
+    return this.#scheduler.slowWatch.due(now, slow);
+  }
+
+  override inspected(id: UpstreamId, pace: number, now: Timestamp): void {
+    this.#scheduler.accounts.load(id).setPace(pace, now);
+  }
+}
+
+/** The scheduler without any knowledge of the engines' pace. */
+export class NominalPolicy extends ScheduledPolicy {
+  static override create(): NominalPolicy {
+    return new NominalPolicy();
+  }
+
+  override inspections(): readonly UpstreamId[] {
+    return [];
   }
 }
 
@@ -98,5 +123,6 @@
 /** Policies by name. */
 export const POLICIES = {
   scheduled: () => ScheduledPolicy.create(),
+  nominal: () => NominalPolicy.create(),
   forwarding: () => ForwardingPolicy.create(),
 } as const;
