--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -51,7 +51,7 @@
   options: Readonly<{ dueInMs: Millis; endsInMs: Millis }>,
 ): LongPlace | NoLongPlace {
   const { ask, pace, now } = choice;
-  const candidates = trusted(choice);
+  const candidates = trusted(choice).filter(mayHelp);
   const free = candidates.filter((one) => one.load.waitMs(now) <= FREE_MS);
   const loose = (one: Candidate) => one.load.tight === 0;
   const looseFree = free.filter(loose).length;
@@ -120,6 +120,11 @@
   return rest.length >= candidates.length / 2 ? rest : candidates;
 }
 
+/** An engine rejects a part, and with it the whole prompt, while it helps as many others as it has slots. */
+function mayHelp(one: Candidate): boolean {
+  return one.load.helping < one.slots;
+}
+
 /** Engines without tight streams that are left to short prompts, where those have fewer than their part already. */
 function enginesToSpare(candidates: readonly Candidate[]): number {
   const tight = candidates.filter((one) => one.load.tight > 0).length;
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -252,6 +252,25 @@
   expect(placeCall(choice([engine("e2"), far]))?.instance.id).toBe("e2");
 });
 
+describe("engines that help as many prompts as they have slots", () => {
+  test("get no further part, as they would reject it and the whole prompt with it", () => {
+    const busy = engine("e0");
+    for (let i = 0; i < busy.slots; i += 1) {
+      const tickets = [{ upstream: busy.id, tokens: 1_000 }];
+      busy.load.add(jobOn("other", { helpers: [busy.id], tickets }), NOW);
+    }
+    const engines = [busy, engine("e1"), engine("e2")];
+    const long = { promptTokens: 100_000, targetMs: 3_000, pauseMs: 1_000 };
+    const place = placeLong(choice(engines, long), {
+      dueInMs: 2_950,
+      endsInMs: 11_000,
+    });
+    if (typeof place === "string") throw new Error(place);
+    const used = [place.engine, ...place.helpers].map((one) => one.id);
+    expect(used).not.toContain("e0");
+  });
+});
+
 describe("engines that are known to be slow", () => {
   const slow = (id: string, options: Parameters<typeof engine>[1] = {}) => {
     const one = engine(id, options);
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -80,6 +80,11 @@
     return this.#count((job) => job.upstream === this.id);
   }
 
+  /** Prompts of other engines that this one reads a part of, or holds memory for. */
+  get helping(): number {
+    return this.#count((job) => job.upstream !== this.id);
+  }
+
   get writing(): number {
     return this.#count((job) => job.upstream === this.id && job.writing);
   }
