Spread the readings of daemons that read by themselves; deflate long messages

Calls: while the store is down for all, or daemons are cut off, each daemon read twice a second. Bytes: lists of daemons and upstreams are deflated from 1 KiB on; short prompts gather in their own failure domain where it has 16 engines or more.

--- a/src/gateway/datagram_port.ts
+++ b/src/gateway/datagram_port.ts
@@ -7,14 +7,14 @@
   readonly #socket: Socket;
   #failed = 0;
 
-  private constructor(receive: (text: string) => void) {
+  private constructor(receive: (data: Buffer) => void) {
     this.#socket = createSocket("udp4");
-    this.#socket.on("message", (data: Buffer) => receive(data.toString()));
+    this.#socket.on("message", (data: Buffer) => receive(data));
     // A socket error concerns one datagram, which counts as lost.
     this.#socket.on("error", () => this.#failed += 1);
   }
 
-  static create(receive: (text: string) => void): DatagramPort {
+  static create(receive: (data: Buffer) => void): DatagramPort {
     return new DatagramPort(receive);
   }
 
@@ -29,9 +29,9 @@
     });
   }
 
-  send(to: string, text: string): void {
+  send(to: string, data: Buffer): void {
     const { host, port } = splitAddress(to);
-    this.#socket.send(text, port, host, (err) => {
+    this.#socket.send(data, port, host, (err) => {
       if (err !== null) this.#failed += 1;
     });
   }
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import process from "node:process";
 import { err, ok } from "neverthrow";
 import type { Millis, Timestamp } from "../core/time.ts";
@@ -70,7 +71,7 @@
       { now: () => Date.now() as Timestamp },
     );
     this.#budget = RepeatBudget.create(settings.budget);
-    this.#datagrams = DatagramPort.create((text) => this.#receive(text));
+    this.#datagrams = DatagramPort.create((data) => this.#receive(data));
     this.#store = StoreCaller.create(parts.store, {
       push: (event) => this.#loop.push(event),
       count: (call, outcome) => this.#metrics.storeCall(call, outcome),
@@ -201,8 +202,8 @@
     waiting?.(reply);
   }
 
-  #receive(text: string): void {
-    decodePeerMessage(text).match(
+  #receive(data: Buffer): void {
+    decodePeerMessage(data).match(
       (message) => this.#loop.push({ type: "message", message }),
       (detail) => {
         this.#unreadable += 1;
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -1,3 +1,5 @@
+import { Buffer } from "node:buffer";
+import { constants, deflateSync, inflateSync } from "node:zlib";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
@@ -173,19 +175,40 @@
 /** What daemons tell each other. */
 export type PeerMessage = z.infer<typeof PeerMessageSchema>;
 
-/** Writes a message as one datagram. */
-export function encodePeerMessage(message: PeerMessage): string {
-  return JSON.stringify(message);
+/** Messages from this size on are deflated: lists of daemons or upstreams, which repeat themselves. */
+const DEFLATE_BYTES = 1_024;
+/** Largest message; the list of the largest system is a tenth of it. */
+const MAX_MESSAGE_BYTES = 1 << 20;
+/** First byte of a message that is not deflated. */
+const PLAIN = "{".charCodeAt(0);
+
+/** Writes a message as one datagram: JSON, deflated where it is long. */
+export function encodePeerMessage(message: PeerMessage): Buffer {
+  const plain = Buffer.from(JSON.stringify(message));
+  if (plain.length < DEFLATE_BYTES) return plain;
+  return deflateSync(plain, { level: constants.Z_BEST_SPEED });
 }
 
 /** Reads a datagram; fails on whatever is not one of the messages. */
-export function decodePeerMessage(text: string): Result<PeerMessage, string> {
-  let value: unknown;
+export function decodePeerMessage(data: Buffer): Result<PeerMessage, string> {
+  return inflate(data).andThen((text) => {
+    let value: unknown;
+    try {
+      value = JSON.parse(text);
+    } catch {
+      return err("The datagram is not JSON");
+    }
+    const parsed = PeerMessageSchema.safeParse(value);
+    return parsed.success ? ok(parsed.data) : err(parsed.error.message);
+  });
+}
+
+function inflate(data: Buffer): Result<string, string> {
+  if (data[0] === PLAIN) return ok(data.toString());
   try {
-    value = JSON.parse(text);
+    const options = { maxOutputLength: MAX_MESSAGE_BYTES };
+    return ok(inflateSync(data, options).toString());
   } catch {
-    return err("The datagram is not JSON");
+    return err("The datagram is neither JSON nor deflated");
   }
-  const parsed = PeerMessageSchema.safeParse(value);
-  return parsed.success ? ok(parsed.data) : err(parsed.error.message);
 }
--- /dev/null
+++ b/src/gateway/peer_message_test.ts
@@ -0,0 +1,41 @@
+import { Buffer } from "node:buffer";
+import { deflateSync } from "node:zlib";
+import { describe, expect, test } from "vitest";
+import { peerCard } from "../testing/fake_gateway_fleet.ts";
+import {
+  decodePeerMessage,
+  encodePeerMessage,
+  type PeerMessage,
+} from "./peer_message.ts";
+
+const SIZE = 195;
+
+function wholeRoster(): PeerMessage {
+  const joined = Array.from({ length: SIZE }, (_, i) => peerCard(`vm-${i}`));
+  return {
+    type: "news",
+    from: peerCard("vm-0"),
+    stand: { version: 3 as never, versionAgeMs: 5, offset: 7, ageMs: 9 },
+    leader: peerCard("vm-0").vm,
+    roster: { epoch: "vm-0/1", seq: SIZE, joined, gone: [] },
+  };
+}
+
+describe("messages between daemons", () => {
+  test("a list of 195 daemons takes a tenth of its JSON, and is read back", () => {
+    const message = wholeRoster();
+    const data = encodePeerMessage(message);
+    expect(data.length).toBeLessThan(JSON.stringify(message).length / 10);
+    expect(decodePeerMessage(data)._unsafeUnwrap()).toEqual(message);
+  });
+
+  test.each([
+    ["nothing", Buffer.alloc(0)],
+    ["bytes of another program", Buffer.from([1, 2, 3, 4])],
+    ["JSON that is no message", Buffer.from("{}")],
+    ["a torn one", encodePeerMessage(wholeRoster()).subarray(0, 300)],
+    ["one that grows without bound", deflateSync(Buffer.alloc(1 << 24, "x"))],
+  ])("%s: not read", (_name, data) => {
+    expect(decodePeerMessage(data).isErr()).toBe(true);
+  });
+});
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -3,6 +3,7 @@
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { headsOf, liveMs } from "./members_controller.ts";
 import type { PeerMessage, Stand } from "./peer_message.ts";
+import { ownReading } from "./own_reading.ts";
 import { StoreReader } from "./store_reader.ts";
 import {
   LAPSE_GRACE_MS,
@@ -15,7 +16,9 @@
 const SPACING_MS: Millis = 450;
 /** How long the store may wait for something new; a silent connection is noticed soon after. */
 const WAIT_MS: Millis = 600;
-/** Age beyond what two beats bring at which a daemon reads for itself. */
+/** How often any other daemon reads that hears of no reading; the platform allows 2 s for what is read. */
+const OWN_SPACING_MS: Millis = 1_000;
+/** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
 const STALE_MARGIN_MS: Millis = 300;
 /** A longer gap between readings means that entries may have lapsed because the store was away. */
 const OUTAGE_MS: Millis = 1_500;
@@ -63,11 +66,26 @@
 
   #poll(board: GatewayBoard, step: GatewayStep): void {
     const { members, self, register } = board;
-    const leads = members.leader === self.card.vm;
-    const staleAt = register.asOf + 2 * members.beatMs + STALE_MARGIN_MS;
-    if (leads || step.now >= staleAt) {
+    if (members.leader === self.card.vm) {
       this.#reader.poll(step, { waitMs: WAIT_MS, spacingMs: SPACING_MS });
-    } else step.wake(staleAt);
+      return;
+    }
+    const staleMs = members.beatMs + WAIT_MS + STALE_MARGIN_MS;
+    if (step.now < register.asOf + staleMs) {
+      step.wake(register.asOf + staleMs);
+      return;
+    }
+    const { staggerMs, backoffMs } = ownReading(self.card, {
+      table: members.table,
+      now: step.now,
+      liveMs: liveMs(board),
+    });
+    const readAt = register.asOf + staleMs + staggerMs;
+    if (step.now < readAt) step.wake(readAt);
+    else {
+      const spacingMs = OWN_SPACING_MS;
+      this.#reader.poll(step, { waitMs: WAIT_MS, spacingMs, backoffMs });
+    }
   }
 
   #takeReading(
@@ -187,11 +205,12 @@
   ): boolean {
     const { members, self } = board;
     const changes = changesOf(board, news);
-    if (changes.length === 0) return false;
     const leads = members.leader === self.card.vm;
+    // That nothing has changed is worth knowing for a leader that can't read.
+    if (leads && changes.length === 0) return false;
     const stand = standOf(board, step.now);
     this.#push(board, step, { stand, changes, to: leads ? "all" : "heads" });
-    return true;
+    return changes.length > 0;
   }
 
   /** The leader passes on what another daemon has read before it. */
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -2,6 +2,7 @@
 import { type GatewayBoard, standOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { headsOf, liveMs } from "./members_controller.ts";
+import { ownReading } from "./own_reading.ts";
 import type { PeerCard, PeerMessage, Stand } from "./peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
@@ -99,19 +100,26 @@
   #poll(board: GatewayBoard, step: GatewayStep): void {
     const { members, self, serving } = board;
     const leads = members.leader === self.card.vm;
+    const waitMs = leads ? LEADER_WAIT_MS : WAIT_MS;
+    const reads = leads || this.#fetches >= MAX_FETCHES ||
+      this.#readers(board, step).some((one) => one.vm === self.card.vm);
+    if (reads) {
+      this.#reader.poll(step, { waitMs, spacingMs: SPACING_MS });
+      return;
+    }
     const staleAt = serving.asOf + members.beatMs + LEADER_WAIT_MS +
       STALE_MARGIN_MS;
-    const reads = leads || step.now >= staleAt ||
-      this.#fetches >= MAX_FETCHES ||
-      this.#readers(board, step).some((one) => one.vm === self.card.vm);
-    if (!reads) {
+    if (step.now < staleAt) {
       step.wake(staleAt);
       return;
     }
-    this.#reader.poll(step, {
-      waitMs: leads ? LEADER_WAIT_MS : WAIT_MS,
-      spacingMs: SPACING_MS,
+    const { staggerMs, backoffMs } = ownReading(self.card, {
+      table: members.table,
+      now: step.now,
+      liveMs: liveMs(board),
     });
+    if (step.now < staleAt + staggerMs) step.wake(staleAt + staggerMs);
+    else this.#reader.poll(step, { waitMs, spacingMs: SPACING_MS, backoffMs });
   }
 
   #readers(board: GatewayBoard, step: GatewayStep): readonly PeerCard[] {
--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -5,6 +5,7 @@
 
 /** Time to the next try after a failed reading, doubled by each failure up to the largest. */
 const FIRST_BACKOFF_MS: Millis = 250;
+/** Largest backoff of a daemon that reads for others. */
 const MAX_BACKOFF_MS: Millis = 1_000;
 
 /** How a topic of the store is read. */
@@ -13,6 +14,8 @@
   waitMs: Millis;
   /** Shortest time between the starts of two readings. */
   spacingMs: Millis;
+  /** Shortest time after a failed reading; daemons that only read for themselves leave more. */
+  backoffMs?: Millis;
 }>;
 
 /** Reads one topic of the store, one call at a time, and goes on where the last one ended. */
@@ -23,6 +26,7 @@
   #notBefore = 0 as Timestamp;
   #failures = 0;
   #failing = false;
+  #failedAt = 0 as Timestamp;
 
   private constructor(topic: StoreTopic) {
     this.#topic = topic;
@@ -40,8 +44,10 @@
   /** Starts a reading if one is due; says when the next one is. */
   poll(step: GatewayStep, pace: ReadPace): void {
     if (this.#sentAt !== undefined) return;
-    if (step.now < this.#notBefore) {
-      step.wake(this.#notBefore);
+    const failedFor = this.#failing ? pace.backoffMs ?? 0 : 0;
+    const notBefore = Math.max(this.#notBefore, this.#failedAt + failedFor);
+    if (step.now < notBefore) {
+      step.wake(notBefore);
       return;
     }
     this.#sentAt = step.now;
@@ -79,6 +85,7 @@
       });
     }
     this.#failing = true;
+    this.#failedAt = step.now;
     const backoff = FIRST_BACKOFF_MS * 2 ** this.#failures;
     this.#failures += 1;
     this.#notBefore = addMs(step.now, Math.min(MAX_BACKOFF_MS, backoff));
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -9,6 +9,9 @@
 /** Predicted wait for each prompt beyond the slots: about the time in which one of a full batch ends. */
 const SLOT_WAIT_MS: Millis = 150;
 
+/** Engines of a failure domain that are a pool of their own: as many as the smallest deployment has. */
+const DOMAIN_ENGINES = 16;
+
 /** What a stream that pauses too long counts as in predicted time of the new one. */
 const HARM_MS: Millis = 100;
 /** What predictions may be off. */
@@ -40,12 +43,24 @@
     one.cost <= comfortMs &&
     one.engine.load.own + SPARE_SLOTS <= one.engine.slots
   );
+  const own = ownDomain(choice);
   gathered.sort((a, b) =>
+    Number(own.has(b.engine)) - Number(own.has(a.engine)) ||
     b.engine.load.tight - a.engine.load.tight || a.cost - b.cost
   );
   return gathered[0] ?? best;
 }
 
+/**
+ * The engines of the asking daemon's failure domain, where they are enough to gather streams on: bytes between domains
+ * cost, but gathering on a few engines in each of several small domains would leave fewer for long prefills.
+ */
+function ownDomain(choice: PromptChoice): ReadonlySet<Candidate> {
+  const { ask, candidates } = choice;
+  const near = candidates.filter((one) => one.domain === ask.domain);
+  return new Set(near.length >= DOMAIN_ENGINES ? near : []);
+}
+
 /** Predicted time to the first event: prefill before it, what is left of a pass, its own prefill and a pass. */
 function predictMs(choice: PromptChoice, engine: Candidate): Millis {
   const { ask, pace, now } = choice;
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -62,6 +62,17 @@
     expect(placeShort(choice(engines))?.engine.id).toBe("e1");
   });
 
+  test("gather in the failure domain of their daemon, where it has engines enough", () => {
+    const far = { ...engine("far", { streams: 3 }), domain: "b" as DomainId };
+    const near = [
+      engine("near", { streams: 1 }),
+      ...Array.from({ length: 15 }, (_, i) => engine(`e${i}`)),
+    ];
+    expect(placeShort(choice([far, ...near]))?.engine.id).toBe("near");
+    expect(placeShort(choice([far, ...near.slice(0, 5)]))?.engine.id)
+      .toBe("far");
+  });
+
   test("leave an engine whose slots are nearly taken", () => {
     const engines = [engine("e0"), engine("e1", { streams: 8 })];
     expect(placeShort(choice(engines))?.engine.id).toBe("e0");
