--- a/src/gateway/small_http.ts
+++ b/src/gateway/small_http.ts
@@ -23,6 +23,8 @@
   path: string;
   body?: Buffer | string;
   contentType?: string;
+  /** Further headers. */
+  headers?: Readonly<Record<string, string | number>>;
   timeoutMs?: Millis;
   /** Bytes after which an answer is none: a server in trouble may send without end. */
   maxBytes?: number;
@@ -31,7 +33,7 @@
 /** Sends a plain call; a connection of its own can't have gone silent before. */
 export function plainCall(call: PlainCall): ResultAsync<CallAnswer, CallError> {
   const body = call.body === undefined ? undefined : Buffer.from(call.body);
-  const headers: Record<string, string | number> = {};
+  const headers: Record<string, string | number> = { ...call.headers };
   if (body !== undefined) headers["content-length"] = body.length;
   if (call.contentType !== undefined) {
     headers["content-type"] = call.contentType;
