--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -17,6 +17,7 @@
 import type { GatewayIntent } from "./gateway_event.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { hash } from "./member_table.ts";
 import { isReady, liveMs } from "./members_controller.ts";
 import { decodePeerMessage, encodePeerMessage } from "./peer_message.ts";
 import type { PoolReply } from "./placement_port.ts";
@@ -33,6 +34,9 @@
 const LEAVE_MS: Millis = 3_200;
 /** Time before the kill at which the process ends by itself. */
 const EXIT_MARGIN_MS: Millis = 500;
+/** How often a fixed piece of work is timed, and its size: some tenths of a ms on the smallest VMs. */
+const TIMING_MS: Millis = 500;
+const TIMED_TEXT = "x".repeat(30_000);
 /** How often log lines that were gathered are handed on. */
 const FLUSH_MS: Millis = 1_000;
 
@@ -114,6 +118,7 @@
     const front = splitAddress(card.front);
     await this.#front.listen(front.host, front.port);
     setInterval(() => this.#log.flush(), FLUSH_MS).unref();
+    setInterval(() => this.#timeSelf(), TIMING_MS).unref();
     this.#loop.step();
   }
 
@@ -183,6 +188,13 @@
     }
   }
 
+  /** Times a fixed piece of work: it takes longer where the VM has become slow. */
+  #timeSelf(): void {
+    const from = this.#loop.now();
+    hash(TIMED_TEXT);
+    this.#loop.push({ type: "timed", ms: this.#loop.now() - from });
+  }
+
   async #inspect(upstream: UpstreamId, address: string): Promise<void> {
     const report = await this.#orders.inspect(address);
     const pace = report.isOk() ? report.value.pace : undefined;
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -38,6 +38,8 @@
   | Readonly<{ type: "inspected"; upstream: UpstreamId; pace?: number }>
   /** The process stood still: what it believes may be older than its clock says. */
   | Readonly<{ type: "woke"; lostMs: Millis }>
+  /** How long a fixed piece of work has just taken here. */
+  | Readonly<{ type: "timed"; ms: Millis }>
   | Readonly<{ type: "drain" }>;
 
 /** What of the platform's store is read. */
--- a/src/gateway/member_table.ts
+++ b/src/gateway/member_table.ts
@@ -134,9 +134,13 @@
   }
 }
 
-/** Orders daemons by who should place for all: the strongest first, then by a hash that spreads over domains. */
+/**
+ * Orders daemons by who should place for all: slow ones last, else the strongest first, then by a hash that spreads
+ * over domains.
+ */
 export function compareLeaders(a: PeerCard, b: PeerCard): number {
-  return b.power - a.power || hash(a.vm) - hash(b.vm) ||
+  return Number(a.slow) - Number(b.slow) || b.power - a.power ||
+    hash(a.vm) - hash(b.vm) ||
     (a.vm < b.vm ? -1 : a.vm > b.vm ? 1 : 0);
 }
 
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -4,6 +4,7 @@
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { compareLeaders } from "./member_table.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
+import { OwnSpeed } from "./own_speed.ts";
 import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
 
 /** Time between beats in a small system; a silent leader is noticed after two of them. */
@@ -35,6 +36,7 @@
   /** When the leader was last heard, or became the leader. */
   #leaderHeardAt = 0 as Timestamp;
   #probed = 0;
+  readonly #speed = OwnSpeed.create();
   #roster: Roster | undefined;
   #rosterAt: Timestamp | undefined;
 
@@ -50,11 +52,12 @@
       if (event.type === "message") this.#take(board, step, event.message);
       if (event.type === "announced") this.#greet(board, step, event.cards);
       if (event.type === "woke") this.#beatAt = step.now;
+      if (event.type === "timed") this.#speed.add(event.ms);
       if (event.type === "drain" && board.self.drainingSince === undefined) {
         board.self.drainingSince = step.now;
       }
     }
-    const changed = this.#updateCard(board);
+    const changed = this.#updateCard(board, step);
     this.#chooseLeader(board, step);
     this.#beat(board, step, changed);
     this.#probe(board, step);
@@ -63,11 +66,17 @@
   }
 
   /** Whether clients may come depends on what is known; the others hear of a change at once. */
-  #updateCard(board: GatewayBoard): boolean {
+  #updateCard(board: GatewayBoard, step: GatewayStep): boolean {
     const { self } = board;
     const open = isReady(board);
-    if (self.card.open === open) return false;
-    self.card = { ...self.card, open };
+    const { slow } = this.#speed;
+    const before = self.card;
+    if (before.open === open && before.slow === slow) return false;
+    self.card = { ...before, open, slow };
+    if (before.slow !== slow) {
+      const factor = Number(this.#speed.factor.toFixed(1));
+      step.line("own_speed", { slow, factor });
+    }
     return true;
   }
 
--- /dev/null
+++ b/src/gateway/own_speed_test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, test } from "vitest";
+import { OwnSpeed } from "./own_speed.ts";
+
+function played(samples: readonly number[]): boolean[] {
+  const speed = OwnSpeed.create();
+  return samples.map((ms) => speed.add(ms));
+}
+
+const SOUND = [0.2, 0.21, 0.2, 0.22, 0.2];
+
+describe("a VM's own speed", () => {
+  test("six times slower: slow after three samples, sound again after three", () => {
+    const slow = played([...SOUND, 1.2, 1.2, 1.2, 1.2, 1.2, 0.2, 0.2, 0.2]);
+    expect(slow.slice(5)).toEqual(
+      [false, false, true, true, true, true, true, false],
+    );
+  });
+
+  test("one or two interruptions are not slowness", () => {
+    expect(played([...SOUND, 40, 0.2, 60, 0.2]).some(Boolean)).toBe(false);
+  });
+
+  test("a cold start is not slowness", () => {
+    expect(played([2, 1.5, 1, 0.6, 0.3, 0.25, 0.2, 0.2]).some(Boolean))
+      .toBe(false);
+  });
+
+  test("nothing is said of work that is too short for the clock", () => {
+    expect(played([...SOUND.map((ms) => ms / 10), 0.06, 0.06, 0.06, 0.06]))
+      .not.toContain(true);
+  });
+});
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -25,6 +25,8 @@
   startedAt: z.number(),
   /** Whether clients may be sent there. */
   open: z.boolean(),
+  /** Whether the VM runs slowly at present, and should serve only where no other one can. */
+  slow: z.boolean().default(false),
 }).readonly();
 /** How a daemon introduces itself to others. */
 export type PeerCard = z.infer<typeof PeerCardSchema>;
--- a/src/gateway/roster.ts
+++ b/src/gateway/roster.ts
@@ -56,6 +56,7 @@
       const known = this.#cards.get(card.vm);
       this.#cards.set(card.vm, card);
       const same = known !== undefined && known.open === card.open &&
+        known.slow === card.slow &&
         known.startedAt === card.startedAt;
       if (!same) this.#note(card.vm);
     }
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -229,6 +229,7 @@
     power: 0.5,
     startedAt: 1,
     open: true,
+    slow: false,
     ...fields,
   };
 }
