Look less often at engines whose reports show nothing, and judge slow VMs less readily

Sound VMs took up to 2.9 times their best, slow ones 13 and more: the limit of 2.5 made leaders change. Limits 5 and 3.5 now; each clean report doubles the time to the next one.

--- a/src/gateway/engine_inspector.ts
+++ b/src/gateway/engine_inspector.ts
@@ -47,6 +47,8 @@
   ): void {
     // An engine that gives no report shows nothing of its pace; failures are counted elsewhere.
     if (event.pace === undefined) return;
+    const { slowWatch } = board.pool.scheduler;
+    slowWatch.reported(event.upstream, isSlow(event.pace));
     this.#learn(board, step, { ...event, pace: event.pace, source: "report" });
   }
 
--- a/src/gateway/own_speed.ts
+++ b/src/gateway/own_speed.ts
@@ -2,9 +2,9 @@
 
 /** Samples that the decision looks at; their median bears one that the machine interrupted. */
 const WINDOW = 5;
-/** A machine that takes this many times its best is slow, and sound again below the smaller one. */
-const SLOW_FACTOR = 2.5;
-const SOUND_FACTOR = 1.6;
+/** A VM that takes this many times its best is slow, and sound again below the smaller one; sound ones take up to 3. */
+const SLOW_FACTOR = 5;
+const SOUND_FACTOR = 3.5;
 /** A sample that is this part of the best one, or less, shows that the code was still warming up. */
 const WARMING = 0.8;
 /** Samples that are too short to be told from the clock's own error. */
--- a/src/scheduling/pool/slow_watch.ts
+++ b/src/scheduling/pool/slow_watch.ts
@@ -5,8 +5,12 @@
 /** A first event that takes so many times its prediction, and so much longer, is looked into. */
 const LATE_FACTOR = 2;
 const LATE_MS: Millis = 120;
-/** Shortest time between two looks at one engine: its report is some hundred ms old anyway. */
+/**
+ * Time between two looks at one engine, as its report is some hundred ms old anyway; each report that shows nothing
+ * doubles it, since the first events may be late for other reasons.
+ */
 const LOOK_MS: Millis = 500;
+const MAX_LOOK_MS: Millis = 8_000;
 /** Time between looks at an engine that is known to be slow, to notice that it has recovered. */
 const RECHECK_MS: Millis = 1_000;
 
@@ -28,6 +32,7 @@
   readonly #expected = new Map<JobId, Expected>();
   readonly #suspects = new Set<UpstreamId>();
   readonly #lookedAt = new Map<UpstreamId, Timestamp>();
+  readonly #lookMs = new Map<UpstreamId, Millis>();
   #sweptAt = -Infinity as Timestamp;
 
   static create(): SlowWatch {
@@ -53,6 +58,12 @@
     this.#expected.delete(job);
   }
 
+  /** What an engine has reported. */
+  reported(id: UpstreamId, slow: boolean): void {
+    const known = this.#lookMs.get(id) ?? LOOK_MS;
+    this.#lookMs.set(id, slow ? LOOK_MS : Math.min(MAX_LOOK_MS, 2 * known));
+  }
+
   /** An engine has turned out to be slow: what made it so may have reached the others. */
   foundSlow(others: readonly UpstreamId[], now: Timestamp): void {
     if (now - this.#sweptAt < SWEEP_MS) return;
@@ -72,7 +83,9 @@
       this.#lookedAt.set(id, now);
       due.push(id);
     };
-    for (const id of this.#suspects) look(id, LOOK_MS);
+    for (const id of this.#suspects) {
+      look(id, this.#lookMs.get(id) ?? LOOK_MS);
+    }
     for (const id of slow) look(id, RECHECK_MS);
     this.#suspects.clear();
     return due;
@@ -81,7 +94,9 @@
   /** Forgets engines that are no longer listed. */
   retain(ids: ReadonlySet<UpstreamId>): void {
     for (const id of this.#lookedAt.keys()) {
-      if (!ids.has(id)) this.#lookedAt.delete(id);
+      if (ids.has(id)) continue;
+      this.#lookedAt.delete(id);
+      this.#lookMs.delete(id);
     }
   }
 
--- a/src/scheduling/pool/slow_watch_test.ts
+++ b/src/scheduling/pool/slow_watch_test.ts
@@ -47,6 +47,17 @@
     expect(watch.due(at(900), [])).toHaveLength(1);
   });
 
+  test("less and less often while their reports show nothing", () => {
+    const watch = watching();
+    const asked: number[] = [];
+    for (let ms = 400; ms < 20_400; ms += 100) {
+      if (watch.due(at(ms), []).length === 0) continue;
+      asked.push(ms);
+      watch.reported("e0" as UpstreamId, false);
+    }
+    expect(asked).toEqual([400, 1_400, 3_400, 7_400, 15_400]);
+  });
+
   test("slow ones each second, to notice that they have recovered", () => {
     const watch = SlowWatch.create();
     const asked = [0, 500, 1_000, 1_500, 2_000].map((ms) =>
--- a/tools/pool/policies.ts
+++ b/tools/pool/policies.ts
@@ -4,6 +4,7 @@
 import { prefillMs } from "../../src/scheduling/pool/engine_pace.ts";
 import { poolJob } from "../../src/testing/pool_fixtures.ts";
 import type { JobId, PoolJob } from "../../src/scheduling/pool/pool_job.ts";
+import { isSlow } from "../../src/scheduling/pool/upstream_load.ts";
 import type { PoolMember } from "../../src/scheduling/pool/pool_grant.ts";
 import {
   type PoolDecision,
@@ -65,6 +66,7 @@
   }
 
   override inspected(id: UpstreamId, pace: number, now: Timestamp): void {
+    this.#scheduler.slowWatch.reported(id, isSlow(pace));
     this.#scheduler.accounts.load(id).setPace(pace, now);
   }
 }
