--- a/src/gateway/core_loop.ts
+++ b/src/gateway/core_loop.ts
@@ -61,6 +61,6 @@
     const lostMs = offset - this.#wallOffset;
     this.#wallOffset = offset;
     if (lostMs < STANDSTILL_MS) return;
-    this.#events.push({ type: "woke", lostMs });
+    this.#events.push({ type: "resumed", lostMs });
   }
 }
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -28,7 +28,7 @@
     return new CrashSuspects();
   }
 
-  /** Takes in that the connection broke on which an upstream ran some content. */
+  /** Notes that the connection broke on which an upstream ran some content. */
   connectionBroke(digest: string, upstream: UpstreamId, at: Timestamp): void {
     this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
     const together = this.#broken.some((one) =>
@@ -41,7 +41,7 @@
     if (together) this.upstreamGone(upstream, at);
   }
 
-  /** Takes in that an upstream's process is gone. */
+  /** Notes that an upstream's process is gone. */
   upstreamGone(upstream: UpstreamId, now: Timestamp): void {
     for (const one of this.#broken) {
       if (one.upstream !== upstream || now - one.at > CONFIRM_MS) continue;
@@ -52,7 +52,7 @@
     this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
   }
 
-  /** Takes in that some content was answered. */
+  /** Notes that some content was answered. */
   answered(digest: string): void {
     this.#suspects.delete(digest);
     this.#broken = this.#broken.filter((one) => one.digest !== digest);
--- a/src/gateway/drawn_faults_test.ts
+++ b/src/gateway/drawn_faults_test.ts
@@ -95,7 +95,7 @@
     addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
     servers.push(server);
   }
-  // The last address is given up again: nobody listens there.
+  // The last address is given up again: no one listens there.
   const last = servers.pop()!;
   await new Promise<void>((done) => last.close(() => done()));
   const dialect = PlatformDialect.create();
--- a/src/gateway/engine_inspector.ts
+++ b/src/gateway/engine_inspector.ts
@@ -53,7 +53,7 @@
   }
 
   #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
-    if (message.type !== "beat" || message.paces === undefined) return;
+    if (message.type !== "heartbeat" || message.paces === undefined) return;
     if (message.from.vm !== board.members.leader) return;
     for (const { upstream, pace } of message.paces) {
       this.#learn(board, step, { upstream, pace, source: "leader" });
--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -76,7 +76,7 @@
     try {
       this.#out.flushSync();
     } catch {
-      // The reader is gone or full; there is nobody left to tell.
+      // The reader is gone or full; there is no one left to tell.
       this.#dropped += 1;
     }
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,10 +19,10 @@
 import { type Backend, isRepeatable } from "./serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
 import { TryHistory } from "./try_history.ts";
-import { type Patience, patienceOf } from "./watchdog.ts";
+import { type SilenceLimits, silenceLimitsOf } from "./watchdog.ts";
 
 /** When to come back after a failure that may be over soon. */
-const COME_BACK_MS: Millis = 200;
+const RETRY_AFTER_MS: Millis = 200;
 
 /** One request of a client, from its place to its one final answer. */
 export class Exchange {
@@ -36,7 +36,7 @@
   #grant: PoolGrant | undefined;
   #tickets: TicketKeeper | undefined;
   #attempt: Attempt | undefined;
-  #patience: Patience = { firstMs: 0, gapMs: 0 };
+  #silenceLimits: SilenceLimits = { firstMs: 0, gapMs: 0 };
   #silence: NodeJS.Timeout | undefined;
   #expectMs: Millis = 0;
   readonly #times = AnswerTimes.create();
@@ -162,7 +162,7 @@
       bodyBytes: body.length,
     });
     this.#expectMs = grant.expectMs;
-    this.#patience = patienceOf(admitted.route, {
+    this.#silenceLimits = silenceLimitsOf(admitted.route, {
       expectMs: grant.expectMs,
       leftMs,
     });
@@ -178,7 +178,7 @@
       },
     );
     this.#attempt = attempt;
-    this.#watch(this.#patience.firstMs);
+    this.#watch(this.#silenceLimits.firstMs);
     attempt.start();
   }
 
@@ -209,7 +209,7 @@
     if (this.#relay.progress === before) return;
     this.#times.note(this.#port.now(), this.#req.arrivedAt);
     if (before === 0) this.#onFirst();
-    this.#watch(this.#patience.gapMs);
+    this.#watch(this.#silenceLimits.gapMs);
   }
 
   #onFirst(): void {
@@ -268,7 +268,7 @@
     const code = decision.type === "retry" ? "retry_budget" : decision.code;
     this.#refuse(problem(code, failure.detail, {
       verdict: this.#tries.verdict,
-      retryAfterMs: failure.retryAfterMs ?? COME_BACK_MS,
+      retryAfterMs: failure.retryAfterMs ?? RETRY_AFTER_MS,
     }));
   }
 
@@ -291,7 +291,7 @@
     this.#tries.weaken(sent);
     this.#refuse(problem("deadline_exceeded", "The time is used up", {
       verdict: this.#tries.verdict,
-      retryAfterMs: COME_BACK_MS,
+      retryAfterMs: RETRY_AFTER_MS,
     }));
   }
 
--- a/src/gateway/exchange_parts.ts
+++ b/src/gateway/exchange_parts.ts
@@ -98,7 +98,7 @@
     return this.#longestPauseMs;
   }
 
-  /** Takes in that bytes have come. */
+  /** Notes that bytes have come. */
   note(now: Timestamp, arrivedAt: Timestamp): void {
     if (this.#firstMs === 0) this.#firstMs = now - arrivedAt;
     else {
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -25,7 +25,7 @@
 }>;
 
 /** How a job goes on; the digests tell content that crashes upstreams from content that doesn't. */
-export type JobNews = Readonly<{
+export type JobUpdate = Readonly<{
   phase: "started" | "ended" | "failed";
   crashed?: string;
   unreachable?: boolean;
@@ -47,7 +47,7 @@
   progress: (
     job: JobId,
     upstream: UpstreamId,
-    news: JobNews,
+    updates: JobUpdate,
   ) => void;
   /** Upstream with an address, if one is listed. */
   upstreamAt: (address: string) => UpstreamId | undefined;
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -3,12 +3,12 @@
 import { PoolScheduler } from "../scheduling/pool/pool_scheduler.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import { MemberTable } from "./member_table.ts";
-import type { PeerCard, Stand } from "./peer_message.ts";
+import type { PeerCard, StoreProgress } from "./peer_message.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { ConfigVersion } from "./serving.ts";
-import { type UpstreamNews, UpstreamTable } from "./upstream_table.ts";
+import { UpstreamTable, type UpstreamUpdate } from "./upstream_table.ts";
 
-const LONG_AGO = -Infinity as Timestamp;
+const NEVER = -Infinity as Timestamp;
 
 /** What a daemon knows of itself. */
 export type SelfSection = {
@@ -25,7 +25,7 @@
   leader: VmId;
   /** Who takes the leader's place, and knows all that it knows; absent in a system of one. */
   deputy: VmId | undefined;
-  beatMs: Millis;
+  heartbeatMs: Millis;
 };
 
 /** Written by the serving controller. */
@@ -47,7 +47,7 @@
   /** As of when the table is known to be right. */
   asOf: Timestamp;
   /** What the last step has changed. */
-  news: readonly UpstreamNews[];
+  updates: readonly UpstreamUpdate[];
 };
 
 /** Written by the placement controller. */
@@ -76,20 +76,20 @@
       table: MemberTable.create(card.vm),
       leader: card.vm,
       deputy: undefined,
-      beatMs: 0,
+      heartbeatMs: 0,
     },
     serving: {
       routes: undefined,
       version: 0 as ConfigVersion,
-      takenAt: LONG_AGO,
-      asOf: LONG_AGO,
+      takenAt: NEVER,
+      asOf: NEVER,
     },
     register: {
       table: UpstreamTable.create(),
       offset: -1,
       changedAt: -1,
-      asOf: LONG_AGO,
-      news: [],
+      asOf: NEVER,
+      updates: [],
     },
     pool: {
       scheduler: PoolScheduler.create(),
@@ -102,7 +102,10 @@
 const MAX_AGE_MS: Millis = 1e9;
 
 /** How much this daemon knows of what the store holds. */
-export function standOf(board: GatewayBoard, now: Timestamp): Stand {
+export function storeProgressOf(
+  board: GatewayBoard,
+  now: Timestamp,
+): StoreProgress {
   const { serving, register } = board;
   return {
     version: serving.version,
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -84,7 +84,7 @@
 
   test("a daemon without a living seed finds the others through the store", () => {
     const fleet = startedFleet(3);
-    const late = fleet.add("late", ["nobody:1"]);
+    const late = fleet.add("late", ["nowhere:1"]);
     fleet.time.run(5_000);
     expect(late.core.board.members.leader).toBe(leaderOf(fleet).card.vm);
   });
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -242,8 +242,8 @@
         this.#replies.delete(job);
         this.#loop.push({ type: "withdraw", job });
       },
-      progress: (job, upstream, news) =>
-        this.#loop.push({ type: "job", job, upstream, ...news }),
+      progress: (job, upstream, updates) =>
+        this.#loop.push({ type: "job", job, upstream, ...updates }),
       upstreamAt: (address) =>
         board.register.table.all().find((one) => one.address === address)?.id,
       isClosed: (id) => board.register.table.get(id)?.leaving === true,
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -37,7 +37,7 @@
   /** An engine's own report of its pace; absent where it gave none. */
   | Readonly<{ type: "inspected"; upstream: UpstreamId; pace?: number }>
   /** The process stood still: what it believes may be older than its clock says. */
-  | Readonly<{ type: "woke"; lostMs: Millis }>
+  | Readonly<{ type: "resumed"; lostMs: Millis }>
   /** How long a fixed piece of work has just taken here. */
   | Readonly<{ type: "timed"; ms: Millis }>
   | Readonly<{ type: "drain" }>;
--- a/src/gateway/member_table.ts
+++ b/src/gateway/member_table.ts
@@ -31,12 +31,12 @@
     return new MemberTable(self);
   }
 
-  /** Takes in a card that its daemon sent itself. */
+  /** Applies a card that its daemon sent itself. */
   hear(card: PeerCard, now: Timestamp): "joined" | "restarted" | "known" {
-    const news = this.#take(card);
+    const updates = this.#take(card);
     const known = this.#members.get(card.vm);
     if (known !== undefined) known.heardAt = now;
-    return news;
+    return updates;
   }
 
   /** Updates the daemons that another one vouches for; false where the update doesn't follow what is known. */
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -1,20 +1,20 @@
 import type { VmId } from "../core/id.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, standOf } from "./gateway_board.ts";
+import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { compareLeaders } from "./member_table.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
 import { OwnSpeed } from "./own_speed.ts";
 import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
 
-/** Time between beats in a small system; a silent leader is noticed after two of them. */
-const BEAT_MS: Millis = 400;
-/** Time between beats for each member, so that the leader of a large system hears some 120 a second. */
-const BEAT_MS_PER_MEMBER: Millis = 8;
+/** Time between heartbeats in a small system; a silent leader is noticed after two of them. */
+const HEARTBEAT_MS: Millis = 400;
+/** Time between heartbeats for each member, so that the leader of a large system hears some 120 a second. */
+const HEARTBEAT_MS_PER_MEMBER: Millis = 8;
 /** Beats that may be lost before a daemon counts as gone. */
-const LOST_BEATS = 3;
+const LOST_HEARTBEATS = 3;
 /** Beats that a leader may leave unanswered. */
-const UNANSWERED_BEATS = 2;
+const UNANSWERED_HEARTBEATS = 2;
 /** What an answer may take besides. */
 const ANSWER_MS: Millis = 250;
 /** Time between questions to silent daemons that would lead if they lived. */
@@ -28,7 +28,7 @@
 
 /** Finds the other daemons, says who of them lives, and agrees on the one that places for all. */
 export class MembersController extends GatewayController {
-  #beatAt = 0 as Timestamp;
+  #heartbeatAt = 0 as Timestamp;
   #probeAt = 0 as Timestamp;
   #seedAt = 0 as Timestamp;
   #askStoreAt: Timestamp | undefined;
@@ -47,11 +47,17 @@
   override step(board: GatewayBoard, step: GatewayStep): void {
     const { members } = board;
     const count = members.table.all().length + 1;
-    members.beatMs = Math.max(BEAT_MS, count * BEAT_MS_PER_MEMBER);
+    members.heartbeatMs = Math.max(
+      HEARTBEAT_MS,
+      count * HEARTBEAT_MS_PER_MEMBER,
+    );
     for (const event of step.events) {
       if (event.type === "message") this.#take(board, step, event.message);
-      if (event.type === "announced") this.#greet(board, step, event.cards);
-      if (event.type === "woke") this.#beatAt = step.now;
+      if (event.type === "announced") this.#contact(board, step, event.cards);
+      if (event.type === "resumed") {
+        this.#heartbeatAt = step.now;
+        step.line("resumed", { lost_ms: Math.round(event.lostMs) });
+      }
       if (event.type === "timed") this.#speed.add(event.ms);
       if (event.type === "drain" && board.self.drainingSince === undefined) {
         board.self.drainingSince = step.now;
@@ -59,9 +65,9 @@
     }
     const changed = this.#updateCard(board, step);
     this.#chooseLeader(board, step);
-    this.#beat(board, step, changed);
+    this.#heartbeat(board, step, changed);
     this.#probe(board, step);
-    this.#seek(board, step);
+    this.#discover(board, step);
     this.#announce(board, step);
   }
 
@@ -82,15 +88,17 @@
 
   #take(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
     const { table } = board.members;
-    if (message.type !== "beat" && message.type !== "news") return;
+    if (message.type !== "heartbeat" && message.type !== "heartbeat_reply") {
+      return;
+    }
     const { from } = message;
     if (from.vm === board.self.card.vm) return;
     const wasLive = step.now - table.heardAt(from.vm) <= liveMs(board);
-    const news = table.hear(from, step.now);
-    if (!wasLive || news !== "known") {
-      step.line("peer_up", { peer: from.vm, open: from.open, how: news });
+    const updates = table.hear(from, step.now);
+    if (!wasLive || updates !== "known") {
+      step.line("peer_up", { peer: from.vm, open: from.open, how: updates });
     }
-    if (message.type === "beat") this.#answer(board, step, message);
+    if (message.type === "heartbeat") this.#answer(board, step, message);
     else {
       const leads = from.vm === board.members.leader;
       const leading = board.members.leader === board.self.card.vm;
@@ -104,21 +112,21 @@
   #answer(
     board: GatewayBoard,
     step: GatewayStep,
-    beat: Extract<PeerMessage, { type: "beat" }>,
+    heartbeat: Extract<PeerMessage, { type: "heartbeat" }>,
   ): void {
     const { members, register, self } = board;
-    const behind = beat.stand.offset < register.changedAt;
+    const behind = heartbeat.progress.offset < register.changedAt;
     step.want({
       type: "send",
-      to: beat.from.peer,
+      to: heartbeat.from.peer,
       message: {
-        type: "news",
+        type: "heartbeat_reply",
         from: self.card,
-        stand: standOf(board, step.now),
+        progress: storeProgressOf(board, step.now),
         leader: members.leader,
-        roster: beat.roster === undefined
+        roster: heartbeat.roster === undefined
           ? undefined
-          : this.#currentRoster(board, step).since(beat.roster),
+          : this.#currentRoster(board, step).since(heartbeat.roster),
         entries: behind ? register.table.all() : undefined,
       },
     });
@@ -137,14 +145,14 @@
   }
 
   /** Says hello to daemons that the store or a seed named. */
-  #greet(
+  #contact(
     board: GatewayBoard,
     step: GatewayStep,
     cards: readonly PeerCard[],
   ): void {
     for (const card of cards) {
       if (card.vm !== board.self.card.vm) {
-        this.#sendBeat(board, step, card.peer);
+        this.#sendHeartbeat(board, step, card.peer);
       }
     }
   }
@@ -153,7 +161,7 @@
     const { members, self } = board;
     const { table } = members;
     const lead = members.leader !== self.card.vm;
-    const silentMs = UNANSWERED_BEATS * members.beatMs + ANSWER_MS;
+    const silentMs = UNANSWERED_HEARTBEATS * members.heartbeatMs + ANSWER_MS;
     if (lead && step.now - this.#leaderHeardAt > silentMs) {
       table.silence(members.leader);
       step.line("peer_down", { peer: members.leader, silent_ms: silentMs });
@@ -161,26 +169,26 @@
     const open = table.live(step.now, liveMs(board)).filter((one) => one.open);
     if (self.card.open || open.length === 0) open.push(self.card);
     const [best, second] = open.sort(compareLeaders);
-    if (second?.vm !== members.deputy) this.#beatAt = step.now;
+    if (second?.vm !== members.deputy) this.#heartbeatAt = step.now;
     members.deputy = second?.vm;
     if (best === undefined || best.vm === members.leader) return;
     step.line("leader", { from: members.leader, to: best.vm, of: open.length });
     members.leader = best.vm;
     this.#leaderHeardAt = step.now;
-    this.#beatAt = step.now;
+    this.#heartbeatAt = step.now;
   }
 
-  #beat(board: GatewayBoard, step: GatewayStep, changed: boolean): void {
+  #heartbeat(board: GatewayBoard, step: GatewayStep, changed: boolean): void {
     const { members } = board;
     const { table } = members;
-    if (changed || step.now >= this.#beatAt) {
+    if (changed || step.now >= this.#heartbeatAt) {
       const heads = changed
         ? table.heard(step.now, liveMs(board))
         : headsOf(board).flatMap((vm) => table.get(vm) ?? []);
-      for (const { peer } of heads) this.#sendBeat(board, step, peer);
-      this.#beatAt = addMs(step.now, members.beatMs);
+      for (const { peer } of heads) this.#sendHeartbeat(board, step, peer);
+      this.#heartbeatAt = addMs(step.now, members.heartbeatMs);
     }
-    step.wake(this.#beatAt);
+    step.wake(this.#heartbeatAt);
   }
 
   #probe(board: GatewayBoard, step: GatewayStep): void {
@@ -192,21 +200,23 @@
       const silent = table.all().filter((one) => !live.has(one.vm))
         .sort(compareLeaders);
       const one = silent[this.#probed % Math.max(1, silent.length)];
-      if (one !== undefined) this.#sendBeat(board, step, one.peer);
+      if (one !== undefined) this.#sendHeartbeat(board, step, one.peer);
       this.#probed += 1;
       this.#probeAt = addMs(step.now, PROBE_MS);
     }
     step.wake(this.#probeAt);
   }
 
-  #seek(board: GatewayBoard, step: GatewayStep): void {
+  #discover(board: GatewayBoard, step: GatewayStep): void {
     const { table } = board.members;
     if (table.live(step.now, liveMs(board)).length > 0) {
       this.#askStoreAt = undefined;
       return;
     }
     if (step.now >= this.#seedAt) {
-      for (const seed of board.self.seeds) this.#sendBeat(board, step, seed);
+      for (const seed of board.self.seeds) {
+        this.#sendHeartbeat(board, step, seed);
+      }
       this.#seedAt = addMs(step.now, SEED_MS);
     }
     this.#askStoreAt ??= addMs(step.now, ALONE_MS);
@@ -231,7 +241,7 @@
     step.wake(this.#announceAt);
   }
 
-  #sendBeat(board: GatewayBoard, step: GatewayStep, to: string): void {
+  #sendHeartbeat(board: GatewayBoard, step: GatewayStep, to: string): void {
     const { self, pool } = board;
     if (to === self.card.peer) return;
     const jobs = [...pool.scheduler.accounts.jobs.values()]
@@ -240,9 +250,9 @@
       type: "send",
       to,
       message: {
-        type: "beat",
+        type: "heartbeat",
         from: self.card,
-        stand: standOf(board, step.now),
+        progress: storeProgressOf(board, step.now),
         roster: this.#wantedRoster(board, step, to),
         jobs,
         paces: this.#knownPaces(board, step),
@@ -262,7 +272,7 @@
     }));
   }
 
-  /** The list is the leader's; the leader compares it with its deputy's, and a daemon that knows nobody takes any. */
+  /** The list is the leader's; the leader compares it with its deputy's, and a daemon that knows no one takes any. */
   #wantedRoster(
     board: GatewayBoard,
     step: GatewayStep,
@@ -288,7 +298,7 @@
 
 /** Silence after which a daemon counts as gone. */
 export function liveMs(board: GatewayBoard): Millis {
-  return LOST_BEATS * board.members.beatMs + BEAT_MS;
+  return LOST_HEARTBEATS * board.members.heartbeatMs + HEARTBEAT_MS;
 }
 
 /** Whether a daemon knows enough to serve, and is not leaving. */
--- a/src/gateway/own_reading.ts
+++ b/src/gateway/own_reading.ts
@@ -9,7 +9,7 @@
 /** Most of it: shorter than the 3 s of calm after which the platform expects every daemon to be up to date. */
 const MAX_BACKOFF_MS: Millis = 2_500;
 
-/** When daemons read the store by themselves, because nobody else's fresh reading has reached them. */
+/** When daemons read the store by themselves, because no one else's fresh reading has reached them. */
 export type OwnReading = Readonly<{
   /** Extra age, different for each daemon, at which it starts. */
   staggerMs: Millis;
@@ -20,7 +20,7 @@
 /**
  * Spreads the readings of daemons that read by themselves.
  * Load pattern: the store refuses the leader, or is down for all, before hundreds of daemons. One reading is enough
- * for all that hear of it; a daemon that is cut off from the others waits for nobody.
+ * for all that hear of it; a daemon that is cut off from the others waits for no one.
  */
 export function ownReading(
   self: PeerCard,
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -87,7 +87,7 @@
   expectMs: z.number(),
 }).readonly();
 
-const StandSchema = z.object({
+const StoreProgressSchema = z.object({
   /** The newest configuration version that the sender has; 0 for none. */
   version: z.number().transform((one) => one as ConfigVersion),
   /** How long ago that version was known to be the newest. */
@@ -98,7 +98,7 @@
   ageMs: z.number(),
 }).readonly();
 /** How much a daemon knows of what the platform's store holds. */
-export type Stand = z.infer<typeof StandSchema>;
+export type StoreProgress = z.infer<typeof StoreProgressSchema>;
 
 /** How far a daemon knows its leader's list of live daemons. */
 const RosterPositionSchema = z.object({
@@ -117,9 +117,9 @@
 const PeerMessageSchema = z.discriminatedUnion("type", [
   /** Says that a daemon lives and what it runs, to the one that places. */
   z.object({
-    type: z.literal("beat"),
+    type: z.literal("heartbeat"),
     from: PeerCardSchema,
-    stand: StandSchema,
+    progress: StoreProgressSchema,
     /** How far the sender knows the receiver's list of live daemons; absent where it wants no list. */
     roster: RosterPositionSchema.optional(),
     jobs: z.array(JobSchema).readonly(),
@@ -127,11 +127,11 @@
     paces: z.array(z.object({ upstream, pace: z.number() })).readonly()
       .optional(),
   }),
-  /** Answers a beat. */
+  /** Answers a heartbeat. */
   z.object({
-    type: z.literal("news"),
+    type: z.literal("heartbeat_reply"),
     from: PeerCardSchema,
-    stand: StandSchema,
+    progress: StoreProgressSchema,
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
     entries: z.array(EntrySchema).readonly().optional(),
@@ -140,7 +140,7 @@
   z.object({
     type: z.literal("changes"),
     from: idSchema<VmId>(),
-    stand: StandSchema,
+    progress: StoreProgressSchema,
     since: z.number(),
     changes: z.array(ChangeSchema).readonly(),
   }),
@@ -168,7 +168,7 @@
     phase: z.enum(["started", "ended", "failed"]),
     /** Digest of the content that was running when its connection broke. */
     crashed: z.string().optional(),
-    /** Whether nobody took a connection at the upstream's address. */
+    /** Whether no one took a connection at the upstream's address. */
     unreachable: z.boolean().optional(),
     /** Digest of content that was answered well. */
     answered: z.string().optional(),
--- a/src/gateway/peer_message_test.ts
+++ b/src/gateway/peer_message_test.ts
@@ -13,9 +13,9 @@
 function wholeRoster(): PeerMessage {
   const joined = Array.from({ length: SIZE }, (_, i) => peerCard(`vm-${i}`));
   return {
-    type: "news",
+    type: "heartbeat_reply",
     from: peerCard("vm-0"),
-    stand: { version: 3 as never, versionAgeMs: 5, offset: 7, ageMs: 9 },
+    progress: { version: 3 as never, versionAgeMs: 5, offset: 7, ageMs: 9 },
     leader: peerCard("vm-0").vm,
     roster: { epoch: "vm-0/1", seq: SIZE, joined, gone: [] },
   };
--- a/src/gateway/ask_courier.ts
+++ b/src/gateway/place_request_client.ts
@@ -23,13 +23,13 @@
 };
 
 /** Takes asks to the daemon that places, and to the next one while that is silent. */
-export class AskCourier {
+export class PlaceRequestClient {
   readonly #waiting = new Map<JobId, Waiting>();
   /** Daemons that left an ask unanswered, and until when they are not asked. */
   readonly #distrust = new Map<VmId, Timestamp>();
 
-  static create(): AskCourier {
-    return new AskCourier();
+  static create(): PlaceRequestClient {
+    return new PlaceRequestClient();
   }
 
   /** Sends an ask; false where this daemon has to place by itself. */
@@ -62,12 +62,12 @@
     return own;
   }
 
-  /** Takes in that an ask was answered or withdrawn; false if none is open. */
+  /** Notes that an ask was answered or withdrawn; false if none is open. */
   answered(job: JobId): boolean {
     return this.#waiting.delete(job);
   }
 
-  /** Takes in that the answer to an ask will come later. */
+  /** Notes that the answer to an ask will come later. */
   mustWait(job: JobId, now: Timestamp): void {
     const waiting = this.#waiting.get(job);
     if (waiting === undefined) return;
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -4,7 +4,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
-import { AskCourier } from "./ask_courier.ts";
+import { PlaceRequestClient } from "./place_request_client.ts";
 import { EngineInspector } from "./engine_inspector.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
@@ -20,7 +20,7 @@
 
 /** Gets a place for each request: from the daemon that places for all or, while that is silent, by itself. */
 export class PlacementController extends GatewayController {
-  readonly #courier = AskCourier.create();
+  readonly #requests = PlaceRequestClient.create();
   readonly #inspector = EngineInspector.create();
   /** Where the decisions on jobs that wait for engines go. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
@@ -34,7 +34,7 @@
   override step(board: GatewayBoard, step: GatewayStep): void {
     for (const event of step.events) this.#take(board, step, event);
     this.#followRegister(board, step);
-    for (const ask of this.#courier.pursue(board, step)) {
+    for (const ask of this.#requests.pursue(board, step)) {
       this.#submit(board, step, ask, undefined);
     }
     this.#forgetSilent(board, step);
@@ -44,7 +44,7 @@
 
   #followRegister(board: GatewayBoard, step: GatewayStep): void {
     const { register, pool } = board;
-    const gone = register.news.filter(({ kind }) =>
+    const gone = register.updates.filter(({ kind }) =>
       kind === "gone" || kind === "restarted"
     );
     if (gone.length === 0) return;
@@ -66,7 +66,7 @@
   }
 
   #ask(board: GatewayBoard, step: GatewayStep, ask: PoolAsk): void {
-    const sent = this.#courier.ask(board, step, ask);
+    const sent = this.#requests.ask(board, step, ask);
     if (!sent) this.#submit(board, step, ask, undefined);
   }
 
@@ -168,11 +168,11 @@
         this.#submit(board, step, message.ask, message.reply);
         return;
       case "wait":
-        this.#courier.mustWait(message.job, step.now);
+        this.#requests.mustWait(message.job, step.now);
         return;
       case "grant": {
         const { job } = message.grant;
-        if (!this.#courier.answered(job.id)) {
+        if (!this.#requests.answered(job.id)) {
           // The request went elsewhere or is over.
           const { id, upstream } = job;
           const known = scheduler.accounts.jobs.get(id);
@@ -191,7 +191,7 @@
         return;
       }
       case "deny": {
-        if (!this.#courier.answered(message.job)) return;
+        if (!this.#requests.answered(message.job)) return;
         const { code, detail, retryAfterMs } = message;
         step.want({
           type: "denied",
@@ -210,7 +210,7 @@
       case "progress":
         this.#progress(board, step, message);
         return;
-      case "beat":
+      case "heartbeat":
         if (message.from.vm === board.self.card.vm) return;
         this.#reporters.set(message.from.vm, step.now);
         scheduler.accounts.adopt(message.from.vm, message.jobs, step.now);
@@ -243,7 +243,7 @@
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
-    const asked = this.#courier.answered(job);
+    const asked = this.#requests.answered(job);
     this.#replyTo.delete(job);
     board.pool.scheduler.withdraw(job, step.now);
     if (!asked) return;
--- a/src/gateway/platform_store.ts
+++ b/src/gateway/platform_store.ts
@@ -13,10 +13,10 @@
   /** What was to be read has been deleted; everything must be read anew. */
   | Readonly<{ code: "expired"; detail: string }>;
 
-/** What came of reading configurations: the newest readable one, if any, and where to read on. */
+/** The outcome of reading configurations: the newest readable one, if any, and where to read on. */
 export type ServingBatch = Readonly<{ serving?: Serving; next: number }>;
 
-/** What came of reading the register of upstreams. */
+/** The outcome of reading the register of upstreams. */
 export type RegisterBatch = Readonly<{
   full: boolean;
   changes: readonly UpstreamChange[];
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -1,15 +1,15 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, standOf } from "./gateway_board.ts";
+import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { headsOf, liveMs } from "./members_controller.ts";
-import type { PeerMessage, Stand } from "./peer_message.ts";
+import type { PeerMessage, StoreProgress } from "./peer_message.ts";
 import { ownReading } from "./own_reading.ts";
 import { StoreReader } from "./store_reader.ts";
 import {
   LAPSE_GRACE_MS,
   type UpstreamChange,
   type UpstreamEntry,
-  type UpstreamNews,
+  type UpstreamUpdate,
 } from "./upstream_table.ts";
 
 /** How often the leader reads at most; all others hear of changes from it. */
@@ -38,7 +38,7 @@
 
   override step(board: GatewayBoard, step: GatewayStep): void {
     const { register } = board;
-    register.news = [];
+    register.updates = [];
     for (const event of step.events) {
       if (event.type === "register_read") {
         this.#reader.done(step, event.next);
@@ -48,7 +48,7 @@
         this.#reader.failed(step, event.err);
       }
       if (event.type === "message") this.#hear(board, step, event.message);
-      if (event.type === "woke") {
+      if (event.type === "resumed") {
         register.asOf = addMs(register.asOf, -event.lostMs);
       }
     }
@@ -70,7 +70,7 @@
       this.#reader.poll(step, { waitMs: WAIT_MS, spacingMs: SPACING_MS });
       return;
     }
-    const staleMs = members.beatMs + WAIT_MS + STALE_MARGIN_MS;
+    const staleMs = members.heartbeatMs + WAIT_MS + STALE_MARGIN_MS;
     if (step.now < register.asOf + staleMs) {
       step.wake(register.asOf + staleMs);
       return;
@@ -110,12 +110,12 @@
     const lapseUntil = grace !== undefined && step.now < grace
       ? grace
       : undefined;
-    const news = batch.full
+    const updates = batch.full
       ? table.replace(entriesOf(batch.changes), { lapseUntil })
       : batch.changes.flatMap((one) => table.take(one, { lapseUntil }) ?? []);
     register.offset = batch.next;
-    this.#report(board, step, news);
-    const changed = this.#passOn(board, step, news);
+    this.#report(board, step, updates);
+    const changed = this.#passOn(board, step, updates);
     if (!changed && !this.#changedSince) return;
     register.changedAt = batch.next;
     this.#changedSince = false;
@@ -123,61 +123,63 @@
 
   #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
     const { register } = board;
-    if (message.type === "beat") {
+    if (message.type === "heartbeat") {
       // A daemon that has read further is asked for what it knows.
-      if (message.stand.offset > register.offset) {
+      if (message.progress.offset > register.offset) {
         this.#askFor(board, step, message.from.peer);
       }
       return;
     }
-    if (message.type === "news") {
-      const { stand, entries } = message;
-      if (stand.offset < register.offset) return;
+    if (message.type === "heartbeat_reply") {
+      const { progress, entries } = message;
+      if (progress.offset < register.offset) return;
       if (entries !== undefined) {
-        this.#replace(board, step, { stand, entries });
+        this.#replace(board, step, { progress, entries });
       }
       if (register.offset >= 0 || entries !== undefined) {
-        this.#goOn(board, step, stand);
+        this.#goOn(board, step, progress);
       }
       return;
     }
     if (message.type === "changes") {
-      const { stand, since, changes } = message;
-      if (stand.offset < register.offset) return;
+      const { progress, since, changes } = message;
+      if (progress.offset < register.offset) return;
       if (since > register.offset) {
         const peer = board.members.table.get(message.from)?.peer;
         if (peer !== undefined) this.#askFor(board, step, peer);
         return;
       }
-      const news = changes.flatMap((one) => register.table.take(one) ?? []);
-      this.#report(board, step, news);
-      this.#passOnHeard(board, step, { stand, news });
-      if (news.length > 0) register.changedAt = stand.offset;
-      this.#goOn(board, step, stand);
+      const updates = changes.flatMap((one) => register.table.take(one) ?? []);
+      this.#report(board, step, updates);
+      this.#passOnHeard(board, step, { progress, updates });
+      if (updates.length > 0) register.changedAt = progress.offset;
+      this.#goOn(board, step, progress);
     }
   }
 
   #replace(
     board: GatewayBoard,
     step: GatewayStep,
-    message: Readonly<{ stand: Stand; entries: readonly UpstreamEntry[] }>,
+    message: Readonly<
+      { progress: StoreProgress; entries: readonly UpstreamEntry[] }
+    >,
   ): void {
     const { register } = board;
-    const { stand, entries } = message;
-    const news = register.table.replace(entries);
-    this.#report(board, step, news);
-    this.#passOnHeard(board, step, { stand, news });
-    if (news.length > 0) this.#changedSince = true;
+    const { progress, entries } = message;
+    const updates = register.table.replace(entries);
+    this.#report(board, step, updates);
+    this.#passOnHeard(board, step, { progress, updates });
+    if (updates.length > 0) this.#changedSince = true;
   }
 
-  /** Takes in that the table is as another daemon has read it. */
-  #goOn(board: GatewayBoard, step: GatewayStep, stand: Stand): void {
+  /** Notes that the table is as another daemon has read it. */
+  #goOn(board: GatewayBoard, step: GatewayStep, progress: StoreProgress): void {
     const { register } = board;
-    register.offset = stand.offset;
-    if (this.#changedSince) register.changedAt = stand.offset;
+    register.offset = progress.offset;
+    if (this.#changedSince) register.changedAt = progress.offset;
     this.#changedSince = false;
-    this.#reader.skipTo(stand.offset);
-    const asOf = addMs(step.now, -stand.ageMs - READ_AGE_MS);
+    this.#reader.skipTo(progress.offset);
+    const asOf = addMs(step.now, -progress.ageMs - READ_AGE_MS);
     if (asOf > register.asOf) register.asOf = asOf;
   }
 
@@ -186,9 +188,9 @@
       type: "send",
       to,
       message: {
-        type: "beat",
+        type: "heartbeat",
         from: board.self.card,
-        stand: standOf(board, step.now),
+        progress: storeProgressOf(board, step.now),
         jobs: [],
       },
     });
@@ -201,15 +203,15 @@
   #passOn(
     board: GatewayBoard,
     step: GatewayStep,
-    news: readonly UpstreamNews[],
+    updates: readonly UpstreamUpdate[],
   ): boolean {
     const { members, self } = board;
-    const changes = changesOf(board, news);
+    const changes = changesOf(board, updates);
     const leads = members.leader === self.card.vm;
     // That nothing has changed is worth knowing for a leader that can't read.
     if (leads && changes.length === 0) return false;
-    const stand = standOf(board, step.now);
-    this.#push(board, step, { stand, changes, to: leads ? "all" : "heads" });
+    const progress = storeProgressOf(board, step.now);
+    this.#push(board, step, { progress, changes, to: leads ? "all" : "heads" });
     return changes.length > 0;
   }
 
@@ -217,25 +219,27 @@
   #passOnHeard(
     board: GatewayBoard,
     step: GatewayStep,
-    heard: Readonly<{ stand: Stand; news: readonly UpstreamNews[] }>,
+    heard: Readonly<
+      { progress: StoreProgress; updates: readonly UpstreamUpdate[] }
+    >,
   ): void {
     const { members, self } = board;
-    const changes = changesOf(board, heard.news);
+    const changes = changesOf(board, heard.updates);
     if (changes.length === 0 || members.leader !== self.card.vm) return;
-    this.#push(board, step, { stand: heard.stand, changes, to: "all" });
+    this.#push(board, step, { progress: heard.progress, changes, to: "all" });
   }
 
   #push(
     board: GatewayBoard,
     step: GatewayStep,
     update: Readonly<{
-      stand: Stand;
+      progress: StoreProgress;
       changes: readonly UpstreamChange[];
       to: "all" | "heads";
     }>,
   ): void {
     const { members, self, register } = board;
-    const { stand, changes } = update;
+    const { progress, changes } = update;
     const peers = update.to === "all"
       ? members.table.live(step.now, liveMs(board))
       : headsOf(board).flatMap((vm) => members.table.get(vm) ?? []);
@@ -243,7 +247,7 @@
     const message = {
       type: "changes",
       from: self.card.vm,
-      stand,
+      progress,
       since,
       changes,
     } as const;
@@ -255,10 +259,10 @@
   #report(
     board: GatewayBoard,
     step: GatewayStep,
-    news: readonly UpstreamNews[],
+    updates: readonly UpstreamUpdate[],
   ): void {
-    board.register.news = [...board.register.news, ...news];
-    for (const { kind, id } of news) {
+    board.register.updates = [...board.register.updates, ...updates];
+    for (const { kind, id } of updates) {
       step.line("upstream", { upstream: id, how: kind });
       if (kind === "restarted") {
         step.want({ type: "upstream_lost", upstream: id });
@@ -274,9 +278,9 @@
 /** What others need to hear: the entries as they are now, and those that are gone. */
 function changesOf(
   board: GatewayBoard,
-  news: readonly UpstreamNews[],
+  updates: readonly UpstreamUpdate[],
 ): readonly UpstreamChange[] {
-  return news.flatMap(({ kind, id }): UpstreamChange[] => {
+  return updates.flatMap(({ kind, id }): UpstreamChange[] => {
     if (kind === "kept") return [];
     const entry = board.register.table.get(id);
     return entry === undefined ? [{ type: "gone", id }] : [
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -1,9 +1,9 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, standOf } from "./gateway_board.ts";
+import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import { headsOf, liveMs } from "./members_controller.ts";
 import { ownReading } from "./own_reading.ts";
-import type { PeerCard, PeerMessage, Stand } from "./peer_message.ts";
+import type { PeerCard, PeerMessage, StoreProgress } from "./peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
@@ -59,7 +59,7 @@
       if (event.type === "read_failed" && event.what === "serving") {
         this.#reader.failed(step, event.err);
       }
-      if (event.type === "woke") {
+      if (event.type === "resumed") {
         serving.asOf = addMs(serving.asOf, -event.lostMs);
       }
       if (event.type === "message") this.#hear(board, step, event.message);
@@ -69,34 +69,34 @@
   }
 
   #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
-    if (message.type === "beat" || message.type === "news") {
-      this.#compare(board, step, message.from, message.stand);
+    if (message.type === "heartbeat" || message.type === "heartbeat_reply") {
+      this.#compare(board, step, message.from, message.progress);
     }
     if (message.type !== "changes") return;
     const peer = board.members.table.get(message.from);
-    if (peer !== undefined) this.#compare(board, step, peer, message.stand);
+    if (peer !== undefined) this.#compare(board, step, peer, message.progress);
   }
 
   #compare(
     board: GatewayBoard,
     step: GatewayStep,
     peer: PeerCard,
-    stand: Stand,
+    progress: StoreProgress,
   ): void {
     const { serving } = board;
-    if (stand.version === serving.version) {
-      const asOf = addMs(step.now, -stand.versionAgeMs);
+    if (progress.version === serving.version) {
+      const asOf = addMs(step.now, -progress.versionAgeMs);
       if (asOf > serving.asOf) serving.asOf = asOf;
     }
-    if (stand.version <= serving.version) return;
-    if (this.#ahead !== undefined && stand.version <= this.#ahead.version) {
+    if (progress.version <= serving.version) return;
+    if (this.#ahead !== undefined && progress.version <= this.#ahead.version) {
       return;
     }
     const since = this.#ahead?.since ?? step.now;
-    this.#ahead = { peer, version: stand.version, since };
+    this.#ahead = { peer, version: progress.version, since };
   }
 
-  /** Reads the store where this daemon is one of those that do, or where nobody else's reading reaches it. */
+  /** Reads the store where this daemon is one of those that do, or where no one else's reading reaches it. */
   #poll(board: GatewayBoard, step: GatewayStep): void {
     const { members, self, serving } = board;
     const leads = members.leader === self.card.vm;
@@ -107,7 +107,7 @@
       this.#reader.poll(step, { waitMs, spacingMs: SPACING_MS });
       return;
     }
-    const staleAt = serving.asOf + members.beatMs + LEADER_WAIT_MS +
+    const staleAt = serving.asOf + members.heartbeatMs + LEADER_WAIT_MS +
       STALE_MARGIN_MS;
     if (step.now < staleAt) {
       step.wake(staleAt);
@@ -193,7 +193,7 @@
     const message = {
       type: "changes",
       from: self.card.vm,
-      stand: standOf(board, step.now),
+      progress: storeProgressOf(board, step.now),
       since: register.changedAt,
       changes: [],
     } as const;
--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -56,7 +56,7 @@
     step.want({ type: "read", what: this.#topic, from: this.#next, waitMs });
   }
 
-  /** Takes in a good reading. */
+  /** Applies a good reading. */
   done(step: GatewayStep, next: number): void {
     this.#next = next;
     this.#sentAt = undefined;
@@ -65,7 +65,7 @@
     this.#failures = 0;
   }
 
-  /** Takes in a failed reading. */
+  /** Applies a failed reading. */
   failed(step: GatewayStep, err: StoreError): void {
     this.#sentAt = undefined;
     if (err.code === "expired") {
--- a/src/gateway/try_history.ts
+++ b/src/gateway/try_history.ts
@@ -45,12 +45,12 @@
     return this.#placed;
   }
 
-  /** Takes in that something may have run. */
+  /** Notes that something may have run. */
   weaken(verdict: Verdict): void {
     this.#verdict = joinVerdicts(this.#verdict, verdict);
   }
 
-  /** Takes in a failed attempt, and decides what follows. */
+  /** Applies a failed attempt, and decides what follows. */
   fail(
     failure: AttemptFailure,
     options: Readonly<{ leftMs: Millis; upstream?: UpstreamId }>,
--- a/src/gateway/upstream_table.ts
+++ b/src/gateway/upstream_table.ts
@@ -20,7 +20,7 @@
   | Readonly<{ type: "gone"; id: UpstreamId }>;
 
 /** What a change did to the table. */
-export type UpstreamNews = Readonly<{
+export type UpstreamUpdate = Readonly<{
   kind:
     | "joined"
     | "changed"
@@ -60,13 +60,13 @@
   }
 
   /**
-   * Takes in one change. `lapseUntil` is given while entries may be missing only because the register was away:
+   * Applies one change. `lapseUntil` is given while entries may be missing only because the register was away:
    * such an entry is kept until then, unless it comes back.
    */
   take(
     change: UpstreamChange,
     options: { lapseUntil?: Timestamp } = {},
-  ): UpstreamNews | undefined {
+  ): UpstreamUpdate | undefined {
     if (change.type === "entry") return this.#put(change.entry);
     const known = this.#entries.get(change.id);
     if (known === undefined) return undefined;
@@ -83,7 +83,7 @@
   replace(
     entries: readonly UpstreamEntry[],
     options: { lapseUntil?: Timestamp } = {},
-  ): readonly UpstreamNews[] {
+  ): readonly UpstreamUpdate[] {
     const ids = new Set(entries.map((entry) => entry.id));
     const missing = [...this.#entries.keys()].filter((id) => !ids.has(id));
     const changes: UpstreamChange[] = [
@@ -94,12 +94,12 @@
   }
 
   /** Drops lapsed entries that have not come back in time. */
-  expire(now: Timestamp): readonly UpstreamNews[] {
-    const news: UpstreamNews[] = [];
+  expire(now: Timestamp): readonly UpstreamUpdate[] {
+    const updates: UpstreamUpdate[] = [];
     for (const [id, until] of this.#lapsed) {
-      if (until <= now) news.push(this.#remove(id));
+      if (until <= now) updates.push(this.#remove(id));
     }
-    return news;
+    return updates;
   }
 
   /** Time at which the next lapsed entry is dropped. */
@@ -108,7 +108,7 @@
     return times.length === 0 ? undefined : Math.min(...times) as Timestamp;
   }
 
-  #put(entry: UpstreamEntry): UpstreamNews | undefined {
+  #put(entry: UpstreamEntry): UpstreamUpdate | undefined {
     const known = this.#entries.get(entry.id);
     this.#entries.set(entry.id, entry);
     const lapsed = this.#lapsed.delete(entry.id);
@@ -126,7 +126,7 @@
     return same ? undefined : { kind: "changed", id: entry.id };
   }
 
-  #remove(id: UpstreamId): UpstreamNews {
+  #remove(id: UpstreamId): UpstreamUpdate {
     this.#entries.delete(id);
     this.#lapsed.delete(id);
     return { kind: "gone", id };
--- a/src/gateway/watchdog.ts
+++ b/src/gateway/watchdog.ts
@@ -1,24 +1,24 @@
 import type { Millis } from "../core/time.ts";
-import { callerPatienceMs } from "../scheduling/pool/caller_patience.ts";
+import { callerTimeoutMs } from "../scheduling/pool/caller_timeout.ts";
 import type { Route } from "./serving.ts";
 
 /** Silence after which an upstream is given up at the earliest; several passes of a loaded engine. */
 const MIN_SILENCE_MS: Millis = 1_200;
 /** Part of the caller's patience that one upstream may use up, so that another one can still answer. */
-const PATIENCE_PART = 0.4;
+const TIMEOUT_PART = 0.4;
 /** How far a prediction of the first event may be off. */
 const FIRST_FACTOR = 2;
 /** Part of a call's time after which a repeatable call is tried elsewhere. */
 const CALL_PART = 0.45;
 
 /** How long an upstream may be silent before its first byte, and between bytes. */
-export type Patience = Readonly<{ firstMs: Millis; gapMs: Millis }>;
+export type SilenceLimits = Readonly<{ firstMs: Millis; gapMs: Millis }>;
 
 /** Bounds the silence of an upstream: a dead one says nothing, and the caller's own patience is short. */
-export function patienceOf(
+export function silenceLimitsOf(
   route: Route,
   options: Readonly<{ expectMs: Millis; leftMs: Millis }>,
-): Patience {
+): SilenceLimits {
   const { expectMs, leftMs } = options;
   if (route.kind === "once") return { firstMs: leftMs, gapMs: leftMs };
   if (route.kind === "repeatable") {
@@ -29,7 +29,7 @@
   }
   const gapMs = Math.max(
     MIN_SILENCE_MS,
-    callerPatienceMs(route) * PATIENCE_PART,
+    callerTimeoutMs(route) * TIMEOUT_PART,
   );
   return { firstMs: gapMs + expectMs * FIRST_FACTOR, gapMs };
 }
--- a/src/scheduling/pool/candidate.ts
+++ b/src/scheduling/pool/candidate.ts
@@ -29,7 +29,7 @@
 const FAULT_MS: Millis = 250;
 
 /** Time that is added to a prediction for what may go wrong at an upstream, and for distance. */
-export function handicapMs(choice: Choice, one: Candidate): Millis {
+export function penaltyMs(choice: Choice, one: Candidate): Millis {
   const { ask, now } = choice;
   const far = one.domain === ask.domain ? 0 : OTHER_DOMAIN_MS;
   return far + one.load.faults(now) * FAULT_MS;
--- a/src/scheduling/pool/place_call.ts
+++ b/src/scheduling/pool/place_call.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../../core/time.ts";
-import { type Candidate, type Choice, handicapMs } from "./candidate.ts";
+import { type Candidate, type Choice, penaltyMs } from "./candidate.ts";
 
 /** Usual time of a call of a plain service before any was measured here. */
 const CALL_MS: Millis = 90;
@@ -17,7 +17,7 @@
     const over = Math.max(0, instance.load.own + 1 - instance.slots);
     const busy = instance.load.own / instance.slots;
     const expectMs = CALL_MS * (1 + over / instance.slots);
-    const cost = expectMs + busy * CALL_MS / 2 + handicapMs(choice, instance);
+    const cost = expectMs + busy * CALL_MS / 2 + penaltyMs(choice, instance);
     if (best === undefined || cost < best.cost) {
       best = { instance, expectMs, cost };
     }
--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../../core/time.ts";
-import { streamPatienceMs } from "./caller_patience.ts";
-import { type Candidate, handicapMs, type PromptChoice } from "./candidate.ts";
+import { streamTimeoutMs } from "./caller_timeout.ts";
+import { type Candidate, penaltyMs, type PromptChoice } from "./candidate.ts";
 import { passMs, prefillMs } from "./engine_pace.ts";
 import { MAX_HELPERS, planMemory } from "./plan_memory.ts";
 import type { MemoryTicket } from "./pool_job.ts";
@@ -8,7 +8,7 @@
 
 /** Prefill that may still be left on an engine that counts as free; a part that ends well within a pass. */
 const FREE_MS: Millis = 20;
-/** Part of the engines without tight streams that are enough for the longest prompt. */
+/** Part of the engines without sensitive streams that are enough for the longest prompt. */
 const ENOUGH_FREE = 0.5;
 /** Prefill for which one engine more is waited for. */
 const WAIT_PART_MS: Millis = 500;
@@ -53,14 +53,14 @@
   const { ask, pace, now } = choice;
   const candidates = trusted(choice).filter(mayHelp);
   const free = candidates.filter((one) => one.load.waitMs(now) <= FREE_MS);
-  const loose = (one: Candidate) => one.load.tight === 0;
-  const looseFree = free.filter(loose).length;
+  const tolerant = (one: Candidate) => one.load.sensitive === 0;
+  const tolerantFree = free.filter(tolerant).length;
   const total = prefillMs(pace, ask.promptTokens);
-  const wanted = enginesWanted(candidates.filter(loose).length, total);
-  if (free.length === 0 || looseFree < wanted) return "busy";
+  const wanted = enginesWanted(candidates.filter(tolerant).length, total);
+  if (free.length === 0 || tolerantFree < wanted) return "busy";
   const ranked = [...free].sort((a, b) =>
-    a.load.tight - b.load.tight ||
-    handicapMs(choice, a) - handicapMs(choice, b) || a.load.own - b.load.own
+    a.load.sensitive - b.load.sensitive ||
+    penaltyMs(choice, a) - penaltyMs(choice, b) || a.load.own - b.load.own
   );
   let best:
     | { chosen: readonly Candidate[]; cost: number; expectMs: Millis }
@@ -74,7 +74,7 @@
     const partMs = total / count;
     const pass = passMs(pace, ranked[0]!.load.own + 1, ask.promptTokens);
     const chosen = leastHarmed(ranked, { count, partMs, pass });
-    const faults = Math.max(...chosen.map((one) => handicapMs(choice, one)));
+    const faults = Math.max(...chosen.map((one) => penaltyMs(choice, one)));
     const expectMs = FREE_MS / 2 + partMs + pass + faults;
     if (expectMs > options.endsInMs) continue;
     const late = expectMs > options.dueInMs ? ask.promptTokens : 0;
@@ -125,29 +125,29 @@
   return one.load.helping < one.slots;
 }
 
-/** Engines without tight streams that are left to short prompts, where those have fewer than their part already. */
+/** Engines without sensitive streams that are left to short prompts, where those have fewer than their part already. */
 function enginesToSpare(candidates: readonly Candidate[]): number {
-  const tight = candidates.filter((one) => one.load.tight > 0).length;
-  return Math.max(0, Math.ceil(candidates.length * SPARE_ENGINES) - tight);
+  const sensitive = candidates.filter((one) => one.load.sensitive > 0).length;
+  return Math.max(0, Math.ceil(candidates.length * SPARE_ENGINES) - sensitive);
 }
 
 /** Free engines that a prompt waits for, of those that bear long parts. */
-function enginesWanted(loose: number, totalMs: Millis): number {
+function enginesWanted(tolerant: number, totalMs: Millis): number {
   return Math.min(
-    Math.ceil(loose * ENOUGH_FREE),
+    Math.ceil(tolerant * ENOUGH_FREE),
     Math.ceil(totalMs / WAIT_PART_MS),
   );
 }
 
-/** Times until the engines without tight streams are free, the shortest first. */
-function looseWaits(choice: PromptChoice): readonly Millis[] {
-  return trusted(choice).filter((one) => one.load.tight === 0)
+/** Times until the engines without sensitive streams are free, the shortest first. */
+function tolerantWaits(choice: PromptChoice): readonly Millis[] {
+  return trusted(choice).filter((one) => one.load.sensitive === 0)
     .map((one) => one.load.waitMs(choice.now)).sort((a, b) => a - b);
 }
 
 /** Time until enough engines are free for a prompt, as far as is known. */
 export function freeInMs(choice: PromptChoice): Millis {
-  const waits = looseWaits(choice);
+  const waits = tolerantWaits(choice);
   const total = prefillMs(choice.pace, choice.ask.promptTokens);
   const wanted = enginesWanted(waits.length, total);
   return waits[wanted - 1] ?? 0;
@@ -161,7 +161,7 @@
   choice: PromptChoice,
   options: Readonly<{ total: Millis; spare: number }>,
 ): Millis {
-  const waits = looseWaits(choice);
+  const waits = tolerantWaits(choice);
   const most = Math.min(MAX_HELPERS + 1, waits.length - options.spare);
   const expects = waits.slice(0, Math.max(1, most))
     .map((wait, i) =>
@@ -177,7 +177,7 @@
     if (job.upstream !== one.id || job.kind !== "prompt") continue;
     const silenceMs = partMs + pass + MARGIN_MS;
     const harmed = STREAM_TOKENS + job.tokens;
-    if (silenceMs > streamPatienceMs(job.pauseMs)) harm += harmed * BROKEN;
+    if (silenceMs > streamTimeoutMs(job.pauseMs)) harm += harmed * BROKEN;
     else if (silenceMs > job.pauseMs) harm += harmed;
     else harm += partMs * BESIDE_COST;
   }
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../../core/time.ts";
-import { type Candidate, handicapMs, type PromptChoice } from "./candidate.ts";
+import { type Candidate, penaltyMs, type PromptChoice } from "./candidate.ts";
 import { passMs, prefillMs } from "./engine_pace.ts";
 
 /** Part of the target within which a prediction is good enough to prefer an engine with more streams. */
@@ -32,7 +32,7 @@
     cost: 0,
   }));
   for (const one of rated) {
-    one.cost = one.expectMs + handicapMs(choice, one.engine) +
+    one.cost = one.expectMs + penaltyMs(choice, one.engine) +
       harmMs(choice, one.engine) + ownHarmMs(choice, one.engine);
   }
   rated.sort((a, b) => a.cost - b.cost);
@@ -46,7 +46,7 @@
   const own = ownDomain(choice);
   gathered.sort((a, b) =>
     Number(own.has(b.engine)) - Number(own.has(a.engine)) ||
-    b.engine.load.tight - a.engine.load.tight || a.cost - b.cost
+    b.engine.load.sensitive - a.engine.load.sensitive || a.cost - b.cost
   );
   return gathered[0] ?? best;
 }
--- a/src/scheduling/pool/place_test.ts
+++ b/src/scheduling/pool/place_test.ts
@@ -105,13 +105,13 @@
 describe("long prompts", () => {
   const long = { promptTokens: 154_000, targetMs: 3_000, pauseMs: 1_000 };
 
-  test("are split over the engines without tight streams", () => {
+  test("are split over the engines without sensitive streams", () => {
     const free = Array.from({ length: 12 }, (_, i) => engine(`e${i}`));
-    const tight = Array.from(
+    const sensitive = Array.from(
       { length: 4 },
       (_, i) => engine(`t${i}`, { streams: 6 }),
     );
-    const place = placeLong(choice([...tight, ...free], long), {
+    const place = placeLong(choice([...sensitive, ...free], long), {
       dueInMs: 2_950,
       endsInMs: 11_000,
     });
@@ -122,13 +122,13 @@
   });
 
   /** Streams of long prompts, which bear pauses of up to a second, and of middle ones, which don't. */
-  const loose = { pauseMs: 1_000 };
+  const tolerant = { pauseMs: 1_000 };
   const firm = { pauseMs: 600 };
 
   test("are read where the streams bear it, not where they pause too long", () => {
     const bears = Array.from(
       { length: 13 },
-      (_, i) => engine(`b${i}`, { streams: 2, fields: loose }),
+      (_, i) => engine(`b${i}`, { streams: 2, fields: tolerant }),
     );
     const suffers = Array.from(
       { length: 3 },
@@ -146,8 +146,8 @@
   test("are answered beside a few such streams rather than on an empty engine", () => {
     const engines = [
       engine("e0"),
-      engine("e1", { streams: 1, fields: loose }),
-      engine("e2", { streams: 3, fields: loose }),
+      engine("e1", { streams: 1, fields: tolerant }),
+      engine("e2", { streams: 3, fields: tolerant }),
     ];
     const place = placeLong(choice(engines, long), {
       dueInMs: 2_950,
@@ -195,7 +195,7 @@
       .toBe("object");
   });
 
-  test("use tight engines for parts that their streams bear", () => {
+  test("use sensitive engines for parts that their streams bear", () => {
     const all = Array.from(
       { length: 16 },
       (_, i) => engine(`t${i}`, { streams: 3 }),
--- a/src/scheduling/pool/plan_memory.ts
+++ b/src/scheduling/pool/plan_memory.ts
@@ -6,7 +6,7 @@
 /** Part of an engine's memory that is planned with; the rest is for what is not known here. */
 export const MEMORY_SHARE = 0.94;
 /** A stream that accepts only short pauses counts as much as these others where a long prompt is answered. */
-const TIGHT_WEIGHT = 4;
+const SENSITIVE_WEIGHT = 4;
 
 /** Streams that are gathered on one engine; more of them would make each of its steps slower. */
 const GATHERED_STREAMS = 3;
@@ -67,10 +67,10 @@
 /**
  * A long prompt is answered beside a few streams like its own rather than on an empty engine.
  * Load pattern: a wave of long prompts. Each answer that has an engine to itself is one engine fewer whose parts
- * make nobody wait.
+ * make no one wait.
  */
 function answerCost(one: Candidate): number {
-  const { tight, own } = one.load;
-  const gathers = own > tight && own < GATHERED_STREAMS;
-  return tight * TIGHT_WEIGHT + (gathers ? -own : own);
+  const { sensitive, own } = one.load;
+  const gathers = own > sensitive && own < GATHERED_STREAMS;
+  return sensitive * SENSITIVE_WEIGHT + (gathers ? -own : own);
 }
--- a/src/scheduling/pool/pool_accounts.ts
+++ b/src/scheduling/pool/pool_accounts.ts
@@ -3,7 +3,7 @@
 import type { JobId, PoolJob } from "./pool_job.ts";
 import { isSlow, UpstreamLoad } from "./upstream_load.ts";
 
-/** A job that its daemon does not list for so long has ended; news of its grant may be on the way. */
+/** A job that its daemon does not list for so long has ended; updates of its grant may be on the way. */
 const UNREPORTED_MS: Millis = 1_000;
 
 /** Keeps account of which job runs where. */
@@ -43,7 +43,7 @@
     }
   }
 
-  /** Takes in that a job's first event has come. */
+  /** Notes that a job's first event has come. */
   started(id: JobId, now: Timestamp): void {
     const job = this.#jobs.get(id);
     if (job === undefined || job.writing) return;
@@ -56,7 +56,7 @@
     }
   }
 
-  /** Takes in that a job is over. */
+  /** Notes that a job is over. */
   ended(id: JobId, now: Timestamp): void {
     const job = this.#jobs.get(id);
     if (job === undefined) return;
@@ -66,7 +66,7 @@
     }
   }
 
-  /** Takes in all jobs of one daemon; what it doesn't list has ended, unless it was placed just now. */
+  /** Applies all jobs of one daemon; what it doesn't list has ended, unless it was placed just now. */
   adopt(vm: VmId, jobs: readonly PoolJob[], now: Timestamp): void {
     const listed = new Set(jobs.map((job) => job.id));
     for (const job of [...this.#jobs.values()]) {
@@ -76,7 +76,7 @@
     for (const job of jobs) this.adoptOne({ ...job, placedAt: now }, now);
   }
 
-  /** Takes in a job that another daemon has placed. */
+  /** Applies a job that another daemon has placed. */
   adoptOne(job: PoolJob, now: Timestamp): void {
     if (!this.#jobs.has(job.id)) this.add({ ...job, writing: false }, now);
     if (job.writing) this.started(job.id, now);
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -2,7 +2,7 @@
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
-import { askPatienceMs } from "./caller_patience.ts";
+import { askTimeoutMs } from "./caller_timeout.ts";
 import type { Choice } from "./candidate.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import { backlogMs, type LongWaiter, orderQueue } from "./long_queue.ts";
@@ -11,13 +11,13 @@
 import { MAX_HELPERS, MEMORY_SHARE } from "./plan_memory.ts";
 import { placeShort } from "./place_short.ts";
 import { PoolAccounts } from "./pool_accounts.ts";
-import { COME_BACK_MS, ReturnTimes } from "./return_times.ts";
+import { RETRY_AFTER_MS, ReturnTimes } from "./return_times.ts";
 import { shortLimitMs } from "./short_limit.ts";
 import { SlowWatch } from "./slow_watch.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
 import type { JobId, PoolAsk, PoolGrant } from "./pool_job.ts";
 
-/** Prompts with a longer prefill are split over several engines; with a pass it is what tight streams bear. */
+/** Prompts with a longer prefill are split over several engines; with a pass it is what sensitive streams bear. */
 const LONG_PREFILL_MS: Millis = 190;
 /** Waiting prompts that are tried in one look and find engines busy; further ones would hardly fare better. */
 const MAX_TRIES = 8;
@@ -32,7 +32,7 @@
   pace?: EnginePace;
 }>;
 
-/** What came of a request for a place. */
+/** The outcome of a request for a place. */
 export type PoolDecision = Readonly<{
   ask: PoolAsk;
   result: Result<PoolGrant, Problem>;
@@ -107,7 +107,7 @@
       if (result === undefined) {
         tries += 1;
         aheadMs += waiter.workMs;
-        // Beyond the last try nobody asks for the room any more.
+        // Beyond the last try no one asks for the room any more.
         if (tries < MAX_TRIES) {
           const choice = { ...this.#choice(req, now), pace };
           roomMs = Math.min(roomMs, freeInMs(choice));
@@ -161,10 +161,10 @@
   #engines(): number {
     const [one] = this.#waiting.values();
     const members = one?.req.members ?? [];
-    const loose = members.filter(({ id }) =>
-      this.accounts.load(id).tight === 0
+    const tolerant = members.filter(({ id }) =>
+      this.accounts.load(id).sensitive === 0
     );
-    return Math.max(1, loose.length);
+    return Math.max(1, tolerant.length);
   }
 
   #placeLong(
@@ -213,7 +213,7 @@
       now,
     });
     return problem(code, "The engines are not free in time", {
-      retryAfterMs: Math.max(COME_BACK_MS, Math.ceil(leftMs)),
+      retryAfterMs: Math.max(RETRY_AFTER_MS, Math.ceil(leftMs)),
     });
   }
 
@@ -274,7 +274,7 @@
     job: ask.job,
     workMs: prefillMs(pace, ask.promptTokens),
     dueAt: addMs(now, ask.targetMs - pass),
-    endsAt: addMs(now, askPatienceMs(ask) - pass),
+    endsAt: addMs(now, askTimeoutMs(ask) - pass),
     value: ask.promptTokens,
   };
 }
@@ -301,6 +301,6 @@
 
 function noUpstream(): Problem {
   return problem("no_upstream", "No upstream of the service is known", {
-    retryAfterMs: COME_BACK_MS,
+    retryAfterMs: RETRY_AFTER_MS,
   });
 }
--- a/src/scheduling/pool/return_times.ts
+++ b/src/scheduling/pool/return_times.ts
@@ -6,7 +6,7 @@
 } from "../../core/time.ts";
 
 /** When a caller comes back at the earliest: about the time in which a large prompt leaves an engine. */
-export const COME_BACK_MS: Millis = 800;
+export const RETRY_AFTER_MS: Millis = 800;
 /** Part of its time that a caller waits at most before it comes back, as the platform states it. */
 const CALLER_WAITS = 1 / 3;
 /** Callers that come back in a second for each engine; a part of what one serves, as fresh prompts come too. */
@@ -30,7 +30,7 @@
   ): Millis {
     const { leftMs, engines } = options;
     const gapMs = SECOND_MS / (RETURNS_PER_SECOND * Math.max(1, engines));
-    const at = Math.max(now + COME_BACK_MS, this.#lastAt + gapMs);
+    const at = Math.max(now + RETRY_AFTER_MS, this.#lastAt + gapMs);
     this.#lastAt = Math.min(at, addMs(now, leftMs * CALLER_WAITS)) as Timestamp;
     return Math.ceil(this.#lastAt - now);
   }
--- a/src/scheduling/pool/short_limit.ts
+++ b/src/scheduling/pool/short_limit.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../../core/time.ts";
-import { askPatienceMs } from "./caller_patience.ts";
+import { askTimeoutMs } from "./caller_timeout.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
 import type { PoolAsk } from "./pool_job.ts";
 
@@ -8,15 +8,15 @@
 
 /**
  * The longest predicted time to the first event with which a short prompt is taken.
- * Load pattern: a crest of short prompts beyond what the engines can serve. If all are taken, all stand in line and
+ * Load pattern: a crest of short prompts beyond what the engines can serve. If all are taken, all progress in line and
  * all are late, and those whose callers lose patience were read for nothing; if those that would be late are refused
  * at once, the others are served in time and the line stays short for those that come back. A prompt that has failed
  * elsewhere has waited already, and is taken as long as its caller waits.
  */
 export function shortLimitMs(ask: PoolAsk, pace: EnginePace): Millis {
-  const patienceMs = askPatienceMs(ask);
-  if (ask.avoid.length > 0) return patienceMs;
+  const timeoutMs = askTimeoutMs(ask);
+  if (ask.avoid.length > 0) return timeoutMs;
   const idleMs = prefillMs(pace, ask.promptTokens) +
     passMs(pace, 1, ask.promptTokens);
-  return Math.min(patienceMs, Math.max(ask.targetMs, IDLE_FACTOR * idleMs));
+  return Math.min(timeoutMs, Math.max(ask.targetMs, IDLE_FACTOR * idleMs));
 }
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -3,7 +3,7 @@
 import type { JobId, PoolJob } from "./pool_job.ts";
 
 /** Streams that accept no longer pause than this suffer from a long prefill beside them. */
-export const TIGHT_PAUSE_MS: Millis = 300;
+export const SENSITIVE_PAUSE_MS: Millis = 300;
 
 /** How long a failure keeps an upstream at a disadvantage; longer than most transient faults last. */
 const DISTRUST_MS: Millis = 4_000;
@@ -46,7 +46,7 @@
     this.#busyUntil = (start + job.partMs * this.paceAt(now)) as Timestamp;
   }
 
-  /** Takes in that a job has been prefilled, or has ended. */
+  /** Notes that a job has been prefilled, or has ended. */
   settle(id: JobId, writing: PoolJob | undefined, now: Timestamp): void {
     if (writing === undefined) this.jobs.delete(id);
     else this.jobs.set(id, writing);
@@ -90,10 +90,10 @@
   }
 
   /** Streams here, writing or soon to write, that accept only short pauses. */
-  get tight(): number {
+  get sensitive(): number {
     return this.#count((job) =>
       job.upstream === this.id && job.kind === "prompt" &&
-      job.pauseMs <= TIGHT_PAUSE_MS
+      job.pauseMs <= SENSITIVE_PAUSE_MS
     );
   }
 
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -68,8 +68,8 @@
       queueMicrotask(() => reply(ok(grant)));
     },
     withdraw: () => {},
-    progress: (_job, upstream, news) =>
-      notes.progress.push(`${upstream} ${news.phase}`),
+    progress: (_job, upstream, updates) =>
+      notes.progress.push(`${upstream} ${updates.phase}`),
     upstreamAt: () => undefined,
     isClosed: () => false,
     firstSend: () => {},
