--- a/src/gateway/serving_json.ts
+++ b/src/gateway/serving_json.ts
@@ -1,8 +1,19 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Serving } from "./serving.ts";
 
-/** Writes a configuration for another daemon of the same release. */
+const written = new WeakMap<Serving, string>();
+
+/** Writes a configuration for another daemon of the same release; each once, as many fetch it at the same moment. */
 export function servingToJson(serving: Serving): string {
+  let text = written.get(serving);
+  if (text === undefined) {
+    text = write(serving);
+    written.set(serving, text);
+  }
+  return text;
+}
+
+function write(serving: Serving): string {
   return JSON.stringify({
     ...serving,
     services: [...serving.services.values()],
--- a/src/gateway/serving_readers.ts
+++ b/src/gateway/serving_readers.ts
@@ -1,5 +1,5 @@
 import type { VmId } from "../core/id.ts";
-import { compareLeaders } from "./member_table.ts";
+import { compareLeaders, hash } from "./member_table.ts";
 import type { PeerCard } from "./peer_message.ts";
 
 /** Daemons of a failure domain that read the configuration from the store, so that the loss of one leaves another. */
@@ -18,12 +18,16 @@
     .sort(compareLeaders).slice(0, READERS_PER_DOMAIN);
 }
 
-/** Where a daemon fetches a version: from the readers of its domain in turn, then from the one that announced it. */
+/**
+ * Where a daemon fetches a version: from the readers of its domain in turn, then from the one that announced it.
+ * Daemons begin with different readers, as all of a domain fetch at the same moment.
+ */
 export function fetchSource(
   readers: readonly PeerCard[],
   options: Readonly<{ self: VmId; announcer: PeerCard; attempt: number }>,
 ): PeerCard {
   const { self, announcer, attempt } = options;
   const others = readers.filter((one) => one.vm !== self);
-  return others[attempt] ?? announcer;
+  if (attempt >= others.length) return announcer;
+  return others[(hash(self) + attempt) % others.length]!;
 }
