Judge a VM's speed by its shortest samples

Work that is interrupted only takes longer, so the shortest of four samples counts now, at three times the best.

--- a/src/gateway/own_speed.ts
+++ b/src/gateway/own_speed.ts
@@ -1,10 +1,10 @@
 import type { Millis } from "../core/time.ts";
 
-/** Samples that the decision looks at; their median bears one that the machine interrupted. */
-const WINDOW = 5;
-/** A VM that takes this many times its best is slow, and sound again below the smaller one; sound ones take up to 3. */
-const SLOW_FACTOR = 5;
-const SOUND_FACTOR = 3.5;
+/** Samples that the decision looks at; the shortest counts, as work that was interrupted only takes longer. */
+const WINDOW = 4;
+/** A VM that takes this many times its best is slow, and sound again below the smaller one. */
+const SLOW_FACTOR = 3;
+const SOUND_FACTOR = 2;
 /** A sample that is this part of the best one, or less, shows that the code was still warming up. */
 const WARMING = 0.8;
 /** Samples that are too short to be told from the clock's own error. */
@@ -31,10 +31,9 @@
   /** How many times its best this VM takes; 1 until enough is known. */
   get factor(): number {
     if (this.#samples.length < WINDOW) return 1;
-    const sorted = [...this.#samples].sort((a, b) => a - b);
-    const medianMs = sorted[Math.floor(WINDOW / 2)]!;
-    if (medianMs - this.#bestMs < MIN_EXCESS_MS) return 1;
-    return medianMs / this.#bestMs;
+    const shortestMs = Math.min(...this.#samples);
+    if (shortestMs - this.#bestMs < MIN_EXCESS_MS) return 1;
+    return shortestMs / this.#bestMs;
   }
 
   /** Adds how long the piece of work took; returns whether the VM is slow. */
