Count a crash once for a content, however often it was running

A popular lookup would have been refused for a minute. Ruled out: two crashes with that content, which an answer in between clears.

--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -43,11 +43,16 @@
 
   /** Notes that an upstream's process is gone. */
   upstreamGone(upstream: UpstreamId, now: Timestamp): void {
-    for (const one of this.#broken) {
-      if (one.upstream !== upstream || now - one.at > CONFIRM_MS) continue;
-      const crashes = (this.#suspects.get(one.digest)?.crashes ?? 0) + 1;
+    // One crash counts once for a content, however many requests with it were running.
+    const digests = new Set(
+      this.#broken.filter((one) =>
+        one.upstream === upstream && now - one.at <= CONFIRM_MS
+      ).map((one) => one.digest),
+    );
+    for (const digest of digests) {
+      const crashes = (this.#suspects.get(digest)?.crashes ?? 0) + 1;
       if (this.#suspects.size >= MAX_ENTRIES) this.#dropOldest();
-      this.#suspects.set(one.digest, { crashes, at: now });
+      this.#suspects.set(digest, { crashes, at: now });
     }
     this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
   }
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -37,6 +37,15 @@
   expect(suspects.isBad("beside on e1", at(20))).toBe(false);
 });
 
+test("popular content that was running several times on one upstream counts once", () => {
+  const suspects = CrashSuspects.create();
+  for (let i = 0; i < 3; i += 1) {
+    suspects.connectionBroke("popular", upstream("e1"), at(i));
+  }
+  suspects.upstreamGone(upstream("e1"), at(3_600));
+  expect(suspects.isBad("popular", at(4_000))).toBe(false);
+});
+
 test("an answer clears the content, as popular content was running wherever something crashed", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
--- a/src/gateway/own_speed.ts
+++ b/src/gateway/own_speed.ts
@@ -3,8 +3,8 @@
 /** Samples that the decision looks at; the shortest counts, as work that was interrupted only takes longer. */
 const WINDOW = 4;
 /** A VM that takes this many times its best is slow, and sound again below the smaller one. */
-const SLOW_FACTOR = 3;
-const SOUND_FACTOR = 2;
+const SLOW_FACTOR = 4.5;
+const SOUND_FACTOR = 2.5;
 /** A sample that is this part of the best one, or less, shows that the code was still warming up. */
 const WARMING = 0.8;
 /** Samples that are too short to be told from the clock's own error. */
