Try refused content again after a while, one request at a time

One request is let through after 10 s now, then after 20 and 40: an answer clears it; content that does crash its upstreams reaches two more of them in a minute.

--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -9,11 +9,13 @@
 const REMEMBER_MS: Millis = 60_000;
 /** Confirmed crashes after which the content is refused. */
 const MAX_CRASHES = 2;
+/** Time until one request with refused content is tried; each further crash doubles it. */
+const PROBATION_MS: Millis = 10_000;
 /** Contents and connections that are remembered at most. */
 const MAX_ENTRIES = 256;
 
 type Broken = Readonly<{ digest: string; upstream: UpstreamId; at: Timestamp }>;
-type Suspect = { crashes: number; at: Timestamp };
+type Suspect = { crashes: number; at: Timestamp; triedAt: Timestamp };
 
 /**
  * Tells content that crashes the upstreams that run it. A broken connection alone proves nothing: a crash counts
@@ -52,7 +54,7 @@
     for (const digest of digests) {
       const crashes = (this.#suspects.get(digest)?.crashes ?? 0) + 1;
       if (this.#suspects.size >= MAX_ENTRIES) this.#dropOldest();
-      this.#suspects.set(digest, { crashes, at: now });
+      this.#suspects.set(digest, { crashes, at: now, triedAt: now });
     }
     this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
   }
@@ -63,11 +65,18 @@
     this.#broken = this.#broken.filter((one) => one.digest !== digest);
   }
 
-  /** Whether content is to be refused. */
-  isBad(digest: string, now: Timestamp): boolean {
+  /**
+   * Whether a request with this content may run now. Refused content is tried again, one request at a time and less
+   * and less often: a link that failed twice may have made healthy content look bad.
+   */
+  mayRun(digest: string, now: Timestamp): boolean {
     const suspect = this.#suspects.get(digest);
-    return suspect !== undefined && suspect.crashes >= MAX_CRASHES &&
-      now - suspect.at <= REMEMBER_MS;
+    if (suspect === undefined || suspect.crashes < MAX_CRASHES) return true;
+    if (now - suspect.at > REMEMBER_MS) return true;
+    const waitMs = PROBATION_MS * 2 ** (suspect.crashes - MAX_CRASHES);
+    if (now - suspect.triedAt < waitMs) return false;
+    suspect.triedAt = now;
+    return true;
   }
 
   #dropOldest(): void {
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -14,9 +14,9 @@
 test("content that has crashed two upstreams is refused", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
-  expect(suspects.isBad("poison", at(4_000))).toBe(false);
+  expect(suspects.mayRun("poison", at(4_000))).toBe(true);
   crash(suspects, "e2", 4_000);
-  expect(suspects.isBad("poison", at(8_000))).toBe(true);
+  expect(suspects.mayRun("poison", at(8_000))).toBe(false);
 });
 
 test("broken connections to upstreams that live on prove nothing", () => {
@@ -24,7 +24,7 @@
   for (const name of ["e1", "e2", "e3"]) {
     suspects.connectionBroke("healthy", upstream(name), at(0));
   }
-  expect(suspects.isBad("healthy", at(1_000))).toBe(false);
+  expect(suspects.mayRun("healthy", at(1_000))).toBe(true);
 });
 
 test("connections that break together show a crash at once", () => {
@@ -33,8 +33,8 @@
     suspects.connectionBroke(`beside on ${name}`, upstream(name), at(0));
     suspects.connectionBroke("poison", upstream(name), at(10));
   }
-  expect(suspects.isBad("poison", at(20))).toBe(true);
-  expect(suspects.isBad("beside on e1", at(20))).toBe(false);
+  expect(suspects.mayRun("poison", at(20))).toBe(false);
+  expect(suspects.mayRun("beside on e1", at(20))).toBe(true);
 });
 
 test("popular content that was running several times on one upstream counts once", () => {
@@ -43,7 +43,7 @@
     suspects.connectionBroke("popular", upstream("e1"), at(i));
   }
   suspects.upstreamGone(upstream("e1"), at(3_600));
-  expect(suspects.isBad("popular", at(4_000))).toBe(false);
+  expect(suspects.mayRun("popular", at(4_000))).toBe(true);
 });
 
 test("an answer clears the content, as popular content was running wherever something crashed", () => {
@@ -51,7 +51,7 @@
   crash(suspects, "e1", 0);
   suspects.answered("poison");
   crash(suspects, "e2", 4_000);
-  expect(suspects.isBad("poison", at(8_000))).toBe(false);
+  expect(suspects.mayRun("poison", at(8_000))).toBe(true);
 });
 
 test("an upstream that leaves long after a connection broke is not counted", () => {
@@ -60,5 +60,29 @@
     suspects.connectionBroke("healthy", upstream(name), at(0));
     suspects.upstreamGone(upstream(name), at(20_000));
   }
-  expect(suspects.isBad("healthy", at(20_000))).toBe(false);
+  expect(suspects.mayRun("healthy", at(20_000))).toBe(true);
+});
+
+test("refused content is tried again, one request at a time and less and less often", () => {
+  const suspects = CrashSuspects.create();
+  crash(suspects, "e1", 0);
+  crash(suspects, "e2", 4_000);
+  const tried: number[] = [];
+  for (let ms = 8_000; ms < 68_000; ms += 100) {
+    if (!suspects.mayRun("poison", at(ms))) continue;
+    tried.push(ms);
+    suspects.connectionBroke("poison", upstream(`e${ms}`), at(ms));
+    suspects.upstreamGone(upstream(`e${ms}`), at(ms));
+  }
+  expect(tried).toEqual([17_600, 37_600]);
+});
+
+test("content that was refused wrongly is free again after one answer", () => {
+  const suspects = CrashSuspects.create();
+  crash(suspects, "e1", 0);
+  crash(suspects, "e2", 4_000);
+  expect(suspects.mayRun("poison", at(17_600))).toBe(true);
+  expect(suspects.mayRun("poison", at(17_700))).toBe(false);
+  suspects.answered("poison");
+  expect(suspects.mayRun("poison", at(17_800))).toBe(true);
 });
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -78,7 +78,7 @@
     replyTo: ReplyTo,
   ): void {
     const { serving, register, pool } = board;
-    if (pool.suspects.isBad(ask.digest, step.now)) {
+    if (!pool.suspects.mayRun(ask.digest, step.now)) {
       const detail = "This content has crashed its upstreams";
       const result = err(problem("quarantined", detail));
       this.#report(board, step, { ask, result }, replyTo);
