--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -10,7 +10,7 @@
 /** Confirmed crashes after which the content is refused. */
 const MAX_CRASHES = 2;
 /** Time until one request with refused content is tried; each further crash doubles it. */
-const PROBATION_MS: Millis = 10_000;
+const PROBATION_MS: Millis = 5_000;
 /** Contents and connections that are remembered at most. */
 const MAX_ENTRIES = 256;
 
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -74,15 +74,15 @@
     suspects.connectionBroke("poison", upstream(`e${ms}`), at(ms));
     suspects.upstreamGone(upstream(`e${ms}`), at(ms));
   }
-  expect(tried).toEqual([17_600, 37_600]);
+  expect(tried).toEqual([12_600, 22_600, 42_600]);
 });
 
 test("content that was refused wrongly is free again after one answer", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
   crash(suspects, "e2", 4_000);
-  expect(suspects.mayRun("poison", at(17_600))).toBe(true);
-  expect(suspects.mayRun("poison", at(17_700))).toBe(false);
+  expect(suspects.mayRun("poison", at(12_600))).toBe(true);
+  expect(suspects.mayRun("poison", at(12_700))).toBe(false);
   suspects.answered("poison");
-  expect(suspects.mayRun("poison", at(17_800))).toBe(true);
+  expect(suspects.mayRun("poison", at(12_800))).toBe(true);
 });
