--- a/src/http/app.ts
+++ b/src/http/app.ts
@@ -1,6 +1,6 @@
 import { Hono } from "hono";
-import type { HttpBindings } from "@hono/node-server";
 import { problem } from "../core/problem.ts";
+import type { AppEnv } from "./app_env.ts";
 import { callRoutes } from "./call_routes.ts";
 import { type Front, refuse } from "./front.ts";
 import { operatorRoutes } from "./operator_routes.ts";
@@ -8,9 +8,6 @@
 import { promptRoutes } from "./prompt_routes.ts";
 import { requestRoutes } from "./request_routes.ts";
 
-/** What a handler sees of Node.js beside the request. */
-export type AppEnv = { Bindings: HttpBindings };
-
 /** Builds the API towards clients and operators. */
 export function createApp(front: Front): Hono<AppEnv> {
   const app = new Hono<AppEnv>();
--- a/src/http/call_routes.ts
+++ b/src/http/call_routes.ts
@@ -15,7 +15,7 @@
 import type { CallExchange } from "../daemon/exchange.ts";
 import type { Verdict } from "../core/verdict.ts";
 import type { ServiceAnswer } from "../service/service_client.ts";
-import type { AppEnv } from "./app.ts";
+import type { AppEnv } from "./app_env.ts";
 import { readBody } from "./body_reader.ts";
 import { type Front, identityOf, problemExtra, refuse } from "./front.ts";
 import { KEY_HEADER, REQUEST_HEADER } from "./headers.ts";
--- a/src/http/front.ts
+++ b/src/http/front.ts
@@ -7,7 +7,7 @@
 import { SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { ExchangeTable, PromptExchange } from "../daemon/exchange.ts";
 import { identify, type Identity } from "./identity.ts";
-import type { AppEnv } from "./app.ts";
+import type { AppEnv } from "./app_env.ts";
 import { problemBody, problemHeaders } from "./problem_body.ts";
 
 /** What the routes work with. */
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -3,7 +3,7 @@
 import { problem } from "../core/problem.ts";
 import { entryAnswer } from "../core/entry_answer.ts";
 import { SECOND_MS } from "../core/time.ts";
-import type { AppEnv } from "./app.ts";
+import type { AppEnv } from "./app_env.ts";
 import { issueKeyPrefix } from "../fold/issued_key.ts";
 import { type Front, refuse } from "./front.ts";
 import { hasToken, identify } from "./identity.ts";
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -9,7 +9,7 @@
 import { BYTES_PER_TOKEN } from "../wire/engine.ts";
 import type { AnswerApi, AnswerHead } from "./answer_format.ts";
 import type { AnswerWriter } from "./answer_writer.ts";
-import type { AppEnv } from "./app.ts";
+import type { AppEnv } from "./app_env.ts";
 import { readBody } from "./body_reader.ts";
 import { type Front, identityOf, refuse } from "./front.ts";
 import { REQUEST_HEADER, RESUME_HEADER, REVISION_HEADER } from "./headers.ts";
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -6,7 +6,7 @@
 import type { PromptRequest } from "../core/request.ts";
 import { SECOND_MS } from "../core/time.ts";
 import type { PromptExchange } from "../daemon/exchange.ts";
-import type { AppEnv } from "./app.ts";
+import type { AppEnv } from "./app_env.ts";
 import { type Front, identityOf, refuse } from "./front.ts";
 import { LAST_EVENT_HEADER, REQUEST_HEADER, RESUME_HEADER } from "./headers.ts";
 import { answerHead, startPrompt } from "./prompt_routes.ts";
--- a/tools/faults/daemon_process.ts
+++ b/tools/faults/daemon_process.ts
@@ -19,12 +19,11 @@
 } from "../../src/daemon/upstream_clients.ts";
 import type { PeerClients } from "../../src/peer/peer_clients.ts";
 import type { EngineEvent } from "../../src/wire/engine.ts";
-import type { Fleet } from "./fleet.ts";
 import type { FakeLog } from "./fake_log.ts";
 import type { Timeline } from "./timeline.ts";
 
-/** Changes what happens; tests break a mechanism with it. */
-export type Mutation = Readonly<{
+/** Changes what happens in a daemon; tests break a mechanism with it. */
+export type DaemonMutation = Readonly<{
   intents?: (
     daemon: DaemonProcess,
     intents: readonly Intent[],
@@ -33,8 +32,6 @@
   board?: (board: Blackboard) => void;
   /** Changes what comes from an engine, past all checks. */
   event?: (event: EngineEvent) => EngineEvent;
-  /** Called once the schedule has been played. */
-  fleet?: (fleet: Fleet) => void;
 }>;
 
 /** What a daemon is made of, and who watches it. */
@@ -49,7 +46,7 @@
     intent: Extract<Intent, { type: "send_peer" }>,
   ) => void;
   peers: (daemon: DaemonProcess) => Pick<PeerClients, "runCall">;
-  mutation: Mutation;
+  mutation: DaemonMutation;
   onIntent: (daemon: DaemonProcess, intent: Intent) => void;
   onStep: (daemon: DaemonProcess) => void;
   /** Called when the process ends by itself. */
--- a/tools/faults/fake_engine_client.ts
+++ b/tools/faults/fake_engine_client.ts
@@ -20,15 +20,12 @@
 import { EventPipe, type StreamItem } from "./event_pipe.ts";
 import type { FakeEngine } from "./fake_engine.ts";
 import { FaultyReader } from "./faulty_reader.ts";
-import type { StreamFault } from "./schedule.ts";
+import type { ArmedFault } from "./schedule.ts";
 import type { Timeline } from "./timeline.ts";
 
 const NETWORK_MS: Millis = 2;
 const CONTROL_TIMEOUT_MS: Millis = 2_000;
 
-/** A fault that waits for an engine's next answer. */
-export type ArmedFault = Readonly<{ fault: StreamFault; at: number }>;
-
 /** How a client reaches its engine and how answers reach its daemon. */
 export type FakeEngineLink = Readonly<{
   timeline: Timeline;
--- a/tools/faults/faulty_reader.ts
+++ b/tools/faults/faulty_reader.ts
@@ -2,7 +2,7 @@
 import type { EngineEvent } from "../../src/wire/engine.ts";
 import type { StreamItem } from "./event_pipe.ts";
 import type { Reader } from "./fake_engine.ts";
-import type { ArmedFault } from "./fake_engine_client.ts";
+import type { ArmedFault } from "./schedule.ts";
 
 /** Where a reader puts what it reads. */
 export type FaultyReaderParts = Readonly<{
--- a/tools/faults/fleet.ts
+++ b/tools/faults/fleet.ts
@@ -12,15 +12,21 @@
 import type { Millis, Timestamp } from "../../src/core/time.ts";
 import { CONFIG_STREAM } from "../../src/fold/streams.ts";
 import type { Vm } from "../../src/wire/vm_list.ts";
-import { DaemonProcess, type Mutation } from "./daemon_process.ts";
+import { type DaemonMutation, DaemonProcess } from "./daemon_process.ts";
 import { Facts } from "./facts.ts";
 import { FakeEngine } from "./fake_engine.ts";
-import { type ArmedFault, FakeEngineClient } from "./fake_engine_client.ts";
+import { FakeEngineClient } from "./fake_engine_client.ts";
 import { FakeLog } from "./fake_log.ts";
 import { FakeServiceClient, ServiceBook } from "./fake_service.ts";
 import { Network } from "./network.ts";
 import { Operators } from "./operators.ts";
-import { type CallFault, DAEMONS, ENGINES, SERVICES } from "./schedule.ts";
+import {
+  type ArmedFault,
+  type CallFault,
+  DAEMONS,
+  ENGINES,
+  SERVICES,
+} from "./schedule.ts";
 import { loadedBy, servingBy } from "./serving.ts";
 import { Timeline } from "./timeline.ts";
 import { Trace } from "./trace.ts";
@@ -38,6 +44,14 @@
 const LEAVING_MS: Millis = 7_000;
 const IDLE_CHECK_MS: Millis = 500;
 
+/** Changes what happens; tests break a mechanism with it. */
+export type Mutation =
+  & DaemonMutation
+  & Readonly<{
+    /** Called once the schedule has been played. */
+    fleet?: (fleet: Fleet) => void;
+  }>;
+
 /** A few real daemons and the fakes around them. */
 export class Fleet {
   readonly timeline = Timeline.create(START);
--- a/tools/faults/run.ts
+++ b/tools/faults/run.ts
@@ -1,6 +1,5 @@
 import type { Millis } from "../../src/core/time.ts";
-import type { Mutation } from "./daemon_process.ts";
-import { Fleet } from "./fleet.ts";
+import { Fleet, type Mutation } from "./fleet.ts";
 import { INVARIANTS } from "./invariants/all.ts";
 import type { Digest } from "../../src/core/id.ts";
 import { Player } from "./player.ts";
--- a/tools/faults/schedule.ts
+++ b/tools/faults/schedule.ts
@@ -166,3 +166,6 @@
     size: "max",
   }),
 });
+
+/** A fault that waits for an engine's next answer. */
+export type ArmedFault = Readonly<{ fault: StreamFault; at: number }>;
--- a/tools/faults/watch.ts
+++ b/tools/faults/watch.ts
@@ -8,12 +8,27 @@
 import type { Intent } from "../../src/core/intent.ts";
 import type { Millis, Timestamp } from "../../src/core/time.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
-import { isPoison } from "./fake_engine.ts";
-import type { Fleet } from "./fleet.ts";
+import { type FakeEngine, isPoison } from "./fake_engine.ts";
+import type { Facts } from "./facts.ts";
+import type { Network } from "./network.ts";
+import type { Timeline } from "./timeline.ts";
+import type { Trace } from "./trace.ts";
+
+/** What is watched of a fleet. */
+export type WatchedFleet = Readonly<{
+  trace: Trace;
+  facts: Facts;
+  timeline: Timeline;
+  network: Network;
+  daemons: readonly DaemonProcess[];
+  engines: readonly FakeEngine[];
+  live: readonly DaemonProcess[];
+  start: (vm: number) => void;
+}>;
 
 /** Notes what the daemons decide and know, without any say in it. */
 export class Watch {
-  readonly #fleet: Fleet;
+  readonly #fleet: WatchedFleet;
   readonly #revisions = new Map<DaemonId, Revision>();
   readonly #admitted = new Set<RequestId>();
   /** Since when each daemon has known of each run of an upstream that it is leaving. */
@@ -23,11 +38,11 @@
   /** When each VM's links last failed. */
   readonly #cutAt = new Map<string, Timestamp>();
 
-  private constructor(fleet: Fleet) {
+  private constructor(fleet: WatchedFleet) {
     this.#fleet = fleet;
   }
 
-  static create(fleet: Fleet): Watch {
+  static create(fleet: WatchedFleet): Watch {
     return new Watch(fleet);
   }
 
