--- a/src/gateway/event_cutter.ts
+++ b/src/gateway/event_cutter.ts
@@ -21,7 +21,7 @@
     return this.#rest.length;
   }
 
-  /** Applies bytes; returns the events that are whole by now, or nothing if one is too large. */
+  /** Adds bytes; returns the events that are whole by now, or nothing if one is too large. */
   push(chunk: Buffer): readonly StreamEvent[] | undefined {
     const data = this.#rest.length === 0
       ? chunk
--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -76,7 +76,7 @@
     try {
       this.#out.flushSync();
     } catch {
-      // The reader is gone or full; there is no one left to tell.
+      // The reader is gone or full; no reader is left.
       this.#dropped += 1;
     }
   }
--- a/src/gateway/gateway_core.ts
+++ b/src/gateway/gateway_core.ts
@@ -33,7 +33,7 @@
     return new GatewayCore(createGatewayBoard(card, seeds));
   }
 
-  /** Notes what has happened; the same inputs always give the same intents. */
+  /** Applies what has happened; the same inputs always give the same intents. */
   step(now: Timestamp, events: readonly GatewayEvent[]): GatewayOutcome {
     const step = GatewayStep.create(now, events);
     for (const controller of this.#controllers) {
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -263,7 +263,7 @@
     }));
   }
 
-  /** The list is the leader's; the leader compares it with its deputy's, and a daemon that knows no one takes any. */
+  /** The list is the leader's; the leader compares it with its deputy's, and a daemon without peers takes any. */
   #wantedRoster(
     board: GatewayBoard,
     step: GatewayStep,
--- a/src/scheduling/pool/pool_accounts.ts
+++ b/src/scheduling/pool/pool_accounts.ts
@@ -3,7 +3,7 @@
 import type { JobId, PoolJob } from "./pool_job.ts";
 import { isSlow, UpstreamLoad } from "./upstream_load.ts";
 
-/** A job that its daemon does not list for so long has ended; updates of its grant may be on the way. */
+/** A job that its daemon does not list for so long has ended; its grant may still be on the way. */
 const UNREPORTED_MS: Millis = 1_000;
 
 /** Keeps account of which job runs where. */
--- a/src/scheduling/pool/short_limit.ts
+++ b/src/scheduling/pool/short_limit.ts
@@ -8,7 +8,7 @@
 
 /**
  * The longest predicted time to the first event with which a short prompt is taken.
- * Load pattern: a crest of short prompts beyond what the engines can serve. If all are taken, all progress in line and
+ * Load pattern: a crest of short prompts beyond what the engines can serve. If all are taken, all stand in line and
  * all are late, and those whose callers time out were read for nothing; if those that would be late are refused
  * at once, the others are served in time and the line stays short for those that retry. A prompt that has failed
  * elsewhere has waited already, and is taken as long as its caller waits.
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -46,7 +46,7 @@
     this.#busyUntil = (start + job.partMs * this.paceAt(now)) as Timestamp;
   }
 
-  /** Notes that a job has been prefilled, or has ended. */
+  /** Updates a job that has been prefilled, or removes one that has ended. */
   settle(id: JobId, writing: PoolJob | undefined, now: Timestamp): void {
     if (writing === undefined) this.jobs.delete(id);
     else this.jobs.set(id, writing);
