--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -50,13 +50,13 @@
       return this.#takeOutcome(board, ctx, event);
     }
     if (event.type !== "peer_message") return;
-    for (const news of suspectNews(event.envelope)) {
+    for (const update of suspectNews(event.envelope)) {
       const crash = {
-        digest: news.digest as Digest,
-        upstream: news.upstream as UpstreamId,
-        incarnation: news.incarnation,
+        digest: update.digest as Digest,
+        upstream: update.upstream as UpstreamId,
+        incarnation: update.incarnation,
       };
-      if (news.silent) {
+      if (update.silent) {
         this.#fellSilent(board, crash, { own: false, silentAt: ctx.now });
       } else this.#suspect(board, ctx, crash);
     }
--- a/src/gateway/member_table.ts
+++ b/src/gateway/member_table.ts
@@ -39,14 +39,14 @@
     return updates;
   }
 
-  /** Updates the daemons that another one vouches for; false where the update doesn't follow what is known. */
-  follow(update: RosterUpdate, now: Timestamp): boolean {
+  /** Updates the daemons that another one vouches for; an update that doesn't follow what is known is ignored. */
+  follow(update: RosterUpdate, now: Timestamp): void {
     const { epoch, seq, since, joined, gone } = update;
     const position = this.#position;
     if (since !== undefined) {
       const follows = position.epoch === epoch &&
         (position.seq === since || position.seq === seq);
-      if (!follows) return false;
+      if (!follows) return;
     }
     for (const [vm, one] of this.#members) {
       const left = since === undefined || gone.includes(vm);
@@ -59,7 +59,6 @@
       if (known !== undefined) known.vouchedAt = now;
     }
     this.#position = { epoch, seq };
-    return true;
   }
 
   /** How far the leader's list is known. */
--- a/src/scheduling/cell_accounts.ts
+++ b/src/scheduling/cell_accounts.ts
@@ -62,7 +62,7 @@
     }
   }
 
-  /** Takes in that an engine has crashed: nothing runs there any more. */
+  /** Removes what ran on an engine that has crashed. */
   engineCrashed(id: UpstreamId): void {
     const engine = this.#engines.get(id);
     if (engine === undefined) return;
--- a/tools/faults/regressions.ts
+++ b/tools/faults/regressions.ts
@@ -34,7 +34,7 @@
   },
   {
     name:
-      "seed 17058: An engine froze, thawed and crashed over runs that had been cancelled, so that nobody counted it.",
+      "seed 17058: An engine froze, thawed and crashed over runs that had been cancelled, so that it was not counted.",
     schedule: {
       "seed": 0,
       "actions": [
