--- a/src/gateway/own_reading.ts
+++ b/src/gateway/own_reading.ts
@@ -1,7 +1,10 @@
-import type { Millis, Timestamp } from "../core/time.ts";
-import { hash, type MemberTable } from "./member_table.ts";
-import type { PeerCard } from "./peer_message.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import type { GatewayBoard } from "./gateway_board.ts";
+import { hash } from "./member_table.ts";
+import { liveMs } from "./membership.ts";
 
+/** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
+const STALE_MARGIN_MS: Millis = 300;
 /** Time by which each further daemon waits, so that the first one's reading may reach the others before they read. */
 const STAGGER_MS_PER_MEMBER: Millis = 5;
 /** Time for each daemon between failed readings, so that a store that is down is asked some 20 times a second. */
@@ -9,10 +12,9 @@
 /** Most of it: shorter than the 3 s of calm after which the platform expects every daemon to be up to date. */
 const MAX_BACKOFF_MS: Millis = 2_500;
 
-/** When daemons read the store by themselves, because no one else's fresh reading has reached them. */
+/** When a daemon reads the store by itself, because no one else's fresh reading has reached it. */
 export type OwnReading = Readonly<{
-  /** Extra age, different for each daemon, at which it starts. */
-  staggerMs: Millis;
+  readAt: Timestamp;
   /** Shortest time after a failed reading. */
   backoffMs: Millis;
 }>;
@@ -23,14 +25,23 @@
  * for all that hear of it; a daemon that is cut off from the others waits for no one.
  */
 export function ownReading(
-  self: PeerCard,
-  peers: Readonly<{ table: MemberTable; now: Timestamp; liveMs: Millis }>,
+  board: GatewayBoard,
+  known: Readonly<{
+    now: Timestamp;
+    /** As of when what the leader reads is known. */
+    asOf: Timestamp;
+    /** How long a reading of the leader waits at most. */
+    waitMs: Millis;
+  }>,
 ): OwnReading {
-  const { table, now, liveMs } = peers;
-  const live = table.live(now, liveMs).length;
-  const part = (hash(self.vm) % 1_024) / 1_024;
+  const { now, asOf, waitMs } = known;
+  const { members, self } = board;
+  const staleAt = addMs(asOf, members.heartbeatMs + waitMs + STALE_MARGIN_MS);
+  if (now < staleAt) return { readAt: staleAt, backoffMs: 0 };
+  const live = members.table.live(now, liveMs(board)).length;
+  const part = (hash(self.card.vm) % 1_024) / 1_024;
   return {
-    staggerMs: part * live * STAGGER_MS_PER_MEMBER,
+    readAt: addMs(staleAt, part * live * STAGGER_MS_PER_MEMBER),
     backoffMs: Math.min(MAX_BACKOFF_MS, live * BACKOFF_MS_PER_MEMBER),
   };
 }
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -1,9 +1,9 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { headsOf, liveMs } from "./membership.ts";
 import type { PeerMessage, StoreProgress } from "./peer_message.ts";
 import { ownReading } from "./own_reading.ts";
+import { sendChanges } from "./send_changes.ts";
 import { StoreReader } from "./store_reader.ts";
 import {
   LAPSE_GRACE_MS,
@@ -18,8 +18,6 @@
 const WAIT_MS: Millis = 600;
 /** How often any other daemon reads that hears of no reading; the platform allows 2 s for what is read. */
 const OWN_SPACING_MS: Millis = 1_000;
-/** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
-const STALE_MARGIN_MS: Millis = 300;
 /** A longer gap between readings means that entries may have lapsed because the store was away. */
 const OUTAGE_MS: Millis = 1_500;
 /** What a reading that the store answered may be older than its arrival. */
@@ -70,17 +68,11 @@
       this.#reader.poll(step, { waitMs: WAIT_MS, spacingMs: SPACING_MS });
       return;
     }
-    const staleMs = members.heartbeatMs + WAIT_MS + STALE_MARGIN_MS;
-    if (step.now < register.asOf + staleMs) {
-      step.wake(register.asOf + staleMs);
-      return;
-    }
-    const { staggerMs, backoffMs } = ownReading(self.card, {
-      table: members.table,
+    const { readAt, backoffMs } = ownReading(board, {
       now: step.now,
-      liveMs: liveMs(board),
+      asOf: register.asOf,
+      waitMs: WAIT_MS,
     });
-    const readAt = register.asOf + staleMs + staggerMs;
     if (step.now < readAt) step.wake(readAt);
     else {
       const spacingMs = OWN_SPACING_MS;
@@ -210,8 +202,7 @@
     const leads = members.leader === self.card.vm;
     // That nothing has changed is worth knowing for a leader that can't read.
     if (leads && changes.length === 0) return false;
-    const progress = storeProgressOf(board, step.now);
-    this.#push(board, step, { progress, changes, to: leads ? "all" : "heads" });
+    sendChanges(board, step, { changes });
     return changes.length > 0;
   }
 
@@ -226,34 +217,7 @@
     const { members, self } = board;
     const changes = changesOf(board, heard.updates);
     if (changes.length === 0 || members.leader !== self.card.vm) return;
-    this.#push(board, step, { progress: heard.progress, changes, to: "all" });
-  }
-
-  #push(
-    board: GatewayBoard,
-    step: GatewayStep,
-    update: Readonly<{
-      progress: StoreProgress;
-      changes: readonly UpstreamChange[];
-      to: "all" | "heads";
-    }>,
-  ): void {
-    const { members, self, register } = board;
-    const { progress, changes } = update;
-    const peers = update.to === "all"
-      ? members.table.live(step.now, liveMs(board))
-      : headsOf(board).flatMap((vm) => members.table.get(vm) ?? []);
-    const since = register.changedAt;
-    const message = {
-      type: "changes",
-      from: self.card.vm,
-      progress,
-      since,
-      changes,
-    } as const;
-    for (const { peer } of peers) {
-      step.want({ type: "send", to: peer, message });
-    }
+    sendChanges(board, step, { changes, progress: heard.progress });
   }
 
   #report(
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -1,11 +1,12 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
+import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { headsOf, liveMs } from "./membership.ts";
+import { liveMs } from "./membership.ts";
 import { ownReading } from "./own_reading.ts";
 import type { PeerCard, PeerMessage, StoreProgress } from "./peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
+import { sendChanges } from "./send_changes.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
 import { StoreReader } from "./store_reader.ts";
 
@@ -20,8 +21,6 @@
 const FETCH_MS: Millis = 500;
 /** Tries after which the version is read from the store. */
 const MAX_FETCHES = 3;
-/** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
-const STALE_MARGIN_MS: Millis = 300;
 
 /** A version that a peer has and this daemon has not. */
 type Ahead = Readonly<{ peer: PeerCard; version: number; since: Timestamp }>;
@@ -107,18 +106,12 @@
       this.#reader.poll(step, { waitMs, spacingMs: SPACING_MS });
       return;
     }
-    const staleAt = serving.asOf + members.heartbeatMs + LEADER_WAIT_MS +
-      STALE_MARGIN_MS;
-    if (step.now < staleAt) {
-      step.wake(staleAt);
-      return;
-    }
-    const { staggerMs, backoffMs } = ownReading(self.card, {
-      table: members.table,
+    const { readAt, backoffMs } = ownReading(board, {
       now: step.now,
-      liveMs: liveMs(board),
+      asOf: serving.asOf,
+      waitMs: LEADER_WAIT_MS,
     });
-    if (step.now < staleAt + staggerMs) step.wake(staleAt + staggerMs);
+    if (step.now < readAt) step.wake(readAt);
     else this.#reader.poll(step, { waitMs, spacingMs: SPACING_MS, backoffMs });
   }
 
@@ -184,21 +177,9 @@
     step: GatewayStep,
     source: "store" | "peer",
   ): void {
-    const { members, register, self } = board;
+    const { members, self } = board;
     const leads = members.leader === self.card.vm;
     if (!leads && source === "peer") return;
-    const peers = leads
-      ? members.table.live(step.now, liveMs(board))
-      : headsOf(board).flatMap((vm) => members.table.get(vm) ?? []);
-    const message = {
-      type: "changes",
-      from: self.card.vm,
-      progress: storeProgressOf(board, step.now),
-      since: register.changedAt,
-      changes: [],
-    } as const;
-    for (const { peer } of peers) {
-      step.want({ type: "send", to: peer, message });
-    }
+    sendChanges(board, step, { changes: [] });
   }
 }
