Log what is learnt of contents that crash upstreams, and by what evidence

The logs could not tell the hypotheses of the incident apart: neither a confirmed crash nor its withdrawal left a line, and a refusal did not name the content. Lines content_suspected and content_cleared carry the evidence and its age; attempt_failed and refused place lines name the content.

--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -15,6 +15,21 @@
 const MAX_ENTRIES = 256;
 
 type Broken = Readonly<{ digest: string; upstream: UpstreamId; at: Timestamp }>;
+
+/** How a crash was confirmed. */
+export type CrashEvidence = "register" | "unreachable" | "together";
+
+/** What has changed about a content. */
+export type ContentUpdate = Readonly<{
+  kind: "suspected" | "cleared";
+  digest: string;
+  /** Confirmed crashes, before the change where it was cleared. */
+  crashes: number;
+  upstream?: UpstreamId;
+  evidence?: CrashEvidence;
+  /** Time from the broken connection to its confirmation. */
+  brokeMsAgo?: Millis;
+}>;
 type Suspect = { crashes: number; at: Timestamp; triedAt: Timestamp };
 
 /**
@@ -30,8 +45,22 @@
     return new CrashSuspects();
   }
 
+  /** Contents that have crashed an upstream. */
+  get size(): number {
+    return this.#suspects.size;
+  }
+
+  /** Confirmed crashes of a content. */
+  crashes(digest: string): number {
+    return this.#suspects.get(digest)?.crashes ?? 0;
+  }
+
   /** Notes that the connection broke on which an upstream ran some content. */
-  connectionBroke(digest: string, upstream: UpstreamId, at: Timestamp): void {
+  connectionBroke(
+    digest: string,
+    upstream: UpstreamId,
+    at: Timestamp,
+  ): readonly ContentUpdate[] {
     this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
     const together = this.#broken.some((one) =>
       one.upstream === upstream && one.digest !== digest &&
@@ -40,29 +69,44 @@
     if (this.#broken.length < MAX_ENTRIES) {
       this.#broken.push({ digest, upstream, at });
     }
-    if (together) this.upstreamGone(upstream, at);
+    return together ? this.upstreamGone(upstream, "together", at) : [];
   }
 
   /** Notes that an upstream's process is gone. */
-  upstreamGone(upstream: UpstreamId, now: Timestamp): void {
+  upstreamGone(
+    upstream: UpstreamId,
+    evidence: CrashEvidence,
+    now: Timestamp,
+  ): readonly ContentUpdate[] {
     // One crash counts once for a content, however many requests with it were running.
-    const digests = new Set(
+    const broken = new Map(
       this.#broken.filter((one) =>
         one.upstream === upstream && now - one.at <= CONFIRM_MS
-      ).map((one) => one.digest),
+      ).map((one) => [one.digest, one.at]),
     );
-    for (const digest of digests) {
-      const crashes = (this.#suspects.get(digest)?.crashes ?? 0) + 1;
+    this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
+    return [...broken].map(([digest, brokeAt]) => {
+      const crashes = this.crashes(digest) + 1;
       if (this.#suspects.size >= MAX_ENTRIES) this.#dropOldest();
       this.#suspects.set(digest, { crashes, at: now, triedAt: now });
-    }
-    this.#broken = this.#broken.filter((one) => one.upstream !== upstream);
+      const brokeMsAgo = now - brokeAt;
+      return {
+        kind: "suspected",
+        digest,
+        crashes,
+        upstream,
+        evidence,
+        brokeMsAgo,
+      };
+    });
   }
 
   /** Notes that some content was answered. */
-  answered(digest: string): void {
-    this.#suspects.delete(digest);
+  answered(digest: string): readonly ContentUpdate[] {
     this.#broken = this.#broken.filter((one) => one.digest !== digest);
+    const crashes = this.crashes(digest);
+    if (!this.#suspects.delete(digest)) return [];
+    return [{ kind: "cleared", digest, crashes }];
   }
 
   /**
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -8,7 +8,7 @@
 
 function crash(suspects: CrashSuspects, name: string, ms: number): void {
   suspects.connectionBroke("poison", upstream(name), at(ms));
-  suspects.upstreamGone(upstream(name), at(ms + 3_600));
+  suspects.upstreamGone(upstream(name), "register", at(ms + 3_600));
 }
 
 test("content that has crashed two upstreams is refused", () => {
@@ -42,7 +42,7 @@
   for (let i = 0; i < 3; i += 1) {
     suspects.connectionBroke("popular", upstream("e1"), at(i));
   }
-  suspects.upstreamGone(upstream("e1"), at(3_600));
+  suspects.upstreamGone(upstream("e1"), "register", at(3_600));
   expect(suspects.mayRun("popular", at(4_000))).toBe(true);
 });
 
@@ -58,7 +58,7 @@
   const suspects = CrashSuspects.create();
   for (const name of ["e1", "e2"]) {
     suspects.connectionBroke("healthy", upstream(name), at(0));
-    suspects.upstreamGone(upstream(name), at(20_000));
+    suspects.upstreamGone(upstream(name), "register", at(20_000));
   }
   expect(suspects.mayRun("healthy", at(20_000))).toBe(true);
 });
@@ -72,7 +72,7 @@
     if (!suspects.mayRun("poison", at(ms))) continue;
     tried.push(ms);
     suspects.connectionBroke("poison", upstream(`e${ms}`), at(ms));
-    suspects.upstreamGone(upstream(`e${ms}`), at(ms));
+    suspects.upstreamGone(upstream(`e${ms}`), "register", at(ms));
   }
   expect(tried).toEqual([12_600, 22_600, 42_600]);
 });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -256,6 +256,7 @@
       cause: failure.cause,
       verdict: failure.verdict,
       detail: failure.detail,
+      content: this.#req.digest,
       left_ms: Math.round(this.#leftMs()),
       events: this.#relay.events,
       then: retry ? "retry" : "give_up",
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -4,6 +4,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
+import type { ContentUpdate } from "./crash_suspects.ts";
 import { PlaceRequestClient } from "./place_request_client.ts";
 import { EngineInspector } from "./engine_inspector.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
@@ -48,7 +49,12 @@
       kind === "gone" || kind === "restarted"
     );
     if (gone.length === 0) return;
-    for (const { id } of gone) pool.suspects.upstreamGone(id, step.now);
+    for (const { id } of gone) {
+      this.#tellContent(
+        step,
+        pool.suspects.upstreamGone(id, "register", step.now),
+      );
+    }
     const ids = register.table.all().map((one) => one.id);
     const listed = new Set(ids);
     pool.scheduler.accounts.retain(listed);
@@ -137,7 +143,15 @@
           tickets: result.value.job.tickets.length,
           expect_ms: Math.round(result.value.expectMs),
         }
-        : { refused: result.error.code }),
+        : {
+          refused: result.error.code,
+          ...(result.error.code === "quarantined"
+            ? {
+              content: ask.digest,
+              crashes: pool.suspects.crashes(ask.digest),
+            }
+            : {}),
+        }),
     });
     if (result.isOk()) {
       const { job } = result.value;
@@ -235,11 +249,34 @@
       if (one.phase === "failed") load.blame(step.now);
       else load.clear(step.now);
     }
+    const { upstream } = one;
     if (one.crashed !== undefined) {
-      suspects.connectionBroke(one.crashed, one.upstream, step.now);
+      const broke = suspects.connectionBroke(one.crashed, upstream, step.now);
+      this.#tellContent(step, broke);
+    }
+    if (one.unreachable === true) {
+      const gone = suspects.upstreamGone(upstream, "unreachable", step.now);
+      this.#tellContent(step, gone);
+    }
+    if (one.answered !== undefined) {
+      this.#tellContent(step, suspects.answered(one.answered));
+    }
+  }
+
+  /** Logs what has changed about contents that crash upstreams. */
+  #tellContent(step: GatewayStep, updates: readonly ContentUpdate[]): void {
+    for (const { kind, digest, crashes, ...evidence } of updates) {
+      const { upstream, evidence: by, brokeMsAgo } = evidence;
+      step.line(`content_${kind}`, {
+        content: digest,
+        crashes,
+        ...(upstream === undefined ? {} : { upstream }),
+        ...(by === undefined ? {} : { by }),
+        ...(brokeMsAgo === undefined
+          ? {}
+          : { broke_ms_ago: Math.round(brokeMsAgo) }),
+      });
     }
-    if (one.unreachable === true) suspects.upstreamGone(one.upstream, step.now);
-    if (one.answered !== undefined) suspects.answered(one.answered);
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
