--- /dev/null
+++ b/src/gateway/crash_evidence_test.ts
@@ -0,0 +1,72 @@
+import { afterEach, describe, expect, test } from "vitest";
+import {
+  FrontPlay,
+  headText,
+  type UpstreamScript,
+} from "../testing/front_play.ts";
+
+let play: FrontPlay;
+afterEach(() => play.close());
+
+const EVENTS = {
+  "X-Response-Seal": "s",
+  "Content-Type": "text/event-stream",
+};
+
+async function contentsAfter(
+  path: string,
+  script: UpstreamScript,
+): Promise<readonly string[]> {
+  play = await FrontPlay.start([script], { maxAttempts: 1 });
+  await play.send(path);
+  return play.fake.notes.contents;
+}
+
+describe("a content may have crashed the upstream that ran it", () => {
+  test("when the connection breaks before the answer", async () => {
+    const contents = await contentsAfter(
+      "/lookup/x",
+      (socket) => socket.resetAndDestroy(),
+    );
+    expect(contents).toEqual(["lost e0"]);
+  });
+
+  test("when the connection breaks after the head of the answer", async () => {
+    const contents = await contentsAfter("/ask/x", (socket) => {
+      socket.write(headText(200, EVENTS));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    expect(contents).toEqual(["lost e0"]);
+  });
+
+  test("when the connection breaks in the midst of a stream", async () => {
+    const contents = await contentsAfter("/ask/x", (socket) => {
+      socket.write(`${headText(200, EVENTS)}id: 1\ndata: 1\n\n`);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    expect(contents).toEqual(["lost e0"]);
+  });
+
+  test("when the upstream falls silent", async () => {
+    const contents = await contentsAfter("/lookup/x", () => {});
+    expect(contents).toEqual(["lost e0"]);
+  });
+});
+
+describe("a content is cleared", () => {
+  test("by a success", async () => {
+    const contents = await contentsAfter("/lookup/x", (socket) => {
+      const head = { "X-Response-Seal": "s", "Content-Length": 2 };
+      socket.end(`${headText(200, head)}ok`);
+    });
+    expect(contents).toEqual(["answered e0"]);
+  });
+
+  test("not by a failure, as upstreams may fail requests that they have not run", async () => {
+    const contents = await contentsAfter("/reserve/x", (socket) => {
+      const head = { "X-Response-Seal": "s", "Content-Length": 2 };
+      socket.end(`${headText(500, head)}no`);
+    });
+    expect(contents).toEqual([]);
+  });
+});
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -77,6 +77,13 @@
     gateway.frozen = true;
   }
 
+  /** Ends a daemon's process and starts another one, which knows nothing of before. */
+  restart(gateway: FakeGateway): FakeGateway {
+    this.remove(gateway);
+    const seeds = this.gateways.slice(0, 3).map((one) => one.card.peer);
+    return this.add(gateway.card.vm, seeds);
+  }
+
   publish(serving: Serving): void {
     this.#versions.push(serving);
   }
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -40,6 +40,8 @@
   readonly lines: string[];
   readonly progress: string[];
   readonly problems: string[];
+  /** What was told of contents, and of the upstream that ran them. */
+  readonly contents: string[];
 };
 
 /** A port that places requests on the given upstreams, one after the other. */
@@ -47,7 +49,12 @@
   dialect: Dialect,
   addresses: readonly string[],
 ): ExchangePort & { readonly notes: PortNotes } {
-  const notes: PortNotes = { lines: [], progress: [], problems: [] };
+  const notes: PortNotes = {
+    lines: [],
+    progress: [],
+    problems: [],
+    contents: [],
+  };
   let placed = 0;
   return {
     notes,
@@ -69,8 +76,11 @@
       queueMicrotask(() => reply(ok(grant)));
     },
     withdraw: () => {},
-    progress: (_job, upstream, updates) =>
-      notes.progress.push(`${upstream} ${updates.phase}`),
+    progress: (_job, upstream, { phase, crashed, answered }) => {
+      notes.progress.push(`${upstream} ${phase}`);
+      if (crashed !== undefined) notes.contents.push(`lost ${upstream}`);
+      if (answered !== undefined) notes.contents.push(`answered ${upstream}`);
+    },
     upstreamAt: () => undefined,
     isClosed: () => false,
     firstSend: () => {},
--- /dev/null
+++ b/src/testing/front_play.ts
@@ -0,0 +1,118 @@
+import {
+  createServer as createHttpServer,
+  type IncomingHttpHeaders,
+  request,
+} from "node:http";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { PlatformDialect } from "../../platform/wire/dialect.ts";
+import { FrontServer } from "../gateway/front_server.ts";
+import { RouteTable } from "../gateway/route_table.ts";
+import type { Route } from "../gateway/serving.ts";
+import { createFakePort, servingOf } from "./fake_gateway_port.ts";
+
+/** What an upstream does with the bytes of each request. */
+export type UpstreamScript = (socket: Socket) => void;
+
+/** The final answer of one request; status 0 stands for none. */
+export type FrontAnswer = Readonly<
+  { status: number; headers: IncomingHttpHeaders; body: string }
+>;
+
+/** A front server before upstreams whose every byte is scripted. */
+export class FrontPlay {
+  readonly fake: ReturnType<typeof createFakePort>;
+  readonly #servers: readonly Server[];
+  readonly #front: FrontServer;
+  readonly #port: number;
+
+  private constructor(
+    fake: ReturnType<typeof createFakePort>,
+    servers: readonly Server[],
+    front: Readonly<{ server: FrontServer; port: number }>,
+  ) {
+    this.fake = fake;
+    this.#servers = servers;
+    this.#front = front.server;
+    this.#port = front.port;
+  }
+
+  /** Starts an upstream for each script; requests are placed on them in turn. */
+  static async start(
+    scripts: readonly UpstreamScript[],
+    fields: Partial<Route> = {},
+  ): Promise<FrontPlay> {
+    const servers = scripts.map((script) =>
+      createServer((socket) => {
+        socket.on("error", () => {});
+        socket.once("data", () => script(socket));
+      })
+    );
+    const ports = await Promise.all(servers.map(listen));
+    const addresses = ports.map((port) => `127.0.0.1:${port}`);
+    const fake = createFakePort(PlatformDialect.create(), addresses);
+    const routes = RouteTable.create(servingOf(fields));
+    const server = FrontServer.create(fake, {
+      routes: () => routes,
+      drainingSince: () => undefined,
+    });
+    const free = createHttpServer();
+    const port = await listen(free);
+    await new Promise<void>((resolve) => free.close(() => resolve()));
+    await server.listen("127.0.0.1", port);
+    return new FrontPlay(fake, servers, { server, port });
+  }
+
+  /** Sends one request of a team; resolves with its end. */
+  send(path: string, headers: Record<string, string> = {}) {
+    return new Promise<FrontAnswer>((resolve) => {
+      const req = request({
+        host: "127.0.0.1",
+        port: this.#port,
+        path,
+        method: "POST",
+        agent: false,
+        headers: {
+          host: "h.example",
+          "x-request-id": "r1",
+          "x-deadline-ms": "5000",
+          authorization: "Bearer key-1",
+          ...headers,
+        },
+      }, (res) => {
+        let body = "";
+        res.on("data", (chunk) => body += chunk);
+        res.on("error", () => {});
+        const { headers } = res;
+        const status = res.statusCode ?? 0;
+        res.on("close", () => resolve({ status, headers, body }));
+      });
+      req.on("error", () => resolve({ status: 0, headers: {}, body: "" }));
+      req.end("{}");
+    });
+  }
+
+  close(): void {
+    this.#front.close();
+    for (const server of this.#servers) server.close();
+  }
+}
+
+/** The head of an upstream's answer, as bytes. */
+export function headText(
+  status: number,
+  headers: Readonly<Record<string, string | number>> = {},
+): string {
+  const all = { "X-Request-Id": "r1", Connection: "close", ...headers };
+  const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}`);
+  return [`HTTP/1.1 ${status} -`, ...lines, "", ""].join("\r\n");
+}
+
+async function listen(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return (server.address() as AddressInfo).port;
+}
