Count crashes that show after the head, in a stream, or as silence

What callers saw: content that crashed an upstream after its answer had begun, or one that fell silent instead of closing, was never refused. Cause: only a connection that broke before any head counted, and only if it broke before the register named the upstream as gone. Now every attempt reports one outcome for its content (disconnected, silent, not run, answered), and a loss that is noticed after the register was read counts at once. A whole answer clears a content only if it is a success: upstreams that fail everything (500) cleared contents that they had not run.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -55,6 +55,11 @@
     return this.#status;
   }
 
+  /** Whether the upstream's status says success. */
+  get succeeded(): boolean {
+    return this.#status <= MAX_SUCCESS;
+  }
+
   /** Whether bytes were passed on that no other attempt can continue. */
   get sealed(): boolean {
     return this.#answer.begun && this.#head?.events !== true;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -158,15 +158,22 @@
   }
 
   #broken(detail: string): void {
-    if (this.#res !== undefined) this.#fail("answer_broken", detail);
-    else if (this.#sent) this.#fail("upstream_crashed", detail);
-    else this.#fail("connect_failed", detail);
+    const disconnected = this.#sent;
+    if (this.#res !== undefined) {
+      this.#fail("answer_broken", detail, { disconnected });
+    } else if (this.#sent) {
+      this.#fail("upstream_crashed", detail, { disconnected });
+    } else this.#fail("connect_failed", detail);
   }
 
-  #fail(cause: Retry, detail: string): void {
+  #fail(
+    cause: Retry,
+    detail: string,
+    options: Readonly<{ disconnected?: boolean }> = {},
+  ): void {
     if (this.#over) return;
     const verdict = this.verdict;
     this.abort();
-    this.#listener.fail({ cause, verdict, detail, blamed: true });
+    this.#listener.fail({ cause, verdict, detail, blamed: true, ...options });
   }
 }
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -1,8 +1,11 @@
 import type { UpstreamId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
+import type { ContentReport } from "./content_report.ts";
 
 /** Time in which an upstream's crash shows in the register: its entry lapses, or another process takes its place. */
 const CONFIRM_MS: Millis = 10_000;
+/** Time in which an attempt is seen to fail whose upstream the register has just named as gone or replaced. */
+const NOTICE_MS: Millis = 1_000;
 /** Connections with different contents that break within this time broke because their upstream crashed. */
 const TOGETHER_MS: Millis = 300;
 /** How long a content that has crashed upstreams is held against it. */
@@ -14,7 +17,13 @@
 /** Contents and connections that are remembered at most. */
 const MAX_ENTRIES = 256;
 
-type Broken = Readonly<{ digest: string; upstream: UpstreamId; at: Timestamp }>;
+type Broken = Readonly<{
+  digest: string;
+  upstream: UpstreamId;
+  at: Timestamp;
+  /** Whether the connection broke, rather than fell silent. */
+  disconnected: boolean;
+}>;
 
 /** How a crash was confirmed. */
 export type CrashEvidence = "register" | "unreachable" | "together";
@@ -39,6 +48,8 @@
  */
 export class CrashSuspects {
   #broken: Broken[] = [];
+  /** Upstreams whose process ended of late; the attempts that ran there may fail only afterwards. */
+  readonly #gone = new Map<UpstreamId, Timestamp>();
   readonly #suspects = new Map<string, Suspect>();
 
   static create(): CrashSuspects {
@@ -55,21 +66,56 @@
     return this.#suspects.get(digest)?.crashes ?? 0;
   }
 
+  /** Applies how an upstream fared with some content. */
+  report(
+    report: ContentReport,
+    upstream: UpstreamId,
+    now: Timestamp,
+  ): readonly ContentUpdate[] {
+    const { digest, outcome } = report;
+    switch (outcome) {
+      case "disconnected":
+        return this.connectionBroke(digest, upstream, now);
+      case "silent":
+        return this.#lost(digest, upstream, now);
+      case "answered":
+        return this.answered(digest);
+      case "not_run":
+        return [];
+    }
+  }
+
   /** Notes that the connection broke on which an upstream ran some content. */
   connectionBroke(
     digest: string,
     upstream: UpstreamId,
     at: Timestamp,
   ): readonly ContentUpdate[] {
-    this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
     const together = this.#broken.some((one) =>
-      one.upstream === upstream && one.digest !== digest &&
+      one.upstream === upstream && one.digest !== digest && one.disconnected &&
       at - one.at <= TOGETHER_MS
     );
+    const updates = this.#lost(digest, upstream, at, { disconnected: true });
+    if (!together) return updates;
+    return [...updates, ...this.upstreamGone(upstream, "together", at)];
+  }
+
+  /** Notes that an upstream was lost while it may have been at work on some content. */
+  #lost(
+    digest: string,
+    upstream: UpstreamId,
+    at: Timestamp,
+    options: Readonly<{ disconnected?: boolean }> = {},
+  ): readonly ContentUpdate[] {
+    const disconnected = options.disconnected === true;
+    this.#broken = this.#broken.filter((one) => at - one.at <= CONFIRM_MS);
     if (this.#broken.length < MAX_ENTRIES) {
-      this.#broken.push({ digest, upstream, at });
+      this.#broken.push({ digest, upstream, at, disconnected });
     }
-    return together ? this.upstreamGone(upstream, "together", at) : [];
+    const goneAt = this.#gone.get(upstream) ?? -Infinity;
+    // A leaving upstream serves on after its entry is gone, and then closes its connections.
+    if (at - goneAt > (disconnected ? NOTICE_MS : CONFIRM_MS)) return [];
+    return this.upstreamGone(upstream, "register", at);
   }
 
   /** Notes that an upstream's process is gone. */
@@ -78,6 +124,12 @@
     evidence: CrashEvidence,
     now: Timestamp,
   ): readonly ContentUpdate[] {
+    if (evidence === "register") {
+      this.#gone.set(upstream, now);
+      for (const [id, at] of this.#gone) {
+        if (now - at > CONFIRM_MS) this.#gone.delete(id);
+      }
+    }
     // One crash counts once for a content, however many requests with it were running.
     const broken = new Map(
       this.#broken.filter((one) =>
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -54,6 +54,20 @@
   expect(suspects.mayRun("poison", at(8_000))).toBe(true);
 });
 
+test.each(["disconnected", "silent"] as const)(
+  "a crash counts that the register shows before the request fails: %s",
+  (outcome) => {
+    const suspects = CrashSuspects.create();
+    for (const [i, name] of ["e1", "e2"].entries()) {
+      const gone = at(4_000 * i);
+      suspects.upstreamGone(upstream(name), "register", gone);
+      const report = { digest: "poison", outcome };
+      suspects.report(report, upstream(name), at(gone + 50));
+    }
+    expect(suspects.mayRun("poison", at(4_100))).toBe(false);
+  },
+);
+
 test("an upstream that leaves long after a connection broke is not counted", () => {
   const suspects = CrashSuspects.create();
   for (const name of ["e1", "e2"]) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,12 +1,17 @@
 import type { Buffer } from "node:buffer";
 import type { UpstreamId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
-import type { Millis } from "../core/time.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
 import { joinVerdicts } from "../core/verdict.ts";
 import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientAnswer } from "./client_answer.ts";
+import {
+  type ContentReport,
+  outcomeOfFailure,
+  outcomeOfGivingUp,
+} from "./content_report.ts";
 import {
   AnswerTimes,
   askOf,
@@ -14,7 +19,11 @@
   helpersOf,
   notSent,
 } from "./exchange_parts.ts";
-import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
+import type {
+  ExchangePort,
+  ExchangeRequest,
+  JobUpdate,
+} from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
 import { type Backend, isRepeatable } from "./serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
@@ -42,7 +51,8 @@
   readonly #times = AnswerTimes.create();
   #limit: NodeJS.Timeout | undefined;
   #over = false;
-  #answered = false;
+  /** When the upstream of the attempt was last heard, or was sent the request. */
+  #heardAt = 0 as Timestamp;
 
   private constructor(
     port: ExchangePort,
@@ -78,7 +88,7 @@
   /** The client has gone: nothing more is done for it. */
   abandon(): void {
     if (this.#over) return;
-    this.#finish("left");
+    this.#finish("left", this.#outcomeOfGivingUp());
     this.#line("client_left", {
       placed: this.#tries.placed,
       events: this.#relay.events,
@@ -178,6 +188,7 @@
       },
     );
     this.#attempt = attempt;
+    this.#heardAt = this.#port.now();
     this.#watch(this.#silenceLimits.firstMs);
     attempt.start();
   }
@@ -195,6 +206,7 @@
 
   #onData(chunk: Buffer): void {
     const attempt = this.#attempt;
+    this.#heardAt = this.#port.now();
     const before = this.#relay.progress;
     const result = this.#relay.data(chunk, () => attempt?.resume());
     if (result === "broken") {
@@ -238,12 +250,17 @@
       attempts: this.#tries.placed,
       tokens: head.promptTokens,
     });
-    this.#finish("answered");
+    // Upstreams that fail may do so without running the content.
+    this.#finish("answered", this.#relay.succeeded ? "answered" : undefined);
   }
 
   #failAttempt(failure: AttemptFailure, culprit?: UpstreamId): void {
     const grant = this.#grant;
-    this.#endAttempt(failure, culprit);
+    this.#endAttempt({
+      phase: failure.blamed ? "failed" : "ended",
+      unreachable: failure.cause === "connect_failed" ? true : undefined,
+      content: this.#report(outcomeOfFailure(failure)),
+    }, culprit);
     const decision = this.#tries.fail(failure, {
       leftMs: this.#leftMs(),
       upstream: culprit ?? grant?.job.upstream,
@@ -290,6 +307,10 @@
     if (this.#over) return;
     const sent = this.#attempt?.verdict ?? "not_run";
     this.#tries.weaken(sent);
+    this.#endAttempt({
+      phase: "ended",
+      content: this.#report(this.#outcomeOfGivingUp()),
+    });
     this.#refuse(problem("deadline_exceeded", "The time is used up", {
       verdict: this.#tries.verdict,
       retryAfterMs: RETRY_AFTER_MS,
@@ -316,7 +337,18 @@
     else this.#answer.refuse(joined);
   }
 
-  #endAttempt(failure?: AttemptFailure, culprit?: UpstreamId): void {
+  #outcomeOfGivingUp(): ContentReport["outcome"] | undefined {
+    if (this.#attempt === undefined) return undefined;
+    const silentMs = this.#port.now() - this.#heardAt;
+    return outcomeOfGivingUp(silentMs, this.#req.admitted.route);
+  }
+
+  #report(outcome?: ContentReport["outcome"]): ContentReport | undefined {
+    if (outcome === undefined) return undefined;
+    return { digest: this.#req.digest, outcome };
+  }
+
+  #endAttempt(update: JobUpdate, culprit?: UpstreamId): void {
     clearTimeout(this.#silence);
     this.#attempt?.abort();
     this.#attempt = undefined;
@@ -330,23 +362,17 @@
       return;
     }
     this.#job = undefined;
-    const crashed = failure?.cause === "upstream_crashed"
-      ? this.#req.digest
-      : undefined;
-    this.#port.progress(job.id, culprit ?? job.upstream, {
-      phase: failure?.blamed === true ? "failed" : "ended",
-      crashed,
-      unreachable: failure?.cause === "connect_failed" ? true : undefined,
-      answered: this.#answered ? this.#req.digest : undefined,
-    });
+    this.#port.progress(job.id, culprit ?? job.upstream, update);
   }
 
-  #finish(outcome: "answered" | "failed" | "left"): void {
+  #finish(
+    ending: "answered" | "failed" | "left",
+    content?: ContentReport["outcome"],
+  ): void {
     this.#over = true;
-    this.#answered = outcome === "answered";
     clearTimeout(this.#limit);
-    this.#endAttempt();
-    this.#port.observe.ended(outcome);
+    this.#endAttempt({ phase: "ended", content: this.#report(content) });
+    this.#port.observe.ended(ending);
   }
 
   #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -6,6 +6,7 @@
 import type { Verdict } from "../core/verdict.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolReply } from "./placement_port.ts";
+import type { ContentReport } from "./content_report.ts";
 import type { ClientHead, Dialect } from "./dialect.ts";
 import type { EngineOrders } from "./engine_orders.ts";
 import type { Admitted } from "./route_table.ts";
@@ -24,12 +25,13 @@
   digest: string;
 }>;
 
-/** How a job goes on; the digests tell content that crashes upstreams from content that doesn't. */
+/** How a job goes on. */
 export type JobUpdate = Readonly<{
   phase: "started" | "ended" | "failed";
-  crashed?: string;
+  /** Whether no one took a connection at the upstream's address. */
   unreachable?: boolean;
-  answered?: string;
+  /** How the upstream fared with the content, which tells content that crashes upstreams. */
+  content?: ContentReport;
 }>;
 
 /** What an exchange needs of the daemon that it runs in. */
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -2,6 +2,7 @@
 import type { Problem } from "../core/problem.ts";
 import type { Millis } from "../core/time.ts";
 import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { ContentReport } from "./content_report.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
 import type { StoreError } from "./platform_store.ts";
 import type { Serving } from "./serving.ts";
@@ -18,9 +19,8 @@
     job: JobId;
     upstream: UpstreamId;
     phase: "started" | "ended" | "failed";
-    crashed?: string;
     unreachable?: boolean;
-    answered?: string;
+    content?: ContentReport;
   }>
   | Readonly<{ type: "serving_read"; serving?: Serving; next: number }>
   | Readonly<{ type: "serving_fetched"; serving: Serving }>
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -7,6 +7,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import { idSchema } from "../wire/brands.ts";
+import { ContentReportSchema } from "./content_report.ts";
 import type { ConfigVersion } from "./serving.ts";
 import type { DomainId, RequestId } from "../core/id.ts";
 
@@ -166,12 +167,9 @@
     job: z.string().transform((id) => id as JobId),
     upstream,
     phase: z.enum(["started", "ended", "failed"]),
-    /** Digest of the content that was running when its connection broke. */
-    crashed: z.string().optional(),
     /** Whether no one took a connection at the upstream's address. */
     unreachable: z.boolean().optional(),
-    /** Digest of content that was answered well. */
-    answered: z.string().optional(),
+    content: ContentReportSchema.optional(),
   }),
 ]);
 /** What daemons tell each other. */
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -250,17 +250,13 @@
       else load.clear(step.now);
     }
     const { upstream } = one;
-    if (one.crashed !== undefined) {
-      const broke = suspects.connectionBroke(one.crashed, upstream, step.now);
-      this.#tellContent(step, broke);
+    if (one.content !== undefined) {
+      this.#tellContent(step, suspects.report(one.content, upstream, step.now));
     }
     if (one.unreachable === true) {
       const gone = suspects.upstreamGone(upstream, "unreachable", step.now);
       this.#tellContent(step, gone);
     }
-    if (one.answered !== undefined) {
-      this.#tellContent(step, suspects.answered(one.answered));
-    }
   }
 
   /** Logs what has changed about contents that crash upstreams. */
--- a/src/gateway/retry_rule.ts
+++ b/src/gateway/retry_rule.ts
@@ -10,6 +10,8 @@
   detail: string;
   /** Whether the upstream is to blame, and should be avoided for a while. */
   blamed: boolean;
+  /** Whether the connection broke while the upstream was at work. */
+  disconnected?: boolean;
   /** Retry-After of the upstream. */
   retryAfterMs?: Millis;
 }>;
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -76,10 +76,12 @@
       queueMicrotask(() => reply(ok(grant)));
     },
     withdraw: () => {},
-    progress: (_job, upstream, { phase, crashed, answered }) => {
+    progress: (_job, upstream, { phase, content }) => {
       notes.progress.push(`${upstream} ${phase}`);
-      if (crashed !== undefined) notes.contents.push(`lost ${upstream}`);
-      if (answered !== undefined) notes.contents.push(`answered ${upstream}`);
+      if (content === undefined) return;
+      const { outcome } = content;
+      const lost = outcome === "disconnected" || outcome === "silent";
+      notes.contents.push(`${lost ? "lost" : outcome} ${upstream}`);
     },
     upstreamAt: () => undefined,
     isClosed: () => false,
--- a/src/testing/poison_play.ts
+++ b/src/testing/poison_play.ts
@@ -101,7 +101,7 @@
       job: content as JobId,
       upstream,
       phase: "failed",
-      crashed: content,
+      content: { digest: content, outcome: "disconnected" },
     } as const));
     this.fleet.step(this.#draw(), events);
     this.#endUpstream(upstream);
@@ -126,7 +126,7 @@
           job: id,
           upstream,
           phase: "failed",
-          crashed: POISON,
+          content: { digest: POISON, outcome: "disconnected" },
         }]);
         this.#endUpstream(upstream);
       });
