Bound the trials of quarantined content, and keep it whatever else crashes

Now a quarantined content is tried with one request after 5 s; after its third crash three more requests at most are let through in an hour. Suspects make room before quarantined contents, pending losses are kept for each upstream, and refusals carry the time of the next trial as Retry-After. A trial that the upstream has not run is given back.

--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -1,57 +1,102 @@
-import { expect, test } from "vitest";
+import { describe, expect, test } from "vitest";
 import type { UpstreamId } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
+import type { JobId } from "../scheduling/pool/pool_job.ts";
+import type { ContentReport } from "./content_report.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 
 const at = (ms: number) => ms as Timestamp;
 const upstream = (name: string) => name as UpstreamId;
+const TRIAL = "trial" as JobId;
+
+function report(
+  suspects: CrashSuspects,
+  content: ContentReport,
+  one: Readonly<{ on: string; ms: number; job?: JobId }>,
+): void {
+  const job = one.job ?? "job" as JobId;
+  const attempt = { job, upstream: upstream(one.on), startedAt: 1 };
+  suspects.report(content, attempt, at(one.ms));
+}
+
+function broke(
+  suspects: CrashSuspects,
+  digest: string,
+  one: Readonly<{ on: string; ms: number }>,
+): void {
+  report(suspects, { digest, outcome: "disconnected" }, one);
+}
+
+function gone(suspects: CrashSuspects, name: string, ms: number): void {
+  suspects.upstreamGone(upstream(name), "register", at(ms));
+}
 
 function crash(suspects: CrashSuspects, name: string, ms: number): void {
-  suspects.connectionBroke("poison", upstream(name), at(ms));
-  suspects.upstreamGone(upstream(name), "register", at(ms + 3_600));
+  broke(suspects, "poison", { on: name, ms });
+  gone(suspects, name, ms + 3_600);
+}
+
+function mayRun(suspects: CrashSuspects, digest: string, ms: number): boolean {
+  return suspects.decide(digest, TRIAL, at(ms)).type !== "refuse";
+}
+
+/** Times at which a request with the content may run, if it is sent every 100 ms and crashes each time. */
+function triedAt(
+  suspects: CrashSuspects,
+  span: Readonly<{ fromMs: number; toMs: number }>,
+): readonly number[] {
+  const tried: number[] = [];
+  for (let ms = span.fromMs; ms < span.toMs; ms += 100) {
+    if (!mayRun(suspects, "poison", ms)) continue;
+    tried.push(ms);
+    broke(suspects, "poison", { on: `e${ms}`, ms });
+    gone(suspects, `e${ms}`, ms);
+  }
+  return tried;
 }
 
 test("content that has crashed two upstreams is refused", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
-  expect(suspects.mayRun("poison", at(4_000))).toBe(true);
+  expect(mayRun(suspects, "poison", 4_000)).toBe(true);
   crash(suspects, "e2", 4_000);
-  expect(suspects.mayRun("poison", at(8_000))).toBe(false);
+  expect(mayRun(suspects, "poison", 8_000)).toBe(false);
 });
 
 test("broken connections to upstreams that live on prove nothing", () => {
   const suspects = CrashSuspects.create();
   for (const name of ["e1", "e2", "e3"]) {
-    suspects.connectionBroke("healthy", upstream(name), at(0));
+    broke(suspects, "healthy", { on: name, ms: 0 });
   }
-  expect(suspects.mayRun("healthy", at(1_000))).toBe(true);
+  expect(mayRun(suspects, "healthy", 1_000)).toBe(true);
 });
 
 test("connections that break together show a crash at once", () => {
   const suspects = CrashSuspects.create();
   for (const name of ["e1", "e2"]) {
-    suspects.connectionBroke(`beside on ${name}`, upstream(name), at(0));
-    suspects.connectionBroke("poison", upstream(name), at(10));
+    broke(suspects, `beside on ${name}`, { on: name, ms: 0 });
+    broke(suspects, "poison", { on: name, ms: 10 });
   }
-  expect(suspects.mayRun("poison", at(20))).toBe(false);
-  expect(suspects.mayRun("beside on e1", at(20))).toBe(true);
+  expect(mayRun(suspects, "poison", 20)).toBe(false);
+  expect(mayRun(suspects, "beside on e1", 20)).toBe(true);
 });
 
 test("popular content that was running several times on one upstream counts once", () => {
   const suspects = CrashSuspects.create();
-  for (let i = 0; i < 3; i += 1) {
-    suspects.connectionBroke("popular", upstream("e1"), at(i));
+  for (let ms = 0; ms < 3; ms += 1) {
+    broke(suspects, "popular", { on: "e1", ms });
   }
-  suspects.upstreamGone(upstream("e1"), "register", at(3_600));
-  expect(suspects.mayRun("popular", at(4_000))).toBe(true);
+  gone(suspects, "e1", 3_600);
+  expect(mayRun(suspects, "popular", 4_000)).toBe(true);
 });
 
 test("an answer clears the content, as popular content was running wherever something crashed", () => {
   const suspects = CrashSuspects.create();
   crash(suspects, "e1", 0);
-  suspects.answered("poison");
+  const answered = { digest: "poison", outcome: "answered" } as const;
+  report(suspects, answered, { on: "e3", ms: 3_800 });
   crash(suspects, "e2", 4_000);
-  expect(suspects.mayRun("poison", at(8_000))).toBe(true);
+  expect(mayRun(suspects, "poison", 8_000)).toBe(true);
 });
 
 test.each(["disconnected", "silent"] as const)(
@@ -59,44 +104,100 @@
   (outcome) => {
     const suspects = CrashSuspects.create();
     for (const [i, name] of ["e1", "e2"].entries()) {
-      const gone = at(4_000 * i);
-      suspects.upstreamGone(upstream(name), "register", gone);
-      const report = { digest: "poison", outcome };
-      suspects.report(report, upstream(name), at(gone + 50));
+      const ms = 4_000 * i;
+      gone(suspects, name, ms);
+      report(suspects, { digest: "poison", outcome }, {
+        on: name,
+        ms: ms + 50,
+      });
     }
-    expect(suspects.mayRun("poison", at(4_100))).toBe(false);
+    expect(mayRun(suspects, "poison", 4_100)).toBe(false);
   },
 );
 
 test("an upstream that leaves long after a connection broke is not counted", () => {
   const suspects = CrashSuspects.create();
   for (const name of ["e1", "e2"]) {
-    suspects.connectionBroke("healthy", upstream(name), at(0));
-    suspects.upstreamGone(upstream(name), "register", at(20_000));
+    broke(suspects, "healthy", { on: name, ms: 0 });
+    gone(suspects, name, 20_000);
   }
-  expect(suspects.mayRun("healthy", at(20_000))).toBe(true);
+  expect(mayRun(suspects, "healthy", 20_000)).toBe(true);
 });
 
-test("refused content is tried again, one request at a time and less and less often", () => {
-  const suspects = CrashSuspects.create();
-  crash(suspects, "e1", 0);
-  crash(suspects, "e2", 4_000);
-  const tried: number[] = [];
-  for (let ms = 8_000; ms < 68_000; ms += 100) {
-    if (!suspects.mayRun("poison", at(ms))) continue;
-    tried.push(ms);
-    suspects.connectionBroke("poison", upstream(`e${ms}`), at(ms));
-    suspects.upstreamGone(upstream(`e${ms}`), "register", at(ms));
-  }
-  expect(tried).toEqual([12_600, 22_600, 42_600]);
-});
+describe("quarantined content", () => {
+  test("is tried again with one request, and then with three at most in an hour", () => {
+    const suspects = CrashSuspects.create();
+    crash(suspects, "e1", 0);
+    crash(suspects, "e2", 4_000);
+    const span = { fromMs: 8_000, toMs: 3_600_000 };
+    expect(triedAt(suspects, span)).toEqual([
+      12_600,
+      72_600,
+      192_600,
+      432_600,
+    ]);
+  });
 
-test("content that was refused wrongly is free again after one answer", () => {
-  const suspects = CrashSuspects.create();
-  crash(suspects, "e1", 0);
-  crash(suspects, "e2", 4_000);
-  expect(suspects.mayRun("poison", at(12_600))).toBe(true);
-  expect(suspects.mayRun("poison", at(12_700))).toBe(false);
-  suspects.answered("poison");
-  expect(suspects.mayRun("poison", at(12_800))).toBe(true);
+  test("is tried less and less often while its trials come to nothing", () => {
+    const suspects = CrashSuspects.create();
+    crash(suspects, "e1", 0);
+    crash(suspects, "e2", 4_000);
+    const tried: number[] = [];
+    for (let ms = 8_000; ms < 68_000; ms += 100) {
+      if (mayRun(suspects, "poison", ms)) tried.push(ms);
+    }
+    expect(tried).toEqual([12_600, 22_600, 42_600]);
+  });
+
+  test("gets its trial back if the upstream has not run it", () => {
+    const suspects = CrashSuspects.create();
+    crash(suspects, "e1", 0);
+    crash(suspects, "e2", 4_000);
+    expect(mayRun(suspects, "poison", 12_600)).toBe(true);
+    const refused = { digest: "poison", outcome: "not_run" } as const;
+    report(suspects, refused, { on: "e3", ms: 12_700, job: TRIAL });
+    expect(mayRun(suspects, "poison", 17_600)).toBe(true);
+  });
+
+  test("is free again after one answer", () => {
+    const suspects = CrashSuspects.create();
+    crash(suspects, "e1", 0);
+    crash(suspects, "e2", 4_000);
+    expect(mayRun(suspects, "poison", 12_600)).toBe(true);
+    expect(mayRun(suspects, "poison", 12_700)).toBe(false);
+    const answered = { digest: "poison", outcome: "answered" } as const;
+    report(suspects, answered, { on: "e3", ms: 12_750 });
+    expect(mayRun(suspects, "poison", 12_800)).toBe(true);
+  });
+
+  test("is not pushed out by the contents of a thousand crashes", () => {
+    const suspects = CrashSuspects.create();
+    crash(suspects, "e1", 0);
+    crash(suspects, "e2", 4_000);
+    for (let i = 0; i < 1_000; i += 1) {
+      for (let j = 0; j < 8; j += 1) {
+        broke(suspects, `other-${i}-${j}`, { on: `f${i}`, ms: 8_000 + i });
+      }
+      gone(suspects, `f${i}`, 8_000 + i);
+    }
+    expect(suspects.size).toBeLessThanOrEqual(1_024);
+    expect(mayRun(suspects, "poison", 9_100)).toBe(false);
+  });
+
+  test("is found although hundreds of other connections break meanwhile", () => {
+    const suspects = CrashSuspects.create();
+    for (const [i, name] of ["e1", "e2"].entries()) {
+      const ms = 4_000 * i;
+      const breakOthers = (from: number, to: number) => {
+        for (let j = from; j < to; j += 1) {
+          broke(suspects, `other-${i}-${j}`, { on: `f${j}`, ms });
+        }
+      };
+      breakOthers(0, 300);
+      broke(suspects, "poison", { on: name, ms });
+      breakOthers(300, 900);
+      gone(suspects, name, ms + 3_600);
+    }
+    expect(mayRun(suspects, "poison", 8_000)).toBe(false);
+  });
 });
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -84,12 +84,22 @@
     replyTo: ReplyTo,
   ): void {
     const { serving, register, pool } = board;
-    if (!pool.suspects.mayRun(ask.digest, step.now)) {
+    const content = pool.suspects.decide(ask.digest, ask.job, step.now);
+    if (content.type === "refuse") {
       const detail = "This content has crashed its upstreams";
-      const result = err(problem("quarantined", detail));
+      const { retryAfterMs } = content;
+      const result = err(problem("quarantined", detail, { retryAfterMs }));
       this.#report(board, step, { ask, result }, replyTo);
       return;
     }
+    if (content.type === "trial") {
+      const crashes = pool.suspects.crashes(ask.digest);
+      step.line("content_trial", {
+        req: ask.req,
+        content: ask.digest,
+        crashes,
+      });
+    }
     const pace = serving.routes?.serving.services.get(ask.service)?.pace;
     const members = register.table.open(ask.service);
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
@@ -251,7 +261,10 @@
     }
     const { upstream } = one;
     if (one.content !== undefined) {
-      this.#tellContent(step, suspects.report(one.content, upstream, step.now));
+      const { job } = one;
+      const startedAt = board.register.table.get(upstream)?.startedAt ?? 0;
+      const attempt = { job, upstream, startedAt };
+      this.#tellContent(step, suspects.report(one.content, attempt, step.now));
     }
     if (one.unreachable === true) {
       const gone = suspects.upstreamGone(upstream, "unreachable", step.now);
@@ -262,15 +275,15 @@
   /** Logs what has changed about contents that crash upstreams. */
   #tellContent(step: GatewayStep, updates: readonly ContentUpdate[]): void {
     for (const { kind, digest, crashes, ...evidence } of updates) {
-      const { upstream, evidence: by, brokeMsAgo } = evidence;
+      const { upstream, evidence: by, lostMsAgo } = evidence;
       step.line(`content_${kind}`, {
         content: digest,
         crashes,
         ...(upstream === undefined ? {} : { upstream }),
         ...(by === undefined ? {} : { by }),
-        ...(brokeMsAgo === undefined
+        ...(lostMsAgo === undefined
           ? {}
-          : { broke_ms_ago: Math.round(brokeMsAgo) }),
+          : { lost_ms_ago: Math.round(lostMsAgo) }),
       });
     }
   }
