Let all daemons know which contents are quarantined, also after a change of the leader

Cause, and the class of the fault: a belief that forbids something lived in the memory of two processes, and a process that had not heard of it took that for a permission. Heartbeats and their replies now carry a mark of what is known of quarantined contents, and the records where the marks differ; leader and deputy tell each other all suspects too. Tables merge in any order: an epoch counts how often a content was cleared, crashes are the set of processes that ended. Only a daemon that leads at least half of all known ones lets a trial through. Crash counting has a controller and a board section of its own.

--- /dev/null
+++ b/src/gateway/content_controller.ts
@@ -0,0 +1,78 @@
+import type { ContentUpdate } from "./crash_suspects.ts";
+import type { GatewayBoard } from "./gateway_board.ts";
+import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
+import type { GatewayEvent } from "./gateway_event.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+/** How a job went on, here or at another daemon. */
+type Progress = Pick<
+  Extract<PeerMessage, { type: "progress" }>,
+  "job" | "upstream" | "unreachable" | "content"
+>;
+
+/** Gathers what is known of contents that crash their upstreams, from this daemon's attempts and from other daemons. */
+export class ContentController extends GatewayController {
+  static create(): ContentController {
+    return new ContentController();
+  }
+
+  override step(board: GatewayBoard, step: GatewayStep): void {
+    const { suspects } = board.contents;
+    suspects.expire(step.now);
+    for (const { kind, id } of board.register.updates) {
+      if (kind !== "gone" && kind !== "restarted") continue;
+      this.#tell(step, suspects.upstreamGone(id, "register", step.now));
+    }
+    for (const event of step.events) this.#take(board, step, event);
+  }
+
+  #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
+    if (event.type === "job") this.#progress(board, step, event);
+    if (event.type === "message") this.#hear(board, step, event.message);
+  }
+
+  #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
+    if (message.type === "progress") this.#progress(board, step, message);
+    if (message.type !== "heartbeat" && message.type !== "heartbeat_reply") {
+      return;
+    }
+    const { from, contents } = message;
+    const { suspects } = board.contents;
+    const learnt = suspects.merge(contents?.records ?? [], step.now);
+    for (const { digest, crashes, epoch } of learnt) {
+      const content = { content: digest, crashes, epoch };
+      step.line("content_learnt", { ...content, from: from.vm });
+    }
+  }
+
+  #progress(board: GatewayBoard, step: GatewayStep, one: Progress): void {
+    const { job, upstream, content } = one;
+    const { suspects } = board.contents;
+    if (content !== undefined) {
+      const startedAt = board.register.table.get(upstream)?.startedAt ?? 0;
+      const attempt = { job, upstream, startedAt };
+      this.#tell(step, suspects.report(content, attempt, step.now));
+    }
+    if (one.unreachable === true) {
+      this.#tell(
+        step,
+        suspects.upstreamGone(upstream, "unreachable", step.now),
+      );
+    }
+  }
+
+  #tell(step: GatewayStep, updates: readonly ContentUpdate[]): void {
+    for (const { kind, digest, crashes, ...found } of updates) {
+      const { upstream, evidence, lostMsAgo } = found;
+      step.line(`content_${kind}`, {
+        content: digest,
+        crashes,
+        ...(upstream === undefined ? {} : { upstream }),
+        ...(evidence === undefined ? {} : { by: evidence }),
+        ...(lostMsAgo === undefined
+          ? {}
+          : { lost_ms_ago: Math.round(lostMsAgo) }),
+      });
+    }
+  }
+}
--- a/src/gateway/content_table.ts
+++ b/src/gateway/content_table.ts
@@ -1,5 +1,6 @@
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
+import type { ContentRecord } from "./content_record.ts";
 
 const MINUTE_MS: Millis = 60 * SECOND_MS;
 /** Confirmed crashes after which a content is quarantined; the platform tolerates three. */
@@ -11,20 +12,30 @@
 const TRIAL_MS: Millis = 5 * SECOND_MS;
 /** The same after the third crash, doubled by each further one. */
 const CERTAIN_TRIAL_MS: Millis = MINUTE_MS;
+/** Shortest Retry-After of a quarantined content; a client that comes sooner can't find it changed. */
+const MIN_RETRY_AFTER_MS: Millis = SECOND_MS;
 /** How long a suspected content is remembered, and how long a quarantined one. */
 const SUSPECT_MS: Millis = MINUTE_MS;
 const QUARANTINE_MS: Millis = 60 * MINUTE_MS;
 /** Contents that are remembered at most: some minutes of crashes with full slots. */
 const MAX_CONTENTS = 1_024;
+/** Processes that are remembered of those lost with one content; more make no difference. */
+const MAX_LOST = 8;
+/** Records that are told at a time; one message holds them. */
+const MAX_RECORDS = 64;
+/** How often entries that are too old are looked for. */
+const EXPIRE_MS: Millis = 10 * SECOND_MS;
 
 /** What is known of one content that was lost with upstreams. */
 type Content = {
-  /** Upstream processes that have ended with it. */
+  /** Counts how often the content was cleared. */
+  epoch: number;
+  /** Upstream processes that have ended with it; none where it was cleared. */
   readonly lost: Set<string>;
   /** Requests that were let through although the content is quarantined. */
   trials: number;
   trial?: JobId;
-  /** Time of the last crash or trial. */
+  /** Time of the last crash or trial, or when it was cleared. */
   at: Timestamp;
 };
 
@@ -33,16 +44,37 @@
   | Readonly<{ type: "run" | "trial" }>
   | Readonly<{ type: "refuse"; crashes: number; retryAfterMs: Millis }>;
 
-/** Contents that may crash the upstreams that run them; what is quarantined is never dropped for what isn't. */
+/** What is known of one content; the epochs of two daemons decide whose knowledge counts. */
+export type ContentChange = Readonly<
+  { digest: string; crashes: number; epoch: number }
+>;
+
+/**
+ * Contents that may crash the upstreams that run them; what is quarantined is never dropped for what isn't. Tables of
+ * several daemons come to agree in whatever order they hear from each other.
+ */
 export class ContentTable {
   readonly #contents = new Map<string, Content>();
+  #mark: string | undefined;
+  #expireAt = 0 as Timestamp;
 
   static create(): ContentTable {
     return new ContentTable();
   }
 
+  /** Contents that have crashed an upstream. */
   get size(): number {
-    return this.#contents.size;
+    return [...this.#contents.values()].filter((one) => one.lost.size > 0)
+      .length;
+  }
+
+  /** Changes with what is known of quarantined contents; empty where none is. */
+  get mark(): string {
+    this.#mark ??= [...this.#contents].filter(([, one]) => isQuarantined(one))
+      .map(([digest, one]) =>
+        `${digest}:${one.epoch}:${one.lost.size}:${one.trials}`
+      ).sort().join(" ");
+    return this.#mark;
   }
 
   /** Confirmed crashes of a content. */
@@ -52,42 +84,105 @@
 
   /** Counts the end of an upstream's process against a content; returns how many there are. */
   crashed(digest: string, upstream: string, now: Timestamp): number {
-    const content = this.#contents.get(digest) ??
-      { lost: new Set<string>(), trials: 0, at: now };
-    content.lost.add(upstream);
+    const content = this.#contents.get(digest) ?? createContent(now);
+    if (content.lost.size < MAX_LOST) content.lost.add(upstream);
     content.at = now;
     this.#put(digest, content, now);
     return content.lost.size;
   }
 
-  /** Forgets a content that was answered; returns how many crashes were counted. */
-  clear(digest: string): number {
-    const crashes = this.crashes(digest);
-    this.#contents.delete(digest);
-    return crashes;
+  /** Clears a content that was answered; returns how many crashes were counted. */
+  clear(digest: string, now: Timestamp): number {
+    const known = this.#contents.get(digest);
+    if (known === undefined || known.lost.size === 0) return 0;
+    // The entry stays for a while, so that other daemons learn of it.
+    const cleared = { ...createContent(now), epoch: known.epoch + 1 };
+    this.#put(digest, cleared, now);
+    return known.lost.size;
+  }
+
+  /** What others should know: quarantined contents first, then those that were cleared, then the newest suspects. */
+  records(now: Timestamp): readonly ContentRecord[] {
+    const rank = (one: Content) =>
+      isQuarantined(one) ? 0 : one.lost.size === 0 ? 1 : 2;
+    return [...this.#contents]
+      .sort(([, a], [, b]) => rank(a) - rank(b) || b.at - a.at)
+      .slice(0, MAX_RECORDS)
+      .map(([digest, { epoch, lost, trials, at }]) => ({
+        digest,
+        epoch,
+        lost: [...lost],
+        trials,
+        ageMs: Math.round(now - at),
+      }));
+  }
+
+  /** Takes over what another daemon, or the store, knows; returns what was new here. */
+  merge(
+    records: readonly ContentRecord[],
+    now: Timestamp,
+  ): readonly ContentChange[] {
+    return records.flatMap((record) => {
+      const { digest, epoch } = record;
+      const known = this.#contents.get(digest);
+      if (known !== undefined && epoch < known.epoch) return [];
+      const base = known?.epoch === epoch
+        ? known
+        : { ...createContent(addMs(now, -record.ageMs)), epoch };
+      const lost = [...new Set([...base.lost, ...record.lost])];
+      const merged = {
+        ...base,
+        lost: new Set(lost.slice(0, MAX_LOST)),
+        trials: Math.max(base.trials, record.trials),
+        at: Math.max(base.at, now - record.ageMs) as Timestamp,
+      };
+      if (now - merged.at > keepMs(merged)) return [];
+      this.#put(digest, merged, now);
+      const crashes = merged.lost.size;
+      const same = known?.epoch === epoch && known.lost.size === crashes &&
+        known.trials === merged.trials;
+      return same ? [] : [{ digest, crashes, epoch }];
+    });
+  }
+
+  /** Drops what is too old. */
+  expire(now: Timestamp): void {
+    if (now < this.#expireAt) return;
+    this.#expireAt = addMs(now, EXPIRE_MS);
+    for (const [digest, one] of this.#contents) {
+      if (now - one.at <= keepMs(one)) continue;
+      this.#contents.delete(digest);
+      this.#mark = undefined;
+    }
   }
 
   /**
    * Decides on a request. Load pattern: a client that sends the same poison request again and again, to any daemon.
    * Two upstreams may be lost to it; a quarantined content is then tried ever less often, as it may be healthy.
    */
-  decide(digest: string, job: JobId, now: Timestamp): ContentDecision {
+  decide(
+    digest: string,
+    now: Timestamp,
+    options: Readonly<{
+      job: JobId;
+      /** Whether this daemon may let a trial through, for all. */
+      mayTry: boolean;
+    }>,
+  ): ContentDecision {
     const content = this.#contents.get(digest);
     if (content === undefined || !isQuarantined(content)) {
       return { type: "run" };
     }
-    if (now - content.at > QUARANTINE_MS) {
-      this.#contents.delete(digest);
-      return { type: "run" };
-    }
     const waitMs = addMs(content.at, trialWaitMs(content)) - now;
-    if (waitMs > 0) {
+    if (waitMs > 0 || !options.mayTry) {
       const crashes = content.lost.size;
-      return { type: "refuse", crashes, retryAfterMs: Math.ceil(waitMs) };
+      const retryAfterMs = Math.ceil(Math.max(waitMs, MIN_RETRY_AFTER_MS));
+      return { type: "refuse", crashes, retryAfterMs };
     }
     content.trials += 1;
-    content.trial = job;
+    content.trial = options.job;
     content.at = now;
+    this.#mark = undefined;
     return { type: "trial" };
   }
 
@@ -97,16 +192,15 @@
     if (content?.trial !== job) return;
     content.trial = undefined;
     content.trials -= 1;
+    this.#mark = undefined;
   }
 
   #put(digest: string, content: Content, now: Timestamp): void {
     this.#contents.delete(digest);
     this.#contents.set(digest, content);
+    this.#mark = undefined;
     if (this.#contents.size <= MAX_CONTENTS) return;
-    for (const [key, one] of this.#contents) {
-      const keepMs = isQuarantined(one) ? QUARANTINE_MS : SUSPECT_MS;
-      if (now - one.at > keepMs) this.#contents.delete(key);
-    }
+    this.expire(now);
     // The oldest entry goes, quarantined ones last.
     const keys = [...this.#contents.keys()];
     const dropped =
@@ -115,6 +209,14 @@
   }
 }
 
+function createContent(at: Timestamp): Content {
+  return { epoch: 0, lost: new Set(), trials: 0, at };
+}
+
+function keepMs(content: Content): Millis {
+  return isQuarantined(content) ? QUARANTINE_MS : SUSPECT_MS;
+}
+
 function isQuarantined(content: Content): boolean {
   return content.lost.size >= MAX_CRASHES;
 }
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -2,7 +2,12 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
-import { type ContentDecision, ContentTable } from "./content_table.ts";
+import type { ContentRecord } from "./content_record.ts";
+import {
+  type ContentChange,
+  type ContentDecision,
+  ContentTable,
+} from "./content_table.ts";
 import { PendingLosses } from "./pending_losses.ts";
 
 /** How a crash was confirmed. */
@@ -52,8 +57,35 @@
   }
 
   /** Whether a request with some content may be placed. */
-  decide(digest: string, job: JobId, now: Timestamp): ContentDecision {
-    return this.#contents.decide(digest, job, now);
+  decide(
+    digest: string,
+    now: Timestamp,
+    options: Parameters<ContentTable["decide"]>[2],
+  ): ContentDecision {
+    return this.#contents.decide(digest, now, options);
+  }
+
+  /** Changes with what is known of quarantined contents; empty where none is. */
+  get mark(): string {
+    return this.#contents.mark;
+  }
+
+  /** What others should know. */
+  records(now: Timestamp): readonly ContentRecord[] {
+    return this.#contents.records(now);
+  }
+
+  /** Takes over what another daemon, or the store, knows; returns what was new here. */
+  merge(
+    records: readonly ContentRecord[],
+    now: Timestamp,
+  ): readonly ContentChange[] {
+    return this.#contents.merge(records, now);
+  }
+
+  /** Drops what is too old. */
+  expire(now: Timestamp): void {
+    this.#contents.expire(now);
   }
 
   /** Applies how an upstream fared with some content. */
@@ -68,7 +100,7 @@
       case "silent":
         return this.#lost(report, attempt, now);
       case "answered":
-        return this.#answered(digest);
+        return this.#answered(digest, now);
       case "not_run":
         this.#contents.notRun(digest, attempt.job);
         return [];
@@ -111,9 +143,9 @@
     return this.upstreamGone(upstream, evidence, at);
   }
 
-  #answered(digest: string): readonly ContentUpdate[] {
+  #answered(digest: string, now: Timestamp): readonly ContentUpdate[] {
     this.#losses.clear(digest);
-    const crashes = this.#contents.clear(digest);
+    const crashes = this.#contents.clear(digest, now);
     return crashes === 0 ? [] : [{ kind: "cleared", digest, crashes }];
   }
 }
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -37,7 +37,11 @@
 }
 
 function mayRun(suspects: CrashSuspects, digest: string, ms: number): boolean {
-  return suspects.decide(digest, TRIAL, at(ms)).type !== "refuse";
+  const decision = suspects.decide(digest, at(ms), {
+    job: TRIAL,
+    mayTry: true,
+  });
+  return decision.type !== "refuse";
 }
 
 /** Times at which a request with the content may run, if it is sent every 100 ms and crashes each time. */
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -53,6 +53,10 @@
 /** Written by the placement controller. */
 export type PoolSection = {
   readonly scheduler: PoolScheduler;
+};
+
+/** Written by the content controller; placing a request may take a trial of a quarantined content. */
+export type ContentSection = {
   readonly suspects: CrashSuspects;
 };
 
@@ -62,6 +66,7 @@
   members: MembersSection;
   serving: ServingSection;
   register: RegisterSection;
+  contents: ContentSection;
   pool: PoolSection;
 }>;
 
@@ -91,10 +96,8 @@
       asOf: NEVER,
       updates: [],
     },
-    pool: {
-      scheduler: PoolScheduler.create(),
-      suspects: CrashSuspects.create(),
-    },
+    contents: { suspects: CrashSuspects.create() },
+    pool: { scheduler: PoolScheduler.create() },
   };
 }
 
--- a/src/gateway/gateway_core.ts
+++ b/src/gateway/gateway_core.ts
@@ -1,4 +1,5 @@
 import type { Timestamp } from "../core/time.ts";
+import { ContentController } from "./content_controller.ts";
 import { createGatewayBoard, type GatewayBoard } from "./gateway_board.ts";
 import { type GatewayController, GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
@@ -25,6 +26,7 @@
       MembersController.create(),
       ServingController.create(),
       RegisterController.create(),
+      ContentController.create(),
       PlacementController.create(),
     ];
   }
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -284,7 +284,7 @@
       peers: board.members.table.live(now, liveMs(board)).length,
       jobs: board.pool.scheduler.accounts.jobs.size,
       requests_open: this.#front.open,
-      contents_suspected: board.pool.suspects.size,
+      contents_suspected: board.contents.suspects.size,
       log_lines_dropped: this.#log.dropped,
       datagrams_failed: this.#datagrams.failed,
       datagrams_unreadable: this.#unreadable,
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members_controller.ts
@@ -1,6 +1,8 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
+import type { VmId } from "../core/id.ts";
+import { shareContents } from "./share_contents.ts";
 import { compareLeaders } from "./member_table.ts";
 import { headsOf, heartbeatIntervalMs, isReady, liveMs } from "./membership.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
@@ -33,6 +35,8 @@
   readonly #speed = OwnSpeed.create();
   #roster: Roster | undefined;
   #rosterAt: Timestamp | undefined;
+  /** What leader and deputy last said that they know of quarantined contents. */
+  readonly #marks = new Map<VmId, string>();
 
   static create(): MembersController {
     return new MembersController();
@@ -91,6 +95,7 @@
     }
     if (message.type === "heartbeat") this.#answer(board, step, message);
     else {
+      this.#marks.set(from.vm, message.contents?.mark ?? "");
       const leads = from.vm === board.members.leader;
       const leading = board.members.leader === board.self.card.vm;
       if (message.roster !== undefined && (leads || leading)) {
@@ -119,6 +124,10 @@
           ? undefined
           : this.#currentRoster(board, step).since(heartbeat.roster),
         entries: behind ? register.table.all() : undefined,
+        contents: shareContents(board, step.now, {
+          to: heartbeat.from.vm,
+          mark: heartbeat.contents?.mark,
+        }),
       },
     });
   }
@@ -176,7 +185,9 @@
       const heads = changed
         ? table.heard(step.now, liveMs(board))
         : headsOf(board).flatMap((vm) => table.get(vm) ?? []);
-      for (const { peer } of heads) this.#sendHeartbeat(board, step, peer);
+      for (const { peer, vm } of heads) {
+        this.#sendHeartbeat(board, step, peer, vm);
+      }
       this.#heartbeatAt = addMs(step.now, members.heartbeatMs);
     }
     step.wake(this.#heartbeatAt);
@@ -232,7 +243,12 @@
     step.wake(this.#announceAt);
   }
 
-  #sendHeartbeat(board: GatewayBoard, step: GatewayStep, to: string): void {
+  #sendHeartbeat(
+    board: GatewayBoard,
+    step: GatewayStep,
+    to: string,
+    vm?: VmId,
+  ): void {
     const { self, pool } = board;
     if (to === self.card.peer) return;
     const jobs = [...pool.scheduler.accounts.jobs.values()]
@@ -247,6 +263,10 @@
         roster: this.#wantedRoster(board, step, to),
         jobs,
         paces: this.#knownPaces(board, step),
+        contents: shareContents(board, step.now, {
+          to: vm,
+          mark: vm === undefined ? undefined : this.#marks.get(vm),
+        }),
       },
     });
   }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -1,5 +1,5 @@
 import type { VmId } from "../core/id.ts";
-import type { Millis } from "../core/time.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 
 /** Time between heartbeats in a small system; a silent leader is noticed after two of them. */
@@ -22,6 +22,14 @@
   );
 }
 
+/** Whether this daemon leads at least half of all that it has ever heard of: at most one side of a cut has such a leader. */
+export function leadsMost(board: GatewayBoard, now: Timestamp): boolean {
+  const { leader, table } = board.members;
+  if (leader !== board.self.card.vm) return false;
+  const live = table.live(now, liveMs(board)).length;
+  return 2 * (live + 1) >= table.all().length + 1;
+}
+
 /** Silence after which a daemon counts as gone. */
 export function liveMs(board: GatewayBoard): Millis {
   return LOST_HEARTBEATS * board.members.heartbeatMs + HEARTBEAT_MS;
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -7,6 +7,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import { idSchema } from "../wire/brands.ts";
+import { ContentShareSchema } from "./content_record.ts";
 import { ContentReportSchema } from "./content_report.ts";
 import type { ConfigVersion } from "./serving.ts";
 import type { DomainId, RequestId } from "../core/id.ts";
@@ -127,6 +128,7 @@
     /** The engines that the leader knows to be slow. */
     paces: z.array(z.object({ upstream, pace: z.number() })).readonly()
       .optional(),
+    contents: ContentShareSchema.optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
@@ -136,6 +138,7 @@
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
     entries: z.array(EntrySchema).readonly().optional(),
+    contents: ContentShareSchema.optional(),
   }),
   /** Passes on changes of the register that were read after `since`. */
   z.object({
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -4,13 +4,12 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
-import type { ContentUpdate } from "./crash_suspects.ts";
 import { PlaceRequestClient } from "./place_request_client.ts";
 import { EngineInspector } from "./engine_inspector.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent } from "./gateway_event.ts";
-import { headsOf, liveMs } from "./membership.ts";
+import { headsOf, leadsMost, liveMs } from "./membership.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 /** Stands for the upstream of a request that had no place yet. */
@@ -34,7 +33,7 @@
 
   override step(board: GatewayBoard, step: GatewayStep): void {
     for (const event of step.events) this.#take(board, step, event);
-    this.#followRegister(board, step);
+    this.#followRegister(board);
     for (const ask of this.#requests.pursue(board, step)) {
       this.#submit(board, step, ask, undefined);
     }
@@ -43,18 +42,12 @@
     this.#decide(board, step);
   }
 
-  #followRegister(board: GatewayBoard, step: GatewayStep): void {
+  #followRegister(board: GatewayBoard): void {
     const { register, pool } = board;
     const gone = register.updates.filter(({ kind }) =>
       kind === "gone" || kind === "restarted"
     );
     if (gone.length === 0) return;
-    for (const { id } of gone) {
-      this.#tellContent(
-        step,
-        pool.suspects.upstreamGone(id, "register", step.now),
-      );
-    }
     const ids = register.table.all().map((one) => one.id);
     const listed = new Set(ids);
     pool.scheduler.accounts.retain(listed);
@@ -83,8 +76,12 @@
     ask: PoolAsk,
     replyTo: ReplyTo,
   ): void {
-    const { serving, register, pool } = board;
-    const content = pool.suspects.decide(ask.digest, ask.job, step.now);
+    const { serving, register, pool, contents } = board;
+    const { suspects } = contents;
+    const content = suspects.decide(ask.digest, step.now, {
+      job: ask.job,
+      mayTry: leadsMost(board, step.now),
+    });
     if (content.type === "refuse") {
       const detail = "This content has crashed its upstreams";
       const { retryAfterMs } = content;
@@ -93,7 +90,7 @@
       return;
     }
     if (content.type === "trial") {
-      const crashes = pool.suspects.crashes(ask.digest);
+      const crashes = suspects.crashes(ask.digest);
       step.line("content_trial", {
         req: ask.req,
         content: ask.digest,
@@ -137,7 +134,7 @@
     replyTo: ReplyTo,
   ): void {
     const { ask, result } = decision;
-    const { register, pool, self } = board;
+    const { register, pool, self, contents } = board;
     step.line("place", {
       req: ask.req,
       by: self.card.vm,
@@ -158,7 +155,7 @@
           ...(result.error.code === "quarantined"
             ? {
               content: ask.digest,
-              crashes: pool.suspects.crashes(ask.digest),
+              crashes: contents.suspects.crashes(ask.digest),
             }
             : {}),
         }),
@@ -249,7 +246,7 @@
     step: GatewayStep,
     one: Omit<Extract<PeerMessage, { type: "progress" }>, "type">,
   ): void {
-    const { scheduler, suspects } = board.pool;
+    const { scheduler } = board.pool;
     const { accounts } = scheduler;
     if (one.phase === "started") scheduler.started(one.job, step.now);
     else {
@@ -259,33 +256,6 @@
       if (one.phase === "failed") load.blame(step.now);
       else load.clear(step.now);
     }
-    const { upstream } = one;
-    if (one.content !== undefined) {
-      const { job } = one;
-      const startedAt = board.register.table.get(upstream)?.startedAt ?? 0;
-      const attempt = { job, upstream, startedAt };
-      this.#tellContent(step, suspects.report(one.content, attempt, step.now));
-    }
-    if (one.unreachable === true) {
-      const gone = suspects.upstreamGone(upstream, "unreachable", step.now);
-      this.#tellContent(step, gone);
-    }
-  }
-
-  /** Logs what has changed about contents that crash upstreams. */
-  #tellContent(step: GatewayStep, updates: readonly ContentUpdate[]): void {
-    for (const { kind, digest, crashes, ...evidence } of updates) {
-      const { upstream, evidence: by, lostMsAgo } = evidence;
-      step.line(`content_${kind}`, {
-        content: digest,
-        crashes,
-        ...(upstream === undefined ? {} : { upstream }),
-        ...(by === undefined ? {} : { by }),
-        ...(lostMsAgo === undefined
-          ? {}
-          : { lost_ms_ago: Math.round(lostMsAgo) }),
-      });
-    }
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
