Keep lapsed upstreams only where the store refused this daemon

What was seen: requests reached i-42a298eefc 3.8 and 4.1 s after its leave. Such a gap says nothing of the store; only a refusal of this daemon's last reading does. Ruled out: lost messages (all heard within 0.6 s of the first that was told). 142 daemons, phases 0 and 150 ms of the new test: open on all 142 before, on none now.

--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -332,6 +332,19 @@
     },
   );
 
+  test.each(PHASES_MS)(
+    "an upstream that leaves without a word is closed everywhere in time, phase %i ms",
+    (phaseMs) => {
+      const fleet = refusingFleet(phaseMs);
+      fleet.register({ type: "gone", id: "e1" as UpstreamId });
+      fleet.time.run(GROWN_DRAIN_MS);
+      const open = fleet.gateways.filter(({ core }) =>
+        core.board.register.table.get("e1" as UpstreamId) !== undefined
+      );
+      expect(open.map((one) => one.card.vm)).toEqual([]);
+    },
+  );
+
   test.each(PHASES_MS)(
     "a new version is in force everywhere in time, phase %i ms",
     (phaseMs) => {
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/register_controller.ts
@@ -39,8 +39,9 @@
     register.updates = [];
     for (const event of step.events) {
       if (event.type === "register_read") {
+        const wasRefused = this.#reader.failing;
         this.#reader.done(step, event.next);
-        this.#takeReading(board, step, event);
+        this.#takeReading(board, step, { ...event, wasRefused });
       }
       if (event.type === "read_failed" && event.what === "register") {
         this.#reader.failed(step, event.err);
@@ -84,16 +85,24 @@
     board: GatewayBoard,
     step: GatewayStep,
     batch: Readonly<
-      { full: boolean; changes: readonly UpstreamChange[]; next: number }
+      {
+        full: boolean;
+        changes: readonly UpstreamChange[];
+        next: number;
+        /** Whether the reading before this one failed. */
+        wasRefused: boolean;
+      }
     >,
   ): void {
     const { register } = board;
     const { table } = register;
     const known = register.offset >= 0;
     if (known && step.now - register.asOf > OUTAGE_MS) {
-      this.#graceUntil = addMs(step.now, LAPSE_GRACE_MS);
+      // A daemon that had no need to read before can't tell that the store was away; to others it may have answered.
+      if (batch.wasRefused) this.#graceUntil = addMs(step.now, LAPSE_GRACE_MS);
       step.line("register_gap", {
         age_ms: Math.round(step.now - register.asOf),
+        was_refused: batch.wasRefused,
       });
     }
     register.asOf = addMs(step.now, -READ_AGE_MS);
