Keep quarantined contents in the store, so that they outlive all processes

Nothing lasts on the VMs: the leader now keeps its quarantined contents under one key of a topic of its own, writes when they change, every 2 s at most, and reads them once when it begins to lead. Cost: one read for each change of the leader, one write for each change of a quarantine.

--- a/src/gateway/content_controller.ts
+++ b/src/gateway/content_controller.ts
@@ -1,3 +1,5 @@
+import { ContentKeeper } from "./content_keeper.ts";
+import type { ContentChange } from "./content_table.ts";
 import type { ContentUpdate } from "./crash_suspects.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
 import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
@@ -12,6 +14,8 @@
 
 /** Gathers what is known of contents that crash their upstreams, from this daemon's attempts and from other daemons. */
 export class ContentController extends GatewayController {
+  readonly #keeper = ContentKeeper.create();
+
   static create(): ContentController {
     return new ContentController();
   }
@@ -24,11 +28,18 @@
       this.#tell(step, suspects.upstreamGone(id, "register", step.now));
     }
     for (const event of step.events) this.#take(board, step, event);
+    this.#keeper.step(board, step);
   }
 
   #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
     if (event.type === "job") this.#progress(board, step, event);
     if (event.type === "message") this.#hear(board, step, event.message);
+    this.#keeper.take(event);
+    if (event.type === "contents_read") {
+      const { suspects } = board.contents;
+      const learnt = suspects.restore(event.records ?? [], step.now);
+      this.#tellLearnt(step, learnt, "store");
+    }
   }
 
   #hear(board: GatewayBoard, step: GatewayStep, message: PeerMessage): void {
@@ -39,9 +50,16 @@
     const { from, contents } = message;
     const { suspects } = board.contents;
     const learnt = suspects.merge(contents?.records ?? [], step.now);
+    this.#tellLearnt(step, learnt, from.vm);
+  }
+
+  #tellLearnt(
+    step: GatewayStep,
+    learnt: readonly ContentChange[],
+    from: string,
+  ): void {
     for (const { digest, crashes, epoch } of learnt) {
-      const content = { content: digest, crashes, epoch };
-      step.line("content_learnt", { ...content, from: from.vm });
+      step.line("content_learnt", { content: digest, crashes, epoch, from });
     }
   }
 
--- a/src/gateway/content_table.ts
+++ b/src/gateway/content_table.ts
@@ -70,10 +70,13 @@
 
   /** Changes with what is known of quarantined contents; empty where none is. */
   get mark(): string {
-    this.#mark ??= [...this.#contents].filter(([, one]) => isQuarantined(one))
-      .map(([digest, one]) =>
-        `${digest}:${one.epoch}:${one.lost.size}:${one.trials}`
-      ).sort().join(" ");
+    this.#mark ??= markOf(
+      [...this.#contents].map(([digest, one]) => ({
+        ...one,
+        digest,
+        lost: [...one.lost],
+      })),
+    );
     return this.#mark;
   }
 
@@ -117,6 +120,11 @@
       }));
   }
 
+  /** Whether something is known of a content. */
+  has(digest: string): boolean {
+    return this.#contents.has(digest);
+  }
+
   /** Takes over what another daemon, or the store, knows; returns what was new here. */
   merge(
     records: readonly ContentRecord[],
@@ -209,6 +217,16 @@
   }
 }
 
+/** Sums up what records say of quarantined contents. */
+export function markOf(
+  records: readonly Omit<ContentRecord, "ageMs">[],
+): string {
+  return records.filter(({ lost }) => lost.length >= MAX_CRASHES)
+    .map(({ digest, epoch, lost, trials }) =>
+      `${digest}:${epoch}:${lost.length}:${trials}`
+    ).sort().join(" ");
+}
+
 function createContent(at: Timestamp): Content {
   return { epoch: 0, lost: new Set(), trials: 0, at };
 }
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -83,6 +83,15 @@
     return this.#contents.merge(records, now);
   }
 
+  /** Takes over what the store kept; how long ago that was is not known, so that it says nothing of known contents. */
+  restore(
+    records: readonly ContentRecord[],
+    now: Timestamp,
+  ): readonly ContentChange[] {
+    const unknown = records.filter(({ digest }) => !this.#contents.has(digest));
+    return this.#contents.merge(unknown, now);
+  }
+
   /** Drops what is too old. */
   expire(now: Timestamp): void {
     this.#contents.expire(now);
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -178,6 +178,12 @@
       case "read_announced":
         void this.#store.readAnnounced();
         return;
+      case "keep_contents":
+        void this.#store.keepContents(intent);
+        return;
+      case "read_contents":
+        void this.#store.readContents();
+        return;
       case "upstream_lost":
         this.#front.upstreamLost(intent.upstream);
         return;
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -2,6 +2,7 @@
 import type { Problem } from "../core/problem.ts";
 import type { Millis } from "../core/time.ts";
 import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { ContentRecord } from "./content_record.ts";
 import type { ContentReport } from "./content_report.ts";
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
 import type { StoreError } from "./platform_store.ts";
@@ -34,6 +35,9 @@
   }>
   | Readonly<{ type: "read_failed"; what: StoreTopic; err: StoreError }>
   | Readonly<{ type: "announced"; cards: readonly PeerCard[] }>
+  /** What the store keeps of quarantined contents; absent where it did not say. */
+  | Readonly<{ type: "contents_read"; records?: readonly ContentRecord[] }>
+  | Readonly<{ type: "contents_kept"; ok: boolean }>
   /** An engine's own report of its pace; absent where it gave none. */
   | Readonly<{ type: "inspected"; upstream: UpstreamId; pace?: number }>
   /** The process stood still: what it believes may be older than its clock says. */
@@ -61,6 +65,8 @@
   | Readonly<{ type: "fetch_serving"; peer: PeerCard }>
   | Readonly<{ type: "announce"; card: PeerCard }>
   | Readonly<{ type: "read_announced" }>
+  | Readonly<{ type: "keep_contents"; records: readonly ContentRecord[] }>
+  | Readonly<{ type: "read_contents" }>
   /** The upstream's process is gone or another one: what runs there can't end. */
   | Readonly<{ type: "upstream_lost"; upstream: UpstreamId }>
   | Readonly<{
--- a/src/gateway/platform_store.ts
+++ b/src/gateway/platform_store.ts
@@ -1,5 +1,6 @@
 import type { ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
+import type { ContentRecord } from "./content_record.ts";
 import type { PeerCard } from "./peer_message.ts";
 import type { Serving } from "./serving.ts";
 import type { UpstreamChange } from "./upstream_table.ts";
@@ -37,4 +38,9 @@
   /** Leaves word where a daemon is, for those that know no other one. */
   abstract announce(card: PeerCard): ResultAsync<void, StoreError>;
   abstract readAnnounced(): ResultAsync<readonly PeerCard[], StoreError>;
+  /** Keeps what is known of quarantined contents, instead of what was kept before. */
+  abstract keepContents(
+    records: readonly ContentRecord[],
+  ): ResultAsync<void, StoreError>;
+  abstract readContents(): ResultAsync<readonly ContentRecord[], StoreError>;
 }
--- a/src/gateway/store_caller.ts
+++ b/src/gateway/store_caller.ts
@@ -72,6 +72,21 @@
     this.#options.push({ type: "announced", cards: result.value });
   }
 
+  async keepContents(
+    intent: Extract<GatewayIntent, { type: "keep_contents" }>,
+  ): Promise<void> {
+    const result = await this.#store.keepContents(intent.records);
+    this.#count("keep_contents", result.isErr() ? result.error : undefined);
+    this.#options.push({ type: "contents_kept", ok: result.isOk() });
+  }
+
+  async readContents(): Promise<void> {
+    const result = await this.#store.readContents();
+    this.#count("read_contents", result.isErr() ? result.error : undefined);
+    const records = result.isOk() ? result.value : undefined;
+    this.#options.push({ type: "contents_read", records });
+  }
+
   #count(call: string, failure: StoreError | undefined): void {
     this.#options.count(call, failure?.code ?? "ok");
     if (failure === undefined) return;
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -1,5 +1,6 @@
 import type { DomainId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
+import type { ContentRecord } from "../gateway/content_record.ts";
 import { GatewayCore } from "../gateway/gateway_core.ts";
 import type { GatewayEvent, GatewayIntent } from "../gateway/gateway_event.ts";
 import { encodePeerMessage, type PeerCard } from "../gateway/peer_message.ts";
@@ -37,6 +38,8 @@
   readonly #register: UpstreamChange[] = [];
   readonly #versions: Serving[] = [];
   readonly #announced = new Map<VmId, PeerCard>();
+  /** What the store keeps of quarantined contents. */
+  #contents: readonly ContentRecord[] = [];
   storeDown = false;
   /** What engines report of their pace; 1 where nothing is set. */
   readonly paces = new Map<UpstreamId, number>();
@@ -162,6 +165,18 @@
         );
         return;
       }
+      case "keep_contents": {
+        const ok = !this.storeDown && !gateway.storeRefuses;
+        if (ok) this.#contents = intent.records;
+        this.#storeAnswers(gateway, { type: "contents_kept", ok });
+        return;
+      }
+      case "read_contents": {
+        const ok = !this.storeDown && !gateway.storeRefuses;
+        const records = ok ? this.#contents : undefined;
+        this.#storeAnswers(gateway, { type: "contents_read", records });
+        return;
+      }
       case "granted":
       case "denied":
         gateway.replies.push(intent);
@@ -175,6 +190,10 @@
     }
   }
 
+  #storeAnswers(gateway: FakeGateway, event: GatewayEvent): void {
+    this.time.after(STORE_MS, () => this.step(gateway, [event]));
+  }
+
   #read(
     gateway: FakeGateway,
     intent: Extract<GatewayIntent, { type: "read" }>,
