Ask an upstream that breaks off whether it lives, instead of waiting for its entry to lapse

What callers saw: a dozen upstreams lost to one request before the second crash was confirmed, as a crash shows in the register only after three missed heartbeats. The leader now asks an upstream whose connection broke, at most twice a second: no connection, or a report of a later start, confirms the crash. With that, connections that break together confirm nothing any more: a reset link breaks them all, and healthy contents were held for crashers.

--- a/src/gateway/content_controller.ts
+++ b/src/gateway/content_controller.ts
@@ -1,3 +1,5 @@
+import type { UpstreamId } from "../core/id.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
 import { ContentKeeper } from "./content_keeper.ts";
 import type { ContentChange } from "./content_table.ts";
 import type { ContentUpdate } from "./crash_suspects.ts";
@@ -6,6 +8,9 @@
 import type { GatewayEvent } from "./gateway_event.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
+/** Time between questions to one upstream whose connections break. */
+const ASK_SPACING_MS: Millis = 500;
+
 /** How a job went on, here or at another daemon. */
 type Progress = Pick<
   Extract<PeerMessage, { type: "progress" }>,
@@ -16,6 +21,9 @@
 export class ContentController extends GatewayController {
   readonly #keeper = ContentKeeper.create();
 
+  /** When upstreams were last asked whether they live. */
+  readonly #askedAt = new Map<UpstreamId, Timestamp>();
+
   static create(): ContentController {
     return new ContentController();
   }
@@ -34,6 +42,7 @@
   #take(board: GatewayBoard, step: GatewayStep, event: GatewayEvent): void {
     if (event.type === "job") this.#progress(board, step, event);
     if (event.type === "message") this.#hear(board, step, event.message);
+    if (event.type === "inspected") this.#inspected(board, step, event);
     this.#keeper.take(event);
     if (event.type === "contents_read") {
       const { suspects } = board.contents;
@@ -69,7 +78,11 @@
     if (content !== undefined) {
       const startedAt = board.register.table.get(upstream)?.startedAt ?? 0;
       const attempt = { job, upstream, startedAt };
-      this.#tell(step, suspects.report(content, attempt, step.now));
+      const updates = suspects.report(content, attempt, step.now);
+      this.#tell(step, updates);
+      if (content.outcome === "disconnected" && updates.length === 0) {
+        this.#inspect(board, step, upstream);
+      }
     }
     if (one.unreachable === true) {
       this.#tell(
@@ -79,6 +92,35 @@
     }
   }
 
+  /** Asks an upstream that broke off whether it lives: its entry lapses only after several heartbeats. */
+  #inspect(board: GatewayBoard, step: GatewayStep, upstream: UpstreamId): void {
+    const { members, register, self } = board;
+    const entry = register.table.get(upstream);
+    if (entry === undefined || members.leader !== self.card.vm) return;
+    const askedAt = this.#askedAt.get(upstream) ?? -Infinity;
+    if (step.now - askedAt < ASK_SPACING_MS) return;
+    for (const [id, at] of this.#askedAt) {
+      if (step.now - at >= ASK_SPACING_MS) this.#askedAt.delete(id);
+    }
+    this.#askedAt.set(upstream, step.now);
+    step.want({ type: "inspect", upstream, address: entry.address });
+  }
+
+  #inspected(
+    board: GatewayBoard,
+    step: GatewayStep,
+    event: Extract<GatewayEvent, { type: "inspected" }>,
+  ): void {
+    const { upstream, startedAt, unreachable } = event;
+    const known = board.register.table.get(upstream)?.startedAt;
+    const restarted = startedAt !== undefined && known !== undefined &&
+      startedAt > known;
+    if (!restarted && unreachable !== true) return;
+    const evidence = restarted ? "restarted" : "unreachable";
+    const { suspects } = board.contents;
+    this.#tell(step, suspects.upstreamGone(upstream, evidence, step.now));
+  }
+
   #tell(step: GatewayStep, updates: readonly ContentUpdate[]): void {
     for (const { kind, digest, crashes, ...found } of updates) {
       const { upstream, evidence, lostMsAgo } = found;
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -11,7 +11,7 @@
 import { PendingLosses } from "./pending_losses.ts";
 
 /** How a crash was confirmed. */
-export type CrashEvidence = "register" | "unreachable" | "together";
+export type CrashEvidence = "register" | "unreachable" | "restarted";
 
 /** What has changed about a content. */
 export type ContentUpdate = Readonly<{
@@ -35,8 +35,8 @@
 
 /**
  * Tells content that crashes the upstreams that run it. A lost upstream alone proves nothing: a crash counts only
- * once the upstream's process is seen to be gone (by the register, by a refused connection, or by others that broke
- * with it), and a success clears the content.
+ * once the upstream's process is seen to be gone (by the register, by a refused connection, or by its own report), and
+ * a success clears the content.
  */
 export class CrashSuspects {
   readonly #losses = PendingLosses.create();
@@ -147,9 +147,8 @@
   ): readonly ContentUpdate[] {
     const disconnected = outcome === "disconnected";
     const loss = { at, startedAt, disconnected };
-    const evidence = this.#losses.add(digest, upstream, loss);
-    if (evidence === undefined) return [];
-    return this.upstreamGone(upstream, evidence, at);
+    const isGone = this.#losses.add(digest, upstream, loss);
+    return isGone ? this.upstreamGone(upstream, "register", at) : [];
   }
 
   #answered(digest: string, now: Timestamp): readonly ContentUpdate[] {
--- a/src/gateway/engine_orders.ts
+++ b/src/gateway/engine_orders.ts
@@ -9,9 +9,9 @@
   holdMs: Millis;
 }>;
 
-/** Why memory was not reserved; after `unknown` it may be reserved later on. */
+/** Why memory was not reserved; after `unknown` it may be reserved later on, and `unreachable` took no connection. */
 export type ReservationError = Readonly<{
-  code: "refused" | "unknown";
+  code: "refused" | "unknown" | "unreachable";
   detail: string;
 }>;
 
@@ -19,6 +19,8 @@
 export type EngineReport = Readonly<{
   /** Times that it takes of what is stated; absent where the report can't be read. */
   pace?: number;
+  /** Unix time in ms of its start; absent where the report does not tell. */
+  startedAt?: number;
 }>;
 
 /** Orders that reserve and release memory of engines. */
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -203,8 +203,11 @@
 
   async #inspect(upstream: UpstreamId, address: string): Promise<void> {
     const report = await this.#orders.inspect(address);
-    const pace = report.isOk() ? report.value.pace : undefined;
-    this.#loop.push({ type: "inspected", upstream, pace });
+    const found = report.match(
+      ({ pace, startedAt }) => ({ pace, startedAt }),
+      ({ code }) => ({ unreachable: code === "unreachable" }),
+    );
+    this.#loop.push({ type: "inspected", upstream, ...found });
   }
 
   #applyLimits(): void {
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -38,8 +38,16 @@
   /** What the store keeps of quarantined contents; absent where it did not say. */
   | Readonly<{ type: "contents_read"; records?: readonly ContentRecord[] }>
   | Readonly<{ type: "contents_kept"; ok: boolean }>
-  /** An engine's own report of its pace; absent where it gave none. */
-  | Readonly<{ type: "inspected"; upstream: UpstreamId; pace?: number }>
+  /** What an upstream's own report says; its fields are absent where it gave none. */
+  | Readonly<{
+    type: "inspected";
+    upstream: UpstreamId;
+    pace?: number;
+    /** Unix time in ms of its start. */
+    startedAt?: number;
+    /** Whether no one took a connection at its address. */
+    unreachable?: boolean;
+  }>
   /** The process stood still: what it believes may be older than its clock says. */
   | Readonly<{ type: "resumed"; lostMs: Millis }>
   /** How long a fixed piece of work has just taken here. */
--- a/src/gateway/pending_losses.ts
+++ b/src/gateway/pending_losses.ts
@@ -5,8 +5,6 @@
 const CONFIRM_MS: Millis = 10_000;
 /** Time in which an attempt is seen to fail whose upstream the register has just named as gone or replaced. */
 const NOTICE_MS: Millis = 1_000;
-/** Connections with different contents that break within this time broke because their upstream crashed. */
-const TOGETHER_MS: Millis = 300;
 /** Contents that are remembered for one upstream; more than any has slots. */
 const MAX_CONTENTS = 128;
 /** Upstreams that are remembered; more than the largest deployment has. */
@@ -31,27 +29,17 @@
     return new PendingLosses();
   }
 
-  /** Notes a loss; returns what confirms that the upstream's process has ended, if anything does. */
-  add(
-    digest: string,
-    upstream: UpstreamId,
-    loss: Loss,
-  ): "register" | "together" | undefined {
+  /** Notes a loss; returns whether the register has named the upstream as gone or replaced already. */
+  add(digest: string, upstream: UpstreamId, loss: Loss): boolean {
     const { at, disconnected } = loss;
     const losses = this.#lossesOf(upstream, at);
-    const together = disconnected &&
-      [...losses].some(([other, one]) =>
-        other !== digest && one.disconnected && at - one.at <= TOGETHER_MS
-      );
     // The newest losses are kept: the upstream was lost while it was at work on those.
     losses.delete(digest);
     losses.set(digest, loss);
     dropOldest(losses, MAX_CONTENTS);
     const goneAt = this.#gone.get(upstream) ?? -Infinity;
     // A leaving upstream serves on after its entry is gone, and then closes its connections.
-    const noticeMs = disconnected ? NOTICE_MS : CONFIRM_MS;
-    if (at - goneAt <= noticeMs) return "register";
-    return together ? "together" : undefined;
+    return at - goneAt <= (disconnected ? NOTICE_MS : CONFIRM_MS);
   }
 
   /** Takes out the contents that an upstream was lost with whose process is gone. */
--- a/src/gateway/poison_content_test.ts
+++ b/src/gateway/poison_content_test.ts
@@ -13,6 +13,12 @@
   return play.fleet.gateways.find((one) => one.card.vm === leader)!;
 }
 
+test("a poison request costs two upstreams, and a third one for its trial, where crashes show", () => {
+  const play = PoisonPlay.create({ ...SIZE, crashesShow: true });
+  play.run(DAY_MS);
+  expect(play.crashes).toBeLessThanOrEqual(3);
+});
+
 describe("a request under which three upstreams have ended reaches few more", () => {
   test("though nothing else is wrong", () => {
     const play = PoisonPlay.create(SIZE);
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -43,6 +43,8 @@
   storeDown = false;
   /** What engines report of their pace; 1 where nothing is set. */
   readonly paces = new Map<UpstreamId, number>();
+  /** Upstreams that take no connection. */
+  readonly dead = new Set<UpstreamId>();
   inspections = 0;
   /** Bytes of the messages between daemons. */
   bytes = 0;
@@ -134,10 +136,12 @@
       case "inspect": {
         this.inspections += 1;
         const { upstream } = intent;
-        const pace = this.paces.get(upstream) ?? 1;
+        const found = this.dead.has(upstream)
+          ? { unreachable: true }
+          : { pace: this.paces.get(upstream) ?? 1 };
         this.time.after(
           2 * LINK_MS,
-          () => this.step(gateway, [{ type: "inspected", upstream, pace }]),
+          () => this.step(gateway, [{ type: "inspected", upstream, ...found }]),
         );
         return;
       }
--- a/src/testing/poison_play.ts
+++ b/src/testing/poison_play.ts
@@ -27,14 +27,20 @@
 const THIRD = 2;
 
 /** How large a play is. */
-export type PoisonPlaySize = Readonly<
-  { daemons: number; upstreams: number; seed: number }
->;
+export type PoisonPlaySize = Readonly<{
+  daemons: number;
+  upstreams: number;
+  seed: number;
+  /** Whether a crashed upstream's address refuses connections, rather than says nothing. */
+  crashesShow?: boolean;
+}>;
 
 /** Clients that send the same poison request to any daemon again and again, before upstreams that it crashes. */
 export class PoisonPlay {
   readonly fleet: FakeGatewayFleet;
   readonly #random: Random;
+  /** Whether a crashed upstream's address refuses connections, rather than says nothing. */
+  readonly #crashesShow: boolean;
   readonly #crashedAt: Timestamp[] = [];
   readonly #arrivedAt: Timestamp[] = [];
   readonly #read = new WeakMap<FakeGateway, number>();
@@ -43,6 +49,7 @@
 
   private constructor(size: PoisonPlaySize) {
     this.#random = Random.create(size.seed);
+    this.#crashesShow = size.crashesShow === true;
     this.fleet = FakeGatewayFleet.create(size.daemons);
     this.fleet.publish(emptyServing(1));
     for (let i = 0; i < size.upstreams; i += 1) this.#startUpstream();
@@ -145,6 +152,7 @@
   }
 
   #endUpstream(id: UpstreamId): void {
+    if (this.#crashesShow) this.fleet.dead.add(id);
     this.fleet.time.after(
       LAPSE_MS,
       () => this.fleet.register({ type: "gone", id }),
