--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -60,6 +60,7 @@
   readonly #budget: RepeatBudget;
   readonly #orders: EngineOrders;
   readonly #replies = new Map<JobId, (reply: PoolReply) => void>();
+  readonly #startedAt: Timestamp;
   #limitsOf = 0;
   #unreadable = 0;
   #draining = false;
@@ -70,6 +71,7 @@
     this.#orders = parts.orders;
     this.#core = GatewayCore.create(card, settings.seeds);
     this.#loop = CoreLoop.create(this.#core, (one) => this.#perform(one));
+    this.#startedAt = this.#loop.now();
     this.#log = EventLog.create(
       { vm: card.vm },
       { now: () => Date.now() as Timestamp },
@@ -260,6 +262,7 @@
       spendRepeat: (service) =>
         this.#budget.spend(service, this.#loop.now(), {
           daemons: board.members.table.all().length + 1,
+          ageMs: this.#loop.now() - this.#startedAt,
         }),
       line: (kind, fields) => this.#line(kind, fields),
       observe: {
--- a/src/gateway/repeat_budget.ts
+++ b/src/gateway/repeat_budget.ts
@@ -10,6 +10,8 @@
 
 /** Part of the terms that is used, as daemons count their shares apart. */
 const SAFETY = 0.7;
+/** Repeats beyond the ratio of a process younger than the window; the smallest slack has two for each daemon. */
+const YOUNG_REPEATS = 1;
 
 type Counts = { firsts: Timestamp[]; repeats: Timestamp[] };
 
@@ -31,16 +33,22 @@
     this.#counts(service, now).firsts.push(now);
   }
 
-  /** Takes one repeat, for `daemons` that share the slack; false if none is left. */
+  /**
+   * Takes one repeat, for `daemons` that share the slack; false if none is left. A process younger than the window
+   * knows neither what the one before it has used nor, at first, the other daemons.
+   */
   spend(
     service: ServiceId,
     now: Timestamp,
-    options: { daemons: number },
+    options: Readonly<{ daemons: number; ageMs: Millis }>,
   ): boolean {
     const counts = this.#counts(service, now);
-    const { ratio, slack } = this.#terms;
-    const share = slack / Math.max(1, options.daemons);
-    const allowed = SAFETY * (ratio * counts.firsts.length + share);
+    const { ratio, slack, windowMs } = this.#terms;
+    const { daemons, ageMs } = options;
+    const share = ageMs < windowMs
+      ? YOUNG_REPEATS
+      : SAFETY * slack / Math.max(1, daemons);
+    const allowed = SAFETY * ratio * counts.firsts.length + share;
     if (counts.repeats.length + 1 > allowed) return false;
     counts.repeats.push(now);
     return true;
--- a/src/gateway/retry_rule_test.ts
+++ b/src/gateway/retry_rule_test.ts
@@ -92,6 +92,10 @@
   });
 });
 
+/** Age of a process that has run for many windows, and of one that has just started alone. */
+const OLD_MS = 600_000;
+const YOUNG = { daemons: 1, ageMs: 500 };
+
 describe("the budget of repeats", () => {
   const terms = { ratio: 0.2, slack: 200, windowMs: 10_000 };
   const service = "s" as ServiceId;
@@ -102,16 +106,30 @@
     for (let i = 0; i < daemons; i += 1) {
       const budget = RepeatBudget.create(terms);
       for (let j = 0; j < 10; j += 1) budget.first(service, 0 as Timestamp);
-      while (budget.spend(service, 1 as Timestamp, { daemons })) sent += 1;
+      const options = { daemons, ageMs: OLD_MS };
+      while (budget.spend(service, 1 as Timestamp, options)) sent += 1;
     }
     expect(sent).toBeGreaterThan(100);
     expect(sent).toBeLessThanOrEqual(0.2 * 10 * daemons + 200);
   });
 
+  test("daemons that were all killed, and know no other one yet, stay below the terms", () => {
+    const daemons = 109;
+    let sent = 0;
+    // Each spends all it may, is killed, and does so again before it has heard of the others.
+    for (let i = 0; i < daemons; i += 1) {
+      for (const options of [{ daemons, ageMs: OLD_MS }, YOUNG]) {
+        const budget = RepeatBudget.create({ ...terms, slack: 340 });
+        while (budget.spend(service, 0 as Timestamp, options)) sent += 1;
+      }
+    }
+    expect(sent).toBeLessThanOrEqual(340);
+  });
+
   test("is whole again after the window", () => {
     const budget = RepeatBudget.create(terms);
-    while (budget.spend(service, 0 as Timestamp, { daemons: 1 }));
-    expect(budget.spend(service, 10_001 as Timestamp, { daemons: 1 }))
-      .toBe(true);
+    const options = { daemons: 1, ageMs: OLD_MS };
+    while (budget.spend(service, 0 as Timestamp, options));
+    expect(budget.spend(service, 10_001 as Timestamp, options)).toBe(true);
   });
 });
