Send nothing new to upstreams that say they leave, or that ask to be left alone for a while

Upstreams say in all answers that they leave, and may name a time in a refusal. What a daemon hears is its own belief about one process: it holds whatever the register says, across a change of the leader, until another process takes the place or the time is over. It replaces isClosed of the exchange and the register's own filter in placement; suspected, full and slow upstreams stay penalties in the placement's cost. Leaving is passed on through the leader to all; a time concerns one daemon. Where all upstreams of a service are closed, the refusal carries the earliest time. An attempt that is not sent takes no repeat from the budget.

--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -23,6 +23,7 @@
   upstream_crashed: "upstream_failed",
   upstream_silent: "upstream_failed",
   upstream_leaving: "no_upstream",
+  upstream_backing_off: "no_upstream",
   answer_broken: "answer_broken",
   resume_failed: "upstream_failed",
   plan_broken: "upstream_failed",
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -100,6 +100,7 @@
   "upstream_crashed",
   "upstream_silent",
   "upstream_leaving",
+  "upstream_backing_off",
   "answer_broken",
   "resume_failed",
   "plan_broken",
--- a/src/gateway/answer_relay_test.ts
+++ b/src/gateway/answer_relay_test.ts
@@ -10,6 +10,7 @@
   sealed: true,
   notRun: false,
   misdirected: false,
+  signs: { leaving: false },
   events: true,
   headers: ["X-Digest", "first"],
 };
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -1,5 +1,6 @@
 import type { Result } from "neverthrow";
 import type { RequestId, TeamId, UpstreamId } from "../core/id.ts";
+import type { UpstreamSigns } from "./upstream_signs.ts";
 import type { Problem } from "../core/problem.ts";
 import type { Millis } from "../core/time.ts";
 
@@ -48,6 +49,7 @@
   /** Address of the upstream at fault, where that is another one. */
   culprit?: string;
   retryAfterMs?: Millis;
+  signs: UpstreamSigns;
   /** Whether the body is a stream of events. */
   events: boolean;
   /** Names and values to be passed on, one after the other. */
--- a/src/gateway/engine_orders.ts
+++ b/src/gateway/engine_orders.ts
@@ -1,5 +1,6 @@
 import type { ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
+import { hasSigns, type UpstreamSigns } from "./upstream_signs.ts";
 
 /** Memory to be reserved on one engine. */
 export type Reservation = Readonly<{
@@ -25,6 +26,17 @@
 
 /** Orders that reserve and release memory of engines. */
 export abstract class EngineOrders {
+  #listener: (address: string, signs: UpstreamSigns) => void = () => {};
+
+  /** Names who is told what the engine at an address says of itself beside its answers. */
+  listen(listener: (address: string, signs: UpstreamSigns) => void): void {
+    this.#listener = listener;
+  }
+
+  protected heard(address: string, signs: UpstreamSigns): void {
+    if (hasSigns(signs)) this.#listener(address, signs);
+  }
+
   abstract reserve(one: Reservation): ResultAsync<void, ReservationError>;
   /** Asks an engine for its report; an error says that it does not answer at all. */
   abstract inspect(
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -17,6 +17,7 @@
   askOf,
   chooseBackend,
   helpersOf,
+  notOpen,
   notSent,
 } from "./exchange_parts.ts";
 import type {
@@ -28,6 +29,7 @@
 import { type Backend, isRepeatable } from "./serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
 import { TryHistory } from "./try_history.ts";
+import { hasSigns } from "./upstream_signs.ts";
 import { type SilenceLimits, silenceLimitsOf } from "./watchdog.ts";
 
 /** Retry-After of a failure that may be over soon. */
@@ -122,6 +124,7 @@
       backend: this.#backend,
       leftMs: this.#leftMs(),
       avoid: this.#tries.failedOn,
+      closed: this.#port.closed(this.#backend.service),
     });
     this.#port.place(ask, (reply) => {
       if (this.#over || this.#job !== job) return;
@@ -134,9 +137,8 @@
   async #send(grant: PoolGrant): Promise<void> {
     const { upstream, tickets } = grant.job;
     this.#grant = grant;
-    if (this.#port.isClosed(upstream)) {
-      return this.#failAttempt(notSent("upstream_leaving", "It is leaving"));
-    }
+    const closed = this.#closedOf(grant);
+    if (closed !== undefined) return this.#failAttempt(closed);
     if (tickets.length > 0) {
       const keeper = TicketKeeper.create(this.#port.orders, grant, {
         report: (err) => this.#line("ticket", { ...err }),
@@ -153,8 +155,19 @@
     this.#dispatch(grant);
   }
 
+  /** Why a grant can't be used any more: it was on its way, or waited for memory, while an upstream closed. */
+  #closedOf({ job }: PoolGrant): AttemptFailure | undefined {
+    for (const id of [job.upstream, ...job.helpers]) {
+      const closure = this.#port.closure(id);
+      if (closure !== undefined) return notOpen(id, closure, this.#port.now());
+    }
+    return undefined;
+  }
+
   #dispatch(grant: PoolGrant): void {
     const { head, body, admitted } = this.#req;
+    const closed = this.#closedOf(grant);
+    if (closed !== undefined) return this.#failAttempt(closed);
     const address = grant.addresses[grant.job.upstream];
     if (address === undefined) {
       return this.#failAttempt(
@@ -194,6 +207,12 @@
   }
 
   #onHead(status: number, head: Parameters<AnswerRelay["head"]>[1]): void {
+    const upstream = this.#grant?.job.upstream;
+    // Another upstream has the address by now.
+    const isOther = head.misdirected;
+    if (upstream !== undefined && hasSigns(head.signs) && !isOther) {
+      this.#port.said(upstream, head.signs);
+    }
     const refused = this.#relay.head(status, head, {
       mayRetry: this.#tries.mayReplaceFailure(this.#leftMs()),
     });
@@ -256,6 +275,7 @@
 
   #failAttempt(failure: AttemptFailure, culprit?: UpstreamId): void {
     const grant = this.#grant;
+    const wasSent = this.#attempt !== undefined;
     this.#endAttempt({
       phase: failure.blamed ? "failed" : "ended",
       unreachable: failure.cause === "connect_failed" ? true : undefined,
@@ -266,7 +286,8 @@
       upstream: culprit ?? grant?.job.upstream,
     });
     const retry = decision.type === "retry" && !this.#relay.sealed &&
-      this.#port.spendRepeat(this.#backend.service);
+      // What was not sent is no arrival at the service.
+      (!wasSent || this.#port.spendRepeat(this.#backend.service));
     this.#line("attempt_failed", {
       upstream: grant?.job.upstream,
       culprit,
--- a/src/gateway/exchange_parts.ts
+++ b/src/gateway/exchange_parts.ts
@@ -3,6 +3,8 @@
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
 import type { Backend } from "./serving.ts";
+import type { UpstreamId } from "../core/id.ts";
+import type { Closure } from "./upstream_gate.ts";
 
 /** Time that the last answer takes to the client. */
 const ANSWER_MS: Millis = 20;
@@ -48,6 +50,22 @@
   return { cause, verdict: "not_run", detail, blamed: false };
 }
 
+/** The failure of an attempt that would go to an upstream which may be sent nothing now. */
+export function notOpen(
+  upstream: UpstreamId,
+  closure: Closure,
+  now: Timestamp,
+): AttemptFailure {
+  const cause = closure.reason === "backing_off"
+    ? "upstream_backing_off"
+    : "upstream_leaving";
+  const ageMs = Math.round(now - closure.knownAt);
+  return notSent(
+    cause,
+    `${upstream} is ${closure.reason}, known for ${ageMs} ms`,
+  );
+}
+
 /** What the scheduler is asked for one attempt. */
 export function askOf(
   req: ExchangeRequest,
@@ -57,6 +75,7 @@
     backend: Backend;
     leftMs: Millis;
     avoid: PoolAsk["avoid"];
+    closed: PoolAsk["closed"];
   }>,
 ): PoolAsk {
   const { head, admitted, digest } = req;
@@ -76,6 +95,7 @@
     rank: team?.rank ?? route.rank,
     digest,
     avoid: attempt.avoid,
+    closed: attempt.closed,
   };
 }
 
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/exchange_port.ts
@@ -4,7 +4,13 @@
 import type { Retry } from "../core/reason.ts";
 import type { Timestamp } from "../core/time.ts";
 import type { Verdict } from "../core/verdict.ts";
-import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
+import type {
+  ClosedUpstream,
+  JobId,
+  PoolAsk,
+} from "../scheduling/pool/pool_job.ts";
+import type { Closure } from "./upstream_gate.ts";
+import type { UpstreamSigns } from "./upstream_signs.ts";
 import type { PoolReply } from "./placement_port.ts";
 import type { ContentReport } from "./content_report.ts";
 import type { ClientHead, Dialect } from "./dialect.ts";
@@ -53,8 +59,12 @@
   ) => void;
   /** Upstream with an address, if one is listed. */
   upstreamAt: (address: string) => UpstreamId | undefined;
-  /** Whether an upstream is known to take no new work. */
-  isClosed: (id: UpstreamId) => boolean;
+  /** Why an upstream may be sent nothing now; nothing where it may. */
+  closure: (id: UpstreamId) => Closure | undefined;
+  /** Upstreams of a service that are closed to this daemon. */
+  closed: (service: ServiceId) => readonly ClosedUpstream[];
+  /** Notes what an upstream said of itself beside an answer. */
+  said: (upstream: UpstreamId, signs: UpstreamSigns) => void;
   firstSend: (service: ServiceId) => void;
   /** Takes a repeat from the budget. */
   spendRepeat: (service: ServiceId) => boolean;
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -6,6 +6,7 @@
 import type { PeerCard, StoreProgress } from "./peer_message.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { ConfigVersion } from "./serving.ts";
+import { UpstreamGate } from "./upstream_gate.ts";
 import { UpstreamTable, type UpstreamUpdate } from "./upstream_table.ts";
 
 const NEVER = -Infinity as Timestamp;
@@ -55,6 +56,11 @@
   readonly scheduler: PoolScheduler;
 };
 
+/** Written by the availability controller. */
+export type GateSection = {
+  readonly told: UpstreamGate;
+};
+
 /** Written by the content controller; placing a request may take a trial of a quarantined content. */
 export type ContentSection = {
   readonly suspects: CrashSuspects;
@@ -66,6 +72,7 @@
   members: MembersSection;
   serving: ServingSection;
   register: RegisterSection;
+  gate: GateSection;
   contents: ContentSection;
   pool: PoolSection;
 }>;
@@ -96,6 +103,7 @@
       asOf: NEVER,
       updates: [],
     },
+    gate: { told: UpstreamGate.create() },
     contents: { suspects: CrashSuspects.create() },
     pool: { scheduler: PoolScheduler.create() },
   };
--- a/src/gateway/gateway_core.ts
+++ b/src/gateway/gateway_core.ts
@@ -1,4 +1,5 @@
 import type { Timestamp } from "../core/time.ts";
+import { AvailabilityController } from "./availability_controller.ts";
 import { ContentController } from "./content_controller.ts";
 import { createGatewayBoard, type GatewayBoard } from "./gateway_board.ts";
 import { type GatewayController, GatewayStep } from "./gateway_controller.ts";
@@ -26,6 +27,7 @@
       MembersController.create(),
       ServingController.create(),
       RegisterController.create(),
+      AvailabilityController.create(),
       ContentController.create(),
       PlacementController.create(),
     ];
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -5,6 +5,7 @@
 import type { UpstreamId } from "../core/id.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import { splitAddress } from "./address.ts";
+import { closedUpstreams, closureOf } from "./availability.ts";
 import { CoreLoop } from "./core_loop.ts";
 import { DatagramPort } from "./datagram_port.ts";
 import type { Dialect } from "./dialect.ts";
@@ -24,6 +25,7 @@
 import type { PlatformStore } from "./platform_store.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { servingToJson } from "./serving_json.ts";
+import type { UpstreamSigns } from "./upstream_signs.ts";
 import { serveSmall, type SmallAnswer } from "./small_http.ts";
 import { SERVING_PATH, StoreCaller } from "./store_caller.ts";
 
@@ -69,6 +71,10 @@
     this.#settings = settings;
     const { card } = settings;
     this.#orders = parts.orders;
+    this.#orders.listen((address, signs) => {
+      const upstream = this.#upstreamAt(address);
+      if (upstream !== undefined) this.#said(upstream, signs);
+    });
     this.#core = GatewayCore.create(card, settings.seeds);
     this.#loop = CoreLoop.create(this.#core, (one) => this.#perform(one));
     this.#startedAt = this.#loop.now();
@@ -212,6 +218,15 @@
     this.#loop.push({ type: "inspected", upstream, ...found });
   }
 
+  #upstreamAt(address: string): UpstreamId | undefined {
+    const { table } = this.#core.board.register;
+    return table.all().find((one) => one.address === address)?.id;
+  }
+
+  #said(upstream: UpstreamId, signs: UpstreamSigns): void {
+    this.#loop.push({ type: "upstream_said", upstream, signs });
+  }
+
   #applyLimits(): void {
     const { routes, version } = this.#core.board.serving;
     if (routes === undefined || version === this.#limitsOf) return;
@@ -255,9 +270,10 @@
       },
       progress: (job, upstream, updates) =>
         this.#loop.push({ type: "job", job, upstream, ...updates }),
-      upstreamAt: (address) =>
-        board.register.table.all().find((one) => one.address === address)?.id,
-      isClosed: (id) => board.register.table.get(id)?.leaving === true,
+      upstreamAt: (address) => this.#upstreamAt(address),
+      closure: (id) => closureOf(board, id, this.#loop.now()),
+      closed: (service) => closedUpstreams(board, service, this.#loop.now()),
+      said: (upstream, signs) => this.#said(upstream, signs),
       firstSend: (service) => this.#budget.first(service, this.#loop.now()),
       spendRepeat: (service) =>
         this.#budget.spend(service, this.#loop.now(), {
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -7,6 +7,7 @@
 import type { PeerCard, PeerMessage } from "./peer_message.ts";
 import type { StoreError } from "./platform_store.ts";
 import type { Serving } from "./serving.ts";
+import type { UpstreamSigns } from "./upstream_signs.ts";
 import type { UpstreamChange } from "./upstream_table.ts";
 
 /** What the adapters tell the core of a daemon. */
@@ -23,6 +24,12 @@
     unreachable?: boolean;
     content?: ContentReport;
   }>
+  /** What an upstream said of itself beside an answer to this daemon. */
+  | Readonly<{
+    type: "upstream_said";
+    upstream: UpstreamId;
+    signs: UpstreamSigns;
+  }>
   | Readonly<{ type: "serving_read"; serving?: Serving; next: number }>
   | Readonly<{ type: "serving_fetched"; serving: Serving }>
   | Readonly<{ type: "fetch_failed"; detail: string }>
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -80,6 +80,9 @@
   rank: z.number(),
   digest: z.string(),
   avoid: z.array(upstream).readonly(),
+  closed: z.array(
+    z.object({ upstream, forMs: z.number().optional() }).readonly(),
+  ).readonly().default([]),
 }).readonly();
 
 const GrantSchema = z.object({
@@ -162,6 +165,14 @@
     detail: z.string(),
     retryAfterMs: z.number().optional(),
   }),
+  /** Passes on that the process of an upstream has said that it leaves. */
+  z.object({
+    type: z.literal("leaving"),
+    from: idSchema<VmId>(),
+    upstream,
+    /** Unix time in ms of the process's start. */
+    startedAt: z.number(),
+  }),
   /** Passes on where a job was placed, to those who place or would place next. */
   z.object({ type: z.literal("placed"), job: JobSchema }),
   /** Says how a job goes on. */
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement_controller.ts
@@ -1,9 +1,10 @@
 import { err } from "neverthrow";
 import type { UpstreamId, VmId } from "../core/id.ts";
 import { problem } from "../core/problem.ts";
-import type { Timestamp } from "../core/time.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
+import { openTo, reopensInMs } from "./availability.ts";
 import { PlaceRequestClient } from "./place_request_client.ts";
 import { EngineInspector } from "./engine_inspector.ts";
 import type { GatewayBoard } from "./gateway_board.ts";
@@ -15,6 +16,9 @@
 /** Stands for the upstream of a request that had no place yet. */
 const NO_UPSTREAM = "-" as UpstreamId;
 
+/** Shortest Retry-After of a refusal; a client can't be back sooner. */
+const MIN_RETRY_AFTER_MS: Millis = 50;
+
 /** Where the decision on a job goes: to a peer address, or nowhere else. */
 type ReplyTo = string | undefined;
 
@@ -76,7 +80,7 @@
     ask: PoolAsk,
     replyTo: ReplyTo,
   ): void {
-    const { serving, register, pool, contents } = board;
+    const { serving, pool, contents } = board;
     const { suspects } = contents;
     const content = suspects.decide(ask.digest, step.now, {
       job: ask.job,
@@ -98,7 +102,15 @@
       });
     }
     const pace = serving.routes?.serving.services.get(ask.service)?.pace;
-    const members = register.table.open(ask.service);
+    const members = openTo(board, ask, step.now);
+    const reopensMs = reopensInMs(ask);
+    if (members.length === 0 && reopensMs !== undefined) {
+      const detail = "All upstreams have asked this daemon to wait";
+      const retryAfterMs = Math.max(reopensMs, MIN_RETRY_AFTER_MS);
+      const result = err(problem("no_upstream", detail, { retryAfterMs }));
+      this.#report(board, step, { ask, result }, replyTo);
+      return;
+    }
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
     if (decision !== undefined) {
       this.#report(board, step, decision, replyTo);
@@ -112,10 +124,10 @@
 
   /** Decides on what waits for engines. */
   #decide(board: GatewayBoard, step: GatewayStep): void {
-    const { register, pool } = board;
+    const { pool } = board;
     const decisions = pool.scheduler.decide(
       step.now,
-      (ask) => register.table.open(ask.service),
+      (ask) => openTo(board, ask, step.now),
     );
     for (const decision of decisions) {
       const { job } = decision.ask;
@@ -142,6 +154,7 @@
       tokens: ask.promptTokens,
       left_ms: Math.round(ask.leftMs),
       age_ms: Math.round(step.now - register.asOf),
+      ...(ask.closed.length > 0 ? { closed: ask.closed.length } : {}),
       waiting: pool.scheduler.waiting,
       ...(result.isOk()
         ? {
--- a/src/gateway/small_http.ts
+++ b/src/gateway/small_http.ts
@@ -1,5 +1,10 @@
 import { Buffer } from "node:buffer";
-import { createServer, request, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  request,
+  type Server,
+} from "node:http";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
 import { splitAddress } from "./address.ts";
@@ -18,7 +23,9 @@
 }>;
 
 /** A whole answer. */
-export type CallAnswer = Readonly<{ status: number; body: Buffer }>;
+export type CallAnswer = Readonly<
+  { status: number; headers: IncomingHttpHeaders; body: Buffer }
+>;
 
 /** A plain call: no retry, a connection of its own, one time limit for everything. */
 export type PlainCall = Readonly<{
@@ -80,9 +87,8 @@
       res.on("close", () => {
         if (!res.complete) return fail("The answer broke off");
         clearTimeout(timer);
-        resolve(
-          ok({ status: res.statusCode ?? 0, body: Buffer.concat(chunks) }),
-        );
+        const { statusCode: status = 0, headers } = res;
+        resolve(ok({ status, headers, body: Buffer.concat(chunks) }));
       });
     });
     req.end(body);
--- /dev/null
+++ b/src/gateway/upstream_signs_test.ts
@@ -0,0 +1,116 @@
+import { afterEach, describe, expect, test } from "vitest";
+import { OrderClient } from "../../platform/order_client.ts";
+import type { UpstreamId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import {
+  FrontPlay,
+  headText,
+  type UpstreamScript,
+} from "../testing/front_play.ts";
+
+let play: FrontPlay;
+afterEach(() => play.close());
+
+const LEAVING = { "Server-Leaving": "1" };
+const WHOLE = { "X-Response-Seal": "s", "Content-Length": 2 };
+const NOT_RUN = { "X-Not-Executed": "1", "Content-Length": 0 };
+const EVENTS = {
+  "X-Response-Seal": "s",
+  "Content-Type": "text/event-stream",
+};
+
+const answers: UpstreamScript = (socket) => {
+  socket.end(`${headText(200, WHOLE)}ok`);
+};
+
+async function saidBy(
+  path: string,
+  script: UpstreamScript,
+): Promise<readonly string[]> {
+  play = await FrontPlay.start([script, answers]);
+  await play.send(path);
+  return play.fake.notes.said;
+}
+
+describe("what an upstream says of itself is heard", () => {
+  test("in a success", async () => {
+    const said = await saidBy("/lookup/x", (socket) => {
+      socket.end(`${headText(200, { ...WHOLE, ...LEAVING })}ok`);
+    });
+    expect(said).toEqual(["e0 leaving"]);
+  });
+
+  test("in its own failure", async () => {
+    const said = await saidBy("/reserve/x", (socket) => {
+      socket.end(`${headText(500, { ...WHOLE, ...LEAVING })}no`);
+    });
+    expect(said).toEqual(["e0 leaving"]);
+  });
+
+  test("in the head of a stream, while it goes on", async () => {
+    const said = await saidBy("/ask/x", (socket) => {
+      const head = headText(200, { ...EVENTS, ...LEAVING });
+      socket.write(`${head}id: 1\ndata: 1\n\n`);
+      setTimeout(() => socket.end("id: 2\ndata: 2\n\n"), 50);
+    });
+    expect(said).toEqual(["e0 leaving"]);
+  });
+
+  test("in a refusal, with the time that it names", async () => {
+    const said = await saidBy("/reserve/x", (socket) => {
+      const head = { ...NOT_RUN, ...LEAVING, "Retry-After": "1.5" };
+      socket.end(headText(503, head));
+    });
+    expect(said).toEqual(["e0 leaving", "e0 back in 1500"]);
+  });
+
+  test("but not from another upstream at its address", async () => {
+    const said = await saidBy("/lookup/x", (socket) => {
+      socket.end(headText(421, { "Content-Length": 0, ...LEAVING }));
+    });
+    expect(said).toEqual([]);
+  });
+
+  test("in its answers to orders and in its reports", async () => {
+    play = await FrontPlay.start([(socket) => {
+      const body = '{"pace":1}';
+      const head = { "Content-Length": body.length, ...LEAVING };
+      socket.end(headText(200, head) + body);
+    }]);
+    const orders = OrderClient.create();
+    const said: string[] = [];
+    const address = play.addresses[0]!;
+    orders.listen((from, { leaving }) => {
+      if (leaving) said.push(from);
+    });
+    await orders.inspect(address);
+    await orders.release(address, "t1");
+    await orders.reserve({ address, ticket: "t1", tokens: 1, holdMs: 1 });
+    expect(said).toEqual([address, address, address]);
+  });
+});
+
+describe("a grant that was on its way when the upstream closed", () => {
+  test.each(
+    [
+      ["draining", undefined],
+      ["backing_off", 5_000 as Timestamp],
+      ["gone", undefined],
+    ] as const,
+  )(
+    "is not sent, and placed elsewhere without a repeat: %s",
+    async (reason, until) => {
+      let arrivals = 0;
+      play = await FrontPlay.start([(socket) => {
+        arrivals += 1;
+        socket.destroy();
+      }, answers]);
+      const closure = { reason, knownAt: 0 as Timestamp, until };
+      play.fake.closures.set("e0" as UpstreamId, closure);
+      const res = await play.send("/reserve/x");
+      expect([res.status, res.body]).toEqual([200, "ok"]);
+      expect(arrivals).toBe(0);
+      expect(play.fake.notes.repeats).toEqual([]);
+    },
+  );
+});
--- a/src/scheduling/pool/pool_job.ts
+++ b/src/scheduling/pool/pool_job.ts
@@ -28,8 +28,15 @@
   digest: string;
   /** Upstreams that this request has failed on. */
   avoid: readonly UpstreamId[];
+  /** Upstreams that the daemon may send nothing now. */
+  closed: readonly ClosedUpstream[];
 }>;
 
+/** An upstream that one daemon may send nothing, and for how long; absent where only another process opens it. */
+export type ClosedUpstream = Readonly<
+  { upstream: UpstreamId; forMs?: Millis }
+>;
+
 /** Memory to be reserved on an engine before a prompt is sent. */
 export type MemoryTicket = Readonly<{ upstream: UpstreamId; tokens: number }>;
 
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -12,6 +12,7 @@
 import type { ClientHead, Dialect } from "../gateway/dialect.ts";
 import { EngineOrders } from "../gateway/engine_orders.ts";
 import type { ExchangePort } from "../gateway/exchange_port.ts";
+import type { Closure } from "../gateway/upstream_gate.ts";
 import type { Route, Serving } from "../gateway/serving.ts";
 import { poolJob } from "./pool_fixtures.ts";
 import { emptyServing } from "./fake_gateway_fleet.ts";
@@ -42,22 +43,36 @@
   readonly problems: string[];
   /** What was told of contents, and of the upstream that ran them. */
   readonly contents: string[];
+  /** What upstreams said of themselves. */
+  readonly said: string[];
+  /** Services of which a repeat was taken from the budget. */
+  readonly repeats: string[];
+};
+
+/** A port with what it has noted, and the upstreams that are closed. */
+export type FakePort = ExchangePort & {
+  readonly notes: PortNotes;
+  readonly closures: Map<UpstreamId, Closure>;
 };
 
 /** A port that places requests on the given upstreams, one after the other. */
 export function createFakePort(
   dialect: Dialect,
   addresses: readonly string[],
-): ExchangePort & { readonly notes: PortNotes } {
+): FakePort {
   const notes: PortNotes = {
     lines: [],
     progress: [],
     problems: [],
     contents: [],
+    said: [],
+    repeats: [],
   };
+  const closures = new Map<UpstreamId, Closure>();
   let placed = 0;
   return {
     notes,
+    closures,
     dialect,
     orders: new FakeOrders(),
     now: () => performance.now() as Timestamp,
@@ -84,9 +99,16 @@
       notes.contents.push(`${lost ? "lost" : outcome} ${upstream}`);
     },
     upstreamAt: () => undefined,
-    isClosed: () => false,
+    closure: (id) => closures.get(id),
+    closed: () => [],
+    said: (upstream, { leaving, backoffMs }) => {
+      if (leaving) notes.said.push(`${upstream} leaving`);
+      if (backoffMs !== undefined) {
+        notes.said.push(`${upstream} back in ${backoffMs}`);
+      }
+    },
     firstSend: () => {},
-    spendRepeat: () => true,
+    spendRepeat: (service) => notes.repeats.push(service) > 0,
     line: (kind) => notes.lines.push(kind),
     observe: {
       placed: () => {},
--- a/src/testing/front_play.ts
+++ b/src/testing/front_play.ts
@@ -13,7 +13,11 @@
 import { FrontServer } from "../gateway/front_server.ts";
 import { RouteTable } from "../gateway/route_table.ts";
 import type { Route } from "../gateway/serving.ts";
-import { createFakePort, servingOf } from "./fake_gateway_port.ts";
+import {
+  createFakePort,
+  type FakePort,
+  servingOf,
+} from "./fake_gateway_port.ts";
 
 /** What an upstream does with the bytes of each request. */
 export type UpstreamScript = (socket: Socket) => void;
@@ -25,17 +29,20 @@
 
 /** A front server before upstreams whose every byte is scripted. */
 export class FrontPlay {
-  readonly fake: ReturnType<typeof createFakePort>;
+  readonly fake: FakePort;
+  /** Host and port of each upstream. */
+  readonly addresses: readonly string[];
   readonly #servers: readonly Server[];
   readonly #front: FrontServer;
   readonly #port: number;
 
   private constructor(
-    fake: ReturnType<typeof createFakePort>,
+    fake: FakePort,
     servers: readonly Server[],
     front: Readonly<{ server: FrontServer; port: number }>,
   ) {
     this.fake = fake;
+    this.addresses = servers.map(addressOf);
     this.#servers = servers;
     this.#front = front.server;
     this.#port = front.port;
@@ -52,8 +59,8 @@
         socket.once("data", () => script(socket));
       })
     );
-    const ports = await Promise.all(servers.map(listen));
-    const addresses = ports.map((port) => `127.0.0.1:${port}`);
+    await Promise.all(servers.map(listen));
+    const addresses = servers.map(addressOf);
     const fake = createFakePort(PlatformDialect.create(), addresses);
     const routes = RouteTable.create(servingOf(fields));
     const server = FrontServer.create(fake, {
@@ -112,6 +119,10 @@
   return [`HTTP/1.1 ${status} -`, ...lines, "", ""].join("\r\n");
 }
 
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 async function listen(server: Server): Promise<number> {
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   return (server.address() as AddressInfo).port;
--- a/src/testing/pool_fixtures.ts
+++ b/src/testing/pool_fixtures.ts
@@ -33,6 +33,7 @@
     rank: 1,
     digest: job,
     avoid: [],
+    closed: [],
     ...fields,
   };
 }
