--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -20,6 +20,7 @@
   notOpen,
   notSent,
 } from "./exchange_parts.ts";
+import { ExchangeLog } from "./exchange_log.ts";
 import type {
   ExchangePort,
   ExchangeRequest,
@@ -43,6 +44,7 @@
   readonly #relay: AnswerRelay;
   readonly #backend: Backend;
   readonly #tries: TryHistory;
+  readonly #log: ExchangeLog;
   #job: JobId | undefined;
   #grant: PoolGrant | undefined;
   #tickets: TicketKeeper | undefined;
@@ -69,6 +71,8 @@
     this.#relay = AnswerRelay.create(answer, {
       lastEventId: req.head.lastEventId,
     });
+    const state = { tries: this.#tries, relay: this.#relay };
+    this.#log = ExchangeLog.create(port, req, state);
   }
 
   static create(
@@ -91,10 +95,7 @@
   abandon(): void {
     if (this.#over) return;
     this.#finish("left", this.#outcomeOfGivingUp());
-    this.#line("client_left", {
-      placed: this.#tries.placed,
-      events: this.#relay.events,
-    });
+    this.#log.clientLeft();
   }
 
   /** The upstream's process is gone, although its connection may not show it. */
@@ -141,7 +142,7 @@
     if (closed !== undefined) return this.#failAttempt(closed);
     if (tickets.length > 0) {
       const keeper = TicketKeeper.create(this.#port.orders, grant, {
-        report: (err) => this.#line("ticket", { ...err }),
+        report: (err) => this.#log.line("ticket", { ...err }),
       });
       this.#tickets = keeper;
       const reserved = await keeper.reserve(() =>
@@ -258,16 +259,10 @@
     const { head, arrivedAt } = this.#req;
     const ms = this.#port.now() - arrivedAt;
     this.#port.observe.whole(head.promptTokens, ms);
-    this.#line("answered", {
-      upstream: this.#grant?.job.upstream,
-      status: this.#relay.status,
-      ms: Math.round(ms),
-      expect_ms: Math.round(this.#expectMs),
-      first_ms: Math.round(this.#times.firstMs),
-      longest_pause_ms: Math.round(this.#times.longestPauseMs),
-      events: this.#relay.events,
-      attempts: this.#tries.placed,
-      tokens: head.promptTokens,
+    this.#log.answered(this.#grant?.job.upstream, {
+      expectMs: this.#expectMs,
+      firstMs: this.#times.firstMs,
+      longestPauseMs: this.#times.longestPauseMs,
     });
     // Upstreams that fail may do so without running the content.
     this.#finish("answered", this.#relay.succeeded ? "answered" : undefined);
@@ -288,15 +283,10 @@
     const retry = decision.type === "retry" && !this.#relay.sealed &&
       // What was not sent is no arrival at the service.
       (!wasSent || this.#port.spendRepeat(this.#backend.service));
-    this.#line("attempt_failed", {
+    this.#log.attemptFailed(failure, {
       upstream: grant?.job.upstream,
       culprit,
-      cause: failure.cause,
-      verdict: failure.verdict,
-      detail: failure.detail,
-      content: this.#req.digest,
-      left_ms: Math.round(this.#leftMs()),
-      events: this.#relay.events,
+      leftMs: this.#leftMs(),
       then: retry ? "retry" : "give_up",
     });
     if (retry) {
@@ -344,15 +334,7 @@
       verdict: joinVerdicts(err.verdict, this.#tries.verdict),
     };
     this.#port.observe.problem(joined.code, joined.verdict);
-    this.#line("refused", {
-      code: joined.code,
-      verdict: joined.verdict,
-      detail: joined.detail,
-      retry_after_ms: joined.retryAfterMs,
-      ms: Math.round(this.#port.now() - this.#req.arrivedAt),
-      attempts: this.#tries.placed,
-      events: this.#relay.events,
-    });
+    this.#log.refused(joined);
     this.#finish("failed");
     if (this.#answer.begun) this.#answer.breakOff();
     else this.#answer.refuse(joined);
@@ -395,13 +377,4 @@
     this.#endAttempt({ phase: "ended", content: this.#report(content) });
     this.#port.observe.ended(ending);
   }
-
-  #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
-    const { head, admitted } = this.#req;
-    this.#port.line(kind, {
-      req: head.id,
-      route: admitted.route.name,
-      ...fields,
-    });
-  }
 }
