--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -24,7 +24,7 @@
 import type { PoolReply } from "./placement_port.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
-import { servingToJson } from "./serving_json.ts";
+import { encodeServing } from "./serving_json.ts";
 import type { UpstreamSigns } from "./upstream_signs.ts";
 import { serveSmall, type SmallAnswer } from "./small_http.ts";
 import { SERVING_PATH, StoreCaller } from "./store_caller.ts";
@@ -296,8 +296,8 @@
     if (url.pathname !== SERVING_PATH) return undefined;
     const { routes } = this.#core.board.serving;
     if (routes === undefined) return undefined;
-    const body = servingToJson(routes.serving);
-    return { status: 200, body, contentType: "application/json" };
+    const body = encodeServing(routes.serving);
+    return { status: 200, body, contentType: "application/octet-stream" };
   }
 
   async #serveMetrics(url: URL): Promise<SmallAnswer | undefined> {
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peer_message.ts
@@ -1,5 +1,4 @@
-import { Buffer } from "node:buffer";
-import { constants, deflateSync, inflateSync } from "node:zlib";
+import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
@@ -7,6 +6,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import { idSchema } from "../wire/brands.ts";
+import { deflateJson, inflateJson } from "./deflated.ts";
 import { ContentShareSchema } from "./content_record.ts";
 import { ContentReportSchema } from "./content_report.ts";
 import type { ConfigVersion } from "./serving.ts";
@@ -193,36 +193,15 @@
 const DEFLATE_BYTES = 1_024;
 /** Largest message; the list of the largest system is a tenth of it. */
 const MAX_MESSAGE_BYTES = 1 << 20;
-/** First byte of a message that is not deflated. */
-const PLAIN = "{".charCodeAt(0);
-
 /** Writes a message as one datagram: JSON, deflated where it is long. */
 export function encodePeerMessage(message: PeerMessage): Buffer {
-  const plain = Buffer.from(JSON.stringify(message));
-  if (plain.length < DEFLATE_BYTES) return plain;
-  return deflateSync(plain, { level: constants.Z_BEST_SPEED });
+  return deflateJson(message, { fromBytes: DEFLATE_BYTES });
 }
 
 /** Reads a datagram; fails on whatever is not one of the messages. */
 export function decodePeerMessage(data: Buffer): Result<PeerMessage, string> {
-  return inflate(data).andThen((text) => {
-    let value: unknown;
-    try {
-      value = JSON.parse(text);
-    } catch {
-      return err("The datagram is not JSON");
-    }
+  return inflateJson(data, { maxBytes: MAX_MESSAGE_BYTES }).andThen((value) => {
     const parsed = PeerMessageSchema.safeParse(value);
     return parsed.success ? ok(parsed.data) : err(parsed.error.message);
   });
 }
-
-function inflate(data: Buffer): Result<string, string> {
-  if (data[0] === PLAIN) return ok(data.toString());
-  try {
-    const options = { maxOutputLength: MAX_MESSAGE_BYTES };
-    return ok(inflateSync(data, options).toString());
-  } catch {
-    return err("The datagram is neither JSON nor deflated");
-  }
-}
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving_controller.ts
@@ -142,6 +142,7 @@
       self: self.card.vm,
       announcer: ahead.peer,
       attempt: this.#fetches,
+      leader: board.members.leader,
     });
     step.want({ type: "fetch_serving", peer });
     this.#fetches += 1;
--- a/src/gateway/serving_readers.ts
+++ b/src/gateway/serving_readers.ts
@@ -24,10 +24,16 @@
  */
 export function fetchSource(
   readers: readonly PeerCard[],
-  options: Readonly<{ self: VmId; announcer: PeerCard; attempt: number }>,
+  options: Readonly<{
+    self: VmId;
+    announcer: PeerCard;
+    attempt: number;
+    /** Places for all: its link and its processor are left to that where another reader is there. */
+    leader: VmId;
+  }>,
 ): PeerCard {
-  const { self, announcer, attempt } = options;
-  const others = readers.filter((one) => one.vm !== self);
+  const { self, announcer, attempt, leader } = options;
+  const others = readers.filter(({ vm }) => vm !== self && vm !== leader);
   if (attempt >= others.length) return announcer;
   return others[(hash(self) + attempt) % others.length]!;
 }
--- a/src/gateway/serving_readers_test.ts
+++ b/src/gateway/serving_readers_test.ts
@@ -27,6 +27,7 @@
         self: `vm-${i}` as VmId,
         announcer,
         attempt: 0,
+        leader: announcer.vm,
       }).vm);
     const share = first.filter((vm) => vm === "strong").length;
     expect(share).toBeGreaterThan(8);
@@ -37,9 +38,25 @@
     const readers = servingReaders(cards, a);
     const announcer = peerCard("leader");
     const tried = [0, 1, 2].map((attempt) =>
-      fetchSource(readers, { self: "vm-1" as VmId, announcer, attempt }).vm
+      fetchSource(readers, {
+        self: "vm-1" as VmId,
+        announcer,
+        attempt,
+        leader: announcer.vm,
+      }).vm
     );
     expect(new Set(tried)).toEqual(new Set(["strong", "strong-too", "leader"]));
     expect(tried[2]).toBe("leader");
   });
+
+  test("do not include the leader where another one is there", () => {
+    const readers = servingReaders(cards, a);
+    const announcer = peerCard("leader");
+    const leader = "strong" as VmId;
+    const tried = [0, 1].map((attempt) =>
+      fetchSource(readers, { self: "vm-1" as VmId, announcer, attempt, leader })
+        .vm
+    );
+    expect(tried).toEqual(["strong-too", "leader"]);
+  });
 });
--- a/src/gateway/small_http.ts
+++ b/src/gateway/small_http.ts
@@ -103,7 +103,7 @@
 
 /** The answer of a small server. */
 export type SmallAnswer = Readonly<
-  { status: number; body: string; contentType: string }
+  { status: number; body: string | Buffer; contentType: string }
 >;
 
 /** Serves short answers to GET requests. */
--- a/src/gateway/store_caller.ts
+++ b/src/gateway/store_caller.ts
@@ -1,6 +1,6 @@
 import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
 import type { PlatformStore, StoreError } from "./platform_store.ts";
-import { servingFromJson } from "./serving_json.ts";
+import { decodeServing } from "./serving_json.ts";
 import { plainCall } from "./small_http.ts";
 
 /** Path at which daemons fetch the configuration from each other. */
@@ -51,7 +51,7 @@
       address: peer,
       path: SERVING_PATH,
     })).mapErr((failure) => failure.detail)
-      .andThen((answer) => servingFromJson(answer.body.toString()));
+      .andThen((answer) => decodeServing(answer.body));
     result.match(
       (serving) => push({ type: "serving_fetched", serving }),
       (detail) => push({ type: "fetch_failed", detail }),
