Don't blame popular content for the crashes of another one beside it

Trace: the content of all healthy calls was running on three workers when a poison request crashed them within 1.6 s, without a success in between, and was refused for a minute. Both new tests hold the two sides; the first failed before.

--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/crash_suspects.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
 import type { ContentRecord } from "./content_record.ts";
@@ -13,9 +13,14 @@
 /** How a crash was confirmed. */
 export type CrashEvidence = "register" | "unreachable" | "restarted";
 
+/** How long a success speaks for a content that was running where something crashed. */
+const ANSWERED_MS: Millis = 60 * SECOND_MS;
+/** Answered contents that are remembered; more than are running at a time. */
+const MAX_ANSWERED = 4_096;
+
 /** What has changed about a content. */
 export type ContentUpdate = Readonly<{
-  kind: "suspected" | "cleared";
+  kind: "suspected" | "spared" | "cleared";
   digest: string;
   /** Confirmed crashes, before the change where it was cleared. */
   crashes: number;
@@ -36,11 +41,13 @@
 /**
  * Tells content that crashes the upstreams that run it. A lost upstream alone proves nothing: a crash counts only
  * once the upstream's process is seen to be gone (by the register, by a refused connection, or by its own report), and
- * a success clears the content.
+ * a success clears the content and speaks for it for a while.
  */
 export class CrashSuspects {
   readonly #losses = PendingLosses.create();
   readonly #contents = ContentTable.create();
+  /** Contents that were answered of late, the latest last. */
+  readonly #answeredAt = new Map<string, Timestamp>();
 
   static create(): CrashSuspects {
     return new CrashSuspects();
@@ -126,17 +133,15 @@
     // One crash counts once for a content, however many requests with it were running.
     const lost = [...this.#losses.take(upstream, now)];
     return lost.map(([digest, { startedAt, at }]) => {
+      const found = { digest, upstream, evidence, lostMsAgo: now - at };
+      const answeredAt = this.#answeredAt.get(digest) ?? -Infinity;
+      // Popular content runs wherever another one crashes something.
+      if (now - answeredAt <= ANSWERED_MS) {
+        return { kind: "spared", crashes: this.crashes(digest), ...found };
+      }
       const process = `${upstream}/${startedAt}`;
       const crashes = this.#contents.crashed(digest, process, now);
-      const lostMsAgo = now - at;
-      return {
-        kind: "suspected",
-        digest,
-        crashes,
-        upstream,
-        evidence,
-        lostMsAgo,
-      };
+      return { kind: "suspected", crashes, ...found };
     });
   }
 
@@ -153,6 +158,12 @@
 
   #answered(digest: string, now: Timestamp): readonly ContentUpdate[] {
     this.#losses.clear(digest);
+    this.#answeredAt.delete(digest);
+    this.#answeredAt.set(digest, now);
+    if (this.#answeredAt.size > MAX_ANSWERED) {
+      const [oldest] = this.#answeredAt.keys();
+      this.#answeredAt.delete(oldest!);
+    }
     const crashes = this.#contents.clear(digest, now);
     return crashes === 0 ? [] : [{ kind: "cleared", digest, crashes }];
   }
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/crash_suspects_test.ts
@@ -116,6 +116,27 @@
   expect(mayRun(suspects, "poison", 8_000)).toBe(true);
 });
 
+test("popular content is not blamed for the crashes of a poison request beside it", () => {
+  const suspects = CrashSuspects.create();
+  const answered = { digest: "popular", outcome: "answered" } as const;
+  report(suspects, answered, { on: "e0", ms: 0 });
+  for (const [i, name] of ["e1", "e2", "e3"].entries()) {
+    broke(suspects, "popular", { on: name, ms: 4_000 * i });
+    crash(suspects, name, 4_000 * i);
+  }
+  expect(mayRun(suspects, "popular", 12_000)).toBe(true);
+  expect(mayRun(suspects, "poison", 12_000)).toBe(false);
+});
+
+test("a success speaks for a content for a minute only", () => {
+  const suspects = CrashSuspects.create();
+  const answered = { digest: "poison", outcome: "answered" } as const;
+  report(suspects, answered, { on: "e0", ms: 0 });
+  crash(suspects, "e1", 61_000);
+  crash(suspects, "e2", 65_000);
+  expect(mayRun(suspects, "poison", 69_000)).toBe(false);
+});
+
 test.each(["disconnected", "silent"] as const)(
   "a crash counts that the register shows before the request fails: %s",
   (outcome) => {
