--- a/src/gateway/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -1,12 +1,12 @@
-import type { UpstreamId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 import { ContentKeeper } from "./content_keeper.ts";
 import type { ContentChange } from "./content_table.ts";
 import type { ContentUpdate } from "./crash_suspects.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import type { GatewayEvent } from "./gateway_event.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 /** Time between questions to one upstream whose connections break. */
 const ASK_SPACING_MS: Millis = 500;
--- a/src/gateway/content_keeper.ts
+++ b/src/gateway/contents/content_keeper.ts
@@ -1,8 +1,13 @@
-import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import {
+  addMs,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../../core/time.ts";
 import { markOf } from "./content_table.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import type { GatewayStep } from "./gateway_controller.ts";
-import type { GatewayEvent } from "./gateway_event.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
 
 /** Time of leading after which the store is asked: a daemon that has just started mostly hears of its peers within it. */
 const SETTLE_MS: Millis = 200;
--- a/src/gateway/content_table.ts
+++ b/src/gateway/contents/content_table.ts
@@ -1,5 +1,10 @@
-import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
-import type { JobId } from "../scheduling/pool/pool_job.ts";
+import {
+  addMs,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentRecord } from "./content_record.ts";
 
 const MINUTE_MS: Millis = 60 * SECOND_MS;
--- a/src/gateway/crash_evidence_test.ts
+++ b/src/gateway/contents/crash_evidence_test.ts
@@ -3,7 +3,7 @@
   FrontPlay,
   headText,
   type UpstreamScript,
-} from "../testing/front_play.ts";
+} from "../../testing/front_play.ts";
 
 let play: FrontPlay;
 afterEach(() => play.close());
--- a/src/gateway/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -1,6 +1,6 @@
-import type { UpstreamId } from "../core/id.ts";
-import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
-import type { JobId } from "../scheduling/pool/pool_job.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
 import type { ContentRecord } from "./content_record.ts";
 import {
--- a/src/gateway/crash_suspects_test.ts
+++ b/src/gateway/contents/crash_suspects_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from "vitest";
-import type { UpstreamId } from "../core/id.ts";
-import type { Timestamp } from "../core/time.ts";
-import type { JobId } from "../scheduling/pool/pool_job.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 
--- a/src/gateway/pending_losses.ts
+++ b/src/gateway/contents/pending_losses.ts
@@ -1,5 +1,5 @@
-import type { UpstreamId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 
 /** Time in which an upstream's crash shows in the register: its entry lapses, or another process takes its place. */
 const CONFIRM_MS: Millis = 10_000;
--- a/src/gateway/poison_content_test.ts
+++ b/src/gateway/contents/poison_content_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
-import { type FakeGateway } from "../testing/fake_gateway_fleet.ts";
-import { PoisonPlay } from "../testing/poison_play.ts";
+import { type FakeGateway } from "../../testing/fake_gateway_fleet.ts";
+import { PoisonPlay } from "../../testing/poison_play.ts";
 
 const SIZE = { daemons: 8, upstreams: 12, seed: 20_261_204 };
 const DAY_MS = 34_000;
--- a/src/gateway/share_contents.ts
+++ b/src/gateway/contents/share_contents.ts
@@ -1,7 +1,7 @@
-import type { VmId } from "../core/id.ts";
-import type { Timestamp } from "../core/time.ts";
+import type { VmId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
 import type { ContentShare } from "./content_record.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
 
 /**
  * What a heartbeat or its reply says of contents. Leader and deputy tell each other all that they know; others hear
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -1,13 +1,16 @@
 import type { VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import { PoolScheduler } from "../scheduling/pool/pool_scheduler.ts";
-import { CrashSuspects } from "./crash_suspects.ts";
-import { MemberTable } from "./member_table.ts";
-import type { PeerCard, StoreProgress } from "./peer_message.ts";
-import type { RouteTable } from "./route_table.ts";
-import type { ConfigVersion } from "./serving.ts";
-import { UpstreamGate } from "./upstream_gate.ts";
-import { UpstreamTable, type UpstreamUpdate } from "./upstream_table.ts";
+import { CrashSuspects } from "./contents/crash_suspects.ts";
+import { MemberTable } from "./members/member_table.ts";
+import type { PeerCard, StoreProgress } from "./peers/peer_message.ts";
+import type { RouteTable } from "./serving/route_table.ts";
+import type { ConfigVersion } from "./serving/serving.ts";
+import { UpstreamGate } from "./upstreams/upstream_gate.ts";
+import {
+  UpstreamTable,
+  type UpstreamUpdate,
+} from "./upstreams/upstream_table.ts";
 
 const NEVER = -Infinity as Timestamp;
 
--- a/src/gateway/gateway_core.ts
+++ b/src/gateway/gateway_core.ts
@@ -1,14 +1,14 @@
 import type { Timestamp } from "../core/time.ts";
-import { AvailabilityController } from "./availability_controller.ts";
-import { ContentController } from "./content_controller.ts";
+import { AvailabilityController } from "./upstreams/availability_controller.ts";
+import { ContentController } from "./contents/content_controller.ts";
 import { createGatewayBoard, type GatewayBoard } from "./gateway_board.ts";
 import { type GatewayController, GatewayStep } from "./gateway_controller.ts";
 import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
-import { MembersController } from "./members_controller.ts";
-import type { PeerCard } from "./peer_message.ts";
-import { PlacementController } from "./placement_controller.ts";
-import { RegisterController } from "./register_controller.ts";
-import { ServingController } from "./serving_controller.ts";
+import { MembersController } from "./members/members_controller.ts";
+import type { PeerCard } from "./peers/peer_message.ts";
+import { PlacementController } from "./placement/placement_controller.ts";
+import { RegisterController } from "./upstreams/register_controller.ts";
+import { ServingController } from "./serving/serving_controller.ts";
 
 /** What one step wants done, and when the next one is due. */
 export type GatewayOutcome = Readonly<{
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
-import { READERS_PER_DOMAIN } from "./serving_readers.ts";
+import { READERS_PER_DOMAIN } from "./serving/serving_readers.ts";
 import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
 import { poolAsk, poolJob } from "../testing/pool_fixtures.ts";
 import {
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -2,13 +2,13 @@
 import type { Problem } from "../core/problem.ts";
 import type { Millis } from "../core/time.ts";
 import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
-import type { ContentRecord } from "./content_record.ts";
-import type { ContentReport } from "./content_report.ts";
-import type { PeerCard, PeerMessage } from "./peer_message.ts";
-import type { StoreError } from "./platform_store.ts";
-import type { Serving } from "./serving.ts";
-import type { UpstreamSigns } from "./upstream_signs.ts";
-import type { UpstreamChange } from "./upstream_table.ts";
+import type { ContentRecord } from "./contents/content_record.ts";
+import type { ContentReport } from "./contents/content_report.ts";
+import type { PeerCard, PeerMessage } from "./peers/peer_message.ts";
+import type { StoreError } from "./store/platform_store.ts";
+import type { Serving } from "./serving/serving.ts";
+import type { UpstreamSigns } from "./requests/upstream_signs.ts";
+import type { UpstreamChange } from "./upstreams/upstream_table.ts";
 
 /** What the adapters tell the core of a daemon. */
 export type GatewayEvent =
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../core/time.ts";
-import type { PeerCard } from "./peer_message.ts";
-import type { BudgetTerms } from "./repeat_budget.ts";
+import type { PeerCard } from "./peers/peer_message.ts";
+import type { BudgetTerms } from "./requests/repeat_budget.ts";
 
 /** What a daemon is told at its start. */
 export type GatewaySettings = Readonly<{
--- a/src/gateway/entry_choice.ts
+++ b/src/gateway/members/entry_choice.ts
@@ -1,4 +1,4 @@
-import type { PeerCard } from "./peer_message.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
 
 /** Entries that one answer holds at most. */
 const MAX_ENTRIES = 64;
--- a/src/gateway/member_table.ts
+++ b/src/gateway/members/member_table.ts
@@ -1,6 +1,6 @@
-import type { VmId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
-import type { PeerCard } from "./peer_message.ts";
+import type { VmId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
 import { NO_ROSTER, type RosterPosition, type RosterUpdate } from "./roster.ts";
 
 /** What is known of another daemon. */
--- a/src/gateway/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -1,11 +1,11 @@
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import type { VmId } from "../core/id.ts";
-import { shareContents } from "./share_contents.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { VmId } from "../../core/id.ts";
+import { shareContents } from "../contents/share_contents.ts";
 import { compareLeaders } from "./member_table.ts";
 import { headsOf, heartbeatIntervalMs, isReady, liveMs } from "./membership.ts";
-import type { PeerCard, PeerMessage } from "./peer_message.ts";
+import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { OwnSpeed } from "./own_speed.ts";
 import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
 
--- a/src/gateway/membership.ts
+++ b/src/gateway/members/membership.ts
@@ -1,6 +1,6 @@
-import type { VmId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
+import type { VmId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
 
 /** Time between heartbeats in a small system; a silent leader is noticed after two of them. */
 const HEARTBEAT_MS: Millis = 400;
--- a/src/gateway/own_speed.ts
+++ b/src/gateway/members/own_speed.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../core/time.ts";
+import type { Millis } from "../../core/time.ts";
 
 /** Samples that the decision looks at; the shortest counts, as work that was interrupted only takes longer. */
 const WINDOW = 4;
--- a/src/gateway/roster.ts
+++ b/src/gateway/members/roster.ts
@@ -1,5 +1,5 @@
-import type { VmId } from "../core/id.ts";
-import type { PeerCard } from "./peer_message.ts";
+import type { VmId } from "../../core/id.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
 
 /** Changes that are kept for those that are behind; whoever is further behind gets the whole list. */
 const MAX_CHANGES = 512;
--- a/src/gateway/datagram_port.ts
+++ b/src/gateway/peers/datagram_port.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
-import { splitAddress } from "./address.ts";
+import { splitAddress } from "../address.ts";
 
 /** Datagrams between daemons; what is lost is sent again by those who need it. */
 export class DatagramPort {
--- a/src/gateway/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -1,16 +1,16 @@
 import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
-import { type Refusal, REFUSALS } from "../core/reason.ts";
-import type { Timestamp } from "../core/time.ts";
-import type { JobId } from "../scheduling/pool/pool_job.ts";
-import { idSchema } from "../wire/brands.ts";
+import type { ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import { type Refusal, REFUSALS } from "../../core/reason.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
+import { idSchema } from "../../wire/brands.ts";
 import { deflateJson, inflateJson } from "./deflated.ts";
-import { ContentShareSchema } from "./content_record.ts";
-import { ContentReportSchema } from "./content_report.ts";
-import type { ConfigVersion } from "./serving.ts";
-import type { DomainId, RequestId } from "../core/id.ts";
+import { ContentShareSchema } from "../contents/content_record.ts";
+import { ContentReportSchema } from "../contents/content_report.ts";
+import type { ConfigVersion } from "../serving/serving.ts";
+import type { DomainId, RequestId } from "../../core/id.ts";
 
 /** How a daemon introduces itself to others. */
 export const PeerCardSchema = z.object({
--- a/src/gateway/peer_message_test.ts
+++ b/src/gateway/peers/peer_message_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { deflateSync } from "node:zlib";
 import { describe, expect, test } from "vitest";
-import { peerCard } from "../testing/fake_gateway_fleet.ts";
+import { peerCard } from "../../testing/fake_gateway_fleet.ts";
 import {
   decodePeerMessage,
   encodePeerMessage,
--- a/src/gateway/place_request_client.ts
+++ b/src/gateway/placement/place_request_client.ts
@@ -1,8 +1,8 @@
-import type { VmId } from "../core/id.ts";
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import type { GatewayStep } from "./gateway_controller.ts";
+import type { VmId } from "../../core/id.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import type { JobId, PoolAsk } from "../../scheduling/pool/pool_job.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
 
 /** Time until an ask is sent once more: some round trips between domains, and the answerer's turn. */
 const RESEND_MS: Millis = 45;
--- a/src/gateway/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -1,17 +1,17 @@
 import { err } from "neverthrow";
-import type { UpstreamId, VmId } from "../core/id.ts";
-import { problem } from "../core/problem.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
-import type { JobId, PoolAsk } from "../scheduling/pool/pool_job.ts";
-import type { PoolDecision } from "../scheduling/pool/pool_scheduler.ts";
-import { openTo, reopensInMs } from "./availability.ts";
+import type { UpstreamId, VmId } from "../../core/id.ts";
+import { problem } from "../../core/problem.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { JobId, PoolAsk } from "../../scheduling/pool/pool_job.ts";
+import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
+import { openTo, reopensInMs } from "../upstreams/availability.ts";
 import { PlaceRequestClient } from "./place_request_client.ts";
-import { EngineInspector } from "./engine_inspector.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import type { GatewayEvent } from "./gateway_event.ts";
-import { headsOf, leadsMost, liveMs } from "./membership.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import { EngineInspector } from "../upstreams/engine_inspector.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
+import { headsOf, leadsMost, liveMs } from "../members/membership.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 /** Stands for the upstream of a request that had no place yet. */
 const NO_UPSTREAM = "-" as UpstreamId;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,11 +1,11 @@
 import type { Buffer } from "node:buffer";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { connect } from "node:net";
-import type { Retry } from "../core/reason.ts";
-import type { Millis } from "../core/time.ts";
-import { unexpectedFields } from "../core/unexpected_error.ts";
-import type { Verdict } from "../core/verdict.ts";
-import { splitAddress } from "./address.ts";
+import type { Retry } from "../../core/reason.ts";
+import type { Millis } from "../../core/time.ts";
+import { unexpectedFields } from "../../core/unexpected_error.ts";
+import type { Verdict } from "../../core/verdict.ts";
+import { splitAddress } from "../address.ts";
 import type { AnswerHead, ClientHead, Dialect } from "./dialect.ts";
 import { isUndelimited, wasClosed } from "./undelimited.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
--- a/src/gateway/attempt_test.ts
+++ b/src/gateway/requests/attempt_test.ts
@@ -6,8 +6,8 @@
   type Socket,
 } from "node:net";
 import { afterEach, expect, test } from "vitest";
-import { PlatformDialect } from "../../platform/wire/dialect.ts";
-import { clientHead } from "../testing/fake_gateway_port.ts";
+import { PlatformDialect } from "../../../platform/wire/dialect.ts";
+import { clientHead } from "../../testing/fake_gateway_port.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientHead } from "./dialect.ts";
 
--- a/src/gateway/client_answer.ts
+++ b/src/gateway/requests/client_answer.ts
@@ -1,8 +1,8 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { Problem } from "../core/problem.ts";
-import { SECOND_MS } from "../core/time.ts";
-import { PROBLEM_TYPE, problemBody } from "../http/problem_body.ts";
+import type { Problem } from "../../core/problem.ts";
+import { SECOND_MS } from "../../core/time.ts";
+import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
 import type { AnswerHead } from "./dialect.ts";
 
 const CLOSING = ["Connection", "close"];
--- a/src/gateway/dialect.ts
+++ b/src/gateway/requests/dialect.ts
@@ -1,8 +1,8 @@
 import type { Result } from "neverthrow";
-import type { RequestId, TeamId, UpstreamId } from "../core/id.ts";
+import type { RequestId, TeamId, UpstreamId } from "../../core/id.ts";
 import type { UpstreamSigns } from "./upstream_signs.ts";
-import type { Problem } from "../core/problem.ts";
-import type { Millis } from "../core/time.ts";
+import type { Problem } from "../../core/problem.ts";
+import type { Millis } from "../../core/time.ts";
 
 /** The head of a client's request, decoded. */
 export type ClientHead = Readonly<{
--- a/src/gateway/drawn_faults_test.ts
+++ b/src/gateway/requests/drawn_faults_test.ts
@@ -8,11 +8,11 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterAll, beforeAll, expect, test } from "vitest";
-import { PlatformDialect } from "../../platform/wire/dialect.ts";
-import { Random } from "../core/random.ts";
-import { createFakePort, servingOf } from "../testing/fake_gateway_port.ts";
+import { PlatformDialect } from "../../../platform/wire/dialect.ts";
+import { Random } from "../../core/random.ts";
+import { createFakePort, servingOf } from "../../testing/fake_gateway_port.ts";
 import { FrontServer } from "./front_server.ts";
-import { RouteTable } from "./route_table.ts";
+import { RouteTable } from "../serving/route_table.ts";
 
 const SEED = 20_261_204;
 const REQUESTS = 400;
--- a/src/gateway/endless_answer_test.ts
+++ b/src/gateway/requests/endless_answer_test.ts
@@ -6,12 +6,12 @@
   type Socket,
 } from "node:net";
 import { afterEach, describe, expect, test } from "vitest";
-import { PlatformDialect } from "../../platform/wire/dialect.ts";
+import { PlatformDialect } from "../../../platform/wire/dialect.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientAnswer } from "./client_answer.ts";
-import { clientHead } from "../testing/fake_gateway_port.ts";
-import { plainCall } from "./small_http.ts";
+import { clientHead } from "../../testing/fake_gateway_port.ts";
+import { plainCall } from "../small_http.ts";
 
 /** What one answer may take up before it is given up: an event at most, and what the sockets hold. */
 const MAX_BYTES = 8 << 20;
--- a/src/gateway/engine_orders.ts
+++ b/src/gateway/requests/engine_orders.ts
@@ -1,5 +1,5 @@
 import type { ResultAsync } from "neverthrow";
-import type { Millis } from "../core/time.ts";
+import type { Millis } from "../../core/time.ts";
 import { hasSigns, type UpstreamSigns } from "./upstream_signs.ts";
 
 /** Memory to be reserved on one engine. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,9 +1,9 @@
 import type { Buffer } from "node:buffer";
-import type { UpstreamId } from "../core/id.ts";
-import { type Problem, problem } from "../core/problem.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
-import { joinVerdicts } from "../core/verdict.ts";
-import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import { joinVerdicts } from "../../core/verdict.ts";
+import type { JobId, PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { ClientAnswer } from "./client_answer.ts";
@@ -11,7 +11,7 @@
   type ContentReport,
   outcomeOfFailure,
   outcomeOfGivingUp,
-} from "./content_report.ts";
+} from "../contents/content_report.ts";
 import {
   AnswerTimes,
   askOf,
@@ -27,7 +27,7 @@
   JobUpdate,
 } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
-import { type Backend, isRepeatable } from "./serving.ts";
+import { type Backend, isRepeatable } from "../serving/serving.ts";
 import { TicketKeeper } from "./ticket_keeper.ts";
 import { TryHistory } from "./try_history.ts";
 import { hasSigns } from "./upstream_signs.ts";
--- a/src/gateway/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -1,6 +1,6 @@
-import type { Problem } from "../core/problem.ts";
-import type { UpstreamId } from "../core/id.ts";
-import type { Millis } from "../core/time.ts";
+import type { Problem } from "../../core/problem.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
 import type { AnswerRelay } from "./answer_relay.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
--- a/src/gateway/exchange_parts.ts
+++ b/src/gateway/requests/exchange_parts.ts
@@ -1,10 +1,14 @@
-import type { Millis, Timestamp } from "../core/time.ts";
-import type { JobId, PoolAsk, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type {
+  JobId,
+  PoolAsk,
+  PoolGrant,
+} from "../../scheduling/pool/pool_job.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_rule.ts";
-import type { Backend } from "./serving.ts";
-import type { UpstreamId } from "../core/id.ts";
-import type { Closure } from "./upstream_gate.ts";
+import type { Backend } from "../serving/serving.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Closure } from "../upstreams/upstream_gate.ts";
 
 /** Time that the last answer takes to the client. */
 const ANSWER_MS: Millis = 20;
--- a/src/gateway/exchange_port.ts
+++ b/src/gateway/requests/exchange_port.ts
@@ -1,23 +1,23 @@
 import type { Buffer } from "node:buffer";
-import type { UpstreamId } from "../core/id.ts";
-import type { Refusal } from "../core/reason.ts";
-import type { Retry } from "../core/reason.ts";
-import type { Timestamp } from "../core/time.ts";
-import type { Verdict } from "../core/verdict.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Refusal } from "../../core/reason.ts";
+import type { Retry } from "../../core/reason.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { Verdict } from "../../core/verdict.ts";
 import type {
   ClosedUpstream,
   JobId,
   PoolAsk,
-} from "../scheduling/pool/pool_job.ts";
-import type { Closure } from "./upstream_gate.ts";
+} from "../../scheduling/pool/pool_job.ts";
+import type { Closure } from "../upstreams/upstream_gate.ts";
 import type { UpstreamSigns } from "./upstream_signs.ts";
-import type { PoolReply } from "./placement_port.ts";
-import type { ContentReport } from "./content_report.ts";
+import type { PoolReply } from "../placement/placement_port.ts";
+import type { ContentReport } from "../contents/content_report.ts";
 import type { ClientHead, Dialect } from "./dialect.ts";
 import type { EngineOrders } from "./engine_orders.ts";
-import type { Admitted } from "./route_table.ts";
-import type { LineFields } from "./event_log.ts";
-import type { ServiceId } from "../core/id.ts";
+import type { Admitted } from "../serving/route_table.ts";
+import type { LineFields } from "../event_log.ts";
+import type { ServiceId } from "../../core/id.ts";
 
 /** What an exchange is about. */
 export type ExchangeRequest = Readonly<{
--- a/src/gateway/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -6,15 +6,15 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { UpstreamId } from "../core/id.ts";
-import { type Problem, problem } from "../core/problem.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 import { ClientAnswer } from "./client_answer.ts";
 import type { ClientHead } from "./dialect.ts";
 import { Exchange } from "./exchange.ts";
 import { endOf } from "./exchange_parts.ts";
 import type { ExchangePort } from "./exchange_port.ts";
-import type { Admitted, RouteTable } from "./route_table.ts";
+import type { Admitted, RouteTable } from "../serving/route_table.ts";
 
 /** Bytes of a head that the parser takes; what the configuration allows is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
--- a/src/gateway/front_server_test.ts
+++ b/src/gateway/requests/front_server_test.ts
@@ -8,12 +8,12 @@
 } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
-import { PlatformDialect } from "../../platform/wire/dialect.ts";
-import type { Timestamp } from "../core/time.ts";
-import { createFakePort, servingOf } from "../testing/fake_gateway_port.ts";
+import { PlatformDialect } from "../../../platform/wire/dialect.ts";
+import type { Timestamp } from "../../core/time.ts";
+import { createFakePort, servingOf } from "../../testing/fake_gateway_port.ts";
 import { FrontServer } from "./front_server.ts";
-import { RouteTable } from "./route_table.ts";
-import type { Route } from "./serving.ts";
+import { RouteTable } from "../serving/route_table.ts";
+import type { Route } from "../serving/serving.ts";
 
 /** How long after a time-out the platform accepts the final answer. */
 const LATE_MS = 500;
--- a/src/gateway/repeat_budget.ts
+++ b/src/gateway/requests/repeat_budget.ts
@@ -1,5 +1,5 @@
-import type { ServiceId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { ServiceId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 
 /** How many repeats all daemons together may send to a service in a sliding window. */
 export type BudgetTerms = Readonly<{
--- a/src/gateway/retry_rule_test.ts
+++ b/src/gateway/requests/retry_rule_test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, test } from "vitest";
-import type { ServiceId } from "../core/id.ts";
-import type { Timestamp } from "../core/time.ts";
-import type { Verdict } from "../core/verdict.ts";
+import type { ServiceId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { Verdict } from "../../core/verdict.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { decideRetry, type Tries } from "./retry_rule.ts";
-import type { Route, RouteKind } from "./serving.ts";
+import type { Route, RouteKind } from "../serving/serving.ts";
 
 function route(kind: RouteKind, resumable = false): Route {
   return {
--- a/src/gateway/ticket_keeper.ts
+++ b/src/gateway/requests/ticket_keeper.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
-import type { Millis } from "../core/time.ts";
-import type { PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { Millis } from "../../core/time.ts";
+import type { PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import type { EngineOrders, ReservationError } from "./engine_orders.ts";
 
 /** How long a ticket lives without being renewed; short, so that what a dead daemon held is free again soon. */
--- a/src/gateway/ticket_keeper_test.ts
+++ b/src/gateway/requests/ticket_keeper_test.ts
@@ -1,8 +1,8 @@
 import { errAsync, okAsync } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import type { ServiceId, UpstreamId, VmId } from "../core/id.ts";
-import type { Timestamp } from "../core/time.ts";
-import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
+import type { ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { JobId, PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import {
   EngineOrders,
   type Reservation,
--- a/src/gateway/try_history.ts
+++ b/src/gateway/requests/try_history.ts
@@ -1,12 +1,12 @@
-import type { UpstreamId } from "../core/id.ts";
-import type { Millis } from "../core/time.ts";
-import { joinVerdicts, type Verdict } from "../core/verdict.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
+import { joinVerdicts, type Verdict } from "../../core/verdict.ts";
 import {
   type AttemptFailure,
   decideRetry,
   type RetryDecision,
 } from "./retry_rule.ts";
-import { isRepeatable, type Route } from "./serving.ts";
+import { isRepeatable, type Route } from "../serving/serving.ts";
 
 /** What was tried so far for one request, and what follows from it. */
 export class TryHistory {
--- a/src/gateway/upstream_signs.ts
+++ b/src/gateway/requests/upstream_signs.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../core/time.ts";
+import type { Millis } from "../../core/time.ts";
 
 /** What an upstream says of itself beside any answer. */
 export type UpstreamSigns = Readonly<{
--- a/src/gateway/upstream_signs_test.ts
+++ b/src/gateway/requests/upstream_signs_test.ts
@@ -1,12 +1,12 @@
 import { afterEach, describe, expect, test } from "vitest";
-import { OrderClient } from "../../platform/order_client.ts";
-import type { UpstreamId } from "../core/id.ts";
-import type { Timestamp } from "../core/time.ts";
+import { OrderClient } from "../../../platform/order_client.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Timestamp } from "../../core/time.ts";
 import {
   FrontPlay,
   headText,
   type UpstreamScript,
-} from "../testing/front_play.ts";
+} from "../../testing/front_play.ts";
 
 let play: FrontPlay;
 afterEach(() => play.close());
--- a/src/gateway/route_table.ts
+++ b/src/gateway/serving/route_table.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { type Problem, problem } from "../core/problem.ts";
+import { type Problem, problem } from "../../core/problem.ts";
 import type { Route, Serving, Team } from "./serving.ts";
 
 /** Whom a request comes from and what it asks for. */
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving/serving.ts
@@ -1,7 +1,7 @@
-import type { Branded } from "../core/brand.ts";
-import type { ServiceId, TeamId } from "../core/id.ts";
-import type { Millis } from "../core/time.ts";
-import type { EnginePace } from "../scheduling/pool/engine_pace.ts";
+import type { Branded } from "../../core/brand.ts";
+import type { ServiceId, TeamId } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
+import type { EnginePace } from "../../scheduling/pool/engine_pace.ts";
 
 /** The number of a configuration version; a higher one is newer. */
 export type ConfigVersion = Branded<number, "ConfigVersion">;
--- a/src/gateway/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -1,14 +1,18 @@
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { liveMs } from "./membership.ts";
-import { ownReading } from "./own_reading.ts";
-import type { PeerCard, PeerMessage, StoreProgress } from "./peer_message.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import { liveMs } from "../members/membership.ts";
+import { ownReading } from "../upstreams/own_reading.ts";
+import type {
+  PeerCard,
+  PeerMessage,
+  StoreProgress,
+} from "../peers/peer_message.ts";
 import { RouteTable } from "./route_table.ts";
 import type { Serving } from "./serving.ts";
-import { sendChanges } from "./send_changes.ts";
+import { sendChanges } from "../upstreams/send_changes.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
-import { StoreReader } from "./store_reader.ts";
+import { StoreReader } from "../store/store_reader.ts";
 
 /** How long the store may wait for a new version; the leader asks more often, as its readings vouch for the others. */
 const WAIT_MS: Millis = 10_000;
--- a/src/gateway/serving_json.ts
+++ b/src/gateway/serving/serving_json.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
-import { deflateJson, inflateJson } from "./deflated.ts";
+import { deflateJson, inflateJson } from "../peers/deflated.ts";
 import type { Serving } from "./serving.ts";
 
 /** Largest configuration of another daemon: ten thousand routes. */
--- a/src/gateway/serving_json_test.ts
+++ b/src/gateway/serving/serving_json_test.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { expect, test } from "vitest";
-import { servingOf } from "../testing/fake_gateway_port.ts";
+import { servingOf } from "../../testing/fake_gateway_port.ts";
 import type { Serving } from "./serving.ts";
 import { decodeServing, encodeServing } from "./serving_json.ts";
 
--- a/src/gateway/serving_readers.ts
+++ b/src/gateway/serving/serving_readers.ts
@@ -1,6 +1,6 @@
-import type { VmId } from "../core/id.ts";
-import { compareLeaders, hash } from "./member_table.ts";
-import type { PeerCard } from "./peer_message.ts";
+import type { VmId } from "../../core/id.ts";
+import { compareLeaders, hash } from "../members/member_table.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
 
 /** Daemons of a failure domain that read the configuration from the store, so that the loss of one leaves another. */
 export const READERS_PER_DOMAIN = 2;
--- a/src/gateway/platform_store.ts
+++ b/src/gateway/store/platform_store.ts
@@ -1,9 +1,9 @@
 import type { ResultAsync } from "neverthrow";
-import type { Millis } from "../core/time.ts";
-import type { ContentRecord } from "./content_record.ts";
-import type { PeerCard } from "./peer_message.ts";
-import type { Serving } from "./serving.ts";
-import type { UpstreamChange } from "./upstream_table.ts";
+import type { Millis } from "../../core/time.ts";
+import type { ContentRecord } from "../contents/content_record.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
+import type { Serving } from "../serving/serving.ts";
+import type { UpstreamChange } from "../upstreams/upstream_table.ts";
 
 /** Why a call of the platform's store failed. */
 export type StoreError =
--- a/src/gateway/store_caller.ts
+++ b/src/gateway/store/store_caller.ts
@@ -1,7 +1,7 @@
-import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
+import type { GatewayEvent, GatewayIntent } from "../gateway_event.ts";
 import type { PlatformStore, StoreError } from "./platform_store.ts";
-import { decodeServing } from "./serving_json.ts";
-import { plainCall } from "./small_http.ts";
+import { decodeServing } from "../serving/serving_json.ts";
+import { plainCall } from "../small_http.ts";
 
 /** Path at which daemons fetch the configuration from each other. */
 export const SERVING_PATH = "/serving";
--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store/store_reader.ts
@@ -1,6 +1,6 @@
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { GatewayStep } from "./gateway_controller.ts";
-import type { StoreTopic } from "./gateway_event.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
+import type { StoreTopic } from "../gateway_event.ts";
 import type { StoreError } from "./platform_store.ts";
 
 /** Time to the next try after a failed reading, doubled by each failure up to the largest. */
--- a/src/gateway/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -1,7 +1,10 @@
-import type { ServiceId, UpstreamId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
-import type { ClosedUpstream, PoolAsk } from "../scheduling/pool/pool_job.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
+import type { ServiceId, UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type {
+  ClosedUpstream,
+  PoolAsk,
+} from "../../scheduling/pool/pool_job.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
 import type { Closure } from "./upstream_gate.ts";
 import type { UpstreamEntry } from "./upstream_table.ts";
 
--- a/src/gateway/availability_controller.ts
+++ b/src/gateway/upstreams/availability_controller.ts
@@ -1,8 +1,8 @@
-import type { UpstreamId } from "../core/id.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import { headsOf, liveMs } from "./membership.ts";
-import type { UpstreamSigns } from "./upstream_signs.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import { headsOf, liveMs } from "../members/membership.ts";
+import type { UpstreamSigns } from "../requests/upstream_signs.ts";
 
 /** Notes what upstreams say of themselves, and tells the others which ones leave. */
 export class AvailabilityController extends GatewayController {
--- a/src/gateway/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -1,14 +1,14 @@
 import { describe, expect, test } from "vitest";
-import type { UpstreamId } from "../core/id.ts";
-import type { Millis } from "../core/time.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
 import {
   emptyServing,
   entryOf,
   type FakeGateway,
   FakeGatewayFleet,
-} from "../testing/fake_gateway_fleet.ts";
-import type { PoolAsk } from "../scheduling/pool/pool_job.ts";
-import { poolAsk } from "../testing/pool_fixtures.ts";
+} from "../../testing/fake_gateway_fleet.ts";
+import type { PoolAsk } from "../../scheduling/pool/pool_job.ts";
+import { poolAsk } from "../../testing/pool_fixtures.ts";
 import { closedUpstreams } from "./availability.ts";
 
 const SETTLED_MS: Millis = 6_000;
--- a/src/gateway/engine_inspector.ts
+++ b/src/gateway/upstreams/engine_inspector.ts
@@ -1,10 +1,10 @@
-import type { UpstreamId } from "../core/id.ts";
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { isSlow } from "../scheduling/pool/upstream_load.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import type { GatewayStep } from "./gateway_controller.ts";
-import type { GatewayEvent } from "./gateway_event.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { isSlow } from "../../scheduling/pool/upstream_load.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 /** Time between checks for late first events; many more prompts are placed meanwhile in a crest. */
 const CHECK_MS: Millis = 50;
--- a/src/gateway/own_reading.ts
+++ b/src/gateway/upstreams/own_reading.ts
@@ -1,7 +1,7 @@
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { GatewayBoard } from "./gateway_board.ts";
-import { hash } from "./member_table.ts";
-import { liveMs } from "./membership.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { hash } from "../members/member_table.ts";
+import { liveMs } from "../members/membership.ts";
 
 /** Age, beyond what a heartbeat and a reading of the leader bring, at which a daemon reads for itself. */
 const STALE_MARGIN_MS: Millis = 300;
--- a/src/gateway/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -1,10 +1,10 @@
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
-import { GatewayController, type GatewayStep } from "./gateway_controller.ts";
-import type { PeerMessage, StoreProgress } from "./peer_message.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { PeerMessage, StoreProgress } from "../peers/peer_message.ts";
 import { ownReading } from "./own_reading.ts";
 import { sendChanges } from "./send_changes.ts";
-import { StoreReader } from "./store_reader.ts";
+import { StoreReader } from "../store/store_reader.ts";
 import {
   LAPSE_GRACE_MS,
   type UpstreamChange,
--- a/src/gateway/send_changes.ts
+++ b/src/gateway/upstreams/send_changes.ts
@@ -1,7 +1,7 @@
-import { type GatewayBoard, storeProgressOf } from "./gateway_board.ts";
-import type { GatewayStep } from "./gateway_controller.ts";
-import { headsOf, liveMs } from "./membership.ts";
-import type { StoreProgress } from "./peer_message.ts";
+import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
+import { headsOf, liveMs } from "../members/membership.ts";
+import type { StoreProgress } from "../peers/peer_message.ts";
 import type { UpstreamChange } from "./upstream_table.ts";
 
 /**
--- a/src/gateway/upstream_gate.ts
+++ b/src/gateway/upstreams/upstream_gate.ts
@@ -1,6 +1,6 @@
-import type { UpstreamId } from "../core/id.ts";
-import { addMs, type Millis, type Timestamp } from "../core/time.ts";
-import type { UpstreamSigns } from "./upstream_signs.ts";
+import type { UpstreamId } from "../../core/id.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import type { UpstreamSigns } from "../requests/upstream_signs.ts";
 
 /** Upstreams of which something is remembered; more than the largest deployment has. */
 const MAX_UPSTREAMS = 1_024;
--- a/src/gateway/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -1,5 +1,5 @@
-import type { DomainId, ServiceId, UpstreamId } from "../core/id.ts";
-import type { Millis, Timestamp } from "../core/time.ts";
+import type { DomainId, ServiceId, UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 
 /** An upstream as it registered itself. */
 export type UpstreamEntry = Readonly<{
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -1,14 +1,17 @@
 import type { DomainId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
-import type { ContentRecord } from "../gateway/content_record.ts";
+import type { ContentRecord } from "../gateway/contents/content_record.ts";
 import { GatewayCore } from "../gateway/gateway_core.ts";
 import type { GatewayEvent, GatewayIntent } from "../gateway/gateway_event.ts";
-import { encodePeerMessage, type PeerCard } from "../gateway/peer_message.ts";
-import type { ConfigVersion, Serving } from "../gateway/serving.ts";
+import {
+  encodePeerMessage,
+  type PeerCard,
+} from "../gateway/peers/peer_message.ts";
+import type { ConfigVersion, Serving } from "../gateway/serving/serving.ts";
 import type {
   UpstreamChange,
   UpstreamEntry,
-} from "../gateway/upstream_table.ts";
+} from "../gateway/upstreams/upstream_table.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const LINK_MS: Millis = 1;
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -9,11 +9,11 @@
   VmId,
 } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
-import type { ClientHead, Dialect } from "../gateway/dialect.ts";
-import { EngineOrders } from "../gateway/engine_orders.ts";
-import type { ExchangePort } from "../gateway/exchange_port.ts";
-import type { Closure } from "../gateway/upstream_gate.ts";
-import type { Route, Serving } from "../gateway/serving.ts";
+import type { ClientHead, Dialect } from "../gateway/requests/dialect.ts";
+import { EngineOrders } from "../gateway/requests/engine_orders.ts";
+import type { ExchangePort } from "../gateway/requests/exchange_port.ts";
+import type { Closure } from "../gateway/upstreams/upstream_gate.ts";
+import type { Route, Serving } from "../gateway/serving/serving.ts";
 import { poolJob } from "./pool_fixtures.ts";
 import { emptyServing } from "./fake_gateway_fleet.ts";
 
--- a/src/testing/front_play.ts
+++ b/src/testing/front_play.ts
@@ -10,9 +10,9 @@
   type Socket,
 } from "node:net";
 import { PlatformDialect } from "../../platform/wire/dialect.ts";
-import { FrontServer } from "../gateway/front_server.ts";
-import { RouteTable } from "../gateway/route_table.ts";
-import type { Route } from "../gateway/serving.ts";
+import { FrontServer } from "../gateway/requests/front_server.ts";
+import { RouteTable } from "../gateway/serving/route_table.ts";
+import type { Route } from "../gateway/serving/serving.ts";
 import {
   createFakePort,
   type FakePort,
