--- a/src/board/members_section.ts
+++ b/src/board/members_section.ts
@@ -37,7 +37,7 @@
   /** The daemon that places prompts for the cell; possibly this one. */
   scheduler: DaemonId;
   /** Upstreams that a peer says are leaving or crashed, by what it saw last. */
-  upstreamNews: Map<
+  upstreamUpdates: Map<
     UpstreamId,
     Readonly<{ incarnation: string; state: string }>
   >;
@@ -51,6 +51,6 @@
     drain: "serving",
     ready: false,
     scheduler: self,
-    upstreamNews: new Map(),
+    upstreamUpdates: new Map(),
   };
 }
--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -17,7 +17,7 @@
     .describe("Attempts of one request, the first included."),
   configFreshnessMs: z.number().int().min(1_000).max(3_600_000).default(60_000)
     .describe(
-      "Age at which a configuration without news from log or peers stops admission, in milliseconds.",
+      "Age at which a configuration that neither log nor peers have confirmed stops admission, in milliseconds.",
     ),
   keyWindowMs: z.number().int().min(60_000).max(604_800_000).default(3_600_000)
     .describe(
--- a/src/controllers/config_controller.ts
+++ b/src/controllers/config_controller.ts
@@ -102,12 +102,12 @@
     }
   }
 
-  #readPeer(board: Blackboard, ctx: StepContext, beat: Heartbeat): void {
-    const revision = beat.revision as Revision;
-    const offset = beat.configOffset as Offset;
+  #readPeer(board: Blackboard, ctx: StepContext, heartbeat: Heartbeat): void {
+    const revision = heartbeat.revision as Revision;
+    const offset = heartbeat.configOffset as Offset;
     const text = revision === board.config.revision
       ? board.config.text
-      : Buffer.from(beat.config).toString("utf8");
+      : Buffer.from(heartbeat.config).toString("utf8");
     if (revision === NO_REVISION || text === "") return;
     const state = {
       revision,
@@ -124,21 +124,21 @@
   #take(
     board: Blackboard,
     ctx: StepContext,
-    news: ConfigState & Readonly<{ offset: Offset }>,
+    state: ConfigState & Readonly<{ offset: Offset }>,
   ): void {
     const { config } = board;
-    if (news.revision === config.revision) {
-      config.offset = Math.max(config.offset, news.offset) as Offset;
+    if (state.revision === config.revision) {
+      config.offset = Math.max(config.offset, state.offset) as Offset;
     }
     if (
-      news.revision <= config.revision || news.revision <= this.#unreadable
+      state.revision <= config.revision || state.revision <= this.#unreadable
     ) return;
-    const serving = parseServing(news.text);
-    if (serving === undefined) return this.#reject(ctx, news.revision);
-    config.revision = news.revision;
+    const serving = parseServing(state.text);
+    if (serving === undefined) return this.#reject(ctx, state.revision);
+    config.revision = state.revision;
     config.serving = serving;
-    config.text = news.text;
-    config.offset = news.offset;
+    config.text = state.text;
+    config.offset = state.offset;
     ctx.counters.add("config_taken");
     ctx.repeat();
   }
--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -1,11 +1,11 @@
 import { Buffer } from "node:buffer";
 import type { Blackboard } from "../board/blackboard.ts";
 import type { Timestamp } from "../core/time.ts";
-import type { Heartbeat, Suspect, UpstreamNews } from "../gen/peer.ts";
+import type { Heartbeat, Suspect, UpstreamUpdate } from "../gen/peer.ts";
 
 /** State of a daemon that others must not count on yet. */
 export const STARTING = "starting";
-/** News of one kind that a heartbeat carries at the most. */
+/** Updates of one kind that a heartbeat carries at the most. */
 const MAX_ITEMS = 16;
 
 /** Builds what this daemon tells one peer about itself. */
@@ -32,7 +32,7 @@
   };
 }
 
-function leavingUpstreams(board: Blackboard): UpstreamNews[] {
+function leavingUpstreams(board: Blackboard): UpstreamUpdate[] {
   return [...board.upstreams.byId.values()]
     .filter((upstream) => upstream.state === "leaving")
     .slice(-MAX_ITEMS)
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -31,7 +31,7 @@
 /** Time that a planned stop waits for the log to take the last outcomes. */
 const LOG_WAIT_MS: Millis = 10 * SECOND_MS;
 const MAX_PEERS = 256;
-const MAX_NEWS = 256;
+const MAX_UPDATES = 256;
 /** Time in which a peer is left to read a new configuration from the log. */
 const CONFIG_GRACE_MS: Millis = 2 * SECOND_MS;
 /** Time by which each further daemon waits longer before it sends the configuration. */
@@ -56,7 +56,7 @@
   /** Since when a peer has named a revision before the one in force here; one entry for each peer at the most. */
   readonly #behindSince = new Map<DaemonId, Timestamp>();
   /** Peers that are new here: they hear at once what this daemon knows. */
-  readonly #greeted = new Set<string>();
+  readonly #contacted = new Set<string>();
 
   static create(): MembershipController {
     return new MembershipController();
@@ -69,7 +69,7 @@
     this.#drain(board, ctx);
     this.#judgeReady(board);
     this.#elect(board, ctx.now);
-    this.#beat(board, ctx);
+    this.#heartbeat(board, ctx);
   }
 
   #take(board: Blackboard, ctx: StepContext, event: Event): void {
@@ -89,7 +89,7 @@
     const addresses = entryAddresses(vms, board.self.peerAddress);
     board.members.addresses = addresses;
     for (const address of addresses) {
-      if (!known.has(address)) this.#greeted.add(address);
+      if (!known.has(address)) this.#contacted.add(address);
     }
   }
 
@@ -105,14 +105,14 @@
       return ctx.counters.add("peer_messages_dropped");
     }
     this.#seen.set(from, envelope.seq);
-    const beat = envelope.body.value;
+    const heartbeat = envelope.body.value;
     const heardAt = board.members.peers.get(from)?.heardAt;
     if (heardAt === undefined || ctx.now - heardAt > PEER_FRESH_MS) {
-      this.#greeted.add(beat.peerAddress);
+      this.#contacted.add(heartbeat.peerAddress);
     }
-    board.members.peers.set(from, toPeer(from, beat, ctx.now));
-    this.#dropEarlierRuns(board, from, beat.vm as VmId);
-    for (const news of beat.upstreams) this.#keepNews(board, news);
+    board.members.peers.set(from, toPeer(from, heartbeat, ctx.now));
+    this.#dropEarlierRuns(board, from, heartbeat.vm as VmId);
+    for (const update of heartbeat.upstreams) this.#keepUpdate(board, update);
   }
 
   /** A VM runs one daemon at a time; the run that spoke last is the live one. */
@@ -124,14 +124,17 @@
     }
   }
 
-  #keepNews(board: Blackboard, news: Heartbeat["upstreams"][number]): void {
-    const { upstreamNews } = board.members;
-    const id = news.upstream as UpstreamId;
-    upstreamNews.delete(id);
-    upstreamNews.set(id, { incarnation: news.incarnation, state: news.state });
-    const oldest = upstreamNews.keys().next().value;
-    if (upstreamNews.size > MAX_NEWS && oldest !== undefined) {
-      upstreamNews.delete(oldest);
+  #keepUpdate(board: Blackboard, update: Heartbeat["upstreams"][number]): void {
+    const { upstreamUpdates } = board.members;
+    const id = update.upstream as UpstreamId;
+    upstreamUpdates.delete(id);
+    upstreamUpdates.set(id, {
+      incarnation: update.incarnation,
+      state: update.state,
+    });
+    const oldest = upstreamUpdates.keys().next().value;
+    if (upstreamUpdates.size > MAX_UPDATES && oldest !== undefined) {
+      upstreamUpdates.delete(oldest);
     }
   }
 
@@ -175,7 +178,7 @@
     board.members.drain = "leaving";
     const age = board.config.serving?.limits.entryMaxAgeMs ??
       DEFAULT_ENTRY_AGE_MS;
-    // A peer that misses the news gives this daemon out until it counts as silent.
+    // A peer that misses the update gives this daemon out until it counts as silent.
     this.#refuseAt = addMs(ctx.now, age + PEER_FRESH_MS + HEARTBEAT_MS);
     this.#beatAt = undefined;
   }
@@ -224,7 +227,7 @@
     board.members.scheduler = rendezvous(CELL, candidates) ?? board.self.id;
   }
 
-  #beat(board: Blackboard, ctx: StepContext): void {
+  #heartbeat(board: Blackboard, ctx: StepContext): void {
     const { crashesSeen } = board.quarantine;
     const hasNews = crashesSeen > this.#crashesTold;
     this.#crashesTold = crashesSeen;
@@ -234,9 +237,9 @@
         this.#send(board, ctx, address);
       }
     } else {
-      for (const address of this.#greeted) this.#send(board, ctx, address);
+      for (const address of this.#contacted) this.#send(board, ctx, address);
     }
-    this.#greeted.clear();
+    this.#contacted.clear();
     ctx.wakeAt(this.#beatAt);
   }
 
@@ -277,17 +280,17 @@
     .slice(0, MAX_PEERS);
 }
 
-function toPeer(id: DaemonId, beat: Heartbeat, now: Timestamp): Peer {
+function toPeer(id: DaemonId, heartbeat: Heartbeat, now: Timestamp): Peer {
   return {
     id,
-    vm: beat.vm as VmId,
-    domain: beat.domain as DomainId,
-    clientAddress: beat.clientAddress,
-    peerAddress: beat.peerAddress,
-    state: toPeerState(beat.state),
-    revision: beat.revision as Revision,
-    running: beat.running,
-    queued: beat.queued,
+    vm: heartbeat.vm as VmId,
+    domain: heartbeat.domain as DomainId,
+    clientAddress: heartbeat.clientAddress,
+    peerAddress: heartbeat.peerAddress,
+    state: toPeerState(heartbeat.state),
+    revision: heartbeat.revision as Revision,
+    running: heartbeat.running,
+    queued: heartbeat.queued,
     heardAt: now,
   };
 }
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -11,7 +11,7 @@
 import {
   CellScheduler,
   DISPATCH_MS,
-  type JobNews,
+  type JobEvent,
 } from "../scheduling/cell_scheduler.ts";
 import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import {
@@ -200,9 +200,9 @@
     if (message.suspect?.silent === false) {
       this.#scheduler.accounts.engineCrashed(message.suspect.upstream as never);
     }
-    const news = message.state as JobNews;
+    const update = message.state as JobEvent;
     const { round } = message;
-    this.#scheduler.update(request, news, { round, now: ctx.now });
+    this.#scheduler.update(request, update, { round, now: ctx.now });
   }
 
   #takeAnswer(
@@ -304,8 +304,8 @@
 
   /** Asks again where the answer is overdue: a silent scheduling daemon is done without. */
   #await(board: Blackboard, ctx: StepContext, round: Round): void {
-    const patience = round.state === "asked" ? ASK_SILENCE_MS : ASK_AGAIN_MS;
-    const dueAt = addMs(round.askedAt, patience);
+    const timeoutMs = round.state === "asked" ? ASK_SILENCE_MS : ASK_AGAIN_MS;
+    const dueAt = addMs(round.askedAt, timeoutMs);
     if (ctx.now < dueAt) return ctx.wakeAt(dueAt);
     if (round.state === "asked") return this.#askHere(board, ctx, round);
     const wasHere = round.scheduler === board.self.id;
@@ -372,15 +372,15 @@
     board: Blackboard,
     ctx: StepContext,
     options: Readonly<
-      { request: RequestId; state: JobNews; suspect?: Suspect }
+      { request: RequestId; state: JobEvent; suspect?: Suspect }
     >,
   ): void {
     const { request, state, suspect } = options;
     const round = this.#rounds.get(request);
     if (round === undefined) return;
     if (round.scheduler === board.self.id) {
-      const news = { round: round.ask.round, now: ctx.now };
-      return this.#scheduler.update(request, state, news);
+      const options = { round: round.ask.round, now: ctx.now };
+      return this.#scheduler.update(request, state, options);
     }
     this.#mail.update(board, ctx, round.scheduler, {
       request,
--- a/src/controllers/upstream_controller.ts
+++ b/src/controllers/upstream_controller.ts
@@ -146,9 +146,11 @@
   }
 
   #takeNews(board: Blackboard): void {
-    for (const [id, news] of board.members.upstreamNews) {
+    for (const [id, update] of board.members.upstreamUpdates) {
       const known = board.upstreams.byId.get(id);
-      if (news.state === "leaving" && known?.incarnation === news.incarnation) {
+      if (
+        update.state === "leaving" && known?.incarnation === update.incarnation
+      ) {
         this.#leave(board, id);
       }
     }
--- a/src/controllers/upstream_controller_test.ts
+++ b/src/controllers/upstream_controller_test.ts
@@ -57,7 +57,7 @@
   const byReport = create();
   byReport.step(reported(1, { leaving: true }));
   const byPeer = create();
-  byPeer.board.members.upstreamNews.set(ID, {
+  byPeer.board.members.upstreamUpdates.set(ID, {
     incarnation: "run-1",
     state: "leaving",
   });
@@ -68,7 +68,7 @@
     .toEqual(["leaving", "leaving", "leaving", "leaving"]);
 });
 
-test("late news of the same run does not bring a leaving upstream back", () => {
+test("a late update of the same run does not bring a leaving upstream back", () => {
   const core = create();
   core.step(reported(1, { leaving: true }));
   core.step(listed(vm(1)), reported(1));
@@ -113,10 +113,10 @@
   });
 });
 
-test("a peer's news of an earlier run is ignored", () => {
+test("a peer's update of an earlier run is ignored", () => {
   const core = create();
   core.step(listed(vm(2)));
-  core.board.members.upstreamNews.set(ID, {
+  core.board.members.upstreamUpdates.set(ID, {
     incarnation: "run-1",
     state: "leaving",
   });
--- a/src/gateway/core_loop.ts
+++ b/src/gateway/core_loop.ts
@@ -30,7 +30,7 @@
     return new CoreLoop(core, perform);
   }
 
-  /** Time that never goes back and knows nothing of the wall clock. */
+  /** Monotonic time. */
   now(): Timestamp {
     return performance.now() as Timestamp;
   }
--- a/src/gateway/store/platform_store.ts
+++ b/src/gateway/store/platform_store.ts
@@ -35,7 +35,7 @@
   abstract readRegister(
     point: ReadPoint,
   ): ResultAsync<RegisterBatch, StoreError>;
-  /** Leaves word where a daemon is, for those that know no other one. */
+  /** Records where a daemon is, for those that know no other one. */
   abstract announce(card: PeerCard): ResultAsync<void, StoreError>;
   abstract readAnnounced(): ResultAsync<readonly PeerCard[], StoreError>;
   /** Keeps what is known of quarantined contents, instead of what was kept before. */
--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -55,7 +55,7 @@
   running: number;
   queued: number;
   teams: TeamUsage[];
-  upstreams: UpstreamNews[];
+  upstreams: UpstreamUpdate[];
   suspects: Suspect[];
   atMs: number;
 }
@@ -66,7 +66,7 @@
   costMs: number;
 }
 
-export interface UpstreamNews {
+export interface UpstreamUpdate {
   upstream: string;
   incarnation: string;
   /** leaving or crashed */
@@ -472,7 +472,7 @@
       TeamUsage.encode(v!, writer.uint32(90).fork()).join();
     }
     for (const v of message.upstreams) {
-      UpstreamNews.encode(v!, writer.uint32(98).fork()).join();
+      UpstreamUpdate.encode(v!, writer.uint32(98).fork()).join();
     }
     for (const v of message.suspects) {
       Suspect.encode(v!, writer.uint32(106).fork()).join();
@@ -589,7 +589,7 @@
               break;
             }
 
-            message.upstreams.push(UpstreamNews.decode(reader, reader.uint32()));
+            message.upstreams.push(UpstreamUpdate.decode(reader, reader.uint32()));
             continue;
           }
           case 13: {
@@ -648,7 +648,7 @@
         ? object.teams.map((e: any) => TeamUsage.fromJSON(e))
         : [],
       upstreams: globalThis.Array.isArray(object?.upstreams)
-        ? object.upstreams.map((e: any) => UpstreamNews.fromJSON(e))
+        ? object.upstreams.map((e: any) => UpstreamUpdate.fromJSON(e))
         : [],
       suspects: globalThis.Array.isArray(object?.suspects)
         ? object.suspects.map((e: any) => Suspect.fromJSON(e))
@@ -697,7 +697,7 @@
       obj.teams = message.teams.map((e) => TeamUsage.toJSON(e));
     }
     if (message.upstreams?.length) {
-      obj.upstreams = message.upstreams.map((e) => UpstreamNews.toJSON(e));
+      obj.upstreams = message.upstreams.map((e) => UpstreamUpdate.toJSON(e));
     }
     if (message.suspects?.length) {
       obj.suspects = message.suspects.map((e) => Suspect.toJSON(e));
@@ -724,7 +724,7 @@
     message.running = object.running ?? 0;
     message.queued = object.queued ?? 0;
     message.teams = object.teams?.map((e) => TeamUsage.fromPartial(e)) || [];
-    message.upstreams = object.upstreams?.map((e) => UpstreamNews.fromPartial(e)) || [];
+    message.upstreams = object.upstreams?.map((e) => UpstreamUpdate.fromPartial(e)) || [];
     message.suspects = object.suspects?.map((e) => Suspect.fromPartial(e)) || [];
     message.atMs = object.atMs ?? 0;
     return message;
@@ -820,12 +820,12 @@
   },
 };
 
-function createBaseUpstreamNews(): UpstreamNews {
+function createBaseUpstreamUpdate(): UpstreamUpdate {
   return { upstream: "", incarnation: "", state: "" };
 }
 
-export const UpstreamNews: MessageFns<UpstreamNews> = {
-  encode(message: UpstreamNews, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+export const UpstreamUpdate: MessageFns<UpstreamUpdate> = {
+  encode(message: UpstreamUpdate, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
     if (message.upstream !== "") {
       writer.uint32(10).string(message.upstream);
     }
@@ -838,7 +838,7 @@
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): UpstreamNews {
+  decode(input: BinaryReader | Uint8Array, length?: number): UpstreamUpdate {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -847,7 +847,7 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseUpstreamNews();
+      const message = createBaseUpstreamUpdate();
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
@@ -887,7 +887,7 @@
     }
   },
 
-  fromJSON(object: any): UpstreamNews {
+  fromJSON(object: any): UpstreamUpdate {
     return {
       upstream: isSet(object.upstream) ? globalThis.String(object.upstream) : "",
       incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
@@ -895,7 +895,7 @@
     };
   },
 
-  toJSON(message: UpstreamNews): unknown {
+  toJSON(message: UpstreamUpdate): unknown {
     const obj: any = {};
     if (message.upstream !== "") {
       obj.upstream = message.upstream;
@@ -909,11 +909,11 @@
     return obj;
   },
 
-  create(base?: DeepPartial<UpstreamNews>): UpstreamNews {
-    return UpstreamNews.fromPartial(base ?? {});
+  create(base?: DeepPartial<UpstreamUpdate>): UpstreamUpdate {
+    return UpstreamUpdate.fromPartial(base ?? {});
   },
-  fromPartial(object: DeepPartial<UpstreamNews>): UpstreamNews {
-    const message = createBaseUpstreamNews();
+  fromPartial(object: DeepPartial<UpstreamUpdate>): UpstreamUpdate {
+    const message = createBaseUpstreamUpdate();
     message.upstream = object.upstream ?? "";
     message.incarnation = object.incarnation ?? "";
     message.state = object.state ?? "";
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -27,7 +27,7 @@
 } from "./short_placement.ts";
 
 /** How a placed prompt fares. */
-export type JobNews = "first_token" | "ended" | "withdrawn";
+export type JobEvent = "first_token" | "ended" | "withdrawn";
 
 /** Time between two looks at the waiting prompts when nothing else happens. */
 export const DISPATCH_MS: Millis = 200;
@@ -84,15 +84,15 @@
   /** Takes in how a prompt fares that was given a place here. */
   update(
     request: RequestId,
-    news: JobNews,
+    update: JobEvent,
     options: Readonly<{ round: number; now: Timestamp }>,
   ): void {
     this.#queue.remove(request);
     const job = this.accounts.jobs.get(request);
     if (job === undefined || job.ask.round !== options.round) return;
     if (job.long) this.#dispatchAt = options.now;
-    if (news === "first_token") return this.#firstToken(job, options.now);
-    if (news === "ended") this.#learnDecode(job, options.now);
+    if (update === "first_token") return this.#firstToken(job, options.now);
+    if (update === "ended") this.#learnDecode(job, options.now);
     this.accounts.drop(job, options.now);
   }
 
