Give a trial of quarantined content back that finds no place

Healthy content that was quarantined by mistake lost its trial when no upstream was open at that moment, and waited twice as long for the next one. The new test waits 2 s after upstreams are back; without the change the trial comes 5 s later.

--- a/src/gateway/contents/content_table.ts
+++ b/src/gateway/contents/content_table.ts
@@ -199,7 +199,7 @@
     return { type: "trial" };
   }
 
-  /** Takes a trial back that the upstream has not run. */
+  /** Takes a trial back that did not run. */
   notRun(digest: string, job: JobId): void {
     const content = this.#contents.get(digest);
     if (content?.trial !== job) return;
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -118,11 +118,16 @@
       case "answered":
         return this.#answered(digest, now);
       case "not_run":
-        this.#contents.notRun(digest, attempt.job);
+        this.notRun(digest, attempt.job);
         return [];
     }
   }
 
+  /** Takes a trial back that did not run. */
+  notRun(digest: string, job: JobId): void {
+    this.#contents.notRun(digest, job);
+  }
+
   /** Notes that an upstream's process is gone. */
   upstreamGone(
     upstream: UpstreamId,
--- a/src/gateway/contents/poison_content_test.ts
+++ b/src/gateway/contents/poison_content_test.ts
@@ -19,6 +19,20 @@
   expect(play.crashes).toBeLessThanOrEqual(3);
 });
 
+test("a trial of quarantined content that finds no place is given back", () => {
+  const play = PoisonPlay.create({ ...SIZE, crashesShow: true });
+  play.run(4_500);
+  expect(play.crashes).toBe(2);
+  // Nothing is open when the first trial is due.
+  const closed = [...play.fleet.gateways[0]!.core.board.register.table.all()];
+  for (const { id } of closed) play.fleet.register({ type: "gone", id });
+  play.run(9_000);
+  expect(play.crashes).toBe(2);
+  for (const entry of closed) play.fleet.register({ type: "entry", entry });
+  play.run(2_000);
+  expect(play.crashes).toBe(3);
+});
+
 describe("a request under which three upstreams have ended reaches few more", () => {
   test("though nothing else is wrong", () => {
     const play = PoisonPlay.create(SIZE);
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -108,11 +108,13 @@
       const detail = "All upstreams have asked this daemon to wait";
       const retryAfterMs = Math.max(reopensMs, MIN_RETRY_AFTER_MS);
       const result = err(problem("no_upstream", detail, { retryAfterMs }));
+      suspects.notRun(ask.digest, ask.job);
       this.#report(board, step, { ask, result }, replyTo);
       return;
     }
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
     if (decision !== undefined) {
+      if (decision.result.isErr()) suspects.notRun(ask.digest, ask.job);
       this.#report(board, step, decision, replyTo);
       return;
     }
