Bind what an upstream said to its process, also while it is not listed

Found by reading: what an upstream said was forgotten when its entry lapsed, so that one which leaves and whose entry came back was sent work again; and what it said after its entry was gone held for its next process for ever. The table remembers the start of upstreams that are gone, and the gate compares processes instead of forgetting.

--- a/src/gateway/upstreams/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -22,7 +22,7 @@
 ): Closure | undefined {
   const { register, gate } = board;
   const entry = register.table.get(id);
-  const told = gate.told.closure(id, now);
+  const told = gate.told.closure(id, register.table.startedAt(id), now);
   if (told?.reason === "draining") return told;
   const knownAt = register.asOf;
   if (entry === undefined) return { reason: "gone", knownAt };
@@ -59,8 +59,8 @@
   const closed = new Set(ask.closed.map((one) => one.upstream));
   return board.register.table.open(ask.service).filter(({ id }) =>
     !closed.has(id) &&
-    // What an upstream asks of one daemon does not concern the others.
-    gateReason(board, id, now) !== "draining"
+    // For how long an upstream wants nothing from this daemon does not concern the others.
+    closureOf(board, id, now)?.reason !== "draining"
   );
 }
 
@@ -69,7 +69,3 @@
   const times = ask.closed.flatMap(({ forMs }) => forMs ?? []);
   return times.length === 0 ? undefined : Math.min(...times);
 }
-
-function gateReason(board: GatewayBoard, id: UpstreamId, now: Timestamp) {
-  return board.gate.told.closure(id, now)?.reason;
-}
--- a/src/gateway/upstreams/availability_controller.ts
+++ b/src/gateway/upstreams/availability_controller.ts
@@ -11,13 +11,9 @@
   }
 
   override step(board: GatewayBoard, step: GatewayStep): void {
-    const { gate, register } = board;
-    for (const { kind, id } of register.updates) {
-      if (kind === "gone" || kind === "restarted") gate.told.forget(id);
-    }
     for (const event of step.events) {
       if (event.type === "upstream_said") {
-        const startedAt = register.table.get(event.upstream)?.startedAt ?? 0;
+        const startedAt = board.register.table.startedAt(event.upstream);
         this.#note(board, step, { ...event, startedAt, from: "own" });
       }
       if (event.type === "message" && event.message.type === "leaving") {
@@ -41,8 +37,7 @@
     const { upstream, startedAt, signs, from } = one;
     const { gate, register } = board;
     // A process that has been replaced says nothing of the one that is listed now.
-    const listed = register.table.get(upstream)?.startedAt ?? startedAt;
-    if (listed > startedAt) return;
+    if (register.table.startedAt(upstream) > startedAt) return;
     const { now } = step;
     const isNew = gate.told.note(upstream, startedAt, { signs, now });
     if (!isNew && signs.backoffMs === undefined) return;
--- a/src/gateway/upstreams/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -140,6 +140,28 @@
     expect(placed(fleet, one!).upstreams).toEqual(new Set([E1, E2]));
   });
 
+  test("though its entry lapses and comes back", () => {
+    const fleet = startedFleet();
+    const [one] = headsOf(fleet).others;
+    said(fleet, one!, { leaving: true });
+    fleet.register({ type: "gone", id: E1 });
+    fleet.time.run(3_000);
+    fleet.register({ type: "entry", entry: entryOf(E1) });
+    fleet.time.run(3_000);
+    expect(placed(fleet, one!).upstreams).toEqual(new Set([E2]));
+  });
+
+  test("until its next start, though it said so after its entry was gone", () => {
+    const fleet = startedFleet();
+    const [one] = headsOf(fleet).others;
+    fleet.register({ type: "gone", id: E1 });
+    fleet.time.run(3_000);
+    said(fleet, one!, { leaving: true });
+    fleet.register({ type: "entry", entry: entryOf(E1, { startedAt: 2 }) });
+    fleet.time.run(3_000);
+    expect(placed(fleet, one!).upstreams).toEqual(new Set([E1, E2]));
+  });
+
   test("and a late word of its former process does not close the new one", () => {
     const fleet = startedFleet();
     const { leader, others } = headsOf(fleet);
--- a/src/gateway/upstreams/upstream_gate.ts
+++ b/src/gateway/upstreams/upstream_gate.ts
@@ -55,14 +55,14 @@
     return isNew;
   }
 
-  /** Forgets what another process of an upstream, or one that is gone, has said. */
-  forget(id: UpstreamId): void {
-    this.#told.delete(id);
-  }
-
-  /** Why an upstream may be sent nothing now, as far as it has told itself. */
-  closure(id: UpstreamId, now: Timestamp): Closure | undefined {
-    const told = this.#told.get(id);
+  /** Why a process of an upstream may be sent nothing now, as far as it has told itself. */
+  closure(
+    id: UpstreamId,
+    startedAt: number,
+    now: Timestamp,
+  ): Closure | undefined {
+    const known = this.#told.get(id);
+    const told = known?.startedAt === startedAt ? known : undefined;
     if (told?.leavingSince !== undefined) {
       return { reason: "draining", knownAt: told.leavingSince };
     }
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -32,11 +32,16 @@
   id: UpstreamId;
 }>;
 
+/** Upstreams that are remembered after they are gone; more than the largest deployment has. */
+const MAX_GONE = 1_024;
+
 /** Upstreams that may be sent work, by the newest reading of the register. */
 export class UpstreamTable {
   readonly #entries = new Map<UpstreamId, UpstreamEntry>();
   /** Entries that lapsed while the register may have been away, and until when they are trusted. */
   readonly #lapsed = new Map<UpstreamId, Timestamp>();
+  /** Starts of upstreams that are not listed any more, the latest last. */
+  readonly #goneStarts = new Map<UpstreamId, number>();
 
   static create(): UpstreamTable {
     return new UpstreamTable();
@@ -50,6 +55,11 @@
     return this.#entries.get(id);
   }
 
+  /** Unix time in ms of the start of the process that is listed, or was last; 0 where none is known. */
+  startedAt(id: UpstreamId): number {
+    return this.#entries.get(id)?.startedAt ?? this.#goneStarts.get(id) ?? 0;
+  }
+
   all(): readonly UpstreamEntry[] {
     return [...this.#entries.values()];
   }
@@ -127,6 +137,12 @@
   }
 
   #remove(id: UpstreamId): UpstreamUpdate {
+    this.#goneStarts.delete(id);
+    this.#goneStarts.set(id, this.startedAt(id));
+    if (this.#goneStarts.size > MAX_GONE) {
+      const [oldest] = this.#goneStarts.keys();
+      this.#goneStarts.delete(oldest!);
+    }
     this.#entries.delete(id);
     this.#lapsed.delete(id);
     return { kind: "gone", id };
