--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -3,6 +3,7 @@
 import { ContentKeeper } from "./content_keeper.ts";
 import type { ContentChange } from "./content_table.ts";
 import type { ContentUpdate } from "./crash_suspects.ts";
+import { closureOf } from "../upstreams/availability.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
@@ -76,7 +77,7 @@
     const { job, upstream, content } = one;
     const { suspects } = board.contents;
     if (content !== undefined) {
-      const startedAt = board.register.table.get(upstream)?.startedAt ?? 0;
+      const startedAt = board.register.table.startedAt(upstream);
       const attempt = { job, upstream, startedAt };
       const updates = suspects.report(content, attempt, step.now);
       this.#tell(step, updates);
@@ -97,6 +98,7 @@
     const { members, register, self } = board;
     const entry = register.table.get(upstream);
     if (entry === undefined || members.leader !== self.card.vm) return;
+    if (closureOf(board, upstream, step.now) !== undefined) return;
     const askedAt = this.#askedAt.get(upstream) ?? -Infinity;
     if (step.now - askedAt < ASK_SPACING_MS) return;
     for (const [id, at] of this.#askedAt) {
--- a/src/gateway/upstreams/engine_inspector.ts
+++ b/src/gateway/upstreams/engine_inspector.ts
@@ -1,6 +1,7 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import { isSlow } from "../../scheduling/pool/upstream_load.ts";
+import { closureOf } from "./availability.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import type { GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
@@ -35,6 +36,7 @@
     for (const id of slowWatch.due(step.now, slow)) {
       const entry = register.table.get(id);
       if (entry === undefined) continue;
+      if (closureOf(board, id, step.now)?.reason === "backing_off") continue;
       step.want({ type: "inspect", upstream: id, address: entry.address });
     }
     if (slow.length > 0) step.wake(this.#checkAt);
