--- a/src/gateway/upstreams/upstream_gate.ts
+++ b/src/gateway/upstreams/upstream_gate.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from "../../core/id.ts";
-import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { addMs, type Timestamp } from "../../core/time.ts";
 import type { UpstreamSigns } from "../requests/upstream_signs.ts";
 
 /** Upstreams of which something is remembered; more than the largest deployment has. */
