Take grants for upstreams that this daemon has not heard of yet

Only an upstream that was listed and is not any more is gone. No such refusal stands in the logs that were looked at; the new test failed before.

--- a/src/gateway/upstreams/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -25,8 +25,8 @@
   const told = gate.told.closure(id, register.table.startedAt(id), now);
   if (told?.reason === "draining") return told;
   const knownAt = register.asOf;
-  if (entry === undefined) return { reason: "gone", knownAt };
-  if (entry.leaving) return { reason: "draining", knownAt };
+  if (register.table.isGone(id)) return { reason: "gone", knownAt };
+  if (entry?.leaving === true) return { reason: "draining", knownAt };
   return told;
 }
 
--- a/src/gateway/upstreams/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -9,7 +9,7 @@
 } from "../../testing/fake_gateway_fleet.ts";
 import type { PoolAsk } from "../../scheduling/pool/pool_job.ts";
 import { poolAsk } from "../../testing/pool_fixtures.ts";
-import { closedUpstreams } from "./availability.ts";
+import { closedUpstreams, closureOf } from "./availability.ts";
 
 const SETTLED_MS: Millis = 6_000;
 const E1 = "e1" as UpstreamId;
@@ -177,6 +177,16 @@
   });
 });
 
+test("an upstream that another daemon has heard of first may be sent work; one that has left may not", () => {
+  const fleet = startedFleet();
+  const { board } = fleet.gateways[0]!.core;
+  const { now } = fleet.time;
+  expect(closureOf(board, "new" as UpstreamId, now)).toBeUndefined();
+  fleet.register({ type: "gone", id: E1 });
+  fleet.time.run(3_000);
+  expect(closureOf(board, E1, fleet.time.now)?.reason).toBe("gone");
+});
+
 describe("an upstream that named a time gets nothing more until then", () => {
   test("from the daemon that it told, while the others go on", () => {
     const fleet = startedFleet();
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -55,6 +55,11 @@
     return this.#entries.get(id);
   }
 
+  /** Whether an upstream was listed and is not any more; one that was never heard of may be listed elsewhere. */
+  isGone(id: UpstreamId): boolean {
+    return this.#goneStarts.has(id) && !this.#entries.has(id);
+  }
+
   /** Unix time in ms of the start of the process that is listed, or was last; 0 where none is known. */
   startedAt(id: UpstreamId): number {
     return this.#entries.get(id)?.startedAt ?? this.#goneStarts.get(id) ?? 0;
