Count requests against the rates that upstreams name, over all daemons

Callers saw nothing; workers that had named Server-Limit (1 and 1.4 a second) got as many requests as before, 15 to 19 in 4 s where 11 and 13 are allowed.

Cause: no line of code read the header, and had it been read, what a worker says of itself belonged to the daemon that heard it. Reading it at each daemon was ruled out (n daemons send n times the rate), as was a count at the leader alone (two daemons place during a cut, a freeze or a change of the lead).

Now a rate is known to all daemons (heartbeats, and at once to those that place) for one process of an upstream, and ends with the first response without it to a request that was sent after the last one with it. The daemon that places counts each grant, and hears of what others placed; its part of the rate is the part of the daemons that it can reach. A daemon that places only for itself, or a small group, uses time slots that it draws by itself, so that the sum stays near the rate without any message. A grant that was not counted, or that waited for its daemon, is not sent. Engines with a rate take no part in split prompts; orders and reports to them are counted.

--- a/src/controllers/retry_decision.ts
+++ b/src/controllers/retry_decision.ts
@@ -24,6 +24,7 @@
   upstream_silent: "upstream_failed",
   upstream_leaving: "no_upstream",
   upstream_backing_off: "no_upstream",
+  upstream_rate_limited: "no_upstream",
   answer_broken: "answer_broken",
   resume_failed: "upstream_failed",
   plan_broken: "upstream_failed",
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -101,6 +101,7 @@
   "upstream_silent",
   "upstream_leaving",
   "upstream_backing_off",
+  "upstream_rate_limited",
   "answer_broken",
   "resume_failed",
   "plan_broken",
--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -6,6 +6,7 @@
 import type { PeerCard, StoreProgress } from "./peers/peer_message.ts";
 import type { RouteTable } from "./serving/route_table.ts";
 import type { ConfigVersion } from "./serving/serving_config.ts";
+import { NamedRates } from "./upstreams/named_rates.ts";
 import { SelfReportedClosures } from "./upstreams/self_reported_closures.ts";
 import {
   UpstreamTable,
@@ -59,9 +60,10 @@
   readonly scheduler: PoolScheduler;
 };
 
-/** Written by the availability controller. */
+/** What upstreams say of themselves: closures, by the availability controller, and rates, by the rate controller. */
 export type GateSection = {
   readonly closures: SelfReportedClosures;
+  readonly rates: NamedRates;
 };
 
 /** Written by the content controller; the placement of a request may use up a trial of a quarantined content. */
@@ -106,7 +108,10 @@
       asOf: NEVER,
       updates: [],
     },
-    gate: { closures: SelfReportedClosures.create() },
+    gate: {
+      closures: SelfReportedClosures.create(),
+      rates: NamedRates.create(),
+    },
     contents: { suspects: CrashSuspects.create() },
     pool: { scheduler: PoolScheduler.create() },
   };
--- a/src/gateway/gateway_core.ts
+++ b/src/gateway/gateway_core.ts
@@ -7,6 +7,7 @@
 import { MembersController } from "./members/members_controller.ts";
 import type { PeerCard } from "./peers/peer_message.ts";
 import { PlacementController } from "./placement/placement_controller.ts";
+import { RateController } from "./upstreams/rate_controller.ts";
 import { RegisterController } from "./upstreams/register_controller.ts";
 import { ServingController } from "./serving/serving_controller.ts";
 
@@ -28,6 +29,7 @@
       ServingController.create(),
       RegisterController.create(),
       AvailabilityController.create(),
+      RateController.create(),
       ContentController.create(),
       PlacementController.create(),
     ];
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -1,11 +1,12 @@
 import type { Buffer } from "node:buffer";
 import process from "node:process";
 import { err, ok } from "neverthrow";
-import type { Millis, Timestamp } from "../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
+import { fnv1aHash } from "../core/fnv1a.ts";
 import type { UpstreamId } from "../core/id.ts";
-import type { JobId } from "../scheduling/pool/pool_job.ts";
+import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
 import { splitAddress } from "./address.ts";
-import { closedUpstreams, findClosure } from "./upstreams/availability.ts";
+import { closedUpstreams, findGrantClosure } from "./upstreams/availability.ts";
 import { CoreLoop } from "./core_loop.ts";
 import { DatagramPort } from "./peers/datagram_port.ts";
 import type { Dialect } from "./requests/dialect.ts";
@@ -18,14 +19,16 @@
 import type { GatewayIntent } from "./gateway_event.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { fnv1aHash } from "./members/member_table.ts";
 import { isReady, livenessTimeoutMs } from "./members/membership.ts";
 import { decodePeerMessage, encodePeerMessage } from "./peers/peer_message.ts";
 import type { PlacementResult } from "./placement/placement_port.ts";
 import type { PlatformStore } from "./store/platform_store.ts";
 import { RetryBudget } from "./requests/retry_budget.ts";
 import { encodeServing } from "./serving/serving_json.ts";
-import type { UpstreamAvailability } from "./requests/upstream_availability.ts";
+import {
+  limitsTraffic,
+  type UpstreamAvailability,
+} from "./requests/upstream_availability.ts";
 import { type GetResponse, serveGetRequests } from "./plain_http.ts";
 import { SERVING_PATH, StoreCaller } from "./store/store_caller.ts";
 
@@ -72,9 +75,18 @@
     this.#settings = settings;
     const { card } = settings;
     this.#orders = adapters.orders;
-    this.#orders.onAvailability((address, reported) => {
+    this.#orders.onAvailability((address, reported, { elapsedMs }) => {
+      if (!this.#isOfInterest(reported)) return;
       const upstream = this.#upstreamAt(address);
-      if (upstream !== undefined) this.#reportAvailability(upstream, reported);
+      if (upstream === undefined) return;
+      const sentAt = addMs(this.#loop.now(), -elapsedMs);
+      this.#reportAvailability(upstream, reported, sentAt);
+    });
+    this.#orders.onSend((address) => {
+      if (this.#core.board.gate.rates.size === 0) return;
+      const upstream = this.#upstreamAt(address);
+      if (upstream === undefined) return;
+      this.#loop.push({ type: "order_sent", upstream });
     });
     this.#core = GatewayCore.create(card, settings.seeds);
     this.#loop = CoreLoop.create(this.#core, (intent) => this.#perform(intent));
@@ -240,8 +252,29 @@
   #reportAvailability(
     upstream: UpstreamId,
     availability: UpstreamAvailability,
+    sentAt: Timestamp,
   ): void {
-    this.#loop.push({ type: "upstream_said", upstream, availability });
+    if (!this.#isOfInterest(availability)) return;
+    this.#loop.push({ type: "upstream_said", upstream, availability, sentAt });
+  }
+
+  /** Whether a response restricts what may be sent, or may end a limit. */
+  #isOfInterest(availability: UpstreamAvailability): boolean {
+    return limitsTraffic(availability) || this.#core.board.gate.rates.size > 0;
+  }
+
+  /** Why a grant may not be used; placers learn of a rate that they did not count it against. */
+  #grantClosure(grant: PoolGrant) {
+    const closure = findGrantClosure(
+      this.#core.board,
+      grant,
+      this.#loop.now(),
+    );
+    if (closure?.reason === "uncounted") {
+      const { upstream } = closure;
+      this.#loop.push({ type: "uncounted_grant", upstream });
+    }
+    return closure;
   }
 
   #applyLimits(): void {
@@ -288,11 +321,11 @@
       updateJob: (job, upstream, updates) =>
         this.#loop.push({ type: "job", job, upstream, ...updates }),
       upstreamAt: (address) => this.#upstreamAt(address),
-      closure: (id) => findClosure(board, id, this.#loop.now()),
+      grantClosure: (grant) => this.#grantClosure(grant),
       closedUpstreams: (service) =>
         closedUpstreams(board, service, this.#loop.now()),
-      reportAvailability: (upstream, availability) =>
-        this.#reportAvailability(upstream, availability),
+      reportAvailability: (upstream, availability, { sentAt }) =>
+        this.#reportAvailability(upstream, availability, sentAt),
       recordFirstSend: (service) =>
         this.#budget.recordNew(service, this.#loop.now()),
       spendRetry: (service) =>
@@ -331,6 +364,7 @@
       upstreams: board.register.table.size,
       peers: board.members.table.live(now, livenessTimeoutMs(board)).length,
       jobs: board.pool.scheduler.tracker.jobs.size,
+      upstreams_rate_limited: board.pool.scheduler.rates.size,
       requests_open: this.#front.openRequests,
       contents_suspected: board.contents.suspects.size,
       log_lines_dropped: this.#log.dropped,
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -1,6 +1,6 @@
 import type { UpstreamId } from "../core/id.ts";
 import type { Problem } from "../core/problem.ts";
-import type { Millis } from "../core/time.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
 import type {
   JobId,
   PlacementRequest,
@@ -28,12 +28,17 @@
     unreachable?: boolean;
     content?: ContentReport;
   }>
-  /** Leaving or back-off that an upstream announced in a response to this daemon. */
+  /** What an upstream announced in a response to this daemon, and when the request was sent. */
   | Readonly<{
     type: "upstream_said";
     upstream: UpstreamId;
     availability: UpstreamAvailability;
+    sentAt: Timestamp;
   }>
+  /** An order or a report call was sent to an upstream with a limited rate. */
+  | Readonly<{ type: "order_sent"; upstream: UpstreamId }>
+  /** A grant for an upstream with a limited rate was not counted against it: the placer did not know the rate. */
+  | Readonly<{ type: "uncounted_grant"; upstream: UpstreamId }>
   | Readonly<{ type: "serving_read"; serving?: ServingConfig; next: number }>
   | Readonly<{ type: "serving_fetched"; serving: ServingConfig }>
   | Readonly<{ type: "fetch_failed"; detail: string }>
--- a/src/gateway/members/member_table.ts
+++ b/src/gateway/members/member_table.ts
@@ -1,3 +1,4 @@
+import { fnv1aHash } from "../../core/fnv1a.ts";
 import type { VmId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import type { PeerCard } from "../peers/peer_message.ts";
@@ -10,6 +11,8 @@
   lastMessageAt: Timestamp;
   /** When a received roster last listed it as live. */
   lastListedAt: Timestamp;
+  /** When it was last known to be live, whatever has been concluded since. */
+  lastSeenAt: Timestamp;
 };
 
 const NEVER = -Infinity as Timestamp;
@@ -38,7 +41,10 @@
   ): "joined" | "restarted" | "known" {
     const change = this.#upsert(card);
     const known = this.#members.get(card.vm);
-    if (known !== undefined) known.lastMessageAt = now;
+    if (known !== undefined) {
+      known.lastMessageAt = now;
+      known.lastSeenAt = now;
+    }
     return change;
   }
 
@@ -54,12 +60,18 @@
     for (const [vm, member] of this.#members) {
       const left = since === undefined || gone.includes(vm);
       if (left) member.lastListedAt = NEVER;
-      else if (member.lastListedAt !== NEVER) member.lastListedAt = now;
+      else if (member.lastListedAt !== NEVER) {
+        member.lastListedAt = now;
+        member.lastSeenAt = now;
+      }
     }
     for (const card of joined) {
       this.#upsert(card);
       const known = this.#members.get(card.vm);
-      if (known !== undefined) known.lastListedAt = now;
+      if (known !== undefined) {
+        known.lastListedAt = now;
+        known.lastSeenAt = now;
+      }
     }
     this.#position = { epoch, seq };
   }
@@ -98,6 +110,11 @@
     );
   }
 
+  /** Daemons that were live at some time within the last `ms`, also if they count as down since. */
+  seenWithin(now: Timestamp, ms: Millis): readonly PeerCard[] {
+    return this.#select((member) => now - member.lastSeenAt <= ms);
+  }
+
   /** All daemons of the table, live or not. */
   all(): readonly PeerCard[] {
     return [...this.#members.values()].map((member) => member.card);
@@ -112,6 +129,7 @@
         card,
         lastMessageAt: NEVER,
         lastListedAt: NEVER,
+        lastSeenAt: NEVER,
       });
       return "joined";
     }
@@ -151,12 +169,3 @@
     fnv1aHash(a.vm) - fnv1aHash(b.vm) ||
     (a.vm < b.vm ? -1 : a.vm > b.vm ? 1 : 0);
 }
-
-/** FNV-1a hash of the UTF-16 code units, 32 bits. */
-export function fnv1aHash(text: string): number {
-  let value = 0x811c9dc5;
-  for (let i = 0; i < text.length; i += 1) {
-    value = Math.imul(value ^ text.charCodeAt(i), 0x01000193);
-  }
-  return value >>> 0;
-}
--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -138,6 +138,7 @@
           to: heartbeat.from.vm,
           mark: heartbeat.contents?.mark,
         }),
+        rates: board.gate.rates.notices(step.now),
       },
     });
   }
@@ -288,6 +289,7 @@
             ? undefined
             : this.#quarantineSummaries.get(vm),
         }),
+        rates: board.gate.rates.notices(step.now),
       },
     });
   }
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -9,6 +9,7 @@
 import { deflateJson, inflateJson } from "./deflated.ts";
 import { ContentSyncSchema } from "../contents/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
+import { RateNoticeSchema } from "../upstreams/named_rates.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 import type { DomainId, RequestId } from "../../core/id.ts";
 
@@ -90,6 +91,7 @@
   addresses: z.record(upstream, z.string()),
   priority: z.number(),
   expectMs: z.number(),
+  counted: z.boolean().optional(),
 }).readonly();
 
 const StoreProgressSchema = z.object({
@@ -132,6 +134,7 @@
     paces: z.array(z.object({ upstream, pace: z.number() })).readonly()
       .optional(),
     contents: ContentSyncSchema.optional(),
+    rates: z.array(RateNoticeSchema).readonly().optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
@@ -142,6 +145,7 @@
     roster: RosterUpdateSchema.optional(),
     entries: z.array(RegisterEntrySchema).readonly().optional(),
     contents: ContentSyncSchema.optional(),
+    rates: z.array(RateNoticeSchema).readonly().optional(),
   }),
   /** Forwards register changes that were read after offset `since`. */
   z.object({
@@ -173,8 +177,20 @@
     /** Unix time in ms of the process's start. */
     startedAt: z.number(),
   }),
+  /** Forwards what the sender knows of the rates that upstreams have named. */
+  z.object({
+    type: z.literal("rates"),
+    notices: z.array(RateNoticeSchema).readonly(),
+  }),
+  /** Reports messages to an upstream with a limited rate that were sent without a placement. */
+  z.object({ type: z.literal("sent"), upstream, count: z.number() }),
   /** Forwards the placement of a job to the leader and the deputy. */
-  z.object({ type: z.literal("placed"), job: JobSchema }),
+  z.object({
+    type: z.literal("placed"),
+    job: JobSchema,
+    /** Daemon that placed it. */
+    by: idSchema<VmId>().optional(),
+  }),
   /** Reports the progress of a job. */
   z.object({
     type: z.literal("progress"),
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -5,6 +5,7 @@
 import type {
   JobId,
   PlacementRequest,
+  PoolJob,
 } from "../../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
@@ -26,6 +27,9 @@
 /** Shortest Retry-After of a refusal; a client can't retry sooner. */
 const MIN_RETRY_AFTER_MS: Millis = 50;
 
+/** Time for which a daemon that placed a request may place more. */
+const RIVAL_TTL_MS: Millis = 5_000;
+
 /** Peer address that a decision is sent to; undefined for the adapters of this daemon. */
 type ReplyTo = string | undefined;
 
@@ -37,12 +41,17 @@
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are tracked here, with the time of their last message. */
   readonly #lastReportAt = new Map<VmId, Timestamp>();
+  /** When each daemon last reported that it placed a request. */
+  readonly #lastPlacedAt = new Map<VmId, Timestamp>();
 
   static create(): PlacementController {
     return new PlacementController();
   }
 
   override step(board: GatewayBoard, step: GatewayStep): void {
+    if (step.events.some((event) => event.type === "resumed")) {
+      this.#requests.recordResume(step.now);
+    }
     for (const event of step.events) this.#onEvent(board, step, event);
     this.#removeUnlistedUpstreams(board);
     for (const ask of this.#requests.resendPending(board, step)) {
@@ -172,6 +181,7 @@
       ...(result.isOk()
         ? {
           upstream: result.value.job.upstream,
+          ...(result.value.counted === true ? { counted: true } : {}),
           helpers: result.value.job.helpers.length,
           tickets: result.value.job.tickets.length,
           expect_ms: Math.round(result.value.expectMs),
@@ -188,7 +198,8 @@
     });
     if (result.isOk()) {
       const { job } = result.value;
-      this.#notifyPlacers(board, step, { type: "placed", job }, ask.vm);
+      const by = self.card.vm;
+      this.#notifyPlacers(board, step, { type: "placed", job, by }, ask.vm);
     }
     if (replyTo === undefined) {
       step.emit(
@@ -223,6 +234,7 @@
         return;
       case "grant": {
         const { job } = message.grant;
+        const isStale = this.#requests.isStale(job.id, step.now);
         if (!this.#requests.close(job.id)) {
           // The request was placed elsewhere or has ended; unless its job is known, the grant is released.
           const { id, upstream } = job;
@@ -237,8 +249,12 @@
           }
           return;
         }
-        scheduler.tracker.syncJob({ ...job, placedAt: step.now }, step.now);
-        step.emit({ type: "granted", grant: message.grant });
+        this.#recordPlaced(board, step, job);
+        // A late grant was counted when it was given, not now that it would be used.
+        const grant = isStale
+          ? { ...message.grant, counted: false }
+          : message.grant;
+        step.emit({ type: "granted", grant });
         return;
       }
       case "deny": {
@@ -252,10 +268,10 @@
         return;
       }
       case "placed":
-        scheduler.tracker.syncJob(
-          { ...message.job, placedAt: step.now },
-          step.now,
-        );
+        this.#recordPlaced(board, step, message.job);
+        if (message.by !== undefined) {
+          this.#lastPlacedAt.set(message.by, step.now);
+        }
         this.#lastReportAt.set(message.job.vm, step.now);
         return;
       case "progress":
@@ -271,6 +287,13 @@
     }
   }
 
+  /** Tracks a job that another daemon has placed, and counts it against the rate of its upstream. */
+  #recordPlaced(board: GatewayBoard, step: GatewayStep, job: PoolJob): void {
+    const { tracker, rates } = board.pool.scheduler;
+    if (!tracker.jobs.has(job.id)) rates.charge(job.upstream, step.now);
+    tracker.syncJob({ ...job, placedAt: step.now }, step.now);
+  }
+
   #applyProgress(
     board: GatewayBoard,
     step: GatewayStep,
@@ -301,14 +324,30 @@
     });
   }
 
-  /** Sends a message to the leader and the deputy, except this daemon and `except`. */
+  /** Other daemons that placed recently, though they are neither the leader nor the deputy to this one. */
+  #rivalPlacers(board: GatewayBoard, now: Timestamp): readonly VmId[] {
+    const rivals: VmId[] = [];
+    for (const [vm, at] of this.#lastPlacedAt) {
+      if (now - at > RIVAL_TTL_MS) this.#lastPlacedAt.delete(vm);
+      else if (!otherPlacers(board).includes(vm)) rivals.push(vm);
+    }
+    return rivals;
+  }
+
+  /**
+   * Sends a message to the leader and the deputy, except this daemon and `except`. What counts against a limited rate
+   * goes to all that place.
+   */
   #notifyPlacers(
     board: GatewayBoard,
     step: GatewayStep,
     message: Extract<PeerMessage, { type: "progress" | "placed" }>,
     except?: VmId,
   ): void {
-    for (const vm of otherPlacers(board)) {
+    const counts = message.type === "placed" &&
+      board.pool.scheduler.rates.has(message.job.upstream);
+    const rivals = counts ? this.#rivalPlacers(board, step.now) : [];
+    for (const vm of [...otherPlacers(board), ...rivals]) {
       const card = board.members.table.get(vm);
       if (card === undefined || vm === except) continue;
       step.emit({ type: "send", to: card.peer, message });
--- a/src/gateway/placement/placement_request_client.ts
+++ b/src/gateway/placement/placement_request_client.ts
@@ -16,8 +16,13 @@
 /** Time for which a daemon that left a request unanswered gets no further requests. */
 const SILENT_DAEMON_BACKOFF_MS: Millis = 800;
 
+/** Age of a request from which on its grant counts as late. */
+const MAX_GRANT_AGE_MS: Millis = 1_000;
+
 type PendingRequest = {
   readonly ask: PlacementRequest;
+  /** When the request was last sent. */
+  sentAt: Timestamp;
   /** The daemon that the request was last sent to. */
   recipient: VmId;
   /** Start of the recipient's silence; in the future while no answer is expected. */
@@ -30,6 +35,7 @@
   readonly #pending = new Map<JobId, PendingRequest>();
   /** Daemons that left a request unanswered, with the end of their back-off. */
   readonly #backoffUntil = new Map<VmId, Timestamp>();
+  #resumedAt = -Infinity as Timestamp;
 
   static create(): PlacementRequestClient {
     return new PlacementRequestClient();
@@ -42,6 +48,7 @@
     this.#sendTo(board, step, ask, to);
     const pending = {
       ask,
+      sentAt: step.now,
       recipient: to,
       silentSince: step.now,
       resendAt: addMs(step.now, RESEND_MS),
@@ -68,6 +75,17 @@
     return unsent;
   }
 
+  /** Records that the process was suspended until now. */
+  recordResume(now: Timestamp): void {
+    this.#resumedAt = now;
+  }
+
+  /** Whether a grant for a pending request may have waited for this process, rather than for its placer. */
+  isStale(job: JobId, now: Timestamp): boolean {
+    const sentAt = this.#pending.get(job)?.sentAt ?? now;
+    return sentAt < this.#resumedAt || now - sentAt > MAX_GRANT_AGE_MS;
+  }
+
   /** Closes a request that was answered or withdrawn; returns false if it is not pending. */
   close(job: JobId): boolean {
     return this.#pending.delete(job);
@@ -109,6 +127,7 @@
   ): void {
     if (step.now >= pending.resendAt) {
       this.#sendTo(board, step, pending.ask, pending.recipient);
+      pending.sentAt = step.now;
       if (pending.silentSince > step.now) pending.silentSince = step.now;
       pending.resendAt = addMs(step.now, RESEND_MS);
     }
--- a/src/gateway/requests/engine_orders.ts
+++ b/src/gateway/requests/engine_orders.ts
@@ -1,9 +1,6 @@
 import type { ResultAsync } from "neverthrow";
 import type { Millis } from "../../core/time.ts";
-import {
-  limitsTraffic,
-  type UpstreamAvailability,
-} from "./upstream_availability.ts";
+import type { UpstreamAvailability } from "./upstream_availability.ts";
 
 /** Memory to reserve on one engine, in tokens of KV cache, until `holdMs` after the last renewal. */
 export type Reservation = Readonly<{
@@ -27,23 +24,38 @@
   startedAt?: number;
 }>;
 
+/** Receives what the engine at an address announced, and the time in ms since the call was sent. */
+type AvailabilityListener = (
+  address: string,
+  availability: UpstreamAvailability,
+  options: Readonly<{ elapsedMs: Millis }>,
+) => void;
+
 /** Client for the engines' orders, which reserve and release memory, and for their reports. */
 export abstract class EngineOrders {
-  #listener: (address: string, availability: UpstreamAvailability) => void =
-    () => {};
+  #onAvailability: AvailabilityListener = () => {};
+  #onSend: (address: string) => void = () => {};
 
   /** Sets the listener for the availability that engines announce in the headers of their responses. */
-  onAvailability(
-    listener: (address: string, availability: UpstreamAvailability) => void,
-  ): void {
-    this.#listener = listener;
+  onAvailability(listener: AvailabilityListener): void {
+    this.#onAvailability = listener;
+  }
+
+  /** Sets the listener for the address of each call that is sent. */
+  onSend(listener: (address: string) => void): void {
+    this.#onSend = listener;
   }
 
   protected notifyAvailability(
     address: string,
     availability: UpstreamAvailability,
+    options: Readonly<{ elapsedMs: Millis }>,
   ): void {
-    if (limitsTraffic(availability)) this.#listener(address, availability);
+    this.#onAvailability(address, availability, options);
+  }
+
+  protected notifySend(address: string): void {
+    this.#onSend(address);
   }
 
   abstract reserve(
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -30,7 +30,6 @@
 import { type Backend, isRepeatable } from "../serving/serving_config.ts";
 import { TicketManager } from "./ticket_manager.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import { limitsTraffic } from "./upstream_availability.ts";
 import { type SilenceLimits, silenceLimitsOf } from "./silence_limits.ts";
 
 /** Retry-After of a failure that may be transient. */
@@ -55,6 +54,7 @@
   readonly #responseTimer = ResponseTimer.create();
   #deadlineTimer: NodeJS.Timeout | undefined;
   #finished = false;
+  #dispatchedAt = 0 as Timestamp;
   /** When the attempt was dispatched, or the upstream last sent data. */
   #lastReceivedAt = 0 as Timestamp;
 
@@ -157,12 +157,11 @@
   }
 
   /** The failure if an upstream of the grant closed while the grant was in transit or memory was being reserved. */
-  #closedFailureOf({ job }: PoolGrant): AttemptFailure | undefined {
-    for (const id of [job.upstream, ...job.helpers]) {
-      const closure = this.#port.closure(id);
-      if (closure !== undefined) return notOpen(id, closure, this.#port.now());
-    }
-    return undefined;
+  #closedFailureOf(grant: PoolGrant): AttemptFailure | undefined {
+    const closure = this.#port.grantClosure(grant);
+    return closure === undefined
+      ? undefined
+      : notOpen(closure.upstream, closure, this.#port.now());
   }
 
   #dispatch(grant: PoolGrant): void {
@@ -202,7 +201,8 @@
       },
     );
     this.#attempt = attempt;
-    this.#lastReceivedAt = this.#port.now();
+    this.#dispatchedAt = this.#port.now();
+    this.#lastReceivedAt = this.#dispatchedAt;
     this.#restartSilenceTimer(this.#silenceLimits.firstMs);
     attempt.start();
   }
@@ -214,10 +214,9 @@
     const upstream = this.#grant?.job.upstream;
     // The address now belongs to another upstream, so its headers say nothing about this upstream.
     const isOther = head.misdirected;
-    if (
-      upstream !== undefined && limitsTraffic(head.availability) && !isOther
-    ) {
-      this.#port.reportAvailability(upstream, head.availability);
+    if (upstream !== undefined && !isOther) {
+      const sentAt = this.#dispatchedAt;
+      this.#port.reportAvailability(upstream, head.availability, { sentAt });
     }
     const failure = this.#relay.receiveHead(status, head, {
       mayRetry: this.#history.mayRetryUpstreamError(this.#leftMs()),
--- a/src/gateway/requests/exchange_port.ts
+++ b/src/gateway/requests/exchange_port.ts
@@ -8,6 +8,7 @@
   ClosedUpstream,
   JobId,
   PlacementRequest,
+  PoolGrant,
 } from "../../scheduling/pool/pool_job.ts";
 import type { UpstreamClosure } from "../upstreams/self_reported_closures.ts";
 import type { UpstreamAvailability } from "./upstream_availability.ts";
@@ -62,14 +63,17 @@
   ) => void;
   /** The listed upstream with an address, if any. */
   upstreamAt: (address: string) => UpstreamId | undefined;
-  /** Why an upstream is closed to new requests; undefined if it is open. */
-  closure: (id: UpstreamId) => UpstreamClosure | undefined;
+  /** Why a grant may not be used, and which of its upstreams is the reason; undefined if it may. */
+  grantClosure: (
+    grant: PoolGrant,
+  ) => (UpstreamClosure & Readonly<{ upstream: UpstreamId }>) | undefined;
   /** Upstreams of a service that are closed to new requests from this daemon. */
   closedUpstreams: (service: ServiceId) => readonly ClosedUpstream[];
-  /** Records the availability that an upstream announced in a response. */
+  /** Records what an upstream announced in a response to a request that was sent at `sentAt`. */
   reportAvailability: (
     upstream: UpstreamId,
     availability: UpstreamAvailability,
+    options: Readonly<{ sentAt: Timestamp }>,
   ) => void;
   recordFirstSend: (service: ServiceId) => void;
   /** Takes a retry from the service's budget; false if none is left. */
--- a/src/gateway/requests/exchange_util.ts
+++ b/src/gateway/requests/exchange_util.ts
@@ -10,6 +10,13 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { UpstreamClosure } from "../upstreams/self_reported_closures.ts";
 
+const CAUSE_BY_CLOSURE = {
+  gone: "upstream_leaving",
+  draining: "upstream_leaving",
+  backing_off: "upstream_backing_off",
+  uncounted: "upstream_rate_limited",
+} as const;
+
 /** Margin for sending the final response to the client before its deadline. */
 const RESPONSE_MARGIN_MS: Millis = 20;
 
@@ -61,9 +68,7 @@
   closure: UpstreamClosure,
   now: Timestamp,
 ): AttemptFailure {
-  const cause = closure.reason === "backing_off"
-    ? "upstream_backing_off"
-    : "upstream_leaving";
+  const cause = CAUSE_BY_CLOSURE[closure.reason];
   const ageMs = Math.round(now - closure.knownAt);
   return notSent(
     cause,
--- a/src/gateway/requests/upstream_availability.ts
+++ b/src/gateway/requests/upstream_availability.ts
@@ -6,9 +6,12 @@
   leaving: boolean;
   /** How long this daemon must send it no new requests; absent if it doesn't state a time. */
   backoffMs?: Millis;
+  /** Requests per second that it accepts from all daemons together; absent if it names none. */
+  maxRate?: number | "unreadable";
 }>;
 
-/** Whether the upstream announced that it is leaving or backing off. */
+/** Whether the upstream announced that it is leaving, backing off or limited to a rate. */
 export function limitsTraffic(availability: UpstreamAvailability): boolean {
-  return availability.leaving || availability.backoffMs !== undefined;
+  return availability.leaving || availability.backoffMs !== undefined ||
+    availability.maxRate !== undefined;
 }
--- a/src/gateway/serving/serving_readers.ts
+++ b/src/gateway/serving/serving_readers.ts
@@ -1,5 +1,6 @@
 import type { VmId } from "../../core/id.ts";
-import { compareLeaders, fnv1aHash } from "../members/member_table.ts";
+import { fnv1aHash } from "../../core/fnv1a.ts";
+import { compareLeaders } from "../members/member_table.ts";
 import type { PeerCard } from "../peers/peer_message.ts";
 
 /** Daemons per failure domain that read the configuration from the store: two, so that one may fail. */
--- a/src/gateway/upstreams/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -3,6 +3,7 @@
 import type {
   ClosedUpstream,
   PlacementRequest,
+  PoolGrant,
 } from "../../scheduling/pool/pool_job.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import type { UpstreamClosure } from "./self_reported_closures.ts";
@@ -30,6 +31,27 @@
   return reported;
 }
 
+/**
+ * Why a grant may not be used: one of its upstreams is closed, or limits its rate and the grant was not counted against
+ * it. Undefined where it may.
+ */
+export function findGrantClosure(
+  board: GatewayBoard,
+  grant: PoolGrant,
+  now: Timestamp,
+): UpstreamClosure & Readonly<{ upstream: UpstreamId }> | undefined {
+  const { job, counted } = grant;
+  for (const upstream of [job.upstream, ...job.helpers]) {
+    const closure = findClosure(board, upstream, now);
+    if (closure !== undefined) return { ...closure, upstream };
+    const rate = board.gate.rates.get(upstream);
+    const isCounted = counted === true && upstream === job.upstream;
+    if (rate === undefined || isCounted) continue;
+    return { reason: "uncounted", knownAt: rate.namedAt, upstream };
+  }
+  return undefined;
+}
+
 /** The upstreams of a service that are listed but closed to this daemon. */
 export function closedUpstreams(
   board: GatewayBoard,
--- a/src/gateway/upstreams/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -44,7 +44,10 @@
   upstream = E1,
 ): void {
   const availability = { leaving: false, ...announced };
-  fleet.step(gateway, [{ type: "upstream_said", upstream, availability }]);
+  const sentAt = fleet.time.now;
+  fleet.step(gateway, [
+    { type: "upstream_said", upstream, availability, sentAt },
+  ]);
 }
 
 /** Sends placement requests as a daemon does; returns the granted upstreams and the refusals. */
--- a/src/gateway/upstreams/engine_inspector.ts
+++ b/src/gateway/upstreams/engine_inspector.ts
@@ -39,6 +39,7 @@
       const entry = register.table.get(id);
       if (entry === undefined) continue;
       if (findClosure(board, id, step.now)?.reason === "backing_off") continue;
+      if (!pool.scheduler.rates.isOpen(id, step.now)) continue;
       step.emit({ type: "inspect", upstream: id, address: entry.address });
     }
     if (slowIds.length > 0) step.wake(this.#nextCheckAt);
--- a/src/gateway/upstreams/fallback_read.ts
+++ b/src/gateway/upstreams/fallback_read.ts
@@ -1,6 +1,6 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
-import { fnv1aHash } from "../members/member_table.ts";
+import { fnv1aHash } from "../../core/fnv1a.ts";
 import { livenessTimeoutMs } from "../members/membership.ts";
 
 /** Age, beyond one heartbeat and one read of the leader, at which a daemon reads the store itself. */
--- /dev/null
+++ b/src/gateway/upstreams/rate_controller.ts
@@ -0,0 +1,193 @@
+import type { UpstreamId } from "../../core/id.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+import type { RateShare } from "../../scheduling/pool/rate_budget.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
+import { livenessTimeoutMs, otherPlacers } from "../members/membership.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { RateNotice } from "./named_rates.ts";
+
+/** Time for which the majority of the daemons leaves a part of each rate to a daemon that is down, or cut off. */
+const MAJORITY_RESERVE_MS: Millis = 60_000;
+/** The same for a minority, beside which the majority may use the whole rate. */
+const MINORITY_RESERVE_MS: Millis = 300_000;
+/** Time after its lead in which a daemon still gets the charges of the others, and may place for others. */
+const PLACER_LINGER_MS: Millis = 4_000;
+/** Smallest part of the daemons that uses its rate without time slots: no more than four such parts exist. */
+const MIN_BUCKET_FRACTION = 0.25;
+
+/** Keeps the rates that upstreams have named, and which part of them this daemon may use. */
+export class RateController extends GatewayController {
+  #lastPlacerAt = -Infinity as Timestamp;
+
+  static create(): RateController {
+    return new RateController();
+  }
+
+  override step(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self, gate, register } = board;
+    const changed: UpstreamId[] = [];
+    for (const event of step.events) {
+      changed.push(...this.#onEvent(board, step, event));
+    }
+    if (register.updates.length > 0) {
+      gate.rates.prune((id) => register.table.startedAt(id), step.now);
+    }
+    if ([members.leader, members.deputy].includes(self.card.vm)) {
+      this.#lastPlacerAt = step.now;
+    }
+    const { rates } = board.pool.scheduler;
+    if (gate.rates.size === 0 && rates.size === 0) return;
+    rates.update(gate.rates.rates(), this.#shareOf(board, step.now), step.now);
+    if (changed.length > 0) this.#notifyPlacers(board, step);
+  }
+
+  /** Applies an event; returns the upstreams whose rate other daemons have to learn. */
+  #onEvent(
+    board: GatewayBoard,
+    step: GatewayStep,
+    event: GatewayEvent,
+  ): readonly UpstreamId[] {
+    switch (event.type) {
+      case "upstream_said":
+        return this.#onResponse(board, step, event) ? [event.upstream] : [];
+      case "uncounted_grant":
+        return [event.upstream];
+      case "order_sent":
+        this.#charge(board, step, event.upstream);
+        return [];
+      case "message":
+        this.#onMessage(board, step, event.message);
+        return [];
+      default:
+        return [];
+    }
+  }
+
+  #onResponse(
+    board: GatewayBoard,
+    step: GatewayStep,
+    event: Extract<GatewayEvent, { type: "upstream_said" }>,
+  ): boolean {
+    const { upstream, availability, sentAt } = event;
+    const { rates } = board.gate;
+    const startedAt = board.register.table.startedAt(upstream);
+    const { maxRate } = availability;
+    if (maxRate === "unreadable") {
+      // An unreadable rate neither sets a limit nor ends one.
+      step.line("upstream_rate", { upstream, how: "unreadable" });
+      return false;
+    }
+    const changed = maxRate === undefined
+      ? rates.recordUnnamed(upstream, startedAt, sentAt)
+      : rates.recordNamed(upstream, startedAt, {
+        perSecond: maxRate,
+        at: step.now,
+      });
+    if (changed) this.#logRate(board, step, upstream, "own");
+    return changed;
+  }
+
+  #onMessage(
+    board: GatewayBoard,
+    step: GatewayStep,
+    message: PeerMessage,
+  ): void {
+    if (message.type === "sent") {
+      const { scheduler } = board.pool;
+      scheduler.rates.charge(message.upstream, step.now, message.count);
+      return;
+    }
+    const notices = noticesOf(message);
+    if (notices === undefined) return;
+    const { table } = board.register;
+    const current = notices.filter(({ upstream, startedAt }) =>
+      table.startedAt(upstream) <= startedAt
+    );
+    for (const id of board.gate.rates.mergeNotices(current, step.now)) {
+      this.#logRate(board, step, id, "peer");
+    }
+  }
+
+  #logRate(
+    board: GatewayBoard,
+    step: GatewayStep,
+    upstream: UpstreamId,
+    from: "own" | "peer",
+  ): void {
+    const rate = board.gate.rates.get(upstream);
+    step.line("upstream_rate", {
+      upstream,
+      from,
+      ...(rate === undefined ? { how: "ended" } : {
+        how: "named",
+        per_second: rate.perSecond,
+        age_ms: Math.round(step.now - rate.namedAt),
+      }),
+    });
+  }
+
+  /** Charges a message that was sent without a placement, here and at the daemons that place. */
+  #charge(
+    board: GatewayBoard,
+    step: GatewayStep,
+    upstream: UpstreamId,
+  ): void {
+    const { scheduler } = board.pool;
+    if (!scheduler.rates.has(upstream)) return;
+    scheduler.rates.charge(upstream, step.now);
+    for (const vm of otherPlacers(board)) {
+      const to = board.members.table.get(vm)?.peer;
+      if (to === undefined) continue;
+      const message = { type: "sent", upstream, count: 1 } as const;
+      step.emit({ type: "send", to, message });
+    }
+  }
+
+  #notifyPlacers(board: GatewayBoard, step: GatewayStep): void {
+    const notices = board.gate.rates.notices(step.now);
+    if (notices === undefined) return;
+    for (const vm of otherPlacers(board)) {
+      const to = board.members.table.get(vm)?.peer;
+      if (to === undefined) continue;
+      step.emit({ type: "send", to, message: { type: "rates", notices } });
+    }
+  }
+
+  /**
+   * The part of each rate that this daemon may use, so that the parts of all daemons, each by what it knows, add up to
+   * the whole: a daemon that places for others has the parts of those that it can reach, any other daemon its own.
+   */
+  #shareOf(board: GatewayBoard, now: Timestamp): RateShare {
+    const { members, self } = board;
+    const { table } = members;
+    const live = table.live(now, livenessTimeoutMs(board)).length + 1;
+    const isMajority = 2 * live > table.all().length + 1;
+    const reserveMs = isMajority ? MAJORITY_RESERVE_MS : MINORITY_RESERVE_MS;
+    const known = Math.max(
+      live,
+      table.seenWithin(now, reserveMs).length + 1,
+      // A daemon that has met no other yet still has its seeds.
+      table.all().length === 0 ? board.self.seeds.length + 1 : 1,
+    );
+    const isPlacer = now - this.#lastPlacerAt <= PLACER_LINGER_MS;
+    const fraction = (isPlacer ? live : 1) / known;
+    if (isPlacer && fraction >= MIN_BUCKET_FRACTION) {
+      return { type: "placer", fraction };
+    }
+    return { type: "solo", daemons: 1 / fraction, self: self.card.vm };
+  }
+}
+
+function noticesOf(message: PeerMessage): readonly RateNotice[] | undefined {
+  switch (message.type) {
+    case "rates":
+      return message.notices;
+    case "heartbeat":
+    case "heartbeat_reply":
+      return message.rates;
+    default:
+      return undefined;
+  }
+}
--- a/src/gateway/upstreams/self_reported_closures.ts
+++ b/src/gateway/upstreams/self_reported_closures.ts
@@ -7,7 +7,7 @@
 
 /** Why an upstream is closed to new requests, and since when that is known. */
 export type UpstreamClosure = Readonly<{
-  reason: "gone" | "draining" | "backing_off";
+  reason: "gone" | "draining" | "backing_off" | "uncounted";
   knownAt: Timestamp;
   /** When it opens again; absent where it opens only with another process. */
   until?: Timestamp;
--- a/src/scheduling/pool/pool_job.ts
+++ b/src/scheduling/pool/pool_job.ts
@@ -67,4 +67,6 @@
   priority: number;
   /** Predicted time to the first event. */
   expectMs: Millis;
+  /** Whether the request was counted against the limited rate of its upstream. */
+  counted?: boolean;
 }>;
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -8,14 +8,25 @@
 import { backlogMs, orderQueue, type QueuedPrompt } from "./long_queue.ts";
 import { placeCall } from "./place_call.ts";
 import { placeLong, requiredEnginesFreeInMs } from "./place_long.ts";
-import { MAX_HELPERS, PLANNED_MEMORY_FRACTION } from "./plan_memory.ts";
+import { MAX_HELPERS } from "./plan_memory.ts";
+import {
+  exceedsPoolMemory,
+  noUpstreamProblem,
+  tooLargeProblem,
+} from "./pool_refusals.ts";
 import { placeShort } from "./place_short.ts";
 import { JobTracker } from "./job_tracker.ts";
+import { RateBudgets } from "./rate_budgets.ts";
 import { RETRY_AFTER_MS, RetryPacer } from "./retry_pacer.ts";
 import { admissionLimitMs } from "./admission_limit.ts";
 import { SlowEngineDetector } from "./slow_engine_detector.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
-import type { JobId, PlacementRequest, PoolGrant } from "./pool_job.ts";
+import type {
+  JobId,
+  PlacementRequest,
+  PoolGrant,
+  PoolJob,
+} from "./pool_job.ts";
 
 /** Longer prefills are split over several engines; this plus one pass is the pause that sensitive streams accept. */
 const MAX_SHORT_PREFILL_MS: Millis = 190;
@@ -47,6 +58,8 @@
 export class PoolScheduler {
   readonly tracker = JobTracker.create();
   readonly slowEngines = SlowEngineDetector.create();
+  /** Budgets for upstreams that accept a limited rate. */
+  readonly rates = RateBudgets.create();
   readonly #queue = new Map<JobId, QueueEntry>();
   readonly #retryPacer = RetryPacer.create();
 
@@ -63,7 +76,9 @@
   submit(req: PoolSubmission, now: Timestamp): PoolDecision | undefined {
     const { ask, pace } = req;
     const known = this.tracker.jobs.get(ask.job);
-    if (known !== undefined) return { ask, result: ok(grantOf(known, req)) };
+    if (known !== undefined) {
+      return { ask, result: ok(this.#grant(known, req)) };
+    }
     if (this.#queue.has(ask.job)) return undefined;
     if (req.members.length === 0) {
       return { ask, result: err(noUpstreamProblem()) };
@@ -74,6 +89,9 @@
     if (prefillMs(pace, ask.promptTokens) <= MAX_SHORT_PREFILL_MS) {
       return { ask, result: this.#placeShort({ ...req, pace }, now) };
     }
+    if (this.rates.openForSplit(req.members, now).length === 0) {
+      return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
+    }
     if (exceedsPoolMemory(ask, pace, req.members.length)) {
       return { ask, result: err(tooLargeProblem()) };
     }
@@ -94,13 +112,21 @@
     let aheadMs: Millis | undefined;
     for (const entry of this.#orderedQueue(now)) {
       const { ask, pace } = entry.req;
-      const req = { ask, pace, members: members(ask) };
+      const listed = members(ask);
+      const req = {
+        ask,
+        pace,
+        members: this.rates.openForSplit(listed, now),
+      };
       const { prompt } = entry;
       aheadMs ??= this.#totalBacklogMs(req.members, now);
       const finishesInMs = (aheadMs + prompt.prefillMs) / req.members.length;
-      let result = busyTries < MAX_BUSY_TRIES
-        ? this.#placeLong(req, prompt, { now, backfillMs })
-        : undefined;
+      let result: Result<PoolGrant, Problem> | undefined;
+      if (req.members.length === 0) {
+        result = err(this.#noUpstream(ask, listed, now));
+      } else if (busyTries < MAX_BUSY_TRIES) {
+        result = this.#placeLong(req, prompt, { now, backfillMs });
+      }
       if (
         result === undefined && addMs(now, finishesInMs) > prompt.timeoutAt
       ) {
@@ -176,7 +202,6 @@
   ): Result<PoolGrant, Problem> | undefined {
     const { now, backfillMs } = options;
     const { ask, pace } = req;
-    if (req.members.length === 0) return err(noUpstreamProblem());
     const input = { ...this.#inputOf(req, now), pace };
     const placement = placeLong(input, {
       dueInMs: prompt.dueAt - now,
@@ -194,9 +219,9 @@
       helpers: placement.helpers.map((member) => member.id),
       tickets: placement.tickets,
     });
-    this.tracker.add(job, now);
+    this.#add(job, now);
     this.slowEngines.expectFirstEvent(job, placement.expectMs, now);
-    return ok(grantOf(job, req, placement.expectMs));
+    return ok(this.#grant(job, req, placement.expectMs));
   }
 
   /** Sum of the prefill time left on all engines. */
@@ -225,7 +250,9 @@
   ): Result<PoolGrant, Problem> {
     const { ask, pace } = req;
     const placement = placeShort({ ...this.#inputOf(req, now), pace });
-    if (placement === undefined) return err(noUpstreamProblem());
+    if (placement === undefined) {
+      return err(this.#noUpstream(ask, req.members, now));
+    }
     const { engine, expectMs } = placement;
     const limitMs = admissionLimitMs(ask, pace);
     if (expectMs > limitMs) {
@@ -242,23 +269,50 @@
     }
     const partMs = prefillMs(pace, ask.promptTokens);
     const job = jobOf(ask, now, { upstream: engine.id, partMs });
-    this.tracker.add(job, now);
+    this.#add(job, now);
     this.slowEngines.expectFirstEvent(job, expectMs, now);
-    return ok(grantOf(job, req, expectMs));
+    return ok(this.#grant(job, req, expectMs));
   }
 
   #placeCall(req: PoolSubmission, now: Timestamp): Result<PoolGrant, Problem> {
     const placement = placeCall(this.#inputOf(req, now));
-    if (placement === undefined) return err(noUpstreamProblem());
+    if (placement === undefined) {
+      return err(this.#noUpstream(req.ask, req.members, now));
+    }
     const { instance, expectMs } = placement;
     const job = jobOf(req.ask, now, { upstream: instance.id, partMs: 0 });
+    this.#add(job, now);
+    return ok(this.#grant(job, req, expectMs));
+  }
+
+  /** Tracks a placed job, and counts it against the rate of its upstream. */
+  #add(job: PoolJob, now: Timestamp): void {
     this.tracker.add(job, now);
-    return ok(grantOf(job, req, expectMs));
+    this.rates.charge(job.upstream, now);
+  }
+
+  #grant(job: PoolJob, req: PoolSubmission, expectMs?: Millis): PoolGrant {
+    const grant = grantOf(job, req, expectMs);
+    return this.rates.has(job.upstream) ? { ...grant, counted: true } : grant;
+  }
+
+  /** The refusal of a request that no member may be sent now. */
+  #noUpstream(
+    ask: PlacementRequest,
+    members: readonly PoolMember[],
+    now: Timestamp,
+  ): Problem {
+    const retryMs = this.rates.nextRetryMs(members, { ...ask, now });
+    if (retryMs === 0) return noUpstreamProblem();
+    return problem("no_upstream", "All upstreams have reached their rates", {
+      retryAfterMs: retryMs,
+    });
   }
 
   #inputOf(req: PoolSubmission, now: Timestamp): PlacementInput {
     const { ask } = req;
-    const candidates = withoutFailed(req.members, ask.avoid).map((member) => ({
+    const open = this.rates.open(req.members, now);
+    const candidates = withoutFailed(open, ask.avoid).map((member) => ({
       ...member,
       load: this.tracker.loadOf(member.id),
     }));
@@ -289,24 +343,3 @@
   const others = members.filter((member) => !avoid.includes(member.id));
   return others.length > 0 ? others : members;
 }
-
-/** Whether a prompt exceeds the memory of all engines that may take part, even if they are empty. */
-function exceedsPoolMemory(
-  ask: PlacementRequest,
-  pace: EnginePace,
-  engines: number,
-): boolean {
-  const maxEngines = Math.min(engines, MAX_HELPERS + 1);
-  return ask.promptTokens + ask.answerTokens >
-    maxEngines * pace.memoryTokens * PLANNED_MEMORY_FRACTION;
-}
-
-function tooLargeProblem(): Problem {
-  return problem("no_memory", "All engines together can't hold this prompt");
-}
-
-function noUpstreamProblem(): Problem {
-  return problem("no_upstream", "No upstream of the service is known", {
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -102,7 +102,13 @@
       recorded.contentOutcomes.push(`${lost ? "lost" : outcome} ${upstream}`);
     },
     upstreamAt: () => undefined,
-    closure: (id) => closures.get(id),
+    grantClosure: ({ job }) => {
+      for (const upstream of [job.upstream, ...job.helpers]) {
+        const closure = closures.get(upstream);
+        if (closure !== undefined) return { ...closure, upstream };
+      }
+      return undefined;
+    },
     closedUpstreams: () => [],
     reportAvailability: (upstream, { leaving, backoffMs }) => {
       if (leaving) recorded.availability.push(`${upstream} leaving`);
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -3,7 +3,7 @@
 import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import {
   closedUpstreams,
-  findClosure,
+  findGrantClosure,
 } from "../gateway/upstreams/availability.ts";
 import type { UpstreamAvailability } from "../gateway/requests/upstream_availability.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
@@ -152,8 +152,10 @@
       }
       if (reply.type !== "granted") continue;
       const { id, upstream } = reply.grant.job;
-      if (findClosure(gateway.core.board, upstream, now) !== undefined) {
+      const closure = findGrantClosure(gateway.core.board, reply.grant, now);
+      if (closure !== undefined) {
         this.#end(gateway, id, upstream);
+        this.fleet.step(gateway, [{ type: "uncounted_grant", upstream }]);
         continue;
       }
       this.fleet.time.schedule(
@@ -165,10 +167,11 @@
 
   #arrive(gateway: FakeGateway, job: JobId, upstream: UpstreamId): void {
     this.#arrivals.get(upstream)!.push(this.fleet.time.now);
+    const sentAt = this.fleet.time.now;
     this.fleet.time.schedule(RESPONSE_MS, () => {
       const availability = this.#options.decode(this.#limit);
       this.fleet.step(gateway, [
-        { type: "upstream_said", upstream, availability },
+        { type: "upstream_said", upstream, availability, sentAt },
       ]);
       this.#end(gateway, job, upstream);
     });
