--- a/src/gateway/requests/upstream_availability_test.ts
+++ b/src/gateway/requests/upstream_availability_test.ts
@@ -12,6 +12,7 @@
 afterEach(() => play.close());
 
 const LEAVING = { "Server-Leaving": "1" };
+const LIMITED = { "Server-Limit": "1.4" };
 const COMPLETE = { "X-Response-Seal": "s", "Content-Length": 2 };
 const NOT_RUN = { "X-Not-Executed": "1", "Content-Length": 0 };
 const EVENTS = {
@@ -66,11 +67,31 @@
 
   test("but not from another upstream at the same address", async () => {
     const reported = await reportedBy("/lookup/x", (socket) => {
-      socket.end(responseHeadText(421, { "Content-Length": 0, ...LEAVING }));
+      const head = { "Content-Length": 0, ...LEAVING, ...LIMITED };
+      socket.end(responseHeadText(421, head));
     });
     expect(reported).toEqual([]);
   });
 
+  test("with the rate that it accepts, in a success, a refusal and the head of a stream", async () => {
+    const named = ["e0 accepts 1.4 a second"];
+    const inSuccess = await reportedBy("/lookup/x", (socket) => {
+      socket.end(`${responseHeadText(200, { ...COMPLETE, ...LIMITED })}ok`);
+    });
+    expect(inSuccess).toEqual(named);
+    await play.close();
+    const inRefusal = await reportedBy("/reserve/x", (socket) => {
+      socket.end(responseHeadText(503, { ...NOT_RUN, ...LIMITED }));
+    });
+    expect(inRefusal).toEqual(named);
+    await play.close();
+    const inStream = await reportedBy("/ask/x", (socket) => {
+      const head = responseHeadText(200, { ...EVENTS, ...LIMITED });
+      socket.end(`${head}id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n`);
+    });
+    expect(inStream).toEqual(named);
+  });
+
   test("in responses to orders and in engine reports", async () => {
     play = await FrontServerFixture.start([(socket) => {
       const body = '{"pace":1}';
@@ -79,7 +100,9 @@
     }]);
     const orders = OrderClient.create();
     const reported: string[] = [];
+    const sent: string[] = [];
     const address = play.addresses[0]!;
+    orders.onSend((to) => sent.push(to));
     orders.onAvailability((from, { leaving }) => {
       if (leaving) reported.push(from);
     });
@@ -87,6 +110,7 @@
     await orders.release(address, "t1");
     await orders.reserve({ address, ticket: "t1", tokens: 1, holdMs: 1 });
     expect(reported).toEqual([address, address, address]);
+    expect(sent).toEqual([address, address, address]);
   });
 });
 
@@ -96,6 +120,7 @@
       ["draining", undefined],
       ["backing_off", 5_000 as Timestamp],
       ["gone", undefined],
+      ["uncounted", undefined],
     ] as const,
   )(
     "is not sent, and is placed elsewhere without using the retry budget: %s",
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -46,7 +46,7 @@
   readonly problems: string[];
   /** Outcome of each content and the upstream that ran it, as `lost e0`. */
   readonly contentOutcomes: string[];
-  /** Availability that upstreams announced, as `e0 leaving` or `e0 back in 500` (ms). */
+  /** What upstreams announced, as `e0 leaving`, `e0 back in 500` (ms) or `e0 accepts 2 a second`. */
   readonly availability: string[];
   /** Services whose retry budget was charged. */
   readonly retries: string[];
@@ -110,7 +110,10 @@
       return undefined;
     },
     closedUpstreams: () => [],
-    reportAvailability: (upstream, { leaving, backoffMs }) => {
+    reportAvailability: (upstream, { leaving, backoffMs, maxRate }) => {
+      if (maxRate !== undefined) {
+        recorded.availability.push(`${upstream} accepts ${maxRate} a second`);
+      }
       if (leaving) recorded.availability.push(`${upstream} leaving`);
       if (backoffMs !== undefined) {
         recorded.availability.push(`${upstream} back in ${backoffMs}`);
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -86,6 +86,11 @@
     return this.fleet.gateways.find(({ card }) => card.vm === leader)!;
   }
 
+  /** When requests reached an upstream. */
+  arrivalsAt(upstream: UpstreamId): readonly Timestamp[] {
+    return this.#arrivals.get(upstream) ?? [];
+  }
+
   /** Requests that reached all upstreams in the last `ms`. */
   arrivedWithin(ms: Millis): number {
     const since = this.fleet.time.now - ms;
@@ -93,6 +98,12 @@
       .filter((at) => at >= since).length;
   }
 
+  /** Requests that were refused in the last `ms`. */
+  refusedWithin(ms: Millis): number {
+    const since = this.fleet.time.now - ms;
+    return this.refusals.filter(({ at }) => at >= since).length;
+  }
+
   /** Most requests that reached one upstream within a window of the rule, as a multiple of what it allows. */
   worstWindow(perSecond: number): number {
     const allowed = Math.floor(
