Count requests to cold upstreams over all daemons

A cold upstream now has a budget as one that names a rate has, until it is warm; where both apply, the lower one counts. Becoming cold again is a change of its register entry, so daemons that do not read the register learn of it.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -6,6 +6,7 @@
 import type { PeerCard, StoreProgress } from "./peers/peer_message.ts";
 import type { RouteTable } from "./serving/route_table.ts";
 import type { ConfigVersion } from "./serving/serving_config.ts";
+import { ColdUpstreams } from "./upstreams/cold_upstreams.ts";
 import { NamedRates } from "./upstreams/named_rates.ts";
 import { SelfReportedClosures } from "./upstreams/self_reported_closures.ts";
 import {
@@ -64,6 +65,7 @@
 export type GateSection = {
   readonly closures: SelfReportedClosures;
   readonly rates: NamedRates;
+  readonly cold: ColdUpstreams;
 };
 
 /** Written by the content controller; the placement of a request may use up a trial of a quarantined content. */
@@ -111,6 +113,7 @@
     gate: {
       closures: SelfReportedClosures.create(),
       rates: NamedRates.create(),
+      cold: ColdUpstreams.create(),
     },
     contents: { suspects: CrashSuspects.create() },
     pool: { scheduler: PoolScheduler.create() },
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -59,6 +59,7 @@
   slots: z.number(),
   leaving: z.boolean(),
   startedAt: z.number(),
+  coldMs: z.number().optional(),
 }).readonly();
 
 const RegisterChangeSchema = z.discriminatedUnion("type", [
--- a/src/gateway/serving/serving_config.ts
+++ b/src/gateway/serving/serving_config.ts
@@ -39,6 +39,8 @@
 export type Service = Readonly<{
   id: ServiceId;
   maxConnections: number;
+  /** Requests per second that a cold upstream accepts from all daemons together; absent for no limit. */
+  coldRate?: number;
   pace?: EnginePace;
 }>;
 
--- a/src/gateway/upstreams/rate_controller.ts
+++ b/src/gateway/upstreams/rate_controller.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from "../../core/id.ts";
-import type { Millis, Timestamp } from "../../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { RateShare } from "../../scheduling/pool/rate_budget.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -17,9 +17,13 @@
 /** Smallest part of the daemons that uses its rate without time slots: no more than four such parts exist. */
 const MIN_BUCKET_FRACTION = 0.25;
 
-/** Keeps the rates that upstreams have named, and which part of them this daemon may use. */
+/** Time between two updates of the budgets without a change of what they depend on. */
+const UPDATE_INTERVAL_MS: Millis = 50;
+
+/** Keeps the rates that upstreams accept, and which part of them this daemon may use. */
 export class RateController extends GatewayController {
   #lastPlacerAt = -Infinity as Timestamp;
+  #nextUpdateAt = -Infinity as Timestamp;
 
   static create(): RateController {
     return new RateController();
@@ -31,18 +35,30 @@
     for (const event of step.events) {
       changed.push(...this.#onEvent(board, step, event));
     }
+    const isPlacer = [members.leader, members.deputy].includes(self.card.vm);
+    if (isPlacer) this.#lastPlacerAt = step.now;
     if (register.updates.length > 0) {
       gate.rates.prune((id) => register.table.startedAt(id), step.now);
+      gate.cold.update(board, step.now);
+      this.#nextUpdateAt = step.now;
     }
-    if ([members.leader, members.deputy].includes(self.card.vm)) {
-      this.#lastPlacerAt = step.now;
-    }
-    const { rates } = board.pool.scheduler;
-    if (gate.rates.size === 0 && rates.size === 0) return;
-    rates.update(gate.rates.rates(), this.#shareOf(board, step.now), step.now);
+    if (step.now >= this.#nextUpdateAt) this.#updateBudgets(board, step.now);
     if (changed.length > 0) this.#notifyPlacers(board, step);
   }
 
+  #updateBudgets(board: GatewayBoard, now: Timestamp): void {
+    this.#nextUpdateAt = addMs(now, UPDATE_INTERVAL_MS);
+    const { gate, pool } = board;
+    const { rates } = pool.scheduler;
+    if (gate.rates.size + gate.cold.size + rates.size === 0) return;
+    gate.cold.update(board, now);
+    const limits = new Map(gate.cold.rates(board));
+    for (const [id, perSecond] of gate.rates.rates()) {
+      limits.set(id, Math.min(perSecond, limits.get(id) ?? Infinity));
+    }
+    rates.update(limits, this.#shareOf(board, now), now);
+  }
+
   /** Applies an event; returns the upstreams whose rate other daemons have to learn. */
   #onEvent(
     board: GatewayBoard,
@@ -116,6 +132,7 @@
     upstream: UpstreamId,
     from: "own" | "peer",
   ): void {
+    this.#nextUpdateAt = step.now;
     const rate = board.gate.rates.get(upstream);
     step.line("upstream_rate", {
       upstream,
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -12,6 +12,8 @@
   leaving: boolean;
   /** Unix time in ms of the start; a different start means a different process. */
   startedAt: number;
+  /** Time in ms until the upstream is warm, when its entry was written; absent if it is. */
+  coldMs?: Millis;
 }>;
 
 /** Change of the register: a new or changed entry, or an id whose entry is gone or unusable. */
@@ -139,7 +141,9 @@
     if (lapsed) return { kind: "returned", id: entry.id };
     const isUnchanged = known.address === entry.address &&
       known.service === entry.service && known.slots === entry.slots &&
-      known.leaving === entry.leaving;
+      known.leaving === entry.leaving &&
+      // An upstream that is warming up is no change; one that is cold again is.
+      (entry.coldMs ?? 0) <= (known.coldMs ?? 0);
     return isUnchanged ? undefined : { kind: "changed", id: entry.id };
   }
 
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -37,6 +37,8 @@
   requestRate: number;
   /** Decodes the value of the header that names the limit. */
   decode: (value: string | undefined) => UpstreamAvailability;
+  /** How long all upstreams are cold, and the rate per second that each accepts until then. */
+  cold?: Readonly<{ forMs: Millis; rate: number }>;
 }>;
 
 /** A refusal with the Retry-After that the client got. */
@@ -61,13 +63,20 @@
     this.#options = options;
     this.#random = Random.create(options.seed);
     this.fleet = FakeGatewayFleet.create(options.daemons);
-    this.fleet.publish(emptyServing(1));
+    const service = {
+      id: upstreamEntry("e0").service,
+      maxConnections: Infinity,
+      coldRate: options.cold?.rate,
+    };
+    const services = new Map([[service.id, service]]);
+    this.fleet.publish({ ...emptyServing(1), services });
+    this.fleet.time.run(SETTLE_MS);
     for (let i = 0; i < options.upstreams; i += 1) {
-      const entry = upstreamEntry(`e${i}`);
+      const entry = upstreamEntry(`e${i}`, { coldMs: options.cold?.forMs });
       this.#arrivals.set(entry.id, []);
       this.fleet.register({ type: "entry", entry });
     }
-    this.fleet.time.run(SETTLE_MS);
+    if (options.cold === undefined) this.fleet.time.run(SETTLE_MS);
   }
 
   static create(options: LimitSimulationOptions): LimitSimulation {
@@ -104,6 +113,16 @@
     return this.refusals.filter(({ at }) => at >= since).length;
   }
 
+  /** Most requests that reached one upstream within `ms`. */
+  mostWithin(ms: Millis): number {
+    const counts = [...this.#arrivals.values()].flatMap((times) =>
+      times.map((from) =>
+        times.filter((at) => at >= from && at < from + ms).length
+      )
+    );
+    return Math.max(0, ...counts);
+  }
+
   /** Most requests that reached one upstream within a window of the rule, as a multiple of what it allows. */
   worstWindow(perSecond: number): number {
     const allowed = Math.floor(
