Keep the creation time of a stream's chunks when it is resumed

The known red test: a client that resumed a stream in a later second got chunks whose 'created' differed from those it had, so that the rest was not the end of the whole answer. Cause: the resumed request took its own time of arrival. The test failed whenever the resume crossed a full second.

Traced with a pause before the resume on a scratch copy: no pause passes, 500, 1500 and 4000 ms fail, and the texts differ in nothing but 'created'. Ruled out: the engine's kept answers (60 s at a scale of 20) and the token counts of the last chunk, which were equal. The resume token now carries the time; tokens of older daemons, without it, are taken as before.

--- a/src/daemon/daemon_test.ts
+++ b/src/daemon/daemon_test.ts
@@ -336,6 +336,18 @@
   expect((await resume(id, malformed)).status).toBe(400);
 });
 
+test("a stream that is resumed seconds later keeps the creation time of its chunks", async () => {
+  const full = await sendPrompt(CHAT);
+  clock.skippedMs += 3_000;
+  const rest = await resume(full.headers.get("x-request-id")!, {
+    "x-team": "makers",
+    "last-event-id": "1",
+    "x-resume-token": full.headers.get("x-resume-token")!,
+  });
+  expect(rest.status).toBe(200);
+  expect(full.text.endsWith(rest.text)).toBe(true);
+});
+
 test("a stream that breaks off before its end closes with an error event, not with [DONE]", async () => {
   engine.control({ answer_fault: { type: "truncated", after: 2, times: 9 } });
   const { text } = await sendPrompt(CHAT);
@@ -393,6 +405,6 @@
   expect((await sendPrompt(CHAT)).status).toBe(200);
   const again = await send("/v1/admin/drain", { ...OPERATOR, method: "POST" });
   expect(again.status).toBe(202);
-  clock.skippedMs = 15_000;
+  clock.skippedMs += 15_000;
   await exited;
 });
--- a/src/http/prompt_routes.ts
+++ b/src/http/prompt_routes.ts
@@ -124,7 +124,7 @@
   },
 ): ResponseWriter {
   const { req, metadata, res, stream } = options;
-  const headers = () => responseHeaders(deps, req, metadata.api);
+  const headers = () => responseHeaders(deps, req, metadata);
   return stream
     ? SseWriter.create({ res, metadata, headers })
     : JsonWriter.create({ res, metadata, headers });
@@ -134,7 +134,7 @@
 export function responseHeaders(
   deps: RouteDeps,
   req: PromptRequest,
-  api: PromptApi,
+  metadata: Pick<ResponseMetadata, "api" | "createdAt">,
 ): Record<string, string> {
   const entry = deps.board.requests.byId.get(req.id);
   const headers: Record<string, string> = { [REQUEST_HEADER]: req.id };
@@ -150,11 +150,12 @@
     upstream: entry.attempt.placement.upstream,
     team: req.team,
     classId: req.classId,
-    api,
+    api: metadata.api,
     ...entry.weights,
     revision: entry.ranUnder.revision,
     maxTokens: req.maxTokens,
     deadlineAt: req.deadlineAt,
+    createdAt: metadata.createdAt,
   }, signing);
   return headers;
 }
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -109,9 +109,13 @@
   const { claims, after } = options;
   const res = ctx.env.outgoing as ServerResponse;
   const req = resumedRequest(deps, claims);
+  const metadata = responseMetadata(req, claims.api);
   const writer = SseWriter.create({
     res,
-    metadata: responseMetadata(req, claims.api),
+    metadata: {
+      ...metadata,
+      createdAt: claims.createdAt ?? metadata.createdAt,
+    },
     headers: () => ({
       [REQUEST_HEADER]: req.id,
       [RESUME_HEADER]: ctx.req.header(RESUME_HEADER) ?? "",
--- a/src/http/resume_token.ts
+++ b/src/http/resume_token.ts
@@ -31,6 +31,8 @@
   revision: z.number().int().transform((value) => value as Revision),
   maxTokens: z.number().int().positive(),
   deadlineAt: countSchema<Timestamp>(),
+  /** Seconds since the Unix epoch, as all chunks of the response repeat it; absent in tokens of older daemons. */
+  createdAt: z.number().int().optional(),
 }).readonly();
 /** Claims of a resume token: all that a daemon needs to resume a stream. */
 export type ResumeClaims = z.infer<typeof ResumeClaimsSchema>;
