--- a/src/gateway/requests/event_stream_parser.ts
+++ b/src/gateway/requests/event_stream_parser.ts
@@ -50,9 +50,8 @@
   return 0;
 }
 
+/** The id of an event: that of its last `id` line, as the standard has it. */
 function idOf(bytes: Buffer): string | undefined {
-  for (const line of bytes.toString("latin1").split(/\r?\n/)) {
-    if (line.startsWith("id:")) return line.slice(3).trim();
-  }
-  return undefined;
+  return bytes.toString("latin1").split(/\r?\n/)
+    .findLast((line) => line.startsWith("id:"))?.slice(3).trim();
 }
