--- a/src/gateway/peers/deflated.ts
+++ b/src/gateway/peers/deflated.ts
@@ -20,6 +20,7 @@
   data: Buffer,
   options: Readonly<{ maxBytes: number }>,
 ): Result<unknown, string> {
+  if (data.length > options.maxBytes) return err("The data is too large");
   let text: string;
   try {
     const maxOutputLength = options.maxBytes;
--- a/src/gateway/peers/peer_message_test.ts
+++ b/src/gateway/peers/peer_message_test.ts
@@ -32,10 +32,16 @@
     expect(decodePeerMessage(data)._unsafeUnwrap()).toEqual(message);
   });
 
+  const SENT = { type: "sent", upstream: "e1", count: 1 };
+
   test.each([
     ["no data", Buffer.alloc(0)],
     ["arbitrary bytes", Buffer.from([1, 2, 3, 4])],
     ["JSON that is not a message", Buffer.from("{}")],
+    [
+      "a message that is larger than the limit",
+      Buffer.from(`${JSON.stringify(SENT)}${" ".repeat(1 << 20)}`),
+    ],
     [
       "a truncated message",
       encodePeerMessage(fullRosterReply()).subarray(0, 300),
