Let one side at most of a halved network have the majority

Of exact halves, the one with the lowest VM id is now the majority; the parts of named rates go by the same rule.

--- a/src/gateway/members/membership.ts
+++ b/src/gateway/members/membership.ts
@@ -1,5 +1,6 @@
 import type { VmId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import type { PeerCard } from "../peers/peer_message.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 
 /** Shortest time between heartbeats; a leader that doesn't reply is detected after two intervals. */
@@ -25,15 +26,26 @@
   );
 }
 
+/** Whether this daemon is the leader of a majority; in a network partition at most one side has such a leader. */
+export function leadsMajority(board: GatewayBoard, now: Timestamp): boolean {
+  return board.members.leader === board.self.card.vm && inMajority(board, now);
+}
+
 /**
- * Whether this daemon is the leader and at least half of all known daemons, itself included, are live. In a network
- * partition that is not an exact halving, at most one side has such a leader.
+ * Whether more than half of all known daemons, this one included, are live; of exact halves, the one with the lowest
+ * VM id is the majority.
  */
-export function leadsAtLeastHalf(board: GatewayBoard, now: Timestamp): boolean {
-  const { leader, table } = board.members;
-  if (leader !== board.self.card.vm) return false;
-  const live = table.live(now, livenessTimeoutMs(board)).length;
-  return 2 * (live + 1) >= table.all().length + 1;
+export function inMajority(board: GatewayBoard, now: Timestamp): boolean {
+  const { table } = board.members;
+  const { vm: self } = board.self.card;
+  const live = table.live(now, livenessTimeoutMs(board));
+  const excess = 2 * (live.length + 1) - (table.all().length + 1);
+  return excess > 0 ||
+    (excess === 0 && lowestVm(live, self) === lowestVm(table.all(), self));
+}
+
+function lowestVm(cards: readonly PeerCard[], self: VmId): VmId {
+  return cards.reduce((lowest, { vm }) => vm < lowest ? vm : lowest, self);
 }
 
 /** Time without a message after which a daemon counts as down. */
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -15,7 +15,7 @@
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
 import {
-  leadsAtLeastHalf,
+  leadsMajority,
   livenessTimeoutMs,
   otherPlacers,
 } from "../members/membership.ts";
@@ -104,7 +104,7 @@
     const { suspects } = contents;
     const content = suspects.decide(ask.digest, step.now, {
       job: ask.job,
-      allowTrial: leadsAtLeastHalf(board, step.now),
+      allowTrial: leadsMajority(board, step.now),
     });
     if (content.type === "refuse") {
       const detail = "This content has crashed its upstreams";
--- a/src/gateway/upstreams/rate_controller.ts
+++ b/src/gateway/upstreams/rate_controller.ts
@@ -4,7 +4,11 @@
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
-import { livenessTimeoutMs, otherPlacers } from "../members/membership.ts";
+import {
+  inMajority,
+  livenessTimeoutMs,
+  otherPlacers,
+} from "../members/membership.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
 import type { RateNotice } from "./named_rates.ts";
 import { RatePersister } from "./rate_persister.ts";
@@ -215,8 +219,9 @@
     const { members, self } = board;
     const { table } = members;
     const live = table.live(now, livenessTimeoutMs(board)).length + 1;
-    const isMajority = 2 * live > table.all().length + 1;
-    const reserveMs = isMajority ? MAJORITY_RESERVE_MS : MINORITY_RESERVE_MS;
+    const reserveMs = inMajority(board, now)
+      ? MAJORITY_RESERVE_MS
+      : MINORITY_RESERVE_MS;
     const known = Math.max(
       live,
       table.seenWithin(now, reserveMs).length + 1,
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -85,10 +85,6 @@
     return this.#count((job) => job.upstream !== this.id);
   }
 
-  get writingStreams(): number {
-    return this.#count((job) => job.upstream === this.id && job.writing);
-  }
-
   /** Number of streams answered here, decoding or soon to decode, that accept only short pauses. */
   get sensitiveStreams(): number {
     return this.#count((job) =>
