--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -181,7 +181,9 @@
       ...(result.isOk()
         ? {
           upstream: result.value.job.upstream,
-          ...(result.value.counted === true ? { counted: true } : {}),
+          ...(result.value.counted === true
+            ? { rate_share: Number(pool.scheduler.rates.fraction.toFixed(3)) }
+            : {}),
           helpers: result.value.job.helpers.length,
           tickets: result.value.job.tickets.length,
           expect_ms: Math.round(result.value.expectMs),
--- a/src/scheduling/pool/rate_budgets.ts
+++ b/src/scheduling/pool/rate_budgets.ts
@@ -55,6 +55,13 @@
     }
   }
 
+  /** The part of each rate that this daemon may use. */
+  get fraction(): number {
+    return this.#share.type === "placer"
+      ? this.#share.fraction
+      : 1 / this.#share.daemons;
+  }
+
   has(id: UpstreamId): boolean {
     return this.#limited.has(id);
   }
@@ -110,7 +117,7 @@
     for (const { id } of members) {
       const limited = this.#limited.get(id);
       if (limited === undefined) continue;
-      perSecond += limited.perSecond * this.#fraction();
+      perSecond += limited.perSecond * this.fraction;
       opensInMs = Math.min(opensInMs, limited.budget.opensInMs(now));
     }
     if (perSecond === 0) return 0;
@@ -122,12 +129,6 @@
     return Math.ceil(addMs(retryAt as Timestamp, -now));
   }
 
-  #fraction(): number {
-    return this.#share.type === "placer"
-      ? this.#share.fraction
-      : 1 / this.#share.daemons;
-  }
-
   #createBudget(
     id: UpstreamId,
     perSecond: number,
