Remove the draining of budgets, which nothing calls

A daemon that takes over the placement has a solo budget until then, so its placer's budget starts empty anyway; the test now takes that way.

--- a/src/scheduling/pool/rate_budget.ts
+++ b/src/scheduling/pool/rate_budget.ts
@@ -26,8 +26,6 @@
   abstract charge(now: Timestamp, count: number): void;
   /** Time until a request may be sent. */
   abstract opensInMs(now: Timestamp): Millis;
-  /** Forgets what has accumulated, as other daemons may have used it. */
-  abstract drain(now: Timestamp): void;
 }
 
 /** Token bucket of a daemon that places for others. */
@@ -43,7 +41,7 @@
     this.#updatedAt = now;
   }
 
-  /** Starts empty, or with what is left of a budget that it replaces. */
+  /** Starts with what is left of a placer's budget that it replaces; else empty, as others may have used the rate. */
   static create(
     perSecond: number,
     options: Readonly<{ now: Timestamp; replaces?: RateBudget }>,
@@ -70,11 +68,6 @@
     return missing / this.#perSecond * SECOND_MS;
   }
 
-  override drain(now: Timestamp): void {
-    this.#tokens = Math.min(0, this.#tokensAt(now));
-    this.#updatedAt = now;
-  }
-
   #tokensAt(now: Timestamp): number {
     const elapsedS = Math.max(0, now - this.#updatedAt) / SECOND_MS;
     const capacity = 1 + this.#perSecond * BURST_S;
@@ -126,8 +119,6 @@
     return Math.max(0, next - now);
   }
 
-  override drain(): void {}
-
   #periodOf(now: Timestamp): number {
     return Math.floor(now / this.#periodMs);
   }
--- a/src/scheduling/pool/rate_budgets.ts
+++ b/src/scheduling/pool/rate_budgets.ts
@@ -75,11 +75,6 @@
     this.#limited.get(id)?.budget.charge(now, count);
   }
 
-  /** Empties the budgets of a daemon that takes over the placement from others. */
-  drain(now: Timestamp): void {
-    for (const { budget } of this.#limited.values()) budget.drain(now);
-  }
-
   /** The members that a request may be sent to now. */
   open<T extends Readonly<{ id: UpstreamId }>>(
     members: readonly T[],
--- a/src/scheduling/pool/rate_budgets_test.ts
+++ b/src/scheduling/pool/rate_budgets_test.ts
@@ -74,8 +74,8 @@
 });
 
 test("a budget is empty after a take-over, and keeps what it has when its rate or share changes", () => {
-  const rates = budgets(1);
-  rates.drain(at(5_000));
+  const rates = budgets(1, { type: "solo", daemons: 5, self: "vm" });
+  rates.update(new Map([[E1, 1]]), PLACER, at(5_000));
   expect(rates.isOpen(E1, at(5_900))).toBe(false);
   rates.update(new Map([[E1, 2]]), PLACER, at(6_000));
   expect(rates.isOpen(E1, at(6_000))).toBe(true);
