Name the shared parts of a prompt in log lines

The hypotheses of docs/incidents/budget-part.md can't be told apart, as no line names the parts of a prompt. place, attempt_failed and answered lines now do; the placing daemon is told them with the request. No decision uses them.

--- a/src/core/id.ts
+++ b/src/core/id.ts
@@ -36,6 +36,8 @@
 export type IdempotencyKey = Branded<string, "IdempotencyKey">;
 /** A plan that spreads one prompt over several engines. */
 export type PlanId = Branded<string, "PlanId">;
+/** One part of a prompt that several requests may share, as the client names it. */
+export type PromptPartId = Branded<string, "PromptPartId">;
 /** A lowercase hexadecimal digest. */
 export type Digest = Branded<string, "Digest">;
 
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -1,7 +1,14 @@
 import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import type {
+  DomainId,
+  PromptPartId,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+  VmId,
+} from "../../core/id.ts";
 import { type Refusal, REFUSALS } from "../../core/reason.ts";
 import type { Timestamp } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
@@ -11,7 +18,6 @@
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
-import type { DomainId, RequestId } from "../../core/id.ts";
 
 /** Identity, addresses and state that a daemon sends to its peers. */
 export const PeerCardSchema = z.object({
@@ -81,6 +87,8 @@
   leftMs: z.number(),
   rank: z.number(),
   digest: z.string(),
+  /** Absent in messages of earlier builds. */
+  sharedParts: z.array(idSchema<PromptPartId>()).readonly().default([]),
   avoid: z.array(upstream).readonly(),
   closed: z.array(
     z.object({ upstream, forMs: z.number().optional() }).readonly(),
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -174,6 +174,9 @@
       by: self.card.vm,
       for: ask.vm,
       tokens: ask.promptTokens,
+      ...(ask.sharedParts.length > 0
+        ? { parts: ask.sharedParts.join(",") }
+        : {}),
       left_ms: Math.round(ask.leftMs),
       age_ms: Math.round(step.now - register.asOf),
       ...(ask.closed.length > 0 ? { closed: ask.closed.length } : {}),
--- a/src/gateway/requests/dialect.ts
+++ b/src/gateway/requests/dialect.ts
@@ -1,5 +1,10 @@
 import type { Result } from "neverthrow";
-import type { RequestId, TeamId, UpstreamId } from "../../core/id.ts";
+import type {
+  PromptPartId,
+  RequestId,
+  TeamId,
+  UpstreamId,
+} from "../../core/id.ts";
 import type { UpstreamAvailability } from "./upstream_availability.ts";
 import type { Problem } from "../../core/problem.ts";
 import type { Millis } from "../../core/time.ts";
@@ -17,6 +22,8 @@
   promptTokens: number;
   /** Expected length of the response. */
   answerTokens: number;
+  /** Parts of the prompt that other requests may share, in order, without duplicates. */
+  sharedParts: readonly PromptPartId[];
   /** Id of the last event that the client received, if it resumes a stream. */
   lastEventId?: string;
   /** Headers to forward, as alternating names and values. */
--- a/src/gateway/requests/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -49,6 +49,7 @@
       events: relay.eventsSent,
       attempts: history.placed,
       tokens: this.#req.head.promptTokens,
+      ...this.#partFields(),
     });
   }
 
@@ -68,6 +69,7 @@
       verdict: failure.verdict,
       detail: failure.detail,
       content: this.#req.digest,
+      ...this.#partFields(),
       left_ms: Math.round(leftMs),
       events: this.#state.relay.eventsSent,
       then,
@@ -102,6 +104,11 @@
     this.#port.line(kind, { req: head.id, route, ...fields });
   }
 
+  #partFields(): Parameters<ExchangePort["line"]>[1] {
+    const { sharedParts } = this.#req.head;
+    return sharedParts.length === 0 ? {} : { parts: sharedParts.join(",") };
+  }
+
   #elapsedMs(): Millis {
     return Math.round(this.#port.now() - this.#req.arrivedAt);
   }
--- a/src/gateway/requests/exchange_util.ts
+++ b/src/gateway/requests/exchange_util.ts
@@ -104,6 +104,7 @@
     leftMs: attempt.leftMs,
     rank: team?.rank ?? route.rank,
     digest,
+    sharedParts: head.sharedParts,
     avoid: attempt.avoid,
     closed: attempt.closed,
   };
--- a/src/scheduling/pool/pool_job.ts
+++ b/src/scheduling/pool/pool_job.ts
@@ -1,5 +1,11 @@
 import type { Branded } from "../../core/brand.ts";
-import type { RequestId, ServiceId, UpstreamId, VmId } from "../../core/id.ts";
+import type {
+  PromptPartId,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+  VmId,
+} from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 
 /** Id of one placement of a request; each retry has its own. */
@@ -26,6 +32,8 @@
   rank: number;
   /** Digest of the caller and the content. */
   digest: string;
+  /** Parts of the prompt that other requests may share. */
+  sharedParts: readonly PromptPartId[];
   /** Upstreams that this request failed on. */
   avoid: readonly UpstreamId[];
   /** Upstreams that the daemon may not send anything to at present. */
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -171,6 +171,7 @@
     path: "/p/",
     promptTokens: 0,
     answerTokens: 0,
+    sharedParts: [],
     headers: ["Host", "h", "X-Request-Id", "r1"],
   };
 }
--- a/src/testing/pool_fixtures.ts
+++ b/src/testing/pool_fixtures.ts
@@ -39,6 +39,7 @@
     leftMs: 10_000,
     rank: 1,
     digest: job,
+    sharedParts: [],
     avoid: [],
     closed: [],
     ...fields,
