--- a/src/gateway/contents/content_report.ts
+++ b/src/gateway/contents/content_report.ts
@@ -1,11 +1,15 @@
 import { z } from "zod";
+import type { PromptPartId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
+import { idSchema } from "../../wire/brands.ts";
 import type { AttemptFailure } from "../requests/retry_policy.ts";
 
 /** Outcome of one attempt with a request content, as seen by the daemon that sent the request. */
 export const ContentReportSchema = z.object({
   /** Digest of the caller, the path and the body. */
   digest: z.string(),
+  /** Parts of the prompt that other requests may share; absent in reports of earlier builds. */
+  sharedParts: z.array(idSchema<PromptPartId>()).readonly().optional(),
   outcome: z.enum([
     /** The connection broke while the upstream may have been running the request. */
     "disconnected",
