Blame the part of a prompt that crashes upstreams, from the answers of others

Cause: what is known of crashes had the digest of caller, path and body as its only key, narrower than what fails; a broken attempt was sent blindly to a second upstream; and whatever was running beside it was blamed. Class: the key of a failing thing is not the thing.

Each shared part of a prompt is a key of its own beside the content. An answer clears all parts of its prompt (for ten minutes), so that a crash counts only against parts that were never answered. Two crashes quarantine a part, with trials as for contents. A part that was aboard one lost upstream runs in one request at a time, and after a second only if one request alone can be the cause. A content or part is not refused if another part was aboard all of its crashes. An answered part counts again once it was aboard of crashes in turn that nothing else explains, with no answer in between. Records, marks, store and merging are those of contents. What is reported after a crash was confirmed counts at once; a report of an upstream that still runs drops its losses. A trial over the limit that an upstream turns away has reached it and is used up. Queued prompts are checked once more when they are placed. The empty rest of a resumed stream is no answer.

crash_suspects_test: decide takes the request and one job per request, as deciding again for the same job no longer uses up a trial; assertions as before.

--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -3,6 +3,7 @@
 import { QuarantinePersister } from "./quarantine_persister.ts";
 import type { MergedContent } from "./content_table.ts";
 import type { SuspicionUpdate } from "./crash_suspects.ts";
+import { keyFields } from "./suspect_key.ts";
 import { findClosure } from "../upstreams/availability.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -15,7 +16,7 @@
 /** Progress of a job of this daemon or of another one. */
 type JobProgress = Pick<
   Extract<PeerMessage, { type: "progress" }>,
-  "job" | "upstream" | "unreachable" | "content"
+  "job" | "phase" | "upstream" | "unreachable" | "content"
 >;
 
 /** Collects evidence on contents that crash their upstreams, from this daemon's attempts and from other daemons. */
@@ -77,7 +78,8 @@
     from: string,
   ): void {
     for (const { digest, crashes, epoch } of merged) {
-      step.line("content_learnt", { content: digest, crashes, epoch, from });
+      const key = keyFields(digest);
+      step.line("content_learnt", { ...key, crashes, epoch, from });
     }
   }
 
@@ -88,7 +90,9 @@
   ): void {
     const { job, upstream, content } = progress;
     const { suspects } = board.contents;
-    if (content !== undefined) {
+    if (content === undefined) {
+      if (progress.phase !== "started") suspects.jobEnded(job);
+    } else {
       const startedAt = board.register.table.startedAt(upstream);
       const attempt = { job, upstream, startedAt };
       const updates = suspects.report(content, attempt, step.now);
@@ -131,19 +135,24 @@
   ): void {
     const { upstream, startedAt, unreachable } = event;
     const known = board.register.table.get(upstream)?.startedAt;
+    const { suspects } = board.contents;
+    if (startedAt !== undefined && startedAt === known) {
+      suspects.upstreamAlive(upstream, step.now);
+      return;
+    }
     const restarted = startedAt !== undefined && known !== undefined &&
       startedAt > known;
     if (!restarted && unreachable !== true) return;
     const evidence = restarted ? "restarted" : "unreachable";
-    const { suspects } = board.contents;
-    this.#logUpdates(step, suspects.processEnded(upstream, evidence, step.now));
+    const updates = suspects.processEnded(upstream, evidence, step.now, known);
+    this.#logUpdates(step, updates);
   }
 
   #logUpdates(step: GatewayStep, updates: readonly SuspicionUpdate[]): void {
-    for (const { kind, digest, crashes, ...details } of updates) {
+    for (const { kind, key, crashes, ...details } of updates) {
       const { upstream, evidence, lostMsAgo } = details;
       step.line(`content_${kind}`, {
-        content: digest,
+        ...keyFields(key),
         crashes,
         ...(upstream === undefined ? {} : { upstream }),
         ...(evidence === undefined ? {} : { by: evidence }),
--- a/src/gateway/contents/content_report.ts
+++ b/src/gateway/contents/content_report.ts
@@ -10,6 +10,10 @@
   digest: z.string(),
   /** Parts of the prompt that other requests may share; absent in reports of earlier builds. */
   sharedParts: z.array(idSchema<PromptPartId>()).readonly().optional(),
+  /** Time since the request was sent to the upstream. */
+  ranMs: z.number().optional(),
+  /** Time since the first data of the response; absent before it. */
+  answeringMs: z.number().optional(),
   outcome: z.enum([
     /** The connection broke while the upstream may have been running the request. */
     "disconnected",
--- a/src/gateway/contents/content_table.ts
+++ b/src/gateway/contents/content_table.ts
@@ -6,19 +6,19 @@
 } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentRecord } from "./content_record.ts";
+import { partOfKey } from "./suspect_key.ts";
 
 const MINUTE_MS: Millis = 60 * SECOND_MS;
 /** Confirmed crashes after which a content is quarantined; the platform allows three. */
 export const QUARANTINE_CRASHES = 2;
-/** Crashes after which the platform allows only three more trials. */
-const POISON_CRASHES = 3;
-const MAX_POISON_TRIALS = 3;
+/** Crashes after which the platform allows only three more trials, of a content and of a part. */
+const CONTENT_CRASH_LIMIT = 3;
+const PART_CRASH_LIMIT = 5;
+const MAX_TRIALS_OVER_LIMIT = 3;
 /** Time until the first trial, doubled by each trial; a trial is needed since a broken link can look like a crash. */
 const TRIAL_DELAY_MS: Millis = 5 * SECOND_MS;
-/** Shortest time until a trial after the third crash, doubled by each further crash. */
-const POISON_TRIAL_DELAY_MS: Millis = MINUTE_MS;
-/** Shortest Retry-After of a quarantined content; an earlier retry would be refused as well. */
-const MIN_RETRY_AFTER_MS: Millis = SECOND_MS;
+/** Shortest time until a trial once the limit is reached, doubled by each further crash. */
+const OVER_LIMIT_TRIAL_DELAY_MS: Millis = MINUTE_MS;
 /** Retention of a content with fewer crashes than a quarantine takes. */
 const SUSPECT_RETENTION_MS: Millis = MINUTE_MS;
 /** Retention of a quarantined content, which gets no trial within it once those after the third crash are used up. */
@@ -46,11 +46,6 @@
   changedAt: Timestamp;
 };
 
-/** Whether a request with some content may be placed; `retryAfterMs` is the time until the next trial. */
-export type ContentDecision =
-  | Readonly<{ type: "run" | "trial" }>
-  | Readonly<{ type: "refuse"; crashes: number; retryAfterMs: Millis }>;
-
 /** Content whose record was new when merged, with its crash count after the merge. */
 export type MergedContent = Readonly<
   { digest: string; crashes: number; epoch: number }
@@ -175,45 +170,67 @@
   }
 
   /**
-   * Decides whether a request may be placed. Load pattern: a client that keeps sending the same poison request, to any
-   * daemon. Two upstreams may be lost to it. The quarantined content then gets trials at growing intervals, since it
-   * may be healthy.
+   * Time until the next trial of a quarantined key, undefined where it is not quarantined. Load pattern: a client that
+   * keeps sending what crashes upstreams, to any daemon. Two upstreams may be lost to it; then it gets trials at
+   * growing intervals, since it may be healthy.
    */
-  decide(
-    digest: string,
-    now: Timestamp,
-    options: Readonly<{
-      job: JobId;
-      /** Whether this daemon grants trials on behalf of all daemons. */
-      allowTrial: boolean;
-    }>,
-  ): ContentDecision {
-    const content = this.#contents.get(digest);
-    if (content === undefined || !isQuarantined(content)) {
-      return { type: "run" };
-    }
-    const waitMs = addMs(content.changedAt, trialDelayMs(content)) - now;
-    if (waitMs > 0 || !options.allowTrial) {
-      const crashes = content.lost.size;
-      const retryAfterMs = Math.ceil(Math.max(waitMs, MIN_RETRY_AFTER_MS));
-      return { type: "refuse", crashes, retryAfterMs };
-    }
+  trialWaitMs(key: string, now: Timestamp): Millis | undefined {
+    const content = this.#contents.get(key);
+    if (content === undefined || !isQuarantined(content)) return undefined;
+    const delayMs = trialDelayMs(content, crashLimitOf(key));
+    return Math.max(0, addMs(content.changedAt, delayMs) - now);
+  }
+
+  /** Whether a job is the current trial of a quarantined key. */
+  isTrial(key: string, job: JobId): boolean {
+    return this.#contents.get(key)?.trialJob === job;
+  }
+
+  startTrial(key: string, job: JobId, now: Timestamp): void {
+    const content = this.#contents.get(key);
+    if (content === undefined) return;
     content.trials += 1;
-    content.trialJob = options.job;
+    content.trialJob = job;
     content.changedAt = now;
     this.#quarantineSummary = undefined;
-    return { type: "trial" };
   }
 
-  /** Gives back the trial of a request that did not run. */
-  cancelTrial(digest: string, job: JobId): void {
-    const content = this.#contents.get(digest);
+  /** Gives back the trial of a request that did not run; once the limit is reached, only if it was `never_sent`. */
+  cancelTrial(
+    key: string,
+    job: JobId,
+    sent: "may_be_sent" | "never_sent",
+  ): void {
+    const content = this.#contents.get(key);
     if (content?.trialJob !== job) return;
     content.trialJob = undefined;
+    if (sent === "may_be_sent" && content.lost.size >= crashLimitOf(key)) {
+      // It has reached an upstream, which counts like a crash from here on.
+      content.lost.add(`turned_away/${job}`);
+      this.#quarantineSummary = undefined;
+      return;
+    }
     content.trials -= 1;
     this.#quarantineSummary = undefined;
   }
 
+  /**
+   * Whether a part explains all crashes of a key: the part was aboard each of them and, if the key is a part too, at
+   * others as well.
+   */
+  isExplained(key: string): boolean {
+    const lost = this.#contents.get(key)?.lost;
+    if (lost === undefined || lost.size === 0) return false;
+    const isPart = partOfKey(key) !== undefined;
+    for (const [other, content] of this.#contents) {
+      if (other === key || partOfKey(other) === undefined) continue;
+      if (content.lost.size < lost.size) continue;
+      if (isPart && content.lost.size === lost.size) continue;
+      if ([...lost].every((process) => content.lost.has(process))) return true;
+    }
+    return false;
+  }
+
   #put(digest: string, content: Content, now: Timestamp): void {
     this.#contents.delete(digest);
     this.#contents.set(digest, content);
@@ -252,11 +269,16 @@
   return content.lost.size >= QUARANTINE_CRASHES;
 }
 
+/** Crashes of a key after which the platform counts the requests with it that reach upstreams. */
+function crashLimitOf(key: string): number {
+  return partOfKey(key) === undefined ? CONTENT_CRASH_LIMIT : PART_CRASH_LIMIT;
+}
+
 /** Time from the last crash or trial to the next trial. */
-function trialDelayMs({ lost, trials }: Content): Millis {
+function trialDelayMs({ lost, trials }: Content, crashLimit: number): Millis {
   const backoffMs = TRIAL_DELAY_MS * 2 ** trials;
-  const crashesBeyondPoison = lost.size - POISON_CRASHES;
-  if (crashesBeyondPoison < 0) return backoffMs;
-  if (crashesBeyondPoison >= MAX_POISON_TRIALS) return QUARANTINE_RETENTION_MS;
-  return Math.max(backoffMs, POISON_TRIAL_DELAY_MS * 2 ** crashesBeyondPoison);
+  if (lost.size < crashLimit) return backoffMs;
+  const overLimit = lost.size - crashLimit;
+  if (overLimit >= MAX_TRIALS_OVER_LIMIT) return QUARANTINE_RETENTION_MS;
+  return Math.max(backoffMs, OVER_LIMIT_TRIAL_DELAY_MS * 2 ** overLimit);
 }
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -1,27 +1,42 @@
 import type { UpstreamId } from "../../core/id.ts";
-import { type Millis, SECOND_MS, type Timestamp } from "../../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
 import type { ContentRecord } from "./content_record.ts";
-import {
-  type ContentDecision,
-  ContentTable,
-  type MergedContent,
-} from "./content_table.ts";
-import { PendingLosses } from "./pending_losses.ts";
+import { ContentTable, type MergedContent } from "./content_table.ts";
+import { PendingLosses, type UpstreamLoss } from "./pending_losses.ts";
+import { ProbeTable } from "./probe_table.ts";
+import { RecentSuccesses } from "./recent_successes.ts";
+import { keysOf, partOfKey, type SuspectRequest } from "./suspect_key.ts";
 
 /** How a crash was confirmed. */
 export type CrashEvidence = "register" | "unreachable" | "restarted";
 
-/** Time after a success in which a crash does not count against the content. */
-const SUCCESS_WINDOW_MS: Millis = 60 * SECOND_MS;
-/** More than run at a time. */
-const MAX_ANSWERED_CONTENTS = 4_096;
+/** Time after the loss of an upstream until the next request with a part that alone explains it. */
+const LONE_SUSPECT_DELAY_MS: Millis = 1_000;
+/** Time since the first data up to which an answer counts as just begun. */
+const STARTING_ANSWER_MS: Millis = 500;
+/** Shortest Retry-After of a refusal; an earlier retry would mostly be refused as well. */
+const MIN_RETRY_AFTER_MS: Millis = 1_000;
 
-/** Change of what is known about a content. */
+/** Whether a request may be placed; `retryAfterMs` is the time until the next trial. */
+export type ContentDecision =
+  | Readonly<{ type: "run" }>
+  /** It runs although `key` is suspected (`probe`) or quarantined (`trial`). */
+  | Readonly<{ type: "probe" | "trial"; key: string; crashes: number }>
+  | Readonly<
+    { type: "refuse"; key: string; crashes: number; retryAfterMs: Millis }
+  >;
+
+/** What speaks against a key, and how long a request with it must wait. */
+type Suspicion = Readonly<
+  { type: "suspected" | "quarantined"; key: string; waitMs: Millis }
+>;
+
+/** Change of what is known about a content or a part. */
 export type SuspicionUpdate = Readonly<{
   kind: "suspected" | "spared" | "cleared";
-  digest: string;
+  key: string;
   /** Confirmed crashes; for `cleared`, the number before the change. */
   crashes: number;
   upstream?: UpstreamId;
@@ -39,37 +54,66 @@
 }>;
 
 /**
- * Detects contents that crash the upstreams that run them. Losing contact with an upstream proves nothing: a crash
- * counts only once the end of the upstream's process is confirmed (by the register, by a refused connection, or by
- * its own report). A success clears the content, and crashes shortly after it don't count.
+ * Detects contents, and parts of prompts, that crash the upstreams that run them. Losing contact with an upstream
+ * proves nothing: a crash counts only once the end of the upstream's process is confirmed (by the register, by a
+ * refused connection, or by its own report). An answer clears its content and all parts of its prompt: a crash that
+ * some other part explains doesn't count against them.
  */
 export class CrashSuspects {
   readonly #losses = PendingLosses.create();
   readonly #contents = ContentTable.create();
-  /** Contents that ran successfully not long ago, the latest last. */
-  readonly #answeredAt = new Map<string, Timestamp>();
+  readonly #successes = RecentSuccesses.create();
+  readonly #probes = ProbeTable.create();
 
   static create(): CrashSuspects {
     return new CrashSuspects();
   }
 
-  /** Number of contents that have crashed an upstream. */
+  /** Number of contents and parts that have crashed an upstream. */
   get size(): number {
     return this.#contents.size;
   }
 
-  /** Number of confirmed crashes of a content. */
-  crashes(digest: string): number {
-    return this.#contents.crashes(digest);
+  /** Number of confirmed crashes of a content or part. */
+  crashes(key: string): number {
+    return this.#contents.crashes(key);
   }
 
-  /** Decides whether a request with some content may be placed. */
+  /** Decides whether a request may be placed; deciding once more for the same job changes nothing. */
   decide(
-    digest: string,
+    request: SuspectRequest,
     now: Timestamp,
-    options: Parameters<ContentTable["decide"]>[2],
+    options: Readonly<{
+      job: JobId;
+      /** Whether this daemon grants trials on behalf of all daemons. */
+      allowTrial: boolean;
+      /** Time until the request's deadline. */
+      leftMs: Millis;
+    }>,
   ): ContentDecision {
-    return this.#contents.decide(digest, now, options);
+    const { job, allowTrial, leftMs } = options;
+    const found = keysOf(request).flatMap((key) =>
+      this.#suspicionOf(key, job, now) ?? []
+    );
+    const [worst] = [...found].sort((a, b) => b.waitMs - a.waitMs);
+    if (worst === undefined) return { type: "run" };
+    const quarantined = found.find((one) => one.type === "quarantined");
+    const needsTrial = quarantined !== undefined && !allowTrial &&
+      !this.#contents.isTrial(quarantined.key, job);
+    if (worst.waitMs > 0 || needsTrial) {
+      const { key, waitMs } = worst.waitMs > 0 ? worst : quarantined!;
+      const retryAfterMs = Math.ceil(Math.max(waitMs, MIN_RETRY_AFTER_MS));
+      return { type: "refuse", key, crashes: this.crashes(key), retryAfterMs };
+    }
+    for (const { type, key } of found) {
+      if (type === "suspected") this.#probes.start(key, job, { now, leftMs });
+      else if (!this.#contents.isTrial(key, job)) {
+        this.#contents.startTrial(key, job, now);
+      }
+    }
+    const { key } = quarantined ?? worst;
+    const type = quarantined === undefined ? "probe" : "trial";
+    return { type, key, crashes: this.crashes(key) };
   }
 
   /** Changes whenever the quarantined contents or their counts change; empty where there are none. */
@@ -112,66 +156,146 @@
     attempt: ContentAttempt,
     now: Timestamp,
   ): readonly SuspicionUpdate[] {
-    const { digest, outcome } = report;
-    switch (outcome) {
+    this.#probes.end(attempt.job);
+    switch (report.outcome) {
       case "disconnected":
       case "silent":
         return this.#recordLoss(report, attempt, now);
       case "answered":
-        return this.#recordSuccess(digest, now);
+        return keysOf(report).flatMap((key) => this.#recordSuccess(key, now));
       case "not_run":
-        this.cancelTrial(digest, attempt.job);
+        this.#cancelTrials(report, attempt.job, "may_be_sent");
         return [];
     }
   }
 
-  /** Gives back the trial of a request that did not run. */
-  cancelTrial(digest: string, job: JobId): void {
-    this.#contents.cancelTrial(digest, job);
+  /** Gives back the trial or probe of a request that was not placed. */
+  cancel(request: SuspectRequest, job: JobId): void {
+    this.#probes.end(job);
+    this.#cancelTrials(request, job, "never_sent");
+  }
+
+  /** Ends the probe of a job whose outcome says nothing. */
+  jobEnded(job: JobId): void {
+    this.#probes.end(job);
   }
 
-  /** Counts the confirmed end of an upstream's process against the contents that it was lost with. */
+  /** Counts the confirmed end of an upstream's process against what it was lost with. */
   processEnded(
     upstream: UpstreamId,
     evidence: CrashEvidence,
     now: Timestamp,
+    startedAt?: number,
   ): readonly SuspicionUpdate[] {
-    if (evidence === "register") this.#losses.processEnded(upstream, now);
-    // A crash counts once for a content, however many requests with that content were running.
+    const isShownByRegister = evidence === "register";
+    if (isShownByRegister || startedAt !== undefined) {
+      const start = isShownByRegister ? undefined : startedAt;
+      this.#losses.processEnded(upstream, now, start);
+    }
+    // A crash counts once for a key, however many requests with it were running.
     const losses = [...this.#losses.takeLosses(upstream, now)];
-    return losses.map(([digest, { startedAt, at }]) => {
-      const details = { digest, upstream, evidence, lostMsAgo: now - at };
-      const answeredAt = this.#answeredAt.get(digest) ?? -Infinity;
-      // Popular content also runs on the upstreams that other contents crash.
-      if (now - answeredAt <= SUCCESS_WINDOW_MS) {
-        return { kind: "spared", crashes: this.crashes(digest), ...details };
+    const isExplained = losses.some(([key]) => this.#isSuspectPart(key, now));
+    return losses.map(([key, loss]) => {
+      const details = { key, upstream, evidence, lostMsAgo: now - loss.at };
+      if (this.#isSpared(key, loss, { now, isExplained })) {
+        return { kind: "spared", crashes: this.crashes(key), ...details };
       }
-      const process = `${upstream}/${startedAt}`;
-      const crashes = this.#contents.recordCrash(digest, process, now);
+      const process = `${upstream}/${loss.startedAt}`;
+      const crashes = this.#contents.recordCrash(key, process, now);
       return { kind: "suspected", crashes, ...details };
     });
   }
 
+  /** Drops the losses of an upstream that has turned out to be running still. */
+  upstreamAlive(upstream: UpstreamId, now: Timestamp): void {
+    for (const { job } of this.#losses.takeLosses(upstream, now).values()) {
+      this.#probes.end(job);
+    }
+  }
+
   #recordLoss(
-    { digest, outcome }: ContentReport,
-    { upstream, startedAt }: ContentAttempt,
+    report: ContentReport,
+    { upstream, startedAt, job }: ContentAttempt,
     at: Timestamp,
   ): readonly SuspicionUpdate[] {
-    const disconnected = outcome === "disconnected";
-    const loss = { at, startedAt, disconnected };
-    const hasEnded = this.#losses.add(digest, upstream, loss);
+    const disconnected = report.outcome === "disconnected";
+    const sentAt = addMs(at, -(report.ranMs ?? Infinity));
+    const { answeringMs = 0 } = report;
+    const loss = { job, at, sentAt, answeringMs, startedAt, disconnected };
+    const hasEnded = this.#losses.add(keysOf(report), upstream, loss);
+    this.#holdLoneSuspects(upstream, at);
     return hasEnded ? this.processEnded(upstream, "register", at) : [];
   }
 
-  #recordSuccess(digest: string, now: Timestamp): readonly SuspicionUpdate[] {
-    this.#losses.clear(digest);
-    this.#answeredAt.delete(digest);
-    this.#answeredAt.set(digest, now);
-    if (this.#answeredAt.size > MAX_ANSWERED_CONTENTS) {
-      const [oldestDigest] = this.#answeredAt.keys();
-      this.#answeredAt.delete(oldestDigest!);
+  /** Delays the next request with the parts of the request that alone may have ended an upstream. */
+  #holdLoneSuspects(upstream: UpstreamId, now: Timestamp): void {
+    const suspects = [...this.#losses.of(upstream, now)]
+      .filter(([key]) => this.#isSuspectPart(key, now));
+    for (const [, { job }] of suspects) this.#probes.end(job);
+    // An answer that has gone well for a while is less likely to be the cause.
+    const starting = suspects.filter(([, loss]) =>
+      loss.answeringMs < STARTING_ANSWER_MS
+    );
+    const likely = starting.length > 0 ? starting : suspects;
+    const jobs = new Set(likely.map(([, { job }]) => job));
+    if (jobs.size > 1 && likely.length > 1) return;
+    for (const [key, { job, at }] of likely) {
+      const leftMs = at + LONE_SUSPECT_DELAY_MS - now;
+      this.#probes.start(key, job, { now, leftMs });
+    }
+  }
+
+  #recordSuccess(key: string, now: Timestamp): readonly SuspicionUpdate[] {
+    this.#losses.clear(key);
+    this.#successes.record(key, now);
+    const crashes = this.#contents.clear(key, now);
+    return crashes === 0 ? [] : [{ kind: "cleared", key, crashes }];
+  }
+
+  #cancelTrials(
+    request: SuspectRequest,
+    job: JobId,
+    sent: "may_be_sent" | "never_sent",
+  ): void {
+    for (const key of keysOf(request)) {
+      this.#contents.cancelTrial(key, job, sent);
+    }
+  }
+
+  #isSuspectPart(key: string, now: Timestamp): boolean {
+    return partOfKey(key) !== undefined && !this.#successes.has(key, now);
+  }
+
+  /** Whether a crash does not count against a key that was lost with the upstream, as it was answered before. */
+  #isSpared(
+    key: string,
+    { sentAt }: UpstreamLoss,
+    crash: Readonly<{ now: Timestamp; isExplained: boolean }>,
+  ): boolean {
+    const { now, isExplained } = crash;
+    if (!this.#successes.has(key, now)) return false;
+    // What others answer on says little of one content, but much of a part.
+    if (isExplained || partOfKey(key) === undefined) return true;
+    return !this.#successes.revoke(key, now, { sentAt });
+  }
+
+  #suspicionOf(
+    key: string,
+    job: JobId,
+    now: Timestamp,
+  ): Suspicion | undefined {
+    const trialWaitMs = this.#contents.trialWaitMs(key, now);
+    if (trialWaitMs !== undefined) {
+      if (this.#contents.isExplained(key)) return undefined;
+      const isTrial = this.#contents.isTrial(key, job);
+      return { type: "quarantined", key, waitMs: isTrial ? 0 : trialWaitMs };
     }
-    const crashes = this.#contents.clear(digest, now);
-    return crashes === 0 ? [] : [{ kind: "cleared", digest, crashes }];
+    if (!this.#isSuspectPart(key, now)) return undefined;
+    const upstreams = this.#losses.upstreamsOf(key, now);
+    const crashes = this.crashes(key);
+    if (crashes === 0 && upstreams.length === 0) return undefined;
+    if (crashes > 0 && this.#contents.isExplained(key)) return undefined;
+    const waitMs = this.#probes.heldMs(key, job, now);
+    return { type: "suspected", key, waitMs };
   }
 }
--- a/src/gateway/contents/crash_suspects_test.ts
+++ b/src/gateway/contents/crash_suspects_test.ts
@@ -48,10 +48,12 @@
   suspects: CrashSuspects,
   digest: string,
   ms: number,
+  job = `job-${ms}` as JobId,
 ): boolean {
-  const decision = suspects.decide(digest, at(ms), {
-    job: TRIAL,
+  const decision = suspects.decide({ digest }, at(ms), {
+    job,
     allowTrial: true,
+    leftMs: 1_000,
   });
   return decision.type !== "refuse";
 }
@@ -203,7 +205,7 @@
     const suspects = CrashSuspects.create();
     crash(suspects, "e1", 0);
     crash(suspects, "e2", 4_000);
-    expect(isAllowed(suspects, "poison", 12_600)).toBe(true);
+    expect(isAllowed(suspects, "poison", 12_600, TRIAL)).toBe(true);
     const refused = { digest: "poison", outcome: "not_run" } as const;
     report(suspects, refused, { on: "e3", ms: 12_700, job: TRIAL });
     expect(isAllowed(suspects, "poison", 17_600)).toBe(true);
--- a/src/gateway/contents/pending_losses.ts
+++ b/src/gateway/contents/pending_losses.ts
@@ -1,49 +1,89 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
 
 /** Time within which a crash shows in the register: the upstream's entry lapses, or another process replaces it. */
 const CONFIRMATION_WINDOW_MS: Millis = 10_000;
-/** Time within which a broken connection still counts after the register has shown the upstream as gone or replaced. */
+/** Time within which a broken connection still counts after the upstream was shown to be gone or replaced. */
 const LATE_FAILURE_WINDOW_MS: Millis = 1_000;
-/** More than any upstream has slots. */
-const MAX_CONTENTS_PER_UPSTREAM = 128;
+/** More than any upstream has slots, with the parts of each request. */
+const MAX_KEYS_PER_UPSTREAM = 512;
 /** More than the largest deployment has. */
 const MAX_UPSTREAMS = 1_024;
 
-/** Loss of contact with an upstream while it may have been running some content. */
+/** Loss of contact with an upstream while it may have been running a request. */
 export type UpstreamLoss = Readonly<{
+  job: JobId;
   at: Timestamp;
+  /** When the request was sent to the upstream. */
+  sentAt: Timestamp;
+  /** Time since the first data of the response; 0 before it. */
+  answeringMs: Millis;
   /** Unix time in ms of the start of the upstream's process, by the register; 0 where unknown. */
   startedAt: number;
   /** Whether the connection broke; otherwise the upstream fell silent. */
   disconnected: boolean;
 }>;
 
-/** Contents that lost upstreams may have been running, kept until it is known whether the process ended. */
+/** How the end of an upstream's process became known. */
+type EndedProcess = Readonly<{
+  at: Timestamp;
+  /** Start of the process that ended; absent where the register showed it, which then knows the next process. */
+  startedAt?: number;
+}>;
+
+/** Contents and parts that lost upstreams may have been running, kept until it is known whether the process ended. */
 export class PendingLosses {
   readonly #losses = new Map<UpstreamId, Map<string, UpstreamLoss>>();
   /** Upstreams whose process ended recently; attempts there may fail only afterwards. */
-  readonly #endedAt = new Map<UpstreamId, Timestamp>();
+  readonly #ended = new Map<UpstreamId, EndedProcess>();
 
   static create(): PendingLosses {
     return new PendingLosses();
   }
 
-  /** Adds a loss; returns whether the register has already shown the upstream as gone or replaced. */
-  add(digest: string, upstream: UpstreamId, loss: UpstreamLoss): boolean {
-    const { at, disconnected } = loss;
+  /** Adds a loss of all `keys`; returns whether it is already known that the upstream's process has ended. */
+  add(
+    keys: readonly string[],
+    upstream: UpstreamId,
+    loss: UpstreamLoss,
+  ): boolean {
+    const { at, disconnected, startedAt } = loss;
     const losses = this.#lossesOf(upstream, at);
-    // The newest losses are kept: the upstream was running those contents when it was lost.
-    losses.delete(digest);
-    losses.set(digest, loss);
-    dropOldest(losses, MAX_CONTENTS_PER_UPSTREAM);
-    const endedAt = this.#endedAt.get(upstream) ?? -Infinity;
+    // The newest losses are kept: the upstream was running those requests when it was lost.
+    for (const key of keys) {
+      losses.delete(key);
+      losses.set(key, loss);
+    }
+    dropOldest(losses, MAX_KEYS_PER_UPSTREAM);
+    this.#losses.delete(upstream);
+    this.#losses.set(upstream, losses);
+    dropOldest(this.#losses, MAX_UPSTREAMS);
+    const ended = this.#ended.get(upstream);
+    if (ended === undefined) return false;
+    const isSameProcess = ended.startedAt === undefined ||
+      (disconnected && ended.startedAt === startedAt);
     // A leaving upstream serves on after its entry is gone, then closes its connections: that is no crash.
-    return at - endedAt <=
-      (disconnected ? LATE_FAILURE_WINDOW_MS : CONFIRMATION_WINDOW_MS);
+    return isSameProcess && at - ended.at <=
+        (disconnected ? LATE_FAILURE_WINDOW_MS : CONFIRMATION_WINDOW_MS);
+  }
+
+  /** Losses of one upstream, by key. */
+  of(
+    upstream: UpstreamId,
+    now: Timestamp,
+  ): ReadonlyMap<string, UpstreamLoss> {
+    return this.#lossesOf(upstream, now);
+  }
+
+  /** Upstreams that were lost with a key and may have ended. */
+  upstreamsOf(key: string, now: Timestamp): readonly UpstreamId[] {
+    return [...this.#losses.keys()].filter((upstream) =>
+      this.#lossesOf(upstream, now).has(key)
+    );
   }
 
-  /** Removes and returns the losses of an upstream whose process has ended, by digest. */
+  /** Removes and returns the losses of an upstream whose process has ended, by key. */
   takeLosses(
     upstream: UpstreamId,
     now: Timestamp,
@@ -53,29 +93,31 @@
     return losses;
   }
 
-  /** Records that the register shows an upstream as gone or replaced. */
-  processEnded(upstream: UpstreamId, now: Timestamp): void {
-    this.#endedAt.delete(upstream);
-    this.#endedAt.set(upstream, now);
-    for (const [id, at] of this.#endedAt) {
-      if (now - at > CONFIRMATION_WINDOW_MS) this.#endedAt.delete(id);
+  /** Records that an upstream's process has ended; `startedAt` is its start, unless the register showed the end. */
+  processEnded(
+    upstream: UpstreamId,
+    now: Timestamp,
+    startedAt?: number,
+  ): void {
+    this.#ended.delete(upstream);
+    this.#ended.set(upstream, { at: now, startedAt });
+    for (const [id, { at }] of this.#ended) {
+      if (now - at > CONFIRMATION_WINDOW_MS) this.#ended.delete(id);
     }
   }
 
-  /** Removes the losses of a content that ran successfully. */
-  clear(digest: string): void {
-    for (const losses of this.#losses.values()) losses.delete(digest);
+  /** Removes the losses of a content or part that ran successfully. */
+  clear(key: string): void {
+    for (const losses of this.#losses.values()) losses.delete(key);
   }
 
   #lossesOf(upstream: UpstreamId, now: Timestamp): Map<string, UpstreamLoss> {
     const losses = this.#losses.get(upstream) ??
       new Map<string, UpstreamLoss>();
-    for (const [digest, { at }] of losses) {
-      if (now - at > CONFIRMATION_WINDOW_MS) losses.delete(digest);
+    for (const [key, { at }] of losses) {
+      if (now - at > CONFIRMATION_WINDOW_MS) losses.delete(key);
     }
-    this.#losses.delete(upstream);
-    this.#losses.set(upstream, losses);
-    dropOldest(this.#losses, MAX_UPSTREAMS);
+    if (losses.size === 0) this.#losses.delete(upstream);
     return losses;
   }
 }
--- /dev/null
+++ b/src/gateway/contents/recent_successes.ts
@@ -0,0 +1,61 @@
+import { type Millis, SECOND_MS, type Timestamp } from "../../core/time.ts";
+import { partOfKey } from "./suspect_key.ts";
+
+/** Time after a success in which a crash does not count against a content. */
+const CONTENT_WINDOW_MS: Millis = 60 * SECOND_MS;
+/** The same for a part, of which each answer with it is a success. */
+const PART_WINDOW_MS: Millis = 10 * CONTENT_WINDOW_MS;
+/** More than run at a time. */
+const MAX_KEYS = 16_384;
+
+type Success = {
+  readonly at: Timestamp;
+  /** Last crash without another explanation that did not count, as it followed the success. */
+  sparedAt?: Timestamp;
+};
+
+/** Contents and parts that ran successfully not long ago. */
+export class RecentSuccesses {
+  /** By key, the latest last. */
+  readonly #successes = new Map<string, Success>();
+
+  static create(): RecentSuccesses {
+    return new RecentSuccesses();
+  }
+
+  record(key: string, now: Timestamp): void {
+    this.#successes.delete(key);
+    this.#successes.set(key, { at: now });
+    if (this.#successes.size <= MAX_KEYS) return;
+    const [oldest] = this.#successes.keys();
+    this.#successes.delete(oldest!);
+  }
+
+  /** Whether the key ran successfully within its window. */
+  has(key: string, now: Timestamp): boolean {
+    const success = this.#successes.get(key);
+    const windowMs = partOfKey(key) === undefined
+      ? CONTENT_WINDOW_MS
+      : PART_WINDOW_MS;
+    return success !== undefined && now - success.at <= windowMs;
+  }
+
+  /**
+   * Applies a crash that nothing else explains. Returns whether the success no longer counts: the attempt was sent
+   * after an earlier such crash, and nothing was answered in between. Crashes at the same time count once, since
+   * engines that fail together have sound requests aboard.
+   */
+  revoke(
+    key: string,
+    now: Timestamp,
+    options: Readonly<{ sentAt: Timestamp }>,
+  ): boolean {
+    const success = this.#successes.get(key);
+    if (success === undefined) return false;
+    const { sparedAt } = success;
+    if (sparedAt === undefined) success.sparedAt = now;
+    if (sparedAt === undefined || options.sentAt <= sparedAt) return false;
+    this.#successes.delete(key);
+    return true;
+  }
+}
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -1,6 +1,6 @@
 import { err } from "neverthrow";
 import type { UpstreamId, VmId } from "../../core/id.ts";
-import { problem } from "../../core/problem.ts";
+import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import type {
   JobId,
@@ -9,6 +9,7 @@
 } from "../../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
+import { keyFields, partOfKey } from "../contents/suspect_key.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
@@ -102,25 +103,11 @@
   ): void {
     const { serving, pool, contents } = board;
     const { suspects } = contents;
-    const content = suspects.decide(ask.digest, step.now, {
-      job: ask.job,
-      allowTrial: leadsMajority(board, step.now),
-    });
-    if (content.type === "refuse") {
-      const detail = "This content has crashed its upstreams";
-      const { retryAfterMs } = content;
-      const result = err(problem("quarantined", detail, { retryAfterMs }));
-      this.#deliver(board, step, { ask, result }, replyTo);
+    const refusal = this.#contentRefusal(board, step, ask);
+    if (refusal !== undefined) {
+      this.#deliver(board, step, { ask, result: err(refusal) }, replyTo);
       return;
     }
-    if (content.type === "trial") {
-      const crashes = suspects.crashes(ask.digest);
-      step.line("content_trial", {
-        req: ask.req,
-        content: ask.digest,
-        crashes,
-      });
-    }
     const pace = serving.routes?.serving.services.get(ask.service)?.pace;
     const members = placeableUpstreams(board, ask, step.now);
     const reopensMs = reopensInMs(ask);
@@ -128,13 +115,13 @@
       const detail = "All upstreams have asked this daemon to wait";
       const retryAfterMs = Math.max(reopensMs, MIN_RETRY_AFTER_MS);
       const result = err(problem("no_upstream", detail, { retryAfterMs }));
-      suspects.cancelTrial(ask.digest, ask.job);
+      suspects.cancel(ask, ask.job);
       this.#deliver(board, step, { ask, result }, replyTo);
       return;
     }
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
     if (decision !== undefined) {
-      if (decision.result.isErr()) suspects.cancelTrial(ask.digest, ask.job);
+      if (decision.result.isErr()) suspects.cancel(ask, ask.job);
       this.#deliver(board, step, decision, replyTo);
       return;
     }
@@ -144,6 +131,31 @@
     step.emit({ type: "send", to: replyTo, message });
   }
 
+  /** The refusal of a request whose content or parts may crash its upstream, if there is one. */
+  #contentRefusal(
+    board: GatewayBoard,
+    step: GatewayStep,
+    ask: PlacementRequest,
+  ): Problem | undefined {
+    const content = board.contents.suspects.decide(ask, step.now, {
+      job: ask.job,
+      allowTrial: leadsMajority(board, step.now),
+      leftMs: ask.leftMs,
+    });
+    if (content.type === "run") return undefined;
+    const { key, crashes } = content;
+    step.line(`content_${content.type}`, {
+      req: ask.req,
+      ...keyFields(key),
+      crashes,
+    });
+    if (content.type !== "refuse") return undefined;
+    const what = partOfKey(key) === undefined ? "content" : "prompt part";
+    const detail = `This ${what} has crashed its upstreams`;
+    const { retryAfterMs } = content;
+    return problem("quarantined", detail, { retryAfterMs });
+  }
+
   /** Delivers the scheduler's decisions on queued requests. */
   #decide(board: GatewayBoard, step: GatewayStep): void {
     const { pool } = board;
@@ -152,10 +164,23 @@
       (ask) => placeableUpstreams(board, ask, step.now),
     );
     for (const decision of decisions) {
-      const { job } = decision.ask;
-      const replyTo = this.#replyTo.get(job);
-      this.#replyTo.delete(job);
-      this.#deliver(board, step, decision, replyTo);
+      const { ask } = decision;
+      const replyTo = this.#replyTo.get(ask.job);
+      this.#replyTo.delete(ask.job);
+      // What is known of the content may have changed while the request was queued.
+      const refusal = decision.result.isOk()
+        ? this.#contentRefusal(board, step, ask)
+        : undefined;
+      if (decision.result.isErr()) {
+        board.contents.suspects.cancel(ask, ask.job);
+      }
+      if (refusal !== undefined) pool.scheduler.withdraw(ask.job, step.now);
+      this.#deliver(
+        board,
+        step,
+        refusal === undefined ? decision : { ask, result: err(refusal) },
+        replyTo,
+      );
     }
     const next = pool.scheduler.nextPollAt(step.now);
     if (next !== undefined) step.wake(next);
@@ -168,7 +193,7 @@
     replyTo: ReplyTo,
   ): void {
     const { ask, result } = decision;
-    const { register, pool, self, contents } = board;
+    const { register, pool, self } = board;
     step.line("place", {
       req: ask.req,
       by: self.card.vm,
@@ -193,12 +218,6 @@
         }
         : {
           refused: result.error.code,
-          ...(result.error.code === "quarantined"
-            ? {
-              content: ask.digest,
-              crashes: contents.suspects.crashes(ask.digest),
-            }
-            : {}),
         }),
     });
     if (result.isOk()) {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -55,6 +55,8 @@
   #deadlineTimer: NodeJS.Timeout | undefined;
   #finished = false;
   #dispatchedAt = 0 as Timestamp;
+  /** When the attempt's first data arrived. */
+  #firstDataAt: Timestamp | undefined;
   /** When the attempt was dispatched, or the upstream last sent data. */
   #lastReceivedAt = 0 as Timestamp;
 
@@ -203,6 +205,7 @@
     this.#attempt = attempt;
     this.#dispatchedAt = this.#port.now();
     this.#lastReceivedAt = this.#dispatchedAt;
+    this.#firstDataAt = undefined;
     this.#restartSilenceTimer(this.#silenceLimits.firstMs);
     attempt.start();
   }
@@ -249,6 +252,7 @@
   }
 
   #onFirstData(): void {
+    this.#firstDataAt = this.#port.now();
     const { head, arrivedAt } = this.#req;
     const job = this.#grant?.job;
     if (job === undefined) return;
@@ -268,8 +272,9 @@
       firstMs: this.#responseTimer.firstMs,
       longestPauseMs: this.#responseTimer.longestPauseMs,
     });
-    // A failed response doesn't prove that the upstream ran the content, so no outcome is reported for it.
-    this.#finish("answered", this.#relay.succeeded ? "answered" : undefined);
+    // A failed response doesn't prove that the upstream ran the content, nor does the empty rest of a resumed stream.
+    const hasRun = this.#relay.succeeded && !this.#relay.isEmptyRest;
+    this.#finish("answered", hasRun ? "answered" : undefined);
   }
 
   #failAttempt(failure: AttemptFailure, culprit?: UpstreamId): void {
@@ -354,7 +359,14 @@
     outcome?: ContentReport["outcome"],
   ): ContentReport | undefined {
     if (outcome === undefined) return undefined;
-    return { digest: this.#req.digest, outcome };
+    const { digest, head } = this.#req;
+    const { sharedParts } = head;
+    const ranMs = Math.round(this.#port.now() - this.#dispatchedAt);
+    const firstAt = this.#firstDataAt;
+    const answeringMs = firstAt === undefined
+      ? undefined
+      : Math.round(this.#port.now() - firstAt);
+    return { digest, sharedParts, outcome, ranMs, answeringMs };
   }
 
   #endAttempt(update: JobUpdate, culprit?: UpstreamId): void {
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -68,6 +68,11 @@
     return this.#client.started && this.#head?.isEventStream !== true;
   }
 
+  /** Whether the current attempt had nothing to add to a stream that the client resumed. */
+  get isEmptyRest(): boolean {
+    return this.#head?.isEventStream === true && this.#receivedCount === 0;
+  }
+
   /** Resets the state of the previous attempt. */
   startAttempt(): void {
     this.#parser = EventStreamParser.create();
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -55,7 +55,12 @@
   sentAt: Timestamp;
 }>;
 
-type SentRequest = { at: Timestamp; first: string; began: boolean };
+type SentRequest = {
+  at: Timestamp;
+  first: string;
+  isSound: boolean;
+  began: boolean;
+};
 
 /**
  * Clients of one team that send prompts to random daemons. All prompts share their first parts; some have a deadly
@@ -69,13 +74,13 @@
   readonly #aboard = new Map<UpstreamId, Set<JobId>>();
   readonly #crashedAt = new Map<string, Timestamp[]>();
   readonly #reachedAt = new Map<string, Timestamp[]>();
-  readonly #sound: SentRequest[] = [];
+  readonly #arrivedAt = new Map<JobId, Timestamp>();
+  readonly #sent: SentRequest[] = [];
   readonly #handledReplies = new WeakMap<FakeGateway, number>();
   readonly #deadly: Set<string>;
   /** Whether requests with a deadly part are sent. */
   sendsDeadly = true;
   #started = 0;
-  #sent = 0;
   #nextSoundAt = 0;
   #nextDeadlyAt = 0;
 
@@ -122,8 +127,8 @@
     const since = this.fleet.time.now - ms;
     // The newest ones may still be on their way.
     const until = this.fleet.time.now - 2 * FIRST_TOKEN_MS - 4 * STEP_MS;
-    const sent = this.#sound.filter((one) =>
-      one.at >= since && one.at < until &&
+    const sent = this.#sent.filter((one) =>
+      one.isSound && one.at >= since && one.at < until &&
       (first === undefined || one.first === first)
     );
     return sent.filter((one) => one.began).length / sent.length;
@@ -153,18 +158,16 @@
     parts: readonly string[],
     gateway = this.#randomGateway(),
   ): void {
-    this.#sent += 1;
     const at = this.fleet.time.now;
-    if (!parts.some((part) => this.#deadly.has(part))) {
-      this.#sound.push({ at, first: parts[0]!, began: false });
-    } else this.#sound.push({ at, first: "", began: false });
+    const isSound = !parts.some((part) => this.#deadly.has(part));
+    this.#sent.push({ at, first: parts[0]!, isSound, began: false });
     this.#place({
       gateway,
       parts: parts as readonly PromptPartId[],
-      digest: `digest-${this.#sent}`,
+      digest: `digest-${this.#sent.length}`,
       attempt: 1,
       sentAt: at,
-    }, this.#sound.length - 1);
+    }, this.#sent.length - 1);
   }
 
   #sendDue(): void {
@@ -234,6 +237,7 @@
       return;
     }
     aboard.add(job);
+    this.#arrivedAt.set(job, this.fleet.time.now);
     const { parts } = this.#requests.get(job)!;
     const deadly = parts.filter((part) => this.#deadly.has(part));
     for (const part of deadly) push(this.#reachedAt, part, this.fleet.time.now);
@@ -249,7 +253,7 @@
 
   #begin(job: JobId, upstream: UpstreamId): void {
     const [index, attempt] = job.slice("job-".length).split(".").map(Number);
-    if (attempt === 1) this.#sound[index!]!.began = true;
+    if (attempt === 1) this.#sent[index!]!.began = true;
     this.fleet.time.schedule(ANSWER_MS - FIRST_TOKEN_MS, () => {
       if (this.#aboard.get(upstream)?.delete(job) !== true) return;
       this.#report(job, upstream, "answered");
@@ -295,13 +299,14 @@
     outcome: ContentReport["outcome"],
   ): void {
     const { gateway, digest, parts } = this.#requests.get(job)!;
+    const ranMs = this.fleet.time.now - (this.#arrivedAt.get(job) ?? 0);
     this.fleet.step(gateway, [{
       type: "job",
       job,
       upstream,
       phase: outcome === "answered" ? "ended" : "failed",
       ...(outcome === "not_run" ? { unreachable: true } : {}),
-      content: { digest, sharedParts: parts, outcome },
+      content: { digest, sharedParts: parts, outcome, ranMs },
     }]);
   }
 
