Let no error text into a stream, no refusal without an id, no invalid header

- An earlier refusal written once more: each attempt has its own connection, so that one with another request's id was no promise already; one without an id was taken as "not run", and the request ran at a second upstream.
A refusal must now name the request.
- Error text in a stream: an answer with an error status never reached a begun stream, but text inside a 200 stream did, also a whole head, and events without ids.
An event must now consist of fields; after events with ids, data without an id is out of order.
- A head that stops midway was a failure at every cut already.
A head with an invalid header name ended the daemon, as Node's parser on this machine (arm64, v20.19.0, llhttp 8.1.2) admits names with spaces and writeHead throws.
Both sides now check names and values as Node does when it sends them.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -7,6 +7,7 @@
 import type { Verdict } from "../../core/verdict.ts";
 import { splitAddress } from "../address.ts";
 import type { Dialect, RequestHead, ResponseHead } from "./dialect.ts";
+import { hasInvalidHeader } from "./header_syntax.ts";
 import { closedCleanly, isCloseDelimited } from "./close_delimited.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
 
@@ -124,6 +125,10 @@
     if (this.#settled) return;
     this.#res = res;
     const status = res.statusCode ?? 0;
+    if (hasInvalidHeader(res.rawHeaders)) {
+      this.#fail("answer_broken", "The response has an invalid header");
+      return;
+    }
     const head = this.#dialect.decodeResponse(status, res.rawHeaders);
     if (
       head.requestId !== undefined && head.requestId !== this.#target.head.id
@@ -131,6 +136,11 @@
       this.#fail("answer_broken", "The response belongs to another request");
       return;
     }
+    if (head.requestId === undefined && (head.notRun || head.misdirected)) {
+      // It may be an earlier refusal that was written once more.
+      this.#fail("answer_broken", "The refusal names no request");
+      return;
+    }
     let ended = false;
     res.on("data", (chunk: Buffer) => {
       if (!this.#settled) this.#listener.onData(chunk);
--- a/src/gateway/requests/event_stream_parser.ts
+++ b/src/gateway/requests/event_stream_parser.ts
@@ -1,12 +1,18 @@
 import { Buffer } from "node:buffer";
 
-/** One complete event of a stream: its bytes as received, and its id. */
-export type StreamEvent = Readonly<{ bytes: Buffer; id?: string }>;
+/** One complete event of a stream: its bytes as received, its id, and whether it has data. */
+export type StreamEvent = Readonly<
+  { bytes: Buffer; id?: string; hasData: boolean }
+>;
 
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Largest event; a stream with a longer one is invalid. */
 const MAX_EVENT_BYTES = 1 << 20;
+/** A comment, a field that the standard knows, or another field with a value, such as one of the platform. */
+const LINE = /^(?::|(?:data|event|id|retry)$|[A-Za-z][A-Za-z0-9-]*:)/;
+const KNOWN_LINE = /^(?::|(?:data|event|id|retry)(?::|$))/;
+const DATA_LINE = /^data(?::|$)/;
 
 /** Splits a server-sent event stream into complete events, so that a truncated event is never relayed. */
 export class EventStreamParser {
@@ -21,7 +27,7 @@
     return this.#remainder.length;
   }
 
-  /** Adds bytes; returns the events that they complete, or undefined if an event is too large. */
+  /** Adds bytes; returns the events that they complete, or undefined if one is too large or no event. */
   push(chunk: Buffer): readonly StreamEvent[] | undefined {
     const data = this.#remainder.length === 0
       ? chunk
@@ -29,8 +35,9 @@
     const events: StreamEvent[] = [];
     let from = 0;
     for (let end = endOfEvent(data, from); end > 0;) {
-      const bytes = data.subarray(from, end);
-      events.push({ bytes, id: idOf(bytes) });
+      const event = parseEvent(data.subarray(from, end));
+      if (event === undefined) return undefined;
+      events.push(event);
       from = end;
       end = endOfEvent(data, from);
     }
@@ -50,8 +57,19 @@
   return 0;
 }
 
-/** The id of an event: that of its last `id` line, as the standard has it. */
-function idOf(bytes: Buffer): string | undefined {
-  return bytes.toString("latin1").split(/\r?\n/)
-    .findLast((line) => line.startsWith("id:"))?.slice(3).trim();
+/** Reads the lines of an event; undefined if they are no event, such as the text of an error. */
+function parseEvent(bytes: Buffer): StreamEvent | undefined {
+  let id: string | undefined;
+  let hasData = false;
+  let isEvent = false;
+  for (const line of bytes.toString("latin1").split(/\r?\n/)) {
+    if (line === "") continue;
+    if (!LINE.test(line)) return undefined;
+    isEvent ||= KNOWN_LINE.test(line);
+    hasData ||= DATA_LINE.test(line);
+    // Of several id lines the last one counts, as the standard has it.
+    if (line.startsWith("id:")) id = line.slice(3).trim();
+  }
+  const isEmpty = bytes.toString("latin1").trim() === "";
+  return isEvent || isEmpty ? { bytes, id, hasData } : undefined;
 }
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -12,6 +12,7 @@
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
 import { Exchange } from "./exchange.ts";
+import { hasInvalidHeader } from "./header_syntax.ts";
 import { deadlineOf } from "./exchange_util.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import type { AdmittedRequest, RouteTable } from "../serving/route_table.ts";
@@ -105,7 +106,8 @@
     if ("problem" in admitted) {
       // The rest of the body is not read, so the connection can't be reused.
       const unread = req.headers["content-length"] !== undefined ||
-        req.headers["transfer-encoding"] !== undefined;
+        req.headers["transfer-encoding"] !== undefined ||
+        hasInvalidHeader(req.rawHeaders);
       this.#refuse(response, admitted, unread);
       return;
     }
@@ -117,6 +119,9 @@
     now: Timestamp,
   ): AcceptedRequest | RejectedRequest {
     const since = this.#state.drainingSince();
+    if (hasInvalidHeader(req.rawHeaders)) {
+      return { problem: problem("bad_request", "A header is invalid") };
+    }
     const decoded = this.#port.dialect.decodeRequest(
       req.method ?? "",
       req.url ?? "",
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -149,9 +149,9 @@
 
   /** Whether an event is next in order, already known to the client, or preceded by a gap. */
   #positionOf(event: StreamEvent): "next" | "known" | "gap" {
-    if (event.id === undefined || this.#lastEventId === undefined) {
-      return "next";
-    }
+    if (this.#lastEventId === undefined) return "next";
+    // Data without a place in the order may be an error's text.
+    if (event.id === undefined) return event.hasData ? "gap" : "next";
     const id = Number(event.id);
     const last = Number(this.#lastEventId);
     if (!Number.isInteger(id) || !Number.isInteger(last)) return "next";
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -23,9 +23,13 @@
 export type UpstreamScript = (socket: Socket) => void;
 
 /** Final response of one request; status 0 if there was none. */
-export type FrontResponse = Readonly<
-  { status: number; headers: IncomingHttpHeaders; body: string }
->;
+export type FrontResponse = Readonly<{
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** Whether the response was complete by the rules of HTTP. */
+  complete: boolean;
+}>;
 
 /** A front server whose upstreams send the bytes that their scripts write. */
 export class FrontServerFixture {
@@ -96,9 +100,15 @@
         res.on("error", () => {});
         const { headers } = res;
         const status = res.statusCode ?? 0;
-        res.on("close", () => resolve({ status, headers, body }));
+        res.on(
+          "close",
+          () => resolve({ status, headers, body, complete: res.complete }),
+        );
       });
-      req.on("error", () => resolve({ status: 0, headers: {}, body: "" }));
+      req.on(
+        "error",
+        () => resolve({ status: 0, headers: {}, body: "", complete: false }),
+      );
       req.end("{}");
     });
   }
