Do not take a request that could not be sent for an upstream that is gone

A head that Node refuses to send, and a grant without an address, were reported as 'unreachable' like a refused connection, which counts as the end of the upstream's process against all that ran there.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -72,7 +72,7 @@
     if (req === undefined) return;
     this.#req = req;
     this.#connectTimer = setTimeout(
-      () => this.#fail("connect_failed", "Connection timed out"),
+      () => this.#failConnection("Connection timed out"),
       CONNECT_TIMEOUT_MS,
     );
     req.on("socket", (socket) => {
@@ -176,13 +176,13 @@
       this.#fail("answer_broken", detail, { disconnected });
     } else if (this.#sent) {
       this.#fail("upstream_crashed", detail, { disconnected });
-    } else this.#fail("connect_failed", detail);
+    } else this.#fail("connect_failed", detail, { unreachable: true });
   }
 
   #fail(
     cause: Retry,
     detail: string,
-    options: Readonly<{ disconnected?: boolean }> = {},
+    options: Readonly<{ disconnected?: boolean; unreachable?: boolean }> = {},
   ): void {
     if (this.#settled) return;
     const verdict = this.verdict;
--- a/src/gateway/requests/attempt_test.ts
+++ b/src/gateway/requests/attempt_test.ts
@@ -74,7 +74,8 @@
       onHead: () => {},
       onData: () => {},
       onEnd: () => {},
-      onFailure: ({ cause, verdict }) => resolve(`${cause} ${verdict}`),
+      onFailure: ({ cause, verdict, unreachable }) =>
+        resolve(`${cause} ${verdict}${unreachable ? " unreachable" : ""}`),
     }).start();
   });
 }
@@ -128,10 +129,10 @@
   const { port } = closed.address() as AddressInfo;
   await new Promise<void>((resolve) => closed.close(() => resolve()));
   const seen = await failureOf(`127.0.0.1:${port}`, HEAD);
-  expect(seen).toBe("connect_failed not_run");
+  expect(seen).toBe("connect_failed not_run unreachable");
 });
 
-test("an invalid request head gives the verdict not_run", async () => {
+test("an invalid request head gives the verdict not_run, and says nothing of the upstream", async () => {
   const seen = await failureOf("127.0.0.1:1", { ...HEAD, path: "/a path" });
   expect(seen).toBe("connect_failed not_run");
 });
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -282,7 +282,7 @@
     const wasSent = this.#attempt !== undefined;
     this.#endAttempt({
       phase: failure.upstreamAtFault ? "failed" : "ended",
-      unreachable: failure.cause === "connect_failed" ? true : undefined,
+      unreachable: failure.unreachable,
       content: this.#contentReportOf(outcomeOfFailure(failure)),
     }, culprit);
     const decision = this.#history.recordFailure(failure, {
--- a/src/gateway/requests/retry_policy.ts
+++ b/src/gateway/requests/retry_policy.ts
@@ -12,6 +12,8 @@
   upstreamAtFault: boolean;
   /** Whether the connection was lost after the request may have reached the upstream. */
   disconnected?: boolean;
+  /** Whether no connection could be made to the upstream's address. */
+  unreachable?: boolean;
   /** Retry-After that the upstream sent. */
   retryAfterMs?: Millis;
 }>;
