--- a/src/controllers/poison_test.ts
+++ b/src/controllers/poison_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import type { AttemptId, RequestId } from "../core/id.ts";
+import type { AttemptId, Digest, RequestId } from "../core/id.ts";
 import type { StepResult } from "../core/core.ts";
 import {
   CoreFixture,
@@ -68,6 +68,22 @@
   });
 });
 
+test("prompts that differ, but share a leading block that crashes engines, lose at most eight engines", () => {
+  const core = create();
+  const blocks = ["0123456789abcdef" as Digest];
+  let lost = 0;
+  for (let i = 0; i < 12; i += 1) {
+    const req = promptFixture(`poison-${i}`, { blocks });
+    let result = core.after(10, { type: "request_arrived", req });
+    for (let [run] = started(result); run; [run] = started(result)) {
+      lost += 1;
+      core.add(engineFixture(`new-${lost}`));
+      result = core.after(10, crashed(run.req, run.attempt));
+    }
+  }
+  expect(lost).toBeLessThanOrEqual(8);
+});
+
 test("prompts that ran beside a poison request are retried on separate engines, and none is refused", () => {
   const core = create();
   const runs = Array.from({ length: 24 }, (_, i) =>
