Send nothing more to the upstreams of an evacuated failure domain

The readers of the configuration's topic now read the evacuations with it; their state carries the offset at which it was read, travels in the progress that heartbeats, replies and announcements have already, and the higher offset wins. findClosure, which every path to an upstream asks, closes the upstreams of evacuated domains to all daemons.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -5,6 +5,7 @@
 import { MemberTable } from "./members/member_table.ts";
 import type { PeerCard, StoreProgress } from "./peers/peer_message.ts";
 import type { RouteTable } from "./serving/route_table.ts";
+import { EvacuatedDomains } from "./serving/evacuated_domains.ts";
 import type { ConfigVersion } from "./serving/serving_config.ts";
 import { ColdUpstreams } from "./upstreams/cold_upstreams.ts";
 import { NamedRates } from "./upstreams/named_rates.ts";
@@ -38,6 +39,8 @@
 export type ServingSection = {
   routes: RouteTable | undefined;
   version: ConfigVersion;
+  /** Failure domains whose upstreams are sent nothing new. */
+  readonly evacuated: EvacuatedDomains;
   appliedAt: Timestamp;
   /** Latest time at which the version is known to have been the newest. */
   asOf: Timestamp;
@@ -100,6 +103,7 @@
     serving: {
       routes: undefined,
       version: 0 as ConfigVersion,
+      evacuated: EvacuatedDomains.create(),
       appliedAt: NEVER,
       asOf: NEVER,
     },
@@ -134,6 +138,7 @@
     versionAgeMs: ageOf(serving.asOf, now),
     offset: register.offset,
     ageMs: ageOf(register.asOf, now),
+    evacuations: serving.evacuated.state,
   };
 }
 
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -365,6 +365,7 @@
     const now = this.#loop.now();
     const body = await this.#metrics.render({
       config_version: board.serving.version,
+      domains_evacuated: board.serving.evacuated.size,
       config_taken_ms_ago: now - board.serving.appliedAt,
       register_age_ms: now - board.register.asOf,
       upstreams: board.register.table.size,
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -9,7 +9,7 @@
 import type { ContentRecord } from "./contents/content_record.ts";
 import type { ContentReport } from "./contents/content_report.ts";
 import type { PeerCard, PeerMessage } from "./peers/peer_message.ts";
-import type { StoreError } from "./store/platform_store.ts";
+import type { ServingBatch, StoreError } from "./store/platform_store.ts";
 import type { ServingConfig } from "./serving/serving_config.ts";
 import type { UpstreamAvailability } from "./requests/upstream_availability.ts";
 import type { RateNotice } from "./upstreams/named_rates.ts";
@@ -40,7 +40,7 @@
   | Readonly<{ type: "order_sent"; upstream: UpstreamId }>
   /** A grant for an upstream with a limited rate was not counted against it: the placer did not know the rate. */
   | Readonly<{ type: "uncounted_grant"; upstream: UpstreamId }>
-  | Readonly<{ type: "serving_read"; serving?: ServingConfig; next: number }>
+  | Readonly<{ type: "serving_read" }> & ServingBatch
   | Readonly<{ type: "serving_fetched"; serving: ServingConfig }>
   | Readonly<{ type: "fetch_failed"; detail: string }>
   | Readonly<{
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -17,6 +17,7 @@
 import { ContentSyncSchema } from "../contents/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
+import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 
 /** Identity, addresses and state that a daemon sends to its peers. */
@@ -112,6 +113,8 @@
   offset: z.number(),
   /** Age of that read in ms. */
   ageMs: z.number(),
+  /** Absent while the sender knows of no evacuation. */
+  evacuations: EvacuationStateSchema.optional(),
 }).readonly();
 /** How far a daemon has read the platform's store. */
 export type StoreProgress = z.infer<typeof StoreProgressSchema>;
--- a/src/gateway/requests/exchange_util.ts
+++ b/src/gateway/requests/exchange_util.ts
@@ -13,6 +13,7 @@
 const CAUSE_BY_CLOSURE = {
   gone: "upstream_leaving",
   draining: "upstream_leaving",
+  evacuated: "upstream_leaving",
   backing_off: "upstream_backing_off",
   uncounted: "upstream_rate_limited",
 } as const;
--- /dev/null
+++ b/src/gateway/serving/evacuated_domains.ts
@@ -0,0 +1,75 @@
+import { z } from "zod";
+import type { DomainId } from "../../core/id.ts";
+import { idSchema } from "../../wire/brands.ts";
+
+/** Evacuated failure domains as of an offset of the configuration's topic, as exchanged between daemons. */
+export const EvacuationStateSchema = z.object({
+  offset: z.number(),
+  domains: z.array(idSchema<DomainId>()).readonly(),
+}).readonly();
+/** Evacuated failure domains as of an offset of the configuration's topic, as exchanged between daemons. */
+export type EvacuationState = z.infer<typeof EvacuationStateSchema>;
+
+/** The operator's request to send nothing more to the upstreams of a failure domain, or its end. */
+export type EvacuationChange = Readonly<
+  { domain: DomainId; evacuated: boolean }
+>;
+
+/** Evacuations that a read of the store found: the changes since the last read, or all of them if `full`. */
+export type EvacuationBatch = Readonly<
+  { full: boolean; changes: readonly EvacuationChange[] }
+>;
+
+/** The evacuated failure domains. Of two states, that of the higher offset is newer, wherever it was read. */
+export class EvacuatedDomains {
+  #domains: ReadonlySet<DomainId> = new Set();
+  #offset = -1;
+
+  static create(): EvacuatedDomains {
+    return new EvacuatedDomains();
+  }
+
+  get size(): number {
+    return this.#domains.size;
+  }
+
+  has(domain: DomainId): boolean {
+    return this.#domains.has(domain);
+  }
+
+  /** The state to send to other daemons; undefined while no evacuation is known to have been requested. */
+  get state(): EvacuationState | undefined {
+    if (this.#offset < 0) return undefined;
+    return { offset: this.#offset, domains: [...this.#domains].sort() };
+  }
+
+  /** Applies what a read of the store found up to the offset `next`; returns what changed here. */
+  apply(batch: EvacuationBatch, next: number): readonly EvacuationChange[] {
+    const domains = new Set(batch.full ? [] : this.#domains);
+    for (const { domain, evacuated } of batch.changes) {
+      if (evacuated) domains.add(domain);
+      else domains.delete(domain);
+    }
+    const isNews = batch.changes.length > 0 || this.#domains.size > 0;
+    return isNews ? this.#replace(domains, next) : [];
+  }
+
+  /** Adopts the state of another daemon if it is newer; returns what changed here. */
+  merge(state: EvacuationState | undefined): readonly EvacuationChange[] {
+    if (state === undefined) return [];
+    return this.#replace(new Set(state.domains), state.offset);
+  }
+
+  #replace(
+    domains: ReadonlySet<DomainId>,
+    offset: number,
+  ): readonly EvacuationChange[] {
+    if (offset <= this.#offset) return [];
+    const before = this.#domains;
+    this.#offset = offset;
+    this.#domains = domains;
+    return [...new Set([...before, ...domains])]
+      .filter((domain) => before.has(domain) !== domains.has(domain))
+      .map((domain) => ({ domain, evacuated: domains.has(domain) }));
+  }
+}
--- a/src/gateway/serving/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -8,6 +8,7 @@
   PeerMessage,
   StoreProgress,
 } from "../peers/peer_message.ts";
+import type { EvacuationChange } from "./evacuated_domains.ts";
 import { RouteTable } from "./route_table.ts";
 import type { ServingConfig } from "./serving_config.ts";
 import { sendRegisterChanges } from "../upstreams/send_register_changes.ts";
@@ -53,6 +54,12 @@
       if (event.type === "serving_read") {
         this.#reader.succeeded(step, event.next);
         serving.asOf = step.now;
+        if (event.evacuations !== undefined) {
+          const { evacuations, next } = event;
+          const changes = serving.evacuated.apply(evacuations, next);
+          this.#logEvacuations(board, step, changes, "store");
+          if (changes.length > 0) this.#announce(board, step, "store");
+        }
         if (event.serving !== undefined) {
           this.#applyConfig(board, step, event.serving, "store");
         }
@@ -96,6 +103,9 @@
     progress: StoreProgress,
   ): void {
     const { serving } = board;
+    const changes = serving.evacuated.merge(progress.evacuations);
+    this.#logEvacuations(board, step, changes, "peer");
+    if (changes.length > 0) this.#announce(board, step, "peer");
     if (progress.version === serving.version) {
       const asOf = addMs(step.now, -progress.versionAgeMs);
       if (asOf > serving.asOf) serving.asOf = asOf;
@@ -189,7 +199,19 @@
     this.#announce(board, step, source);
   }
 
-  /** Sends the new version number: the leader to all, others to leader and deputy if it came from the store. */
+  #logEvacuations(
+    board: GatewayBoard,
+    step: GatewayStep,
+    changes: readonly EvacuationChange[],
+    source: "store" | "peer",
+  ): void {
+    const offset = board.serving.evacuated.state?.offset ?? -1;
+    for (const { domain, evacuated } of changes) {
+      step.line("evacuation", { domain, evacuated, source, offset });
+    }
+  }
+
+  /** Sends the new version number and evacuations: the leader to all, others to leader and deputy if it came from the store. */
   #announce(
     board: GatewayBoard,
     step: GatewayStep,
--- a/src/gateway/store/platform_store.ts
+++ b/src/gateway/store/platform_store.ts
@@ -2,6 +2,7 @@
 import type { Millis } from "../../core/time.ts";
 import type { ContentRecord } from "../contents/content_record.ts";
 import type { PeerCard } from "../peers/peer_message.ts";
+import type { EvacuationBatch } from "../serving/evacuated_domains.ts";
 import type { ServingConfig } from "../serving/serving_config.ts";
 import type { RateNotice } from "../upstreams/named_rates.ts";
 import type { UpstreamChange } from "../upstreams/upstream_table.ts";
@@ -15,8 +16,12 @@
   /** The records at the requested offset were deleted; the whole topic must be read again. */
   | Readonly<{ code: "expired"; detail: string }>;
 
-/** Result of reading configurations: the newest readable one, if any, and the offset of the next read. */
-export type ServingBatch = Readonly<{ serving?: ServingConfig; next: number }>;
+/** Result of reading configurations: the newest readable one, if any, evacuations, and the offset of the next read. */
+export type ServingBatch = Readonly<{
+  serving?: ServingConfig;
+  evacuations?: EvacuationBatch;
+  next: number;
+}>;
 
 /** Result of reading the register: the changes since the last read, or the whole register if `full`. */
 export type RegisterBatch = Readonly<{
--- a/src/gateway/upstreams/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -9,25 +9,33 @@
 import type { UpstreamClosure } from "./self_reported_closures.ts";
 import type { UpstreamEntry } from "./upstream_table.ts";
 
+/** Reasons that close an upstream to all daemons, not only to this one. */
+const CLOSED_TO_ALL = new Set<UpstreamClosure["reason"] | undefined>([
+  "draining",
+  "evacuated",
+]);
 /** Closed upstreams listed in a placement request; beyond this number most of the largest service is closed. */
 const MAX_CLOSED = 256;
 
 /**
- * Why this daemon may send an upstream nothing new: by the register or by the upstream's own responses, whichever is
- * stricter. Undefined where the upstream is open. Every path that sends or places requests calls this.
+ * Why this daemon may send an upstream nothing new: by the register, the operator's evacuations, or the upstream's own
+ * responses, whichever is strictest. Undefined where the upstream is open. Every path that sends or places requests calls this.
  */
 export function findClosure(
   board: GatewayBoard,
   id: UpstreamId,
   now: Timestamp,
 ): UpstreamClosure | undefined {
-  const { register, gate } = board;
+  const { register, gate, serving } = board;
   const entry = register.table.get(id);
   const reported = gate.closures.closure(id, register.table.startedAt(id), now);
   if (reported?.reason === "draining") return reported;
   const knownAt = register.asOf;
   if (register.table.isGone(id)) return { reason: "gone", knownAt };
   if (entry?.leaving === true) return { reason: "draining", knownAt };
+  if (entry !== undefined && serving.evacuated.has(entry.domain)) {
+    return { reason: "evacuated", knownAt: serving.asOf };
+  }
   return reported;
 }
 
@@ -82,7 +90,7 @@
   return board.register.table.open(ask.service).filter(({ id }) =>
     !closed.has(id) &&
     // A back-off applies only to the daemon that got it, so it does not close the upstream to others.
-    findClosure(board, id, now)?.reason !== "draining"
+    !CLOSED_TO_ALL.has(findClosure(board, id, now)?.reason)
   );
 }
 
--- a/src/gateway/upstreams/self_reported_closures.ts
+++ b/src/gateway/upstreams/self_reported_closures.ts
@@ -7,9 +7,9 @@
 
 /** Why an upstream is closed to new requests, and since when that is known. */
 export type UpstreamClosure = Readonly<{
-  reason: "gone" | "draining" | "backing_off" | "uncounted";
+  reason: "gone" | "draining" | "evacuated" | "backing_off" | "uncounted";
   knownAt: Timestamp;
-  /** When it opens again; absent where it opens only with another process. */
+  /** When it opens again; absent where that is not known. */
   until?: Timestamp;
 }>;
 
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -11,6 +11,7 @@
   ConfigVersion,
   ServingConfig,
 } from "../gateway/serving/serving_config.ts";
+import type { EvacuationChange } from "../gateway/serving/evacuated_domains.ts";
 import type { RateNotice } from "../gateway/upstreams/named_rates.ts";
 import type {
   UpstreamChange,
@@ -46,7 +47,8 @@
   readonly time = VirtualTime.create(1_000_000 as Timestamp);
   readonly gateways: FakeGateway[] = [];
   readonly #register: UpstreamChange[] = [];
-  readonly #versions: ServingConfig[] = [];
+  /** Records of the configuration's topic: versions, and the operator's evacuations. */
+  readonly #served: (ServingConfig | EvacuationChange)[] = [];
   readonly #announced = new Map<VmId, PeerCard>();
   /** Records of quarantined contents in the store. */
   #contents: readonly ContentRecord[] = [];
@@ -103,7 +105,12 @@
   }
 
   publish(serving: ServingConfig): void {
-    this.#versions.push(serving);
+    this.#served.push(serving);
+  }
+
+  /** Writes the evacuation of a failure domain, or removes it. */
+  evacuate(domain: string, evacuated: boolean): void {
+    this.#served.push({ domain: domain as DomainId, evacuated });
   }
 
   /** Writes to the register of upstreams. */
@@ -239,7 +246,7 @@
       }
       const from = intent.from ?? 0;
       const end = intent.topic === "serving"
-        ? this.#versions.length
+        ? this.#served.length
         : this.#register.length;
       if (end <= from && this.time.now < until) {
         this.#read(gateway, intent, until);
@@ -249,7 +256,13 @@
         intent.topic === "serving"
           ? {
             type: "serving_read",
-            serving: this.#versions[end - 1],
+            serving: this.#served.slice(0, end)
+              .findLast((one) => "version" in one),
+            evacuations: {
+              full: intent.from === undefined,
+              changes: this.#served.slice(from, end)
+                .filter((one) => "evacuated" in one),
+            },
             next: end,
           }
           : {
