--- a/src/gateway/contents/content_table.ts
+++ b/src/gateway/contents/content_table.ts
@@ -94,6 +94,7 @@
     const content = this.#contents.get(digest) ?? createContent(now);
     if (content.lost.size < MAX_PROCESSES) content.lost.add(process);
     content.changedAt = now;
+    content.trialJob = undefined;
     this.#put(digest, content, now);
     return content.lost.size;
   }
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -1,6 +1,6 @@
 import { err } from "neverthrow";
 import type { UpstreamId, VmId } from "../../core/id.ts";
-import { type Problem, problem } from "../../core/problem.ts";
+import { problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import type {
   JobId,
@@ -9,17 +9,13 @@
 } from "../../scheduling/pool/pool_job.ts";
 import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
-import { keyFields, partOfKey } from "../contents/suspect_key.ts";
+import { contentRefusalOf } from "../contents/content_refusal.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
-import {
-  leadsMajority,
-  livenessTimeoutMs,
-  otherPlacers,
-} from "../members/membership.ts";
+import { livenessTimeoutMs, otherPlacers } from "../members/membership.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
 
 /** Upstream id in messages about a request that is not placed yet. */
@@ -103,7 +99,7 @@
   ): void {
     const { serving, pool, contents } = board;
     const { suspects } = contents;
-    const refusal = this.#contentRefusal(board, step, ask);
+    const refusal = contentRefusalOf(board, step, ask);
     if (refusal !== undefined) {
       this.#deliver(board, step, { ask, result: err(refusal) }, replyTo);
       return;
@@ -131,31 +127,6 @@
     step.emit({ type: "send", to: replyTo, message });
   }
 
-  /** The refusal of a request whose content or parts may crash its upstream, if there is one. */
-  #contentRefusal(
-    board: GatewayBoard,
-    step: GatewayStep,
-    ask: PlacementRequest,
-  ): Problem | undefined {
-    const content = board.contents.suspects.decide(ask, step.now, {
-      job: ask.job,
-      allowTrial: leadsMajority(board, step.now),
-      leftMs: ask.leftMs,
-    });
-    if (content.type === "run") return undefined;
-    const { key, crashes } = content;
-    step.line(`content_${content.type}`, {
-      req: ask.req,
-      ...keyFields(key),
-      crashes,
-    });
-    if (content.type !== "refuse") return undefined;
-    const what = partOfKey(key) === undefined ? "content" : "prompt part";
-    const detail = `This ${what} has crashed its upstreams`;
-    const { retryAfterMs } = content;
-    return problem("quarantined", detail, { retryAfterMs });
-  }
-
   /** Delivers the scheduler's decisions on queued requests. */
   #decide(board: GatewayBoard, step: GatewayStep): void {
     const { pool } = board;
@@ -169,7 +140,7 @@
       this.#replyTo.delete(ask.job);
       // What is known of the content may have changed while the request was queued.
       const refusal = decision.result.isOk()
-        ? this.#contentRefusal(board, step, ask)
+        ? contentRefusalOf(board, step, ask)
         : undefined;
       if (decision.result.isErr()) {
         board.contents.suspects.cancel(ask, ask.job);
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -6,6 +6,7 @@
 import type { JobId, PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { Attempt } from "./attempt.ts";
+import { AttemptTimes } from "./attempt_times.ts";
 import type { ClientResponse } from "./client_response.ts";
 import {
   type ContentReport,
@@ -54,11 +55,7 @@
   readonly #responseTimer = ResponseTimer.create();
   #deadlineTimer: NodeJS.Timeout | undefined;
   #finished = false;
-  #dispatchedAt = 0 as Timestamp;
-  /** When the attempt's first data arrived. */
-  #firstDataAt: Timestamp | undefined;
-  /** When the attempt was dispatched, or the upstream last sent data. */
-  #lastReceivedAt = 0 as Timestamp;
+  #times = AttemptTimes.create(0 as Timestamp);
 
   private constructor(
     port: ExchangePort,
@@ -203,9 +200,7 @@
       },
     );
     this.#attempt = attempt;
-    this.#dispatchedAt = this.#port.now();
-    this.#lastReceivedAt = this.#dispatchedAt;
-    this.#firstDataAt = undefined;
+    this.#times = AttemptTimes.create(this.#port.now());
     this.#restartSilenceTimer(this.#silenceLimits.firstMs);
     attempt.start();
   }
@@ -218,7 +213,7 @@
     // The address now belongs to another upstream, so its headers say nothing about this upstream.
     const isOther = head.misdirected;
     if (upstream !== undefined && !isOther) {
-      const sentAt = this.#dispatchedAt;
+      const { sentAt } = this.#times;
       this.#port.reportAvailability(upstream, head.availability, { sentAt });
     }
     const failure = this.#relay.receiveHead(status, head, {
@@ -233,7 +228,7 @@
 
   #onData(chunk: Buffer): void {
     const attempt = this.#attempt;
-    this.#lastReceivedAt = this.#port.now();
+    this.#times.received(this.#port.now());
     const before = this.#relay.receivedCount;
     const result = this.#relay.receiveData(chunk, () => attempt?.resume());
     if (result === "broken") {
@@ -252,7 +247,7 @@
   }
 
   #onFirstData(): void {
-    this.#firstDataAt = this.#port.now();
+    this.#times.receivedFirst(this.#port.now());
     const { head, arrivedAt } = this.#req;
     const job = this.#grant?.job;
     if (job === undefined) return;
@@ -351,7 +346,7 @@
 
   #cancelledOutcome(): ContentReport["outcome"] | undefined {
     if (this.#attempt === undefined) return undefined;
-    const silentMs = this.#port.now() - this.#lastReceivedAt;
+    const silentMs = this.#times.silentMs(this.#port.now());
     return outcomeOfCancellation(silentMs, this.#req.admitted.route);
   }
 
@@ -361,12 +356,8 @@
     if (outcome === undefined) return undefined;
     const { digest, head } = this.#req;
     const { sharedParts } = head;
-    const ranMs = Math.round(this.#port.now() - this.#dispatchedAt);
-    const firstAt = this.#firstDataAt;
-    const answeringMs = firstAt === undefined
-      ? undefined
-      : Math.round(this.#port.now() - firstAt);
-    return { digest, sharedParts, outcome, ranMs, answeringMs };
+    const elapsed = this.#times.elapsed(this.#port.now());
+    return { digest, sharedParts, outcome, ...elapsed };
   }
 
   #endAttempt(update: JobUpdate, culprit?: UpstreamId): void {
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -7,6 +7,7 @@
   emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
+  ReplyCursor,
   upstreamEntry,
 } from "./fake_gateway_fleet.ts";
 import { placementRequest } from "./pool_fixtures.ts";
@@ -76,7 +77,7 @@
   readonly #reachedAt = new Map<string, Timestamp[]>();
   readonly #arrivedAt = new Map<JobId, Timestamp>();
   readonly #sent: SentRequest[] = [];
-  readonly #handledReplies = new WeakMap<FakeGateway, number>();
+  readonly #replies = ReplyCursor.create();
   readonly #deadly: Set<string>;
   /** Whether requests with a deadly part are sent. */
   sendsDeadly = true;
@@ -213,9 +214,7 @@
   }
 
   #runGranted(gateway: FakeGateway): void {
-    const from = this.#handledReplies.get(gateway) ?? 0;
-    this.#handledReplies.set(gateway, gateway.replies.length);
-    for (const reply of gateway.replies.slice(from)) {
+    for (const reply of this.#replies.next(gateway)) {
       if (reply.type !== "granted") continue;
       const { id, upstream } = reply.grant.job;
       this.fleet.time.schedule(
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -11,6 +11,7 @@
   emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
+  ReplyCursor,
   upstreamEntry,
 } from "./fake_gateway_fleet.ts";
 import { placementRequest } from "./pool_fixtures.ts";
@@ -55,7 +56,7 @@
   readonly #options: LimitSimulationOptions;
   readonly #random: Random;
   readonly #arrivals = new Map<UpstreamId, Timestamp[]>();
-  readonly #handledReplies = new WeakMap<FakeGateway, number>();
+  readonly #replies = ReplyCursor.create();
   readonly #askedAt = new Map<JobId, Timestamp>();
   #limit: string | undefined;
   #namedAt = Infinity;
@@ -174,9 +175,7 @@
   #handleReplies(gateway: FakeGateway): void {
     if (gateway.frozen) return;
     const { now } = this.fleet.time;
-    const from = this.#handledReplies.get(gateway) ?? 0;
-    this.#handledReplies.set(gateway, gateway.replies.length);
-    for (const reply of gateway.replies.slice(from)) {
+    for (const reply of this.#replies.next(gateway)) {
       if (reply.type === "denied") {
         const { retryAfterMs } = reply.problem;
         const askedAt = this.#askedAt.get(reply.job) ?? now;
--- a/src/testing/poison_simulation.ts
+++ b/src/testing/poison_simulation.ts
@@ -6,6 +6,7 @@
   emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
+  ReplyCursor,
   upstreamEntry,
 } from "./fake_gateway_fleet.ts";
 import { placementRequest } from "./pool_fixtures.ts";
@@ -43,7 +44,7 @@
   readonly #refusesAfterCrash: boolean;
   readonly #crashedAt: Timestamp[] = [];
   readonly #grantedAt: Timestamp[] = [];
-  readonly #handledReplies = new WeakMap<FakeGateway, number>();
+  readonly #replies = ReplyCursor.create();
   #started = 0;
   #sent = 0;
 
@@ -120,9 +121,7 @@
   }
 
   #runGranted(gateway: FakeGateway): void {
-    const from = this.#handledReplies.get(gateway) ?? 0;
-    this.#handledReplies.set(gateway, gateway.replies.length);
-    for (const reply of gateway.replies.slice(from)) {
+    for (const reply of this.#replies.next(gateway)) {
       if (reply.type !== "granted") continue;
       const { id, upstream } = reply.grant.job;
       this.#grantedAt.push(this.fleet.time.now);
