Count what the store knows of crashes with those since the restart

After all daemons were killed, the first crash (before the store is read, 200 ms after the start) made the stored record of that key be ignored, so that it started from one crash again. Records are merged now; those of keys that the new process has seen answered are void.

--- a/src/gateway/contents/content_table.ts
+++ b/src/gateway/contents/content_table.ts
@@ -125,11 +125,6 @@
       }));
   }
 
-  /** Whether the table has an entry of a content. */
-  has(digest: string): boolean {
-    return this.#contents.has(digest);
-  }
-
   /** Merges records of another daemon or of the store; returns those that were new here. */
   merge(
     records: readonly ContentRecord[],
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -134,15 +134,16 @@
     return this.#contents.merge(records, now);
   }
 
-  /** Merges records read from the store. Their age is not known, so records of known contents are ignored. */
+  /** Merges records read from the store; one of a key that this process has seen answered is void. */
   restore(
     records: readonly ContentRecord[],
     now: Timestamp,
   ): readonly MergedContent[] {
-    const newRecords = records.filter(({ digest }) =>
-      !this.#contents.has(digest)
-    );
-    return this.#contents.merge(newRecords, now);
+    const merged = this.#contents.merge(records, now);
+    for (const { digest } of merged) {
+      if (this.#successes.has(digest, now)) this.#contents.clear(digest, now);
+    }
+    return merged;
   }
 
   /** Drops contents past their retention time. */
--- a/src/gateway/contents/suspect_parts_test.ts
+++ b/src/gateway/contents/suspect_parts_test.ts
@@ -196,3 +196,30 @@
   }
   expect(reached).toBe(3);
 });
+
+describe("what the store has from before a restart of all daemons", () => {
+  const record = {
+    digest: "part:deadly",
+    epoch: 0,
+    lost: ["e1/1", "e2/1"],
+    trials: 0,
+    ageMs: 0,
+  };
+
+  test("counts though the part has crashed an upstream before it was read", () => {
+    const attempts = new Attempts();
+    attempts.crash("e3", ["deadly", "other"], 0);
+    attempts.suspects.restore([record], 200 as Timestamp);
+    expect(attempts.suspects.crashes("part:deadly")).toBe(3);
+    expect(attempts.decide("deadly", 300)).toBe("refuse");
+  });
+
+  test("does not count if the part was answered before it was read", () => {
+    const attempts = new Attempts();
+    attempts.end("deadly", "answered", { ms: 0 });
+    attempts.suspects.restore([record], 200 as Timestamp);
+    expect(attempts.decide("deadly", 300)).toBe("run");
+    const [stored] = attempts.suspects.records(300 as Timestamp);
+    expect(stored).toMatchObject({ epoch: 1, lost: [] });
+  });
+});
