--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -195,10 +195,12 @@
     }
     // A crash counts once for a key, however many requests with it were running.
     const losses = [...this.#losses.takeLosses(upstream, now)];
-    const isExplained = losses.some(([key]) => this.#isSuspectPart(key, now));
+    const hasSuspectPart = losses.some(([key]) =>
+      this.#isSuspectPart(key, now)
+    );
     return losses.map(([key, loss]) => {
       const details = { key, upstream, evidence, lostMsAgo: now - loss.at };
-      if (this.#isSpared(key, loss, { now, isExplained })) {
+      if (this.#isSpared(key, loss, { now, hasSuspectPart })) {
         return { kind: "spared", crashes: this.crashes(key), ...details };
       }
       const process = `${upstream}/${loss.startedAt}`;
@@ -271,12 +273,12 @@
   #isSpared(
     key: string,
     { sentAt }: UpstreamLoss,
-    crash: Readonly<{ now: Timestamp; isExplained: boolean }>,
+    crash: Readonly<{ now: Timestamp; hasSuspectPart: boolean }>,
   ): boolean {
-    const { now, isExplained } = crash;
+    const { now, hasSuspectPart } = crash;
     if (!this.#successes.has(key, now)) return false;
-    // What others answer on says little of one content, but much of a part.
-    if (isExplained || partOfKey(key) === undefined) return true;
+    // A content has no other answers than its own, so that it is spared as long as its success counts.
+    if (hasSuspectPart || partOfKey(key) === undefined) return true;
     return !this.#successes.revoke(key, now, { sentAt });
   }
 
