--- a/src/gateway/requests/attempt_times.ts
+++ b/src/gateway/requests/attempt_times.ts
@@ -15,7 +15,7 @@
     return new AttemptTimes(sentAt);
   }
 
-  /** Records data, of which an unfinished event is no first data yet. */
+  /** Records that data arrived, even if only a part of an event. */
   received(now: Timestamp): void {
     this.#lastAt = now;
   }
