Write a line for each request that is open when a daemon exits

An exchange writes its end (answered, refused, client_left); nothing was written for a request that the exit of the process cuts, nor for one whose connection closes before its body is complete, and lines of the last second were lost if SIGKILL came first.

Now: a line `cut` for each open request before `stopped`, with its state (body, waiting, sent), upstream and the silence of the upstream; `client_left` with the bytes received for an incomplete body; lines are flushed at each check of a drain.

--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -161,10 +161,13 @@
     this.#line("stop", { open: this.#front.openRequests });
     this.#loop.push({ type: "drain" });
     const timer = setInterval(() => {
+      // Lines that are only buffered are lost if the process is killed at the end of the grace period.
+      this.#log.flush();
       const drainMs = this.#loop.now() - drainStartedAt;
       const done = drainMs >= MIN_DRAIN_MS && this.#front.openRequests === 0;
       if (!done && drainMs < this.#settings.graceMs - EXIT_MARGIN_MS) return;
       clearInterval(timer);
+      this.#front.logCut();
       this.#line("stopped", {
         open: this.#front.openRequests,
         ms: Math.round(drainMs),
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -97,6 +97,19 @@
     this.#log.clientDisconnected();
   }
 
+  /** Logs that the daemon exits before this request has ended. */
+  logCut(): void {
+    if (this.#finished) return;
+    this.#log.cut({
+      state: this.#attempt === undefined ? "waiting" : "sent",
+      upstream: this.#grant?.job.upstream,
+      silentMs: this.#attempt === undefined
+        ? undefined
+        : this.#times.silentMs(this.#port.now()),
+      leftMs: this.#leftMs(),
+    });
+  }
+
   /** Fails an attempt at an upstream whose process was lost, as its connection may stay open without an error. */
   upstreamLost(id: UpstreamId): void {
     this.#failOnUpstreamLoss(id, "The upstream was restarted");
--- a/src/gateway/requests/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -97,6 +97,28 @@
     });
   }
 
+  /** The daemon exits before the request has ended: where it was, and how long its upstream has been silent. */
+  cut(
+    context: Readonly<{
+      state: "waiting" | "sent";
+      upstream?: UpstreamId;
+      silentMs?: Millis;
+      leftMs: Millis;
+    }>,
+  ): void {
+    const { state, upstream, silentMs, leftMs } = context;
+    const { relay, history } = this.#state;
+    this.line("cut", {
+      state,
+      upstream,
+      silent_ms: silentMs === undefined ? undefined : Math.round(silentMs),
+      left_ms: Math.round(leftMs),
+      ms: this.#elapsedMs(),
+      attempts: history.placed,
+      events: relay.eventsSent,
+    });
+  }
+
   /** Writes a log line of any kind, with the request's id and route. */
   line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
     const { head, admitted } = this.#req;
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -1,5 +1,3 @@
-import { Buffer } from "node:buffer";
-import { createHash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -11,11 +9,10 @@
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
-import { Exchange } from "./exchange.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
-import { deadlineOf } from "./exchange_util.ts";
 import type { ExchangePort } from "./exchange_port.ts";
-import type { AdmittedRequest, RouteTable } from "../serving/route_table.ts";
+import { type AdmittedHead, IncomingRequest } from "./incoming_request.ts";
+import type { RouteTable } from "../serving/route_table.ts";
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
@@ -45,7 +42,8 @@
   readonly #port: ExchangePort;
   readonly #state: FrontState;
   readonly #server: Server;
-  readonly #exchanges = new Set<Exchange>();
+  /** Admitted requests without a final response. */
+  readonly #requests = new Set<IncomingRequest>();
   #openRequests = 0;
 
   private constructor(port: ExchangePort, state: FrontState) {
@@ -87,7 +85,12 @@
   }
 
   upstreamLost(id: UpstreamId): void {
-    for (const exchange of this.#exchanges) exchange.upstreamLost(id);
+    for (const one of this.#requests) one.upstreamLost(id);
+  }
+
+  /** Logs each admitted request that has no final response, as the daemon is about to exit. */
+  logCut(): void {
+    for (const one of this.#requests) one.logCut();
   }
 
   /** Stops accepting connections, and closes idle ones. */
@@ -111,7 +114,18 @@
       this.#refuse(response, admitted, unread);
       return;
     }
-    this.#readBody(req, res, { ...admitted, arrivedAt, response });
+    const { head } = admitted;
+    const one = IncomingRequest.create(this.#port, {
+      ...admitted,
+      arrivedAt,
+      response,
+    }, {
+      refuse: (err, unread) =>
+        this.#refuse(response, { head, problem: err }, unread),
+    });
+    this.#requests.add(one);
+    res.once("close", () => this.#requests.delete(one));
+    one.read(req, res);
   }
 
   #admit(
@@ -164,52 +178,6 @@
     return { head, admitted: admitted.value, bodyBytes: limits.bodyBytes };
   }
 
-  #readBody(
-    req: IncomingMessage,
-    res: ServerResponse,
-    entry: IncomingRequest,
-  ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let exchange: Exchange | undefined;
-    res.once("close", () => {
-      if (exchange === undefined) return;
-      this.#exchanges.delete(exchange);
-      if (!res.writableFinished) exchange.cancel();
-    });
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= entry.bodyBytes) chunks.push(chunk);
-      else if (!entry.response.started) {
-        req.pause();
-        const err = problem("body_too_large", "The request body is too large");
-        this.#refuse(entry.response, { head: entry.head, problem: err }, true);
-      }
-    });
-    req.on("end", () => {
-      if (entry.response.started || res.destroyed) return;
-      exchange = this.#start(entry, Buffer.concat(chunks));
-    });
-  }
-
-  #start(entry: IncomingRequest, body: Buffer): Exchange {
-    const { head, admitted, arrivedAt, response } = entry;
-    const exchange = Exchange.create(this.#port, {
-      head,
-      body,
-      admitted,
-      arrivedAt,
-      deadlineAt: deadlineOf(arrivedAt, {
-        timeoutMs: admitted.route.timeoutMs,
-        leftMs: head.leftMs,
-      }),
-      digest: digestOf(entry, body),
-    }, { response });
-    this.#exchanges.add(exchange);
-    exchange.start();
-    return exchange;
-  }
-
   #refuse(
     response: ClientResponse,
     rejected: RejectedRequest,
@@ -229,27 +197,10 @@
   }
 }
 
-type AcceptedRequest = Readonly<
-  { head: RequestHead; admitted: AdmittedRequest; bodyBytes: number }
->;
+type AcceptedRequest = Omit<AdmittedHead, "arrivedAt" | "response">;
 type RejectedRequest = Readonly<{ head?: RequestHead; problem: Problem }>;
-type IncomingRequest =
-  & AcceptedRequest
-  & Readonly<{ arrivedAt: Timestamp; response: ClientResponse }>;
-
 function headBytesOf(req: IncomingMessage): number {
   let size = (req.url ?? "").length;
   for (const part of req.rawHeaders) size += part.length + 2;
   return size;
 }
-
-/** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
-function digestOf(entry: AcceptedRequest, body: Buffer): string {
-  return createHash("sha1")
-    .update(entry.admitted.team?.id ?? "")
-    .update("\n")
-    .update(entry.head.path)
-    .update("\n")
-    .update(body)
-    .digest("base64url");
-}
--- /dev/null
+++ b/src/gateway/requests/incoming_request.ts
@@ -0,0 +1,127 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { UpstreamId } from "../../core/id.ts";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { AdmittedRequest } from "../serving/route_table.ts";
+import type { ClientResponse } from "./client_response.ts";
+import type { RequestHead } from "./dialect.ts";
+import { Exchange } from "./exchange.ts";
+import type { ExchangePort } from "./exchange_port.ts";
+import { deadlineOf } from "./exchange_util.ts";
+
+/** A request whose head was admitted. */
+export type AdmittedHead = Readonly<{
+  head: RequestHead;
+  admitted: AdmittedRequest;
+  /** Largest body that is accepted. */
+  bodyBytes: number;
+  arrivedAt: Timestamp;
+  response: ClientResponse;
+}>;
+
+/** Refuses a request; `unread` if its body was not read to the end. */
+export type RefuseRequest = (err: Problem, unread: boolean) => void;
+
+/** An admitted request, from its head to its final response: reads the body, then runs the exchange. */
+export class IncomingRequest {
+  readonly #port: ExchangePort;
+  readonly #entry: AdmittedHead;
+  readonly #refuse: RefuseRequest;
+  #chunks: Buffer[] = [];
+  #receivedBytes = 0;
+  #exchange: Exchange | undefined;
+
+  private constructor(
+    port: ExchangePort,
+    entry: AdmittedHead,
+    refuse: RefuseRequest,
+  ) {
+    this.#port = port;
+    this.#entry = entry;
+    this.#refuse = refuse;
+  }
+
+  static create(
+    port: ExchangePort,
+    entry: AdmittedHead,
+    options: Readonly<{ refuse: RefuseRequest }>,
+  ): IncomingRequest {
+    return new IncomingRequest(port, entry, options.refuse);
+  }
+
+  /** Reads the body and starts the exchange at its end. */
+  read(req: IncomingMessage, res: ServerResponse): void {
+    const { response, bodyBytes } = this.#entry;
+    res.once("close", () => this.#onClose(res));
+    req.on("data", (chunk: Buffer) => {
+      this.#receivedBytes += chunk.length;
+      if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
+      else if (!response.started) {
+        req.pause();
+        this.#refuse(
+          problem("body_too_large", "The request body is too large"),
+          true,
+        );
+      }
+    });
+    req.on("end", () => {
+      if (response.started || res.destroyed) return;
+      this.#exchange = this.#start(Buffer.concat(this.#chunks));
+      this.#chunks = [];
+    });
+  }
+
+  upstreamLost(id: UpstreamId): void {
+    this.#exchange?.upstreamLost(id);
+  }
+
+  /** Logs that the daemon exits before this request has ended. */
+  logCut(): void {
+    if (this.#exchange !== undefined) this.#exchange.logCut();
+    else this.#line("cut", { state: "body", received: this.#receivedBytes });
+  }
+
+  #onClose(res: ServerResponse): void {
+    if (res.writableFinished) return;
+    if (this.#exchange !== undefined) this.#exchange.cancel();
+    else {
+      this.#line("client_left", { placed: 0, received: this.#receivedBytes });
+    }
+  }
+
+  #start(body: Buffer): Exchange {
+    const { head, admitted, arrivedAt, response } = this.#entry;
+    const exchange = Exchange.create(this.#port, {
+      head,
+      body,
+      admitted,
+      arrivedAt,
+      deadlineAt: deadlineOf(arrivedAt, {
+        timeoutMs: admitted.route.timeoutMs,
+        leftMs: head.leftMs,
+      }),
+      digest: digestOf(this.#entry, body),
+    }, { response });
+    exchange.start();
+    return exchange;
+  }
+
+  #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
+    const { head, admitted } = this.#entry;
+    const route = admitted.route.name;
+    this.#port.line(kind, { req: head.id, route, ...fields });
+  }
+}
+
+/** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
+function digestOf(entry: AdmittedHead, body: Buffer): string {
+  return createHash("sha1")
+    .update(entry.admitted.team?.id ?? "")
+    .update("\n")
+    .update(entry.head.path)
+    .update("\n")
+    .update(body)
+    .digest("base64url");
+}
