Take nothing during a planned stop that can't be finished, and cut nothing without an answer

Cause: a draining daemon took all requests for 3 s, whatever time they needed, and at 7.5 s exited with whatever was open. Class: a promise ("taken") that outlives the one who gave it. Ruled out as the cause of the reported silence cuts, which are another fault: those have lines.

Change: DrainGate decides by what is left. A call that may not be repeated is taken only if its time limit ends before the stop; the others by what recent answers on their route took (AnswerTimes). It is asked at the head, at the end of the body, while a request waits for a place (a timer), and before the first byte is sent; what was never sent gets 503 and 50 ms. Placement gets the time until the stop as time left. At 0.8 s before SIGKILL each request still open gets its final response (503 if it has not run, 502 if it may have, else a visible truncation) and a line. PlannedStop holds the sequence.

--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -10,6 +10,7 @@
 import { CoreLoop } from "./core_loop.ts";
 import { DatagramPort } from "./peers/datagram_port.ts";
 import type { Dialect } from "./requests/dialect.ts";
+import type { Drain } from "./requests/drain_gate.ts";
 import type { EngineOrders } from "./requests/engine_orders.ts";
 import { type CallerLocation, chooseEntries } from "./members/entry_choice.ts";
 import { EventLog, type LogFields } from "./event_log.ts";
@@ -22,6 +23,7 @@
 import { isReady, livenessTimeoutMs } from "./members/membership.ts";
 import { decodePeerMessage, encodePeerMessage } from "./peers/peer_message.ts";
 import type { PlacementResult } from "./placement/placement_port.ts";
+import { drainTimeMs, PlannedStop } from "./planned_stop.ts";
 import type { PlatformStore } from "./store/platform_store.ts";
 import { RetryBudget } from "./requests/retry_budget.ts";
 import { encodeServing } from "./serving/serving_json.ts";
@@ -33,12 +35,6 @@
 import { SERVING_PATH, StoreCaller } from "./store/store_caller.ts";
 
 const METRICS_PATH = "/metrics";
-/** How often a draining daemon checks whether it may exit. */
-const DRAIN_CHECK_INTERVAL_MS: Millis = 100;
-/** Minimum time of a drain: clients with an older response of the directory may still connect. */
-const MIN_DRAIN_MS: Millis = 3_200;
-/** Time before the end of the grace period at which the process exits by itself. */
-const EXIT_MARGIN_MS: Millis = 500;
 /** How often a fixed piece of work is timed to detect a slow VM. */
 const SELF_TIMING_INTERVAL_MS: Millis = 500;
 /** Text hashed as the fixed piece of work; takes some tenths of a ms on the smallest VMs. */
@@ -104,7 +100,7 @@
     });
     this.#front = FrontServer.create(this.#createExchangePort(adapters), {
       routes: () => this.#core.board.serving.routes,
-      drainingSince: () => this.#core.board.self.drainingSince,
+      drain: () => this.#drain(),
     });
   }
 
@@ -153,29 +149,34 @@
     this.#loop.step();
   }
 
-  /** Takes no new clients, waits for open requests within the grace period, then calls `exit`; idempotent. */
+  /** Begins a planned stop, which ends with a call of `exit`; idempotent. */
   drain(exit: () => void): void {
     if (this.#draining) return;
     this.#draining = true;
-    const drainStartedAt = this.#loop.now();
-    this.#line("stop", { open: this.#front.openRequests });
-    this.#loop.push({ type: "drain" });
-    const timer = setInterval(() => {
-      // Lines that are only buffered are lost if the process is killed at the end of the grace period.
-      this.#log.flush();
-      const drainMs = this.#loop.now() - drainStartedAt;
-      const done = drainMs >= MIN_DRAIN_MS && this.#front.openRequests === 0;
-      if (!done && drainMs < this.#settings.graceMs - EXIT_MARGIN_MS) return;
-      clearInterval(timer);
-      this.#front.logCut();
-      this.#line("stopped", {
-        open: this.#front.openRequests,
-        ms: Math.round(drainMs),
-      });
-      this.#front.close();
-      this.#log.close();
-      exit();
-    }, DRAIN_CHECK_INTERVAL_MS);
+    PlannedStop.begin({
+      now: () => this.#loop.now(),
+      openRequests: () => this.#front.openRequests,
+      drain: () => {
+        this.#loop.push({ type: "drain" });
+        this.#loop.step();
+        this.#front.drain();
+      },
+      cut: () => this.#front.cut(),
+      line: (kind, fields) => this.#line(kind, fields),
+      flush: () => this.#log.flush(),
+      exit: () => {
+        this.#front.close();
+        this.#log.close();
+        exit();
+      },
+    }, this.#settings.graceMs);
+  }
+
+  #drain(): Drain | undefined {
+    const since = this.#core.board.self.drainingSince;
+    if (since === undefined) return undefined;
+    const drainMs = drainTimeMs(this.#settings.graceMs);
+    return { since, endsAt: addMs(since, drainMs) };
   }
 
   /** Logs the result of reloading the settings. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -8,6 +8,7 @@
 import { Attempt } from "./attempt.ts";
 import { AttemptTimes } from "./attempt_times.ts";
 import type { ClientResponse } from "./client_response.ts";
+import { type DrainGate, draining } from "./drain_gate.ts";
 import {
   type ContentReport,
   outcomeOfCancellation,
@@ -36,6 +37,13 @@
 /** Retry-After of a failure that may be transient. */
 const RETRY_AFTER_MS: Millis = 200;
 
+type ExchangeOptions = Readonly<{
+  response: ClientResponse;
+  gate: DrainGate;
+  /** Called with the time since the request's arrival when it was answered. */
+  onAnswered: (ms: Millis) => void;
+}>;
+
 /** Handles one client request, from its placement on an upstream to its single final response. */
 export class Exchange {
   readonly #port: ExchangePort;
@@ -45,6 +53,8 @@
   readonly #backend: Backend;
   readonly #history: AttemptHistory;
   readonly #log: ExchangeLog;
+  readonly #gate: DrainGate;
+  readonly #onAnswered: (ms: Millis) => void;
   #job: JobId | undefined;
   #grant: PoolGrant | undefined;
   #tickets: TicketManager | undefined;
@@ -54,17 +64,22 @@
   #expectMs: Millis = 0;
   readonly #responseTimer = ResponseTimer.create();
   #deadlineTimer: NodeJS.Timeout | undefined;
+  /** Refuses the request during a planned stop when it is too late to send it. */
+  #sendTimer: NodeJS.Timeout | undefined;
   #finished = false;
   #times = AttemptTimes.create(0 as Timestamp);
 
   private constructor(
     port: ExchangePort,
     req: ExchangeRequest,
-    response: ClientResponse,
+    options: ExchangeOptions,
   ) {
+    const { response } = options;
     this.#port = port;
     this.#req = req;
     this.#response = response;
+    this.#gate = options.gate;
+    this.#onAnswered = options.onAnswered;
     this.#history = AttemptHistory.create(req.admitted.route);
     this.#backend = chooseBackend(req.admitted.route.backends, port.random());
     this.#relay = ResponseRelay.create(response, {
@@ -77,14 +92,14 @@
   static create(
     port: ExchangePort,
     req: ExchangeRequest,
-    options: Readonly<{ response: ClientResponse }>,
+    options: ExchangeOptions,
   ): Exchange {
-    return new Exchange(port, req, options.response);
+    return new Exchange(port, req, options);
   }
 
   /** Places the request; the final response is given by its deadline. */
   start(): void {
-    const left = this.#leftMs();
+    const left = this.#req.deadlineAt - this.#port.now();
     this.#deadlineTimer = setTimeout(() => this.#expire(), Math.max(0, left));
     this.#port.recordFirstSend(this.#backend.service);
     this.#place();
@@ -97,8 +112,23 @@
     this.#log.clientDisconnected();
   }
 
-  /** Logs that the daemon exits before this request has ended. */
-  logCut(): void {
+  /** Refuses the request, unless it was sent, as soon as it may not end before the daemon stops. */
+  drain(): void {
+    clearTimeout(this.#sendTimer);
+    const isUnsent = this.#attempt === undefined && !this.#response.started &&
+      this.#history.verdict === "not_run";
+    if (this.#finished || !isUnsent) return;
+    const now = this.#port.now();
+    const latestAt = this.#gate.latestSendAt(this.#drainingRequest, now);
+    if (latestAt === undefined) return;
+    this.#sendTimer = setTimeout(
+      () => this.#refuseIfTooLate(),
+      Math.max(0, latestAt - now) + 1,
+    );
+  }
+
+  /** Gives the final response at once, as the daemon is about to exit. */
+  cut(): void {
     if (this.#finished) return;
     this.#log.cut({
       state: this.#attempt === undefined ? "waiting" : "sent",
@@ -108,6 +138,19 @@
         : this.#times.silentMs(this.#port.now()),
       leftMs: this.#leftMs(),
     });
+    this.#abandon(draining("The daemon stops before the answer is complete"));
+  }
+
+  get #drainingRequest() {
+    const { admitted, deadlineAt } = this.#req;
+    return { route: admitted.route, deadlineAt };
+  }
+
+  #refuseIfTooLate(): boolean {
+    const req = this.#drainingRequest;
+    const refusal = this.#gate.refusal(req, this.#port.now());
+    if (refusal !== undefined) this.#refuse(refusal);
+    return refusal !== undefined;
   }
 
   /** Fails an attempt at an upstream whose process was lost, as its connection may stay open without an error. */
@@ -124,13 +167,14 @@
   }
 
   #leftMs(): Millis {
-    return this.#req.deadlineAt - this.#port.now();
+    return this.#gate.deadlineOf(this.#req.deadlineAt) - this.#port.now();
   }
 
   #place(): void {
     const { head } = this.#req;
     const job = `${head.id}.${this.#history.countPlacement()}` as JobId;
     this.#job = job;
+    this.drain();
     const askedAt = this.#port.now();
     const ask = placementRequestOf(this.#req, this.#port.self, {
       job,
@@ -177,7 +221,9 @@
   }
 
   #dispatch(grant: PoolGrant): void {
-    const { head, body, admitted } = this.#req;
+    const { head, body, admitted, deadlineAt } = this.#req;
+    if (this.#history.verdict === "not_run" && this.#refuseIfTooLate()) return;
+    clearTimeout(this.#sendTimer);
     const closed = this.#closedFailureOf(grant);
     if (closed !== undefined) return this.#failAttempt(closed);
     const address = grant.addresses[grant.job.upstream];
@@ -186,7 +232,7 @@
         notSent("connect_failed", "The upstream's address is unknown"),
       );
     }
-    const leftMs = this.#leftMs();
+    const leftMs = deadlineAt - this.#port.now();
     const headers = this.#port.dialect.encodeAttempt(head, {
       upstream: grant.job.upstream,
       team: admitted.team?.id,
@@ -275,6 +321,7 @@
     const { head, arrivedAt } = this.#req;
     const ms = this.#port.now() - arrivedAt;
     this.#port.observe.completed(head.promptTokens, ms);
+    this.#onAnswered(ms);
     this.#log.answered(this.#grant?.job.upstream, {
       expectMs: this.#expectMs,
       firstMs: this.#responseTimer.firstMs,
@@ -333,16 +380,20 @@
 
   #expire(): void {
     if (this.#finished) return;
+    this.#abandon(problem("deadline_exceeded", "The deadline has passed", {
+      retryAfterMs: RETRY_AFTER_MS,
+    }));
+  }
+
+  /** Ends the request, at whatever point it is. */
+  #abandon(err: Problem): void {
     const attemptVerdict = this.#attempt?.verdict ?? "not_run";
     this.#history.mergeVerdict(attemptVerdict);
     this.#endAttempt({
       phase: "ended",
       content: this.#contentReportOf(this.#cancelledOutcome()),
     });
-    this.#refuse(problem("deadline_exceeded", "The deadline has passed", {
-      verdict: this.#history.verdict,
-      retryAfterMs: RETRY_AFTER_MS,
-    }));
+    this.#refuse({ ...err, verdict: this.#history.verdict });
   }
 
   #refuse(err: Problem): void {
@@ -396,6 +447,7 @@
   ): void {
     this.#finished = true;
     clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#sendTimer);
     this.#endAttempt({
       phase: "ended",
       content: this.#contentReportOf(content),
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -7,9 +7,12 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
+import { type Drain, DrainGate } from "./drain_gate.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
+import { deadlineOf } from "./exchange_util.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import { type AdmittedHead, IncomingRequest } from "./incoming_request.ts";
 import type { RouteTable } from "../serving/route_table.ts";
@@ -25,16 +28,12 @@
 const CONNECTION_CHECK_INTERVAL_MS: Millis = 1_000;
 /** Added to the configured idle time, so that the server doesn't close a connection that a client still reuses. */
 const IDLE_MARGIN_MS: Millis = 1_000;
-/** How long a draining daemon still accepts new requests, as clients may use stale responses of the directory. */
-const DRAIN_GRACE_MS: Millis = 3_000;
-/** Retry-After while draining; short, as another daemon can serve the request. */
-const DRAINING_RETRY_AFTER_MS: Millis = 50;
 const NOT_CONFIGURED_RETRY_AFTER_MS: Millis = 500;
 
 /** State of the daemon that the front server reads. */
 export type FrontState = Readonly<{
   routes: () => RouteTable | undefined;
-  drainingSince: () => Timestamp | undefined;
+  drain: () => Drain | undefined;
 }>;
 
 /** HTTP server for clients; rejects requests that can't be served at once, and runs an exchange for the others. */
@@ -44,11 +43,14 @@
   readonly #server: Server;
   /** Admitted requests without a final response. */
   readonly #requests = new Set<IncomingRequest>();
+  readonly #gate: DrainGate;
+  readonly #times = AnswerTimes.create();
   #openRequests = 0;
 
   private constructor(port: ExchangePort, state: FrontState) {
     this.#port = port;
     this.#state = state;
+    this.#gate = DrainGate.create(state.drain, this.#times);
     this.#server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
@@ -88,9 +90,14 @@
     for (const one of this.#requests) one.upstreamLost(id);
   }
 
-  /** Logs each admitted request that has no final response, as the daemon is about to exit. */
-  logCut(): void {
-    for (const one of this.#requests) one.logCut();
+  /** Applies the limits of a planned stop to the requests that are open when it begins. */
+  drain(): void {
+    for (const one of this.#requests) one.drain();
+  }
+
+  /** Gives each open request its final response, as the daemon is about to exit. */
+  cut(): void {
+    for (const one of [...this.#requests]) one.cut();
   }
 
   /** Stops accepting connections, and closes idle ones. */
@@ -103,7 +110,7 @@
     this.#openRequests += 1;
     res.once("close", () => this.#openRequests -= 1);
     const arrivedAt = this.#port.now();
-    const isDraining = () => this.#state.drainingSince() !== undefined;
+    const isDraining = () => this.#gate.drain !== undefined;
     const response = ClientResponse.create(res, isDraining);
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
@@ -120,6 +127,8 @@
       arrivedAt,
       response,
     }, {
+      gate: this.#gate,
+      times: this.#times,
       refuse: (err, unread) =>
         this.#refuse(response, { head, problem: err }, unread),
     });
@@ -132,7 +141,6 @@
     req: IncomingMessage,
     now: Timestamp,
   ): AcceptedRequest | RejectedRequest {
-    const since = this.#state.drainingSince();
     if (hasInvalidHeader(req.rawHeaders)) {
       return { problem: problem("bad_request", "A header is invalid") };
     }
@@ -143,12 +151,8 @@
     );
     if (decoded.isErr()) return { problem: decoded.error };
     const head = decoded.value;
-    if (since !== undefined && now - since > DRAIN_GRACE_MS) {
-      const draining = problem("draining", "This daemon is draining", {
-        retryAfterMs: DRAINING_RETRY_AFTER_MS,
-      });
-      return { head, problem: draining };
-    }
+    const closed = this.#gate.closed(now);
+    if (closed !== undefined) return { head, problem: closed };
     const routes = this.#state.routes();
     if (routes === undefined) {
       const notConfigured = problem(
@@ -175,6 +179,12 @@
     }
     const admitted = routes.admit(head);
     if (admitted.isErr()) return { head, problem: admitted.error };
+    const { route } = admitted.value;
+    const refusal = this.#gate.refusal({
+      route,
+      deadlineAt: deadlineOf(now, { ...route, leftMs: head.leftMs }),
+    }, now);
+    if (refusal !== undefined) return { head, problem: refusal };
     return { head, admitted: admitted.value, bodyBytes: limits.bodyBytes };
   }
 
@@ -191,6 +201,7 @@
       host: head?.host,
       path: head?.path,
       code: err.code,
+      detail: err.detail,
       version: this.#state.routes()?.serving.version,
     });
     response.sendProblem(err, unread ? { connection: "close" } : {});
--- a/src/gateway/requests/front_server_test.ts
+++ b/src/gateway/requests/front_server_test.ts
@@ -9,7 +9,7 @@
 import { type AddressInfo, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { PlatformDialect } from "../../../platform/wire/dialect.ts";
-import type { Timestamp } from "../../core/time.ts";
+import { addMs, type Timestamp } from "../../core/time.ts";
 import {
   createFakePort,
   servingWithRoutes,
@@ -20,6 +20,8 @@
 
 /** How long after a time-out the platform still accepts the final response. */
 const LATE_MS = 500;
+/** Time from SIGTERM until open requests are cut. */
+const DRAIN_MS = 7_200;
 
 type Handler = (
   req: IncomingMessage,
@@ -61,7 +63,10 @@
   routes = RouteTable.create(servingWithRoutes(fields));
   front = FrontServer.create(fake, {
     routes: () => routes,
-    drainingSince: () => drainingSince,
+    drain: () =>
+      drainingSince === undefined
+        ? undefined
+        : { since: drainingSince, endsAt: addMs(drainingSince, DRAIN_MS) },
   });
   port = await freePort();
   await front.listen("127.0.0.1", port);
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -5,10 +5,12 @@
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Timestamp } from "../../core/time.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
+import type { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangePort } from "./exchange_port.ts";
+import { type DrainGate, draining } from "./drain_gate.ts";
 import { deadlineOf } from "./exchange_util.ts";
 
 /** A request whose head was admitted. */
@@ -24,10 +26,16 @@
 /** Refuses a request; `unread` if its body was not read to the end. */
 export type RefuseRequest = (err: Problem, unread: boolean) => void;
 
+type IncomingRequestOptions = Readonly<
+  { gate: DrainGate; times: AnswerTimes; refuse: RefuseRequest }
+>;
+
 /** An admitted request, from its head to its final response: reads the body, then runs the exchange. */
 export class IncomingRequest {
   readonly #port: ExchangePort;
   readonly #entry: AdmittedHead;
+  readonly #gate: DrainGate;
+  readonly #times: AnswerTimes;
   readonly #refuse: RefuseRequest;
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
@@ -36,19 +44,21 @@
   private constructor(
     port: ExchangePort,
     entry: AdmittedHead,
-    refuse: RefuseRequest,
+    options: IncomingRequestOptions,
   ) {
     this.#port = port;
     this.#entry = entry;
-    this.#refuse = refuse;
+    this.#gate = options.gate;
+    this.#times = options.times;
+    this.#refuse = options.refuse;
   }
 
   static create(
     port: ExchangePort,
     entry: AdmittedHead,
-    options: Readonly<{ refuse: RefuseRequest }>,
+    options: IncomingRequestOptions,
   ): IncomingRequest {
-    return new IncomingRequest(port, entry, options.refuse);
+    return new IncomingRequest(port, entry, options);
   }
 
   /** Reads the body and starts the exchange at its end. */
@@ -68,6 +78,8 @@
     });
     req.on("end", () => {
       if (response.started || res.destroyed) return;
+      const refusal = this.#drainRefusal();
+      if (refusal !== undefined) return this.#refuse(refusal, false);
       this.#exchange = this.#start(Buffer.concat(this.#chunks));
       this.#chunks = [];
     });
@@ -77,10 +89,41 @@
     this.#exchange?.upstreamLost(id);
   }
 
-  /** Logs that the daemon exits before this request has ended. */
-  logCut(): void {
-    if (this.#exchange !== undefined) this.#exchange.logCut();
-    else this.#line("cut", { state: "body", received: this.#receivedBytes });
+  /** Applies the limits of a planned stop. */
+  drain(): void {
+    this.#exchange?.drain();
+  }
+
+  /** Gives the final response, as the daemon is about to exit. */
+  cut(): void {
+    if (this.#exchange !== undefined) return this.#exchange.cut();
+    if (this.#entry.response.started) return;
+    this.#line("cut", { state: "body", received: this.#receivedBytes });
+    this.#refuse(draining("The daemon stops before the body is read"), true);
+  }
+
+  get #deadlineAt(): Timestamp {
+    const { head, admitted, arrivedAt } = this.#entry;
+    return deadlineOf(arrivedAt, {
+      timeoutMs: admitted.route.timeoutMs,
+      leftMs: head.leftMs,
+    });
+  }
+
+  /** The refusal if a planned stop leaves too little time; logs what a draining daemon takes. */
+  #drainRefusal(): Problem | undefined {
+    const { drain } = this.#gate;
+    if (drain === undefined) return undefined;
+    const now = this.#port.now();
+    const { route } = this.#entry.admitted;
+    const req = { route, deadlineAt: this.#deadlineAt };
+    const refusal = this.#gate.refusal(req, now);
+    if (refusal !== undefined) return refusal;
+    this.#line("taken", {
+      need_ms: Math.round(this.#gate.needMs(req, now)),
+      left_ms: Math.round(drain.endsAt - now),
+    });
+    return undefined;
   }
 
   #onClose(res: ServerResponse): void {
@@ -93,17 +136,19 @@
 
   #start(body: Buffer): Exchange {
     const { head, admitted, arrivedAt, response } = this.#entry;
+    const deadlineAt = this.#deadlineAt;
     const exchange = Exchange.create(this.#port, {
       head,
       body,
       admitted,
       arrivedAt,
-      deadlineAt: deadlineOf(arrivedAt, {
-        timeoutMs: admitted.route.timeoutMs,
-        leftMs: head.leftMs,
-      }),
+      deadlineAt,
       digest: digestOf(this.#entry, body),
-    }, { response });
+    }, {
+      response,
+      gate: this.#gate,
+      onAnswered: (ms) => this.#times.record(admitted.route, ms),
+    });
     exchange.start();
     return exchange;
   }
--- a/src/gateway/requests/random_faults_test.ts
+++ b/src/gateway/requests/random_faults_test.ts
@@ -105,7 +105,7 @@
   const routes = RouteTable.create(servingWithRoutes({ timeoutMs: 5_000 }));
   front = FrontServer.create(createFakePort(dialect, addresses), {
     routes: () => routes,
-    drainingSince: () => undefined,
+    drain: () => undefined,
   });
   const probe = createServer();
   await new Promise<void>((done) => probe.listen(0, "127.0.0.1", done));
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -10,6 +10,8 @@
   type Socket,
 } from "node:net";
 import { PlatformDialect } from "../../platform/wire/dialect.ts";
+import { addMs, type Millis } from "../core/time.ts";
+import type { Drain } from "../gateway/requests/drain_gate.ts";
 import { FrontServer } from "../gateway/requests/front_server.ts";
 import { RouteTable } from "../gateway/serving/route_table.ts";
 import type { Route } from "../gateway/serving/serving_config.ts";
@@ -37,19 +39,24 @@
   /** Host and port of each upstream. */
   readonly addresses: readonly string[];
   readonly #servers: readonly Server[];
-  readonly #frontServer: FrontServer;
-  readonly #port: number;
+  readonly frontServer: FrontServer;
+  /** Port of the front server. */
+  readonly port: number;
+  readonly #stop: { drain: Drain | undefined };
 
   private constructor(
     exchangePort: FakePort,
     servers: readonly Server[],
-    front: Readonly<{ server: FrontServer; port: number }>,
+    front: Readonly<
+      { server: FrontServer; port: number; stop: { drain: Drain | undefined } }
+    >,
   ) {
     this.exchangePort = exchangePort;
     this.addresses = servers.map(addressOf);
     this.#servers = servers;
-    this.#frontServer = front.server;
-    this.#port = front.port;
+    this.frontServer = front.server;
+    this.port = front.port;
+    this.#stop = front.stop;
   }
 
   /** Starts an upstream for each script; requests are placed on them in turn. */
@@ -67,15 +74,30 @@
     const addresses = servers.map(addressOf);
     const exchangePort = createFakePort(PlatformDialect.create(), addresses);
     const routes = RouteTable.create(servingWithRoutes(fields));
+    const stop: { drain: Drain | undefined } = { drain: undefined };
     const server = FrontServer.create(exchangePort, {
       routes: () => routes,
-      drainingSince: () => undefined,
+      drain: () => stop.drain,
     });
     const portProbe = createHttpServer();
     const port = await listen(portProbe);
     await new Promise<void>((resolve) => portProbe.close(() => resolve()));
     await server.listen("127.0.0.1", port);
-    return new FrontServerFixture(exchangePort, servers, { server, port });
+    return new FrontServerFixture(exchangePort, servers, {
+      server,
+      port,
+      stop,
+    });
+  }
+
+  /** Begins a planned stop `agoMs` ago, which cuts open requests `leftMs` from now. */
+  drain(agoMs: Millis, leftMs: Millis): void {
+    const now = this.exchangePort.now();
+    this.#stop.drain = {
+      since: addMs(now, -agoMs),
+      endsAt: addMs(now, leftMs),
+    };
+    this.frontServer.drain();
   }
 
   /** Sends one request with a team's key; resolves with its final response. */
@@ -83,7 +105,7 @@
     return new Promise<FrontResponse>((resolve) => {
       const req = request({
         host: "127.0.0.1",
-        port: this.#port,
+        port: this.port,
         path,
         method: "POST",
         agent: false,
@@ -114,7 +136,7 @@
   }
 
   close(): void {
-    this.#frontServer.close();
+    this.frontServer.close();
     for (const server of this.#servers) server.close();
   }
 }
