Exit although nobody reads the log

EventLog.close waited in flushSync, which repeats without end and stops the event loop, and process.exit waits for the blocked write of the thread pool (both seen with a paused pipe: still there after 4 s). Requests that were open then were cut by SIGKILL with no line, and after an unexpected error the process would neither serve nor end.

--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -1,5 +1,5 @@
 import { SonicBoom } from "sonic-boom";
-import { SECOND_MS, type Timestamp } from "../core/time.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 
 /** Fields of one log line. */
 export type LogFields = Readonly<
@@ -13,6 +13,9 @@
 /** Bytes buffered before a write. */
 const MIN_WRITE_BYTES = 8 * 1024;
 
+/** Time that the last lines are given to be written. */
+const CLOSE_TIMEOUT_MS: Millis = 200;
+
 type LineBudget = { second: number; written: number; suppressed: number };
 
 /** Writes one JSON object per line to a file descriptor, standard output by default; never blocks on the reader. */
@@ -71,14 +74,18 @@
     this.#out.flush();
   }
 
-  /** Writes the buffered lines synchronously, before the process exits. */
-  close(): void {
-    try {
-      this.#out.flushSync();
-    } catch {
-      // The reader is gone or its pipe is full, so the failure can only be counted.
-      this.#dropped += 1;
-    }
+  /**
+   * Writes the buffered lines before the process exits; resolves to whether all were written. If not, a write may be
+   * blocked by a reader that has stopped, and `process.exit` would wait for it.
+   */
+  close(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(false), CLOSE_TIMEOUT_MS);
+      this.#out.flush((err) => {
+        clearTimeout(timer);
+        resolve(err === undefined || err === null);
+      });
+    });
   }
 
   #budgetFor(kind: string, second: number): LineBudget {
--- a/src/gateway/event_log_test.ts
+++ b/src/gateway/event_log_test.ts
@@ -21,7 +21,7 @@
   now = 1_000;
   log.line("place", { i: 100 });
   await new Promise((resolve) => setTimeout(resolve, 50));
-  log.close();
+  await log.close();
   const lines = readFileSync(file, "utf8").trim().split("\n")
     .map((line) => JSON.parse(line));
   expect(lines.filter((line) => line.kind === "place")).toHaveLength(61);
@@ -38,5 +38,5 @@
   }
   expect(performance.now() - from).toBeLessThan(5_000);
   await expect.poll(() => log.dropped, { timeout: 5_000 }).toBeGreaterThan(0);
-  log.close();
+  await log.close();
 });
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -49,6 +49,9 @@
   orders: EngineOrders;
 }>;
 
+/** Ends the process; `logged` is false if a write to the log may be blocked. */
+export type ExitProcess = (logged: boolean) => void;
+
 /** The I/O shell around the core: performs its intents and turns external input into events. */
 export class GatewayDaemon {
   readonly #settings: GatewaySettings;
@@ -150,7 +153,7 @@
   }
 
   /** Begins a planned stop, which ends with a call of `exit`; idempotent. */
-  drain(exit: () => void): void {
+  drain(exit: ExitProcess): void {
     if (this.#draining) return;
     this.#draining = true;
     PlannedStop.begin({
@@ -166,8 +169,7 @@
       flush: () => this.#log.flush(),
       exit: () => {
         this.#front.close();
-        this.#log.close();
-        exit();
+        void this.#log.close().then(exit);
       },
     }, this.#settings.graceMs);
   }
@@ -184,10 +186,10 @@
     this.#line("reload", fields);
   }
 
-  /** Logs an unexpected error and closes the log, before the process exits. */
-  logCrash(fields: LogFields): void {
+  /** Logs an unexpected error and closes the log, then calls `exit`. */
+  crash(fields: LogFields, exit: ExitProcess): void {
     this.#line("unexpected_error", fields);
-    this.#log.close();
+    void this.#log.close().then(exit);
   }
 
   #perform(intent: GatewayIntent): void {
--- a/tools/bench/log_bench.ts
+++ b/tools/bench/log_bench.ts
@@ -31,7 +31,7 @@
   const many = await cpuMs(() => {
     for (let i = 0; i < rounds; i += 1) second(MANY_OFFERED);
   });
-  log.close();
+  await log.close();
   closeSync(fd);
   const lines = SECONDS * OFFERED;
   const lineUs = written * 1_000 / lines;
