Let a silent attempt go on until another one takes its place

Cause: the silence limit failed the attempt before it was known whether another one would be placed. maxAttempts, the retry budget, the placement, the time left and bytes that no other attempt can continue each turned a pause into a lost answer. The class: a detector of dead upstreams ended work by itself, instead of the decision that depends on it.

Ruled out: the upstreams broke nothing off (they answered after the pause); the deadline and the client's time-out had not passed.

Change: at the limit the attempt goes on, and another place is sought beside it, on another upstream. Only when that one is granted, open, its memory reserved and a retry taken from the budget, the silent attempt ends and the next one is sent, in the same turn; never two at a time. A denial, or data of the silent upstream, leaves it running; a place beside it is withdrawn or given back as not run, and no retry is spent. Without another attempt it runs until its real end, the deadline or the client's leaving. The silence is reported when it begins (`silence: begun`, an optional field; earlier builds read the phase and the content), so that the upstream is avoided and contents are suspected as before, and taken back when the upstream is heard again. An attempt that ends during the silence fails once, and a crash counts once though the connection breaks later. Log lines: attempt_silent, attempt_resumed.

The simulation of deadly parts now reports a silence as the daemon does: it begins, and the attempt ends during it. Its checks and bounds are the same.

Conclusion: a silence alone ends no answer.

--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -16,7 +16,7 @@
 /** Progress of a job of this daemon or of another one. */
 type JobProgress = Pick<
   Extract<PeerMessage, { type: "progress" }>,
-  "job" | "phase" | "upstream" | "unreachable" | "content"
+  "job" | "phase" | "silence" | "upstream" | "unreachable" | "content"
 >;
 
 /** Collects evidence on contents that crash their upstreams, from this daemon's attempts and from other daemons. */
@@ -88,10 +88,12 @@
     step: GatewayStep,
     progress: JobProgress,
   ): void {
-    const { job, upstream, content } = progress;
+    const { job, phase, silence, upstream, content } = progress;
     const { suspects } = board.contents;
+    if (silence === "ended") suspects.silenceEnded({ job, upstream }, step.now);
     if (content === undefined) {
-      if (progress.phase !== "started") suspects.jobEnded(job);
+      const isReported = silence === "lasting";
+      if (phase !== "started" && !isReported) suspects.jobEnded(job);
     } else {
       const startedAt = board.register.table.startedAt(upstream);
       const attempt = { job, upstream, startedAt };
--- a/src/gateway/contents/content_report.ts
+++ b/src/gateway/contents/content_report.ts
@@ -17,7 +17,7 @@
   outcome: z.enum([
     /** The connection broke while the upstream may have been running the request. */
     "disconnected",
-    /** The attempt was ended because the upstream sent nothing. */
+    /** The upstream sent nothing up to its silence limit, or for long before the attempt was ended. */
     "silent",
     /** The upstream answered that it had not run the request. */
     "not_run",
@@ -36,7 +36,7 @@
   if (failure.disconnected === true || failure.cause === "upstream_crashed") {
     return "disconnected";
   }
-  return failure.cause === "upstream_silent" ? "silent" : undefined;
+  return undefined;
 }
 
 /** Outcome of an attempt that its client or its deadline ended; an upstream silent for `targetMs` may have crashed. */
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -181,6 +181,15 @@
     this.#probes.end(job);
   }
 
+  /** Drops the loss of a job whose upstream is heard again after a silence. */
+  silenceEnded(
+    { job, upstream }: Pick<ContentAttempt, "job" | "upstream">,
+    now: Timestamp,
+  ): void {
+    this.#losses.clearSilence(upstream, job, { now });
+    this.#probes.end(job);
+  }
+
   /** Counts the confirmed end of an upstream's process against what it was lost with. */
   processEnded(
     upstream: UpstreamId,
@@ -194,7 +203,7 @@
       this.#losses.processEnded(upstream, now, start);
     }
     // A crash counts once for a key, however many requests with it were running.
-    const losses = [...this.#losses.takeLosses(upstream, now)];
+    const losses = [...this.#losses.takeCrashes(upstream, now)];
     const hasSuspectPart = losses.some(([key]) =>
       this.#isSuspectPart(key, now)
     );
--- a/src/gateway/contents/pending_losses.ts
+++ b/src/gateway/contents/pending_losses.ts
@@ -30,6 +30,8 @@
   at: Timestamp;
   /** Start of the process that ended; absent where the register showed it, which then knows the next process. */
   startedAt?: number;
+  /** Jobs whose losses have been counted for this end. */
+  jobs: ReadonlySet<JobId>;
 }>;
 
 /** Contents and parts that lost upstreams may have been running, kept until it is known whether the process ended. */
@@ -49,6 +51,9 @@
     loss: UpstreamLoss,
   ): boolean {
     const { at, disconnected, startedAt } = loss;
+    const ended = this.#ended.get(upstream);
+    // A silent upstream was lost before its connection broke.
+    if (ended?.jobs.has(loss.job) === true) return false;
     const losses = this.#lossesOf(upstream, at);
     // The newest losses are kept: the upstream was running those requests when it was lost.
     for (const key of keys) {
@@ -59,7 +64,6 @@
     this.#losses.delete(upstream);
     this.#losses.set(upstream, losses);
     dropOldest(this.#losses, MAX_UPSTREAMS);
-    const ended = this.#ended.get(upstream);
     if (ended === undefined) return false;
     const isSameProcess = ended.startedAt === undefined ||
       (disconnected && ended.startedAt === startedAt);
@@ -83,7 +87,21 @@
     );
   }
 
-  /** Removes and returns the losses of an upstream whose process has ended, by key. */
+  /** Removes and returns the losses that count as crashes, as the upstream's process has ended. */
+  takeCrashes(
+    upstream: UpstreamId,
+    now: Timestamp,
+  ): ReadonlyMap<string, UpstreamLoss> {
+    const losses = this.takeLosses(upstream, now);
+    const ended = this.#ended.get(upstream);
+    if (ended === undefined) return losses;
+    const counted = [...losses.values()].map(({ job }) => job);
+    const jobs = new Set([...ended.jobs, ...counted]);
+    this.#ended.set(upstream, { ...ended, jobs });
+    return losses;
+  }
+
+  /** Removes and returns the losses of an upstream, by key. */
   takeLosses(
     upstream: UpstreamId,
     now: Timestamp,
@@ -99,13 +117,27 @@
     now: Timestamp,
     startedAt?: number,
   ): void {
+    const jobs = this.#ended.get(upstream)?.jobs ?? new Set();
     this.#ended.delete(upstream);
-    this.#ended.set(upstream, { at: now, startedAt });
+    this.#ended.set(upstream, { at: now, startedAt, jobs });
     for (const [id, { at }] of this.#ended) {
       if (now - at > CONFIRMATION_WINDOW_MS) this.#ended.delete(id);
     }
   }
 
+  /** Removes the losses by which a job's upstream fell silent. */
+  clearSilence(
+    upstream: UpstreamId,
+    job: JobId,
+    options: Readonly<{ now: Timestamp }>,
+  ): void {
+    const losses = this.#lossesOf(upstream, options.now);
+    for (const [key, loss] of losses) {
+      if (loss.job === job && !loss.disconnected) losses.delete(key);
+    }
+    if (losses.size === 0) this.#losses.delete(upstream);
+  }
+
   /** Removes the losses of a content or part that ran successfully. */
   clear(key: string): void {
     for (const losses of this.#losses.values()) losses.delete(key);
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -310,6 +310,10 @@
     const { card } = this.#settings;
     const { board } = this.#core;
     const metrics = this.#metrics;
+    const budgetShare = () => ({
+      daemons: board.members.table.all().length + 1,
+      ageMs: this.#loop.now() - this.#startedAt,
+    });
     return {
       dialect: adapters.dialect,
       orders: adapters.orders,
@@ -334,11 +338,10 @@
         this.#reportAvailability(upstream, availability, sentAt),
       recordFirstSend: (service) =>
         this.#budget.recordNew(service, this.#loop.now()),
+      mayRetry: (service) =>
+        this.#budget.hasLeft(service, this.#loop.now(), budgetShare()),
       spendRetry: (service) =>
-        this.#budget.trySpend(service, this.#loop.now(), {
-          daemons: board.members.table.all().length + 1,
-          ageMs: this.#loop.now() - this.#startedAt,
-        }),
+        this.#budget.trySpend(service, this.#loop.now(), budgetShare()),
       line: (kind, fields) => this.#line(kind, fields),
       observe: {
         placed: (tokens, ms) => metrics.placed(tokens, ms),
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -8,6 +8,7 @@
 } from "../scheduling/pool/pool_job.ts";
 import type { ContentRecord } from "./contents/content_record.ts";
 import type { ContentReport } from "./contents/content_report.ts";
+import type { Silence } from "./contents/silence.ts";
 import type { PeerCard, PeerMessage } from "./peers/peer_message.ts";
 import type { ServingBatch, StoreError } from "./store/platform_store.ts";
 import type { ServingConfig } from "./serving/serving_config.ts";
@@ -26,6 +27,7 @@
     job: JobId;
     upstream: UpstreamId;
     phase: "started" | "ended" | "failed";
+    silence?: Silence;
     unreachable?: boolean;
     content?: ContentReport;
   }>
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -16,6 +16,7 @@
 import { deflateJson, inflateJson } from "./deflated.ts";
 import { ContentSyncSchema } from "../contents/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
+import { SilenceSchema } from "../contents/silence.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
@@ -209,6 +210,8 @@
     job: z.string().transform((id) => id as JobId),
     upstream,
     phase: z.enum(["started", "ended", "failed"]),
+    /** Earlier builds read only the phase, which then loses no failure. */
+    silence: SilenceSchema.optional(),
     /** Whether no connection could be made to the upstream's address. */
     unreachable: z.boolean().optional(),
     content: ContentReportSchema.optional(),
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -295,15 +295,20 @@
     progress: Omit<Extract<PeerMessage, { type: "progress" }>, "type">,
   ): void {
     const { scheduler } = board.pool;
-    const { tracker } = scheduler;
-    if (progress.phase === "started") scheduler.started(progress.job, step.now);
-    else {
-      scheduler.withdraw(progress.job, step.now);
-      this.#replyTo.delete(progress.job);
-      const load = tracker.loadOf(progress.upstream);
-      if (progress.phase === "failed") load.recordFailure(step.now);
-      else load.recordSuccess(step.now);
+    const { phase, silence, job, upstream } = progress;
+    const load = scheduler.tracker.loadOf(upstream);
+    if (silence === "begun") load.recordFailure(step.now);
+    if (silence === "ended") load.recordSuccess(step.now);
+    if (phase === "started") {
+      if (silence === undefined) scheduler.started(job, step.now);
+      return;
     }
+    scheduler.withdraw(job, step.now);
+    this.#replyTo.delete(job);
+    // A failure by silence was counted when the silence began.
+    if (silence === "lasting") return;
+    if (phase === "failed") load.recordFailure(step.now);
+    else load.recordSuccess(step.now);
   }
 
   #withdraw(board: GatewayBoard, step: GatewayStep, job: JobId): void {
--- /dev/null
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -0,0 +1,264 @@
+import type { UpstreamId } from "../../core/id.ts";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Millis } from "../../core/time.ts";
+import type { JobId } from "../../scheduling/pool/pool_job.ts";
+import type { Backend } from "../serving/serving_config.ts";
+import type { AttemptListener } from "./attempt.ts";
+import type { AttemptHistory, ReplacementObstacle } from "./attempt_history.ts";
+import { AttemptPlacement } from "./attempt_placement.ts";
+import type { ExchangeLog } from "./exchange_log.ts";
+import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
+import { placementRequestOf } from "./exchange_util.ts";
+import type { ResponseRelay } from "./response_relay.ts";
+import type { AttemptFailure } from "./retry_policy.ts";
+import { SentAttempt, type SentAttemptTarget } from "./sent_attempt.ts";
+
+/** Retry-After of a failure that may be transient. */
+export const RETRY_AFTER_MS: Millis = 200;
+
+/** What the attempts at one request share. */
+export type AttemptSequenceContext = Readonly<{
+  backend: Backend;
+  history: AttemptHistory;
+  relay: ResponseRelay;
+  log: ExchangeLog;
+  listener:
+    & Omit<AttemptListener, "onFailure">
+    & Readonly<{
+      /** No attempt is left; called once at most. */
+      onExhausted: (err: Problem) => void;
+    }>;
+}>;
+
+/** Options of a failure's record. */
+type FailureContext = Readonly<{
+  upstream: UpstreamId | undefined;
+  /** The upstream at fault, if it is another one. */
+  culprit?: UpstreamId;
+  /** Whether the attempt was sent, so that another one counts against the retry budget. */
+  wasSent: boolean;
+}>;
+
+/**
+ * The attempts at one request, one after the other. An attempt whose upstream is silent goes on until another one can
+ * be sent in its place.
+ */
+export class AttemptSequence {
+  readonly #port: ExchangePort;
+  readonly #req: ExchangeRequest;
+  readonly #context: AttemptSequenceContext;
+  /** The place that is sought for the next attempt; beside `#sent` only while its upstream is silent. */
+  #placement: AttemptPlacement | undefined;
+  #sent: SentAttempt | undefined;
+
+  private constructor(
+    port: ExchangePort,
+    req: ExchangeRequest,
+    context: AttemptSequenceContext,
+  ) {
+    this.#port = port;
+    this.#req = req;
+    this.#context = context;
+  }
+
+  static create(
+    port: ExchangePort,
+    req: ExchangeRequest,
+    options: Readonly<{ context: AttemptSequenceContext }>,
+  ): AttemptSequence {
+    return new AttemptSequence(port, req, options.context);
+  }
+
+  /** The attempt that is running. */
+  get sent(): SentAttempt | undefined {
+    return this.#sent;
+  }
+
+  /** Seeks a place for the next attempt, on another upstream than the silent one. */
+  start(): void {
+    const { history, backend, log } = this.#context;
+    const job = `${this.#req.head.id}.${history.countPlacement()}` as JobId;
+    const silent = this.#sent === undefined ? [] : [this.#sent.upstream];
+    const placement = AttemptPlacement.create(this.#port, job, {
+      listener: {
+        onReady: (grant, address) => this.#send({ placement, grant, address }),
+        onDenied: (err) => this.#onDenied(err),
+        onUnusable: (failure) => this.#onUnusable(placement, failure),
+        onUpstreamLost: () => {
+          const detail = "The upstream no longer responds";
+          this.failOnUpstreamLoss(placement.upstream, detail);
+        },
+        onTicketError: (err) => log.line("ticket", { ...err }),
+      },
+    });
+    this.#placement = placement;
+    placement.request(placementRequestOf(this.#req, this.#port.self, {
+      job,
+      backend,
+      leftMs: this.#leftMs(),
+      avoid: [...history.failedUpstreams, ...silent],
+      closed: this.#port.closedUpstreams(backend.service),
+    }));
+  }
+
+  /** Fails the attempt if it runs on an upstream whose process has ended. */
+  failOnUpstreamLoss(id: UpstreamId | undefined, detail: string): void {
+    if (this.#sent === undefined || this.#sent.upstream !== id) return;
+    const { verdict } = this.#sent;
+    const cause = "upstream_crashed";
+    this.fail({ cause, verdict, detail, upstreamAtFault: true });
+  }
+
+  /** Ends the attempt as failed, and decides what follows. */
+  fail(failure: AttemptFailure, culprit?: UpstreamId): void {
+    const upstream = this.#sent?.upstream;
+    this.#sent?.failed(failure, culprit);
+    this.#sent = undefined;
+    this.#retry(failure, { upstream, culprit, wasSent: true });
+  }
+
+  /** Handles a sign of life of the upstream, which need not be replaced. */
+  heard(): void {
+    const sent = this.#sent;
+    if (sent === undefined) return;
+    if (sent.silentMs > 0) {
+      const withdrew = this.#placement !== undefined;
+      this.#context.log.silenceEnded(sent, { withdrew });
+    }
+    sent.heard();
+    this.#dropPlacement();
+  }
+
+  /** Ends the attempt as answered. */
+  complete(options: Readonly<{ hasRun: boolean }>): void {
+    this.#sent?.completed(options);
+    this.#sent = undefined;
+    this.abandon();
+  }
+
+  /** Ends all attempts, as the client or the deadline does. */
+  abandon(): void {
+    this.#sent?.abandon();
+    this.#sent = undefined;
+    this.#placement?.closeUnsent(this.#req);
+    this.#placement = undefined;
+  }
+
+  #leftMs(): Millis {
+    return this.#req.deadlineAt - this.#port.now();
+  }
+
+  #spendRetry(): boolean {
+    return this.#port.spendRetry(this.#context.backend.service);
+  }
+
+  #onDenied(err: Problem): void {
+    const { listener, history, log } = this.#context;
+    this.#placement = undefined;
+    if (this.#sent === undefined) return listener.onExhausted(err);
+    history.dropPlacement();
+    log.silence(this.#sent, { then: "wait", reason: err.code });
+  }
+
+  #onUnusable(placement: AttemptPlacement, failure: AttemptFailure): void {
+    const { upstream } = placement;
+    this.#placement = undefined;
+    placement.closeUnsent(this.#req, failure);
+    this.#retry(failure, { upstream, wasSent: false });
+  }
+
+  /** Sends the next attempt; a silent one ends first, so that only one is running. */
+  #send(target: Omit<SentAttemptTarget, "lastEventId">): void {
+    const { relay, listener } = this.#context;
+    if (this.#sent !== undefined && !this.#tryReplaceSilent(this.#sent)) return;
+    this.#placement = undefined;
+    relay.startAttempt();
+    const { lastEventId } = relay;
+    this.#sent = SentAttempt.create(this.#port, this.#req, {
+      target: { ...target, lastEventId },
+      listener: {
+        ...listener,
+        onFailure: (failure) => this.fail(failure),
+        onSilence: (limitMs) => this.#onSilence(limitMs),
+      },
+    });
+    this.#sent.start();
+  }
+
+  /** Ends a silent attempt in favour of another one, unless that may no longer be sent. */
+  #tryReplaceSilent(silent: SentAttempt): boolean {
+    const { history, log } = this.#context;
+    const reason = this.#replacementObstacle() ??
+      (this.#spendRetry() ? undefined : "retry_budget");
+    if (reason !== undefined) {
+      this.#dropPlacement();
+      log.silence(silent, { then: "wait", reason });
+      return false;
+    }
+    const { upstream, verdict, silentMs } = silent;
+    const leftMs = this.#leftMs();
+    const failure = {
+      cause: "upstream_silent",
+      verdict,
+      detail: `No data for ${Math.round(silentMs)} ms`,
+      upstreamAtFault: true,
+    } as const;
+    silent.abandon();
+    history.recordFailure(failure, { leftMs, upstream });
+    log.attemptFailed(failure, { upstream, leftMs, then: "retry" });
+    this.#port.observe.retried(failure.cause);
+    return true;
+  }
+
+  /** Seeks another upstream beside a silent one; an attempt that can't be replaced goes on. */
+  #onSilence(limitMs: Millis): void {
+    if (this.#sent === undefined || this.#placement !== undefined) return;
+    const reason = this.#replacementObstacle();
+    const then = reason === undefined ? "seek_other" : "wait";
+    this.#context.log.silence(this.#sent, { limitMs, then, reason });
+    if (reason === undefined) this.start();
+  }
+
+  #replacementObstacle(): ReplacementObstacle | undefined {
+    const { relay, history, backend } = this.#context;
+    if (relay.committed) return "committed";
+    const obstacle = history.replacementObstacle(this.#leftMs());
+    if (obstacle !== undefined) return obstacle;
+    return this.#port.mayRetry(backend.service) ? undefined : "retry_budget";
+  }
+
+  /** Gives back the place beside an attempt that goes on. */
+  #dropPlacement(): void {
+    if (this.#placement === undefined) return;
+    this.#placement.closeUnsent(this.#req);
+    this.#placement = undefined;
+    this.#context.history.dropPlacement();
+  }
+
+  #retry(failure: AttemptFailure, context: FailureContext): void {
+    const { history, relay, log, listener } = this.#context;
+    const { upstream, culprit, wasSent } = context;
+    const leftMs = this.#leftMs();
+    const decision = history.recordFailure(failure, {
+      leftMs,
+      upstream: culprit ?? upstream,
+      seeking: this.#placement !== undefined,
+    });
+    const retry = decision.type === "retry" && !relay.committed &&
+      (!wasSent || this.#spendRetry());
+    const otherwise = this.#sent === undefined ? "give_up" : "wait";
+    const then = retry ? "retry" : otherwise;
+    log.attemptFailed(failure, { upstream, culprit, leftMs, then });
+    if (retry) {
+      this.#port.observe.retried(failure.cause);
+      if (this.#placement === undefined) this.start();
+      return;
+    }
+    if (this.#sent !== undefined) return;
+    const code = decision.type === "retry" ? "retry_budget" : decision.code;
+    listener.onExhausted(problem(code, failure.detail, {
+      verdict: history.verdict,
+      retryAfterMs: failure.retryAfterMs ?? RETRY_AFTER_MS,
+    }));
+  }
+}
--- a/src/gateway/requests/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -1,10 +1,12 @@
 import type { Problem } from "../../core/problem.ts";
 import type { UpstreamId } from "../../core/id.ts";
+import type { Refusal } from "../../core/reason.ts";
 import type { Millis } from "../../core/time.ts";
 import type { ResponseRelay } from "./response_relay.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
-import type { AttemptHistory } from "./attempt_history.ts";
+import type { AttemptHistory, ReplacementObstacle } from "./attempt_history.ts";
+import type { SentAttempt } from "./sent_attempt.ts";
 
 /** Times of a response that its log line contains. */
 export type ResponseTimings = Readonly<{
@@ -19,6 +21,8 @@
   readonly #req: ExchangeRequest;
   readonly #state: Readonly<{ history: AttemptHistory; relay: ResponseRelay }>;
 
+  readonly #silenceDecisions = new Set<string>();
+
   private constructor(
     port: ExchangePort,
     req: ExchangeRequest,
@@ -59,7 +63,8 @@
       upstream?: UpstreamId;
       culprit?: UpstreamId;
       leftMs: Millis;
-      then: "retry" | "give_up";
+      /** `wait`: a place could not be used, and the silent attempt goes on. */
+      then: "retry" | "give_up" | "wait";
     }>,
   ): void {
     const { leftMs, then, ...upstreams } = context;
@@ -76,6 +81,48 @@
     });
   }
 
+  /** Writes what follows from an upstream's silence; a decision is written once until the upstream is heard again. */
+  silence(
+    sent: SentAttempt,
+    decision: Readonly<{
+      then: "seek_other" | "wait";
+      limitMs?: Millis;
+      /** Why no other attempt is sent. */
+      reason?: ReplacementObstacle | Refusal;
+    }>,
+  ): void {
+    const { then, limitMs, reason } = decision;
+    const { relay, history } = this.#state;
+    const key = `${sent.grant.job.id} ${then} ${reason ?? ""}`;
+    if (this.#silenceDecisions.has(key)) return;
+    this.#silenceDecisions.add(key);
+    const leftMs = this.#req.deadlineAt - this.#port.now();
+    this.line("attempt_silent", {
+      upstream: sent.upstream,
+      silent_ms: Math.round(sent.silentMs),
+      ...(limitMs === undefined ? {} : { limit_ms: Math.round(limitMs) }),
+      left_ms: Math.round(leftMs),
+      attempts: history.placed,
+      possible_runs: history.possibleRuns,
+      events: relay.eventsSent,
+      then,
+      ...(reason === undefined ? {} : { reason }),
+    });
+  }
+
+  /** Writes that a silent upstream was heard again, and whether a placement beside it was withdrawn. */
+  silenceEnded(
+    sent: SentAttempt,
+    options: Readonly<{ withdrew: boolean }>,
+  ): void {
+    this.#silenceDecisions.clear();
+    this.line("attempt_resumed", {
+      upstream: sent.upstream,
+      silent_ms: Math.round(sent.times.silentMs(this.#port.now())),
+      ...options,
+    });
+  }
+
   refused(err: Problem): void {
     const { relay, history } = this.#state;
     this.line("refused", {
--- a/src/gateway/requests/exchange_port.ts
+++ b/src/gateway/requests/exchange_port.ts
@@ -14,6 +14,7 @@
 import type { UpstreamAvailability } from "./upstream_availability.ts";
 import type { PlacementResult } from "../placement/placement_port.ts";
 import type { ContentReport } from "../contents/content_report.ts";
+import type { Silence } from "../contents/silence.ts";
 import type { Dialect, RequestHead } from "./dialect.ts";
 import type { EngineOrders } from "./engine_orders.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
@@ -35,6 +36,8 @@
 /** Change of a placed job's state. */
 export type JobUpdate = Readonly<{
   phase: "started" | "ended" | "failed";
+  /** The upstream's silence while the job goes on, or up to its end. */
+  silence?: Silence;
   /** Whether the upstream's address accepted no connection. */
   unreachable?: boolean;
   /** Outcome of the content on the upstream, by which poison requests are detected. */
@@ -76,6 +79,8 @@
     options: Readonly<{ sentAt: Timestamp }>,
   ) => void;
   recordFirstSend: (service: ServiceId) => void;
+  /** Whether the service's budget has a retry left. */
+  mayRetry: (service: ServiceId) => boolean;
   /** Takes a retry from the service's budget; false if none is left. */
   spendRetry: (service: ServiceId) => boolean;
   line: (kind: string, fields: LogFields) => void;
--- a/src/gateway/requests/retry_budget.ts
+++ b/src/gateway/requests/retry_budget.ts
@@ -18,6 +18,9 @@
 /** Retries beyond the ratio until the other daemons are known; the smallest slack allows two for each daemon. */
 const PEER_DISCOVERY_RETRIES = 1;
 
+/** Number of daemons that share the slack, and this one's uptime. */
+type RetryBudgetShare = Readonly<{ daemons: number; ageMs: Millis }>;
+
 type SendTimes = { firstSends: Timestamp[]; retries: Timestamp[] };
 
 /** This daemon's share of the retries that each service may receive. */
@@ -39,14 +42,14 @@
   }
 
   /**
-   * Takes one retry from the budget, whose slack `daemons` daemons share; false if none is left. During its first
-   * window (`ageMs` is its uptime), a process doesn't know how many retries its predecessor has sent nor, at first,
-   * how many other daemons there are. It then uses only the fraction of the slack that a predecessor leaves unused.
+   * Whether a retry is left in the budget, whose slack `daemons` daemons share. During its first window (`ageMs` is its
+   * uptime), a process doesn't know how many retries its predecessor has sent nor, at first, how many other daemons
+   * there are. It then uses only the fraction of the slack that a predecessor leaves unused.
    */
-  trySpend(
+  hasLeft(
     service: ServiceId,
     now: Timestamp,
-    options: Readonly<{ daemons: number; ageMs: Millis }>,
+    options: RetryBudgetShare,
   ): boolean {
     const sent = this.#sendTimesOf(service, now);
     const { ratio, slack, windowMs } = this.#limits;
@@ -56,8 +59,17 @@
       ? PEER_DISCOVERY_RETRIES
       : factor * slack / Math.max(1, daemons);
     const allowed = SAFETY_FACTOR * ratio * sent.firstSends.length + slackShare;
-    if (sent.retries.length + 1 > allowed) return false;
-    sent.retries.push(now);
+    return sent.retries.length + 1 <= allowed;
+  }
+
+  /** Takes one retry from the budget; returns false if none is left. */
+  trySpend(
+    service: ServiceId,
+    now: Timestamp,
+    options: RetryBudgetShare,
+  ): boolean {
+    if (!this.hasLeft(service, now, options)) return false;
+    this.#sendTimesOf(service, now).retries.push(now);
     return true;
   }
 
--- a/src/gateway/requests/retry_policy.ts
+++ b/src/gateway/requests/retry_policy.ts
@@ -40,7 +40,7 @@
 /** Decides whether to retry a request; one that is not repeatable is retried only after the verdict `not_run`. */
 export function decideRetry(
   route: Route,
-  failure: AttemptFailure,
+  failure: Pick<AttemptFailure, "verdict">,
   state: RetryState,
 ): RetryDecision {
   if (state.leftMs < MIN_LEFT_MS) {
--- a/src/gateway/requests/silence_limits.ts
+++ b/src/gateway/requests/silence_limits.ts
@@ -11,7 +11,7 @@
 /** Fraction of a call's time-out after which a repeatable call is retried on another upstream. */
 const CALL_TIMEOUT_RATIO = 0.45;
 
-/** Longest silence of an upstream before its first data, and between data. */
+/** Silence of an upstream before its first data, and between data, after which another one is sought. */
 export type SilenceLimits = Readonly<{ firstMs: Millis; gapMs: Millis }>;
 
 /** Silence limits of a route; they detect a dead upstream while enough of the caller's time-out is left for a retry. */
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -299,13 +299,22 @@
   ): void {
     const { gateway, digest, parts } = this.#requests.get(job)!;
     const ranMs = this.fleet.time.now - (this.#arrivedAt.get(job) ?? 0);
+    const content = { digest, sharedParts: parts, outcome, ranMs };
+    const progress = { type: "job", job, upstream } as const;
+    if (outcome === "silent") {
+      const begun = { phase: "started", silence: "begun", content } as const;
+      const replaced = { phase: "failed", silence: "lasting" } as const;
+      this.fleet.step(gateway, [
+        { ...progress, ...begun },
+        { ...progress, ...replaced },
+      ]);
+      return;
+    }
     this.fleet.step(gateway, [{
-      type: "job",
-      job,
-      upstream,
+      ...progress,
       phase: outcome === "answered" ? "ended" : "failed",
       ...(outcome === "not_run" ? { unreachable: true } : {}),
-      content: { digest, sharedParts: parts, outcome, ranMs },
+      content,
     }]);
   }
 
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -12,6 +12,8 @@
 import type { Dialect, RequestHead } from "../gateway/requests/dialect.ts";
 import { EngineOrders } from "../gateway/requests/engine_orders.ts";
 import type { ExchangePort } from "../gateway/requests/exchange_port.ts";
+import type { PlacementResult } from "../gateway/placement/placement_port.ts";
+import type { PoolGrant } from "../scheduling/pool/pool_job.ts";
 import type { UpstreamClosure } from "../gateway/upstreams/self_reported_closures.ts";
 import type {
   Route,
@@ -50,12 +52,25 @@
   readonly availability: string[];
   /** Services whose retry budget was charged. */
   readonly retries: string[];
+  /** Upstreams that each placement request avoids, separated by spaces. */
+  readonly avoided: string[];
+  /** Jobs whose placement requests were withdrawn. */
+  readonly withdrawn: string[];
 };
 
+/** Handles a placement request with its reply, and the grant that it gets otherwise. */
+export type FakePlacer = (
+  reply: (result: PlacementResult) => void,
+  grant: PoolGrant,
+) => void;
+
 /** A port with its recorded calls and a settable map of closed upstreams. */
 export type FakePort = ExchangePort & {
   readonly recorded: RecordedCalls;
   readonly closures: Map<UpstreamId, UpstreamClosure>;
+  /** Handles the placement requests after the first. */
+  placeNext: FakePlacer;
+  retriesLeft: number;
 };
 
 /** Creates a port that places requests on the given upstreams in turn. */
@@ -70,12 +85,16 @@
     contentOutcomes: [],
     availability: [],
     retries: [],
+    avoided: [],
+    withdrawn: [],
   };
   const closures = new Map<UpstreamId, UpstreamClosure>();
   let placed = 0;
-  return {
+  const fake: FakePort = {
     recorded,
     closures,
+    placeNext: (reply, grant) => queueMicrotask(() => reply(ok(grant))),
+    retriesLeft: Infinity,
     dialect,
     orders: new FakeEngineOrders(),
     now: () => performance.now() as Timestamp,
@@ -85,17 +104,20 @@
       const address = addresses[placed % addresses.length]!;
       const upstream = `e${placed % addresses.length}` as UpstreamId;
       placed += 1;
+      recorded.avoided.push(ask.avoid.join(" "));
       const grant = {
         job: poolJob(ask.job, upstream, { kind: ask.kind, partMs: 0 }),
         addresses: { [upstream]: address },
         priority: 1,
         expectMs: 0,
       };
+      if (placed > 1) return fake.placeNext(reply, grant);
       queueMicrotask(() => reply(ok(grant)));
     },
-    withdraw: () => {},
-    updateJob: (_job, upstream, { phase, content }) => {
-      recorded.jobUpdates.push(`${upstream} ${phase}`);
+    withdraw: (job) => void recorded.withdrawn.push(job),
+    updateJob: (_job, upstream, { phase, silence, content }) => {
+      const what = silence === undefined ? phase : `silence ${silence}`;
+      recorded.jobUpdates.push(`${upstream} ${what}`);
       if (content === undefined) return;
       const { outcome } = content;
       const lost = outcome === "disconnected" || outcome === "silent";
@@ -120,7 +142,12 @@
       }
     },
     recordFirstSend: () => {},
-    spendRetry: (service) => recorded.retries.push(service) > 0,
+    mayRetry: () => fake.retriesLeft > 0,
+    spendRetry: (service) => {
+      if (fake.retriesLeft <= 0) return false;
+      fake.retriesLeft -= 1;
+      return recorded.retries.push(service) > 0;
+    },
     line: (kind) => recorded.lines.push(kind),
     observe: {
       placed: () => {},
@@ -131,6 +158,7 @@
       ended: () => {},
     },
   };
+  return fake;
 }
 
 /** A configuration with one route of each kind, and one team. */
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -78,8 +78,12 @@
     return new FrontServerFixture(exchangePort, servers, { server, port });
   }
 
-  /** Sends one request with a team's key; resolves with its final response. */
-  send(path: string, headers: Record<string, string> = {}) {
+  /** Sends one request with a team's key; resolves with its final response. The client leaves at the `signal`. */
+  send(
+    path: string,
+    headers: Record<string, string> = {},
+    options: Readonly<{ signal?: AbortSignal }> = {},
+  ) {
     return new Promise<FrontResponse>((resolve) => {
       const req = request({
         host: "127.0.0.1",
@@ -87,6 +91,7 @@
         path,
         method: "POST",
         agent: false,
+        ...options,
         headers: {
           host: "h.example",
           "x-request-id": "r1",
