Keep a split prompt whose decoding engine only pauses

Change: tickets are renewed only after the engine has responded. While it is silent it is asked again every 0.2 s, and the tickets expire by themselves 3.6 s after their last renewal, which is within the 4 s in which memory must be free; expired ones are not taken again, and a log line says so. The attempt goes on. It fails when the engine's address refuses connections, or when its report shows another start: that is evidence that its process has ended. A silence logs its first unanswered call only.

Conclusion: memory for a silent engine is free within 4 s without a judgement on whether the engine is dead. Not covered: a pause that outlasts the tickets (3.6 s less the up to 1.5 s since the last renewal, and the time to the next call); the engines then cut the prompt off.

--- a/src/gateway/requests/attempt_placement.ts
+++ b/src/gateway/requests/attempt_placement.ts
@@ -22,8 +22,8 @@
   onDenied: (err: Problem) => void;
   /** The grant can't be used; the placement is to be closed. */
   onUnusable: (failure: AttemptFailure) => void;
-  /** The decoding engine no longer responds. */
-  onUpstreamLost: () => void;
+  /** The process of the decoding engine has ended. */
+  onUpstreamLost: (detail: string) => void;
   onTicketError: (err: ReservationError) => void;
 }>;
 
--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -84,10 +84,8 @@
         onReady: (grant, address) => this.#send({ placement, grant, address }),
         onDenied: (err) => this.#onDenied(err),
         onUnusable: (failure) => this.#onUnusable(placement, failure),
-        onUpstreamLost: () => {
-          const detail = "The upstream no longer responds";
-          this.failOnUpstreamLoss(placement.upstream, detail);
-        },
+        onUpstreamLost: (detail) =>
+          this.failOnUpstreamLoss(placement.upstream, detail),
         onTicketError: (err) => log.line("ticket", { ...err }),
       },
     });
--- a/src/gateway/requests/ticket_manager.ts
+++ b/src/gateway/requests/ticket_manager.ts
@@ -7,6 +7,11 @@
 const TICKET_TTL_MS: Millis = 3_600;
 /** Time between renewals; a ticket outlives the loss of one of them. */
 const RENEW_INTERVAL_MS: Millis = 1_500;
+/** Time between calls to a silent decoding engine; it is soon noticed when it responds again. */
+const SILENT_RETRY_MS: Millis = 200;
+
+const UNREACHABLE = "The upstream's address refuses connections";
+const RESTARTED = "The upstream was restarted";
 
 type Ticket = Readonly<{ address: string; tokens: number }>;
 
@@ -18,6 +23,12 @@
   readonly #upstreamAddress: string | undefined;
   readonly #onError: (err: ReservationError) => void;
   #timer: NodeJS.Timeout | undefined;
+  /** Ends the renewals when the tickets have expired. */
+  #expiryTimer: NodeJS.Timeout | undefined;
+  /** Start of the decoding engine's process, by its first report. */
+  #startedAt: number | undefined;
+  /** Whether the decoding engine left the last call unanswered. */
+  #isSilent = false;
 
   private constructor(
     orders: EngineOrders,
@@ -43,11 +54,11 @@
   }
 
   /**
-   * Reserves all tickets, or none. Calls `onUpstreamLost` when the decoding engine is dead, so that the memory doesn't
-   * stay reserved until the silence limit of the attempt is reached.
+   * Reserves all tickets, or none, and renews them for as long as the decoding engine responds. Memory for an engine
+   * that is silent is freed when the tickets expire. Calls `onUpstreamLost` when the engine's process has ended.
    */
   async reserve(
-    onUpstreamLost: () => void,
+    onUpstreamLost: (detail: string) => void,
   ): Promise<Result<void, ReservationError>> {
     const results = await this.#reserveAll();
     const failed = results.find((result) => result.isErr());
@@ -55,44 +66,67 @@
       this.release();
       return err(failed.error);
     }
-    this.#timer = setInterval(
-      () => void this.#renew(onUpstreamLost),
-      RENEW_INTERVAL_MS,
-    );
+    this.#schedule(RENEW_INTERVAL_MS, onUpstreamLost);
     return ok(undefined);
   }
 
   /** Releases all tickets; a ticket whose release order is lost expires by itself. */
   release(): void {
-    clearInterval(this.#timer);
-    this.#timer = undefined;
+    this.#stop();
     for (const { address } of this.#tickets) {
       void this.#orders.release(address, this.id).mapErr(this.#onError);
     }
   }
 
-  async #renew(onUpstreamLost: () => void): Promise<void> {
+  #stop(): void {
+    clearTimeout(this.#timer);
+    clearTimeout(this.#expiryTimer);
+    this.#timer = undefined;
+  }
+
+  #schedule(ms: Millis, onUpstreamLost: (detail: string) => void): void {
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => void this.#renew(onUpstreamLost), ms);
+  }
+
+  async #renew(onUpstreamLost: (detail: string) => void): Promise<void> {
+    this.#schedule(RENEW_INTERVAL_MS, onUpstreamLost);
     const timer = this.#timer;
-    const [alive] = await Promise.all([
-      this.#isUpstreamAlive(),
-      this.#reserveAll(),
-    ]);
-    if (alive || timer !== this.#timer) return;
-    clearInterval(this.#timer);
-    onUpstreamLost();
+    const address = this.#upstreamAddress;
+    if (address === undefined) return onUpstreamLost(UNREACHABLE);
+    const report = await this.#orders.fetchReport(address);
+    if (timer !== this.#timer) return;
+    const loss = report.match(
+      ({ startedAt }) => this.#isRestarted(startedAt) ? RESTARTED : undefined,
+      ({ code }) => code === "unreachable" ? UNREACHABLE : undefined,
+    );
+    if (loss !== undefined) {
+      this.#stop();
+      return onUpstreamLost(loss);
+    }
+    const wasSilent = this.#isSilent;
+    this.#isSilent = report.isErr();
+    if (report.isOk()) return void await this.#reserveAll();
+    if (!wasSilent) this.#onError(report.error);
+    this.#schedule(SILENT_RETRY_MS, onUpstreamLost);
+  }
+
+  /** Whether a report shows another process than the first one did. */
+  #isRestarted(startedAt: number | undefined): boolean {
+    this.#startedAt ??= startedAt;
+    return startedAt !== undefined && startedAt !== this.#startedAt;
   }
 
-  /** Whether the decoding engine responds; queries it twice, as one response may be lost. */
-  async #isUpstreamAlive(): Promise<boolean> {
-    if (this.#upstreamAddress === undefined) return false;
-    const first = await this.#orders.fetchReport(this.#upstreamAddress);
-    if (first.isOk()) return true;
-    const second = await this.#orders.fetchReport(this.#upstreamAddress);
-    if (second.isErr()) this.#onError(second.error);
-    return second.isOk();
+  /** Stops the renewals: tickets that have expired are not taken again. */
+  #expire(): void {
+    this.#stop();
+    const detail = "The tickets expired, as the decoding engine is silent";
+    this.#onError({ code: "unknown", detail });
   }
 
   #reserveAll(): Promise<Result<void, ReservationError>[]> {
+    clearTimeout(this.#expiryTimer);
+    this.#expiryTimer = setTimeout(() => this.#expire(), TICKET_TTL_MS);
     return Promise.all(
       this.#tickets.map(({ address, tokens }) =>
         this.#orders.reserve({
