Take no entry without a start time for a restart

What callers would see: all answers of an upstream end when its register entry comes once without its start time (a field of another writer's entry may be missing).

Cause: a missing start is decoded as 0, and the table took 0 beside a known start for another process; `restarted` fails all attempts at that upstream, and counts as a crash of what ran there. The next whole entry did it once more.

Change: the known start stays while none is stated, and a start that is stated at last is no restart. Another stated start still is.

Before: 4 of 5 tests in upstream_table_test.ts fail, for [5, 0]: expected [ 'e1', 'e1', 'e1' ] to deeply equal []. After: they pass, with the 69 tests of src/gateway/upstreams and gateway_core_test.ts.

Ruled out as causes of `upstream_lost`: lapsed and removed entries (`kept`, `gone`) and inspections emit no such intent.

--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -10,7 +10,7 @@
   domain: DomainId;
   slots: number;
   leaving: boolean;
-  /** Unix time in ms of the start; a different start means a different process. */
+  /** Unix time in ms of the start, 0 where it is not stated; a different start means a different process. */
   startedAt: number;
   /** Time in ms until the upstream is warm, when its entry was written; absent if it is. */
   coldMs?: Millis;
@@ -127,12 +127,16 @@
     return times.length === 0 ? undefined : Math.min(...times) as Timestamp;
   }
 
-  #put(entry: UpstreamEntry): UpstreamUpdate | undefined {
-    const known = this.#entries.get(entry.id);
+  #put(stated: UpstreamEntry): UpstreamUpdate | undefined {
+    const known = this.#entries.get(stated.id);
+    // An entry that doesn't state its start is no evidence of another process.
+    const entry = stated.startedAt === 0 && known !== undefined
+      ? { ...stated, startedAt: known.startedAt }
+      : stated;
     this.#entries.set(entry.id, entry);
     const lapsed = this.#lapsed.delete(entry.id);
     if (known === undefined) return { kind: "joined", id: entry.id };
-    if (known.startedAt !== entry.startedAt) {
+    if (known.startedAt !== 0 && known.startedAt !== entry.startedAt) {
       return { kind: "restarted", id: entry.id };
     }
     if (!known.leaving && entry.leaving) {
