--- a/src/gateway/requests/drain_gate.ts
+++ b/src/gateway/requests/drain_gate.ts
@@ -12,7 +12,9 @@
 export type Drain = Readonly<{ since: Timestamp; endsAt: Timestamp }>;
 
 /** A request's route and deadline. */
-export type DrainingRequest = Readonly<{ route: Route; deadlineAt: Timestamp }>;
+export type DrainingRequest = Readonly<
+  { admitted: Readonly<{ route: Route }>; deadlineAt: Timestamp }
+>;
 
 /** Decides during a planned stop which requests can still be finished. */
 export class DrainGate {
@@ -66,7 +68,7 @@
   latestSendAt(req: DrainingRequest, now: Timestamp): Timestamp | undefined {
     const drain = this.#drain();
     if (drain === undefined) return undefined;
-    if (req.route.kind === "once") {
+    if (req.admitted.route.kind === "once") {
       return req.deadlineAt <= drain.endsAt ? drain.endsAt : drain.since;
     }
     return addMs(drain.endsAt, -this.needMs(req, now));
@@ -78,8 +80,8 @@
    */
   needMs(req: DrainingRequest, now: Timestamp): Millis {
     const limitMs = Math.max(0, req.deadlineAt - now);
-    if (req.route.kind === "once") return limitMs;
-    const usualMs = this.#times.usualMs(req.route);
+    if (req.admitted.route.kind === "once") return limitMs;
+    const usualMs = this.#times.usualMs(req.admitted.route);
     return usualMs === undefined ? limitMs : Math.min(limitMs, usualMs);
   }
 }
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -179,10 +179,10 @@
     }
     const admitted = routes.admit(head);
     if (admitted.isErr()) return { head, problem: admitted.error };
-    const { route } = admitted.value;
+    const { timeoutMs } = admitted.value.route;
     const refusal = this.#gate.refusal({
-      route,
-      deadlineAt: deadlineOf(now, { ...route, leftMs: head.leftMs }),
+      admitted: admitted.value,
+      deadlineAt: deadlineOf(now, { timeoutMs, leftMs: head.leftMs }),
     }, now);
     if (refusal !== undefined) return { head, problem: refusal };
     return { head, admitted: admitted.value, bodyBytes: limits.bodyBytes };
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -115,8 +115,8 @@
     const { drain } = this.#gate;
     if (drain === undefined) return undefined;
     const now = this.#port.now();
-    const { route } = this.#entry.admitted;
-    const req = { route, deadlineAt: this.#deadlineAt };
+    const { admitted } = this.#entry;
+    const req = { admitted, deadlineAt: this.#deadlineAt };
     const refusal = this.#gate.refusal(req, now);
     if (refusal !== undefined) return refusal;
     this.#line("taken", {
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -100,8 +100,12 @@
     this.frontServer.drain();
   }
 
-  /** Sends one request with a team's key; resolves with its final response. */
-  send(path: string, headers: Record<string, string> = {}) {
+  /** Sends one request with a team's key; resolves with its final response. The client leaves at the `signal`. */
+  send(
+    path: string,
+    headers: Record<string, string> = {},
+    options: Readonly<{ signal?: AbortSignal }> = {},
+  ) {
     return new Promise<FrontResponse>((resolve) => {
       const req = request({
         host: "127.0.0.1",
@@ -109,6 +113,7 @@
         path,
         method: "POST",
         agent: false,
+        ...options,
         headers: {
           host: "h.example",
           "x-request-id": "r1",
