Take no upstream for silent whose data a slow client holds back

What callers would see: a client that reads slowly or pauses for longer than the silence limit has its stream moved to another upstream, and a retry is spent, though the first one never paused. If it leaves meanwhile, its content is reported as lost with the upstream.

Cause: while the client's buffer is full the daemon itself stops reading from the upstream, and the silence limit went on counting.

Change: the limit is suspended while the response is held back, and counts anew from then on; a held-back attempt that ends says nothing of its content.

Before: "when the client goes on" and its like printed, at 3.2 s of the client's pause, [ 'attempt_silent', 'attempt_failed', 'attempt_silent' ] instead of []; "when the client leaves", without the change of the report, [ 'lost e0' ] instead of []. After: both pass, with the others of src/gateway/requests.

The tests of silent upstreams now read the virtual clock in the exchange too: its port had a reference to the real one.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -127,10 +127,10 @@
         upstreamAtFault: true,
       });
     }
-    if (result === "full") sent.pause();
     if (this.#relay.receivedCount === before) return;
     this.#responseTimer.record(this.#port.now(), this.#req.arrivedAt);
     this.#attempts.heard();
+    if (result === "full") sent.pause();
     if (before > 0) return;
     sent.started();
     const ms = this.#port.now() - this.#req.arrivedAt;
--- a/src/gateway/requests/sent_attempt.ts
+++ b/src/gateway/requests/sent_attempt.ts
@@ -44,6 +44,8 @@
   readonly #attempt: Attempt;
   /** Undefined if no other attempt may take the place of this one. */
   readonly #silence: SilenceWatch | undefined;
+  #paused = false;
+  #ended = false;
 
   private constructor(
     port: ExchangePort,
@@ -109,11 +111,19 @@
     this.#attempt.start();
   }
 
+  /** Holds the response back, as the client's buffer is full; that is no silence of the upstream. */
   pause(): void {
+    this.#paused = true;
+    this.#silence?.stop();
     this.#attempt.pause();
   }
 
+  /** Goes on after a pause; its silence counts from here. */
   resume(): void {
+    if (this.#ended) return;
+    this.#paused = false;
+    this.times.received(this.#port.now());
+    this.#silence?.heard();
     this.#attempt.resume();
   }
 
@@ -150,7 +160,7 @@
     if (this.silentMs > 0) {
       return this.#end({ phase: "failed", silence: "lasting" });
     }
-    const silentMs = this.times.silentMs(this.#port.now());
+    const silentMs = this.#paused ? 0 : this.times.silentMs(this.#port.now());
     const outcome = outcomeOfCancellation(silentMs, this.#req.admitted.route);
     this.#end({ phase: "ended", content: this.#contentReport(outcome) });
   }
@@ -178,6 +188,7 @@
     update: JobUpdate,
     culprit?: UpstreamId,
   ): void {
+    this.#ended = true;
     this.#silence?.stop();
     this.#attempt.abort();
     this.#placement.close(update, culprit);
--- a/src/gateway/requests/silent_upstream_test.ts
+++ b/src/gateway/requests/silent_upstream_test.ts
@@ -11,6 +11,7 @@
   responseHeadText,
 } from "../../testing/front_server_fixture.ts";
 import type { Route } from "../serving/serving_config.ts";
+import { ClientResponse } from "./client_response.ts";
 
 /** Pause of the upstreams, beyond the silence limit of the routes. */
 const PAUSE_MS: Millis = 1_600;
@@ -39,6 +40,7 @@
   leave.abort();
   for (const socket of sockets) socket.destroy();
   play.close();
+  vi.restoreAllMocks();
   vi.useRealTimers();
 });
 
@@ -58,7 +60,8 @@
     timeoutMs: TIMEOUT_MS,
     ...fields,
   });
-  fake = play.exchangePort;
+  // The global clock is the virtual one.
+  fake = Object.assign(play.exchangePort, { now: () => performance.now() });
   const headers = { "x-deadline-ms": String(2 * TIMEOUT_MS) };
   void play.send(path, headers, { signal: client.signal }).then((res) => {
     if (leave === client) response = res;
@@ -178,6 +181,43 @@
   });
 });
 
+describe("an upstream whose data a slow client holds back is not taken for silent", () => {
+  let drain = () => {};
+
+  beforeEach(async () => {
+    const { write } = ClientResponse.prototype;
+    vi.spyOn(ClientResponse.prototype, "write").mockImplementationOnce(
+      function (this: ClientResponse, bytes, onDrained) {
+        drain = onDrained;
+        write.call(this, bytes, () => {});
+        return false;
+      },
+    );
+    await send("/ask/x");
+    sockets[0]!.write(`${HEAD}${FIRST}`);
+    await reported("e0 started");
+    await pass(2 * PAUSE_MS);
+    expect(fake.recorded.lines).toEqual([]);
+  });
+
+  test("when the client goes on", async () => {
+    drain();
+    await pass(SILENCE_LIMIT_MS - 1);
+    expect(fake.recorded.lines).toEqual([]);
+    const { body, complete } = await end(0, SECOND);
+    expect([body, complete]).toEqual([WHOLE, true]);
+    drain();
+    await pass(PAUSE_MS);
+    expect(fake.recorded.lines).toEqual(["answered"]);
+  });
+
+  test("when the client leaves", async () => {
+    leave.abort();
+    await until(() => fake.recorded.lines.includes("client_left"));
+    expect(fake.recorded.contentOutcomes).toEqual([]);
+  });
+});
+
 describe("a silent attempt goes on until another one is sent in its place", () => {
   async function fallSilent() {
     await send("/ask/x");
