Fail a call to an invalid address as unreachable

Cause: node:http's request() throws for a port out of range and for a path that can't be sent. sendHttpCall called it inside a promise's executor: the call rejected instead of returning an error, which nothing catches, and its time-out later used a request that was never created.

Ruled out: attempts of requests; Attempt opens its connection inside a call that turns the error into a failed attempt (seen with port 99999).

Change: the request is opened first; an invalid port, address or path is the error unreachable, and no timer is started. An address without a port no longer goes to port 80.

Before (plain_http_test.ts): 4 of 6 failed with 'RangeError: Port should be >= 0 and < 65536' and 'Request path contains unescaped characters'. After: all pass.

--- a/src/gateway/plain_http.ts
+++ b/src/gateway/plain_http.ts
@@ -1,13 +1,15 @@
 import { Buffer } from "node:buffer";
 import {
+  type ClientRequest,
   createServer,
   type IncomingHttpHeaders,
   request,
   type Server,
 } from "node:http";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { err, errAsync, ok, Result, ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
-import { splitAddress } from "./address.ts";
+import { unexpectedFields } from "../core/unexpected_error.ts";
+import { isPort, splitAddress } from "./address.ts";
 
 /** Default time limit of a call to a peer or the platform; a long poll adds its waiting time. */
 const DEFAULT_TIMEOUT_MS: Millis = 1_000;
@@ -47,11 +49,9 @@
   call: HttpCall,
 ): ResultAsync<HttpResponse, HttpCallError> {
   const body = call.body === undefined ? undefined : Buffer.from(call.body);
-  const headers: Record<string, string | number> = { ...call.headers };
-  if (body !== undefined) headers["content-length"] = body.length;
-  if (call.contentType !== undefined) {
-    headers["content-type"] = call.contentType;
-  }
+  const opened = openRequest(call, body);
+  if (opened.isErr()) return errAsync(opened.error);
+  const req = opened.value;
   const done = new Promise<Result<HttpResponse, HttpCallError>>((resolve) => {
     let connected = false;
     const fail = (detail: string, code: HttpCallError["code"] = "silent") => {
@@ -63,13 +63,6 @@
       () => fail("Time-out before the response was complete"),
       call.timeoutMs ?? DEFAULT_TIMEOUT_MS,
     );
-    const req = request({
-      ...splitAddress(call.address),
-      method: call.method,
-      path: call.path,
-      headers,
-      agent: false,
-    });
     req.on("socket", (socket) => {
       socket.once("connect", () => connected = true);
     });
@@ -99,6 +92,28 @@
   return new ResultAsync(done);
 }
 
+/** Creates the request of a call; an address or path that no request can have fails the call before a byte is sent. */
+function openRequest(
+  call: HttpCall,
+  body: Buffer | undefined,
+): Result<ClientRequest, HttpCallError> {
+  const { method, path, contentType, address } = call;
+  const target = splitAddress(address);
+  if (!isPort(target.port)) {
+    return err({ code: "unreachable", detail: `No port in ${address}` });
+  }
+  const headers: Record<string, string | number> = { ...call.headers };
+  if (body !== undefined) headers["content-length"] = body.length;
+  if (contentType !== undefined) headers["content-type"] = contentType;
+  return Result.fromThrowable(
+    () => request({ ...target, method, path, headers, agent: false }),
+    (cause): HttpCallError => ({
+      code: "unreachable",
+      detail: unexpectedFields(cause).cause,
+    }),
+  )();
+}
+
 /** Answers a GET request for a URL; undefined gives status 404. */
 export type GetHandler = (
   url: URL,
