Count a datagram to an invalid address as failed

Cause: dgram's send() throws for a port that is 0, out of range or no number. Addresses of datagrams come from other daemons' cards and requests and from cards in the store, so that one odd card ended the process that answered it.

Change: DatagramPort checks the port, and counts the datagram in the existing metric datagrams_failed.

Before (datagram_port_test.ts): 5 of 5 failed with 'RangeError: Port should be > 0 and < 65536'. After: all pass.

--- a/src/gateway/peers/datagram_port.ts
+++ b/src/gateway/peers/datagram_port.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
-import { splitAddress } from "../address.ts";
+import { isPort, splitAddress } from "../address.ts";
 
 /** UDP socket for messages between daemons; a sender that needs an answer repeats a lost datagram. */
 export class DatagramPort {
@@ -29,8 +29,13 @@
     });
   }
 
+  /** Sends a datagram to `host:port`; one to an invalid address counts as failed. */
   send(to: string, data: Buffer): void {
     const { host, port } = splitAddress(to);
+    if (!isPort(port)) {
+      this.#failed += 1;
+      return;
+    }
     this.#socket.send(data, port, host, (err) => {
       if (err !== null) this.#failed += 1;
     });
