Accept a register entry only if every daemon can use it

One with an empty zone, or with a key, zone or service of more than 128 characters, was taken by the daemon that reads the register, but the schema of the messages between daemons refuses it: every followers' datagram that listed it was dropped as a whole, and they no longer followed the register.

Cause: two schemas for one thing; the platform's decoder had only the shape of an address, and no upper bounds.

Ruled out: deep nesting (JSON.parse of Node.js 20 takes a nesting of 7e6, and unknown fields are dropped) and 1e999 (Infinity, which z.number() refuses).

--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -17,6 +17,7 @@
 import { ContentSyncSchema } from "../contents/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
+import { UpstreamEntrySchema } from "../upstreams/upstream_table.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 
@@ -58,19 +59,8 @@
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
-const RegisterEntrySchema = z.object({
-  id: upstream,
-  service: idSchema<ServiceId>(),
-  address: z.string(),
-  domain: idSchema<DomainId>(),
-  slots: z.number(),
-  leaving: z.boolean(),
-  startedAt: z.number(),
-  coldMs: z.number().optional(),
-}).readonly();
-
 const RegisterChangeSchema = z.discriminatedUnion("type", [
-  z.object({ type: z.literal("entry"), entry: RegisterEntrySchema }),
+  z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({ type: z.literal("gone"), id: upstream }),
 ]);
 
@@ -155,7 +145,7 @@
     progress: StoreProgressSchema,
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
-    entries: z.array(RegisterEntrySchema).readonly().optional(),
+    entries: z.array(UpstreamEntrySchema).readonly().optional(),
     contents: ContentSyncSchema.optional(),
     rates: z.array(RateNoticeSchema).readonly().optional(),
   }),
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -1,20 +1,28 @@
+import { z } from "zod";
 import type { DomainId, ServiceId, UpstreamId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
-
-/** Register entry of an upstream. */
-export type UpstreamEntry = Readonly<{
-  id: UpstreamId;
-  service: ServiceId;
-  /** Host and port. */
-  address: string;
-  domain: DomainId;
-  slots: number;
-  leaving: boolean;
+import {
+  addressSchema,
+  positiveCountSchema,
+  unixMsSchema,
+} from "../../wire/bounds.ts";
+import { idSchema } from "../../wire/brands.ts";
+
+/** Register entry of an upstream, as read from the register and as exchanged between daemons. */
+export const UpstreamEntrySchema = z.object({
+  id: idSchema<UpstreamId>(),
+  service: idSchema<ServiceId>(),
+  address: addressSchema,
+  domain: idSchema<DomainId>(),
+  slots: positiveCountSchema,
+  leaving: z.boolean(),
   /** Unix time in ms of the start; a different start means a different process. */
-  startedAt: number;
+  startedAt: unixMsSchema,
   /** Time in ms until the upstream is warm, when its entry was written; absent if it is. */
-  coldMs?: Millis;
-}>;
+  coldMs: z.number().optional(),
+}).readonly();
+/** Register entry of an upstream, as read from the register and as exchanged between daemons. */
+export type UpstreamEntry = z.infer<typeof UpstreamEntrySchema>;
 
 /** Change of the register: a new or changed entry, or an id whose entry is gone or unusable. */
 export type UpstreamChange =
--- /dev/null
+++ b/src/wire/bounds.ts
@@ -0,0 +1,39 @@
+import { z } from "zod";
+import { isPort, splitAddress } from "../gateway/address.ts";
+
+/** Time range of `Date` in ms, on both sides of the epoch. */
+const MAX_UNIX_MS = 8.64e15;
+/** As many as an address has ports, so that each can be a connection. */
+const MAX_COUNT = 65_535;
+/** Longest DNS name, in characters. */
+const MAX_HOST_LENGTH = 253;
+const IPV4 = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/;
+const MAX_OCTET = 255;
+
+function isAddress(address: string): boolean {
+  const { host, port } = splitAddress(address);
+  return host !== "" && host.length <= MAX_HOST_LENGTH &&
+    /^[\w.-]+$/.test(host) && isPort(port) && address === `${host}:${port}`;
+}
+
+function isIpv4Address(address: string): boolean {
+  const octets = IPV4.exec(splitAddress(address).host)?.slice(1) ?? [];
+  return octets.length > 0 && isAddress(address) &&
+    octets.every((octet) => Number(octet) <= MAX_OCTET);
+}
+
+/** Schema of `host:port` with a port from 1 to 65535, to which a connection can be tried without an exception. */
+export const addressSchema = z.string().refine(isAddress, {
+  error: "Not host:port with a port from 1 to 65535",
+});
+
+/** Schema of `IPv4:port` with octets up to 255 and a port from 1 to 65535. */
+export const ipv4AddressSchema = z.string().refine(isIpv4Address, {
+  error: "Not IPv4:port with octets up to 255 and a port from 1 to 65535",
+});
+
+/** Schema of a number of slots or attempts: 1 to 65535. */
+export const positiveCountSchema = z.number().int().min(1).max(MAX_COUNT);
+
+/** Schema of a point in time in Unix ms that a `Date` can have; 0 where it is not known. */
+export const unixMsSchema = z.number().int().min(0).max(MAX_UNIX_MS);
