Keep timers within what Node.js can wait

What callers would see: with a route whose timeoutMs is 9e15 and a client that states X-Deadline-Ms 1e12, the request is refused at once (503) instead of being answered; a wake time of the core that far away steps it each ms.

Cause: setTimeout fires after 1 ms for more than 2^31 - 1 ms.

Change: timerMs bounds the timers whose times come from configurations, clients, upstreams and peers: deadline, silence limit, wake time of the core.

Before: long_timeout_test.ts 2 of 2 failed with '[ 503, ... ] to deeply equal [ 200, ok ]', core_loop_test.ts failed with 'called 1 times, but got 1001 times'. After: all pass.

--- a/src/gateway/core_loop.ts
+++ b/src/gateway/core_loop.ts
@@ -1,5 +1,5 @@
 import { performance } from "node:perf_hooks";
-import type { Millis, Timestamp } from "../core/time.ts";
+import { type Millis, timerMs, type Timestamp } from "../core/time.ts";
 import type { GatewayCore } from "./gateway_core.ts";
 import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
 
@@ -53,7 +53,7 @@
     clearTimeout(this.#timer);
     if (wakeAt === Infinity) return;
     const wait = Math.max(1, Math.ceil(wakeAt - this.now()));
-    this.#timer = setTimeout(() => this.step(), wait);
+    this.#timer = setTimeout(() => this.step(), timerMs(wait));
   }
 
   /** Reports a suspension, which the wall clock counts and the monotonic clock does not. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,7 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Millis, Timestamp } from "../../core/time.ts";
+import { type Millis, timerMs, type Timestamp } from "../../core/time.ts";
 import { joinVerdicts } from "../../core/verdict.ts";
 import type { JobId, PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import { ResponseRelay } from "./response_relay.ts";
@@ -84,8 +84,8 @@
 
   /** Places the request; the final response is given by its deadline. */
   start(): void {
-    const left = this.#leftMs();
-    this.#deadlineTimer = setTimeout(() => this.#expire(), Math.max(0, left));
+    const waitMs = timerMs(this.#leftMs());
+    this.#deadlineTimer = setTimeout(() => this.#expire(), waitMs);
     this.#port.recordFirstSend(this.#backend.service);
     this.#place();
   }
@@ -315,7 +315,7 @@
         detail: `No data for ${Math.round(ms)} ms`,
         upstreamAtFault: true,
       });
-    }, ms);
+    }, timerMs(ms));
   }
 
   #expire(): void {
