Refuse an upstream with the id __proto__

Cause: a grant lists addresses by upstream id in an object; assigning to the key __proto__ stores nothing, and reading it gives an object, on which splitAddress throws while tickets are reserved.

Before (platform/odd_entries_test.ts): 'expected [] to deeply equal [ __proto__ ]'. After: 16 of 16 pass.

--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -10,7 +10,8 @@
 
 /** Register entry of an upstream, as read from the register and as exchanged between daemons. */
 export const UpstreamEntrySchema = z.object({
-  id: idSchema<UpstreamId>(),
+  // Grants list addresses by id; this one can't be a key of an object.
+  id: idSchema<UpstreamId>().refine((id) => id !== "__proto__"),
   service: idSchema<ServiceId>(),
   address: addressSchema,
   domain: idSchema<DomainId>(),
