Check a configuration that a peer sends

Cause: what a peer served as its configuration was only checked for a version and a list of services; null as a service threw inside an async call, which ends the process, and routes, teams or limits of other types threw where they were applied or used.

Change: the types of a configuration come from one schema with bounds, by which the decoder checks; a peer's configuration that doesn't fit is a failed fetch (the existing line fetch_failed). A service without a limit of connections, which JSON has as null, is decoded to what was encoded.

--- a/src/gateway/serving/serving_config.ts
+++ b/src/gateway/serving/serving_config.ts
@@ -1,73 +1,111 @@
+import { z } from "zod";
 import type { Branded } from "../../core/brand.ts";
 import type { ServiceId, TeamId } from "../../core/id.ts";
-import type { Millis } from "../../core/time.ts";
-import type { EnginePace } from "../../scheduling/pool/engine_pace.ts";
+import {
+  figureSchema,
+  positiveCountSchema,
+  positiveFigureSchema,
+  timeLimitSchema,
+} from "../../wire/bounds.ts";
+import { countSchema, idSchema } from "../../wire/brands.ts";
 
 /** Number of a configuration version; higher is newer. */
 export type ConfigVersion = Branded<number, "ConfigVersion">;
 
-/** What may be retried: calls always (`repeatable`), calls never (`once`), streams only if the route is resumable. */
-export type RouteKind = "repeatable" | "once" | "stream";
-
+const BackendSchema = z.object({
+  service: idSchema<ServiceId>(),
+  weight: positiveFigureSchema,
+}).readonly();
 /** A service behind a route, and its relative share of the route's requests. */
-export type Backend = Readonly<{ service: ServiceId; weight: number }>;
+export type Backend = z.infer<typeof BackendSchema>;
 
 /** Requests to one host below one path prefix. */
-export type Route = Readonly<{
-  name: string;
-  host: string;
-  prefix: string;
-  kind: RouteKind;
-  backends: readonly Backend[];
-  /** Time limit of a request. */
-  timeoutMs: Millis;
-  /** Target time to the response, or to the first event of a stream. */
-  targetMs: Millis;
-  /** Longest acceptable pause between events of a stream. */
-  pauseMs: Millis;
+export const RouteSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  /** What may be retried: calls always (`repeatable`), calls never (`once`), streams only if the route is resumable. */
+  kind: z.enum(["repeatable", "once", "stream"]),
+  backends: z.array(BackendSchema).min(1).readonly(),
+  /** Time limit of a request, in ms. */
+  timeoutMs: timeLimitSchema,
+  /** Target time in ms to the response, or to the first event of a stream. */
+  targetMs: timeLimitSchema,
+  /** Longest acceptable pause in ms between events of a stream. */
+  pauseMs: timeLimitSchema,
   /** Priority rank; 0 is the most urgent. */
-  rank: number;
+  rank: figureSchema,
   /** Limit on the upstreams that may run one request. */
-  maxAttempts: number;
+  maxAttempts: positiveCountSchema,
   /** Whether requests need no key. */
-  open: boolean;
+  open: z.boolean(),
   /** Whether a stream may be resumed on another upstream. */
-  resumable: boolean;
-}>;
+  resumable: z.boolean(),
+}).readonly();
+/** Requests to one host below one path prefix. */
+export type Route = z.infer<typeof RouteSchema>;
+/** What may be retried: calls always (`repeatable`), calls never (`once`), streams only if the route is resumable. */
+export type RouteKind = Route["kind"];
+
+/** Timing and capacity of an engine, as `EnginePace` describes them. */
+const EnginePaceSchema = z.object({
+  slots: positiveCountSchema,
+  memoryTokens: figureSchema,
+  stride: positiveFigureSchema,
+  chunkTokens: positiveFigureSchema,
+  stepMs: figureSchema,
+  streamMs: figureSchema,
+  contextMs: figureSchema,
+  prefillTokensPerMs: positiveFigureSchema,
+  pairsMs: figureSchema,
+}).readonly();
 
 /** A service; its upstreams are engines if `pace` is set. */
-export type Service = Readonly<{
-  id: ServiceId;
-  maxConnections: number;
+export const ServiceSchema = z.object({
+  id: idSchema<ServiceId>(),
+  /** Null in JSON where there is no limit. */
+  maxConnections: z.number().positive().or(z.literal(Infinity)).nullable()
+    .transform((count) => count ?? Infinity),
   /** Requests per second that a cold upstream accepts from all daemons together; absent for no limit. */
-  coldRate?: number;
-  pace?: EnginePace;
-}>;
+  coldRate: positiveFigureSchema.optional(),
+  pace: EnginePaceSchema.optional(),
+}).readonly();
+/** A service; its upstreams are engines if `pace` is set. */
+export type Service = z.infer<typeof ServiceSchema>;
 
 /** A team, the keys of its callers, and its priority rank if it has one. */
-export type Team = Readonly<{
-  id: TeamId;
-  keys: readonly string[];
-  rank?: number;
-}>;
+export const TeamSchema = z.object({
+  id: z.string().transform((id) => id as TeamId),
+  keys: z.array(z.string()).readonly(),
+  rank: figureSchema.optional(),
+}).readonly();
+/** A team, the keys of its callers, and its priority rank if it has one. */
+export type Team = z.infer<typeof TeamSchema>;
 
 /** Size limits in bytes and time limits in ms for client connections. */
-export type ClientLimits = Readonly<{
-  headBytes: number;
-  bodyBytes: number;
-  headMs: Millis;
-  idleMs: Millis;
-}>;
+export const ClientLimitsSchema = z.object({
+  headBytes: z.number().positive(),
+  bodyBytes: z.number().positive(),
+  headMs: timeLimitSchema,
+  idleMs: timeLimitSchema,
+}).readonly();
+/** Size limits in bytes and time limits in ms for client connections. */
+export type ClientLimits = z.infer<typeof ClientLimitsSchema>;
 
-/** One version of the serving configuration. */
-export type ServingConfig = Readonly<{
-  version: ConfigVersion;
-  routes: readonly Route[];
-  services: ReadonlyMap<ServiceId, Service>;
+/** One version of the serving configuration, with its services as a list. */
+export const ServingListSchema = z.object({
+  version: countSchema<ConfigVersion>(),
+  routes: z.array(RouteSchema).readonly(),
+  services: z.array(ServiceSchema).readonly(),
   /** Absent if no route needs a key. */
-  teams?: readonly Team[];
-  limits: ClientLimits;
-}>;
+  teams: z.array(TeamSchema).readonly().optional(),
+  limits: ClientLimitsSchema,
+}).readonly();
+
+/** One version of the serving configuration. */
+export type ServingConfig =
+  & Readonly<Omit<z.infer<typeof ServingListSchema>, "services">>
+  & Readonly<{ services: ReadonlyMap<ServiceId, Service> }>;
 
 /** Whether a request may be retried after an attempt that an upstream may have run. */
 export function isRepeatable(route: Route): boolean {
--- a/src/gateway/serving/serving_json.ts
+++ b/src/gateway/serving/serving_json.ts
@@ -1,11 +1,15 @@
 import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 import { deflateJson, inflateJson } from "../peers/deflated.ts";
-import type { ServingConfig } from "./serving_config.ts";
+import { type ServingConfig, ServingListSchema } from "./serving_config.ts";
 
 /** Size limit of a decoded configuration: fits ten thousand routes. */
 const MAX_CONFIG_BYTES = 16 << 20;
 
+const HeadSchema = ServingListSchema.unwrap().pick({ version: true })
+  .extend({ services: z.array(z.unknown()) });
+
 const encodedConfigs = new WeakMap<ServingConfig, Buffer>();
 
 /**
@@ -27,14 +31,14 @@
 /** Decodes a configuration that `encodeServing` wrote; the error says why it is invalid. */
 export function decodeServing(bytes: Buffer): Result<ServingConfig, string> {
   return inflateJson(bytes, { maxBytes: MAX_CONFIG_BYTES }).andThen((json) => {
-    const value = json as Omit<ServingConfig, "services"> & {
-      services: unknown;
-    };
-    const { services } = value ?? {};
-    if (!Number.isInteger(value?.version) || !Array.isArray(services)) {
+    const head = HeadSchema.safeParse(json);
+    if (!head.success) {
       return err("The configuration has no version or no services");
     }
+    const parsed = ServingListSchema.safeParse(json);
+    if (!parsed.success) return err(z.prettifyError(parsed.error));
+    const { services, ...serving } = parsed.data;
     const byId = new Map(services.map((service) => [service.id, service]));
-    return ok({ ...value, services: byId });
+    return ok({ ...serving, services: byId });
   });
 }
--- a/src/wire/bounds.ts
+++ b/src/wire/bounds.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { timerMs } from "../core/time.ts";
 import { isPort, splitAddress } from "../gateway/address.ts";
 
 /** Time range of `Date` in ms, on both sides of the epoch. */
@@ -7,6 +8,8 @@
 const MAX_COUNT = 65_535;
 /** Longest DNS name, in characters. */
 const MAX_HOST_LENGTH = 253;
+/** Largest figure of a service; products of a few such figures stay finite. */
+const MAX_FIGURE = 1e9;
 const IPV4 = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/;
 const MAX_OCTET = 255;
 
@@ -37,3 +40,16 @@
 
 /** Schema of a point in time in Unix ms that a `Date` can have; 0 where it is not known. */
 export const unixMsSchema = z.number().int().min(0).max(MAX_UNIX_MS);
+
+/** Schema of a time limit in ms, above 0; a longer one than a timer waits is as long as that. */
+export const timeLimitSchema = z.number().positive().transform(timerMs);
+
+/** Schema of an age or a time in ms; negative ones are 0, and longer ones than a timer waits are as long as that. */
+export const millisSchema = z.number().transform(timerMs);
+
+/** Schema of a figure from 0 to 1e9, such as a size in tokens or a time per token. */
+export const figureSchema = z.number().min(0).max(MAX_FIGURE);
+
+/** Schema of a figure above 0, by which others may be divided. */
+export const positiveFigureSchema = z.number().min(1 / MAX_FIGURE)
+  .max(MAX_FIGURE);
