--- a/src/gateway/serving/serving_config.ts
+++ b/src/gateway/serving/serving_config.ts
@@ -12,7 +12,8 @@
 /** Number of a configuration version; higher is newer. */
 export type ConfigVersion = Branded<number, "ConfigVersion">;
 
-const BackendSchema = z.object({
+/** A service behind a route, and its relative share of the route's requests. */
+export const BackendSchema = z.object({
   service: idSchema<ServiceId>(),
   weight: positiveFigureSchema,
 }).readonly();
--- a/src/gateway/serving/serving_json.ts
+++ b/src/gateway/serving/serving_json.ts
@@ -1,6 +1,7 @@
 import type { Buffer } from "node:buffer";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { z } from "zod";
+import { parseWith } from "../../wire/parse.ts";
 import { deflateJson, inflateJson } from "../peers/deflated.ts";
 import { type ServingConfig, ServingListSchema } from "./serving_config.ts";
 
@@ -35,10 +36,11 @@
     if (!head.success) {
       return err("The configuration has no version or no services");
     }
-    const parsed = ServingListSchema.safeParse(json);
-    if (!parsed.success) return err(z.prettifyError(parsed.error));
-    const { services, ...serving } = parsed.data;
-    const byId = new Map(services.map((service) => [service.id, service]));
-    return ok({ ...serving, services: byId });
+    return parseWith(ServingListSchema, json).map((
+      { services, ...serving },
+    ) => ({
+      ...serving,
+      services: new Map(services.map((service) => [service.id, service])),
+    }));
   });
 }
