--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -18,6 +18,7 @@
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { SilenceSchema } from "../contents/silence.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
+import { UpstreamEntrySchema } from "../upstreams/upstream_table.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 
@@ -59,19 +60,8 @@
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
-const RegisterEntrySchema = z.object({
-  id: upstream,
-  service: idSchema<ServiceId>(),
-  address: z.string(),
-  domain: idSchema<DomainId>(),
-  slots: z.number(),
-  leaving: z.boolean(),
-  startedAt: z.number(),
-  coldMs: z.number().optional(),
-}).readonly();
-
 const RegisterChangeSchema = z.discriminatedUnion("type", [
-  z.object({ type: z.literal("entry"), entry: RegisterEntrySchema }),
+  z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({ type: z.literal("gone"), id: upstream }),
 ]);
 
@@ -156,7 +146,7 @@
     progress: StoreProgressSchema,
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
-    entries: z.array(RegisterEntrySchema).readonly().optional(),
+    entries: z.array(UpstreamEntrySchema).readonly().optional(),
     contents: ContentSyncSchema.optional(),
     rates: z.array(RateNoticeSchema).readonly().optional(),
   }),
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,7 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { ServiceId, UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Millis } from "../../core/time.ts";
+import { type Millis, timerMs } from "../../core/time.ts";
 import { joinVerdicts } from "../../core/verdict.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import { AttemptSequence, RETRY_AFTER_MS } from "./attempt_sequence.ts";
@@ -82,8 +82,8 @@
 
   /** Places the request; the final response is given by its deadline. */
   start(): void {
-    const left = this.#req.deadlineAt - this.#port.now();
-    this.#deadlineTimer = setTimeout(() => this.#expire(), Math.max(0, left));
+    const waitMs = timerMs(this.#req.deadlineAt - this.#port.now());
+    this.#deadlineTimer = setTimeout(() => this.#expire(), waitMs);
     this.drain();
     this.#port.recordFirstSend(this.#service);
     this.#attempts.start();
