--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -10,12 +10,9 @@
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import { placementRequestOf } from "./exchange_util.ts";
 import type { ResponseRelay } from "./response_relay.ts";
-import type { AttemptFailure } from "./retry_policy.ts";
+import { type AttemptFailure, RETRY_AFTER_MS } from "./retry_policy.ts";
 import { SentAttempt, type SentAttemptTarget } from "./sent_attempt.ts";
 
-/** Retry-After of a failure that may be transient. */
-export const RETRY_AFTER_MS: Millis = 200;
-
 /** What the attempts at one request share. */
 export type AttemptSequenceContext = Readonly<{
   backend: Backend;
@@ -30,8 +27,8 @@
     }>;
 }>;
 
-/** Options of a failure's record. */
-type FailureContext = Readonly<{
+/** The failed attempt that a decision is about. */
+type FailedAttempt = Readonly<{
   upstream: UpstreamId | undefined;
   /** The upstream at fault, if it is another one. */
   culprit?: UpstreamId;
@@ -233,9 +230,9 @@
     this.#context.history.dropPlacement();
   }
 
-  #retry(failure: AttemptFailure, context: FailureContext): void {
+  #retry(failure: AttemptFailure, attempt: FailedAttempt): void {
     const { history, relay, log, listener } = this.#context;
-    const { upstream, culprit, wasSent } = context;
+    const { upstream, culprit, wasSent } = attempt;
     const leftMs = this.#leftMs();
     const decision = history.recordFailure(failure, {
       leftMs,
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -4,12 +4,13 @@
 import type { Millis } from "../../core/time.ts";
 import { joinVerdicts } from "../../core/verdict.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import { AttemptSequence, RETRY_AFTER_MS } from "./attempt_sequence.ts";
+import { AttemptSequence } from "./attempt_sequence.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import { chooseBackend, ResponseTimer } from "./exchange_util.ts";
 import { ResponseRelay } from "./response_relay.ts";
+import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
 /** Handles one client request, from its placement on an upstream to its single final response. */
 export class Exchange {
--- a/src/gateway/requests/retry_policy.ts
+++ b/src/gateway/requests/retry_policy.ts
@@ -32,6 +32,8 @@
   | Readonly<{ type: "retry" }>
   | Readonly<{ type: "give_up"; code: Refusal }>;
 
+/** Retry-After of a failure that may be transient. */
+export const RETRY_AFTER_MS: Millis = 200;
 /** Most attempts that are placed for one request, including those that upstreams refused. */
 const MAX_PLACED = 5;
 /** Least time left for another attempt; with less it is unlikely to finish. */
