--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -210,8 +210,8 @@
     job: z.string().transform((id) => id as JobId),
     upstream,
     phase: z.enum(["started", "ended", "failed"]),
-    /** Earlier builds read only the phase, which then loses no failure. */
-    silence: SilenceSchema.optional(),
+    /** Earlier builds read the phase and the content alone. */
+    silence: SilenceSchema.optional().catch(undefined),
     /** Whether no connection could be made to the upstream's address. */
     unreachable: z.boolean().optional(),
     content: ContentReportSchema.optional(),
