--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -1,7 +1,7 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis } from "../../core/time.ts";
-import type { JobId } from "../../scheduling/pool/pool_job.ts";
+import type { JobId, PoolGrant } from "../../scheduling/pool/pool_job.ts";
 import type { Backend } from "../serving/serving_config.ts";
 import type { AttemptListener } from "./attempt.ts";
 import type { AttemptHistory, ReplacementObstacle } from "./attempt_history.ts";
@@ -160,16 +160,22 @@
 
   #onUnusable(placement: AttemptPlacement, failure: AttemptFailure): void {
     const { upstream } = placement;
+    const { history, log } = this.#context;
     this.#placement = undefined;
     placement.closeUnsent(this.#req, failure);
-    this.#retry(failure, { upstream, wasSent: false });
+    if (this.#sent === undefined) {
+      return this.#retry(failure, { upstream, wasSent: false });
+    }
+    history.dropPlacement();
+    const leftMs = this.#leftMs();
+    log.attemptFailed(failure, { upstream, leftMs, then: "wait" });
   }
 
   /** Sends the next attempt; a silent one ends first, so that only one is running. */
   #send(target: Omit<SentAttemptTarget, "lastEventId">): void {
     const { relay, listener } = this.#context;
     if (this.#sent !== undefined) {
-      if (!this.#tryReplaceSilent(this.#sent)) return;
+      if (!this.#tryReplaceSilent(this.#sent, target.grant)) return;
     } else if (this.#refusesForDrain()) return;
     this.#placement = undefined;
     relay.startAttempt();
@@ -194,11 +200,13 @@
     return refusal !== undefined;
   }
 
-  /** Ends a silent attempt in favour of another one, unless that may no longer be sent. */
-  #tryReplaceSilent(silent: SentAttempt): boolean {
+  /** Ends a silent attempt in favour of another one, unless that may no longer be sent, or not to another upstream. */
+  #tryReplaceSilent(silent: SentAttempt, { job }: PoolGrant): boolean {
     const { history, log } = this.#context;
-    const reason = this.#replacementObstacle() ??
-      (this.#spendRetry() ? undefined : "retry_budget");
+    const reason = job.upstream === silent.upstream
+      ? "no_other"
+      : this.#replacementObstacle() ??
+        (this.#spendRetry() ? undefined : "retry_budget");
     if (reason !== undefined) {
       this.#dropPlacement();
       log.silence(silent, { then: "wait", reason });
@@ -231,7 +239,9 @@
   #replacementObstacle(): ReplacementObstacle | undefined {
     const { relay, history, backend } = this.#context;
     if (relay.committed) return "committed";
-    const obstacle = history.replacementObstacle(this.#leftMs());
+    const obstacle = history.replacementObstacle(this.#leftMs(), {
+      seeking: this.#placement !== undefined,
+    });
     if (obstacle !== undefined) return obstacle;
     return this.#port.mayRetry(backend.service) ? undefined : "retry_budget";
   }
@@ -255,15 +265,13 @@
     });
     const retry = decision.type === "retry" && !relay.committed &&
       (!wasSent || this.#spendRetry());
-    const otherwise = this.#sent === undefined ? "give_up" : "wait";
-    const then = retry ? "retry" : otherwise;
+    const then = retry ? "retry" : "give_up";
     log.attemptFailed(failure, { upstream, culprit, leftMs, then });
     if (retry) {
       this.#port.observe.retried(failure.cause);
       if (this.#placement === undefined) this.start();
       return;
     }
-    if (this.#sent !== undefined) return;
     const code = decision.type === "retry" ? "retry_budget" : decision.code;
     listener.onExhausted(problem(code, failure.detail, {
       verdict: history.verdict,
--- a/src/gateway/requests/silent_upstream_test.ts
+++ b/src/gateway/requests/silent_upstream_test.ts
@@ -300,6 +300,8 @@
     await reported("e0 silence ended");
     expect(fake.recorded.jobUpdates.at(-1)).toBe("e1 ended");
     expect(fake.recorded.contentOutcomes).toEqual(["lost e0", "not_run e1"]);
+    // No other place is granted, so that the first upstream goes on to the end.
+    fake.placeNext = () => {};
     reserved();
     await pass(TIMEOUT_MS / 2);
     // The second release follows a reservation that was on its way.
