Don't wait for the disk when the log closes, and count the lines left out

The close now waits for the write only. Lines beyond 60 a second were not counted if the process ended in that second: of 100 `cut` lines 60 were in the log and no `left_out` (test failed before).

--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -79,12 +79,17 @@
    * blocked by a reader that has stopped, and `process.exit` would wait for it.
    */
   close(): Promise<boolean> {
+    for (const [kind, budget] of this.#budgets) {
+      this.#writeLeftOut(kind, budget);
+    }
     return new Promise((resolve) => {
       const timer = setTimeout(() => resolve(false), CLOSE_TIMEOUT_MS);
-      this.#out.flush((err) => {
+      // The callback of `flush` would wait for the disk.
+      this.#out.once("drain", () => {
         clearTimeout(timer);
-        resolve(err === undefined || err === null);
+        resolve(true);
       });
+      this.#out.flush();
     });
   }
 
@@ -96,19 +101,20 @@
       return budget;
     }
     if (known.second !== second) {
-      if (known.suppressed > 0) {
-        this.#write(this.#now(), "left_out", {
-          of: kind,
-          count: known.suppressed,
-        });
-      }
+      this.#writeLeftOut(kind, known);
       known.second = second;
       known.written = 0;
-      known.suppressed = 0;
     }
     return known;
   }
 
+  #writeLeftOut(kind: string, budget: LineBudget): void {
+    if (budget.suppressed === 0) return;
+    const count = budget.suppressed;
+    budget.suppressed = 0;
+    this.#write(this.#now(), "left_out", { of: kind, count });
+  }
+
   #write(now: Timestamp, kind: string, fields: LogFields): void {
     const at = new Date(now).toISOString();
     this.#out.write(
--- a/src/gateway/event_log_test.ts
+++ b/src/gateway/event_log_test.ts
@@ -40,3 +40,18 @@
   await expect.poll(() => log.dropped, { timeout: 5_000 }).toBeGreaterThan(0);
   await log.close();
 });
+
+test("lines that are suppressed in the last second are counted at the close", async () => {
+  const file = join(mkdtempSync(join(tmpdir(), "log-")), "out");
+  const log = logTo(file, () => 5_000);
+  for (let i = 0; i < 100; i += 1) log.line("cut", { i });
+  expect(await log.close()).toBe(true);
+  const lines = readFileSync(file, "utf8").trim().split("\n")
+    .map((line) => JSON.parse(line));
+  expect(lines).toHaveLength(61);
+  expect(lines.at(-1)).toMatchObject({
+    kind: "left_out",
+    of: "cut",
+    count: 40,
+  });
+});
