Answer each open request when an unexpected error ends the daemon

A call that was passed on got 'socket hang up' and no line (shown with a real process and an injected error), and the daemon went on taking requests for up to 0.2 s. It now stops listening and gives each open request its final response, 502 or 503 or a visible truncation, with a line, before the log closes.

--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -69,6 +69,7 @@
   #limitsVersion = 0;
   #unreadableDatagrams = 0;
   #draining = false;
+  #crashed = false;
 
   private constructor(settings: GatewaySettings, adapters: GatewayAdapters) {
     this.#settings = settings;
@@ -186,10 +187,15 @@
     this.#line("reload", fields);
   }
 
-  /** Logs an unexpected error and closes the log, then calls `exit`. */
+  /** Logs an unexpected error and gives each open request its final response, then calls `exit`; idempotent. */
   crash(fields: LogFields, exit: ExitProcess): void {
     this.#line("unexpected_error", fields);
-    void this.#log.close().then(exit);
+    if (this.#crashed) return;
+    this.#crashed = true;
+    this.#front.close();
+    this.#front.cut();
+    // Lets the responses be written.
+    setImmediate(() => void this.#log.close().then(exit));
   }
 
   #perform(intent: GatewayIntent): void {
