Fail an attempt whose response has a status that can't be passed on

Found by the review: a worker's 'HTTP/1.1 099' with its digest counted as a success; writeHead throws for it, which ended the daemon with all its open requests.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -16,6 +16,9 @@
 /** Largest head of a response. */
 const MAX_HEAD_BYTES = 32 * 1024;
 
+/** Least status of a final response; a lower one can't be passed on. */
+const MIN_STATUS = 200;
+
 /** Callbacks of one attempt; none is called after `onEnd` or `onFailure`. */
 export type AttemptListener = Readonly<{
   onHead: (status: number, responseHead: ResponseHead) => void;
@@ -129,6 +132,10 @@
       this.#fail("answer_broken", "The response has an invalid header");
       return;
     }
+    if (status < MIN_STATUS) {
+      this.#fail("answer_broken", `The response has the status ${status}`);
+      return;
+    }
     const head = this.#dialect.decodeResponse(status, res.rawHeaders);
     if (
       head.requestId !== undefined && head.requestId !== this.#target.head.id
--- a/src/gateway/requests/faulty_response_test.ts
+++ b/src/gateway/requests/faulty_response_test.ts
@@ -242,3 +242,13 @@
   const res = await request("/reserve/x", [script([head, body])]);
   expect([res.status, res.complete]).toEqual([200, false]);
 });
+
+test.each(["/lookup/x", "/reserve/x"])(
+  "a response whose status can't be passed on fails its attempt, not the daemon: %s",
+  async (path) => {
+    const head = responseHeadText(99, { ...SEAL, "Content-Length": 2 })
+      .replace(" 99 ", " 099 ");
+    const res = await request(path, [script([`${head}ok`])]);
+    expect(res.status).toBe(502);
+  },
+);
