--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -5,10 +5,10 @@
 const CHECK_INTERVAL_MS: Millis = 100;
 /** Minimum time of a drain: clients with an older response of the directory may still connect. */
 const MIN_DRAIN_MS: Millis = 3_200;
-/** Time before the end of the grace period at which open requests get their final response. */
-const CUT_MARGIN_MS: Millis = 800;
-/** Time before the end of the grace period at which the process exits, whether its clients have read all or not. */
-const EXIT_MARGIN_MS: Millis = 400;
+/** Part of the grace period that is left when open requests get their final response. */
+const CUT_MARGIN_FRACTION = 0.1;
+/** Part of it that is left when the process exits, whether its clients have read all or not. */
+const EXIT_MARGIN_FRACTION = 0.05;
 
 /** What a planned stop needs of the daemon. */
 export type StopPort = Readonly<{
@@ -27,7 +27,11 @@
 
 /** Time from the start of a stop until open requests get their final response. */
 export function drainTimeMs(graceMs: Millis): Millis {
-  return Math.max(0, graceMs - CUT_MARGIN_MS);
+  return graceMs * (1 - CUT_MARGIN_FRACTION);
+}
+
+function exitTimeMs(graceMs: Millis): Millis {
+  return graceMs * (1 - EXIT_MARGIN_FRACTION);
 }
 
 /** A planned stop: serves what can be finished within the grace period, gives all else a final response, and exits. */
@@ -64,7 +68,7 @@
     // Lines that are only buffered are lost if the process is killed at the end of the grace period.
     port.flush();
     const done = open === 0 && (elapsedMs >= MIN_DRAIN_MS || this.#isCut);
-    if (!done && elapsedMs < this.#graceMs - EXIT_MARGIN_MS) return;
+    if (!done && elapsedMs < exitTimeMs(this.#graceMs)) return;
     clearInterval(this.#timer);
     port.line("stopped", { open, ms: Math.round(elapsedMs) });
     port.exit();
--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -76,6 +76,7 @@
   /** Seeks a place for the next attempt, on another upstream than the silent one. */
   start(): void {
     const { history, backend, log } = this.#context;
+    if (this.#sent === undefined && this.#refusesForDrain()) return;
     const job = `${this.#req.head.id}.${history.countPlacement()}` as JobId;
     const silent = this.#sent === undefined ? [] : [this.#sent.upstream];
     const placement = AttemptPlacement.create(this.#port, job, {
--- a/src/gateway/requests/drain_gate.ts
+++ b/src/gateway/requests/drain_gate.ts
@@ -1,6 +1,6 @@
 import { type Problem, problem } from "../../core/problem.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
-import type { Route } from "../serving/serving_config.ts";
+import { isRepeatable, type Route } from "../serving/serving_config.ts";
 import type { AnswerTimes } from "./answer_times.ts";
 
 /** How long a draining daemon still accepts new requests, as clients may use stale responses of the directory. */
@@ -68,7 +68,7 @@
   latestSendAt(req: DrainingRequest, now: Timestamp): Timestamp | undefined {
     const drain = this.#drain();
     if (drain === undefined) return undefined;
-    if (req.admitted.route.kind === "once") {
+    if (!isRepeatable(req.admitted.route)) {
       return req.deadlineAt <= drain.endsAt ? drain.endsAt : drain.since;
     }
     return addMs(drain.endsAt, -this.needMs(req, now));
@@ -80,8 +80,9 @@
    */
   needMs(req: DrainingRequest, now: Timestamp): Millis {
     const limitMs = Math.max(0, req.deadlineAt - now);
-    if (req.admitted.route.kind === "once") return limitMs;
-    const usualMs = this.#times.usualMs(req.admitted.route);
+    const { route } = req.admitted;
+    if (!isRepeatable(route)) return limitMs;
+    const usualMs = this.#times.usualMs(route, now);
     return usualMs === undefined ? limitMs : Math.min(limitMs, usualMs);
   }
 }
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -16,7 +16,7 @@
 type ExchangeOptions = Readonly<{
   response: ClientResponse;
   gate: DrainGate;
-  /** Called with the time since the request's arrival when it was answered. */
+  /** Called with the time since the request's arrival when it was answered with success. */
   onAnswered: (ms: Millis) => void;
 }>;
 
@@ -81,6 +81,11 @@
     return new Exchange(port, req, options);
   }
 
+  /** Whether the final response was given; the client may not have read all of it. */
+  get finished(): boolean {
+    return this.#finished;
+  }
+
   /** Places the request; the final response is given by its deadline. */
   start(): void {
     const waitMs = timerMs(this.#req.deadlineAt - this.#port.now());
@@ -186,7 +191,7 @@
     const { head, arrivedAt } = this.#req;
     const ms = this.#port.now() - arrivedAt;
     this.#port.observe.completed(head.promptTokens, ms);
-    this.#onAnswered(ms);
+    if (this.#relay.succeeded) this.#onAnswered(ms);
     const { sent } = this.#attempts;
     this.#log.answered(sent?.upstream, {
       expectMs: sent?.grant.expectMs ?? 0,
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -96,8 +96,10 @@
 
   /** Gives the final response, as the daemon is about to exit. */
   cut(): void {
-    if (this.#exchange !== undefined) return this.#exchange.cut();
-    if (this.#entry.response.started) return;
+    const exchange = this.#exchange;
+    const answered = exchange?.finished ?? this.#entry.response.started;
+    if (answered) return this.#line("cut", { state: "unread" });
+    if (exchange !== undefined) return exchange.cut();
     this.#line("cut", { state: "body", received: this.#receivedBytes });
     this.#refuse(draining("The daemon stops before the body is read"), true);
   }
@@ -147,7 +149,8 @@
     }, {
       response,
       gate: this.#gate,
-      onAnswered: (ms) => this.#times.record(admitted.route, ms),
+      onAnswered: (ms) =>
+        this.#times.record(admitted.route, ms, this.#port.now()),
     });
     exchange.start();
     return exchange;
