Leave out what can't be used of a message, not the whole message

Cause: one odd job, entry, notice, record or card in a list of a heartbeat, a reply or a list of changes made the datagram unreadable; a daemon that sends such a list is not heard at all. Addresses of cards, entries, grants and replies were any text; numbers had no bounds: an offset or a version of 1e300 is the last one that is ever followed, a negative age lies in the future.

Change: lists are decoded member by member; addresses can be sent to, times are bounded to those of timers, offsets and versions are whole numbers, paces and rates are bounded. An entry that can't be used is the removal of its id. This also keeps builds of different age in touch: an older leader still sends entries that this build refuses.

--- a/src/gateway/contents/content_report.ts
+++ b/src/gateway/contents/content_report.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { PromptPartId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
+import { millisSchema } from "../../wire/bounds.ts";
 import { idSchema } from "../../wire/brands.ts";
 import type { AttemptFailure } from "../requests/retry_policy.ts";
 
@@ -11,9 +12,9 @@
   /** Parts of the prompt that other requests may share; absent in reports of earlier builds. */
   sharedParts: z.array(idSchema<PromptPartId>()).readonly().optional(),
   /** Time since the request was sent to the upstream. */
-  ranMs: z.number().optional(),
+  ranMs: millisSchema.optional(),
   /** Time since the first data of the response; absent before it. */
-  answeringMs: z.number().optional(),
+  answeringMs: millisSchema.optional(),
   outcome: z.enum([
     /** The connection broke while the upstream may have been running the request. */
     "disconnected",
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -1,5 +1,5 @@
 import type { Buffer } from "node:buffer";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { z } from "zod";
 import type {
   DomainId,
@@ -12,7 +12,17 @@
 import { type Refusal, REFUSALS } from "../../core/reason.ts";
 import type { Timestamp } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
-import { idSchema } from "../../wire/brands.ts";
+import {
+  addressSchema,
+  figureSchema,
+  millisSchema,
+  paceSchema,
+  positiveCountSchema,
+  unixMsSchema,
+} from "../../wire/bounds.ts";
+import { countSchema, idSchema } from "../../wire/brands.ts";
+import { parseWith } from "../../wire/parse.ts";
+import { parseReporting, soundList } from "../../wire/sound_list.ts";
 import { deflateJson, inflateJson } from "./deflated.ts";
 import { ContentSyncSchema } from "../contents/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
@@ -25,15 +35,15 @@
 export const PeerCardSchema = z.object({
   vm: idSchema<VmId>(),
   /** Host and port of the datagrams between daemons. */
-  peer: z.string(),
+  peer: addressSchema,
   /** Host and port for clients. */
-  front: z.string(),
+  front: addressSchema,
   domain: idSchema<DomainId>(),
   region: z.string(),
   /** Processor share; daemons with the largest share are preferred as leader. */
   power: z.number(),
   /** Unix time in ms of the process's start, which tells a restarted process from its predecessor. */
-  startedAt: z.number(),
+  startedAt: unixMsSchema,
   /** Whether the daemon accepts clients. */
   open: z.boolean(),
   /** Whether the VM is slow at present; clients use it only if too few others are open. */
@@ -42,6 +52,9 @@
 /** Identity, addresses and state that a daemon sends to its peers. */
 export type PeerCard = z.infer<typeof PeerCardSchema>;
 
+/** Offset in a topic, or position in a list; -1 for none. */
+const offsetSchema = z.number().int().min(-1);
+
 const upstream = idSchema<UpstreamId>();
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
 const JobSchema = z.object({
@@ -53,15 +66,18 @@
   helpers: z.array(upstream).readonly(),
   tickets: z.array(TicketSchema).readonly(),
   tokens: z.number(),
-  partMs: z.number(),
-  pauseMs: z.number(),
+  partMs: millisSchema,
+  pauseMs: millisSchema,
   writing: z.boolean(),
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
-const RegisterChangeSchema = z.discriminatedUnion("type", [
+const RegisterChangeSchema = z.union([
   z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({ type: z.literal("gone"), id: upstream }),
+  // An entry that can't be used replaces one that could.
+  z.object({ type: z.literal("entry"), entry: z.object({ id: upstream }) })
+    .transform(({ entry }) => ({ type: "gone" as const, id: entry.id })),
 ]);
 
 const AskSchema = z.object({
@@ -71,38 +87,38 @@
   domain: z.string(),
   service: idSchema<ServiceId>(),
   kind: z.enum(["prompt", "call"]),
-  promptTokens: z.number(),
-  answerTokens: z.number(),
-  targetMs: z.number(),
-  pauseMs: z.number(),
-  leftMs: z.number(),
+  promptTokens: figureSchema,
+  answerTokens: figureSchema,
+  targetMs: millisSchema,
+  pauseMs: millisSchema,
+  leftMs: millisSchema,
   rank: z.number(),
   digest: z.string(),
   /** Absent in messages of earlier builds. */
   sharedParts: z.array(idSchema<PromptPartId>()).readonly().default([]),
   avoid: z.array(upstream).readonly(),
   closed: z.array(
-    z.object({ upstream, forMs: z.number().optional() }).readonly(),
+    z.object({ upstream, forMs: millisSchema.optional() }).readonly(),
   ).readonly().default([]),
 }).readonly();
 
 const GrantSchema = z.object({
   job: JobSchema,
-  addresses: z.record(upstream, z.string()),
+  addresses: z.record(upstream, addressSchema),
   priority: z.number(),
-  expectMs: z.number(),
+  expectMs: millisSchema,
   counted: z.boolean().optional(),
 }).readonly();
 
 const StoreProgressSchema = z.object({
   /** Newest configuration version of the sender; 0 for none. */
-  version: z.number().transform((version) => version as ConfigVersion),
+  version: countSchema<ConfigVersion>(),
   /** Time in ms since that version was known to be the newest. */
-  versionAgeMs: z.number(),
+  versionAgeMs: millisSchema,
   /** Offset up to which the sender has read the register of upstreams; -1 for none. */
-  offset: z.number(),
+  offset: offsetSchema,
   /** Age of that read in ms. */
-  ageMs: z.number(),
+  ageMs: millisSchema,
   /** Absent while the sender knows of no evacuation. */
   evacuations: EvacuationStateSchema.optional(),
 }).readonly();
@@ -112,14 +128,14 @@
 /** Position of a daemon in its leader's roster. */
 const RosterPositionSchema = z.object({
   epoch: z.string(),
-  seq: z.number(),
+  seq: offsetSchema,
 }).readonly();
 
 const RosterUpdateSchema = z.object({
   epoch: z.string(),
-  seq: z.number(),
-  since: z.number().optional(),
-  joined: z.array(PeerCardSchema).readonly(),
+  seq: offsetSchema,
+  since: offsetSchema.optional(),
+  joined: soundList(PeerCardSchema),
   gone: z.array(idSchema<VmId>()).readonly(),
 }).readonly();
 
@@ -131,12 +147,11 @@
     progress: StoreProgressSchema,
     /** Position of the sender in the receiver's roster; absent if no update is requested. */
     roster: RosterPositionSchema.optional(),
-    jobs: z.array(JobSchema).readonly(),
+    jobs: soundList(JobSchema),
     /** Engines that the leader has found slow, with their slowdown. */
-    paces: z.array(z.object({ upstream, pace: z.number() })).readonly()
-      .optional(),
+    paces: soundList(z.object({ upstream, pace: paceSchema })).optional(),
     contents: ContentSyncSchema.optional(),
-    rates: z.array(RateNoticeSchema).readonly().optional(),
+    rates: soundList(RateNoticeSchema).optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
@@ -145,19 +160,19 @@
     progress: StoreProgressSchema,
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
-    entries: z.array(UpstreamEntrySchema).readonly().optional(),
+    entries: soundList(UpstreamEntrySchema).optional(),
     contents: ContentSyncSchema.optional(),
-    rates: z.array(RateNoticeSchema).readonly().optional(),
+    rates: soundList(RateNoticeSchema).optional(),
   }),
   /** Forwards register changes that were read after offset `since`. */
   z.object({
     type: z.literal("changes"),
     from: idSchema<VmId>(),
     progress: StoreProgressSchema,
-    since: z.number(),
-    changes: z.array(RegisterChangeSchema).readonly(),
+    since: offsetSchema,
+    changes: soundList(RegisterChangeSchema),
   }),
-  z.object({ type: z.literal("ask"), ask: AskSchema, reply: z.string() }),
+  z.object({ type: z.literal("ask"), ask: AskSchema, reply: addressSchema }),
   /** Confirms a placement request that is queued; the grant or denial follows later. */
   z.object({
     type: z.literal("wait"),
@@ -169,7 +184,7 @@
     job: z.string().transform((id) => id as JobId),
     code: z.enum(Object.keys(REFUSALS) as [Refusal, ...Refusal[]]),
     detail: z.string(),
-    retryAfterMs: z.number().optional(),
+    retryAfterMs: millisSchema.optional(),
   }),
   /** Forwards that the process of an upstream announced its shutdown. */
   z.object({
@@ -177,15 +192,15 @@
     from: idSchema<VmId>(),
     upstream,
     /** Unix time in ms of the process's start. */
-    startedAt: z.number(),
+    startedAt: unixMsSchema,
   }),
   /** Forwards what the sender knows of the rates that upstreams have named. */
   z.object({
     type: z.literal("rates"),
-    notices: z.array(RateNoticeSchema).readonly(),
+    notices: soundList(RateNoticeSchema),
   }),
   /** Reports messages to an upstream with a limited rate that were sent without a placement. */
-  z.object({ type: z.literal("sent"), upstream, count: z.number() }),
+  z.object({ type: z.literal("sent"), upstream, count: positiveCountSchema }),
   /** Forwards the placement of a job to the leader and the deputy. */
   z.object({
     type: z.literal("placed"),
@@ -216,10 +231,18 @@
   return deflateJson(message, { fromBytes: DEFLATE_MIN_BYTES });
 }
 
-/** Decodes a datagram; fails with the reason if it is not a valid message. */
-export function decodePeerMessage(data: Buffer): Result<PeerMessage, string> {
-  return inflateJson(data, { maxBytes: MAX_MESSAGE_BYTES }).andThen((value) => {
-    const parsed = PeerMessageSchema.safeParse(value);
-    return parsed.success ? ok(parsed.data) : err(parsed.error.message);
-  });
+/**
+ * Decodes a datagram; fails with the reason if it is not a valid message. Members of its lists that can't be used are
+ * left out, and `onLeftOut` is called with the reason.
+ */
+export function decodePeerMessage(
+  data: Buffer,
+  options: Readonly<{ onLeftOut?: (detail: string) => void }> = {},
+): Result<PeerMessage, string> {
+  return inflateJson(data, { maxBytes: MAX_MESSAGE_BYTES }).andThen((value) =>
+    parseReporting(
+      () => parseWith(PeerMessageSchema, value),
+      options.onLeftOut ?? (() => {}),
+    )
+  );
 }
--- a/src/gateway/serving/evacuated_domains.ts
+++ b/src/gateway/serving/evacuated_domains.ts
@@ -1,11 +1,12 @@
 import { z } from "zod";
 import type { DomainId } from "../../core/id.ts";
 import { idSchema } from "../../wire/brands.ts";
+import { soundList } from "../../wire/sound_list.ts";
 
 /** Evacuated failure domains as of an offset of the configuration's topic, as exchanged between daemons. */
 export const EvacuationStateSchema = z.object({
-  offset: z.number(),
-  domains: z.array(idSchema<DomainId>()).readonly(),
+  offset: z.number().int(),
+  domains: soundList(idSchema<DomainId>()),
 }).readonly();
 /** Evacuated failure domains as of an offset of the configuration's topic, as exchanged between daemons. */
 export type EvacuationState = z.infer<typeof EvacuationStateSchema>;
--- a/src/gateway/upstreams/named_rates.ts
+++ b/src/gateway/upstreams/named_rates.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { UpstreamId } from "../../core/id.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
+import { millisSchema, unixMsSchema } from "../../wire/bounds.ts";
 import { idSchema } from "../../wire/brands.ts";
 
 /** More than the largest deployment has. */
@@ -18,12 +19,14 @@
 export const RateNoticeSchema = z.object({
   upstream: idSchema<UpstreamId>(),
   /** Unix time in ms of the process's start. */
-  startedAt: z.number(),
-  perSecond: z.number().positive(),
+  startedAt: unixMsSchema,
+  perSecond: z.number().positive().transform((rate) =>
+    Math.min(UNLIMITED_PER_SECOND, Math.max(MIN_PER_SECOND, rate))
+  ),
   /** Time in ms since a response last named the rate. */
-  namedAgeMs: z.number(),
+  namedAgeMs: millisSchema,
   /** Time in ms since the latest request was sent whose response named none; absent if there was none. */
-  endedAgeMs: z.number().optional(),
+  endedAgeMs: millisSchema.optional(),
 }).readonly();
 /** What a daemon knows of the rate that a process of an upstream has named. */
 export type RateNotice = z.infer<typeof RateNoticeSchema>;
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -3,6 +3,7 @@
 import type { Millis, Timestamp } from "../../core/time.ts";
 import {
   addressSchema,
+  millisSchema,
   positiveCountSchema,
   unixMsSchema,
 } from "../../wire/bounds.ts";
@@ -20,7 +21,7 @@
   /** Unix time in ms of the start; a different start means a different process. */
   startedAt: unixMsSchema,
   /** Time in ms until the upstream is warm, when its entry was written; absent if it is. */
-  coldMs: z.number().optional(),
+  coldMs: millisSchema.optional(),
 }).readonly();
 /** Register entry of an upstream, as read from the register and as exchanged between daemons. */
 export type UpstreamEntry = z.infer<typeof UpstreamEntrySchema>;
--- a/src/wire/bounds.ts
+++ b/src/wire/bounds.ts
@@ -10,6 +10,8 @@
 const MAX_HOST_LENGTH = 253;
 /** Largest figure of a service; products of a few such figures stay finite. */
 const MAX_FIGURE = 1e9;
+/** A slower engine serves no caller in time. */
+const MAX_PACE = 1_000;
 const IPV4 = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/;
 const MAX_OCTET = 255;
 
@@ -47,6 +49,10 @@
 /** Schema of an age or a time in ms; negative ones are 0, and longer ones than a timer waits are as long as that. */
 export const millisSchema = z.number().transform(timerMs);
 
+/** Schema of how many times of its stated time an engine takes; predictions with the slowest one stay finite. */
+export const paceSchema = z.number().positive()
+  .transform((pace) => Math.min(MAX_PACE, pace));
+
 /** Schema of a figure from 0 to 1e9, such as a size in tokens or a time per token. */
 export const figureSchema = z.number().min(0).max(MAX_FIGURE);
 
