Take a response with a status below 200 as broken

What happened: an upstream that answers with the status 042 ends the process that passes it on, and with it all requests that it has open.

Cause: node:http accepts any three digits from an upstream, and writeHead throws for a status below 100 (ERR_HTTP_INVALID_STATUS_CODE) inside the handler of the response.

Change: the attempt fails as answer_broken, as for other invalid heads.

Before (odd_response_test.ts): the run failed with 3 uncaught exceptions ERR_HTTP_INVALID_STATUS_CODE (000, 042, 099). After: none; 150 responses with one byte changed (fixed seed) end no process either.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -15,6 +15,8 @@
 const CONNECT_TIMEOUT_MS: Millis = 350;
 /** Largest head of a response. */
 const MAX_HEAD_BYTES = 32 * 1024;
+/** Lower statuses are informational, or none, and can't be passed on. */
+const MIN_FINAL_STATUS = 200;
 
 /** Callbacks of one attempt; none is called after `onEnd` or `onFailure`. */
 export type AttemptListener = Readonly<{
@@ -125,6 +127,10 @@
     if (this.#settled) return;
     this.#res = res;
     const status = res.statusCode ?? 0;
+    if (status < MIN_FINAL_STATUS) {
+      this.#fail("answer_broken", `The response has the status ${status}`);
+      return;
+    }
     if (hasInvalidHeader(res.rawHeaders)) {
       this.#fail("answer_broken", "The response has an invalid header");
       return;
