End a silent attempt only when the connection to the other upstream is open

Where all upstreams stand still, the attempt given up was as good as the next one.

The placement beside a silent attempt now opens its connection first (350 ms at most) and looks once more whether the upstream is open; if it can't, the place is given back and the attempt goes on, no retry spent. Test: failed before (first connection destroyed, 4 retries spent). 'a budget that was spent meanwhile' waits for the same report, which comes after the connection. 229 tests of src/gateway/requests pass.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,18 +1,15 @@
 import type { Buffer } from "node:buffer";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
-import { connect } from "node:net";
+import type { Socket } from "node:net";
 import type { Retry } from "../../core/reason.ts";
-import type { Millis } from "../../core/time.ts";
 import { unexpectedFields } from "../../core/unexpected_error.ts";
 import type { Verdict } from "../../core/verdict.ts";
-import { splitAddress } from "../address.ts";
 import type { Dialect, RequestHead, ResponseHead } from "./dialect.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
 import { closedCleanly, isCloseDelimited } from "./close_delimited.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
+import { CONNECT_TIMEOUT_MS, connectTo } from "./upstream_connection.ts";
 
-/** Connect time-out; shorter than the 1 s after which the kernel resends a lost SYN. */
-const CONNECT_TIMEOUT_MS: Millis = 350;
 /** Largest head of a response. */
 const MAX_HEAD_BYTES = 32 * 1024;
 /** Lower statuses are informational, or none, and can't be passed on. */
@@ -32,6 +29,8 @@
 /** Upstream address and request of an attempt. */
 export type AttemptTarget = Readonly<{
   address: string;
+  /** Open connection to the address; by default the attempt opens one. */
+  connection?: Socket;
   head: RequestHead;
   headers: string[];
   body: Buffer;
@@ -82,23 +81,25 @@
     );
     req.on("socket", (socket) => {
       socket.setNoDelay(true);
-      socket.once("connect", () => {
-        this.#sent = true;
-        clearTimeout(this.#connectTimer);
-      });
+      if (socket.connecting) socket.once("connect", () => this.#onConnect());
+      else this.#onConnect();
     });
     req.on("response", (res) => this.#handleResponse(res));
     req.on("error", (err) => this.#failConnection(err.message));
     req.end(body);
   }
 
+  #onConnect(): void {
+    this.#sent = true;
+    clearTimeout(this.#connectTimer);
+  }
+
   /** Creates the request; an invalid head fails the attempt before a byte is sent. */
   #openRequest(): ClientRequest | undefined {
-    const { address, head, headers } = this.#target;
+    const { address, connection, head, headers } = this.#target;
     try {
       return request({
-        createConnection: () =>
-          connect({ ...splitAddress(address), allowHalfOpen: true }),
+        createConnection: () => connection ?? connectTo(address),
         method: head.method,
         path: head.path,
         headers,
--- a/src/gateway/requests/attempt_placement.ts
+++ b/src/gateway/requests/attempt_placement.ts
@@ -3,6 +3,7 @@
   PlacementRequest,
   PoolGrant,
 } from "../../scheduling/pool/pool_job.ts";
+import type { Socket } from "node:net";
 import type { UpstreamId } from "../../core/id.ts";
 import type { Problem } from "../../core/problem.ts";
 import type { ReservationError } from "./engine_orders.ts";
@@ -14,11 +15,15 @@
 import { notOpen, notSent } from "./exchange_util.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
 import { TicketManager } from "./ticket_manager.ts";
+import { openConnection } from "./upstream_connection.ts";
+
+/** Address of an upstream, with a connection if it was opened in advance. */
+export type UpstreamRoute = Readonly<{ address: string; connection?: Socket }>;
 
 /** Callbacks of a placement; none is called after it was closed. */
 export type AttemptPlacementListener = Readonly<{
-  /** The attempt may be sent to `address`. */
-  onReady: (grant: PoolGrant, address: string) => void;
+  /** The attempt may be sent. */
+  onReady: (grant: PoolGrant, route: UpstreamRoute) => void;
   onDenied: (err: Problem) => void;
   /** The grant can't be used; the placement is to be closed. */
   onUnusable: (failure: AttemptFailure) => void;
@@ -27,11 +32,18 @@
   onTicketError: (err: ReservationError) => void;
 }>;
 
+type AttemptPlacementOptions = Readonly<{
+  listener: AttemptPlacementListener;
+  /** Whether the attempt is ready only when a connection to its upstream is open. */
+  connects: boolean;
+}>;
+
 /** The place of one attempt, from its request until it is closed: the grant, and the memory that is reserved for it. */
 export class AttemptPlacement {
   readonly #port: ExchangePort;
   readonly #job: JobId;
   readonly #listener: AttemptPlacementListener;
+  readonly #connects: boolean;
   #grant: PoolGrant | undefined;
   #tickets: TicketManager | undefined;
   #closed = false;
@@ -39,19 +51,20 @@
   private constructor(
     port: ExchangePort,
     job: JobId,
-    listener: AttemptPlacementListener,
+    options: AttemptPlacementOptions,
   ) {
     this.#port = port;
     this.#job = job;
-    this.#listener = listener;
+    this.#listener = options.listener;
+    this.#connects = options.connects;
   }
 
   static create(
     port: ExchangePort,
     job: JobId,
-    options: Readonly<{ listener: AttemptPlacementListener }>,
+    options: AttemptPlacementOptions,
   ): AttemptPlacement {
-    return new AttemptPlacement(port, job, options.listener);
+    return new AttemptPlacement(port, job, options);
   }
 
   /** The upstream that was granted. */
@@ -116,7 +129,22 @@
       const detail = "The upstream's address is unknown";
       return this.#listener.onUnusable(notSent("connect_failed", detail));
     }
-    this.#listener.onReady(grant, address);
+    if (!this.#connects) return this.#listener.onReady(grant, { address });
+    const opened = await openConnection(address);
+    if (opened.isErr()) {
+      if (this.#closed) return;
+      return this.#listener.onUnusable({
+        ...notSent("connect_failed", opened.error),
+        upstreamAtFault: true,
+        unreachable: true,
+      });
+    }
+    const connection = opened.value;
+    if (this.#closed || this.#failIfNotOpen(grant)) {
+      connection.destroy();
+      return;
+    }
+    this.#listener.onReady(grant, { address, connection });
   }
 
   /** Fails if an upstream of the grant closed while the grant was in transit or memory was being reserved. */
--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -80,8 +80,10 @@
     const job = `${this.#req.head.id}.${history.countPlacement()}` as JobId;
     const silent = this.#sent === undefined ? [] : [this.#sent.upstream];
     const placement = AttemptPlacement.create(this.#port, job, {
+      // A silent attempt goes on if the other upstream can't be reached.
+      connects: this.#sent !== undefined,
       listener: {
-        onReady: (grant, address) => this.#send({ placement, grant, address }),
+        onReady: (grant, route) => this.#send({ placement, grant, route }),
         onDenied: (err) => this.#onDenied(err),
         onUnusable: (failure) => this.#onUnusable(placement, failure),
         onUpstreamLost: (detail) =>
@@ -175,9 +177,13 @@
   /** Sends the next attempt; a silent one ends first, so that only one is running. */
   #send(target: Omit<SentAttemptTarget, "lastEventId">): void {
     const { relay, listener } = this.#context;
-    if (this.#sent !== undefined) {
-      if (!this.#tryReplaceSilent(this.#sent, target.grant)) return;
-    } else if (this.#refusesForDrain()) return;
+    const maySend = this.#sent === undefined
+      ? !this.#refusesForDrain()
+      : this.#tryReplaceSilent(this.#sent, target.grant);
+    if (!maySend) {
+      target.route.connection?.destroy();
+      return;
+    }
     this.#placement = undefined;
     relay.startAttempt();
     const { lastEventId } = relay;
--- a/src/gateway/requests/sent_attempt.ts
+++ b/src/gateway/requests/sent_attempt.ts
@@ -9,7 +9,7 @@
 } from "../contents/content_report.ts";
 import { isRepeatable } from "../serving/serving_config.ts";
 import { Attempt, type AttemptListener } from "./attempt.ts";
-import type { AttemptPlacement } from "./attempt_placement.ts";
+import type { AttemptPlacement, UpstreamRoute } from "./attempt_placement.ts";
 import { AttemptTimes } from "./attempt_times.ts";
 import type {
   ExchangePort,
@@ -30,7 +30,7 @@
 export type SentAttemptTarget = Readonly<{
   placement: AttemptPlacement;
   grant: PoolGrant;
-  address: string;
+  route: UpstreamRoute;
   lastEventId?: string;
 }>;
 
@@ -55,7 +55,7 @@
     >,
   ) {
     const { target, listener } = options;
-    const { grant, placement, address } = target;
+    const { grant, placement, route } = target;
     const { head, body, admitted } = req;
     const leftMs = req.deadlineAt - port.now();
     this.#port = port;
@@ -72,7 +72,7 @@
       lastEventId: target.lastEventId,
       bodyBytes: body.length,
     });
-    const attemptTarget = { address, head, headers, body };
+    const attemptTarget = { ...route, head, headers, body };
     this.#attempt = Attempt.create(port.dialect, attemptTarget, listener);
     const { expectMs } = grant;
     if (!isRepeatable(admitted.route)) return;
--- a/src/gateway/requests/silent_replacement_test.ts
+++ b/src/gateway/requests/silent_replacement_test.ts
@@ -133,3 +133,22 @@
   await until(() => response !== undefined);
   expect(response).toMatchObject({ body: WHOLE, complete: true });
 });
+
+test("a silent attempt goes on where the other upstream can't be connected to", async () => {
+  await start(2, 0, { maxAttempts: 2 });
+  send();
+  await until(() => sockets[0] !== undefined);
+  sockets[0]!.write(`${HEAD}${FIRST}`);
+  await until(() => fake.recorded.jobUpdates.includes("e0 started"));
+  fake.placeNext = (reply, grant) => {
+    const { upstream } = grant.job;
+    reply(ok({ ...grant, addresses: { [upstream]: "127.0.0.1:1" } }));
+  };
+  await pass(SILENCE_LIMIT_MS);
+  await until(() => fake.recorded.jobUpdates.includes("e1 failed"));
+  await settle();
+  expect([sockets[0]!.destroyed, fake.recorded.retries]).toEqual([false, []]);
+  sockets[0]!.end(SECOND);
+  await until(() => response !== undefined);
+  expect(response).toMatchObject({ body: WHOLE, complete: true });
+});
--- a/src/gateway/requests/silent_upstream_test.ts
+++ b/src/gateway/requests/silent_upstream_test.ts
@@ -338,6 +338,7 @@
     const place = await fallSilent();
     fake.retriesLeft = 0;
     place.grant();
+    await reported("e1 ended");
     expect(fake.recorded.jobUpdates.at(-1)).toBe("e1 ended");
     await continueFirst();
   });
