--- a/src/gateway/plain_http_test.ts
+++ b/src/gateway/plain_http_test.ts
@@ -1,5 +1,7 @@
+import { once } from "node:events";
+import { type AddressInfo, connect } from "node:net";
 import { expect, test } from "vitest";
-import { sendHttpCall } from "./plain_http.ts";
+import { sendHttpCall, serveGetRequests } from "./plain_http.ts";
 
 test.each([
   ["a port out of range", "127.0.0.1:99999", "/"],
@@ -15,3 +17,29 @@
     expect(result._unsafeUnwrapErr().code).toBe("unreachable");
   },
 );
+
+test.each([
+  ["//", 404],
+  ["http://[::1", 404],
+  ["*", 404],
+  ["/a?zone=%ff&zone=%", 200],
+  ["/\u00e9", 404],
+])("a GET request for %s gets a response", async (target, status) => {
+  const server = await serveGetRequests(
+    { host: "127.0.0.1", port: 0 },
+    (url) =>
+      url.pathname === "/a"
+        ? { status: 200, body: url.search, contentType: "text/plain" }
+        : undefined,
+  );
+  try {
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    socket.write(`GET ${target} HTTP/1.1\r\nHost: h\r\n\r\n`, "latin1");
+    const [head] = await once(socket, "data");
+    socket.destroy();
+    expect(String(head)).toContain(`HTTP/1.1 ${status}`);
+  } finally {
+    server.close();
+  }
+});
