--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -1,5 +1,3 @@
-import { Buffer } from "node:buffer";
-import { createHash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -9,13 +7,15 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
-import { Exchange } from "./exchange.ts";
+import { type Drain, DrainGate } from "./drain_gate.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
 import { deadlineOf } from "./exchange_util.ts";
 import type { ExchangePort } from "./exchange_port.ts";
-import type { AdmittedRequest, RouteTable } from "../serving/route_table.ts";
+import { type AdmittedHead, IncomingRequest } from "./incoming_request.ts";
+import type { RouteTable } from "../serving/route_table.ts";
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
@@ -28,16 +28,12 @@
 const CONNECTION_CHECK_INTERVAL_MS: Millis = 1_000;
 /** Added to the configured idle time, so that the server doesn't close a connection that a client still reuses. */
 const IDLE_MARGIN_MS: Millis = 1_000;
-/** How long a draining daemon still accepts new requests, as clients may use stale responses of the directory. */
-const DRAIN_GRACE_MS: Millis = 3_000;
-/** Retry-After while draining; short, as another daemon can serve the request. */
-const DRAINING_RETRY_AFTER_MS: Millis = 50;
 const NOT_CONFIGURED_RETRY_AFTER_MS: Millis = 500;
 
 /** State of the daemon that the front server reads. */
 export type FrontState = Readonly<{
   routes: () => RouteTable | undefined;
-  drainingSince: () => Timestamp | undefined;
+  drain: () => Drain | undefined;
 }>;
 
 /** HTTP server for clients; rejects requests that can't be served at once, and runs an exchange for the others. */
@@ -45,12 +41,16 @@
   readonly #port: ExchangePort;
   readonly #state: FrontState;
   readonly #server: Server;
-  readonly #exchanges = new Set<Exchange>();
+  /** Admitted requests without a final response. */
+  readonly #requests = new Set<IncomingRequest>();
+  readonly #gate: DrainGate;
+  readonly #times = AnswerTimes.create();
   #openRequests = 0;
 
   private constructor(port: ExchangePort, state: FrontState) {
     this.#port = port;
     this.#state = state;
+    this.#gate = DrainGate.create(state.drain, this.#times);
     this.#server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
@@ -87,7 +87,17 @@
   }
 
   upstreamLost(id: UpstreamId): void {
-    for (const exchange of this.#exchanges) exchange.upstreamLost(id);
+    for (const one of this.#requests) one.upstreamLost(id);
+  }
+
+  /** Applies the limits of a planned stop to the requests that are open when it begins. */
+  drain(): void {
+    for (const one of this.#requests) one.drain();
+  }
+
+  /** Gives each open request its final response, as the daemon is about to exit. */
+  cut(): void {
+    for (const one of [...this.#requests]) one.cut();
   }
 
   /** Stops accepting connections, and closes idle ones. */
@@ -100,7 +110,7 @@
     this.#openRequests += 1;
     res.once("close", () => this.#openRequests -= 1);
     const arrivedAt = this.#port.now();
-    const isDraining = () => this.#state.drainingSince() !== undefined;
+    const isDraining = () => this.#gate.drain !== undefined;
     const response = ClientResponse.create(res, isDraining);
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
@@ -111,14 +121,26 @@
       this.#refuse(response, admitted, unread);
       return;
     }
-    this.#readBody(req, res, { ...admitted, arrivedAt, response });
+    const { head } = admitted;
+    const one = IncomingRequest.create(this.#port, {
+      ...admitted,
+      arrivedAt,
+      response,
+    }, {
+      gate: this.#gate,
+      times: this.#times,
+      refuse: (err, unread) =>
+        this.#refuse(response, { head, problem: err }, unread),
+    });
+    this.#requests.add(one);
+    res.once("close", () => this.#requests.delete(one));
+    one.read(req, res);
   }
 
   #admit(
     req: IncomingMessage,
     now: Timestamp,
   ): AcceptedRequest | RejectedRequest {
-    const since = this.#state.drainingSince();
     if (hasInvalidHeader(req.rawHeaders)) {
       return { problem: problem("bad_request", "A header is invalid") };
     }
@@ -129,12 +151,8 @@
     );
     if (decoded.isErr()) return { problem: decoded.error };
     const head = decoded.value;
-    if (since !== undefined && now - since > DRAIN_GRACE_MS) {
-      const draining = problem("draining", "This daemon is draining", {
-        retryAfterMs: DRAINING_RETRY_AFTER_MS,
-      });
-      return { head, problem: draining };
-    }
+    const closed = this.#gate.closed(now);
+    if (closed !== undefined) return { head, problem: closed };
     const routes = this.#state.routes();
     if (routes === undefined) {
       const notConfigured = problem(
@@ -161,55 +179,15 @@
     }
     const admitted = routes.admit(head);
     if (admitted.isErr()) return { head, problem: admitted.error };
+    const { timeoutMs } = admitted.value.route;
+    const refusal = this.#gate.refusal({
+      admitted: admitted.value,
+      deadlineAt: deadlineOf(now, { timeoutMs, leftMs: head.leftMs }),
+    }, now);
+    if (refusal !== undefined) return { head, problem: refusal };
     return { head, admitted: admitted.value, bodyBytes: limits.bodyBytes };
   }
 
-  #readBody(
-    req: IncomingMessage,
-    res: ServerResponse,
-    entry: IncomingRequest,
-  ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let exchange: Exchange | undefined;
-    res.once("close", () => {
-      if (exchange === undefined) return;
-      this.#exchanges.delete(exchange);
-      if (!res.writableFinished) exchange.cancel();
-    });
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= entry.bodyBytes) chunks.push(chunk);
-      else if (!entry.response.started) {
-        req.pause();
-        const err = problem("body_too_large", "The request body is too large");
-        this.#refuse(entry.response, { head: entry.head, problem: err }, true);
-      }
-    });
-    req.on("end", () => {
-      if (entry.response.started || res.destroyed) return;
-      exchange = this.#start(entry, Buffer.concat(chunks));
-    });
-  }
-
-  #start(entry: IncomingRequest, body: Buffer): Exchange {
-    const { head, admitted, arrivedAt, response } = entry;
-    const exchange = Exchange.create(this.#port, {
-      head,
-      body,
-      admitted,
-      arrivedAt,
-      deadlineAt: deadlineOf(arrivedAt, {
-        timeoutMs: admitted.route.timeoutMs,
-        leftMs: head.leftMs,
-      }),
-      digest: digestOf(entry, body),
-    }, { response });
-    this.#exchanges.add(exchange);
-    exchange.start();
-    return exchange;
-  }
-
   #refuse(
     response: ClientResponse,
     rejected: RejectedRequest,
@@ -223,33 +201,17 @@
       host: head?.host,
       path: head?.path,
       code: err.code,
+      detail: err.detail,
       version: this.#state.routes()?.serving.version,
     });
     response.sendProblem(err, unread ? { connection: "close" } : {});
   }
 }
 
-type AcceptedRequest = Readonly<
-  { head: RequestHead; admitted: AdmittedRequest; bodyBytes: number }
->;
+type AcceptedRequest = Omit<AdmittedHead, "arrivedAt" | "response">;
 type RejectedRequest = Readonly<{ head?: RequestHead; problem: Problem }>;
-type IncomingRequest =
-  & AcceptedRequest
-  & Readonly<{ arrivedAt: Timestamp; response: ClientResponse }>;
-
 function headBytesOf(req: IncomingMessage): number {
   let size = (req.url ?? "").length;
   for (const part of req.rawHeaders) size += part.length + 2;
   return size;
 }
-
-/** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
-function digestOf(entry: AcceptedRequest, body: Buffer): string {
-  return createHash("sha1")
-    .update(entry.admitted.team?.id ?? "")
-    .update("\n")
-    .update(entry.head.path)
-    .update("\n")
-    .update(body)
-    .digest("base64url");
-}
--- /dev/null
+++ b/src/gateway/requests/incoming_request.ts
@@ -0,0 +1,172 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { UpstreamId } from "../../core/id.ts";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Timestamp } from "../../core/time.ts";
+import type { AdmittedRequest } from "../serving/route_table.ts";
+import type { AnswerTimes } from "./answer_times.ts";
+import type { ClientResponse } from "./client_response.ts";
+import type { RequestHead } from "./dialect.ts";
+import { Exchange } from "./exchange.ts";
+import type { ExchangePort } from "./exchange_port.ts";
+import { type DrainGate, draining } from "./drain_gate.ts";
+import { deadlineOf } from "./exchange_util.ts";
+
+/** A request whose head was admitted. */
+export type AdmittedHead = Readonly<{
+  head: RequestHead;
+  admitted: AdmittedRequest;
+  /** Largest body that is accepted. */
+  bodyBytes: number;
+  arrivedAt: Timestamp;
+  response: ClientResponse;
+}>;
+
+/** Refuses a request; `unread` if its body was not read to the end. */
+export type RefuseRequest = (err: Problem, unread: boolean) => void;
+
+type IncomingRequestOptions = Readonly<
+  { gate: DrainGate; times: AnswerTimes; refuse: RefuseRequest }
+>;
+
+/** An admitted request, from its head to its final response: reads the body, then runs the exchange. */
+export class IncomingRequest {
+  readonly #port: ExchangePort;
+  readonly #entry: AdmittedHead;
+  readonly #gate: DrainGate;
+  readonly #times: AnswerTimes;
+  readonly #refuse: RefuseRequest;
+  #chunks: Buffer[] = [];
+  #receivedBytes = 0;
+  #exchange: Exchange | undefined;
+
+  private constructor(
+    port: ExchangePort,
+    entry: AdmittedHead,
+    options: IncomingRequestOptions,
+  ) {
+    this.#port = port;
+    this.#entry = entry;
+    this.#gate = options.gate;
+    this.#times = options.times;
+    this.#refuse = options.refuse;
+  }
+
+  static create(
+    port: ExchangePort,
+    entry: AdmittedHead,
+    options: IncomingRequestOptions,
+  ): IncomingRequest {
+    return new IncomingRequest(port, entry, options);
+  }
+
+  /** Reads the body and starts the exchange at its end. */
+  read(req: IncomingMessage, res: ServerResponse): void {
+    const { response, bodyBytes } = this.#entry;
+    res.once("close", () => this.#onClose(res));
+    req.on("data", (chunk: Buffer) => {
+      this.#receivedBytes += chunk.length;
+      if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
+      else if (!response.started) {
+        req.pause();
+        this.#refuse(
+          problem("body_too_large", "The request body is too large"),
+          true,
+        );
+      }
+    });
+    req.on("end", () => {
+      if (response.started || res.destroyed) return;
+      const refusal = this.#drainRefusal();
+      if (refusal !== undefined) return this.#refuse(refusal, false);
+      this.#exchange = this.#start(Buffer.concat(this.#chunks));
+      this.#chunks = [];
+    });
+  }
+
+  upstreamLost(id: UpstreamId): void {
+    this.#exchange?.upstreamLost(id);
+  }
+
+  /** Applies the limits of a planned stop. */
+  drain(): void {
+    this.#exchange?.drain();
+  }
+
+  /** Gives the final response, as the daemon is about to exit. */
+  cut(): void {
+    if (this.#exchange !== undefined) return this.#exchange.cut();
+    if (this.#entry.response.started) return;
+    this.#line("cut", { state: "body", received: this.#receivedBytes });
+    this.#refuse(draining("The daemon stops before the body is read"), true);
+  }
+
+  get #deadlineAt(): Timestamp {
+    const { head, admitted, arrivedAt } = this.#entry;
+    return deadlineOf(arrivedAt, {
+      timeoutMs: admitted.route.timeoutMs,
+      leftMs: head.leftMs,
+    });
+  }
+
+  /** The refusal if a planned stop leaves too little time; logs what a draining daemon takes. */
+  #drainRefusal(): Problem | undefined {
+    const { drain } = this.#gate;
+    if (drain === undefined) return undefined;
+    const now = this.#port.now();
+    const { admitted } = this.#entry;
+    const req = { admitted, deadlineAt: this.#deadlineAt };
+    const refusal = this.#gate.refusal(req, now);
+    if (refusal !== undefined) return refusal;
+    this.#line("taken", {
+      need_ms: Math.round(this.#gate.needMs(req, now)),
+      left_ms: Math.round(drain.endsAt - now),
+    });
+    return undefined;
+  }
+
+  #onClose(res: ServerResponse): void {
+    if (res.writableFinished) return;
+    if (this.#exchange !== undefined) this.#exchange.cancel();
+    else {
+      this.#line("client_left", { placed: 0, received: this.#receivedBytes });
+    }
+  }
+
+  #start(body: Buffer): Exchange {
+    const { head, admitted, arrivedAt, response } = this.#entry;
+    const deadlineAt = this.#deadlineAt;
+    const exchange = Exchange.create(this.#port, {
+      head,
+      body,
+      admitted,
+      arrivedAt,
+      deadlineAt,
+      digest: digestOf(this.#entry, body),
+    }, {
+      response,
+      gate: this.#gate,
+      onAnswered: (ms) => this.#times.record(admitted.route, ms),
+    });
+    exchange.start();
+    return exchange;
+  }
+
+  #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
+    const { head, admitted } = this.#entry;
+    const route = admitted.route.name;
+    this.#port.line(kind, { req: head.id, route, ...fields });
+  }
+}
+
+/** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
+function digestOf(entry: AdmittedHead, body: Buffer): string {
+  return createHash("sha1")
+    .update(entry.admitted.team?.id ?? "")
+    .update("\n")
+    .update(entry.head.path)
+    .update("\n")
+    .update(body)
+    .digest("base64url");
+}
