--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,16 +1,17 @@
 import type { Buffer } from "node:buffer";
 import type { ServiceId, UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Millis } from "../../core/time.ts";
+import { type Millis, timerMs } from "../../core/time.ts";
 import { joinVerdicts } from "../../core/verdict.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import { AttemptSequence, RETRY_AFTER_MS } from "./attempt_sequence.ts";
+import { AttemptSequence } from "./attempt_sequence.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import { chooseBackend, ResponseTimer } from "./exchange_util.ts";
 import { ResponseRelay } from "./response_relay.ts";
+import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
 type ExchangeOptions = Readonly<{
   response: ClientResponse;
@@ -82,8 +83,8 @@
 
   /** Places the request; the final response is given by its deadline. */
   start(): void {
-    const left = this.#req.deadlineAt - this.#port.now();
-    this.#deadlineTimer = setTimeout(() => this.#expire(), Math.max(0, left));
+    const waitMs = timerMs(this.#req.deadlineAt - this.#port.now());
+    this.#deadlineTimer = setTimeout(() => this.#expire(), waitMs);
     this.drain();
     this.#port.recordFirstSend(this.#service);
     this.#attempts.start();
--- a/src/gateway/requests/silence_watch.ts
+++ b/src/gateway/requests/silence_watch.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../../core/time.ts";
+import { type Millis, timerMs } from "../../core/time.ts";
 import type { SilenceLimits } from "./silence_limits.ts";
 
 /** Watches for the silence of one upstream: calls `onLimit` at the silence limit, and again for each further gap. */
@@ -48,6 +48,6 @@
       this.#silentMs += limitMs;
       this.#restart(this.#limits.gapMs);
       this.#onLimit(limitMs);
-    }, limitMs);
+    }, timerMs(limitMs));
   }
 }
