--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -32,6 +32,7 @@
   type UpstreamAvailability,
 } from "./requests/upstream_availability.ts";
 import { type GetResponse, serveGetRequests } from "./plain_http.ts";
+import { UnreadableLog } from "./unreadable_log.ts";
 import { SERVING_PATH, StoreCaller } from "./store/store_caller.ts";
 
 const METRICS_PATH = "/metrics";
@@ -66,9 +67,13 @@
   readonly #orders: EngineOrders;
   readonly #replies = new Map<JobId, (reply: PlacementResult) => void>();
   readonly #startedAt: Timestamp;
+  readonly #unreadable = UnreadableLog.create((kind, fields) =>
+    this.#line(kind, fields)
+  );
   #limitsVersion = 0;
   #unreadableDatagrams = 0;
   #draining = false;
+  #crashed = false;
 
   private constructor(settings: GatewaySettings, adapters: GatewayAdapters) {
     this.#settings = settings;
@@ -96,6 +101,7 @@
     );
     this.#budget = RetryBudget.create(settings.budget);
     this.#datagrams = DatagramPort.create((data) => this.#receive(data));
+    adapters.store.onUnreadable((record) => this.#unreadable.report(record));
     this.#store = StoreCaller.create(adapters.store, {
       push: (event) => this.#loop.push(event),
       count: (call, outcome) => this.#metrics.storeCall(call, outcome),
@@ -186,10 +192,15 @@
     this.#line("reload", fields);
   }
 
-  /** Logs an unexpected error and closes the log, then calls `exit`. */
+  /** Logs an unexpected error and gives each open request its final response, then calls `exit`; idempotent. */
   crash(fields: LogFields, exit: ExitProcess): void {
     this.#line("unexpected_error", fields);
-    void this.#log.close().then(exit);
+    if (this.#crashed) return;
+    this.#crashed = true;
+    this.#front.close();
+    this.#front.cut();
+    // Lets the responses be written.
+    setImmediate(() => void this.#log.close().then(exit));
   }
 
   #perform(intent: GatewayIntent): void {
@@ -303,7 +314,10 @@
   }
 
   #receive(data: Buffer): void {
-    decodePeerMessage(data).match(
+    decodePeerMessage(data, {
+      onLeftOut: (detail) =>
+        this.#unreadable.report({ source: "peer", detail }),
+    }).match(
       (message) => this.#loop.push({ type: "message", message }),
       (detail) => {
         this.#unreadableDatagrams += 1;
