Move the tables of suspected contents to a common folder

Change: content_table, content_record, recent_successes and suspect_key move to src/suspects. Their capacity and the retention of suspects can be set; the defaults are the former constants, so the gateway decides as before.

--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -1,9 +1,9 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { QuarantinePersister } from "./quarantine_persister.ts";
-import type { MergedContent } from "./content_table.ts";
+import type { MergedContent } from "../../suspects/content_table.ts";
 import type { SuspicionUpdate } from "./crash_suspects.ts";
-import { keyFields } from "./suspect_key.ts";
+import { keyFields } from "../../suspects/suspect_key.ts";
 import { findClosure } from "../upstreams/availability.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
--- a/src/gateway/contents/content_refusal.ts
+++ b/src/gateway/contents/content_refusal.ts
@@ -3,7 +3,7 @@
 import type { GatewayBoard } from "../gateway_board.ts";
 import type { GatewayStep } from "../gateway_controller.ts";
 import { leadsMajority } from "../members/membership.ts";
-import { keyFields, partOfKey } from "./suspect_key.ts";
+import { keyFields, partOfKey } from "../../suspects/suspect_key.ts";
 
 /** Decides whether a request may run for its content and parts, and logs it; returns the refusal if it may not. */
 export function contentRefusalOf(
--- a/src/gateway/contents/content_sync.ts
+++ b/src/gateway/contents/content_sync.ts
@@ -1,6 +1,6 @@
 import type { VmId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
-import type { ContentSync } from "./content_record.ts";
+import type { ContentSync } from "../../suspects/content_record.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 
 /**
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -2,12 +2,19 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import type { ContentReport } from "./content_report.ts";
-import type { ContentRecord } from "./content_record.ts";
-import { ContentTable, type MergedContent } from "./content_table.ts";
+import type { ContentRecord } from "../../suspects/content_record.ts";
+import {
+  ContentTable,
+  type MergedContent,
+} from "../../suspects/content_table.ts";
 import { PendingLosses, type UpstreamLoss } from "./pending_losses.ts";
 import { ProbeTable } from "./probe_table.ts";
-import { RecentSuccesses } from "./recent_successes.ts";
-import { keysOf, partOfKey, type SuspectRequest } from "./suspect_key.ts";
+import { RecentSuccesses } from "../../suspects/recent_successes.ts";
+import {
+  keysOf,
+  partOfKey,
+  type SuspectRequest,
+} from "../../suspects/suspect_key.ts";
 
 /** How a crash was confirmed. */
 export type CrashEvidence = "register" | "unreachable" | "restarted";
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -6,7 +6,7 @@
   PlacementRequest,
   PoolGrant,
 } from "../scheduling/pool/pool_job.ts";
-import type { ContentRecord } from "./contents/content_record.ts";
+import type { ContentRecord } from "../suspects/content_record.ts";
 import type { ContentReport } from "./contents/content_report.ts";
 import type { PeerCard, PeerMessage } from "./peers/peer_message.ts";
 import type { ServingBatch, StoreError } from "./store/platform_store.ts";
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -14,7 +14,7 @@
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import { idSchema } from "../../wire/brands.ts";
 import { deflateJson, inflateJson } from "./deflated.ts";
-import { ContentSyncSchema } from "../contents/content_record.ts";
+import { ContentSyncSchema } from "../../suspects/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
--- a/src/gateway/store/platform_store.ts
+++ b/src/gateway/store/platform_store.ts
@@ -1,6 +1,6 @@
 import type { ResultAsync } from "neverthrow";
 import type { Millis } from "../../core/time.ts";
-import type { ContentRecord } from "../contents/content_record.ts";
+import type { ContentRecord } from "../../suspects/content_record.ts";
 import type { PeerCard } from "../peers/peer_message.ts";
 import type { EvacuationBatch } from "../serving/evacuated_domains.ts";
 import type { ServingConfig } from "../serving/serving_config.ts";
--- a/src/gateway/contents/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -1,10 +1,4 @@
-import {
-  addMs,
-  type Millis,
-  SECOND_MS,
-  type Timestamp,
-} from "../../core/time.ts";
-import type { JobId } from "../../scheduling/pool/pool_job.ts";
+import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { ContentRecord } from "./content_record.ts";
 import { partOfKey } from "./suspect_key.ts";
 
@@ -19,11 +13,11 @@
 const TRIAL_DELAY_MS: Millis = 5 * SECOND_MS;
 /** Shortest time until a trial once the limit is reached, doubled by each further crash. */
 const OVER_LIMIT_TRIAL_DELAY_MS: Millis = MINUTE_MS;
-/** Retention of a content with fewer crashes than a quarantine takes. */
+/** Default retention of a content with fewer crashes than a quarantine takes. */
 const SUSPECT_RETENTION_MS: Millis = MINUTE_MS;
 /** Retention of a quarantined content, which gets no trial within it once those after the third crash are used up. */
 const QUARANTINE_RETENTION_MS: Millis = 60 * MINUTE_MS;
-/** Holds some minutes of crashes of upstreams with all slots in use. */
+/** Default capacity; holds some minutes of crashes of upstreams with all slots in use. */
 const MAX_CONTENTS = 1_024;
 /** Processes stored for each content; more make no difference to any decision. */
 const MAX_PROCESSES = 8;
@@ -40,12 +34,25 @@
   readonly lost: Set<string>;
   /** Requests let through although the content is quarantined. */
   trials: number;
-  /** Job of the last trial. */
-  trialJob?: JobId;
+  /** Id of the request that is the last trial. */
+  trialJob?: string;
   /** Time of the last crash, trial or clearing. */
   changedAt: Timestamp;
 };
 
+/** Limits of a `ContentTable`. */
+export type ContentTableLimits = Readonly<{
+  /** Retention of a content with fewer crashes than a quarantine takes. */
+  suspectRetentionMs: Millis;
+  /** Contents that the table holds. */
+  maxContents: number;
+}>;
+
+const DEFAULT_LIMITS: ContentTableLimits = {
+  suspectRetentionMs: SUSPECT_RETENTION_MS,
+  maxContents: MAX_CONTENTS,
+};
+
 /** Content whose record was new when merged, with its crash count after the merge. */
 export type MergedContent = Readonly<
   { digest: string; crashes: number; epoch: number }
@@ -57,11 +64,16 @@
  */
 export class ContentTable {
   readonly #contents = new Map<string, Content>();
+  readonly #limits: ContentTableLimits;
   #quarantineSummary: string | undefined;
   #nextExpiryAt = 0 as Timestamp;
 
-  static create(): ContentTable {
-    return new ContentTable();
+  private constructor(limits: ContentTableLimits) {
+    this.#limits = limits;
+  }
+
+  static create(limits: ContentTableLimits = DEFAULT_LIMITS): ContentTable {
+    return new ContentTable(limits);
   }
 
   /** Number of contents that have crashed an upstream. */
@@ -144,7 +156,7 @@
         trials: Math.max(base.trials, record.trials),
         changedAt: Math.max(base.changedAt, now - record.ageMs) as Timestamp,
       };
-      if (now - merged.changedAt > retentionMs(merged)) return [];
+      if (now - merged.changedAt > this.#retentionMs(merged)) return [];
       this.#put(digest, merged, now);
       const crashes = merged.lost.size;
       const isUnchanged = known?.epoch === epoch &&
@@ -159,7 +171,7 @@
     if (now < this.#nextExpiryAt) return;
     this.#nextExpiryAt = addMs(now, EXPIRY_INTERVAL_MS);
     for (const [digest, content] of this.#contents) {
-      if (now - content.changedAt <= retentionMs(content)) continue;
+      if (now - content.changedAt <= this.#retentionMs(content)) continue;
       this.#contents.delete(digest);
       this.#quarantineSummary = undefined;
     }
@@ -178,11 +190,11 @@
   }
 
   /** Whether a job is the current trial of a quarantined key. */
-  isTrial(key: string, job: JobId): boolean {
+  isTrial(key: string, job: string): boolean {
     return this.#contents.get(key)?.trialJob === job;
   }
 
-  startTrial(key: string, job: JobId, now: Timestamp): void {
+  startTrial(key: string, job: string, now: Timestamp): void {
     const content = this.#contents.get(key);
     if (content === undefined) return;
     content.trials += 1;
@@ -194,7 +206,7 @@
   /** Gives back the trial of a request that did not run; once the limit is reached, only if it was `never_sent`. */
   cancelTrial(
     key: string,
-    job: JobId,
+    job: string,
     sent: "may_be_sent" | "never_sent",
   ): void {
     const content = this.#contents.get(key);
@@ -227,17 +239,24 @@
     return false;
   }
 
+  #retentionMs(content: Content): Millis {
+    return isQuarantined(content)
+      ? QUARANTINE_RETENTION_MS
+      : this.#limits.suspectRetentionMs;
+  }
+
   #put(digest: string, content: Content, now: Timestamp): void {
     this.#contents.delete(digest);
     this.#contents.set(digest, content);
     this.#quarantineSummary = undefined;
-    if (this.#contents.size <= MAX_CONTENTS) return;
+    const { maxContents } = this.#limits;
+    if (this.#contents.size <= maxContents) return;
     this.expire(now);
     // Evicts the oldest entry, quarantined entries last.
     const keys = [...this.#contents.keys()];
     const dropped =
       keys.find((key) => !isQuarantined(this.#contents.get(key)!)) ?? keys[0]!;
-    if (this.#contents.size > MAX_CONTENTS) this.#contents.delete(dropped);
+    if (this.#contents.size > maxContents) this.#contents.delete(dropped);
   }
 }
 
@@ -255,12 +274,6 @@
   return { epoch: 0, lost: new Set(), trials: 0, changedAt };
 }
 
-function retentionMs(content: Content): Millis {
-  return isQuarantined(content)
-    ? QUARANTINE_RETENTION_MS
-    : SUSPECT_RETENTION_MS;
-}
-
 function isQuarantined(content: Content): boolean {
   return content.lost.size >= QUARANTINE_CRASHES;
 }
--- a/src/gateway/contents/recent_successes.ts
+++ b/src/suspects/recent_successes.ts
@@ -1,11 +1,11 @@
-import { type Millis, SECOND_MS, type Timestamp } from "../../core/time.ts";
+import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import { partOfKey } from "./suspect_key.ts";
 
 /** Time after a success in which a crash does not count against a content. */
 const CONTENT_WINDOW_MS: Millis = 60 * SECOND_MS;
 /** The same for a part, of which each answer with it is a success. */
 const PART_WINDOW_MS: Millis = 10 * CONTENT_WINDOW_MS;
-/** More than run at a time. */
+/** Default capacity; more than run at a time. */
 const MAX_KEYS = 16_384;
 
 type Success = {
@@ -19,14 +19,22 @@
   /** By key, the latest last. */
   readonly #successes = new Map<string, Success>();
 
-  static create(): RecentSuccesses {
-    return new RecentSuccesses();
+  readonly #maxKeys: number;
+
+  private constructor(maxKeys: number) {
+    this.#maxKeys = maxKeys;
+  }
+
+  static create(
+    options: Readonly<{ maxKeys?: number }> = {},
+  ): RecentSuccesses {
+    return new RecentSuccesses(options.maxKeys ?? MAX_KEYS);
   }
 
   record(key: string, now: Timestamp): void {
     this.#successes.delete(key);
     this.#successes.set(key, { at: now });
-    if (this.#successes.size <= MAX_KEYS) return;
+    if (this.#successes.size <= this.#maxKeys) return;
     const [oldest] = this.#successes.keys();
     this.#successes.delete(oldest!);
   }
--- a/src/gateway/contents/suspect_key.ts
+++ b/src/suspects/suspect_key.ts
@@ -1,4 +1,4 @@
-import type { PromptPartId } from "../../core/id.ts";
+import type { PromptPartId } from "../core/id.ts";
 
 /** Separates the kind of a key from its id; digests of contents have no such character. */
 const PART_PREFIX = "part:";
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -1,6 +1,6 @@
 import type { DomainId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
-import type { ContentRecord } from "../gateway/contents/content_record.ts";
+import type { ContentRecord } from "../suspects/content_record.ts";
 import { GatewayCore } from "../gateway/gateway_core.ts";
 import type { GatewayEvent, GatewayIntent } from "../gateway/gateway_event.ts";
 import {
