--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -2,8 +2,7 @@
 import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { DaemonId, RequestId } from "../core/id.ts";
-import { problem } from "../core/problem.ts";
+import type { DaemonId, RequestId, UpstreamId } from "../core/id.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { Envelope, PlaceAsk, PlaceUpdate, Suspect } from "../gen/peer.ts";
@@ -11,26 +10,19 @@
   CellPlacementRequest,
   CellPlacementResult,
 } from "../scheduling/cell_placement.ts";
-import {
-  CellScheduler,
-  DISPATCH_MS,
-  type JobEvent,
-} from "../scheduling/cell_scheduler.ts";
-import { DEFAULT_POLICY } from "../scheduling/policy.ts";
+import type { JobEvent } from "../scheduling/cell_scheduler.ts";
 import {
   fromPlaceAsk,
   fromPlaceGrant,
   fromPlaceRefusal,
-  shortDigest,
   toPlaceAsk,
 } from "../scheduling/place_messages.ts";
-import { mayHaveReachedCrashLimit } from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
+import { LocalScheduler } from "./local_scheduler.ts";
 import { PlaceMessenger } from "./place_messenger.ts";
-import { toAsk, withSuspectFlag } from "./place_ask.ts";
+import { toAsk } from "./place_ask.ts";
 import { placeCall } from "./call_placement.ts";
 import { canReattach, mayRunOnSilentEngine } from "./retry_decision.ts";
-import { livePeers } from "./membership_controller.ts";
 
 /** Time without an answer after which the requesting daemon places the prompt itself. */
 const ANSWER_TIMEOUT_MS: Millis = 150;
@@ -52,41 +44,32 @@
 /** Places the requests of this daemon and, on the scheduling daemon, all prompts of the cell. */
 export class PlacementController extends Controller {
   override readonly name = "placement";
-  readonly #scheduler = CellScheduler.create(DEFAULT_POLICY);
+  readonly #scheduler = LocalScheduler.create();
   readonly #messenger = PlaceMessenger.create();
   readonly #rounds = new Map<RequestId, Round>();
-  /** Ids of the live peers at the last step, joined by commas. */
-  #lastLiveIds = "";
 
   static create(): PlacementController {
     return new PlacementController();
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
-    this.#scheduler.setPolicy(board.config.serving?.limits ?? DEFAULT_POLICY);
-    this.#scheduler.tracker.applyUpstreams(board.upstreams.byId.values());
+    this.#scheduler.applyBoard(board);
     for (const event of ctx.events) this.#onEvent(board, ctx, event);
     this.#removeEnded(board, ctx);
-    this.#removeLostDaemons(board, ctx);
+    this.#scheduler.removeLostDaemons(board, ctx.now);
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
-    this.#dispatch(board, ctx);
+    for (const { ask, answer } of this.#scheduler.dispatch(ctx)) {
+      this.#deliver(board, ctx, ask, answer);
+    }
     board.placement.queued = this.#scheduler.queueSize;
   }
 
   #onEvent(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
-      case "cache_reported": {
-        const events = event.events.map((change) => ({
-          ...change,
-          blocks: change.blocks.map(shortDigest),
-        }));
-        return this.#scheduler.tracker.applyCacheEvents(
-          event.upstream,
-          events,
-        );
-      }
+      case "cache_reported":
+        return this.#scheduler.applyCacheReport(event);
       case "peer_message":
         return this.#onMessage(board, ctx, event.envelope);
       case "peer_unreachable":
@@ -117,7 +100,7 @@
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
       : entry.attempt.placement.upstream;
-    if (crashed) this.#scheduler.tracker.recordCrash(upstream);
+    if (crashed) this.#scheduler.recordCrash(upstream);
     const silent = outcome.type === "failed" &&
       mayRunOnSilentEngine(entry, outcome, { board });
     const suspect = crashed || silent
@@ -171,35 +154,12 @@
     from: DaemonId,
     message: PlaceAsk,
   ): void {
-    const ask = withSuspectFlag(board, fromPlaceAsk(from, message, ctx.now));
-    this.#deliver(board, ctx, ask, this.#decide(board, ask, ctx.now));
+    const ask = fromPlaceAsk(from, message, ctx.now);
+    const answer = this.#scheduler.decide(board, ask, ctx.now);
+    this.#deliver(board, ctx, ask, answer);
     ctx.counters.add("placements_shared");
   }
 
-  #decide(
-    board: Blackboard,
-    ask: CellPlacementRequest,
-    now: Timestamp,
-  ): CellPlacementResult {
-    if (this.#mustWait(board, ask)) return { type: "queued" };
-    if (!board.quarantine.quarantined.has(ask.digest)) {
-      return this.#scheduler.submit(ask, now);
-    }
-    const detail = "Each engine that ran this content crashed.";
-    return { type: "refused", problem: problem("quarantined", detail) };
-  }
-
-  /** Suspect content runs in one copy at a time; other copies wait, and their daemons ask again. */
-  #mustWait(board: Blackboard, ask: CellPlacementRequest): boolean {
-    const { suspects, quarantined } = board.quarantine;
-    if (quarantined.has(ask.digest)) return false;
-    if (mayHaveReachedCrashLimit(board, ask.digest)) return true;
-    if (!suspects.has(ask.digest)) return false;
-    return [...this.#scheduler.tracker.jobs.values()].some((job) =>
-      job.ask.digest === ask.digest && job.ask.request !== ask.request
-    );
-  }
-
   #onUpdate(
     board: Blackboard,
     ctx: StepContext,
@@ -215,7 +175,7 @@
       });
     }
     if (message.suspect?.silent === false) {
-      this.#scheduler.tracker.recordCrash(message.suspect.upstream as never);
+      this.#scheduler.recordCrash(message.suspect.upstream as UpstreamId);
     }
     const update = message.state as JobEvent;
     const { round } = message;
@@ -306,8 +266,8 @@
     round.scheduler = board.self.id;
     round.askedAt = ctx.now;
     ctx.counters.add("placements_local");
-    const ask = withSuspectFlag(board, round.ask);
-    this.#applyAnswer(board, ctx, round, this.#decide(board, ask, ctx.now));
+    const answer = this.#scheduler.decide(board, round.ask, ctx.now);
+    this.#applyAnswer(board, ctx, round, answer);
   }
 
   /** Sends the ask to the scheduling daemon; returns false if that is this daemon or its address is not known. */
@@ -354,13 +314,6 @@
     }
   }
 
-  #dispatch(board: Blackboard, ctx: StepContext): void {
-    for (const { ask, answer } of this.#scheduler.dispatch(ctx.now)) {
-      this.#deliver(board, ctx, ask, answer);
-    }
-    if (this.#scheduler.queueSize > 0) ctx.wakeAt(addMs(ctx.now, DISPATCH_MS));
-  }
-
   #deliver(
     board: Blackboard,
     ctx: StepContext,
@@ -389,14 +342,6 @@
     }
   }
 
-  #removeLostDaemons(board: Blackboard, ctx: StepContext): void {
-    const live = livePeers(board, ctx.now).map((peer) => peer.id);
-    const liveIds = live.join();
-    if (liveIds === this.#lastLiveIds) return;
-    this.#lastLiveIds = liveIds;
-    this.#scheduler.retainDaemons(new Set([board.self.id, ...live]), ctx.now);
-  }
-
   #updateJob(
     board: Blackboard,
     ctx: StepContext,
