Quarantine leading blocks of prompts in the product's cells

What callers saw: prompts that differ and share a leading block that crashes engines lost two engines each, without end.

Ruled out: the digest of the first block alone, which is aboard every crash of a shared start.

Change, with the gateway's tables (decision 42): - Reports of crashes and silences carry the leading blocks (optional fields of Suspect). A crash counts against the first 16 that were not answered; an answer clears all blocks of its prompt, also at the daemon that placed it (optional field of PlaceUpdate). - A block that crashed one engine, or is on a silent one, runs in one prompt at a time; after two crashes it is refused, with trials as in the gateway. - Queued prompts are judged again at their turn. - What another block explains goes free, whole prompts too. Whole prompts get no trials, as before.

The check 'a broken mechanism shows as poisonIsBounded' disables the quarantine and expects the invariant to break. It disabled two of now three stores, so that blocks still bounded the poison: it empties the third one too. Invariant and expectation are as they were.

--- a/src/board/quarantine_section.ts
+++ b/src/board/quarantine_section.ts
@@ -1,11 +1,14 @@
 import type { Digest, Incarnation, UpstreamId } from "../core/id.ts";
 import type { Timestamp } from "../core/time.ts";
+import { BlockSuspects } from "../suspects/block_suspects.ts";
 
 /** Content that was running on engines when they crashed. */
 export type Suspect = Readonly<{
   /** Crashed incarnations of engines, as `upstream/incarnation`. */
   crashes: readonly string[];
   upstreams: readonly UpstreamId[];
+  /** Leading blocks of the prompt; absent in reports of earlier builds. */
+  blocks?: readonly Digest[];
   seenAt: Timestamp;
 }>;
 
@@ -15,6 +18,8 @@
   incarnation: Incarnation;
   /** Whether this daemon observed the silence itself; only then is it reported to peers. */
   observedHere: boolean;
+  /** Leading blocks of the prompt; absent in reports of earlier builds. */
+  blocks?: readonly Digest[];
   silentSince: Timestamp;
   /** Time of the engine's first response after the silence. */
   respondingSince?: Timestamp;
@@ -26,6 +31,8 @@
   quarantined: Map<Digest, Timestamp>;
   /** Runs of each content on engines that stopped responding and may have crashed. */
   silentRuns: Map<Digest, readonly SilentRun[]>;
+  /** Leading blocks of prompts that are suspected or refused; `PlacementController` starts and ends their trials. */
+  blocks: BlockSuspects;
   /** Number of crashes that this daemon observed itself. */
   crashesSeen: number;
 };
@@ -36,6 +43,7 @@
     suspects: new Map(),
     quarantined: new Map(),
     silentRuns: new Map(),
+    blocks: BlockSuspects.create(),
     crashesSeen: 0,
   };
 }
--- /dev/null
+++ b/src/controllers/content_run.ts
@@ -0,0 +1,68 @@
+import type { Blackboard } from "../board/blackboard.ts";
+import type { RequestEntry } from "../board/requests_section.ts";
+import type { Digest, UpstreamId } from "../core/id.ts";
+import type { Outcome } from "../core/request.ts";
+import { addMs, type Timestamp } from "../core/time.ts";
+import type { Envelope, Suspect } from "../gen/peer.ts";
+import { readBlocks } from "../scheduling/place_messages.ts";
+import { incarnationOf } from "./incarnation_of.ts";
+
+/** Content that an engine ran when it crashed or fell silent. */
+export type ContentRun = Readonly<{
+  digest: Digest;
+  upstream: UpstreamId;
+  incarnation: string;
+  /** Leading blocks of the prompt; absent in reports of earlier builds. */
+  blocks?: readonly Digest[];
+  /** Start of the attempt, if this report is the first of the crash. */
+  sentAt?: Timestamp;
+}>;
+
+/** Runs that a message reports as crashed, or as silent. */
+export function reportedRuns(
+  envelope: Envelope,
+  now: Timestamp,
+): readonly Readonly<{ run: ContentRun; silent: boolean }>[] {
+  return suspectsOf(envelope).map((suspect) => {
+    const { digest, upstream, incarnation, silent, blocks, ranMs } = suspect;
+    const run = {
+      digest: digest as Digest,
+      upstream: upstream as UpstreamId,
+      incarnation,
+      blocks: blocks === undefined ? undefined : readBlocks(blocks),
+      sentAt: ranMs === undefined ? undefined : addMs(now, -ranMs),
+    };
+    return { run, silent };
+  });
+}
+
+/** Returns the incarnation that crashed. If the known incarnation had crashed before the attempt started, the attempt ran on a later one, named by the attempt's start. */
+export function crashedIncarnation(
+  board: Blackboard,
+  entry: RequestEntry,
+  upstream: UpstreamId,
+): string {
+  const incarnation = incarnationOf(board, upstream);
+  const known = board.quarantine.suspects.get(entry.req.digest);
+  const startedAt = entry.attempt?.startedAt ?? 0;
+  const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
+  if (!isKnown || startedAt <= known!.seenAt) return incarnation;
+  return `${incarnation}@${startedAt}`;
+}
+
+/** Whether a silent engine no longer has the response of its attempt; it has probably crashed in between. */
+export function lostResponse(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+): boolean {
+  const { cause } = outcome;
+  return entry.reattached === true &&
+    (cause === "connect_failed" || cause === "resume_failed");
+}
+
+function suspectsOf(envelope: Envelope): readonly Suspect[] {
+  const { body } = envelope;
+  if (body?.$case === "heartbeat") return body.value.suspects;
+  if (body?.$case !== "placeUpdate") return [];
+  return body.value.suspect === undefined ? [] : [body.value.suspect];
+}
--- a/src/controllers/heartbeat.ts
+++ b/src/controllers/heartbeat.ts
@@ -2,6 +2,7 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { Timestamp } from "../core/time.ts";
 import type { Heartbeat, Suspect, UpstreamUpdate } from "../gen/peer.ts";
+import { blocksField } from "../scheduling/place_messages.ts";
 
 /** State of a daemon that is not ready; peers neither list nor elect it. */
 export const STARTING = "starting";
@@ -49,7 +50,15 @@
       suspect.crashes.map((crash) => {
         const [upstream = "", incarnation = ""] = crash.split("/", 2);
         const atMs = suspect.seenAt;
-        return { digest, upstream, incarnation, atMs, silent: false };
+        const blocks = blocksField(suspect.blocks);
+        return {
+          digest,
+          upstream,
+          incarnation,
+          atMs,
+          silent: false,
+          ...blocks,
+        };
       })
     )
     .slice(-MAX_UPDATES_PER_KIND);
@@ -60,8 +69,9 @@
   return [...board.quarantine.silentRuns]
     .flatMap(([digest, runs]) =>
       runs.filter((run) => run.observedHere).map(
-        ({ upstream, incarnation }) => {
-          return { digest, upstream, incarnation, atMs: 0, silent: true };
+        ({ upstream, incarnation, blocks }) => {
+          const run = { digest, upstream, incarnation, atMs: 0, silent: true };
+          return { ...run, ...blocksField(blocks) };
         },
       )
     )
--- a/src/controllers/local_scheduler.ts
+++ b/src/controllers/local_scheduler.ts
@@ -1,13 +1,14 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { Event } from "../core/event.ts";
 import type { DaemonId, RequestId, UpstreamId } from "../core/id.ts";
-import { problem } from "../core/problem.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { addMs, type Timestamp } from "../core/time.ts";
+import type { Suspect } from "../gen/peer.ts";
 import type {
   CellPlacementDecision,
   CellPlacementRequest,
   CellPlacementResult,
+  GateDecision,
 } from "../scheduling/cell_placement.ts";
 import {
   CellScheduler,
@@ -16,9 +17,17 @@
 } from "../scheduling/cell_scheduler.ts";
 import { shortDigest } from "../scheduling/place_messages.ts";
 import { DEFAULT_POLICY } from "../scheduling/policy.ts";
-import { mayHaveReachedCrashLimit } from "./crash_limit.ts";
 import { livePeers } from "./membership_controller.ts";
-import { withSuspectFlag } from "./place_ask.ts";
+import { judgeSuspect } from "./suspect_gate.ts";
+
+/** Progress of a placed prompt, as reported by the daemon that serves it. */
+export type JobUpdate = Readonly<{
+  state: JobEvent;
+  round: number;
+  now: Timestamp;
+  answered?: boolean;
+  suspect?: Suspect;
+}>;
 
 /** Places prompts of this daemon and of those that ask it, unless their content is quarantined or has to wait. */
 export class LocalScheduler {
@@ -56,30 +65,47 @@
   /** Places, queues or refuses one prompt. */
   decide(
     board: Blackboard,
-    unflagged: CellPlacementRequest,
-    now: Timestamp,
+    ctx: StepContext,
+    ask: CellPlacementRequest,
   ): CellPlacementResult {
-    const ask = withSuspectFlag(board, unflagged);
-    if (this.#mustWait(board, ask)) return { type: "queued" };
-    if (!board.quarantine.quarantined.has(ask.digest)) {
-      return this.#scheduler.submit(ask, now);
-    }
-    const detail = "Each engine that ran this content crashed.";
-    return { type: "refused", problem: problem("quarantined", detail) };
+    const gated = this.#judge(board, ctx, ask);
+    if (gated.type !== "run") return gated;
+    const result = this.#scheduler.submit(gated.ask, ctx.now);
+    if (result.type === "refused") endTrial(board, ask.request);
+    return result;
   }
 
-  /** Applies a progress report of a placed prompt. */
+  /** Applies a progress report of a placed prompt; `answered` and `suspect` say how it ended, if that is known. */
   update(
+    board: Blackboard,
     request: RequestId,
-    update: JobEvent,
-    options: Readonly<{ round: number; now: Timestamp }>,
+    update: JobUpdate,
   ): void {
-    this.#scheduler.update(request, update, options);
+    const { state, now, round } = update;
+    const { blocks } = board.quarantine;
+    if (update.answered === true) {
+      const job = this.#scheduler.tracker.jobs.get(request);
+      if (job !== undefined) blocks.recordAnswer(job.ask.blocks, now);
+    }
+    // An engine that fell silent may still crash, so that its trial counts.
+    if (state !== "first_token" && update.suspect === undefined) {
+      blocks.endTrial(request, "may_be_sent");
+    }
+    this.#scheduler.update(request, state, { round, now });
   }
 
   /** Places or refuses queued prompts where that is possible now. */
-  dispatch(ctx: StepContext): readonly CellPlacementDecision[] {
-    const decisions = this.#scheduler.dispatch(ctx.now);
+  dispatch(
+    board: Blackboard,
+    ctx: StepContext,
+  ): readonly CellPlacementDecision[] {
+    const decisions = this.#scheduler.dispatch(
+      ctx.now,
+      (ask) => this.#judge(board, ctx, ask),
+    );
+    for (const { ask, answer } of decisions) {
+      if (answer.type === "refused") endTrial(board, ask.request);
+    }
     if (this.queueSize > 0) ctx.wakeAt(addMs(ctx.now, DISPATCH_MS));
     return decisions;
   }
@@ -98,14 +124,16 @@
     this.#scheduler.retainDaemons(new Set([board.self.id, ...live]), now);
   }
 
-  /** Suspect content runs in one copy at a time; other copies wait, and their daemons ask again. */
-  #mustWait(board: Blackboard, ask: CellPlacementRequest): boolean {
-    const { suspects, quarantined } = board.quarantine;
-    if (quarantined.has(ask.digest)) return false;
-    if (mayHaveReachedCrashLimit(board, ask.digest)) return true;
-    if (!suspects.has(ask.digest)) return false;
-    return [...this.#scheduler.tracker.jobs.values()].some((job) =>
-      job.ask.digest === ask.digest && job.ask.request !== ask.request
-    );
+  #judge(
+    board: Blackboard,
+    ctx: StepContext,
+    ask: CellPlacementRequest,
+  ): GateDecision {
+    const { jobs } = this.#scheduler.tracker;
+    return judgeSuspect(board, ctx, ask, () => jobs.values());
   }
 }
+
+function endTrial(board: Blackboard, request: RequestId): void {
+  board.quarantine.blocks.endTrial(request, "never_sent");
+}
--- a/src/controllers/place_ask.ts
+++ b/src/controllers/place_ask.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { RequestEntry } from "../board/requests_section.ts";
-import type { PromptRequest } from "../core/request.ts";
+import type { Digest } from "../core/id.ts";
+import type { PromptRequest, Request } from "../core/request.ts";
 import type { CellPlacementRequest } from "../scheduling/cell_placement.ts";
 import { askBlocks } from "../scheduling/place_messages.ts";
 
@@ -32,6 +33,11 @@
   };
 }
 
+/** The leading blocks of a request as shortened for messages; calls have none. */
+export function blocksOf(req: Request): readonly Digest[] {
+  return req.kind === "prompt" ? askBlocks(req.blocks) : [];
+}
+
 /** Sets `suspect` on an ask whose content may have crashed an engine. */
 export function withSuspectFlag(
   board: Blackboard,
--- a/src/controllers/place_messenger.ts
+++ b/src/controllers/place_messenger.ts
@@ -53,12 +53,18 @@
     ctx: StepContext,
     to: DaemonId,
     update: Readonly<
-      { request: RequestId; round: number; state: string; suspect?: Suspect }
+      {
+        request: RequestId;
+        round: number;
+        state: string;
+        suspect?: Suspect;
+        answered?: boolean;
+      }
     >,
   ): void {
-    const { request, round, state, suspect } = update;
+    const { suspect } = update;
     const crashed = suspect?.silent === false;
-    const value = { request, round, state, suspect, crashed, tokens: 0 };
+    const value = { ...update, suspect, crashed, tokens: 0 };
     this.send(board, ctx, to, { $case: "placeUpdate", value });
   }
 
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -11,6 +11,7 @@
 } from "../scheduling/cell_placement.ts";
 import type { JobEvent } from "../scheduling/cell_scheduler.ts";
 import {
+  blocksField,
   fromPlaceAsk,
   fromPlaceGrant,
   fromPlaceRefusal,
@@ -18,6 +19,7 @@
 import { incarnationOf } from "./incarnation_of.ts";
 import { LocalScheduler } from "./local_scheduler.ts";
 import { PlaceMessenger } from "./place_messenger.ts";
+import { blocksOf } from "./place_ask.ts";
 import { PlacementRounds } from "./placement_rounds.ts";
 import { placeCall } from "./call_placement.ts";
 import { canReattach, mayRunOnSilentEngine } from "./retry_decision.ts";
@@ -41,7 +43,7 @@
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
-    for (const { ask, answer } of this.#scheduler.dispatch(ctx)) {
+    for (const { ask, answer } of this.#scheduler.dispatch(board, ctx)) {
       this.#deliver(board, ctx, ask, answer);
     }
     board.placement.queued = this.#scheduler.queueSize;
@@ -91,12 +93,15 @@
         incarnation: incarnationOf(board, upstream),
         atMs: ctx.now,
         silent,
+        ...blocksField(blocksOf(entry.req)),
+        ranMs: Math.round(ctx.now - entry.attempt.startedAt),
       }
       : undefined;
     this.#rounds.updateJob(board, ctx, {
       request: event.req,
       state: "ended",
       suspect,
+      answered: outcome.type === "ok",
     });
   }
 
@@ -136,7 +141,7 @@
     message: PlaceAsk,
   ): void {
     const ask = fromPlaceAsk(from, message, ctx.now);
-    const answer = this.#scheduler.decide(board, ask, ctx.now);
+    const answer = this.#scheduler.decide(board, ctx, ask);
     this.#deliver(board, ctx, ask, answer);
     ctx.counters.add("placements_shared");
   }
@@ -158,9 +163,10 @@
     if (message.suspect?.silent === false) {
       this.#scheduler.recordCrash(message.suspect.upstream as UpstreamId);
     }
-    const update = message.state as JobEvent;
-    const { round } = message;
-    this.#scheduler.update(request, update, { round, now: ctx.now });
+    const { round, suspect, answered } = message;
+    const state = message.state as JobEvent;
+    const update = { state, round, suspect, answered, now: ctx.now };
+    this.#scheduler.update(board, request, update);
   }
 
   #place(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
--- a/src/controllers/placement_rounds.ts
+++ b/src/controllers/placement_rounds.ts
@@ -159,7 +159,7 @@
     round.scheduler = board.self.id;
     round.askedAt = ctx.now;
     ctx.counters.add("placements_local");
-    const answer = this.#scheduler.decide(board, round.ask, ctx.now);
+    const answer = this.#scheduler.decide(board, ctx, round.ask);
     this.#applyAnswer(board, ctx, round, answer);
   }
 
@@ -197,21 +197,26 @@
     board: Blackboard,
     ctx: StepContext,
     options: Readonly<
-      { request: RequestId; state: JobEvent; suspect?: Suspect }
+      {
+        request: RequestId;
+        state: JobEvent;
+        suspect?: Suspect;
+        answered?: boolean;
+      }
     >,
   ): void {
-    const { request, state, suspect } = options;
+    const { request, ...update } = options;
     const round = this.#rounds.get(request);
     if (round === undefined) return;
     if (round.scheduler === board.self.id) {
-      const options = { round: round.ask.round, now: ctx.now };
-      return this.#scheduler.update(request, state, options);
+      const { round: number } = round.ask;
+      const known = { ...update, round: number, now: ctx.now };
+      return this.#scheduler.update(board, request, known);
     }
     this.#messenger.sendUpdate(board, ctx, round.scheduler, {
       request,
       round: round.ask.round,
-      state,
-      suspect,
+      ...update,
     });
   }
 }
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -1,10 +1,9 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { SilentRun, Suspect } from "../board/quarantine_section.ts";
-import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { Digest, Incarnation, UpstreamId } from "../core/id.ts";
-import type { Outcome } from "../core/request.ts";
+import type { Digest, Incarnation } from "../core/id.ts";
+import type { Request } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
 import {
   addMs,
@@ -14,9 +13,15 @@
   SECOND_MS,
   type Timestamp,
 } from "../core/time.ts";
-import type { Envelope, Suspect as SuspectUpdate } from "../gen/peer.ts";
+import {
+  type ContentRun,
+  crashedIncarnation,
+  lostResponse,
+  reportedRuns,
+} from "./content_run.ts";
 import { CRASHES_TO_QUARANTINE } from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
+import { blocksOf } from "./place_ask.ts";
 import { mayRunOnSilentEngine } from "./retry_decision.ts";
 
 /** Time over which an engine must respond again before its silence counts as harmless; a crash shows sooner. */
@@ -27,11 +32,6 @@
 const MAX_SUSPECTS = 1_024;
 const MAX_QUARANTINED = 1_024;
 
-/** Content that an engine ran when it crashed or fell silent. */
-type ContentRun = Readonly<
-  { digest: Digest; upstream: UpstreamId; incarnation: string }
->;
-
 /** Tracks content that ran on engines when they crashed, and quarantines content that has crashed two engines. */
 export class QuarantineController extends Controller {
   override readonly name = "quarantine";
@@ -51,18 +51,13 @@
       return this.#onAttemptEnd(board, ctx, event);
     }
     if (event.type !== "peer_message") return;
-    for (const update of suspectUpdates(event.envelope)) {
-      const crash = {
-        digest: update.digest as Digest,
-        upstream: update.upstream as UpstreamId,
-        incarnation: update.incarnation,
-      };
-      if (update.silent) {
-        this.#recordSilence(board, crash, {
+    for (const { run, silent } of reportedRuns(event.envelope, ctx.now)) {
+      if (silent) {
+        this.#recordSilence(board, run, {
           observedHere: false,
           silentSince: ctx.now,
         });
-      } else this.#recordCrash(board, ctx, crash);
+      } else this.#recordCrash(board, ctx, run);
     }
   }
 
@@ -74,13 +69,15 @@
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
     if (event.outcome.type === "ok") {
-      return this.#clearSuspicion(board, entry.req.digest);
+      return this.#clearSuspicion(board, ctx, entry.req);
     }
     if (mayRunOnSilentEngine(entry, event.outcome, { board })) {
       const { upstream } = entry.attempt.placement;
       const incarnation = incarnationOf(board, upstream);
       const { digest } = entry.req;
-      return this.#recordSilence(board, { digest, upstream, incarnation }, {
+      const blocks = blocksOf(entry.req);
+      const run = { digest, upstream, incarnation, blocks };
+      return this.#recordSilence(board, run, {
         observedHere: true,
         silentSince: ctx.now,
       });
@@ -94,6 +91,8 @@
       digest: entry.req.digest,
       upstream,
       incarnation: crashedIncarnation(board, entry, upstream),
+      blocks: blocksOf(entry.req),
+      sentAt: entry.attempt.startedAt,
     });
   }
 
@@ -105,12 +104,16 @@
     const suspect: Suspect = {
       crashes: [...known?.crashes ?? [], crashKey],
       upstreams: [...known?.upstreams ?? [], crash.upstream],
+      blocks: crash.blocks ?? known?.blocks,
       seenAt: ctx.now,
     };
     suspects.delete(crash.digest);
     suspects.set(crash.digest, suspect);
     evictOldest(suspects, MAX_SUSPECTS);
+    const blamed = this.#recordBlockCrash(board, ctx, crash);
+    if (blamed > 0) this.#releaseExplained(board, ctx);
     if (suspect.crashes.length < CRASHES_TO_QUARANTINE) return;
+    if (isExplained(board, suspect)) return;
     if (!quarantined.has(crash.digest)) {
       ctx.counters.add("requests_quarantined");
     }
@@ -118,6 +121,49 @@
     evictOldest(quarantined, MAX_QUARANTINED);
   }
 
+  /** Counts a crash against the blocks of its prompt; returns against how many. */
+  #recordBlockCrash(
+    board: Blackboard,
+    ctx: StepContext,
+    crash: ContentRun,
+  ): number {
+    const { blocks } = board.quarantine;
+    const { digest, upstream, incarnation, sentAt } = crash;
+    const process = `${upstream}/${incarnation}`;
+    const details = { process, sentAt };
+    const blamed = blocks.recordCrash(crash.blocks ?? [], details, ctx.now);
+    ctx.emit({
+      type: "log_line",
+      level: "warn",
+      message: "content suspected of a crash",
+      fields: {
+        content: digest,
+        upstream,
+        incarnation,
+        blocks: crash.blocks?.length ?? 0,
+        blamed: blamed.length,
+        ...(blamed[0] === undefined ? {} : { block: blamed[0] }),
+      },
+    });
+    return blamed.length;
+  }
+
+  /** Frees quarantined contents that only ran beside a block that crashes engines. */
+  #releaseExplained(board: Blackboard, ctx: StepContext): void {
+    const { suspects, quarantined } = board.quarantine;
+    for (const digest of quarantined.keys()) {
+      const suspect = suspects.get(digest);
+      if (suspect === undefined || !isExplained(board, suspect)) continue;
+      quarantined.delete(digest);
+      ctx.emit({
+        type: "log_line",
+        level: "info",
+        message: "content freed, as a block explains its crashes",
+        fields: { content: digest, crashes: suspect.crashes.length },
+      });
+    }
+  }
+
   #recordSilence(
     board: Blackboard,
     run: ContentRun,
@@ -129,6 +175,7 @@
     const silentRun = {
       upstream: run.upstream,
       incarnation: run.incarnation as Incarnation,
+      blocks: run.blocks,
       ...options,
     };
     silentRuns.set(run.digest, [...known, silentRun]);
@@ -141,10 +188,11 @@
     for (const [digest, known] of silentRuns) {
       const unresolved: SilentRun[] = [];
       for (const silentRun of known) {
-        const { upstream, incarnation } = silentRun;
+        const { upstream, incarnation, blocks } = silentRun;
         const current = board.upstreams.byId.get(upstream);
         if (current?.incarnation !== incarnation) {
-          this.#recordCrash(board, ctx, { digest, upstream, incarnation });
+          const crash = { digest, upstream, incarnation, blocks };
+          this.#recordCrash(board, ctx, crash);
           ctx.repeat();
           continue;
         }
@@ -162,15 +210,26 @@
     }
   }
 
-  /** Clears content that has run to completion: it did not cause the crash. */
-  #clearSuspicion(board: Blackboard, digest: Digest): void {
+  /** Clears content that has run to completion, and its blocks: they did not cause the crash. */
+  #clearSuspicion(board: Blackboard, ctx: StepContext, req: Request): void {
+    const { digest } = req;
+    const { blocks } = board.quarantine;
+    for (const block of blocks.recordAnswer(blocksOf(req), ctx.now)) {
+      ctx.emit({
+        type: "log_line",
+        level: "info",
+        message: "block cleared by an answer",
+        fields: { req: req.id, block },
+      });
+    }
     board.quarantine.silentRuns.delete(digest);
     if (board.quarantine.quarantined.has(digest)) return;
     board.quarantine.suspects.delete(digest);
   }
 
   #removeExpired(board: Blackboard, now: Timestamp): void {
-    const { suspects, quarantined, silentRuns } = board.quarantine;
+    const { suspects, quarantined, silentRuns, blocks } = board.quarantine;
+    blocks.expire(now);
     for (const [digest, suspect] of suspects) {
       if (now - suspect.seenAt > SUSPECT_RETENTION_MS) suspects.delete(digest);
     }
@@ -187,35 +246,10 @@
   }
 }
 
-/** Returns the incarnation that crashed. If the known incarnation had crashed before the attempt started, the attempt ran on a later one, named by the attempt's start. */
-function crashedIncarnation(
-  board: Blackboard,
-  entry: RequestEntry,
-  upstream: UpstreamId,
-): string {
-  const incarnation = incarnationOf(board, upstream);
-  const known = board.quarantine.suspects.get(entry.req.digest);
-  const startedAt = entry.attempt?.startedAt ?? 0;
-  const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
-  if (!isKnown || startedAt <= known!.seenAt) return incarnation;
-  return `${incarnation}@${startedAt}`;
-}
-
-/** Whether a silent engine no longer has the response of its attempt; it has probably crashed in between. */
-function lostResponse(
-  entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
-): boolean {
-  const { cause } = outcome;
-  return entry.reattached === true &&
-    (cause === "connect_failed" || cause === "resume_failed");
-}
-
-function suspectUpdates(envelope: Envelope): readonly SuspectUpdate[] {
-  const { body } = envelope;
-  if (body?.$case === "heartbeat") return body.value.suspects;
-  if (body?.$case !== "placeUpdate") return [];
-  return body.value.suspect === undefined ? [] : [body.value.suspect];
+/** Whether a block of other prompts explains the crashes of a content. */
+function isExplained(board: Blackboard, suspect: Suspect): boolean {
+  const { crashes, blocks } = suspect;
+  return board.quarantine.blocks.explains(crashes, blocks ?? []);
 }
 
 function isQuarantineExpired(at: Timestamp, now: Timestamp): boolean {
--- /dev/null
+++ b/src/controllers/suspect_blocks_test.ts
@@ -0,0 +1,289 @@
+import { expect, test } from "vitest";
+import type { Event } from "../core/event.ts";
+import type {
+  DaemonId,
+  Digest,
+  ModelId,
+  RequestId,
+  UpstreamId,
+  VersionId,
+} from "../core/id.ts";
+import { addMs, HOUR_MS, MINUTE_MS, SECOND_MS } from "../core/time.ts";
+import type { Envelope, Suspect } from "../gen/peer.ts";
+import { blocksField, toPlaceAsk } from "../scheduling/place_messages.ts";
+import {
+  CoreFixture,
+  engineFixture,
+  intentsOf,
+  promptFixture,
+} from "../testing/fixtures.ts";
+import { PlacementController } from "./placement_controller.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
+import { RequestController } from "./request_controller.ts";
+
+const DEADLY = "d";
+
+/** A daemon whose engines crash over each prompt with the block `d`, and are replaced. */
+class BlocksFixture {
+  readonly core = CoreFixture.create([
+    QuarantineController.create(),
+    PlacementController.create(),
+    RequestController.create(),
+  ]);
+  /** Engines lost. */
+  lost = 0;
+  #prompts = 0;
+  readonly #refusals = new Map<RequestId, string>();
+
+  constructor() {
+    this.core.add(...["e1", "e2", "e3", "e4"].map((id) => engineFixture(id)));
+  }
+
+  /** Sends a prompt and returns its id; its blocks are named by single letters, such as `cd`. */
+  send(letters: string, promptTokens = 1_000): RequestId {
+    this.#prompts += 1;
+    const id = `${letters}-${this.#prompts}`;
+    const deadlineAt = addMs(this.core.now, 10 * MINUTE_MS);
+    const blocks = blocksOf(letters);
+    const req = promptFixture(id, { blocks, deadlineAt, promptTokens });
+    this.#after(10, { type: "request_arrived", req });
+    return id as RequestId;
+  }
+
+  /** Ends the running attempt of a prompt: with a crash if it has the deadly block, otherwise with its answer. */
+  finish(req: RequestId): void {
+    const attempt = this.core.board.requests.byId.get(req)!.attempt!;
+    const isDeadly = req.split("-")[0]!.includes(DEADLY);
+    if (isDeadly) return this.crash(attempt.placement.upstream);
+    const outcome = { type: "ok", tokens: 1, status: 200 } as const;
+    const { id } = attempt;
+    this.#after(10, {
+      type: "attempt_ended",
+      req,
+      attempt: id,
+      outcome,
+    });
+  }
+
+  /** Crashes an engine with all prompts aboard, and adds another one. */
+  crash(upstream: UpstreamId): void {
+    this.lost += 1;
+    this.core.board.upstreams.byId.delete(upstream);
+    this.core.add(engineFixture(`new-${this.lost}`));
+    const aboard = [...this.core.board.requests.byId.values()]
+      .filter(({ attempt }) => attempt?.placement.upstream === upstream);
+    const events = aboard.map(({ req, attempt }) => ({
+      type: "attempt_ended" as const,
+      req: req.id,
+      attempt: attempt!.id,
+      outcome: {
+        type: "failed",
+        cause: "upstream_crashed",
+        verdict: "may_have_run",
+        tokens: 0,
+        crashed: true,
+        detail: "Connection reset",
+      } as const,
+    }));
+    this.#after(10, ...events);
+  }
+
+  /** Sends a prompt, ends each of its attempts, and returns the code of its refusal or `answered`. */
+  play(letters: string): string {
+    const req = this.send(letters);
+    while (this.isRunning(req)) this.finish(req);
+    const refusal = this.refusalOf(req);
+    if (refusal !== undefined) return refusal;
+    return this.core.board.requests.byId.has(req) ? "waiting" : "answered";
+  }
+
+  isRunning(req: RequestId): boolean {
+    return this.core.board.requests.byId.get(req)?.state === "running";
+  }
+
+  /** Reports runs of other daemons, as a heartbeat does. */
+  learn(...suspects: readonly Suspect[]): void {
+    const value = { ...HEARTBEAT, suspects: [...suspects] };
+    this.receive({ $case: "heartbeat", value });
+  }
+
+  receive(body: Envelope["body"]): void {
+    const envelope = { from: "daemon-2" as DaemonId, seq: 1, body };
+    this.#after(10, { type: "peer_message", envelope });
+  }
+
+  refusalOf(req: RequestId): string | undefined {
+    return this.#refusals.get(req);
+  }
+
+  wait(ms: number): void {
+    this.#after(ms);
+  }
+
+  #after(ms: number, ...events: readonly Event[]): void {
+    const result = this.core.after(ms, ...events);
+    for (const { req, problem } of intentsOf(result, "answer")) {
+      this.#refusals.set(req, problem.code);
+    }
+  }
+}
+
+const HEARTBEAT = {
+  vm: "vm-2",
+  peerAddress: "vm-2:2",
+  clientAddress: "vm-2:1",
+  domain: "domain-1",
+  state: "serving",
+  revision: 0,
+  config: new Uint8Array() as never,
+  configOffset: 0,
+  running: 0,
+  queued: 0,
+  teams: [],
+  upstreams: [],
+  suspects: [],
+  atMs: 0,
+};
+
+/** Chained digests: a block stands for all letters up to its own. */
+function blocksOf(letters: string): readonly Digest[] {
+  return [...letters].map((_, index) => {
+    const hex = [...letters.slice(0, index + 1)]
+      .map((letter) => letter.charCodeAt(0).toString(16)).join("");
+    return hex.padStart(16, "0") as Digest;
+  });
+}
+
+function report(letters: string, crashed: string): Suspect {
+  return {
+    digest: `digest-${letters}`,
+    upstream: crashed,
+    incarnation: "run-1",
+    atMs: 0,
+    silent: false,
+    ...blocksField(blocksOf(letters)),
+  };
+}
+
+test("an answered block is not blamed for the crashes of prompts that share it with a deadly block", () => {
+  const fixture = new BlocksFixture();
+  expect(fixture.play("cx")).toBe("answered");
+  for (let i = 0; i < 4; i += 1) {
+    expect(fixture.play(`cd${i}`)).toBe("quarantined");
+    expect(fixture.play(`cs${i}`)).toBe("answered");
+  }
+  expect(fixture.lost).toBe(2);
+});
+
+test("sound prompts that share a block with crashing ones, and were never answered, run again within 6 s", () => {
+  const fixture = new BlocksFixture();
+  fixture.play("cd1");
+  expect(fixture.play("cs1")).toBe("quarantined");
+  fixture.wait(6 * SECOND_MS);
+  expect(fixture.play("cs2")).toBe("answered");
+  expect(fixture.play("cs3")).toBe("answered");
+  expect(fixture.play("cd2")).toBe("quarantined");
+  // Two, and a trial after 5 s.
+  expect(fixture.lost).toBe(3);
+});
+
+test("a deadly block that comes every second loses at most eight engines in an hour", () => {
+  const fixture = new BlocksFixture();
+  for (let ms = 0; ms < HOUR_MS - SECOND_MS; ms += SECOND_MS) {
+    fixture.play(`d${ms}`);
+    fixture.wait(SECOND_MS);
+  }
+  expect(fixture.lost).toBeLessThanOrEqual(8);
+});
+
+test("prompts with a block that one of them may crash run one at a time until it is answered", () => {
+  const fixture = new BlocksFixture();
+  fixture.learn(report("c9", "e9"));
+  const [first, second] = ["ca", "cb"].map((letters) => fixture.send(letters));
+  expect([first!, second!].map((req) => fixture.isRunning(req)))
+    .toEqual([true, false]);
+  fixture.finish(first!);
+  fixture.wait(2 * SECOND_MS);
+  expect(fixture.isRunning(second!)).toBe(true);
+});
+
+test("a prompt that ran beside a deadly block is free once the block has crashed another engine", () => {
+  const fixture = new BlocksFixture();
+  for (const engine of ["e8", "e9"]) {
+    fixture.learn(report("d1", engine), report("s", engine));
+  }
+  const { quarantined } = fixture.core.board.quarantine;
+  expect(quarantined.has("digest-s" as Digest)).toBe(true);
+  fixture.learn(report("d2", "e7"));
+  expect(quarantined.has("digest-s" as Digest)).toBe(false);
+  expect(quarantined.has("digest-d1" as Digest)).toBe(true);
+  expect(fixture.play("s1")).toBe("answered");
+  expect(fixture.play("d3")).toBe("quarantined");
+});
+
+test("a block that was answered and then turns deadly is quarantined", () => {
+  const fixture = new BlocksFixture();
+  fixture.core.board.quarantine.blocks.recordAnswer(
+    blocksOf("d"),
+    fixture.core.now,
+  );
+  for (let i = 0; i < 12; i += 1) fixture.play(`d${i}`);
+  expect(fixture.lost).toBeLessThanOrEqual(8);
+});
+
+test("a daemon that has restarted learns of blocks from its peers, and of whole prompts from earlier builds", () => {
+  const fixture = new BlocksFixture();
+  const { blocks: _, ...earlierBuild } = report("x", "e9");
+  fixture.learn(report("d1", "e7"), report("d2", "e8"));
+  fixture.learn(earlierBuild, { ...earlierBuild, upstream: "e8" });
+  expect(fixture.play("d3")).toBe("quarantined");
+  expect(fixture.lost).toBe(0);
+  const { quarantined } = fixture.core.board.quarantine;
+  expect([...quarantined.keys()]).toEqual(["digest-x"]);
+});
+
+test("an engine that falls silent over a block makes it run one at a time until the engine responds", () => {
+  const fixture = new BlocksFixture();
+  const silent = { ...report("c9", "e1"), silent: true };
+  fixture.learn({ ...silent, incarnation: "e1-run-1" });
+  const [, second] = ["ca", "cb"].map((letters) => fixture.send(letters));
+  expect(fixture.isRunning(second!)).toBe(false);
+  fixture.core.board.quarantine.silentRuns.clear();
+  fixture.wait(2 * SECOND_MS);
+  expect(fixture.isRunning(second!)).toBe(true);
+});
+
+test("a queued prompt is refused at its turn if its block has been quarantined meanwhile", () => {
+  const fixture = new BlocksFixture();
+  const ahead = [0, 1, 2, 3].map((i) => fixture.send(`x${i}`, 100_000));
+  const queued = fixture.send("d1", 100_000);
+  expect(fixture.isRunning(queued)).toBe(false);
+  fixture.learn(report("d2", "e8"), report("d3", "e9"));
+  for (const req of ahead) fixture.finish(req);
+  expect(fixture.refusalOf(queued)).toBe("quarantined");
+});
+
+test("the daemon that places a prompt learns from its end that its blocks were answered", () => {
+  const fixture = new BlocksFixture();
+  const { core } = fixture;
+  fixture.learn(report("c9", "e9"));
+  expect(core.board.quarantine.blocks.size).toBe(2);
+  const ask = {
+    ...promptFixture("r1", { blocks: blocksOf("ca") }),
+    request: "r1" as RequestId,
+    round: 1,
+    from: "daemon-2" as DaemonId,
+    weights: { model: "sage" as ModelId, version: "2" as VersionId },
+    urgency: 5,
+    excluded: [],
+    suspect: false,
+  };
+  fixture.receive({ $case: "placeAsk", value: toPlaceAsk(ask, core.now) });
+  const update = { request: "r1", round: 1, state: "ended", tokens: 1 };
+  const value = { ...update, crashed: false, suspect: undefined };
+  fixture.receive({
+    $case: "placeUpdate",
+    value: { ...value, answered: true },
+  });
+  expect(core.board.quarantine.blocks.size).toBe(1);
+});
--- a/src/gen/peer.ts
+++ b/src/gen/peer.ts
@@ -81,6 +81,12 @@
   atMs: number;
   /** The engine fell silent over it, so that a crash is only possible. */
   silent: boolean;
+  /** 8 bytes for each leading block of the prompt; absent in reports of earlier builds. */
+  blocks?:
+    | Buffer
+    | undefined;
+  /** Time from the attempt's start to the crash; absent in relayed reports. */
+  ranMs?: number | undefined;
 }
 
 /** Asks the daemon that schedules a cell for a place for one prompt. */
@@ -136,7 +142,11 @@
   tokens: number;
   crashed: boolean;
   /** What the crash makes suspect; present where crashed is set. */
-  suspect: Suspect | undefined;
+  suspect:
+    | Suspect
+    | undefined;
+  /** The prompt was answered in full; absent in reports of earlier builds. */
+  answered?: boolean | undefined;
 }
 
 export interface CallForward {
@@ -922,7 +932,7 @@
 };
 
 function createBaseSuspect(): Suspect {
-  return { digest: "", upstream: "", incarnation: "", atMs: 0, silent: false };
+  return { digest: "", upstream: "", incarnation: "", atMs: 0, silent: false, blocks: undefined, ranMs: undefined };
 }
 
 export const Suspect: MessageFns<Suspect> = {
@@ -942,6 +952,12 @@
     if (message.silent !== false) {
       writer.uint32(40).bool(message.silent);
     }
+    if (message.blocks !== undefined) {
+      writer.uint32(50).bytes(message.blocks);
+    }
+    if (message.ranMs !== undefined) {
+      writer.uint32(56).uint32(message.ranMs);
+    }
     return writer;
   },
 
@@ -998,6 +1014,22 @@
             message.silent = reader.bool();
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.blocks = Buffer.from(reader.bytes());
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.ranMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1021,6 +1053,12 @@
         ? globalThis.Number(object.at_ms)
         : 0,
       silent: isSet(object.silent) ? globalThis.Boolean(object.silent) : false,
+      blocks: isSet(object.blocks) ? Buffer.from(bytesFromBase64(object.blocks)) : undefined,
+      ranMs: isSet(object.ranMs)
+        ? globalThis.Number(object.ranMs)
+        : isSet(object.ran_ms)
+        ? globalThis.Number(object.ran_ms)
+        : undefined,
     };
   },
 
@@ -1041,6 +1079,12 @@
     if (message.silent !== false) {
       obj.silent = message.silent;
     }
+    if (message.blocks !== undefined) {
+      obj.blocks = base64FromBytes(message.blocks);
+    }
+    if (message.ranMs !== undefined) {
+      obj.ranMs = Math.round(message.ranMs);
+    }
     return obj;
   },
 
@@ -1054,6 +1098,8 @@
     message.incarnation = object.incarnation ?? "";
     message.atMs = object.atMs ?? 0;
     message.silent = object.silent ?? false;
+    message.blocks = object.blocks ?? undefined;
+    message.ranMs = object.ranMs ?? undefined;
     return message;
   },
 };
@@ -1726,7 +1772,7 @@
 };
 
 function createBasePlaceUpdate(): PlaceUpdate {
-  return { request: "", round: 0, state: "", tokens: 0, crashed: false, suspect: undefined };
+  return { request: "", round: 0, state: "", tokens: 0, crashed: false, suspect: undefined, answered: undefined };
 }
 
 export const PlaceUpdate: MessageFns<PlaceUpdate> = {
@@ -1749,6 +1795,9 @@
     if (message.suspect !== undefined) {
       Suspect.encode(message.suspect, writer.uint32(50).fork()).join();
     }
+    if (message.answered !== undefined) {
+      writer.uint32(56).bool(message.answered);
+    }
     return writer;
   },
 
@@ -1813,6 +1862,14 @@
             message.suspect = Suspect.decode(reader, reader.uint32());
             continue;
           }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.answered = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1833,6 +1890,7 @@
       tokens: isSet(object.tokens) ? globalThis.Number(object.tokens) : 0,
       crashed: isSet(object.crashed) ? globalThis.Boolean(object.crashed) : false,
       suspect: isSet(object.suspect) ? Suspect.fromJSON(object.suspect) : undefined,
+      answered: isSet(object.answered) ? globalThis.Boolean(object.answered) : undefined,
     };
   },
 
@@ -1856,6 +1914,9 @@
     if (message.suspect !== undefined) {
       obj.suspect = Suspect.toJSON(message.suspect);
     }
+    if (message.answered !== undefined) {
+      obj.answered = message.answered;
+    }
     return obj;
   },
 
@@ -1872,6 +1933,7 @@
     message.suspect = (object.suspect !== undefined && object.suspect !== null)
       ? Suspect.fromPartial(object.suspect)
       : undefined;
+    message.answered = object.answered ?? undefined;
     return message;
   },
 };
--- a/src/scheduling/cell_placement.ts
+++ b/src/scheduling/cell_placement.ts
@@ -37,6 +37,11 @@
   | Readonly<{ type: "refused"; problem: Problem }>
   | Readonly<{ type: "queued" }>;
 
+/** Whether a prompt may be placed now, with the request to place it by; otherwise its result. */
+export type GateDecision =
+  | Readonly<{ type: "run"; ask: CellPlacementRequest }>
+  | Exclude<CellPlacementResult, { type: "granted" }>;
+
 /** A placement request and its result. */
 export type CellPlacementDecision = Readonly<
   { ask: CellPlacementRequest; answer: CellPlacementResult }
--- a/src/scheduling/cell_scheduler.ts
+++ b/src/scheduling/cell_scheduler.ts
@@ -12,6 +12,7 @@
   CellPlacementDecision,
   CellPlacementRequest,
   CellPlacementResult,
+  GateDecision,
 } from "./cell_placement.ts";
 import { CellJobTracker } from "./cell_job_tracker.ts";
 import { enginesForCopy } from "./copies.ts";
@@ -106,15 +107,21 @@
     this.tracker.remove(job, options.now);
   }
 
-  /** Tries to place the queued prompts; returns those that were placed or refused. */
-  dispatch(now: Timestamp): readonly CellPlacementDecision[] {
+  /** Tries to place the queued prompts that `gate` lets run; returns those that were placed or refused. */
+  dispatch(
+    now: Timestamp,
+    gate: (ask: CellPlacementRequest) => GateDecision = letRun,
+  ): readonly CellPlacementDecision[] {
     if (now < this.#dispatchAt) return [];
     this.#dispatchAt = addMs(now, DISPATCH_MS);
     this.#dropOverdue(now);
     const answered: CellPlacementDecision[] = [];
     const slackOf = (ask: CellPlacementRequest) => this.#slack(ask, now);
-    for (const ask of this.#queue.bySlack(slackOf)) {
-      const answer = this.#tryPlace(ask, now);
+    for (const queued of this.#queue.bySlack(slackOf)) {
+      const gated = gate(queued);
+      if (gated.type === "queued") continue;
+      const ask = gated.type === "run" ? gated.ask : queued;
+      const answer = gated.type === "run" ? this.#tryPlace(ask, now) : gated;
       if (answer !== undefined) {
         this.#queue.remove(ask.request);
         answered.push({ ask, answer });
@@ -362,3 +369,7 @@
     };
   }
 }
+
+function letRun(ask: CellPlacementRequest): GateDecision {
+  return { type: "run", ask };
+}
--- a/src/scheduling/place_messages.ts
+++ b/src/scheduling/place_messages.ts
@@ -48,7 +48,7 @@
     urgency: ask.urgency,
     leftMs: Math.max(0, Math.floor(ask.deadlineAt - now)),
     waitedMs: Math.max(0, Math.floor(now - ask.arrivedAt)),
-    blocks: Buffer.from(ask.blocks.join(""), "hex"),
+    blocks: toBlockBytes(ask.blocks),
     excluded: [...ask.excluded],
     digest: ask.digest,
     round: ask.round,
@@ -146,7 +146,19 @@
   });
 }
 
-function readBlocks(bytes: Buffer): readonly Digest[] {
+function toBlockBytes(blocks: readonly Digest[]): Buffer {
+  return Buffer.from(blocks.join(""), "hex");
+}
+
+/** Optional field of a report with the blocks of its prompt, absent where there are none. */
+export function blocksField(
+  blocks: readonly Digest[] = [],
+): Readonly<{ blocks?: Buffer }> {
+  return blocks.length === 0 ? {} : { blocks: toBlockBytes(blocks) };
+}
+
+/** Decodes shortened block digests. */
+export function readBlocks(bytes: Buffer): readonly Digest[] {
   const hex = bytes.toString("hex");
   const count = Math.min(
     MAX_ASK_BLOCKS,
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -228,13 +228,33 @@
    */
   isExplained(key: string): boolean {
     const lost = this.#contents.get(key)?.lost;
-    if (lost === undefined || lost.size === 0) return false;
+    if (lost === undefined) return false;
     const isPart = partOfKey(key) !== undefined;
-    for (const [other, content] of this.#contents) {
-      if (other === key || partOfKey(other) === undefined) continue;
-      if (content.lost.size < lost.size) continue;
-      if (isPart && content.lost.size === lost.size) continue;
-      if ([...lost].every((process) => content.lost.has(process))) return true;
+    return this.#hasPartAboard([...lost], {
+      except: new Set([key]),
+      minCrashes: isPart ? lost.size + 1 : lost.size,
+    });
+  }
+
+  /** Whether a part other than `except` was aboard all of these crashes, and at others as well. */
+  hasCommonPart(
+    lost: readonly string[],
+    options: Readonly<{ except: ReadonlySet<string> }>,
+  ): boolean {
+    const { except } = options;
+    return this.#hasPartAboard(lost, { except, minCrashes: lost.length + 1 });
+  }
+
+  #hasPartAboard(
+    lost: readonly string[],
+    options: Readonly<{ except: ReadonlySet<string>; minCrashes: number }>,
+  ): boolean {
+    const { except, minCrashes } = options;
+    if (lost.length === 0) return false;
+    for (const [key, content] of this.#contents) {
+      if (partOfKey(key) === undefined || except.has(key)) continue;
+      if (content.lost.size < minCrashes) continue;
+      if (lost.every((process) => content.lost.has(process))) return true;
     }
     return false;
   }
--- a/src/suspects/suspect_key.ts
+++ b/src/suspects/suspect_key.ts
@@ -1,4 +1,4 @@
-import type { PromptPartId } from "../core/id.ts";
+import type { Digest, PromptPartId } from "../core/id.ts";
 
 /** Separates the kind of a key from its id; digests of contents have no such character. */
 const PART_PREFIX = "part:";
@@ -10,8 +10,8 @@
   sharedParts?: readonly PromptPartId[];
 }>;
 
-/** Key of a part among the keys of contents, which are their digests. */
-export function partKey(part: PromptPartId): string {
+/** Key of a part, or of a leading block, among the keys of contents, which are their digests. */
+export function partKey(part: PromptPartId | Digest): string {
   return `${PART_PREFIX}${part}`;
 }
 
--- a/tools/faults/invariants_test.ts
+++ b/tools/faults/invariants_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import type { Blackboard } from "../../src/board/blackboard.ts";
+import { BlockSuspects } from "../../src/suspects/block_suspects.ts";
 import type { FencingNumber, PlanId, Revision } from "../../src/core/id.ts";
 import type { Intent } from "../../src/core/intent.ts";
 import type { Timestamp } from "../../src/core/time.ts";
@@ -177,6 +178,7 @@
     onBoard((board) => {
       board.quarantine.suspects.clear();
       board.quarantine.quarantined.clear();
+      board.quarantine.blocks = BlockSuspects.create();
     }),
   ],
   [
