Play prompts that share a block that crashes engines in tools/faults

A new invariant, poisonBlockIsBounded: such a block costs eight engines at most where no daemon was disturbed.

--- a/tools/faults/explore.ts
+++ b/tools/faults/explore.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { runSchedule, type Violation } from "./run.ts";
-import { type Schedule, schedules } from "./schedule.ts";
+import { blockSchedules, type Schedule, schedules } from "./schedule.ts";
 
 /** The shortest schedule that was found to break an invariant. */
 export type Finding = Readonly<
@@ -8,9 +8,13 @@
 >;
 
 /** How long is searched. */
-export type ExploreOptions = Readonly<
-  { seed: number; runs: number; maxShrinkMs?: number }
->;
+export type ExploreOptions = Readonly<{
+  seed: number;
+  runs: number;
+  maxShrinkMs?: number;
+  /** Whether prompts may share a leading block that crashes engines. */
+  blocks?: boolean;
+}>;
 
 const SHRINK_MS = 60_000;
 
@@ -22,7 +26,8 @@
   let found: Readonly<{ schedule: Schedule; violation: Violation }> | undefined;
   let shrinkUntil = Infinity;
   let tried = 0;
-  const property = fc.asyncProperty(schedules, async (schedule) => {
+  const drawn = options.blocks ? blockSchedules : schedules;
+  const property = fc.asyncProperty(drawn, async (schedule) => {
     if (Date.now() > shrinkUntil) return true;
     if (found === undefined) tried += 1;
     const violation = await runSchedule(schedule);
--- a/tools/faults/facts.ts
+++ b/tools/faults/facts.ts
@@ -8,6 +8,7 @@
 import type { Problem } from "../../src/core/problem.ts";
 import type { Timestamp } from "../../src/core/time.ts";
 import type { ClientRequest } from "./client.ts";
+import { hasPoisonBlock } from "./fake_engine.ts";
 
 /** Engines that were lost while a prompt's content ran on them. */
 export type Losses = { byPoison: number; byFault: number };
@@ -34,6 +35,8 @@
   /** Prompts that an engine has accepted. */
   readonly started = new Set<RequestId>();
   readonly losses = new Map<Digest, Losses>();
+  /** Engines that were lost to the shared block that crashes engines. */
+  lostToBlock = 0;
   readonly leavingAttempts: LeavingAttempt[] = [];
   readonly poisonAttempts: PoisonAttempt[] = [];
   /** Whether a daemon was killed, paused or cut off, or messages between daemons failed. */
@@ -56,6 +59,9 @@
 
   /** Counts an engine that was lost while these contents ran on it. */
   lose(contents: readonly Digest[], poison: Digest | undefined): void {
+    if (poison !== undefined && contents.some(hasPoisonBlock)) {
+      this.lostToBlock += 1;
+    }
     for (const content of new Set(contents)) {
       const losses = this.losses.get(content) ?? { byPoison: 0, byFault: 0 };
       this.losses.set(content, losses);
--- a/tools/faults/fake_engine.ts
+++ b/tools/faults/fake_engine.ts
@@ -356,6 +356,14 @@
   return 1 + sum % MAX_ANSWER_TOKENS;
 }
 
+/** Start of the contents that share a block that crashes engines. */
+export const POISON_BLOCK = "poison-block";
+
+/** Whether a prompt has the shared block that crashes engines. */
+export function hasPoisonBlock(content: Digest): boolean {
+  return content.startsWith(POISON_BLOCK);
+}
+
 /** Whether a prompt crashes each engine that runs it. */
 export function isPoison(content: Digest): boolean {
   return content.startsWith("poison");
--- a/tools/faults/invariants/all.ts
+++ b/tools/faults/invariants/all.ts
@@ -6,6 +6,7 @@
   neighboursAreServed,
   notRunIsTrue,
   oneFinalAnswer,
+  poisonBlockIsBounded,
   poisonIsBounded,
 } from "./answers.ts";
 import {
@@ -30,6 +31,7 @@
   notRunIsTrue,
   keysRunOnce,
   poisonIsBounded,
+  poisonBlockIsBounded,
   neighboursAreServed,
   leavingGetsNoWork,
   drainCutsNothing,
--- a/tools/faults/invariants/answers.ts
+++ b/tools/faults/invariants/answers.ts
@@ -80,6 +80,14 @@
   return undefined;
 }
 
+/** Promise 10: a block of many prompts costs no more engines than its trials within an hour, three after the fifth. */
+export function poisonBlockIsBounded({ facts }: Fleet): string | undefined {
+  if (facts.isDisturbed || facts.lostToBlock <= MAX_BLOCK_LOSSES) {
+    return undefined;
+  }
+  return `a block has crashed ${facts.lostToBlock} engines`;
+}
+
 /** Promise 10: nobody is refused because of what only ran beside poison. */
 export function neighboursAreServed(fleet: Fleet): string | undefined {
   if (fleet.facts.isDisturbed) return undefined;
@@ -95,6 +103,7 @@
 
 const HEARD_MS = 2_000;
 const MAX_LOSSES = 2;
+const MAX_BLOCK_LOSSES = 8;
 
 function hasRun(fleet: Fleet, client: ClientRequest): boolean {
   return fleet.facts.started.has(client.id) || fleet.book.runs.has(client.id);
--- a/tools/faults/invariants_test.ts
+++ b/tools/faults/invariants_test.ts
@@ -181,6 +181,13 @@
       board.quarantine.blocks = BlockSuspects.create();
     }),
   ],
+  [
+    "poisonBlockIsBounded",
+    [{ type: "poison_block", daemon: 0, count: 24, waitMs: 30_000 }],
+    onBoard((board) => {
+      board.quarantine.blocks = BlockSuspects.create();
+    }),
+  ],
   [
     "neighboursAreServed",
     [PROMPT],
--- a/tools/faults/main.ts
+++ b/tools/faults/main.ts
@@ -9,10 +9,14 @@
   args: {
     seed: option({ type: number, long: "seed", defaultValue: () => 1 }),
     runs: option({ type: number, long: "runs", defaultValue: () => 200 }),
+    blocks: flag({
+      long: "blocks",
+      description: "Also prompts that share a block that crashes engines",
+    }),
     json: flag({ long: "json" }),
   },
-  handler: async ({ seed, runs, json }) => {
-    const finding = await explore({ seed, runs });
+  handler: async ({ seed, runs, blocks, json }) => {
+    const finding = await explore({ seed, runs, blocks });
     if (json) console.log(JSON.stringify({ seed, runs, finding }));
     else {console.log(
         finding === undefined ? passed(seed, runs) : show(finding),
--- a/tools/faults/player.ts
+++ b/tools/faults/player.ts
@@ -13,6 +13,7 @@
 import { BLOCK_TOKENS } from "../../src/wire/engine.ts";
 import { CallClient, type ClientRequest, PromptClient } from "./client.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
+import { hasPoisonBlock, POISON_BLOCK } from "./fake_engine.ts";
 import { promptBody } from "./fake_engine_client.ts";
 import { callBody } from "./fake_service.ts";
 import type { Fleet } from "./fleet.ts";
@@ -52,6 +53,8 @@
         return;
       case "poison":
         return this.#poison(action.daemon, action.content, MAX_RESENDS);
+      case "poison_block":
+        return this.#poisonBlock(action.daemon, action.count);
       case "call":
         for (const vm of action.daemons) this.#reserve(vm, action);
         return;
@@ -185,6 +188,16 @@
     });
   }
 
+  /** Sends prompts that differ and share a block that crashes engines, to one daemon after the other. */
+  #poisonBlock(vm: number, count: number): void {
+    const content = `${POISON_BLOCK}-${this.#requests}` as Digest;
+    this.prompt(vm, { content, promptTokens: POISON_TOKENS });
+    if (count <= 1) return;
+    this.#fleet.timeline.after(NOTICE_MS, () => {
+      this.#poisonBlock(vm + 1, count - 1);
+    });
+  }
+
   #reserve(vm: number, action: Extract<Action, { type: "call" }>): void {
     const { timeline, random } = this.#fleet;
     const key = this.#keys.get(action.key) ??
@@ -329,14 +342,14 @@
 const KEPT_MS: Millis = 40_000;
 const SENDER = { team: "makers" as TeamId, classId: "quick" as ClassId };
 
-/** Equal prompts have equal blocks, as the digests of their text would be. */
+/** Equal prompts have equal blocks, as the digests of their text would be; a shared block comes first. */
 function blocksOf({ content, promptTokens }: PromptClient): readonly Digest[] {
   const count = Math.floor(promptTokens / BLOCK_TOKENS);
-  return Array.from(
-    { length: count },
-    (_, index) =>
-      createHash("sha1").update(`${content} ${index}`).digest("hex") as Digest,
-  );
+  return Array.from({ length: count }, (_, index) => {
+    const isShared = index === 0 && hasPoisonBlock(content);
+    const text = isShared ? POISON_BLOCK : `${content} ${index}`;
+    return createHash("sha1").update(text).digest("hex") as Digest;
+  });
 }
 
 /** Whether a request may still get an answer from a daemon that is there. */
--- a/tools/faults/schedule.ts
+++ b/tools/faults/schedule.ts
@@ -58,6 +58,8 @@
       leavesAfterMs: number;
     }>
     | Readonly<{ type: "poison"; daemon: number; content: number }>
+    /** Prompts that differ, but share a leading block that crashes engines. */
+    | Readonly<{ type: "poison_block"; daemon: number; count: number }>
     | Readonly<{
       type: "call";
       daemons: readonly number[];
@@ -158,14 +160,27 @@
 );
 
 /** Draws schedules; shorter ones are simpler. */
-export const schedules: fc.Arbitrary<Schedule> = fc.record({
-  seed: fc.nat(0x7fff_ffff),
-  actions: fc.array(fc.oneof(work, fault, fault), {
-    minLength: 3,
-    maxLength: 30,
-    size: "max",
-  }),
-});
+export const schedules = schedulesOf(work, fault, fault);
+
+/** Draws schedules with leading blocks that crash engines; apart from the others, so that their seeds stay valid. */
+export const blockSchedules = schedulesOf(
+  work,
+  fault,
+  action("poison_block", { daemon, count: fc.integer({ min: 1, max: 12 }) }),
+);
+
+function schedulesOf(
+  ...actions: readonly fc.Arbitrary<Action>[]
+): fc.Arbitrary<Schedule> {
+  return fc.record({
+    seed: fc.nat(0x7fff_ffff),
+    actions: fc.array(fc.oneof(...actions), {
+      minLength: 3,
+      maxLength: 30,
+      size: "max",
+    }),
+  });
+}
 
 /** A fault that waits for an engine's next answer. */
 export type ArmedFault = Readonly<{ fault: StreamFault; at: number }>;
