Keep suspects apart from running prompts that became suspect since

Cause: a suspect gets no engine that runs another suspect, but that was read from the flag of the time when a job was placed. A job placed before its block or content became suspect was taken for sound.

Change: the running jobs are marked again before a suspect is placed. The test 'a prompt that lost its engine is not placed beside ...' fails without the marking: 'expected true to be false'.

--- a/src/controllers/local_scheduler.ts
+++ b/src/controllers/local_scheduler.ts
@@ -18,6 +18,7 @@
 import { shortDigest } from "../scheduling/place_messages.ts";
 import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import { livePeers } from "./membership_controller.ts";
+import { isSuspect } from "./place_ask.ts";
 import { judgeSuspect } from "./suspect_gate.ts";
 
 /** Progress of a placed prompt, as reported by the daemon that serves it. */
@@ -129,8 +130,13 @@
     ctx: StepContext,
     ask: CellPlacementRequest,
   ): GateDecision {
-    const { jobs } = this.#scheduler.tracker;
-    return judgeSuspect(board, ctx, ask, () => jobs.values());
+    const { tracker } = this.#scheduler;
+    const decision = judgeSuspect(board, ctx, ask, () => tracker.jobs.values());
+    // A suspect is kept apart from others, also from those that were placed before they became suspect.
+    if (decision.type === "run" && decision.ask.suspect) {
+      tracker.markSuspects((placed) => isSuspect(board, placed));
+    }
+    return decision;
   }
 }
 
--- a/src/controllers/place_ask.ts
+++ b/src/controllers/place_ask.ts
@@ -38,13 +38,22 @@
   return req.kind === "prompt" ? askBlocks(req.blocks) : [];
 }
 
+/** Whether the content of a prompt, or one of its leading blocks, may have crashed an engine. */
+export function isSuspect(
+  board: Blackboard,
+  ask: CellPlacementRequest,
+): boolean {
+  const { suspects, silentRuns, blocks } = board.quarantine;
+  return suspects.has(ask.digest) || silentRuns.has(ask.digest) ||
+    blocks.hasCrashed(ask.blocks);
+}
+
 /** Sets `suspect` on an ask whose content may have crashed an engine. */
 export function withSuspectFlag(
   board: Blackboard,
   ask: CellPlacementRequest,
 ): CellPlacementRequest {
   const suspect = ask.suspect || ask.excluded.length > 0 ||
-    board.quarantine.suspects.has(ask.digest) ||
-    board.quarantine.silentRuns.has(ask.digest);
+    isSuspect(board, ask);
   return { ...ask, suspect };
 }
--- a/src/controllers/suspect_blocks_test.ts
+++ b/src/controllers/suspect_blocks_test.ts
@@ -66,10 +66,10 @@
   }
 
   /** Crashes an engine with all prompts aboard, and adds another one. */
-  crash(upstream: UpstreamId): void {
+  crash(upstream: UpstreamId, isReplaced = true): void {
     this.lost += 1;
     this.core.board.upstreams.byId.delete(upstream);
-    this.core.add(engineFixture(`new-${this.lost}`));
+    if (isReplaced) this.core.add(engineFixture(`new-${this.lost}`));
     const aboard = [...this.core.board.requests.byId.values()]
       .filter(({ attempt }) => attempt?.placement.upstream === upstream);
     const events = aboard.map(({ req, attempt }) => ({
@@ -287,3 +287,18 @@
   });
   expect(core.board.quarantine.blocks.size).toBe(1);
 });
+
+test("a prompt that lost its engine is not placed beside a block that became suspect after it was placed", () => {
+  const fixture = new BlocksFixture();
+  const { byId: upstreams } = fixture.core.board.upstreams;
+  const runs = ["s1", "d1"].map((letters) => fixture.send(letters));
+  const [first, second] = runs.map((req) =>
+    fixture.core.board.requests.byId.get(req)!.attempt!.placement.upstream
+  );
+  fixture.learn(report("d2", "e9"));
+  for (const id of upstreams.keys()) {
+    if (id !== first && id !== second) upstreams.delete(id);
+  }
+  fixture.crash(first!, false);
+  expect(fixture.isRunning(runs[0]!)).toBe(false);
+});
--- a/src/scheduling/cell_job_tracker.ts
+++ b/src/scheduling/cell_job_tracker.ts
@@ -2,6 +2,7 @@
 import type { RequestId, UpstreamId } from "../core/id.ts";
 import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
 import type { CacheEvent } from "../wire/engine.ts";
+import type { CellPlacementRequest } from "./cell_placement.ts";
 import { CostModel } from "./cost_model.ts";
 import { EngineView } from "./engine_view.ts";
 import { currentPart, type Job, movePartEnd, partOn } from "./job.ts";
@@ -70,6 +71,13 @@
     engine.live = false;
   }
 
+  /** Marks the running jobs whose content has become suspect. */
+  markSuspects(isSuspect: (ask: CellPlacementRequest) => boolean): void {
+    for (const job of this.#jobs.values()) {
+      job.becameSuspect = isSuspect(job.ask);
+    }
+  }
+
   /** Adds a job that was just placed. */
   add(job: Job): void {
     this.#jobs.set(job.ask.request, job);
--- a/src/scheduling/engine_view.ts
+++ b/src/scheduling/engine_view.ts
@@ -165,7 +165,9 @@
 
   /** Whether the engine runs content that is suspected of crashing engines. */
   hasSuspect(): boolean {
-    for (const job of this.jobs.values()) if (job.ask.suspect) return true;
+    for (const job of this.jobs.values()) {
+      if (job.ask.suspect || job.becameSuspect === true) return true;
+    }
     return false;
   }
 
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -27,6 +27,8 @@
   /** Whether no other prefill shared the engine, so that the time to the first token is a sample for the cost model. */
   prefillsAlone: boolean;
   firstTokenAt: Timestamp | undefined;
+  /** Whether its content may have crashed an engine since it was placed. */
+  becameSuspect?: boolean;
 };
 
 /** Key of a job; further rounds of a request replace its job. */
--- a/src/suspects/block_suspects.ts
+++ b/src/suspects/block_suspects.ts
@@ -76,6 +76,11 @@
     });
   }
 
+  /** Whether a block of a prompt has crashed an engine and was not cleared. */
+  hasCrashed(blocks: readonly Digest[]): boolean {
+    return blocks.some((block) => this.#table.crashes(partKey(block)) > 0);
+  }
+
   /** The worst suspicion against a prompt; the first `silentBlocks` of its blocks are on engines that fell silent. */
   suspicionOf(
     blocks: readonly Digest[],
