Free prompts that ran beside several prompts with a deadly block at once

What callers saw: a prompt that ran beside two prompts with a block that crashes engines was quarantined for an hour, unless the block crashed a third engine.

Cause: a block explained the crashes of a whole prompt only if it was aboard others too. With equal crashes the prompt and the block look alike, but the block came in several prompts. Ruled out: equality alone, as in the gateway, which would free a poison prompt whose retry met the same neighbour twice.

Change: a block that several suspected prompts share explains equal crashes. The test 'a prompt that ran beside two prompts ...' fails without it: 'expected 1 to be +0'.

Limit: two prompts that share a sound block that was never answered, each beside one crash of the same poison prompt, free that prompt for one more engine.

--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -248,8 +248,13 @@
 
 /** Whether a block of other prompts explains the crashes of a content. */
 function isExplained(board: Blackboard, suspect: Suspect): boolean {
-  const { crashes, blocks } = suspect;
-  return board.quarantine.blocks.explains(crashes, blocks ?? []);
+  const { crashes, blocks = [] } = suspect;
+  const { quarantine } = board;
+  return quarantine.blocks.explains(crashes, blocks, (block) => {
+    const sharing = [...quarantine.suspects.values()]
+      .filter((one) => one.blocks?.includes(block));
+    return sharing.length > 1;
+  });
 }
 
 function isQuarantineExpired(at: Timestamp, now: Timestamp): boolean {
--- a/src/controllers/suspect_blocks_test.ts
+++ b/src/controllers/suspect_blocks_test.ts
@@ -221,6 +221,20 @@
   expect(fixture.play("d3")).toBe("quarantined");
 });
 
+test("a prompt that ran beside two prompts with a deadly block is free, whichever crash is reported last", () => {
+  const beside = [["d1", "e8"], ["s", "e8"], ["d2", "e9"], [
+    "s",
+    "e9",
+  ]] as const;
+  for (const order of [beside, [...beside].reverse()]) {
+    const fixture = new BlocksFixture();
+    for (const [letters, engine] of order) {
+      fixture.learn(report(letters, engine));
+    }
+    expect(fixture.core.board.quarantine.quarantined.size).toBe(0);
+  }
+});
+
 test("a block that was answered and then turns deadly is quarantined", () => {
   const fixture = new BlocksFixture();
   fixture.core.board.quarantine.blocks.recordAnswer(
--- a/src/suspects/block_suspects.ts
+++ b/src/suspects/block_suspects.ts
@@ -2,7 +2,7 @@
 import { type Millis, MINUTE_MS, type Timestamp } from "../core/time.ts";
 import { ContentTable } from "./content_table.ts";
 import { RecentSuccesses } from "./recent_successes.ts";
-import { partKey } from "./suspect_key.ts";
+import { partKey, partOfKey } from "./suspect_key.ts";
 
 /** Holds the blocks of some thousand prompts. */
 const MAX_ANSWERED_BLOCKS = 65_536;
@@ -105,10 +105,20 @@
     return worst;
   }
 
-  /** Whether another block explains all crashes of a prompt: it was aboard each of them, and at others as well. */
-  explains(crashes: readonly string[], blocks: readonly Digest[]): boolean {
-    const except = new Set(blocks.map(partKey));
-    return this.#table.hasCommonPart(crashes, { except });
+  /**
+   * Whether another block explains all crashes of a prompt: it was aboard each of them, and either at others as well or
+   * in several prompts, as `isShared` says.
+   */
+  explains(
+    crashes: readonly string[],
+    blocks: readonly Digest[],
+    isShared: (block: Digest) => boolean,
+  ): boolean {
+    const own = new Set(blocks.map(partKey));
+    return this.#table.hasCommonPart(crashes, (key, size) => {
+      if (own.has(key)) return false;
+      return size > crashes.length || isShared(blockOfKey(key));
+    });
   }
 
   /** Makes a request the trial of the quarantined blocks of its prompt; returns whether it was not one before. */
@@ -142,3 +152,7 @@
     this.#table.expire(now);
   }
 }
+
+function blockOfKey(key: string): Digest {
+  return partOfKey(key)! as string as Digest;
+}
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -230,31 +230,24 @@
     const lost = this.#contents.get(key)?.lost;
     if (lost === undefined) return false;
     const isPart = partOfKey(key) !== undefined;
-    return this.#hasPartAboard([...lost], {
-      except: new Set([key]),
-      minCrashes: isPart ? lost.size + 1 : lost.size,
-    });
+    const minCrashes = isPart ? lost.size + 1 : lost.size;
+    return this.hasCommonPart(
+      [...lost],
+      (other, crashes) => other !== key && crashes >= minCrashes,
+    );
   }
 
-  /** Whether a part other than `except` was aboard all of these crashes, and at others as well. */
+  /** Whether a part was aboard all of these crashes, of those that `accepts` by their key and number of crashes. */
   hasCommonPart(
     lost: readonly string[],
-    options: Readonly<{ except: ReadonlySet<string> }>,
-  ): boolean {
-    const { except } = options;
-    return this.#hasPartAboard(lost, { except, minCrashes: lost.length + 1 });
-  }
-
-  #hasPartAboard(
-    lost: readonly string[],
-    options: Readonly<{ except: ReadonlySet<string>; minCrashes: number }>,
+    accepts: (key: string, crashes: number) => boolean,
   ): boolean {
-    const { except, minCrashes } = options;
     if (lost.length === 0) return false;
     for (const [key, content] of this.#contents) {
-      if (partOfKey(key) === undefined || except.has(key)) continue;
-      if (content.lost.size < minCrashes) continue;
-      if (lost.every((process) => content.lost.has(process))) return true;
+      const { size } = content.lost;
+      if (partOfKey(key) === undefined || size < lost.length) continue;
+      const isCommon = lost.every((process) => content.lost.has(process));
+      if (isCommon && accepts(key, size)) return true;
     }
     return false;
   }
