Don't count a lost connection as a crash if the engine never got the prompt

Cause: a response that can't be resumed counted as a crash of the engine, also right after the engine had been asked and was alive as the same incarnation.

Change: in that case the run is open, like one on a silent engine: another incarnation is a crash, a second of responses is none. After a silence it still counts at once, as the test for that says.

The test 'a response that an engine lacks right after it was found alive ...' failed before: 'expected true to be false'.

--- a/src/board/requests_section.ts
+++ b/src/board/requests_section.ts
@@ -1,6 +1,6 @@
 import type { Digest, RequestId, UpstreamId } from "../core/id.ts";
 import type { Attempt, RanUnder, Request, Weights } from "../core/request.ts";
-import type { Refusal } from "../core/reason.ts";
+import type { Refusal, Retry } from "../core/reason.ts";
 import type { Verdict } from "../core/verdict.ts";
 
 /** Stage of a request: waiting for a claim or a placement, running, or forwarded to the daemon that issued its key. */
@@ -28,6 +28,8 @@
   readonly replayable: boolean;
   /** Whether the daemon has already reconnected to the running attempt. */
   reattached?: boolean;
+  /** Why it last reconnected. */
+  reattachedAfter?: Retry;
 };
 
 /** An ended request and its result, to be recorded. */
--- a/src/controllers/content_run.ts
+++ b/src/controllers/content_run.ts
@@ -56,10 +56,23 @@
   outcome: Extract<Outcome, { type: "failed" }>,
 ): boolean {
   const { cause } = outcome;
-  return entry.reattached === true &&
+  return entry.reattached === true && !lacksResponse(entry, outcome) &&
     (cause === "connect_failed" || cause === "resume_failed");
 }
 
+/**
+ * Whether an engine that was found alive after the connection broke doesn't know the attempt: the request has not
+ * reached it, unless the engine has crashed since.
+ */
+export function lacksResponse(
+  entry: RequestEntry,
+  outcome: Extract<Outcome, { type: "failed" }>,
+): boolean {
+  return entry.reattached === true &&
+    entry.reattachedAfter === "answer_broken" &&
+    outcome.cause === "resume_failed";
+}
+
 function suspectsOf(envelope: Envelope): readonly Suspect[] {
   const { body } = envelope;
   if (body?.$case === "heartbeat") return body.value.suspects;
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -16,6 +16,7 @@
 import {
   type ContentRun,
   crashedIncarnation,
+  lacksResponse,
   lostResponse,
   reportedRuns,
 } from "./content_run.ts";
@@ -71,7 +72,9 @@
     if (event.outcome.type === "ok") {
       return this.#clearSuspicion(board, ctx, entry.req);
     }
-    if (mayRunOnSilentEngine(entry, event.outcome, { board })) {
+    const isOpen = mayRunOnSilentEngine(entry, event.outcome, { board }) ||
+      lacksResponse(entry, event.outcome);
+    if (isOpen) {
       const { upstream } = entry.attempt.placement;
       const incarnation = incarnationOf(board, upstream);
       const { digest } = entry.req;
--- a/src/controllers/quarantine_controller_test.ts
+++ b/src/controllers/quarantine_controller_test.ts
@@ -87,6 +87,20 @@
   expect(fixture.core.board.quarantine.suspects.has(DIGEST)).toBe(true);
 });
 
+test("a response that an engine lacks right after it was found alive counts as a crash only if its incarnation changes", () => {
+  const fixture = new Fixture();
+  const { board } = fixture.core;
+  fixture.send("p1");
+  const { upstream } = board.requests.byId.get("p1" as RequestId)!.attempt!
+    .placement;
+  fixture.endAttempt("p1", { cause: "answer_broken" });
+  fixture.endAttempt("p1", { cause: "resume_failed", verdict: "not_run" });
+  expect(board.quarantine.suspects.has(DIGEST)).toBe(false);
+  board.upstreams.byId.delete(upstream);
+  fixture.core.after(1);
+  expect(board.quarantine.suspects.has(DIGEST)).toBe(true);
+});
+
 test("an engine that can't be reached after another engine fell silent does not count as crashed", () => {
   const fixture = new Fixture();
   fixture.send("p1");
--- a/src/controllers/request_controller.ts
+++ b/src/controllers/request_controller.ts
@@ -6,6 +6,7 @@
 import type { AttemptId, DaemonId, RequestId } from "../core/id.ts";
 import { type Problem, problem } from "../core/problem.ts";
 import type { Outcome, Placement, Request } from "../core/request.ts";
+import type { Retry } from "../core/reason.ts";
 import { RetryBudget } from "../core/retry_budget.ts";
 import type { StepContext } from "../core/step_context.ts";
 import { joinVerdicts, type Verdict } from "../core/verdict.ts";
@@ -155,7 +156,9 @@
       return this.#fail(board, ctx, entry, decision.problem);
     }
     ctx.counters.retry(outcome.cause);
-    if (decision.type === "reattach") return this.#reattach(ctx, entry);
+    if (decision.type === "reattach") {
+      return this.#reattach(ctx, entry, outcome.cause);
+    }
     this.#placeAgain(ctx, entry, outcome);
     ctx.repeat();
   }
@@ -177,9 +180,10 @@
   }
 
   /** Opens a new connection to the same running stream. */
-  #reattach(ctx: StepContext, entry: RequestEntry): void {
+  #reattach(ctx: StepContext, entry: RequestEntry, cause: Retry): void {
     const attempt = entry.attempt!;
     entry.reattached = true;
+    entry.reattachedAfter = cause;
     ctx.emit(
       startAttemptIntent(entry, attempt.id, {
         placement: attempt.placement,
