Let reports of crashes age on their way between daemons

What callers saw: content that ran on one crashed engine was suspected for as long as two daemons lived, and ran in one copy at a time; a daemon that started half an hour after a quarantine counted the hour from then.

Cause: a receiver took each report for a crash of its own present. Two daemons drop a suspicion some milliseconds apart, and a heartbeat in between brings it back to the one that dropped it first, for ten more minutes.

Change: the age of a reported crash comes from the sender's clock, which heartbeats carry. Suspicions of two crashes are kept as long as their quarantine, so that a daemon that starts later still learns of it.

The tests failed before: 'expected [ 1, 1 ] to deeply equal [ +0, +0 ]' and 'expected [ true, false ] to deeply equal [ true, true ]'.

Limit: earlier builds in a mixed fleet still bring suspicions back.

--- a/src/controllers/content_run.ts
+++ b/src/controllers/content_run.ts
@@ -2,9 +2,10 @@
 import type { RequestEntry } from "../board/requests_section.ts";
 import type { Digest, UpstreamId } from "../core/id.ts";
 import type { Outcome } from "../core/request.ts";
-import { addMs, type Timestamp } from "../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import type { Envelope, Suspect } from "../gen/peer.ts";
 import { readBlocks } from "../scheduling/place_messages.ts";
+import { suspectRetentionMs } from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
 
 /** Content that an engine ran when it crashed or fell silent. */
@@ -14,25 +15,33 @@
   incarnation: string;
   /** Leading blocks of the prompt; absent in reports of earlier builds. */
   blocks?: readonly Digest[];
+  /** Time of the content's last crash, by this daemon's clock; absent for a new crash or a silence. */
+  seenAt?: Timestamp;
   /** Start of the attempt, if this report is the first of the crash. */
   sentAt?: Timestamp;
 }>;
 
-/** Runs that a message reports as crashed, or as silent. */
+/** Runs that a message reports as crashed, or as silent; without crashes that are past their retention time. */
 export function reportedRuns(
   envelope: Envelope,
   now: Timestamp,
 ): readonly Readonly<{ run: ContentRun; silent: boolean }>[] {
-  return suspectsOf(envelope).map((suspect) => {
+  const suspects = suspectsOf(envelope);
+  const crashes = suspects.filter(({ silent }) => !silent);
+  return suspects.flatMap((suspect) => {
     const { digest, upstream, incarnation, silent, blocks, ranMs } = suspect;
+    const ageMs = silent ? 0 : reportAgeMs(envelope, suspect);
+    const count = crashes.filter((one) => one.digest === digest).length;
+    if (ageMs > suspectRetentionMs(count)) return [];
     const run = {
       digest: digest as Digest,
       upstream: upstream as UpstreamId,
       incarnation,
       blocks: blocks === undefined ? undefined : readBlocks(blocks),
+      seenAt: addMs(now, -ageMs),
       sentAt: ranMs === undefined ? undefined : addMs(now, -ranMs),
     };
-    return { run, silent };
+    return [{ run, silent }];
   });
 }
 
@@ -73,6 +82,11 @@
     outcome.cause === "resume_failed";
 }
 
+/** Age of a reported crash by the sender's clock, as the clocks of daemons differ. */
+function reportAgeMs({ body }: Envelope, { atMs }: Suspect): Millis {
+  return body?.$case === "heartbeat" ? Math.max(0, body.value.atMs - atMs) : 0;
+}
+
 function suspectsOf(envelope: Envelope): readonly Suspect[] {
   const { body } = envelope;
   if (body?.$case === "heartbeat") return body.value.suspects;
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -7,7 +7,6 @@
 import type { StepContext } from "../core/step_context.ts";
 import {
   addMs,
-  HOUR_MS,
   type Millis,
   MINUTE_MS,
   SECOND_MS,
@@ -20,7 +19,11 @@
   lostResponse,
   reportedRuns,
 } from "./content_run.ts";
-import { CRASHES_TO_QUARANTINE } from "./crash_limit.ts";
+import {
+  CRASHES_TO_QUARANTINE,
+  QUARANTINE_MS,
+  suspectRetentionMs,
+} from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
 import { blocksOf } from "./place_ask.ts";
 import { mayRunOnSilentEngine } from "./retry_decision.ts";
@@ -28,8 +31,7 @@
 /** Time over which an engine must respond again before its silence counts as harmless; a crash shows sooner. */
 const RECOVERY_CONFIRM_MS: Millis = SECOND_MS;
 const MAX_SILENT_RUNS = 1_024;
-const SUSPECT_RETENTION_MS: Millis = 10 * MINUTE_MS;
-const QUARANTINE_MS: Millis = HOUR_MS;
+const SILENCE_RETENTION_MS: Millis = 10 * MINUTE_MS;
 const MAX_SUSPECTS = 1_024;
 const MAX_QUARANTINED = 1_024;
 
@@ -108,7 +110,7 @@
       crashes: [...known?.crashes ?? [], crashKey],
       upstreams: [...known?.upstreams ?? [], crash.upstream],
       blocks: crash.blocks ?? known?.blocks,
-      seenAt: ctx.now,
+      seenAt: latest(known?.seenAt, crash.seenAt ?? ctx.now),
     };
     suspects.delete(crash.digest);
     suspects.set(crash.digest, suspect);
@@ -120,7 +122,7 @@
     if (!quarantined.has(crash.digest)) {
       ctx.counters.add("requests_quarantined");
     }
-    quarantined.set(crash.digest, ctx.now);
+    quarantined.set(crash.digest, suspect.seenAt);
     evictOldest(quarantined, MAX_QUARANTINED);
   }
 
@@ -234,14 +236,15 @@
     const { suspects, quarantined, silentRuns, blocks } = board.quarantine;
     blocks.expire(now);
     for (const [digest, suspect] of suspects) {
-      if (now - suspect.seenAt > SUSPECT_RETENTION_MS) suspects.delete(digest);
+      const retentionMs = suspectRetentionMs(suspect.crashes.length);
+      if (now - suspect.seenAt > retentionMs) suspects.delete(digest);
     }
     for (const [digest, at] of quarantined) {
       if (isQuarantineExpired(at, now)) quarantined.delete(digest);
     }
     for (const [digest, runs] of silentRuns) {
       const kept = runs.filter(({ silentSince }) =>
-        now - silentSince <= SUSPECT_RETENTION_MS
+        now - silentSince <= SILENCE_RETENTION_MS
       );
       if (kept.length === 0) silentRuns.delete(digest);
       else if (kept.length < runs.length) silentRuns.set(digest, kept);
@@ -260,6 +263,10 @@
   });
 }
 
+function latest(known: Timestamp | undefined, at: Timestamp): Timestamp {
+  return known === undefined || known < at ? at : known;
+}
+
 function isQuarantineExpired(at: Timestamp, now: Timestamp): boolean {
   return now - at > QUARANTINE_MS;
 }
--- a/src/controllers/quarantine_controller_test.ts
+++ b/src/controllers/quarantine_controller_test.ts
@@ -1,13 +1,15 @@
 import { expect, test } from "vitest";
 import type { Digest, RequestId } from "../core/id.ts";
 import type { Outcome } from "../core/request.ts";
-import { addMs } from "../core/time.ts";
+import { addMs, HOUR_MS } from "../core/time.ts";
+import type { Heartbeat } from "../gen/peer.ts";
 import {
   CoreFixture,
   engineFixture,
   intentsOf,
   promptFixture,
 } from "../testing/fixtures.ts";
+import { createHeartbeat } from "./heartbeat.ts";
 import { MembershipController } from "./membership_controller.ts";
 import { PlacementController } from "./placement_controller.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
@@ -137,3 +139,74 @@
   fixture.endAttempt("p1", { crashed: true });
   expect(core.board.quarantine.quarantined.has(DIGEST)).toBe(true);
 });
+
+/** Two daemons whose clocks differ, and which send each other heartbeats. */
+class PairFixture {
+  readonly cores = [0, HOUR_MS].map((ms) => {
+    const core = CoreFixture.create([QuarantineController.create()]);
+    core.now = addMs(core.now, ms);
+    return core;
+  });
+
+  /** Steps both daemons once a second, and sends the heartbeats of the senders. */
+  run(seconds: number, senders: readonly number[] = [0, 1]): void {
+    for (let i = 0; i < seconds; i += 1) {
+      for (const [index, core] of this.cores.entries()) {
+        const sender = 1 - index;
+        core.after(
+          1_000,
+          ...senders.includes(sender) ? [this.#from(sender)] : [],
+        );
+      }
+    }
+  }
+
+  crash(...engines: readonly string[]): void {
+    const value = {
+      ...this.#heartbeat(0),
+      suspects: engines.map((upstream) => ({
+        digest: DIGEST,
+        upstream,
+        incarnation: "run-1",
+        atMs: this.cores[0]!.now,
+        silent: false,
+      })),
+    };
+    this.cores[0]!.step(this.#message(value));
+  }
+
+  #from(index: number) {
+    return this.#message(this.#heartbeat(index));
+  }
+
+  #heartbeat(index: number) {
+    const { board, now } = this.cores[index]!;
+    return createHeartbeat(board, { now, withConfig: false });
+  }
+
+  #message(value: Heartbeat) {
+    const body = { $case: "heartbeat", value } as const;
+    const envelope = { from: "peer", seq: 1, body };
+    return { type: "peer_message", envelope } as const;
+  }
+}
+
+test("two daemons don't keep a suspicion alive by telling each other of it", () => {
+  const pair = new PairFixture();
+  pair.crash("e1");
+  pair.run(660);
+  expect(pair.cores.map(({ board }) => board.quarantine.suspects.size))
+    .toEqual([0, 0]);
+});
+
+test("a daemon that starts half an hour after two crashes learns of the quarantine, and it ends after an hour", () => {
+  const pair = new PairFixture();
+  const quarantined = () =>
+    pair.cores.map(({ board }) => board.quarantine.quarantined.has(DIGEST));
+  pair.crash("e1", "e2");
+  pair.run(1_800, []);
+  pair.run(1_700);
+  expect(quarantined()).toEqual([true, true]);
+  pair.run(160);
+  expect(quarantined()).toEqual([false, false]);
+});
