Don't give back trials of blocks that left their engine silent

Cause: a request that was the trial of a quarantined block and left its engine silent stayed the trial, so that it ran again on another engine at once; when it ended, its trial was given back, although the silent engine may crash yet. Found by reading.

Change: a trial that ends in silence or a crash is used up: its request is no trial any more, and the next one comes at the doubled interval.

The test 'a trial that left its engine silent ...' failed before: 'expected true to be false'.

--- a/src/controllers/local_scheduler.ts
+++ b/src/controllers/local_scheduler.ts
@@ -89,9 +89,8 @@
       if (job !== undefined) blocks.recordAnswer(job.ask.blocks, now);
     }
     // An engine that fell silent may still crash, so that its trial counts.
-    if (state !== "first_token" && update.suspect === undefined) {
-      blocks.endTrial(request, "may_be_sent");
-    }
+    if (update.suspect !== undefined) blocks.useUpTrial(request);
+    else if (state !== "first_token") blocks.endTrial(request, "may_be_sent");
     this.#scheduler.update(request, state, { round, now });
   }
 
--- a/src/controllers/suspect_blocks_test.ts
+++ b/src/controllers/suspect_blocks_test.ts
@@ -66,6 +66,20 @@
     });
   }
 
+  /** Ends the running attempt of a prompt by its engine's silence. */
+  silence(req: RequestId): void {
+    const attempt = this.core.board.requests.byId.get(req)!.attempt!.id;
+    const outcome = {
+      type: "failed",
+      cause: "upstream_silent",
+      verdict: "may_have_run",
+      tokens: 0,
+      crashed: false,
+      detail: "",
+    } as const;
+    this.#after(10, { type: "attempt_ended", req, attempt, outcome });
+  }
+
   /** Crashes an engine with all prompts aboard, and adds another one. */
   crash(upstream: UpstreamId, isReplaced = true): void {
     this.lost += 1;
@@ -333,3 +347,15 @@
   expect(fixture.play(`${common}s`)).toBe("answered");
   expect(fixture.lost).toBe(0);
 });
+
+test("a trial that left its engine silent is not given back when its request ends", () => {
+  const fixture = new BlocksFixture();
+  const { core } = fixture;
+  fixture.learn(report("d1", "e8"), report("d2", "e9"));
+  fixture.wait(5 * SECOND_MS);
+  const trial = fixture.send("d3");
+  for (let i = 0; i < 2; i += 1) fixture.silence(trial);
+  expect(core.board.requests.byId.has(trial)).toBe(false);
+  fixture.wait(5 * SECOND_MS);
+  expect(fixture.isRunning(fixture.send("d4"))).toBe(false);
+});
--- a/src/suspects/block_suspects.ts
+++ b/src/suspects/block_suspects.ts
@@ -145,6 +145,14 @@
     return true;
   }
 
+  /** Ends a trial whose engine fell silent or crashed; the next one comes later. */
+  useUpTrial(request: RequestId): void {
+    for (const key of this.#trials.get(request) ?? []) {
+      this.#table.useUpTrial(key, request);
+    }
+    this.#trials.delete(request);
+  }
+
   /** Gives back a trial that ended without an answer or a crash. */
   endTrial(request: RequestId, sent: "may_be_sent" | "never_sent"): void {
     for (const key of this.#trials.get(request) ?? []) {
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -203,6 +203,12 @@
     this.#quarantineSummary = undefined;
   }
 
+  /** Ends the trial of a request that may have crashed its upstream; the request is no trial any more. */
+  useUpTrial(key: string, job: string): void {
+    const content = this.#contents.get(key);
+    if (content?.trialJob === job) content.trialJob = undefined;
+  }
+
   /** Gives back the trial of a request that did not run; once the limit is reached, only if it was `never_sent`. */
   cancelTrial(
     key: string,
