--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -2,97 +2,63 @@
 import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { DaemonId, RequestId } from "../core/id.ts";
-import { problem } from "../core/problem.ts";
+import type { DaemonId, RequestId, UpstreamId } from "../core/id.ts";
 import type { StepContext } from "../core/step_context.ts";
-import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
-import type { Envelope, PlaceAsk, PlaceUpdate, Suspect } from "../gen/peer.ts";
+import type { Envelope, PlaceAsk, PlaceUpdate } from "../gen/peer.ts";
 import type {
   CellPlacementRequest,
   CellPlacementResult,
 } from "../scheduling/cell_placement.ts";
+import type { JobEvent } from "../scheduling/cell_scheduler.ts";
 import {
-  CellScheduler,
-  DISPATCH_MS,
-  type JobEvent,
-} from "../scheduling/cell_scheduler.ts";
-import { DEFAULT_POLICY } from "../scheduling/policy.ts";
-import {
+  blocksField,
   fromPlaceAsk,
   fromPlaceGrant,
   fromPlaceRefusal,
-  shortDigest,
-  toPlaceAsk,
 } from "../scheduling/place_messages.ts";
-import { mayHaveReachedCrashLimit } from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
+import { LocalScheduler } from "./local_scheduler.ts";
 import { PlaceMessenger } from "./place_messenger.ts";
-import { toAsk, withSuspectFlag } from "./place_ask.ts";
+import { blocksOf } from "./place_ask.ts";
+import { PlacementRounds } from "./placement_rounds.ts";
 import { placeCall } from "./call_placement.ts";
 import { canReattach, mayRunOnSilentEngine } from "./retry_decision.ts";
-import { livePeers } from "./membership_controller.ts";
-
-/** Time without an answer after which the requesting daemon places the prompt itself. */
-const ANSWER_TIMEOUT_MS: Millis = 150;
-/**
- * Interval at which the ask of a queued prompt is repeated: it renews the prompt in the scheduling daemon's queue, or
- * queues it again if that daemon has lost it.
- */
-const QUEUED_ASK_INTERVAL_MS: Millis = 2 * SECOND_MS;
-
-/** The newest placement request of a request, kept until the request has ended. */
-type Round = {
-  readonly ask: CellPlacementRequest;
-  /** The daemon that received it: this daemon if it places the prompt itself. */
-  scheduler: DaemonId;
-  state: "asked" | "queued" | "placed";
-  askedAt: Timestamp;
-};
 
 /** Places the requests of this daemon and, on the scheduling daemon, all prompts of the cell. */
 export class PlacementController extends Controller {
   override readonly name = "placement";
-  readonly #scheduler = CellScheduler.create(DEFAULT_POLICY);
+  readonly #scheduler = LocalScheduler.create();
   readonly #messenger = PlaceMessenger.create();
-  readonly #rounds = new Map<RequestId, Round>();
-  /** Ids of the live peers at the last step, joined by commas. */
-  #lastLiveIds = "";
+  readonly #rounds = PlacementRounds.create(this.#scheduler, this.#messenger);
 
   static create(): PlacementController {
     return new PlacementController();
   }
 
   override step(board: Blackboard, ctx: StepContext): void {
-    this.#scheduler.setPolicy(board.config.serving?.limits ?? DEFAULT_POLICY);
-    this.#scheduler.tracker.applyUpstreams(board.upstreams.byId.values());
+    this.#scheduler.applyBoard(board);
     for (const event of ctx.events) this.#onEvent(board, ctx, event);
     this.#removeEnded(board, ctx);
-    this.#removeLostDaemons(board, ctx);
+    this.#scheduler.removeLostDaemons(board, ctx.now);
     for (const entry of board.requests.byId.values()) {
       if (entry.state === "placing") this.#place(board, ctx, entry);
     }
-    this.#dispatch(board, ctx);
+    for (const { ask, answer } of this.#scheduler.dispatch(board, ctx)) {
+      this.#deliver(board, ctx, ask, answer);
+    }
     board.placement.queued = this.#scheduler.queueSize;
   }
 
   #onEvent(board: Blackboard, ctx: StepContext, event: Event): void {
     switch (event.type) {
-      case "cache_reported": {
-        const events = event.events.map((change) => ({
-          ...change,
-          blocks: change.blocks.map(shortDigest),
-        }));
-        return this.#scheduler.tracker.applyCacheEvents(
-          event.upstream,
-          events,
-        );
-      }
+      case "cache_reported":
+        return this.#scheduler.applyCacheReport(event);
       case "peer_message":
         return this.#onMessage(board, ctx, event.envelope);
       case "peer_unreachable":
         return this.#onPeerUnreachable(board, ctx, event.address);
       case "first_token":
-        return this.#updateJob(board, ctx, {
+        return this.#rounds.updateJob(board, ctx, {
           request: event.req,
           state: "first_token",
         });
@@ -117,7 +83,7 @@
     const upstream = crashed && outcome.upstream !== undefined
       ? outcome.upstream
       : entry.attempt.placement.upstream;
-    if (crashed) this.#scheduler.tracker.recordCrash(upstream);
+    if (crashed) this.#scheduler.recordCrash(upstream);
     const silent = outcome.type === "failed" &&
       mayRunOnSilentEngine(entry, outcome, { board });
     const suspect = crashed || silent
@@ -127,12 +93,15 @@
         incarnation: incarnationOf(board, upstream),
         atMs: ctx.now,
         silent,
+        ...blocksField(blocksOf(entry.req)),
+        ranMs: Math.round(ctx.now - entry.attempt.startedAt),
       }
       : undefined;
-    this.#updateJob(board, ctx, {
+    this.#rounds.updateJob(board, ctx, {
       request: event.req,
       state: "ended",
       suspect,
+      answered: outcome.type === "ok",
     });
   }
 
@@ -145,7 +114,7 @@
         const { request, round } = envelope.body.value;
         const placement = fromPlaceGrant(envelope.body.value);
         if (placement === undefined) return;
-        return this.#onAnswer(board, ctx, from, {
+        return this.#rounds.onAnswer(board, ctx, from, {
           request: request as RequestId,
           round,
           answer: { type: "granted", placement },
@@ -154,7 +123,7 @@
       case "placeRefusal": {
         const { request, round } = envelope.body.value;
         const refused = fromPlaceRefusal(envelope.body.value);
-        return this.#onAnswer(board, ctx, from, {
+        return this.#rounds.onAnswer(board, ctx, from, {
           request: request as RequestId,
           round,
           answer: { type: "refused", problem: refused },
@@ -171,35 +140,12 @@
     from: DaemonId,
     message: PlaceAsk,
   ): void {
-    const ask = withSuspectFlag(board, fromPlaceAsk(from, message, ctx.now));
-    this.#deliver(board, ctx, ask, this.#decide(board, ask, ctx.now));
+    const ask = fromPlaceAsk(from, message, ctx.now);
+    const answer = this.#scheduler.decide(board, ctx, ask);
+    this.#deliver(board, ctx, ask, answer);
     ctx.counters.add("placements_shared");
   }
 
-  #decide(
-    board: Blackboard,
-    ask: CellPlacementRequest,
-    now: Timestamp,
-  ): CellPlacementResult {
-    if (this.#mustWait(board, ask)) return { type: "queued" };
-    if (!board.quarantine.quarantined.has(ask.digest)) {
-      return this.#scheduler.submit(ask, now);
-    }
-    const detail = "Each engine that ran this content crashed.";
-    return { type: "refused", problem: problem("quarantined", detail) };
-  }
-
-  /** Suspect content runs in one copy at a time; other copies wait, and their daemons ask again. */
-  #mustWait(board: Blackboard, ask: CellPlacementRequest): boolean {
-    const { suspects, quarantined } = board.quarantine;
-    if (quarantined.has(ask.digest)) return false;
-    if (mayHaveReachedCrashLimit(board, ask.digest)) return true;
-    if (!suspects.has(ask.digest)) return false;
-    return [...this.#scheduler.tracker.jobs.values()].some((job) =>
-      job.ask.digest === ask.digest && job.ask.request !== ask.request
-    );
-  }
-
   #onUpdate(
     board: Blackboard,
     ctx: StepContext,
@@ -208,73 +154,25 @@
   ): void {
     const request = message.request as RequestId;
     if (message.state === "queued") {
-      return this.#onAnswer(board, ctx, from, {
+      return this.#rounds.onAnswer(board, ctx, from, {
         request,
         round: message.round,
         answer: { type: "queued" },
       });
     }
     if (message.suspect?.silent === false) {
-      this.#scheduler.tracker.recordCrash(message.suspect.upstream as never);
+      this.#scheduler.recordCrash(message.suspect.upstream as UpstreamId);
     }
-    const update = message.state as JobEvent;
-    const { round } = message;
-    this.#scheduler.update(request, update, { round, now: ctx.now });
-  }
-
-  #onAnswer(
-    board: Blackboard,
-    ctx: StepContext,
-    from: DaemonId,
-    options: Readonly<
-      { request: RequestId; round: number; answer: CellPlacementResult }
-    >,
-  ): void {
-    const { request, answer } = options;
-    const round = this.#rounds.get(request);
-    const stale = round === undefined || round.ask.round !== options.round ||
-      round.scheduler !== from;
-    // A duplicate answer belongs to an ask that was sent twice.
-    if (!stale && round.state === "placed") return;
-    if (!stale) return this.#applyAnswer(board, ctx, round, answer);
-    if (answer.type === "granted") {
-      this.#messenger.sendUpdate(board, ctx, from, {
-        request,
-        round: options.round,
-        state: "withdrawn",
-      });
-    }
-  }
-
-  #applyAnswer(
-    board: Blackboard,
-    ctx: StepContext,
-    round: Round,
-    answer: CellPlacementResult,
-  ): void {
-    const { request, round: number } = round.ask;
-    if (answer.type === "queued") {
-      round.state = "queued";
-      return;
-    }
-    round.state = "placed";
-    board.placement.placed.set(
-      request,
-      answer.type === "granted"
-        ? { type: "granted", round: number, placement: answer.placement }
-        : { type: "refused", round: number, problem: answer.problem },
-    );
-    ctx.repeat();
+    const { round, suspect, answered } = message;
+    const state = message.state as JobEvent;
+    const update = { state, round, suspect, answered, now: ctx.now };
+    this.#scheduler.update(board, request, update);
   }
 
   #place(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
     const { req } = entry;
     if (req.kind === "call") return this.#placeCall(board, ctx, entry);
-    const round = this.#rounds.get(req.id);
-    if (round === undefined || round.ask.round !== entry.round) {
-      return this.#startRound(board, ctx, toAsk(board, entry, req));
-    }
-    if (round.state !== "placed") this.#resendIfDue(board, ctx, round);
+    this.#rounds.place(board, ctx, entry, req);
   }
 
   #placeCall(board: Blackboard, ctx: StepContext, entry: RequestEntry): void {
@@ -285,60 +183,6 @@
     ctx.repeat();
   }
 
-  #startRound(
-    board: Blackboard,
-    ctx: StepContext,
-    ask: CellPlacementRequest,
-  ): void {
-    const { scheduler } = board.members;
-    const round: Round = {
-      ask,
-      scheduler,
-      state: "asked",
-      askedAt: ctx.now,
-    };
-    this.#rounds.set(ask.request, round);
-    if (this.#sendAsk(board, ctx, round)) return;
-    this.#askSelf(board, ctx, round);
-  }
-
-  #askSelf(board: Blackboard, ctx: StepContext, round: Round): void {
-    round.scheduler = board.self.id;
-    round.askedAt = ctx.now;
-    ctx.counters.add("placements_local");
-    const ask = withSuspectFlag(board, round.ask);
-    this.#applyAnswer(board, ctx, round, this.#decide(board, ask, ctx.now));
-  }
-
-  /** Sends the ask to the scheduling daemon; returns false if that is this daemon or its address is not known. */
-  #sendAsk(board: Blackboard, ctx: StepContext, round: Round): boolean {
-    const { scheduler } = board.members;
-    const sent = scheduler !== board.self.id &&
-      this.#messenger.send(board, ctx, scheduler, {
-        $case: "placeAsk",
-        value: toPlaceAsk(round.ask, ctx.now),
-      });
-    if (!sent) return false;
-    round.scheduler = scheduler;
-    round.askedAt = ctx.now;
-    ctx.wakeAt(addMs(ctx.now, ANSWER_TIMEOUT_MS));
-    return true;
-  }
-
-  /** Repeats an ask whose answer is overdue; a scheduling daemon that never answered is bypassed. */
-  #resendIfDue(board: Blackboard, ctx: StepContext, round: Round): void {
-    const timeoutMs = round.state === "asked"
-      ? ANSWER_TIMEOUT_MS
-      : QUEUED_ASK_INTERVAL_MS;
-    const dueAt = addMs(round.askedAt, timeoutMs);
-    if (ctx.now < dueAt) return ctx.wakeAt(dueAt);
-    if (round.state === "asked") return this.#askSelf(board, ctx, round);
-    const wasLocal = round.scheduler === board.self.id;
-    if (wasLocal) return this.#askSelf(board, ctx, round);
-    round.state = "asked";
-    if (!this.#sendAsk(board, ctx, round)) this.#askSelf(board, ctx, round);
-  }
-
   #onPeerUnreachable(
     board: Blackboard,
     ctx: StepContext,
@@ -348,17 +192,7 @@
       .find((known) => known.peerAddress === address)?.id;
     if (peer === undefined) return;
     this.#scheduler.dropQueuedOf(peer);
-    for (const round of this.#rounds.values()) {
-      if (round.scheduler !== peer || round.state === "placed") continue;
-      this.#askSelf(board, ctx, round);
-    }
-  }
-
-  #dispatch(board: Blackboard, ctx: StepContext): void {
-    for (const { ask, answer } of this.#scheduler.dispatch(ctx.now)) {
-      this.#deliver(board, ctx, ask, answer);
-    }
-    if (this.#scheduler.queueSize > 0) ctx.wakeAt(addMs(ctx.now, DISPATCH_MS));
+    this.#rounds.bypass(board, ctx, peer);
   }
 
   #deliver(
@@ -368,54 +202,18 @@
     answer: CellPlacementResult,
   ): void {
     if (ask.from === board.self.id) {
-      const round = this.#rounds.get(ask.request);
-      if (round !== undefined) this.#applyAnswer(board, ctx, round, answer);
-      return;
+      return this.#rounds.applyOwn(board, ctx, ask.request, answer);
     }
     this.#messenger.sendAnswer(board, ctx, { ask, answer });
   }
 
   /** Removes ended requests and releases the places that schedulers still hold for them. */
   #removeEnded(board: Blackboard, ctx: StepContext): void {
-    for (const request of this.#rounds.keys()) {
-      if (board.requests.byId.has(request)) continue;
-      this.#updateJob(board, ctx, { request, state: "withdrawn" });
-      this.#rounds.delete(request);
-    }
+    this.#rounds.removeEnded(board, ctx);
     for (const request of board.placement.placed.keys()) {
       if (board.requests.byId.get(request)?.state !== "placing") {
         board.placement.placed.delete(request);
       }
     }
   }
-
-  #removeLostDaemons(board: Blackboard, ctx: StepContext): void {
-    const live = livePeers(board, ctx.now).map((peer) => peer.id);
-    const liveIds = live.join();
-    if (liveIds === this.#lastLiveIds) return;
-    this.#lastLiveIds = liveIds;
-    this.#scheduler.retainDaemons(new Set([board.self.id, ...live]), ctx.now);
-  }
-
-  #updateJob(
-    board: Blackboard,
-    ctx: StepContext,
-    options: Readonly<
-      { request: RequestId; state: JobEvent; suspect?: Suspect }
-    >,
-  ): void {
-    const { request, state, suspect } = options;
-    const round = this.#rounds.get(request);
-    if (round === undefined) return;
-    if (round.scheduler === board.self.id) {
-      const options = { round: round.ask.round, now: ctx.now };
-      return this.#scheduler.update(request, state, options);
-    }
-    this.#messenger.sendUpdate(board, ctx, round.scheduler, {
-      request,
-      round: round.ask.round,
-      state,
-      suspect,
-    });
-  }
 }
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -1,37 +1,40 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { SilentRun, Suspect } from "../board/quarantine_section.ts";
-import type { RequestEntry } from "../board/requests_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { Digest, Incarnation, UpstreamId } from "../core/id.ts";
-import type { Outcome } from "../core/request.ts";
+import type { Digest, Incarnation } from "../core/id.ts";
+import type { Request } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
 import {
   addMs,
-  HOUR_MS,
   type Millis,
   MINUTE_MS,
   SECOND_MS,
   type Timestamp,
 } from "../core/time.ts";
-import type { Envelope, Suspect as SuspectUpdate } from "../gen/peer.ts";
-import { CRASHES_TO_QUARANTINE } from "./crash_limit.ts";
+import {
+  type ContentRun,
+  crashedIncarnation,
+  lacksResponse,
+  lostResponse,
+  reportedRuns,
+} from "./content_run.ts";
+import {
+  CRASHES_TO_QUARANTINE,
+  QUARANTINE_MS,
+  suspectRetentionMs,
+} from "./crash_limit.ts";
 import { incarnationOf } from "./incarnation_of.ts";
+import { blocksOf } from "./place_ask.ts";
 import { mayRunOnSilentEngine } from "./retry_decision.ts";
 
 /** Time over which an engine must respond again before its silence counts as harmless; a crash shows sooner. */
 const RECOVERY_CONFIRM_MS: Millis = SECOND_MS;
 const MAX_SILENT_RUNS = 1_024;
-const SUSPECT_RETENTION_MS: Millis = 10 * MINUTE_MS;
-const QUARANTINE_MS: Millis = HOUR_MS;
+const SILENCE_RETENTION_MS: Millis = 10 * MINUTE_MS;
 const MAX_SUSPECTS = 1_024;
 const MAX_QUARANTINED = 1_024;
 
-/** Content that an engine ran when it crashed or fell silent. */
-type ContentRun = Readonly<
-  { digest: Digest; upstream: UpstreamId; incarnation: string }
->;
-
 /** Tracks content that ran on engines when they crashed, and quarantines content that has crashed two engines. */
 export class QuarantineController extends Controller {
   override readonly name = "quarantine";
@@ -51,18 +54,13 @@
       return this.#onAttemptEnd(board, ctx, event);
     }
     if (event.type !== "peer_message") return;
-    for (const update of suspectUpdates(event.envelope)) {
-      const crash = {
-        digest: update.digest as Digest,
-        upstream: update.upstream as UpstreamId,
-        incarnation: update.incarnation,
-      };
-      if (update.silent) {
-        this.#recordSilence(board, crash, {
+    for (const { run, silent } of reportedRuns(event.envelope, ctx.now)) {
+      if (silent) {
+        this.#recordSilence(board, run, {
           observedHere: false,
           silentSince: ctx.now,
         });
-      } else this.#recordCrash(board, ctx, crash);
+      } else this.#recordCrash(board, ctx, run);
     }
   }
 
@@ -74,13 +72,17 @@
     const entry = board.requests.byId.get(event.req);
     if (entry?.attempt?.id !== event.attempt) return;
     if (event.outcome.type === "ok") {
-      return this.#clearSuspicion(board, entry.req.digest);
+      return this.#clearSuspicion(board, ctx, entry.req);
     }
-    if (mayRunOnSilentEngine(entry, event.outcome, { board })) {
+    const isOpen = mayRunOnSilentEngine(entry, event.outcome, { board }) ||
+      lacksResponse(entry, event.outcome);
+    if (isOpen) {
       const { upstream } = entry.attempt.placement;
       const incarnation = incarnationOf(board, upstream);
       const { digest } = entry.req;
-      return this.#recordSilence(board, { digest, upstream, incarnation }, {
+      const blocks = blocksOf(entry.req);
+      const run = { digest, upstream, incarnation, blocks };
+      return this.#recordSilence(board, run, {
         observedHere: true,
         silentSince: ctx.now,
       });
@@ -94,30 +96,90 @@
       digest: entry.req.digest,
       upstream,
       incarnation: crashedIncarnation(board, entry, upstream),
+      blocks: blocksOf(entry.req),
+      sentAt: entry.attempt.startedAt,
     });
   }
 
   #recordCrash(board: Blackboard, ctx: StepContext, crash: ContentRun): void {
     const { suspects, quarantined } = board.quarantine;
-    const known = suspects.get(crash.digest);
-    const crashKey = `${crash.upstream}/${crash.incarnation}`;
-    if (known?.crashes.includes(crashKey)) return;
+    const { digest, upstream } = crash;
+    this.#addBlocks(board, ctx, crash);
+    const known = suspects.get(digest);
+    const process = `${upstream}/${crash.incarnation}`;
+    if (known?.crashes.includes(process)) return;
     const suspect: Suspect = {
-      crashes: [...known?.crashes ?? [], crashKey],
-      upstreams: [...known?.upstreams ?? [], crash.upstream],
-      seenAt: ctx.now,
+      crashes: [...known?.crashes ?? [], process],
+      upstreams: [...known?.upstreams ?? [], upstream],
+      blocks: known?.blocks ?? crash.blocks,
+      seenAt: latest(known?.seenAt, crash.seenAt ?? ctx.now),
     };
-    suspects.delete(crash.digest);
-    suspects.set(crash.digest, suspect);
+    suspects.delete(digest);
+    suspects.set(digest, suspect);
     evictOldest(suspects, MAX_SUSPECTS);
+    this.#blameBlocks(board, ctx, { ...crash, ...suspect, process });
     if (suspect.crashes.length < CRASHES_TO_QUARANTINE) return;
-    if (!quarantined.has(crash.digest)) {
-      ctx.counters.add("requests_quarantined");
-    }
-    quarantined.set(crash.digest, ctx.now);
+    if (isExplained(board, suspect)) return;
+    if (!quarantined.has(digest)) ctx.counters.add("requests_quarantined");
+    quarantined.set(digest, suspect.seenAt);
     evictOldest(quarantined, MAX_QUARANTINED);
   }
 
+  /** Counts the known crashes of a content against blocks that are new here, as each daemon leaves out answered ones. */
+  #addBlocks(board: Blackboard, ctx: StepContext, crash: ContentRun): void {
+    const { digest } = crash;
+    const known = board.quarantine.suspects.get(digest);
+    const blocks = crash.blocks?.filter((one) => !known?.blocks?.includes(one));
+    if (known === undefined || blocks === undefined) return;
+    if (blocks.length === 0) return;
+    const all = [...known.blocks ?? [], ...blocks];
+    board.quarantine.suspects.set(digest, { ...known, blocks: all });
+    for (const process of known.crashes) {
+      this.#blameBlocks(board, ctx, { digest, process, blocks });
+    }
+  }
+
+  /** Counts a crash against blocks of its prompt. */
+  #blameBlocks(
+    board: Blackboard,
+    ctx: StepContext,
+    crash:
+      & Pick<ContentRun, "digest" | "blocks" | "sentAt">
+      & Readonly<{ process: string }>,
+  ): void {
+    const { digest, process, blocks = [] } = crash;
+    const blamed = board.quarantine.blocks.recordCrash(blocks, crash, ctx.now);
+    ctx.emit({
+      type: "log_line",
+      level: "warn",
+      message: "content suspected of a crash",
+      fields: {
+        content: digest,
+        process,
+        blocks: blocks.length,
+        blamed: blamed.length,
+        ...(blamed[0] === undefined ? {} : { block: blamed[0] }),
+      },
+    });
+    if (blamed.length > 0) this.#releaseExplained(board, ctx);
+  }
+
+  /** Frees quarantined contents that only ran beside a block that crashes engines. */
+  #releaseExplained(board: Blackboard, ctx: StepContext): void {
+    const { suspects, quarantined } = board.quarantine;
+    for (const digest of quarantined.keys()) {
+      const suspect = suspects.get(digest);
+      if (suspect === undefined || !isExplained(board, suspect)) continue;
+      quarantined.delete(digest);
+      ctx.emit({
+        type: "log_line",
+        level: "info",
+        message: "content freed, as a block explains its crashes",
+        fields: { content: digest, crashes: suspect.crashes.length },
+      });
+    }
+  }
+
   #recordSilence(
     board: Blackboard,
     run: ContentRun,
@@ -129,6 +191,8 @@
     const silentRun = {
       upstream: run.upstream,
       incarnation: run.incarnation as Incarnation,
+      blocks: run.blocks &&
+        board.quarantine.blocks.unanswered(run.blocks, options.silentSince),
       ...options,
     };
     silentRuns.set(run.digest, [...known, silentRun]);
@@ -141,10 +205,11 @@
     for (const [digest, known] of silentRuns) {
       const unresolved: SilentRun[] = [];
       for (const silentRun of known) {
-        const { upstream, incarnation } = silentRun;
+        const { upstream, incarnation, blocks } = silentRun;
         const current = board.upstreams.byId.get(upstream);
         if (current?.incarnation !== incarnation) {
-          this.#recordCrash(board, ctx, { digest, upstream, incarnation });
+          const crash = { digest, upstream, incarnation, blocks };
+          this.#recordCrash(board, ctx, crash);
           ctx.repeat();
           continue;
         }
@@ -162,24 +227,36 @@
     }
   }
 
-  /** Clears content that has run to completion: it did not cause the crash. */
-  #clearSuspicion(board: Blackboard, digest: Digest): void {
+  /** Clears content that has run to completion, and its blocks: they did not cause the crash. */
+  #clearSuspicion(board: Blackboard, ctx: StepContext, req: Request): void {
+    const { digest } = req;
+    const { blocks } = board.quarantine;
+    for (const block of blocks.recordAnswer(blocksOf(req), ctx.now)) {
+      ctx.emit({
+        type: "log_line",
+        level: "info",
+        message: "block cleared by an answer",
+        fields: { req: req.id, block },
+      });
+    }
     board.quarantine.silentRuns.delete(digest);
     if (board.quarantine.quarantined.has(digest)) return;
     board.quarantine.suspects.delete(digest);
   }
 
   #removeExpired(board: Blackboard, now: Timestamp): void {
-    const { suspects, quarantined, silentRuns } = board.quarantine;
+    const { suspects, quarantined, silentRuns, blocks } = board.quarantine;
+    blocks.expire(now);
     for (const [digest, suspect] of suspects) {
-      if (now - suspect.seenAt > SUSPECT_RETENTION_MS) suspects.delete(digest);
+      const retentionMs = suspectRetentionMs(suspect.crashes.length);
+      if (now - suspect.seenAt > retentionMs) suspects.delete(digest);
     }
     for (const [digest, at] of quarantined) {
       if (isQuarantineExpired(at, now)) quarantined.delete(digest);
     }
     for (const [digest, runs] of silentRuns) {
       const kept = runs.filter(({ silentSince }) =>
-        now - silentSince <= SUSPECT_RETENTION_MS
+        now - silentSince <= SILENCE_RETENTION_MS
       );
       if (kept.length === 0) silentRuns.delete(digest);
       else if (kept.length < runs.length) silentRuns.set(digest, kept);
@@ -187,35 +264,19 @@
   }
 }
 
-/** Returns the incarnation that crashed. If the known incarnation had crashed before the attempt started, the attempt ran on a later one, named by the attempt's start. */
-function crashedIncarnation(
-  board: Blackboard,
-  entry: RequestEntry,
-  upstream: UpstreamId,
-): string {
-  const incarnation = incarnationOf(board, upstream);
-  const known = board.quarantine.suspects.get(entry.req.digest);
-  const startedAt = entry.attempt?.startedAt ?? 0;
-  const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
-  if (!isKnown || startedAt <= known!.seenAt) return incarnation;
-  return `${incarnation}@${startedAt}`;
-}
-
-/** Whether a silent engine no longer has the response of its attempt; it has probably crashed in between. */
-function lostResponse(
-  entry: RequestEntry,
-  outcome: Extract<Outcome, { type: "failed" }>,
-): boolean {
-  const { cause } = outcome;
-  return entry.reattached === true &&
-    (cause === "connect_failed" || cause === "resume_failed");
+/** Whether a block of other prompts explains the crashes of a content. */
+function isExplained(board: Blackboard, suspect: Suspect): boolean {
+  const { crashes, blocks = [] } = suspect;
+  const { quarantine } = board;
+  return quarantine.blocks.explains(crashes, blocks, (block) => {
+    const sharing = [...quarantine.suspects.values()]
+      .filter((one) => one.blocks?.includes(block));
+    return sharing.length > 1;
+  });
 }
 
-function suspectUpdates(envelope: Envelope): readonly SuspectUpdate[] {
-  const { body } = envelope;
-  if (body?.$case === "heartbeat") return body.value.suspects;
-  if (body?.$case !== "placeUpdate") return [];
-  return body.value.suspect === undefined ? [] : [body.value.suspect];
+function latest(known: Timestamp | undefined, at: Timestamp): Timestamp {
+  return known === undefined || known < at ? at : known;
 }
 
 function isQuarantineExpired(at: Timestamp, now: Timestamp): boolean {
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -24,7 +24,7 @@
 import { parseWith } from "../../wire/parse.ts";
 import { parseReporting, soundList } from "../../wire/sound_list.ts";
 import { deflateJson, inflateJson } from "./deflated.ts";
-import { ContentSyncSchema } from "../contents/content_record.ts";
+import { ContentSyncSchema } from "../../suspects/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { SilenceSchema } from "../contents/silence.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
--- a/src/gateway/contents/content_record.ts
+++ b/src/suspects/content_record.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
-import { millisSchema } from "../../wire/bounds.ts";
-import { soundList } from "../../wire/sound_list.ts";
+import { millisSchema } from "../wire/bounds.ts";
+import { soundList } from "../wire/sound_list.ts";
 
 /** Many times as many as fit into the time for which a record is kept; the delay that they give is finite. */
 const MAX_TRIALS = 1_000;
