--- a/src/controllers/placement_rounds.ts
+++ b/src/controllers/placement_rounds.ts
@@ -32,7 +32,7 @@
   askedAt: Timestamp;
 };
 
-/** Asks for the places of this daemon's prompts, and tells the daemons that placed them how they fare. */
+/** Asks for the places of this daemon's prompts, and reports their progress to the daemons that placed them. */
 export class PlacementRounds {
   readonly #scheduler: LocalScheduler;
   readonly #messenger: PlaceMessenger;
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -4,17 +4,15 @@
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import { fnv1aHash } from "../core/fnv1a.ts";
 import type { UpstreamId } from "../core/id.ts";
-import type { JobId, PoolGrant } from "../scheduling/pool/pool_job.ts";
 import { splitAddress } from "./address.ts";
-import { closedUpstreams, findGrantClosure } from "./upstreams/availability.ts";
 import { CoreLoop } from "./core_loop.ts";
 import { DatagramPort } from "./peers/datagram_port.ts";
 import type { Dialect } from "./requests/dialect.ts";
 import type { Drain } from "./requests/drain_gate.ts";
 import type { EngineOrders } from "./requests/engine_orders.ts";
 import { type CallerLocation, chooseEntries } from "./members/entry_choice.ts";
+import { ExchangeAdapter } from "./exchange_adapter.ts";
 import { EventLog, type LogFields } from "./event_log.ts";
-import type { ExchangePort } from "./requests/exchange_port.ts";
 import { FrontServer } from "./requests/front_server.ts";
 import { GatewayCore } from "./gateway_core.ts";
 import type { GatewayIntent } from "./gateway_event.ts";
@@ -22,15 +20,10 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { isReady, livenessTimeoutMs } from "./members/membership.ts";
 import { decodePeerMessage, encodePeerMessage } from "./peers/peer_message.ts";
-import type { PlacementResult } from "./placement/placement_port.ts";
 import { drainTimeMs, PlannedStop } from "./planned_stop.ts";
 import type { PlatformStore } from "./store/platform_store.ts";
 import { RetryBudget } from "./requests/retry_budget.ts";
 import { encodeServing } from "./serving/serving_json.ts";
-import {
-  limitsTraffic,
-  type UpstreamAvailability,
-} from "./requests/upstream_availability.ts";
 import { type GetResponse, serveGetRequests } from "./plain_http.ts";
 import { UnreadableLog } from "./unreadable_log.ts";
 import { SERVING_PATH, StoreCaller } from "./store/store_caller.ts";
@@ -63,10 +56,8 @@
   readonly #datagrams: DatagramPort;
   readonly #front: FrontServer;
   readonly #store: StoreCaller;
-  readonly #budget: RetryBudget;
   readonly #orders: EngineOrders;
-  readonly #replies = new Map<JobId, (reply: PlacementResult) => void>();
-  readonly #startedAt: Timestamp;
+  readonly #exchanges: ExchangeAdapter;
   readonly #unreadable = UnreadableLog.create((kind, fields) =>
     this.#line(kind, fields)
   );
@@ -79,27 +70,12 @@
     this.#settings = settings;
     const { card } = settings;
     this.#orders = adapters.orders;
-    this.#orders.onAvailability((address, reported, { elapsedMs }) => {
-      if (!this.#isOfInterest(reported)) return;
-      const upstream = this.#upstreamAt(address);
-      if (upstream === undefined) return;
-      const sentAt = addMs(this.#loop.now(), -elapsedMs);
-      this.#reportAvailability(upstream, reported, sentAt);
-    });
-    this.#orders.onSend((address) => {
-      if (this.#core.board.gate.rates.size === 0) return;
-      const upstream = this.#upstreamAt(address);
-      if (upstream === undefined) return;
-      this.#loop.push({ type: "order_sent", upstream });
-    });
     this.#core = GatewayCore.create(card, settings.seeds);
     this.#loop = CoreLoop.create(this.#core, (intent) => this.#perform(intent));
-    this.#startedAt = this.#loop.now();
     this.#log = EventLog.create(
       { vm: card.vm },
       { now: () => Date.now() as Timestamp },
     );
-    this.#budget = RetryBudget.create(settings.budget);
     this.#datagrams = DatagramPort.create((data) => this.#receive(data));
     adapters.store.onUnreadable((record) => this.#unreadable.report(record));
     this.#store = StoreCaller.create(adapters.store, {
@@ -107,7 +83,17 @@
       count: (call, outcome) => this.#metrics.storeCall(call, outcome),
       line: (kind, fields) => this.#line(kind, fields),
     });
-    this.#front = FrontServer.create(this.#createExchangePort(adapters), {
+    this.#exchanges = ExchangeAdapter.create({
+      board: this.#core.board,
+      dialect: adapters.dialect,
+      orders: adapters.orders,
+      budget: RetryBudget.create(settings.budget),
+      metrics: this.#metrics,
+      now: () => this.#loop.now(),
+      push: (event) => this.#loop.push(event),
+      line: (kind, fields) => this.#line(kind, fields),
+    });
+    this.#front = FrontServer.create(this.#exchanges.port, {
       routes: () => this.#core.board.serving.routes,
       drain: () => this.#drain(),
     });
@@ -209,10 +195,10 @@
         this.#datagrams.send(intent.to, encodePeerMessage(intent.message));
         return;
       case "granted":
-        this.#reply(intent.grant.job.id, ok(intent.grant));
+        this.#exchanges.reply(intent.grant.job.id, ok(intent.grant));
         return;
       case "denied":
-        this.#reply(intent.job, err(intent.problem));
+        this.#exchanges.reply(intent.job, err(intent.problem));
         return;
       case "read":
         void this.#store.read(intent);
@@ -267,39 +253,6 @@
     this.#loop.push({ type: "inspected", upstream, ...found });
   }
 
-  #upstreamAt(address: string): UpstreamId | undefined {
-    const { table } = this.#core.board.register;
-    return table.all().find((entry) => entry.address === address)?.id;
-  }
-
-  #reportAvailability(
-    upstream: UpstreamId,
-    availability: UpstreamAvailability,
-    sentAt: Timestamp,
-  ): void {
-    if (!this.#isOfInterest(availability)) return;
-    this.#loop.push({ type: "upstream_said", upstream, availability, sentAt });
-  }
-
-  /** Whether a response restricts what may be sent, or may end a limit. */
-  #isOfInterest(availability: UpstreamAvailability): boolean {
-    return limitsTraffic(availability) || this.#core.board.gate.rates.size > 0;
-  }
-
-  /** Why a grant may not be used; placers learn of a rate that they did not count it against. */
-  #grantClosure(grant: PoolGrant) {
-    const closure = findGrantClosure(
-      this.#core.board,
-      grant,
-      this.#loop.now(),
-    );
-    if (closure?.reason === "uncounted") {
-      const { upstream } = closure;
-      this.#loop.push({ type: "uncounted_grant", upstream });
-    }
-    return closure;
-  }
-
   #applyLimits(): void {
     const { routes, version } = this.#core.board.serving;
     if (routes === undefined || version === this.#limitsVersion) return;
@@ -307,12 +260,6 @@
     this.#front.applyLimits(routes.serving.limits);
   }
 
-  #reply(job: JobId, reply: PlacementResult): void {
-    const waiting = this.#replies.get(job);
-    this.#replies.delete(job);
-    waiting?.(reply);
-  }
-
   #receive(data: Buffer): void {
     decodePeerMessage(data, {
       onLeftOut: (detail) =>
@@ -326,54 +273,6 @@
     );
   }
 
-  #createExchangePort(adapters: GatewayAdapters): ExchangePort {
-    const { card } = this.#settings;
-    const { board } = this.#core;
-    const metrics = this.#metrics;
-    const budgetShare = () => ({
-      daemons: board.members.table.all().length + 1,
-      ageMs: this.#loop.now() - this.#startedAt,
-    });
-    return {
-      dialect: adapters.dialect,
-      orders: adapters.orders,
-      now: () => this.#loop.now(),
-      random: () => Math.random(),
-      self: { vm: card.vm, domain: card.domain },
-      place: (ask, reply) => {
-        this.#replies.set(ask.job, reply);
-        this.#loop.push({ type: "place", ask });
-      },
-      withdraw: (job) => {
-        this.#replies.delete(job);
-        this.#loop.push({ type: "withdraw", job });
-      },
-      updateJob: (job, upstream, updates) =>
-        this.#loop.push({ type: "job", job, upstream, ...updates }),
-      upstreamAt: (address) => this.#upstreamAt(address),
-      grantClosure: (grant) => this.#grantClosure(grant),
-      closedUpstreams: (service) =>
-        closedUpstreams(board, service, this.#loop.now()),
-      reportAvailability: (upstream, availability, { sentAt }) =>
-        this.#reportAvailability(upstream, availability, sentAt),
-      recordFirstSend: (service) =>
-        this.#budget.recordNew(service, this.#loop.now()),
-      mayRetry: (service) =>
-        this.#budget.hasLeft(service, this.#loop.now(), budgetShare()),
-      spendRetry: (service) =>
-        this.#budget.trySpend(service, this.#loop.now(), budgetShare()),
-      line: (kind, fields) => this.#line(kind, fields),
-      observe: {
-        placed: (tokens, ms) => metrics.placed(tokens, ms),
-        firstEvent: (tokens, ms) => metrics.firstEvent(tokens, ms),
-        completed: (tokens, ms) => metrics.wholeAnswer(tokens, ms),
-        retried: (cause) => metrics.retried(cause),
-        problem: (code, verdict) => metrics.problem(code, verdict),
-        ended: (outcome) => metrics.requestEnded(outcome),
-      },
-    };
-  }
-
   #serveConfig(url: URL): GetResponse | undefined {
     if (url.pathname !== SERVING_PATH) return undefined;
     const { routes } = this.#core.board.serving;
--- a/src/gateway/requests/drain_gate.ts
+++ b/src/gateway/requests/drain_gate.ts
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Time that a request may take: its time limit where it may not be repeated, as nobody could tell after a cut whether
-   * it has run; otherwise what recent answers on its route took.
+   * Time that a request may take: its time limit where it may not be repeated, as a cut would leave it open
+   * whether it has run; otherwise what recent answers on its route took.
    */
   needMs(req: DrainingRequest, now: Timestamp): Millis {
     const limitMs = Math.max(0, req.deadlineAt - now);
