--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -95,7 +95,7 @@
     });
     this.#front = FrontServer.create(this.#exchanges.port, {
       routes: () => this.#core.board.serving.routes,
-      drain: () => this.#drain(),
+      drain: () => this.#currentDrain(),
     });
   }
 
@@ -154,7 +154,7 @@
       drain: () => {
         this.#loop.push({ type: "drain" });
         this.#loop.step();
-        this.#front.drain();
+        this.#front.limitWaits();
       },
       cut: () => this.#front.cut(),
       line: (kind, fields) => this.#line(kind, fields),
@@ -166,7 +166,7 @@
     }, this.#settings.graceMs);
   }
 
-  #drain(): Drain | undefined {
+  #currentDrain(): Drain | undefined {
     const since = this.#core.board.self.drainingSince;
     if (since === undefined) return undefined;
     const drainMs = drainTimeMs(this.#settings.graceMs);
--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -146,7 +146,7 @@
 
   #leftMs(): Millis {
     const { gate } = this.#context;
-    return gate.deadlineOf(this.#req.deadlineAt) - this.#port.now();
+    return gate.limitDeadline(this.#req.deadlineAt) - this.#port.now();
   }
 
   #spendRetry(): boolean {
--- a/src/gateway/requests/drain_gate.ts
+++ b/src/gateway/requests/drain_gate.ts
@@ -39,7 +39,7 @@
   }
 
   /** Deadline of a request, which is not later than the end of the stop. */
-  deadlineOf(deadlineAt: Timestamp): Timestamp {
+  limitDeadline(deadlineAt: Timestamp): Timestamp {
     const drain = this.#drain();
     return drain === undefined || drain.endsAt > deadlineAt
       ? deadlineAt
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -90,7 +90,7 @@
   start(): void {
     const waitMs = timerMs(this.#req.deadlineAt - this.#port.now());
     this.#deadlineTimer = setTimeout(() => this.#expire(), waitMs);
-    this.drain();
+    this.limitWait();
     this.#port.recordFirstSend(this.#service);
     this.#attempts.start();
   }
@@ -103,7 +103,7 @@
   }
 
   /** During a planned stop, refuses the request as soon as it is too late to send it. */
-  drain(): void {
+  limitWait(): void {
     const now = this.#port.now();
     const latestAt = this.#gate.latestSendAt(this.#req, now);
     if (this.#finished || latestAt === undefined) return;
@@ -125,7 +125,7 @@
   }
 
   #leftMs(): Millis {
-    return this.#gate.deadlineOf(this.#req.deadlineAt) - this.#port.now();
+    return this.#gate.limitDeadline(this.#req.deadlineAt) - this.#port.now();
   }
 
   #refuseUnsent(): void {
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -90,9 +90,9 @@
     for (const one of this.#requests) one.upstreamLost(id);
   }
 
-  /** Applies the limits of a planned stop to the requests that are open when it begins. */
-  drain(): void {
-    for (const one of this.#requests) one.drain();
+  /** Applies a planned stop to the requests that are open when it begins. */
+  limitWaits(): void {
+    for (const one of this.#requests) one.limitWait();
   }
 
   /** Gives each open request its final response, as the daemon is about to exit. */
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -89,9 +89,9 @@
     this.#exchange?.upstreamLost(id);
   }
 
-  /** Applies the limits of a planned stop. */
-  drain(): void {
-    this.#exchange?.drain();
+  /** Applies a planned stop, which leaves less time to wait for a place. */
+  limitWait(): void {
+    this.#exchange?.limitWait();
   }
 
   /** Gives the final response, as the daemon is about to exit. */
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -97,7 +97,7 @@
       since: addMs(now, -agoMs),
       endsAt: addMs(now, leftMs),
     };
-    this.frontServer.drain();
+    this.frontServer.limitWaits();
   }
 
   /** Sends one request with a team's key; resolves with its final response. The client leaves at the `signal`. */
