--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -8,7 +8,11 @@
 import { hasInvalidHeader } from "./header_syntax.ts";
 import { closedCleanly, isCloseDelimited } from "./close_delimited.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
-import { CONNECT_TIMEOUT_MS, connectTo } from "./upstream_connection.ts";
+import {
+  CONNECT_TIMEOUT_MS,
+  connectTo,
+  isRefusal,
+} from "./upstream_connection.ts";
 
 /** Largest head of a response. */
 const MAX_HEAD_BYTES = 32 * 1024;
@@ -82,7 +86,10 @@
       else this.#onConnect();
     });
     req.on("response", (res) => this.#handleResponse(res));
-    req.on("error", (err) => this.#failConnection(err.message));
+    req.on(
+      "error",
+      (err) => this.#failConnection(err.message, isRefusal(err)),
+    );
     req.end(body);
   }
 
@@ -177,13 +184,13 @@
     this.#listener.onEnd();
   }
 
-  #failConnection(detail: string): void {
+  #failConnection(detail: string, unreachable = false): void {
     const disconnected = this.#sent;
     if (this.#res !== undefined) {
       this.#fail("answer_broken", detail, { disconnected });
     } else if (this.#sent) {
       this.#fail("upstream_crashed", detail, { disconnected });
-    } else this.#fail("connect_failed", detail, { unreachable: true });
+    } else this.#fail("connect_failed", detail, { unreachable });
   }
 
   #fail(
--- a/src/gateway/requests/attempt_placement.ts
+++ b/src/gateway/requests/attempt_placement.ts
@@ -134,9 +134,9 @@
     if (opened.isErr()) {
       if (this.#closed) return;
       return this.#listener.onUnusable({
-        ...notSent("connect_failed", opened.error),
+        ...notSent("connect_failed", opened.error.detail),
         upstreamAtFault: true,
-        unreachable: true,
+        unreachable: opened.error.refused,
       });
     }
     const connection = opened.value;
--- a/src/gateway/requests/attempt_test.ts
+++ b/src/gateway/requests/attempt_test.ts
@@ -5,9 +5,10 @@
   type Server,
   type Socket,
 } from "node:net";
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import { PlatformDialect } from "../../../platform/wire/dialect.ts";
 import { requestHead } from "../../testing/fake_gateway_port.ts";
+import { CONNECT_TIMEOUT_MS } from "./upstream_connection.ts";
 import { Attempt } from "./attempt.ts";
 import type { RequestHead } from "./dialect.ts";
 
@@ -132,6 +133,15 @@
   expect(seen).toBe("connect_failed not_run unreachable");
 });
 
+test("a connection that times out is no sign that the upstream is gone", async () => {
+  vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout"] });
+  const seen = failureOf("127.0.0.1:1", HEAD);
+  // No I/O is handled before the time is up.
+  vi.advanceTimersByTime(CONNECT_TIMEOUT_MS);
+  expect(await seen).toBe("connect_failed not_run");
+  vi.useRealTimers();
+});
+
 test("an invalid request head gives the verdict not_run, and says nothing of the upstream", async () => {
   const seen = await failureOf("127.0.0.1:1", { ...HEAD, path: "/a path" });
   expect(seen).toBe("connect_failed not_run");
--- a/src/gateway/requests/retry_policy.ts
+++ b/src/gateway/requests/retry_policy.ts
@@ -12,7 +12,7 @@
   upstreamAtFault: boolean;
   /** Whether the connection was lost after the request may have reached the upstream. */
   disconnected?: boolean;
-  /** Whether no connection could be made to the upstream's address. */
+  /** Whether the upstream's address refused the connection, as no process listens on it. */
   unreachable?: boolean;
   /** Retry-After that the upstream sent. */
   retryAfterMs?: Millis;
--- a/src/gateway/requests/upstream_connection.ts
+++ b/src/gateway/requests/upstream_connection.ts
@@ -12,27 +12,36 @@
   return connect({ ...splitAddress(address), allowHalfOpen: true });
 }
 
-/** Opens a connection to an upstream; the error says why there is none. */
+/** Whether an error shows that no process listens on an address; a time-out or a missing route doesn't. */
+export function isRefusal(err: Error): boolean {
+  return "code" in err && err.code === "ECONNREFUSED";
+}
+
+/** Why there is no connection to an upstream. */
+export type ConnectError = Readonly<{ detail: string; refused: boolean }>;
+
+/** Opens a connection to an upstream. */
 export function openConnection(
   address: string,
-): Promise<Result<Socket, string>> {
+): Promise<Result<Socket, ConnectError>> {
   return new Promise((resolve) => {
     let socket: Socket;
     try {
       socket = connectTo(address);
     } catch (cause) {
-      return resolve(err(unexpectedFields(cause).cause));
+      const detail = unexpectedFields(cause).cause;
+      return resolve(err({ detail, refused: false }));
     }
-    const fail = (detail: string) => {
+    const fail = (detail: string, refused = false) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(err(detail));
+      resolve(err({ detail, refused }));
     };
     const timer = setTimeout(
       () => fail("Connection timed out"),
       CONNECT_TIMEOUT_MS,
     );
-    const onError = (cause: Error) => fail(cause.message);
+    const onError = (cause: Error) => fail(cause.message, isRefusal(cause));
     socket.once("error", onError);
     socket.once("connect", () => {
       clearTimeout(timer);
