--- a/stand_ins/engine/engine_routes.ts
+++ b/stand_ins/engine/engine_routes.ts
@@ -56,6 +56,8 @@
         return answerHalf(c, await answer.json());
       }
       case "lost_answer":
+        // Holds back what the handler writes, which a reset would not take back.
+        c.env.outgoing.detachSocket(c.env.incoming.socket);
         await handle(c);
         return resetConnection(c);
       default:
