Release memory that is reserved for a prompt whose upstream sends nothing

The decoding engine hung on requests and answered reports, so its tickets were renewed until the deadline, and the other place was not granted, as its own memory was in the way.

An attempt that reserves memory and has sent nothing ends at its silence limit, as before: nothing of an answer is lost, the memory is free for the next attempt, and the caller gets a complete answer if none follows. One that has begun to answer goes on.

--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -219,14 +219,9 @@
       log.silence(silent, { then: "wait", reason });
       return false;
     }
-    const { upstream, verdict, silentMs } = silent;
+    const { upstream } = silent;
     const leftMs = this.#leftMs();
-    const failure = {
-      cause: "upstream_silent",
-      verdict,
-      detail: `No data for ${Math.round(silentMs)} ms`,
-      upstreamAtFault: true,
-    } as const;
+    const failure = silenceFailureOf(silent);
     silent.abandon();
     history.recordFailure(failure, { leftMs, upstream });
     log.attemptFailed(failure, { upstream, leftMs, then: "retry" });
@@ -234,15 +229,35 @@
     return true;
   }
 
-  /** Seeks another upstream beside a silent one; an attempt that can't be replaced goes on. */
+  /**
+   * Seeks another upstream beside a silent one; an attempt that can't be replaced goes on, unless it reserves memory and
+   * has sent nothing.
+   */
   #onSilence(limitMs: Millis): void {
     if (this.#sent === undefined || this.#placement !== undefined) return;
+    if (this.#holdsUnusedMemory(this.#sent)) {
+      return this.#failSilent(this.#sent);
+    }
     const reason = this.#replacementObstacle();
     const then = reason === undefined ? "seek_other" : "wait";
     this.#context.log.silence(this.#sent, { limitMs, then, reason });
     if (reason === undefined) this.start();
   }
 
+  /** Whether memory is reserved for an attempt that has sent nothing, so that other prompts can't use it. */
+  #holdsUnusedMemory(sent: SentAttempt): boolean {
+    return sent.grant.job.tickets.length > 0 &&
+      this.#context.relay.receivedCount === 0;
+  }
+
+  #failSilent(sent: SentAttempt): void {
+    const { upstream } = sent;
+    const failure = silenceFailureOf(sent);
+    sent.abandon();
+    this.#sent = undefined;
+    this.#retry(failure, { upstream, wasSent: true });
+  }
+
   #replacementObstacle(): ReplacementObstacle | undefined {
     const { relay, history, backend } = this.#context;
     if (relay.committed) return "committed";
@@ -286,3 +301,13 @@
     }));
   }
 }
+
+function silenceFailureOf(sent: SentAttempt): AttemptFailure {
+  const { verdict, silentMs } = sent;
+  return {
+    cause: "upstream_silent",
+    verdict,
+    detail: `No data for ${Math.round(silentMs)} ms`,
+    upstreamAtFault: true,
+  };
+}
--- a/src/gateway/requests/silent_replacement_test.ts
+++ b/src/gateway/requests/silent_replacement_test.ts
@@ -3,7 +3,10 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
-import type { FakePort } from "../../testing/fake_gateway_port.ts";
+import type {
+  FakeEngineOrders,
+  FakePort,
+} from "../../testing/fake_gateway_port.ts";
 import {
   type FrontResponse,
   FrontServerFixture,
@@ -152,3 +155,35 @@
   await until(() => response !== undefined);
   expect(response).toMatchObject({ body: WHOLE, complete: true });
 });
+
+test("memory reserved for a prompt whose upstream hangs is released at the silence limit", async () => {
+  await start(2);
+  const { place } = fake;
+  const helper = "e9" as UpstreamId;
+  const tickets = [{ upstream: helper, tokens: 1_000 }];
+  // The second place, like the first one, needs memory on another engine.
+  Object.assign(fake, {
+    place: (...[ask, reply]: Parameters<FakePort["place"]>) =>
+      place(ask, (result) =>
+        reply(result.map((grant) => ({
+          ...grant,
+          job: { ...grant.job, tickets },
+          addresses: { ...grant.addresses, [helper]: "127.0.0.1:1" },
+        })))),
+  });
+  const orders = fake.orders as FakeEngineOrders;
+  send();
+  await until(() => sockets[0] !== undefined);
+  await pass(SILENCE_LIMIT_MS);
+  await until(() => sockets[1] !== undefined);
+  expect(sockets[0]!.destroyed || sockets[0]!.readableEnded).toBe(true);
+  expect(orders.calls.slice(0, 3)).toEqual([
+    "reserve r1.1 1000",
+    "release r1.1",
+    "reserve r1.2 1000",
+  ]);
+  sockets[1]!.end(`${HEAD}${WHOLE}`);
+  await until(() => response !== undefined);
+  expect(response).toMatchObject({ body: WHOLE, complete: true });
+  expect(fake.recorded.contentOutcomes).toEqual(["lost e0", "answered e1"]);
+});
