Log and answer each end of a client connection that no response makes

What callers saw: a connection that ended without an answer (CONNECT), a bare 400 or 408 of Node's own, or, behind a request that was still running, that request's answer replaced by one to the bytes after it: a call that may not be repeated got a 400 while an upstream ran it. A request that was read behind another one on its connection was dropped unanswered when a planned stop began, as the first response carried Connection: close. An expectation other than 100-continue got 417.

Cause: the ends by Node's own hand (clientError, idle time-out, CONNECT) were left to it. It writes no line, and writes its 400 or 408 in the place of whatever response is open.

Now each writes a line connection_ended with what had arrived, and is answered where no request is open. An open request whose body can't be read is refused (turned_away); one that was read whole gets its answer first, and the last one closes the connection.

--- /dev/null
+++ b/src/gateway/requests/client_connection.ts
@@ -0,0 +1,87 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Problem } from "../../core/problem.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
+
+/** Answers a request whose body can't be read to its end. */
+export type FailBody = (err: Problem) => void;
+
+/** A client's connection: the requests on it that have no complete response, and since when it has had none. */
+export class ClientConnection {
+  readonly socket: Socket;
+  readonly #now: () => Timestamp;
+  /** Requests without a complete response, in order, and what answers those that were admitted. */
+  readonly #open = new Map<IncomingMessage, FailBody | undefined>();
+  #requests = 0;
+  #idleSince: Timestamp;
+  /** Bytes that had been read when the connection became idle. */
+  #readBefore = 0;
+  #closing = false;
+
+  private constructor(socket: Socket, now: () => Timestamp) {
+    this.socket = socket;
+    this.#now = now;
+    this.#idleSince = now();
+  }
+
+  static create(socket: Socket, now: () => Timestamp): ClientConnection {
+    return new ClientConnection(socket, now);
+  }
+
+  /** Number of requests whose head was read. */
+  get requests(): number {
+    return this.#requests;
+  }
+
+  /** Number of requests without a complete response. */
+  get open(): number {
+    return this.#open.size;
+  }
+
+  /** Whether the connection closes after the responses to its open requests. */
+  get closing(): boolean {
+    return this.#closing;
+  }
+
+  /** Time since the connection opened or its last response was complete. */
+  get idleMs(): Millis {
+    return this.#now() - this.#idleSince;
+  }
+
+  /** Bytes that were read since the connection became idle. */
+  get receivedBytes(): number {
+    return this.socket.bytesRead - this.#readBefore;
+  }
+
+  /** Records a request whose head was read. */
+  opened(req: IncomingMessage, res: ServerResponse): void {
+    this.#requests += 1;
+    this.#open.set(req, undefined);
+    res.once("close", () => this.#closed(req));
+  }
+
+  /** Records that a request was admitted; `failBody` answers it if its body can't be read to its end. */
+  admitted(req: IncomingMessage, failBody: FailBody): void {
+    this.#open.set(req, failBody);
+  }
+
+  /** Whether no other request was read after an open one, so that its response may be the last on the connection. */
+  isLast(req: IncomingMessage): boolean {
+    return [...this.#open.keys()].at(-1) === req;
+  }
+
+  /** Ends the reading of requests: answers one whose body is incomplete, and closes after the responses to the others. */
+  closeAfterOpen(err: Problem): void {
+    this.#closing = true;
+    const [req, failBody] = [...this.#open].at(-1) ?? [];
+    if (req?.complete === false) failBody?.(err);
+  }
+
+  #closed(req: IncomingMessage): void {
+    this.#open.delete(req);
+    if (this.#open.size > 0) return;
+    this.#idleSince = this.#now();
+    this.#readBefore = this.socket.bytesRead;
+    if (this.#closing) this.socket.destroySoon();
+  }
+}
--- /dev/null
+++ b/src/gateway/requests/client_connections.ts
@@ -0,0 +1,149 @@
+import { Buffer } from "node:buffer";
+import { type IncomingMessage, type Server, STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { type Problem, problem } from "../../core/problem.ts";
+import type { Millis } from "../../core/time.ts";
+import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
+import { ClientConnection } from "./client_connection.ts";
+import { proxyProblemStatus } from "./client_response.ts";
+import type { ExchangePort } from "./exchange_port.ts";
+
+/** Why a connection ends while no request on it is answered. */
+type EndCause =
+  /** No request for the idle limit. */
+  | "idle"
+  /** The head of a request was not complete in time. */
+  | "head_late"
+  /** What was sent can't be read as a request. */
+  | "unreadable"
+  /** The client asked for a tunnel. */
+  | "tunnel"
+  /** The client closed or reset the connection within a request. */
+  | "client_left";
+
+const HEAD_LATE_STATUS = 408;
+/** What a client's own end of its connection is reported as. */
+const UNFINISHED_CODE = "HPE_INVALID_EOF_STATE";
+const PARSER_ERROR = /^HPE_/;
+
+/** Ends of client connections that are not the end of a response: answers them where that is possible, and logs them. */
+export class ClientConnections {
+  readonly #server: Server;
+  readonly #port: Pick<ExchangePort, "now" | "line">;
+  readonly #connections = new WeakMap<Duplex, ClientConnection>();
+
+  private constructor(
+    server: Server,
+    port: Pick<ExchangePort, "now" | "line">,
+  ) {
+    this.#server = server;
+    this.#port = port;
+    server.on("timeout", (socket) => this.#onIdle(this.#of(socket)));
+    server.on(
+      "clientError",
+      (err: NodeJS.ErrnoException, socket) =>
+        this.#onError(this.#of(socket as Socket), err),
+    );
+    server.on("connect", (req, socket) => {
+      const connection = this.#of(socket as Socket);
+      const detail = `${req.method} can't be served`;
+      this.#end(connection, "tunnel", problem("bad_request", detail));
+    });
+  }
+
+  static create(
+    server: Server,
+    port: Pick<ExchangePort, "now" | "line">,
+  ): ClientConnections {
+    return new ClientConnections(server, port);
+  }
+
+  /** The connection of a request. */
+  of(req: IncomingMessage): ClientConnection {
+    return this.#of(req.socket);
+  }
+
+  #of(socket: Socket): ClientConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = ClientConnection.create(socket, () => this.#port.now());
+    this.#connections.set(socket, connection);
+    return connection;
+  }
+
+  #onIdle(connection: ClientConnection): void {
+    this.#line(connection, "idle", { limitMs: this.#server.keepAliveTimeout });
+    connection.socket.destroy();
+  }
+
+  #onError(connection: ClientConnection, err: NodeJS.ErrnoException): void {
+    const { code = "", message } = err;
+    if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+      const late = problem("bad_request", "The request head came too late");
+      this.#end(connection, "head_late", late, HEAD_LATE_STATUS);
+      return;
+    }
+    if (!PARSER_ERROR.test(code) || code === UNFINISHED_CODE) {
+      // A request whose head was read logs its own end.
+      if (connection.open === 0 && connection.receivedBytes > 0) {
+        this.#line(connection, "client_left", { detail: code });
+      }
+      connection.socket.destroy();
+      return;
+    }
+    const unreadable = code === "HPE_HEADER_OVERFLOW"
+      ? problem("head_too_large", "The request head is too large")
+      : problem("bad_request", `The request can't be read: ${message}`);
+    this.#end(connection, "unreadable", unreadable);
+  }
+
+  /** Answers what is no request, after the requests before it, and closes the connection. */
+  #end(
+    connection: ClientConnection,
+    cause: EndCause,
+    err: Problem,
+    status = proxyProblemStatus(err),
+  ): void {
+    if (connection.closing) return;
+    const { socket, open } = connection;
+    const { detail } = err;
+    if (open > 0) {
+      this.#line(connection, cause, { detail });
+      return connection.closeAfterOpen(err);
+    }
+    this.#line(connection, cause, { detail, status });
+    if (socket.writable) socket.write(answerText(err, status));
+    socket.destroy();
+  }
+
+  #line(
+    connection: ClientConnection,
+    cause: EndCause,
+    fields: Readonly<{ detail?: string; status?: number; limitMs?: Millis }>,
+  ): void {
+    const { limitMs, ...rest } = fields;
+    this.#port.line("connection_ended", {
+      cause,
+      ...rest,
+      open: connection.open,
+      requests: connection.requests,
+      received: connection.receivedBytes,
+      idle_ms: Math.round(connection.idleMs),
+      limit_ms: limitMs === undefined ? undefined : Math.round(limitMs),
+    });
+  }
+}
+
+/** The whole response to bytes that are no request. */
+function answerText(err: Problem, status: number): string {
+  const body = problemBody({ ...err }, { status });
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    `Content-Type: ${PROBLEM_TYPE}`,
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    "Connection: close",
+    "",
+    body,
+  ].join("\r\n");
+}
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -8,6 +8,7 @@
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { AnswerTimes } from "./answer_times.ts";
+import { ClientConnections } from "./client_connections.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
 import { type Drain, DrainGate } from "./drain_gate.ts";
@@ -41,6 +42,7 @@
   readonly #port: ExchangePort;
   readonly #state: FrontState;
   readonly #server: Server;
+  readonly #connections: ClientConnections;
   /** Admitted requests without a final response. */
   readonly #requests = new Set<IncomingRequest>();
   readonly #gate: DrainGate;
@@ -59,9 +61,14 @@
         requestTimeout: REQUEST_TIMEOUT_MS,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         noDelay: true,
+        // Such a request is refused with a line, as all others.
+        requireHostHeader: false,
       },
       (req, res) => this.#serve(req, res),
     );
+    // Without a listener, an expectation other than a go-ahead would be answered with 417.
+    this.#server.on("checkExpectation", (req, res) => this.#serve(req, res));
+    this.#connections = ClientConnections.create(this.#server, port);
   }
 
   static create(port: ExchangePort, state: FrontState): FrontServer {
@@ -110,14 +117,19 @@
     this.#openRequests += 1;
     res.once("close", () => this.#openRequests -= 1);
     const arrivedAt = this.#port.now();
-    const isDraining = () => this.#gate.drain !== undefined;
-    const response = ClientResponse.create(res, isDraining);
+    const connection = this.#connections.of(req);
+    connection.opened(req, res);
+    // The response that closes the connection must be the last one.
+    const shouldClose = () =>
+      (connection.closing || this.#gate.drain !== undefined) &&
+      connection.isLast(req);
+    const response = ClientResponse.create(res, shouldClose);
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
       // The rest of the body is not read, so the connection can't be reused.
       const unread = req.headers["content-length"] !== undefined ||
         req.headers["transfer-encoding"] !== undefined ||
-        hasInvalidHeader(req.rawHeaders);
+        req.headers.host === undefined || hasInvalidHeader(req.rawHeaders);
       this.#refuse(response, admitted, unread);
       return;
     }
@@ -133,6 +145,7 @@
         this.#refuse(response, { head, problem: err }, unread),
     });
     this.#requests.add(one);
+    connection.admitted(req, (err) => one.failBody(err));
     res.once("close", () => this.#requests.delete(one));
     one.read(req, res);
   }
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -89,6 +89,12 @@
     this.#exchange?.upstreamLost(id);
   }
 
+  /** Refuses a request whose body can't be read to its end. */
+  failBody(err: Problem): void {
+    if (this.#exchange !== undefined || this.#entry.response.started) return;
+    this.#refuse(err, true);
+  }
+
   /** Applies a planned stop, which leaves less time to wait for a place. */
   limitWait(): void {
     this.#exchange?.limitWait();
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -11,6 +11,7 @@
 import type { Timestamp } from "../core/time.ts";
 import type { Dialect, RequestHead } from "../gateway/requests/dialect.ts";
 import { EngineOrders } from "../gateway/requests/engine_orders.ts";
+import type { LogFields } from "../gateway/event_log.ts";
 import type { ExchangePort } from "../gateway/requests/exchange_port.ts";
 import type { PlacementResult } from "../gateway/placement/placement_port.ts";
 import type { PoolGrant } from "../scheduling/pool/pool_job.ts";
@@ -44,6 +45,8 @@
 /** Calls that a fake port has recorded. */
 export type RecordedCalls = {
   readonly lines: string[];
+  /** Each line with its fields. */
+  readonly lineFields: LogFields[];
   readonly jobUpdates: string[];
   readonly problems: string[];
   /** Outcome of each content and the upstream that ran it, as `lost e0`. */
@@ -80,6 +83,7 @@
 ): FakePort {
   const recorded: RecordedCalls = {
     lines: [],
+    lineFields: [],
     jobUpdates: [],
     problems: [],
     contentOutcomes: [],
@@ -148,7 +152,10 @@
       fake.retriesLeft -= 1;
       return recorded.retries.push(service) > 0;
     },
-    line: (kind) => recorded.lines.push(kind),
+    line: (kind, fields) => {
+      recorded.lines.push(kind);
+      recorded.lineFields.push({ kind, ...fields });
+    },
     observe: {
       placed: () => {},
       firstEvent: () => {},
--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -14,7 +14,10 @@
 import type { Drain } from "../gateway/requests/drain_gate.ts";
 import { FrontServer } from "../gateway/requests/front_server.ts";
 import { RouteTable } from "../gateway/serving/route_table.ts";
-import type { Route } from "../gateway/serving/serving_config.ts";
+import type {
+  Route,
+  ServingConfig,
+} from "../gateway/serving/serving_config.ts";
 import {
   createFakePort,
   type FakePort,
@@ -33,6 +36,9 @@
   complete: boolean;
 }>;
 
+/** What the front server reads of its daemon, and tests may change. */
+type FixtureState = { drain: Drain | undefined; routes: RouteTable };
+
 /** A front server whose upstreams send the bytes that their scripts write. */
 export class FrontServerFixture {
   readonly exchangePort: FakePort;
@@ -42,13 +48,13 @@
   readonly frontServer: FrontServer;
   /** Port of the front server. */
   readonly port: number;
-  readonly #stop: { drain: Drain | undefined };
+  readonly #state: FixtureState;
 
   private constructor(
     exchangePort: FakePort,
     servers: readonly Server[],
     front: Readonly<
-      { server: FrontServer; port: number; stop: { drain: Drain | undefined } }
+      { server: FrontServer; port: number; state: FixtureState }
     >,
   ) {
     this.exchangePort = exchangePort;
@@ -56,7 +62,7 @@
     this.#servers = servers;
     this.frontServer = front.server;
     this.port = front.port;
-    this.#stop = front.stop;
+    this.#state = front.state;
   }
 
   /** Starts an upstream for each script; requests are placed on them in turn. */
@@ -73,11 +79,13 @@
     await Promise.all(servers.map(listen));
     const addresses = servers.map(addressOf);
     const exchangePort = createFakePort(PlatformDialect.create(), addresses);
-    const routes = RouteTable.create(servingWithRoutes(fields));
-    const stop: { drain: Drain | undefined } = { drain: undefined };
+    const state: FixtureState = {
+      drain: undefined,
+      routes: RouteTable.create(servingWithRoutes(fields)),
+    };
     const server = FrontServer.create(exchangePort, {
-      routes: () => routes,
-      drain: () => stop.drain,
+      routes: () => state.routes,
+      drain: () => state.drain,
     });
     const portProbe = createHttpServer();
     const port = await listen(portProbe);
@@ -86,20 +94,30 @@
     return new FrontServerFixture(exchangePort, servers, {
       server,
       port,
-      stop,
+      state,
     });
   }
 
   /** Begins a planned stop `agoMs` ago, which cuts open requests `leftMs` from now. */
   drain(agoMs: Millis, leftMs: Millis): void {
     const now = this.exchangePort.now();
-    this.#stop.drain = {
+    this.#state.drain = {
       since: addMs(now, -agoMs),
       endsAt: addMs(now, leftMs),
     };
     this.frontServer.limitWaits();
   }
 
+  /** Puts the next version of the configuration in force. */
+  configure(change: (serving: ServingConfig) => Partial<ServingConfig>): void {
+    const { serving } = this.#state.routes;
+    this.#state.routes = RouteTable.create({
+      ...serving,
+      version: (serving.version + 1) as ServingConfig["version"],
+      ...change(serving),
+    });
+  }
+
   /** Sends one request with a team's key; resolves with its final response. The client leaves at the `signal`. */
   send(
     path: string,
