Hold idle connections for the limit that their clients may rely on

What callers saw: after the idle limit was raised, a connection that was idle already closed at the old limit, while its client could reuse it for four fifths of the new one; after it was lowered, a connection closed at the new limit although its response had told a longer Keep-Alive, and although the client could not know of the version yet. A head that had begun under a longer limit was answered 408.

Cause: the server's time-outs were set, which Node reads when a connection becomes idle (idle limit) and at each check (heads), and the value that it tells is read when the head arrives: three moments, three values.

Now the timer of an idle connection asks what holds when it fires: the longest of what is in force, what the client was last told, and what was in force until clients know of the change (HeldLimit). It closes later at most. Heads have the longest limit that may be known likewise.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -17,6 +17,7 @@
   /** Bytes that had been read when the connection became idle. */
   #readBefore = 0;
   #closing = false;
+  #toldIdleMs: Millis = 0;
 
   private constructor(socket: Socket, now: () => Timestamp) {
     this.socket = socket;
@@ -38,6 +39,11 @@
     return this.#open.size;
   }
 
+  /** How long the client may reuse the connection, by the last response. */
+  get toldIdleMs(): Millis {
+    return this.#toldIdleMs;
+  }
+
   /** Whether the connection closes after the responses to its open requests. */
   get closing(): boolean {
     return this.#closing;
@@ -53,9 +59,14 @@
     return this.socket.bytesRead - this.#readBefore;
   }
 
-  /** Records a request whose head was read. */
-  opened(req: IncomingMessage, res: ServerResponse): void {
+  /** Records a request whose head was read, and the idle time that its response will name. */
+  opened(
+    req: IncomingMessage,
+    res: ServerResponse,
+    options: Readonly<{ toldIdleMs: Millis }>,
+  ): void {
     this.#requests += 1;
+    this.#toldIdleMs = options.toldIdleMs;
     this.#open.set(req, undefined);
     res.once("close", () => this.#closed(req));
   }
--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -1,13 +1,22 @@
 import { Buffer } from "node:buffer";
-import { type IncomingMessage, type Server, STATUS_CODES } from "node:http";
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Millis } from "../../core/time.ts";
+import { type Millis, timerMs } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
 import { ClientConnection } from "./client_connection.ts";
 import { proxyProblemStatus } from "./client_response.ts";
 import type { ExchangePort } from "./exchange_port.ts";
+import { HeldLimit } from "./held_limit.ts";
+
+/** Time limits of client connections: for the head of a request, and without any request. */
+export type ConnectionLimits = Readonly<{ headMs: Millis; idleMs: Millis }>;
 
 /** Why a connection ends while no request on it is answered. */
 type EndCause =
@@ -22,6 +31,16 @@
   /** The client closed or reset the connection within a request. */
   | "client_left";
 
+/** Limits until a configuration is loaded. */
+const INITIAL_HEAD_MS: Millis = 5_000;
+const INITIAL_IDLE_MS: Millis = 15_000;
+/** How often the server is to check connections for late heads. */
+export const CHECK_INTERVAL_MS: Millis = 1_000;
+/** Added to the configured idle time in what clients are told. */
+const PROMISE_MARGIN_MS: Millis = 1_000;
+/** Added to what clients are told, so that the server doesn't close a connection that a client still reuses. */
+const IDLE_MARGIN_MS: Millis = 1_000;
+
 const HEAD_LATE_STATUS = 408;
 /** What a client's own end of its connection is reported as. */
 const UNFINISHED_CODE = "HPE_INVALID_EOF_STATE";
@@ -32,6 +51,9 @@
   readonly #server: Server;
   readonly #port: Pick<ExchangePort, "now" | "line">;
   readonly #connections = new WeakMap<Duplex, ClientConnection>();
+  readonly #headLimit = HeldLimit.create(INITIAL_HEAD_MS);
+  readonly #idleLimit = HeldLimit.create(INITIAL_IDLE_MS);
+  #headTimer: NodeJS.Timeout | undefined;
 
   private constructor(
     server: Server,
@@ -39,7 +61,9 @@
   ) {
     this.#server = server;
     this.#port = port;
-    server.on("timeout", (socket) => this.#onIdle(this.#of(socket)));
+    this.#applyHeadLimit();
+    this.#server.keepAliveTimeout = INITIAL_IDLE_MS + PROMISE_MARGIN_MS;
+    server.on("timeout", (socket) => this.#onTimeout(this.#of(socket)));
     server.on(
       "clientError",
       (err: NodeJS.ErrnoException, socket) =>
@@ -59,9 +83,22 @@
     return new ClientConnections(server, port);
   }
 
-  /** The connection of a request. */
-  of(req: IncomingMessage): ClientConnection {
-    return this.#of(req.socket);
+  /** Applies the limits of a new configuration, also to open connections. */
+  applyLimits({ headMs, idleMs }: ConnectionLimits): void {
+    const now = this.#port.now();
+    this.#headLimit.replace(headMs, now);
+    this.#applyHeadLimit();
+    this.#idleLimit.replace(idleMs, now);
+    // Only told to clients; when its timer fires, a connection is held for what is in force then.
+    this.#server.keepAliveTimeout = timerMs(idleMs + PROMISE_MARGIN_MS);
+  }
+
+  /** Records a request whose head was read, and returns its connection. */
+  opened(req: IncomingMessage, res: ServerResponse): ClientConnection {
+    const connection = this.#of(req.socket);
+    const toldIdleMs = this.#server.keepAliveTimeout;
+    connection.opened(req, res, { toldIdleMs });
+    return connection;
   }
 
   #of(socket: Socket): ClientConnection {
@@ -72,9 +109,36 @@
     return connection;
   }
 
-  #onIdle(connection: ClientConnection): void {
-    this.#line(connection, "idle", { limitMs: this.#server.keepAliveTimeout });
-    connection.socket.destroy();
+  /** Sets the time for a head, which the server compares at each check with what heads have taken so far. */
+  #applyHeadLimit(): void {
+    const now = this.#port.now();
+    const limitMs = this.#headLimit.at(now) + CHECK_INTERVAL_MS;
+    this.#server.headersTimeout = timerMs(limitMs);
+    clearTimeout(this.#headTimer);
+    const changesAt = this.#headLimit.nextChangeAt(now);
+    if (changesAt === undefined) return;
+    const apply = () => this.#applyHeadLimit();
+    this.#headTimer = setTimeout(apply, timerMs(changesAt - now)).unref();
+  }
+
+  /** How long a connection is held idle: what its client was last told, or may know of the configuration. */
+  #idleLimitOf({ toldIdleMs }: ClientConnection): Millis {
+    const configuredMs = this.#idleLimit.at(this.#port.now()) +
+      PROMISE_MARGIN_MS;
+    return Math.max(toldIdleMs, configuredMs) + IDLE_MARGIN_MS;
+  }
+
+  /** Closes a connection that has been idle for as long as its client may rely on it, or waits for the rest of that. */
+  #onTimeout(connection: ClientConnection): void {
+    const { socket, idleMs } = connection;
+    if (connection.open > 0) return;
+    const limitMs = this.#idleLimitOf(connection);
+    if (idleMs < limitMs) {
+      socket.setTimeout(timerMs(limitMs - idleMs));
+      return;
+    }
+    this.#line(connection, "idle", { limitMs });
+    socket.destroy();
   }
 
   #onError(connection: ClientConnection, err: NodeJS.ErrnoException): void {
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -8,7 +8,11 @@
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { AnswerTimes } from "./answer_times.ts";
-import { ClientConnections } from "./client_connections.ts";
+import {
+  CHECK_INTERVAL_MS,
+  ClientConnections,
+  type ConnectionLimits,
+} from "./client_connections.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
 import { type Drain, DrainGate } from "./drain_gate.ts";
@@ -20,15 +24,8 @@
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
-/** Limits until a configuration is loaded. */
-const INITIAL_HEAD_TIMEOUT_MS: Millis = 5_000;
-const INITIAL_IDLE_TIMEOUT_MS: Millis = 15_000;
 /** Time within which a complete request must arrive. */
 const REQUEST_TIMEOUT_MS: Millis = 30_000;
-/** How often connections are checked for time-outs. */
-const CONNECTION_CHECK_INTERVAL_MS: Millis = 1_000;
-/** Added to the configured idle time, so that the server doesn't close a connection that a client still reuses. */
-const IDLE_MARGIN_MS: Millis = 1_000;
 const NOT_CONFIGURED_RETRY_AFTER_MS: Millis = 500;
 
 /** State of the daemon that the front server reads. */
@@ -56,10 +53,8 @@
     this.#server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
-        keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS,
-        headersTimeout: INITIAL_HEAD_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
-        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
         // Such a request is refused with a line, as all others.
         requireHostHeader: false,
@@ -88,9 +83,8 @@
   }
 
   /** Applies the limits of a new configuration. */
-  applyLimits(limits: Readonly<{ headMs: Millis; idleMs: Millis }>): void {
-    this.#server.headersTimeout = limits.headMs + CONNECTION_CHECK_INTERVAL_MS;
-    this.#server.keepAliveTimeout = limits.idleMs + IDLE_MARGIN_MS;
+  applyLimits(limits: ConnectionLimits): void {
+    this.#connections.applyLimits(limits);
   }
 
   upstreamLost(id: UpstreamId): void {
@@ -117,8 +111,7 @@
     this.#openRequests += 1;
     res.once("close", () => this.#openRequests -= 1);
     const arrivedAt = this.#port.now();
-    const connection = this.#connections.of(req);
-    connection.opened(req, res);
+    const connection = this.#connections.opened(req, res);
     // The response that closes the connection must be the last one.
     const shouldClose = () =>
       (connection.closing || this.#gate.drain !== undefined) &&
