Read what has arrived before a client's connection ends by a timer

What callers saw: after the daemon stood still for a second or more, a request that had arrived meanwhile on a kept connection ended with a closed connection, without an answer and without a line; a head whose rest had arrived was answered 408; and a client that had connected ahead of its first request was sent a 408 once the time for a head was over, long before its idle limit.

Cause: timers run before sockets are read. When the event loop stood still over the end of an idle limit, the timer destroyed the connection whose next request lay unread in it; the check for late heads likewise. To Node a connection without a byte has a late head.

Now the end of a connection is decided after sockets were read, and not if something has come; a timer that is late by more than 250 ms shows a stall, and leaves 500 ms once for what is on its way. A connection without a byte is an idle one.

Evidence: stalled_loop_test.ts, 4 of 5 fail on the former code (the fifth, a head that is late without a stall, guards the answer); all pass now.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -17,6 +17,7 @@
   /** Bytes that had been read when the connection became idle. */
   #readBefore = 0;
   #closing = false;
+  #excused = false;
   #toldIdleMs: Millis = 0;
 
   private constructor(socket: Socket, now: () => Timestamp) {
@@ -81,6 +82,13 @@
     return [...this.#open.keys()].at(-1) === req;
   }
 
+  /** Whether its idle time may be exceeded once, as the daemon stood still; until it is idle anew. */
+  tryExcuse(): boolean {
+    if (this.#excused) return false;
+    this.#excused = true;
+    return true;
+  }
+
   /** Ends the reading of requests: answers one whose body is incomplete, and closes after the responses to the others. */
   closeAfterOpen(err: Problem): void {
     this.#closing = true;
@@ -91,6 +99,7 @@
   #closed(req: IncomingMessage): void {
     this.#open.delete(req);
     if (this.#open.size > 0) return;
+    this.#excused = false;
     this.#idleSince = this.#now();
     this.#readBefore = this.socket.bytesRead;
     if (this.#closing) this.socket.destroySoon();
--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -41,6 +41,11 @@
 /** Added to what clients are told, so that the server doesn't close a connection that a client still reuses. */
 const IDLE_MARGIN_MS: Millis = 1_000;
 
+/** A timer that is later than this shows that the event loop or the whole VM stood still. */
+const STALL_MS: Millis = 250;
+/** Time for what was sent during a stall to arrive. */
+const STALL_GRACE_MS: Millis = 500;
+
 const HEAD_LATE_STATUS = 408;
 /** What a client's own end of its connection is reported as. */
 const UNFINISHED_CODE = "HPE_INVALID_EOF_STATE";
@@ -63,6 +68,7 @@
     this.#port = port;
     this.#applyHeadLimit();
     this.#server.keepAliveTimeout = INITIAL_IDLE_MS + PROMISE_MARGIN_MS;
+    server.on("connection", (socket) => void this.#of(socket));
     server.on("timeout", (socket) => this.#onTimeout(this.#of(socket)));
     server.on(
       "clientError",
@@ -131,22 +137,58 @@
   /** Closes a connection that has been idle for as long as its client may rely on it, or waits for the rest of that. */
   #onTimeout(connection: ClientConnection): void {
     const { socket, idleMs } = connection;
-    if (connection.open > 0) return;
+    if (connection.open > 0 || connection.receivedBytes > 0) return;
     const limitMs = this.#idleLimitOf(connection);
-    if (idleMs < limitMs) {
-      socket.setTimeout(timerMs(limitMs - idleMs));
-      return;
+    const leftMs = limitMs - idleMs;
+    if (leftMs > 0) {
+      socket.setTimeout(timerMs(leftMs));
+    } else if (leftMs < -STALL_MS && connection.tryExcuse()) {
+      socket.setTimeout(STALL_GRACE_MS);
+    } else {
+      this.#unlessMoreArrives(connection, () => {
+        this.#line(connection, "idle", { limitMs });
+        socket.destroy();
+      });
     }
-    this.#line(connection, "idle", { limitMs });
-    socket.destroy();
+  }
+
+  /** A head is late, or nothing has come since the connection opened, which makes it an idle one. */
+  #onLateHead(connection: ClientConnection): void {
+    if (connection.requests === 0 && connection.receivedBytes === 0) {
+      return this.#onTimeout(connection);
+    }
+    const end = () => {
+      const late = problem("bad_request", "The request head came too late");
+      this.#end(connection, "head_late", late, HEAD_LATE_STATUS);
+    };
+    this.#unlessMoreArrives(connection, end, () => {
+      // The rest of it was on its way when the time was over.
+      const { requests } = connection;
+      const endIfIncomplete = () => {
+        if (connection.requests === requests) end();
+      };
+      setTimeout(endIfIncomplete, STALL_GRACE_MS).unref();
+    });
+  }
+
+  /** Timers run before sockets are read: waits until they were, and calls `otherwise` if only a part of a head arrived. */
+  #unlessMoreArrives(
+    connection: ClientConnection,
+    act: () => void,
+    otherwise: () => void = () => {},
+  ): void {
+    const { requests, receivedBytes, socket } = connection;
+    setImmediate(() => {
+      if (socket.destroyed || connection.requests !== requests) return;
+      if (connection.receivedBytes === receivedBytes) act();
+      else otherwise();
+    });
   }
 
   #onError(connection: ClientConnection, err: NodeJS.ErrnoException): void {
     const { code = "", message } = err;
     if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
-      const late = problem("bad_request", "The request head came too late");
-      this.#end(connection, "head_late", late, HEAD_LATE_STATUS);
-      return;
+      return this.#onLateHead(connection);
     }
     if (!PARSER_ERROR.test(code) || code === UNFINISHED_CODE) {
       // A request whose head was read logs its own end.
