Read what upstreams have sent before a timer ends a request

What callers saw: after the daemon stood still over a request's deadline, a 504 (or a cut answer) although the whole answer lay unread in its socket; over the end of a planned stop, a cut; over a silence limit, a second upstream sought for a stream whose data had arrived, from the budget that all daemons share; over the connect time-out, a connection given up that was open.

Cause: the same as at the clients' end: timers run before sockets are read.

Now these timers decide after sockets were read (ReadFirstTimer).

--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -41,6 +41,7 @@
   readonly #startedAt: Timestamp;
   #timer: NodeJS.Timeout | undefined;
   #isCut = false;
+  #isOver = false;
 
   private constructor(port: StopPort, graceMs: Millis) {
     this.#port = port;
@@ -53,11 +54,14 @@
     const stop = new PlannedStop(port, graceMs);
     port.line("stop", { open: port.openRequests() });
     port.drain();
-    stop.#timer = setInterval(() => stop.#check(), CHECK_INTERVAL_MS);
+    // After a stall, answers that have arrived are read before requests are cut.
+    const check = () => setImmediate(() => stop.#check());
+    stop.#timer = setInterval(check, CHECK_INTERVAL_MS);
     return stop;
   }
 
   #check(): void {
+    if (this.#isOver) return;
     const port = this.#port;
     const elapsedMs = port.now() - this.#startedAt;
     if (!this.#isCut && elapsedMs >= drainTimeMs(this.#graceMs)) {
@@ -69,6 +73,7 @@
     port.flush();
     const done = open === 0 && (elapsedMs >= MIN_DRAIN_MS || this.#isCut);
     if (!done && elapsedMs < exitTimeMs(this.#graceMs)) return;
+    this.#isOver = true;
     clearInterval(this.#timer);
     port.line("stopped", { open, ms: Math.round(elapsedMs) });
     port.exit();
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -7,6 +7,7 @@
 import type { Dialect, RequestHead, ResponseHead } from "./dialect.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
 import { closedCleanly, isCloseDelimited } from "./close_delimited.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
 import {
   CONNECT_TIMEOUT_MS,
@@ -44,7 +45,7 @@
   readonly #listener: AttemptListener;
   #req: ClientRequest | undefined;
   #res: IncomingMessage | undefined;
-  #connectTimer: NodeJS.Timeout | undefined;
+  #connectTimer: ReadFirstTimer | undefined;
   #sent = false;
   #settled = false;
 
@@ -76,7 +77,7 @@
     const req = this.#openRequest();
     if (req === undefined) return;
     this.#req = req;
-    this.#connectTimer = setTimeout(
+    this.#connectTimer = ReadFirstTimer.start(
       () => this.#failConnection("Connection timed out"),
       CONNECT_TIMEOUT_MS,
     );
@@ -95,7 +96,7 @@
 
   #onConnect(): void {
     this.#sent = true;
-    clearTimeout(this.#connectTimer);
+    this.#connectTimer?.stop();
   }
 
   /** Creates the request; an invalid head fails the attempt before a byte is sent. */
@@ -119,7 +120,7 @@
   /** Cancels the attempt and closes its connection. */
   abort(): void {
     this.#settled = true;
-    clearTimeout(this.#connectTimer);
+    this.#connectTimer?.stop();
     this.#req?.destroy();
   }
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,7 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { ServiceId, UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import { type Millis, timerMs } from "../../core/time.ts";
+import type { Millis } from "../../core/time.ts";
 import { joinVerdicts } from "../../core/verdict.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import { AttemptSequence } from "./attempt_sequence.ts";
@@ -10,6 +10,7 @@
 import { ExchangeLog } from "./exchange_log.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import { chooseBackend, ResponseTimer } from "./exchange_util.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
@@ -33,7 +34,9 @@
   readonly #gate: DrainGate;
   readonly #onAnswered: (ms: Millis) => void;
   readonly #responseTimer = ResponseTimer.create();
-  #deadlineTimer: NodeJS.Timeout | undefined;
+  /** Heads and chunks of data that were received. */
+  #receivedCount = 0;
+  #deadlineTimer: ReadFirstTimer | undefined;
   /** Refuses the request during a planned stop when it is too late to send it. */
   #sendTimer: NodeJS.Timeout | undefined;
   #finished = false;
@@ -88,8 +91,11 @@
 
   /** Places the request; the final response is given by its deadline. */
   start(): void {
-    const waitMs = timerMs(this.#req.deadlineAt - this.#port.now());
-    this.#deadlineTimer = setTimeout(() => this.#expire(), waitMs);
+    this.#deadlineTimer = ReadFirstTimer.start(
+      () => this.#expire(),
+      this.#req.deadlineAt - this.#port.now(),
+      () => this.#receivedCount,
+    );
     this.limitWait();
     this.#port.recordFirstSend(this.#service);
     this.#attempts.start();
@@ -140,6 +146,7 @@
     status: number,
     head: Parameters<ResponseRelay["receiveHead"]>[1],
   ): void {
+    this.#receivedCount += 1;
     const { sent } = this.#attempts;
     // The address now belongs to another upstream, so its headers say nothing about this upstream.
     const isOther = head.misdirected;
@@ -164,6 +171,7 @@
   #onData(chunk: Buffer): void {
     const { sent } = this.#attempts;
     if (sent === undefined) return;
+    this.#receivedCount += 1;
     sent.times.received(this.#port.now());
     const before = this.#relay.receivedCount;
     const result = this.#relay.receiveData(chunk, () => sent.resume());
@@ -232,7 +240,7 @@
 
   #finish(ending: "answered" | "failed" | "left"): void {
     this.#finished = true;
-    clearTimeout(this.#deadlineTimer);
+    this.#deadlineTimer?.stop();
     clearTimeout(this.#sendTimer);
     this.#attempts.abandon();
     this.#port.observe.ended(ending);
--- a/src/gateway/requests/silence_watch.ts
+++ b/src/gateway/requests/silence_watch.ts
@@ -1,11 +1,12 @@
-import { type Millis, timerMs } from "../../core/time.ts";
+import type { Millis } from "../../core/time.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 import type { SilenceLimits } from "./silence_limits.ts";
 
 /** Watches for the silence of one upstream: calls `onLimit` at the silence limit, and again for each further gap. */
 export class SilenceWatch {
   readonly #limits: SilenceLimits;
   readonly #onLimit: (limitMs: Millis) => void;
-  #timer: NodeJS.Timeout | undefined;
+  #timer: ReadFirstTimer | undefined;
   #silentMs: Millis = 0;
 
   private constructor(
@@ -39,15 +40,15 @@
   }
 
   stop(): void {
-    clearTimeout(this.#timer);
+    this.#timer?.stop();
   }
 
   #restart(limitMs: Millis): void {
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
+    this.#timer?.stop();
+    this.#timer = ReadFirstTimer.start(() => {
       this.#silentMs += limitMs;
       this.#restart(this.#limits.gapMs);
       this.#onLimit(limitMs);
-    }, timerMs(limitMs));
+    }, limitMs);
   }
 }
--- a/src/gateway/requests/stalled_loop_test.ts
+++ b/src/gateway/requests/stalled_loop_test.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
 import {
@@ -11,6 +10,7 @@
   requestText,
   stallLoop,
 } from "../../testing/plain_client.ts";
+import { PlannedStop } from "../planned_stop.ts";
 import type { Route } from "../serving/serving_config.ts";
 
 let fixture: FrontServerFixture;
@@ -29,6 +29,76 @@
   return responseHeadText(200, headers) + body;
 }
 
+test("an answer that had arrived during a stall was dropped as the deadline had passed", async () => {
+  await start([(socket) => {
+    setTimeout(
+      () => void stallLoop(700, () => socket.end(answerText("ok"))),
+      100,
+    );
+  }], { timeoutMs: 500 });
+  const { status, body } = await fixture.send("/reserve/x");
+  expect([status, body]).toEqual([200, "ok"]);
+});
+
+test("a large answer that had arrived during a stall was cut as the deadline had passed", async () => {
+  const large = "x".repeat(1_000_000);
+  await start([(socket) => {
+    setTimeout(
+      () => void stallLoop(700, () => socket.end(answerText(large))),
+      100,
+    );
+  }], { timeoutMs: 500 });
+  const { status, body, complete } = await fixture.send("/reserve/x");
+  expect([status, body.length, complete]).toEqual([200, large.length, true]);
+});
+
+test("an upstream whose data had arrived during a stall was taken for silent", async () => {
+  await start([(socket) => {
+    const headers = {
+      "X-Response-Seal": "seal",
+      "Content-Type": "text/event-stream",
+    };
+    socket.write(responseHeadText(200, headers) + "id: 1\ndata: x\n\n");
+    const finish = () => void socket.end("id: 2\ndata: x\n\n");
+    setTimeout(() => void stallLoop(1_500, finish), 200);
+  }], { timeoutMs: 3_000, targetMs: 300 });
+  const { status, complete } = await fixture.send("/ask/x");
+  expect([status, complete]).toEqual([200, true]);
+  expect(fixture.exchangePort.recorded.lines).toEqual(["answered"]);
+});
+
+test("a connection to an upstream that was made during a stall was given up", async () => {
+  await start([(socket) => void socket.end(answerText("ok"))]);
+  const { place } = fixture.exchangePort;
+  Object.assign(fixture.exchangePort, {
+    place: (...args: Parameters<typeof place>) => {
+      place(...args);
+      void stallLoop(500, () => {});
+    },
+  });
+  const { status, body } = await fixture.send("/reserve/x");
+  expect([status, body]).toEqual([200, "ok"]);
+});
+
+test("an answer that had arrived during a stall was dropped as a planned stop was over", async () => {
+  await start([(socket) => {
+    const answer = () => void socket.end(answerText("ok"));
+    setTimeout(() => void stallLoop(600, answer), 100);
+  }], { timeoutMs: 3_000 });
+  const { frontServer } = fixture;
+  PlannedStop.begin({
+    now: () => fixture.exchangePort.now(),
+    openRequests: () => frontServer.openRequests,
+    drain: () => {},
+    cut: () => frontServer.cut(),
+    line: () => {},
+    flush: () => {},
+    exit: () => {},
+  }, 600);
+  const { status, body } = await fixture.send("/reserve/x");
+  expect([status, body]).toEqual([200, "ok"]);
+});
+
 test("a head whose rest had arrived during a stall was answered as too late", async () => {
   await start([(socket) => void socket.end(answerText("ok"))]);
   fixture.frontServer.applyLimits({ headMs: 300, idleMs: 10_000 });
--- a/src/gateway/requests/upstream_connection.ts
+++ b/src/gateway/requests/upstream_connection.ts
@@ -3,6 +3,7 @@
 import type { Millis } from "../../core/time.ts";
 import { unexpectedFields } from "../../core/unexpected_error.ts";
 import { splitAddress } from "../address.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 
 /** Connect time-out; shorter than the 1 s after which the kernel resends a lost SYN. */
 export const CONNECT_TIMEOUT_MS: Millis = 350;
@@ -33,18 +34,18 @@
       return resolve(err({ detail, refused: false }));
     }
     const fail = (detail: string, refused = false) => {
-      clearTimeout(timer);
+      timer.stop();
       socket.destroy();
       resolve(err({ detail, refused }));
     };
-    const timer = setTimeout(
+    const timer = ReadFirstTimer.start(
       () => fail("Connection timed out"),
       CONNECT_TIMEOUT_MS,
     );
     const onError = (cause: Error) => fail(cause.message, isRefusal(cause));
     socket.once("error", onError);
     socket.once("connect", () => {
-      clearTimeout(timer);
+      timer.stop();
       socket.off("error", onError);
       // Until the connection is used, an error only closes it.
       socket.on("error", () => {});
