Step the core after a stall only once what has arrived was read

What callers saw: after a daemon stood still, its steps took peers, the leader and placements for silent whose messages lay unread in the socket: it changed the lead, dropped jobs of live daemons, and asked for places again.

Now a step follows the reading of the sockets (setImmediate), and after a stall it waits until a reading brings nothing more, 50 ms at most.

Evidence: core_loop_test.ts, a stall of 300 ms with 100 datagrams unread: the next step had 0 of them before, and has all now.

--- a/src/gateway/core_loop.ts
+++ b/src/gateway/core_loop.ts
@@ -6,13 +6,27 @@
 /** The process counts as suspended if the wall clock gains at least this on the monotonic clock between two steps. */
 const MIN_SUSPENSION_MS: Millis = 1_000;
 
-/** Steps the core when events arrive and when a timer is due, and performs the resulting intents. */
+/** A step that is later than this shows that the event loop or the whole VM stood still. */
+const STALL_MS: Millis = 100;
+/** Longest time after a stall that is spent on reading what has arrived. */
+const MAX_READING_MS: Millis = 50;
+
+/**
+ * Steps the core when events arrive and when a timer is due, and performs the resulting intents. Events that are read
+ * together share a step. After a stall all that has arrived is read first, since messages that lie unread would count as
+ * missing.
+ */
 export class CoreLoop {
   readonly #core: GatewayCore;
   readonly #perform: (intent: GatewayIntent) => void;
   #events: GatewayEvent[] = [];
-  #scheduled = false;
   #timer: NodeJS.Timeout | undefined;
+  #immediate: NodeJS.Immediate | undefined;
+  #wakeAt = Infinity as Timestamp;
+  /** Number of events that were queued when the sockets were last read after a stall. */
+  #readEvents: number | undefined;
+  /** How late a step may become by such readings. */
+  #readUntilMs: Millis = 0;
   #wallOffsetMs = Date.now() - performance.now();
 
   private constructor(
@@ -35,25 +49,43 @@
     return performance.now() as Timestamp;
   }
 
-  /** Queues an event; events pushed in the same tick share one step. */
+  /** Queues an event for the step that follows the current reading of the sockets. */
   push(event: GatewayEvent): void {
     this.#events.push(event);
-    if (this.#scheduled) return;
-    this.#scheduled = true;
-    queueMicrotask(() => this.step());
+    this.#schedule();
   }
 
   step(): void {
-    this.#scheduled = false;
+    clearImmediate(this.#immediate);
+    this.#immediate = undefined;
+    this.#readEvents = undefined;
     this.#detectSuspension();
     const events = this.#events;
     this.#events = [];
     const { intents, wakeAt } = this.#core.step(this.now(), events);
+    this.#wakeAt = wakeAt;
     for (const intent of intents) this.#perform(intent);
     clearTimeout(this.#timer);
     if (wakeAt === Infinity) return;
     const wait = Math.max(1, Math.ceil(wakeAt - this.now()));
-    this.#timer = setTimeout(() => this.step(), timerMs(wait));
+    this.#timer = setTimeout(() => this.#schedule(), timerMs(wait));
+  }
+
+  /** Timers run before sockets are read, and immediates after that. */
+  #schedule(): void {
+    this.#immediate ??= setImmediate(() => this.#stepOnceRead());
+  }
+
+  #stepOnceRead(): void {
+    this.#immediate = undefined;
+    const lateMs = this.now() - this.#wakeAt;
+    const before = this.#readEvents;
+    const isRead = before === this.#events.length ||
+      (before !== undefined && lateMs > this.#readUntilMs);
+    if (lateMs <= STALL_MS || isRead) return this.step();
+    if (before === undefined) this.#readUntilMs = lateMs + MAX_READING_MS;
+    this.#readEvents = this.#events.length;
+    this.#schedule();
   }
 
   /** Reports a suspension, which the wall clock counts and the monotonic clock does not. */
