Read a response that has arrived before a call's time limit ends it

What callers saw: nothing directly; after a stall, calls to the store, to peers and to engines counted as silent though their responses lay unread: store_down, tickets given up, configurations fetched again.

Evidence: plain_http_test.ts, a stall over the time limit with the whole response sent: silent before, delivered now. ReadFirstTimer moves to src/gateway, as more than requests use it.

--- a/src/gateway/plain_http.ts
+++ b/src/gateway/plain_http.ts
@@ -10,6 +10,7 @@
 import type { Millis } from "../core/time.ts";
 import { unexpectedFields } from "../core/unexpected_error.ts";
 import { isPort, splitAddress } from "./address.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 
 /** Default time limit of a call to a peer or the platform; a long poll adds its waiting time. */
 const DEFAULT_TIMEOUT_MS: Millis = 1_000;
@@ -55,13 +56,15 @@
   const done = new Promise<Result<HttpResponse, HttpCallError>>((resolve) => {
     let connected = false;
     const fail = (detail: string, code: HttpCallError["code"] = "silent") => {
-      clearTimeout(timer);
+      timer.stop();
       req.destroy();
       resolve(err({ code, detail }));
     };
-    const timer = setTimeout(
+    let bytes = 0;
+    const timer = ReadFirstTimer.start(
       () => fail("Time-out before the response was complete"),
       call.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+      () => bytes,
     );
     req.on("socket", (socket) => {
       socket.once("connect", () => connected = true);
@@ -73,7 +76,6 @@
     req.on("response", (res) => {
       const chunks: Buffer[] = [];
       const maxBytes = call.maxBytes ?? MAX_RESPONSE_BYTES;
-      let bytes = 0;
       res.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
         if (bytes > maxBytes) return fail("The response is too large");
@@ -82,7 +84,7 @@
       res.on("error", (cause) => fail(cause.message));
       res.on("close", () => {
         if (!res.complete) return fail("The response was cut short");
-        clearTimeout(timer);
+        timer.stop();
         const { statusCode: status = 0, headers } = res;
         resolve(ok({ status, headers, body: Buffer.concat(chunks) }));
       });
--- a/src/gateway/plain_http_test.ts
+++ b/src/gateway/plain_http_test.ts
@@ -1,8 +1,11 @@
 import { once } from "node:events";
 import { type AddressInfo, connect } from "node:net";
+import { performance } from "node:perf_hooks";
 import { expect, test } from "vitest";
 import { sendHttpCall, serveGetRequests } from "./plain_http.ts";
 
+const TIMEOUT_MS = 150;
+
 test.each([
   ["a port out of range", "127.0.0.1:99999", "/"],
   ["the first port out of range", "127.0.0.1:65536", "/"],
@@ -43,3 +46,26 @@
     server.close();
   }
 });
+
+test("a response that had arrived during a stall was taken for none", async () => {
+  const server = await serveGetRequests(
+    { host: "127.0.0.1", port: 0 },
+    () => {
+      const until = performance.now() + 2 * TIMEOUT_MS;
+      // The response is written by a tick; the loop then stands still beyond the time limit.
+      setImmediate(() => {
+        while (performance.now() < until);
+      });
+      return { status: 200, body: "all of it", contentType: "text/plain" };
+    },
+  );
+  const { port } = server.address() as AddressInfo;
+  const result = await sendHttpCall({
+    method: "GET",
+    address: `127.0.0.1:${port}`,
+    path: "/",
+    timeoutMs: TIMEOUT_MS,
+  });
+  expect(result._unsafeUnwrap().body.toString()).toBe("all of it");
+  server.close();
+});
--- a/src/gateway/requests/read_first_timer.ts
+++ b/src/gateway/read_first_timer.ts
@@ -1,5 +1,5 @@
 import { performance } from "node:perf_hooks";
-import { type Millis, timerMs } from "../../core/time.ts";
+import { type Millis, timerMs } from "../core/time.ts";
 
 /** A timer that is later than this shows that the event loop stood still. */
 const STALL_MS: Millis = 50;
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -7,7 +7,7 @@
 import type { Dialect, RequestHead, ResponseHead } from "./dialect.ts";
 import { hasInvalidHeader } from "./header_syntax.ts";
 import { closedCleanly, isCloseDelimited } from "./close_delimited.ts";
-import { ReadFirstTimer } from "./read_first_timer.ts";
+import { ReadFirstTimer } from "../read_first_timer.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
 import {
   CONNECT_TIMEOUT_MS,
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -10,7 +10,7 @@
 import { ExchangeLog } from "./exchange_log.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import { chooseBackend, ResponseTimer } from "./exchange_util.ts";
-import { ReadFirstTimer } from "./read_first_timer.ts";
+import { ReadFirstTimer } from "../read_first_timer.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
--- a/src/gateway/requests/silence_watch.ts
+++ b/src/gateway/requests/silence_watch.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../../core/time.ts";
-import { ReadFirstTimer } from "./read_first_timer.ts";
+import { ReadFirstTimer } from "../read_first_timer.ts";
 import type { SilenceLimits } from "./silence_limits.ts";
 
 /** Watches for the silence of one upstream: calls `onLimit` at the silence limit, and again for each further gap. */
--- a/src/gateway/requests/upstream_connection.ts
+++ b/src/gateway/requests/upstream_connection.ts
@@ -3,7 +3,7 @@
 import type { Millis } from "../../core/time.ts";
 import { unexpectedFields } from "../../core/unexpected_error.ts";
 import { splitAddress } from "../address.ts";
-import { ReadFirstTimer } from "./read_first_timer.ts";
+import { ReadFirstTimer } from "../read_first_timer.ts";
 
 /** Connect time-out; shorter than the 1 s after which the kernel resends a lost SYN. */
 export const CONNECT_TIMEOUT_MS: Millis = 350;
