Let the client of a refused body read the refusal

What callers saw: a request that is refused before its body has come (unknown path, body too large, planned stop, no configuration yet) may end in a reset instead of its refusal, as the client is still sending.

Cause: the refusal carries Connection: close, and the connection was closed as soon as the refusal was written. Closing with unread bytes resets a connection.

Now the refusal is whole at once, and the rest of the body is read and dropped until its end, at most for 1 s, before the connection closes; likewise after the answer to bytes that are no request. The line turned_away names the bytes of the body that had come.

--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -11,7 +11,7 @@
 import { type Millis, timerMs } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
 import { ClientConnection } from "./client_connection.ts";
-import { proxyProblemStatus } from "./client_response.ts";
+import { LINGER_MS, proxyProblemStatus } from "./client_response.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import { HeldLimit } from "./held_limit.ts";
 
@@ -192,7 +192,8 @@
     }
     if (!PARSER_ERROR.test(code) || code === UNFINISHED_CODE) {
       // A request whose head was read logs its own end.
-      if (connection.open === 0 && connection.receivedBytes > 0) {
+      const { open, closing, receivedBytes } = connection;
+      if (open === 0 && !closing && receivedBytes > 0) {
         this.#line(connection, "client_left", { detail: code });
       }
       connection.socket.destroy();
@@ -219,8 +220,9 @@
       return connection.closeAfterOpen(err);
     }
     this.#line(connection, cause, { detail, status });
-    if (socket.writable) socket.write(answerText(err, status));
-    socket.destroy();
+    connection.closeAfterOpen(err);
+    socket.end(answerText(err, status));
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
 
   #line(
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -1,10 +1,13 @@
-import type { Buffer } from "node:buffer";
-import type { ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Problem } from "../../core/problem.ts";
-import { SECOND_MS } from "../../core/time.ts";
+import { type Millis, SECOND_MS } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
 import type { ResponseHead } from "./dialect.ts";
 
+/** Time that a client is given to send the rest of a refused request, or to close its connection. */
+export const LINGER_MS: Millis = 1_000;
+
 const CLOSE_HEADER = ["Connection", "close"];
 
 /** Statuses of problems with the request itself; all others follow from the verdict. */
@@ -71,23 +74,41 @@
     this.#res.destroy();
   }
 
-  /** Sends a problem as the complete response (RFC 9457), with `Retry-After` on a 503. */
+  /**
+   * Sends a problem as the complete response (RFC 9457), with `Retry-After` on a 503. The connection closes after it if
+   * the request's body is `unread`.
+   */
   sendProblem(
     err: Problem,
-    extra: Readonly<Record<string, string>> = {},
+    options: Readonly<{ unread?: IncomingMessage }> = {},
   ): void {
+    const { unread } = options;
     const status = proxyProblemStatus(err);
     const body = problemBody({ ...err }, { status });
     const headers: Record<string, string | number> = {
       "content-type": PROBLEM_TYPE,
-      "content-length": body.length,
-      ...extra,
+      "content-length": Buffer.byteLength(body),
     };
     if (err.retryAfterMs !== undefined && status === 503) {
       headers["retry-after"] = (err.retryAfterMs / SECOND_MS).toFixed(2);
     }
-    if (this.#shouldClose()) headers["connection"] = "close";
+    if (unread !== undefined || this.#shouldClose()) {
+      headers["connection"] = "close";
+    }
     this.#res.writeHead(status, headers);
-    this.#res.end(body);
+    if (unread === undefined) return void this.#res.end(body);
+    this.#res.write(body);
+    discardBody(unread, () => this.#res.end());
   }
 }
+
+/** Reads the rest of a body for a while: closing a connection with unread bytes resets it, which may undo the response. */
+function discardBody(req: IncomingMessage, onDone: () => void): void {
+  if (req.readableEnded || req.destroyed) return onDone();
+  const timer = setTimeout(onDone, LINGER_MS);
+  req.once("close", () => {
+    clearTimeout(timer);
+    onDone();
+  });
+  req.resume();
+}
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -119,11 +119,11 @@
     const response = ClientResponse.create(res, shouldClose);
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
-      // The rest of the body is not read, so the connection can't be reused.
+      // The body is not read, so the connection can't be reused.
       const unread = req.headers["content-length"] !== undefined ||
         req.headers["transfer-encoding"] !== undefined ||
         req.headers.host === undefined || hasInvalidHeader(req.rawHeaders);
-      this.#refuse(response, admitted, unread);
+      this.#refuse(response, admitted, unread ? req : undefined);
       return;
     }
     const { head } = admitted;
@@ -134,8 +134,12 @@
     }, {
       gate: this.#gate,
       times: this.#times,
-      refuse: (err, unread) =>
-        this.#refuse(response, { head, problem: err }, unread),
+      refuse: (err, { received, unread }) =>
+        this.#refuse(
+          response,
+          { head, problem: err, received },
+          unread ? req : undefined,
+        ),
     });
     this.#requests.add(one);
     connection.admitted(req, (err) => one.failBody(err));
@@ -197,7 +201,7 @@
   #refuse(
     response: ClientResponse,
     rejected: RejectedRequest,
-    unread: boolean,
+    unread: IncomingMessage | undefined,
   ): void {
     const { head } = rejected;
     const err = rejected.problem;
@@ -208,14 +212,18 @@
       path: head?.path,
       code: err.code,
       detail: err.detail,
+      received: rejected.received,
       version: this.#state.routes()?.serving.version,
     });
-    response.sendProblem(err, unread ? { connection: "close" } : {});
+    response.sendProblem(err, { unread });
   }
 }
 
 type AcceptedRequest = Omit<AdmittedHead, "arrivedAt" | "response">;
-type RejectedRequest = Readonly<{ head?: RequestHead; problem: Problem }>;
+type RejectedRequest = Readonly<
+  { head?: RequestHead; problem: Problem; received?: number }
+>;
+
 function headBytesOf(req: IncomingMessage): number {
   let size = (req.url ?? "").length;
   for (const part of req.rawHeaders) size += part.length + 2;
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -23,8 +23,11 @@
   response: ClientResponse;
 }>;
 
-/** Refuses a request; `unread` if its body was not read to the end. */
-export type RefuseRequest = (err: Problem, unread: boolean) => void;
+/** Refuses a request, with the bytes of its body so far; `unread` if they are not all. */
+export type RefuseRequest = (
+  err: Problem,
+  body: Readonly<{ received: number; unread: boolean }>,
+) => void;
 
 type IncomingRequestOptions = Readonly<
   { gate: DrainGate; times: AnswerTimes; refuse: RefuseRequest }
@@ -67,19 +70,21 @@
     res.once("close", () => this.#onClose(res));
     req.on("data", (chunk: Buffer) => {
       this.#receivedBytes += chunk.length;
+      if (response.started) return;
       if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
-      else if (!response.started) {
-        req.pause();
-        this.#refuse(
+      else {
+        this.failBody(
           problem("body_too_large", "The request body is too large"),
-          true,
         );
       }
     });
     req.on("end", () => {
       if (response.started || res.destroyed) return;
       const refusal = this.#drainRefusal();
-      if (refusal !== undefined) return this.#refuse(refusal, false);
+      const received = this.#receivedBytes;
+      if (refusal !== undefined) {
+        return this.#refuse(refusal, { received, unread: false });
+      }
       this.#exchange = this.#start(Buffer.concat(this.#chunks));
       this.#chunks = [];
     });
@@ -92,7 +97,8 @@
   /** Refuses a request whose body can't be read to its end. */
   failBody(err: Problem): void {
     if (this.#exchange !== undefined || this.#entry.response.started) return;
-    this.#refuse(err, true);
+    this.#chunks = [];
+    this.#refuse(err, { received: this.#receivedBytes, unread: true });
   }
 
   /** Applies a planned stop, which leaves less time to wait for a place. */
@@ -107,7 +113,7 @@
     if (answered) return this.#line("cut", { state: "unread" });
     if (exchange !== undefined) return exchange.cut();
     this.#line("cut", { state: "body", received: this.#receivedBytes });
-    this.#refuse(draining("The daemon stops before the body is read"), true);
+    this.failBody(draining("The daemon stops before the body is read"));
   }
 
   get #deadlineAt(): Timestamp {
