Answer a request whose body outlasts its time limit

While a body was read nothing watched the request's time limit: a body that came slowly was waited for up to 30 s, then ended by a 408 without a line.

Cause: the deadline's timer starts with the exchange, at the body's end.

Now the time limit (30 s at most) also ends the wait for the body: 503 with Connection: close, as the request has not run, and a line turned_away with code deadline_exceeded and the bytes received. Node's own limit for whole requests is off; its check is left for heads.

Ruled out: a request that ends without a line at its body's end because its response has started or its connection is gone; it has its line by then (turned_away, cut or client_left; planned_stop_test.ts).

--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -24,8 +24,6 @@
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
-/** Time within which a complete request must arrive. */
-const REQUEST_TIMEOUT_MS: Millis = 30_000;
 const NOT_CONFIGURED_RETRY_AFTER_MS: Millis = 500;
 
 /** State of the daemon that the front server reads. */
@@ -53,7 +51,8 @@
     this.#server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
-        requestTimeout: REQUEST_TIMEOUT_MS,
+        // The time for a body ends with the request's own.
+        requestTimeout: 0,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
         // Such a request is refused with a line, as all others.
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Timestamp } from "../../core/time.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
 import type { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
@@ -12,6 +12,11 @@
 import type { ExchangePort } from "./exchange_port.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
 import { deadlineOf } from "./exchange_util.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
+import { RETRY_AFTER_MS } from "./retry_policy.ts";
+
+/** Longest time for a body, also where a request's time limit is longer. */
+const MAX_BODY_MS: Millis = 30_000;
 
 /** A request whose head was admitted. */
 export type AdmittedHead = Readonly<{
@@ -43,6 +48,7 @@
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
   #exchange: Exchange | undefined;
+  #bodyTimer: ReadFirstTimer | undefined;
 
   private constructor(
     port: ExchangePort,
@@ -64,9 +70,15 @@
     return new IncomingRequest(port, entry, options);
   }
 
-  /** Reads the body and starts the exchange at its end. */
+  /** Reads the body and starts the exchange at its end; a body that comes too slowly is refused. */
   read(req: IncomingMessage, res: ServerResponse): void {
-    const { response, bodyBytes } = this.#entry;
+    const { response, bodyBytes, arrivedAt } = this.#entry;
+    const leftMs = this.#deadlineAt - arrivedAt;
+    this.#bodyTimer = ReadFirstTimer.start(
+      () => this.failBody(bodyLate()),
+      Math.min(leftMs, MAX_BODY_MS),
+      () => this.#receivedBytes,
+    );
     res.once("close", () => this.#onClose(res));
     req.on("data", (chunk: Buffer) => {
       this.#receivedBytes += chunk.length;
@@ -79,6 +91,7 @@
       }
     });
     req.on("end", () => {
+      this.#bodyTimer?.stop();
       if (response.started || res.destroyed) return;
       const refusal = this.#drainRefusal();
       const received = this.#receivedBytes;
@@ -98,6 +111,7 @@
   failBody(err: Problem): void {
     if (this.#exchange !== undefined || this.#entry.response.started) return;
     this.#chunks = [];
+    this.#bodyTimer?.stop();
     this.#refuse(err, { received: this.#receivedBytes, unread: true });
   }
 
@@ -141,6 +155,7 @@
   }
 
   #onClose(res: ServerResponse): void {
+    this.#bodyTimer?.stop();
     if (res.writableFinished) return;
     if (this.#exchange !== undefined) this.#exchange.cancel();
     else {
@@ -175,6 +190,12 @@
   }
 }
 
+function bodyLate(): Problem {
+  return problem("deadline_exceeded", "The body came too late", {
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 /** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
 function digestOf(entry: AdmittedHead, body: Buffer): string {
   return createHash("sha1")
--- a/src/gateway/requests/slow_body_test.ts
+++ b/src/gateway/requests/slow_body_test.ts
@@ -5,18 +5,19 @@
   responseHeadText,
 } from "../../testing/front_server_fixture.ts";
 import { PlainClient, requestText } from "../../testing/plain_client.ts";
+import type { Route } from "../serving/serving_config.ts";
 
 let fixture: FrontServerFixture;
 let client: PlainClient;
 let reached = 0;
 
-async function start(): Promise<void> {
+async function start(fields: Partial<Route> = {}): Promise<void> {
   reached = 0;
   fixture = await FrontServerFixture.start([(socket) => {
     reached += 1;
     const headers = { "X-Response-Seal": "seal", "Content-Length": 2 };
     socket.end(responseHeadText(200, headers) + "ok");
-  }]);
+  }], fields);
   client = await PlainClient.connect(fixture.port, { halfOpen: true });
 }
 
@@ -30,6 +31,28 @@
     .toEqual(statuses);
 }
 
+test("a body that comes slowly was waited for beyond the request's time limit", async () => {
+  await start({ timeoutMs: 400 });
+  client.write(requestText("/reserve/x", { body: "abcd" }).slice(0, -2));
+  const from = performance.now();
+  await expectStatuses(503);
+  expect(performance.now() - from).toBeLessThan(900);
+  expect(client.received).toContain("connection: close");
+  expect(reached).toBe(0);
+  expect(fixture.exchangePort.recorded.lineFields).toMatchObject([
+    { kind: "turned_away", code: "deadline_exceeded", received: 2 },
+  ]);
+});
+
+test("a client's own time limit ends the wait for its body", async () => {
+  await start({ timeoutMs: 5_000 });
+  const headers = { "X-Deadline-Ms": "400" };
+  const text = requestText("/reserve/x", { headers, body: "abcd" });
+  client.write(text.slice(0, -2));
+  await expectStatuses(503);
+  expect(reached).toBe(0);
+});
+
 test("a refused request whose body was on its way had its connection reset", async () => {
   await start();
   const text = requestText("/unknown/x", { body: "x".repeat(200_000) });
