Spend no further reading on a request whose upstream is being read

An answer without end was cut up to 190 ms later than before, as its data also came between the deadline and the next reading of the sockets; under load, in one run of four, 1,535 ms late (front_server_test.ts, bound 500 ms; a load of some 15 on 8 processors; not seen again in 9 further runs of this folder, so that cause is likely, not shown).

Cause: ReadFirstTimer took each late timer for a stall. A flood makes it late although the sockets are read all the while.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
 import type { ServiceId, UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis } from "../../core/time.ts";
@@ -34,8 +35,8 @@
   readonly #gate: DrainGate;
   readonly #onAnswered: (ms: Millis) => void;
   readonly #responseTimer = ResponseTimer.create();
-  /** Heads and chunks of data that were received. */
-  #receivedCount = 0;
+  /** When a head or data was last received, by `performance.now`. */
+  #receivedAt: Millis = -Infinity;
   #deadlineTimer: ReadFirstTimer | undefined;
   /** Refuses the request during a planned stop when it is too late to send it. */
   #sendTimer: NodeJS.Timeout | undefined;
@@ -94,7 +95,7 @@
     this.#deadlineTimer = ReadFirstTimer.start(
       () => this.#expire(),
       this.#req.deadlineAt - this.#port.now(),
-      () => this.#receivedCount,
+      () => this.#receivedAt,
     );
     this.limitWait();
     this.#port.recordFirstSend(this.#service);
@@ -146,7 +147,7 @@
     status: number,
     head: Parameters<ResponseRelay["receiveHead"]>[1],
   ): void {
-    this.#receivedCount += 1;
+    this.#receivedAt = performance.now();
     const { sent } = this.#attempts;
     // The address now belongs to another upstream, so its headers say nothing about this upstream.
     const isOther = head.misdirected;
@@ -171,7 +172,7 @@
   #onData(chunk: Buffer): void {
     const { sent } = this.#attempts;
     if (sent === undefined) return;
-    this.#receivedCount += 1;
+    this.#receivedAt = performance.now();
     sent.times.received(this.#port.now());
     const before = this.#relay.receivedCount;
     const result = this.#relay.receiveData(chunk, () => sent.resume());
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { performance } from "node:perf_hooks";
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
@@ -47,6 +48,8 @@
   readonly #refuse: RefuseRequest;
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
+  /** When a part of the body was last received, by `performance.now`. */
+  #receivedAt: Millis = -Infinity;
   #exchange: Exchange | undefined;
   #bodyTimer: ReadFirstTimer | undefined;
 
@@ -77,11 +80,12 @@
     this.#bodyTimer = ReadFirstTimer.start(
       () => this.failBody(bodyLate()),
       Math.min(leftMs, MAX_BODY_MS),
-      () => this.#receivedBytes,
+      () => this.#receivedAt,
     );
     res.once("close", () => this.#onClose(res));
     req.on("data", (chunk: Buffer) => {
       this.#receivedBytes += chunk.length;
+      this.#receivedAt = performance.now();
       if (response.started) return;
       if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
       else {
