--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -24,8 +24,6 @@
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
-/** Time within which a complete request must arrive. */
-const REQUEST_TIMEOUT_MS: Millis = 30_000;
 const NOT_CONFIGURED_RETRY_AFTER_MS: Millis = 500;
 
 /** State of the daemon that the front server reads. */
@@ -53,7 +51,8 @@
     this.#server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
-        requestTimeout: REQUEST_TIMEOUT_MS,
+        // The time for a body ends with the request's own.
+        requestTimeout: 0,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
         // Such a request is refused with a line, as all others.
@@ -119,11 +118,11 @@
     const response = ClientResponse.create(res, shouldClose);
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
-      // The rest of the body is not read, so the connection can't be reused.
+      // The body is not read, so the connection can't be reused.
       const unread = req.headers["content-length"] !== undefined ||
         req.headers["transfer-encoding"] !== undefined ||
         req.headers.host === undefined || hasInvalidHeader(req.rawHeaders);
-      this.#refuse(response, admitted, unread);
+      this.#refuse(response, admitted, unread ? req : undefined);
       return;
     }
     const { head } = admitted;
@@ -134,8 +133,12 @@
     }, {
       gate: this.#gate,
       times: this.#times,
-      refuse: (err, unread) =>
-        this.#refuse(response, { head, problem: err }, unread),
+      refuse: (err, { received, unread }) =>
+        this.#refuse(
+          response,
+          { head, problem: err, received },
+          unread ? req : undefined,
+        ),
     });
     this.#requests.add(one);
     connection.admitted(req, (err) => one.failBody(err));
@@ -197,7 +200,7 @@
   #refuse(
     response: ClientResponse,
     rejected: RejectedRequest,
-    unread: boolean,
+    unread: IncomingMessage | undefined,
   ): void {
     const { head } = rejected;
     const err = rejected.problem;
@@ -208,14 +211,18 @@
       path: head?.path,
       code: err.code,
       detail: err.detail,
+      received: rejected.received,
       version: this.#state.routes()?.serving.version,
     });
-    response.sendProblem(err, unread ? { connection: "close" } : {});
+    response.sendProblem(err, { unread });
   }
 }
 
 type AcceptedRequest = Omit<AdmittedHead, "arrivedAt" | "response">;
-type RejectedRequest = Readonly<{ head?: RequestHead; problem: Problem }>;
+type RejectedRequest = Readonly<
+  { head?: RequestHead; problem: Problem; received?: number }
+>;
+
 function headBytesOf(req: IncomingMessage): number {
   let size = (req.url ?? "").length;
   for (const part of req.rawHeaders) size += part.length + 2;
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -1,9 +1,10 @@
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { performance } from "node:perf_hooks";
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
-import type { Timestamp } from "../../core/time.ts";
+import type { Millis, Timestamp } from "../../core/time.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
 import type { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
@@ -12,6 +13,11 @@
 import type { ExchangePort } from "./exchange_port.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
 import { deadlineOf } from "./exchange_util.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
+import { RETRY_AFTER_MS } from "./retry_policy.ts";
+
+/** Longest time for a body, also where a request's time limit is longer. */
+const MAX_BODY_MS: Millis = 30_000;
 
 /** A request whose head was admitted. */
 export type AdmittedHead = Readonly<{
@@ -23,8 +29,11 @@
   response: ClientResponse;
 }>;
 
-/** Refuses a request; `unread` if its body was not read to the end. */
-export type RefuseRequest = (err: Problem, unread: boolean) => void;
+/** Refuses a request, with the bytes of its body so far; `unread` if they are not all. */
+export type RefuseRequest = (
+  err: Problem,
+  body: Readonly<{ received: number; unread: boolean }>,
+) => void;
 
 type IncomingRequestOptions = Readonly<
   { gate: DrainGate; times: AnswerTimes; refuse: RefuseRequest }
@@ -39,7 +48,10 @@
   readonly #refuse: RefuseRequest;
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
+  /** When a part of the body was last received, by `performance.now`. */
+  #receivedAt: Millis = -Infinity;
   #exchange: Exchange | undefined;
+  #bodyTimer: ReadFirstTimer | undefined;
 
   private constructor(
     port: ExchangePort,
@@ -61,25 +73,35 @@
     return new IncomingRequest(port, entry, options);
   }
 
-  /** Reads the body and starts the exchange at its end. */
+  /** Reads the body and starts the exchange at its end; a body that comes too slowly is refused. */
   read(req: IncomingMessage, res: ServerResponse): void {
-    const { response, bodyBytes } = this.#entry;
+    const { response, bodyBytes, arrivedAt } = this.#entry;
+    const leftMs = this.#deadlineAt - arrivedAt;
+    this.#bodyTimer = ReadFirstTimer.start(
+      () => this.failBody(bodyLate()),
+      Math.min(leftMs, MAX_BODY_MS),
+      () => this.#receivedAt,
+    );
     res.once("close", () => this.#onClose(res));
     req.on("data", (chunk: Buffer) => {
       this.#receivedBytes += chunk.length;
+      this.#receivedAt = performance.now();
+      if (response.started) return;
       if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
-      else if (!response.started) {
-        req.pause();
-        this.#refuse(
+      else {
+        this.failBody(
           problem("body_too_large", "The request body is too large"),
-          true,
         );
       }
     });
     req.on("end", () => {
+      this.#bodyTimer?.stop();
       if (response.started || res.destroyed) return;
       const refusal = this.#drainRefusal();
-      if (refusal !== undefined) return this.#refuse(refusal, false);
+      const received = this.#receivedBytes;
+      if (refusal !== undefined) {
+        return this.#refuse(refusal, { received, unread: false });
+      }
       this.#exchange = this.#start(Buffer.concat(this.#chunks));
       this.#chunks = [];
     });
@@ -92,7 +114,9 @@
   /** Refuses a request whose body can't be read to its end. */
   failBody(err: Problem): void {
     if (this.#exchange !== undefined || this.#entry.response.started) return;
-    this.#refuse(err, true);
+    this.#chunks = [];
+    this.#bodyTimer?.stop();
+    this.#refuse(err, { received: this.#receivedBytes, unread: true });
   }
 
   /** Applies a planned stop, which leaves less time to wait for a place. */
@@ -107,7 +131,7 @@
     if (answered) return this.#line("cut", { state: "unread" });
     if (exchange !== undefined) return exchange.cut();
     this.#line("cut", { state: "body", received: this.#receivedBytes });
-    this.#refuse(draining("The daemon stops before the body is read"), true);
+    this.failBody(draining("The daemon stops before the body is read"));
   }
 
   get #deadlineAt(): Timestamp {
@@ -135,6 +159,7 @@
   }
 
   #onClose(res: ServerResponse): void {
+    this.#bodyTimer?.stop();
     if (res.writableFinished) return;
     if (this.#exchange !== undefined) this.#exchange.cancel();
     else {
@@ -169,6 +194,12 @@
   }
 }
 
+function bodyLate(): Problem {
+  return problem("deadline_exceeded", "The body came too late", {
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 /** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
 function digestOf(entry: AdmittedHead, body: Buffer): string {
   return createHash("sha1")
