--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -13,7 +13,7 @@
 import type { ExchangePort } from "./exchange_port.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
 import { deadlineOf } from "./exchange_util.ts";
-import { ReadFirstTimer } from "./read_first_timer.ts";
+import { ReadFirstTimer } from "../read_first_timer.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
 /** Longest time for a body, also where a request's time limit is longer. */
