Handle a request by the version in force when its body is complete

What callers saw: a request whose body was read while a version was taken ran at the service that its route had left, on a route that was gone, or with a key that was revoked, up to 30 s later; and was kept waiting for a time limit that had been lowered.

Cause: the head was admitted under one version, and the exchange began at the body's end with what that version said.

Now the version in force at the body's end admits it again, with a line readmitted; the earlier of the two time limits holds. A body that began within the limit in force is not refused for a lower one.

--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -194,7 +194,26 @@
       deadlineAt: deadlineOf(now, { timeoutMs, leftMs: head.leftMs }),
     }, now);
     if (refusal !== undefined) return { head, problem: refusal };
-    return { head, admitted: admitted.value, bodyBytes: limits.bodyBytes };
+    const readmit = () => this.#readmit(head, routes);
+    const { bodyBytes } = limits;
+    return { head, admitted: admitted.value, readmit, bodyBytes };
+  }
+
+  /** Admits a request by the version in force, if that is another one than it was admitted by. */
+  #readmit(
+    head: RequestHead,
+    before: RouteTable,
+  ): ReturnType<RouteTable["admit"]> | undefined {
+    const current = this.#state.routes();
+    if (current === undefined || current === before) return undefined;
+    const admitted = current.admit(head);
+    this.#port.line("readmitted", {
+      req: head.id,
+      from: before.serving.version,
+      to: current.serving.version,
+      route: admitted.map(({ route }) => route.name).unwrapOr(undefined),
+    });
+    return admitted;
   }
 
   #refuse(
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -2,6 +2,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
+import type { Result } from "neverthrow";
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
@@ -23,6 +24,8 @@
 export type AdmittedHead = Readonly<{
   head: RequestHead;
   admitted: AdmittedRequest;
+  /** Admits the request by a version that is newer than the one that did; undefined if there is none. */
+  readmit: () => Result<AdmittedRequest, Problem> | undefined;
   /** Largest body that is accepted. */
   bodyBytes: number;
   arrivedAt: Timestamp;
@@ -46,6 +49,8 @@
   readonly #gate: DrainGate;
   readonly #times: AnswerTimes;
   readonly #refuse: RefuseRequest;
+  #admitted: AdmittedRequest;
+  #deadlineAt: Timestamp;
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
   /** When a part of the body was last received, by `performance.now`. */
@@ -60,6 +65,8 @@
   ) {
     this.#port = port;
     this.#entry = entry;
+    this.#admitted = entry.admitted;
+    this.#deadlineAt = deadlineBy(entry, entry.admitted);
     this.#gate = options.gate;
     this.#times = options.times;
     this.#refuse = options.refuse;
@@ -97,13 +104,7 @@
     req.on("end", () => {
       this.#bodyTimer?.stop();
       if (response.started || res.destroyed) return;
-      const refusal = this.#drainRefusal();
-      const received = this.#receivedBytes;
-      if (refusal !== undefined) {
-        return this.#refuse(refusal, { received, unread: false });
-      }
-      this.#exchange = this.#start(Buffer.concat(this.#chunks));
-      this.#chunks = [];
+      this.#onBody();
     });
   }
 
@@ -134,12 +135,26 @@
     this.failBody(draining("The daemon stops before the body is read"));
   }
 
-  get #deadlineAt(): Timestamp {
-    const { head, admitted, arrivedAt } = this.#entry;
-    return deadlineOf(arrivedAt, {
-      timeoutMs: admitted.route.timeoutMs,
-      leftMs: head.leftMs,
-    });
+  /** Handles the whole body: by the version that is in force now, as one may have been taken while it was read. */
+  #onBody(): void {
+    const refusal = this.#readmit() ?? this.#drainRefusal();
+    if (refusal !== undefined) {
+      const received = this.#receivedBytes;
+      return this.#refuse(refusal, { received, unread: false });
+    }
+    this.#exchange = this.#start(Buffer.concat(this.#chunks));
+    this.#chunks = [];
+  }
+
+  /** The refusal by a newer version than the one that admitted the request; the earlier time limit holds. */
+  #readmit(): Problem | undefined {
+    const readmitted = this.#entry.readmit();
+    if (readmitted === undefined) return undefined;
+    if (readmitted.isErr()) return readmitted.error;
+    this.#admitted = readmitted.value;
+    const deadlineAt = deadlineBy(this.#entry, this.#admitted);
+    if (deadlineAt < this.#deadlineAt) this.#deadlineAt = deadlineAt;
+    return this.#port.now() < this.#deadlineAt ? undefined : bodyLate();
   }
 
   /** The refusal if a planned stop leaves too little time; logs what a draining daemon takes. */
@@ -147,8 +162,7 @@
     const { drain } = this.#gate;
     if (drain === undefined) return undefined;
     const now = this.#port.now();
-    const { admitted } = this.#entry;
-    const req = { admitted, deadlineAt: this.#deadlineAt };
+    const req = { admitted: this.#admitted, deadlineAt: this.#deadlineAt };
     const refusal = this.#gate.refusal(req, now);
     if (refusal !== undefined) return refusal;
     this.#line("taken", {
@@ -168,15 +182,15 @@
   }
 
   #start(body: Buffer): Exchange {
-    const { head, admitted, arrivedAt, response } = this.#entry;
-    const deadlineAt = this.#deadlineAt;
+    const { head, arrivedAt, response } = this.#entry;
+    const admitted = this.#admitted;
     const exchange = Exchange.create(this.#port, {
       head,
       body,
       admitted,
       arrivedAt,
-      deadlineAt,
-      digest: digestOf(this.#entry, body),
+      deadlineAt: this.#deadlineAt,
+      digest: digestOf(head, { admitted, body }),
     }, {
       response,
       gate: this.#gate,
@@ -188,9 +202,9 @@
   }
 
   #line(kind: string, fields: Parameters<ExchangePort["line"]>[1]): void {
-    const { head, admitted } = this.#entry;
-    const route = admitted.route.name;
-    this.#port.line(kind, { req: head.id, route, ...fields });
+    const { id } = this.#entry.head;
+    const route = this.#admitted.route.name;
+    this.#port.line(kind, { req: id, route, ...fields });
   }
 }
 
@@ -200,12 +214,23 @@
   });
 }
 
+function deadlineBy(
+  { arrivedAt, head }: AdmittedHead,
+  { route }: AdmittedRequest,
+): Timestamp {
+  const { timeoutMs } = route;
+  return deadlineOf(arrivedAt, { timeoutMs, leftMs: head.leftMs });
+}
+
 /** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
-function digestOf(entry: AdmittedHead, body: Buffer): string {
+function digestOf(
+  head: RequestHead,
+  { admitted, body }: Readonly<{ admitted: AdmittedRequest; body: Buffer }>,
+): string {
   return createHash("sha1")
-    .update(entry.admitted.team?.id ?? "")
+    .update(admitted.team?.id ?? "")
     .update("\n")
-    .update(entry.head.path)
+    .update(head.path)
     .update("\n")
     .update(body)
     .digest("base64url");
