Guard: a queued prompt of a dropped service is placed, or refused at once

The queue asks the register and the pace that the prompt came with, not the configuration: it is placed as long as engines of the service are registered, and refused at the next poll (15 ms) once none is. The test passed at once; no change.

--- a/src/scheduling/pool/pool_scheduler_test.ts
+++ b/src/scheduling/pool/pool_scheduler_test.ts
@@ -97,6 +97,19 @@
     expect(scheduler.queueLength).toBe(3);
   });
 
+  test("are placed though their service was dropped, and refused at the next poll once its engines are gone", () => {
+    const scheduler = PoolScheduler.create();
+    for (const job of ["a", "b", "c"]) submit(scheduler, askOf(job));
+    decide(scheduler, 0);
+    scheduler.tracker.started("a" as JobId, at(1_100));
+    expect(decide(scheduler, 1_100)).toEqual([["b", true]]);
+    const [decision] = scheduler.decide(at(1_115), () => []);
+    const err = decision?.result._unsafeUnwrapErr();
+    expect([decision?.ask.job, err?.code, err?.verdict])
+      .toEqual(["c", "no_upstream", "not_run"]);
+    expect(scheduler.queueLength).toBe(0);
+  });
+
   test("leave the queue when they are withdrawn or their daemon is removed", () => {
     const scheduler = PoolScheduler.create();
     submit(scheduler, askOf("a"));
