--- a/src/gateway/requests/connection_end_test.ts
+++ b/src/gateway/requests/connection_end_test.ts
@@ -129,6 +129,20 @@
     }]);
   });
 
+  test("and comes too late took the request's answer", async () => {
+    await start((socket) => void setTimeout(() => answer(socket), 2_400), {
+      timeoutMs: 4_000,
+    });
+    fixture.frontServer.applyLimits({ headMs: 100, idleMs: 5_000 });
+    client.write(requestText("/reserve/x", { body: "{}" }) + "POST /");
+    await expectStatuses(200);
+    await expect.poll(() => client.ended).toBe("closed");
+    expect(lines("connection_ended")).toMatchObject([{
+      cause: "head_late",
+      open: 1,
+    }]);
+  });
+
   test("was dropped unanswered when a planned stop began", async () => {
     await start(answerLater);
     client.write(requestText("/lookup/x") + requestText("/lookup/y"));
