CONFIG: the copy of a restored store undid what daemons knew of upstreams

For 5 s after a restore a whole table, read or sent by a peer, is weighed against what is known: a process that is leaving, gone or replaced stays so; for 3 s an entry that the copy lacks stays listed. Records that are read as changes are newer statements and count at once (update `settled`, so that all daemons drop the copy's statement). When the time is over, the statements that were held back hold. The lines `upstream` with how kept or overruled give both positions.

The number `sequence` of an entry is not used: the entry of a process that left untold has none to compare with, and a copy may have a higher number than the record that a daemon has read.

--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -178,6 +178,8 @@
     since: offsetSchema,
     sinceEra: storeEraSchema.optional(),
     changes: soundList(RegisterChangeSchema),
+    /** Whether they come from a whole table, which may be an older copy, rather than from newer records. */
+    snapshot: z.boolean().optional(),
   }),
   z.object({ type: z.literal("ask"), ask: AskSchema, reply: addressSchema }),
   /** Confirms a placement request that is queued; the grant or denial follows later. */
--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -15,7 +15,11 @@
 /** Time after its return from which the platform holds what the store acknowledges against daemons. */
 const STABLE_MS: Millis = 3_000;
 const DOWN_MS: Millis = 1_000;
+/** Longer than the platform's upstreams and the operator take to write again what they wrote. */
+const REWRITTEN_MS: Millis = 2_500;
 const E1 = "e1" as UpstreamId;
+const E2 = "e2" as UpstreamId;
+const E9 = "e9" as UpstreamId;
 const LEAVING = upstreamEntry("e1", { leaving: true });
 
 function startedFleet(daemons = 6): FakeGatewayFleet {
@@ -167,3 +171,96 @@
     expect(over(fleet, openIds)).toEqual(["e2 e3"]);
   });
 });
+
+describe("an older copy", () => {
+  test("opened an upstream again that was known to leave", () => {
+    const fleet = startedFleet();
+    fleet.register({ type: "entry", entry: LEAVING });
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    const seen = new Set<string>();
+    fleet.time.run(
+      REWRITTEN_MS,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    fleet.register({ type: "entry", entry: LEAVING });
+    fleet.time.run(
+      SETTLE_MS,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    expect([...seen]).toEqual(["e2 e3"]);
+  });
+
+  test("brought an upstream back that was known to be gone, until its entry lapsed", () => {
+    const fleet = startedFleet();
+    fleet.register({ type: "gone", id: E1 });
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    const seen = new Set<string>();
+    fleet.time.run(
+      3_600,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    fleet.register({ type: "gone", id: E1 });
+    fleet.time.run(
+      SETTLE_MS,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    expect([...seen]).toEqual(["e2 e3"]);
+  });
+
+  test("replaced an upstream's process by its predecessor, whose requests were lost", () => {
+    const fleet = startedFleet();
+    const restarted = upstreamEntry("e1", { startedAt: 2 });
+    fleet.register({ type: "entry", entry: restarted });
+    fleet.time.run(DRAIN_MS);
+    const before = fleet.gateways.map((one) => one.lostUpstreams.length);
+    fleet.restoreStore(5_000, DOWN_MS);
+    fleet.time.run(REWRITTEN_MS);
+    expect(over(fleet, ({ core }) => core.board.register.table.startedAt(E1)))
+      .toEqual([2]);
+    fleet.register({ type: "entry", entry: restarted });
+    fleet.time.run(SETTLE_MS);
+    expect(fleet.gateways.map((one) => one.lostUpstreams.length))
+      .toEqual(before);
+  });
+
+  test("removed an upstream that joined in the lost seconds, before it could register again", () => {
+    const fleet = startedFleet();
+    const joined = { type: "entry", entry: upstreamEntry("e9") } as const;
+    fleet.register(joined);
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    const seen = new Set<string>();
+    fleet.time.run(
+      REWRITTEN_MS,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    fleet.register(joined);
+    fleet.time.run(
+      SETTLE_MS,
+      () => fleet.gateways.forEach((one) => seen.add(openIds(one))),
+    );
+    expect([...seen]).toEqual(["e1 e2 e3 e9"]);
+  });
+
+  test("kept an upstream that joined in the lost seconds and never registered again", () => {
+    const fleet = startedFleet();
+    fleet.register({ type: "entry", entry: upstreamEntry("e9") });
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    fleet.time.run(SETTLE_MS);
+    expect(over(fleet, ({ core }) => core.board.register.table.get(E9)))
+      .toEqual([undefined]);
+  });
+
+  test("counts once its time has passed: an upstream that still is ready opens again", () => {
+    const fleet = startedFleet();
+    fleet.register({ type: "entry", entry: LEAVING });
+    fleet.register({ type: "gone", id: E2 });
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    fleet.time.run(SETTLE_MS + DOWN_MS);
+    expect(over(fleet, openIds)).toEqual(["e1 e2 e3"]);
+  });
+});
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -8,6 +8,7 @@
   relayPeerUpdates,
   sendOwnUpdates,
 } from "./register_publisher.ts";
+import { rewritingUntil, settlingUntil } from "../store/settling.ts";
 import {
   isBefore,
   resolvePosition,
@@ -16,6 +17,7 @@
 import { StoreReader } from "../store/store_reader.ts";
 import {
   LAPSE_GRACE_MS,
+  type MergeOptions,
   type UpstreamChange,
   type UpstreamEntry,
 } from "./upstream_table.ts";
@@ -64,7 +66,7 @@
     publishUpdates(board, step, expired);
     // Each daemon drops lapsed entries by itself; only the leader sends the removals on.
     if (board.members.leader === board.self.card.vm) {
-      sendOwnUpdates(board, step, expired);
+      sendOwnUpdates(board, step, expired, { snapshot: true });
     }
     this.#changedSinceRead ||= expired.length > 0;
     const next = register.table.nextExpiry();
@@ -122,19 +124,21 @@
     }
     register.asOf = addMs(step.now, -MAX_RESPONSE_AGE_MS);
     if (isBefore(position, register.position)) return;
-    this.#enterEra(board, position);
+    const known = register.position;
     const grace = this.#graceUntil;
     const lapseUntil = grace !== undefined && step.now < grace
       ? grace
       : undefined;
+    const settling = this.#enterEra(board, step, position);
+    const snapshot = batch.full && settling.settleUntil !== undefined;
     const updates = batch.full
-      ? table.replace(entriesOf(batch.changes), { lapseUntil })
+      ? table.replace(entriesOf(batch.changes), { lapseUntil, ...settling })
       : batch.changes.flatMap((change) =>
         table.apply(change, { lapseUntil }) ?? []
       );
     register.position = position;
-    publishUpdates(board, step, updates);
-    const changed = sendOwnUpdates(board, step, updates);
+    publishUpdates(board, step, updates, { received: position, known });
+    const changed = sendOwnUpdates(board, step, updates, { snapshot });
     if (!changed && !this.#changedSinceRead) return;
     register.lastChange = position;
     this.#changedSinceRead = false;
@@ -159,8 +163,7 @@
       const position = resolvePosition(progress, store);
       if (this.#isOutdated(board, step, message, position)) return;
       if (entries !== undefined) {
-        this.#enterEra(board, position);
-        this.#applyPeerSnapshot(board, step, { progress, entries });
+        this.#applyPeerSnapshot(board, step, { progress, entries, position });
       } else if (position.era > register.position.era) {
         // The reply to the next heartbeat has the entries.
         return;
@@ -169,7 +172,7 @@
       return;
     }
     if (message.type === "changes") {
-      const { progress, since, sinceEra, changes } = message;
+      const { progress, since, sinceEra, changes, snapshot = false } = message;
       const position = resolvePosition(progress, store);
       if (this.#isOutdated(board, step, message, position)) return;
       if (position.era > register.position.era) return;
@@ -179,11 +182,13 @@
         if (peer !== undefined) this.#requestEntries(board, step, peer);
         return;
       }
+      const settleUntil = snapshot ? settlingUntil(store, step.now) : undefined;
       const updates = changes.flatMap((change) =>
-        register.table.apply(change) ?? []
+        register.table.apply(change, { settleUntil }) ?? []
       );
-      publishUpdates(board, step, updates);
-      relayPeerUpdates(board, step, { progress, updates });
+      const known = register.position;
+      publishUpdates(board, step, updates, { received: position, known });
+      relayPeerUpdates(board, step, { progress, updates, snapshot });
       if (updates.length > 0) register.lastChange = position;
       this.#adoptPeerProgress(board, step, progress);
     }
@@ -211,25 +216,41 @@
     return isBefore(position, known);
   }
 
-  /** Lets all daemons with a position of an older era get the whole table: their offsets have another meaning. */
-  #enterEra(board: GatewayBoard, position: StorePosition): void {
-    if (position.era > board.register.position.era) {
-      this.#changedSinceRead = true;
-    }
+  /**
+   * Prepares for a whole table at a position; returns how it is weighed against the table that is known. On the first
+   * one of an era, all daemons with a position of an older era are to get the whole table: changes of the new era have
+   * no meaning on theirs.
+   */
+  #enterEra(
+    board: GatewayBoard,
+    step: GatewayStep,
+    position: StorePosition,
+  ): MergeOptions {
+    const { register, store } = board;
+    const settleUntil = settlingUntil(store, step.now);
+    if (position.era > register.position.era) this.#changedSinceRead = true;
+    const lapseUntil = rewritingUntil(store, step.now);
+    return lapseUntil === undefined
+      ? { settleUntil }
+      : { settleUntil, lapseUntil };
   }
 
   #applyPeerSnapshot(
     board: GatewayBoard,
     step: GatewayStep,
-    message: Readonly<
-      { progress: StoreProgress; entries: readonly UpstreamEntry[] }
-    >,
+    message: Readonly<{
+      progress: StoreProgress;
+      entries: readonly UpstreamEntry[];
+      position: StorePosition;
+    }>,
   ): void {
     const { register } = board;
-    const { progress, entries } = message;
-    const updates = register.table.replace(entries);
-    publishUpdates(board, step, updates);
-    relayPeerUpdates(board, step, { progress, updates });
+    const { progress, entries, position: received } = message;
+    const known = register.position;
+    const settling = this.#enterEra(board, step, received);
+    const updates = register.table.replace(entries, settling);
+    publishUpdates(board, step, updates, { received, known });
+    relayPeerUpdates(board, step, { progress, updates, snapshot: true });
     if (updates.length > 0) this.#changedSinceRead = true;
   }
 
--- a/src/gateway/upstreams/send_register_changes.ts
+++ b/src/gateway/upstreams/send_register_changes.ts
@@ -16,6 +16,8 @@
     changes: readonly UpstreamChange[];
     /** Progress of the daemon that read the changes; absent for this daemon. */
     progress?: StoreProgress;
+    /** Whether the changes come from a whole table, which may be an older copy. */
+    snapshot?: boolean;
   }>,
 ): void {
   const { members, self, register } = board;
@@ -31,6 +33,7 @@
     since: offset,
     ...(era === UNKNOWN_ERA ? {} : { sinceEra: era }),
     changes: update.changes,
+    ...(update.snapshot === true ? { snapshot: true } : {}),
   } as const;
   for (const { peer } of peers) {
     step.emit({ type: "send", to: peer, message });
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -39,19 +39,44 @@
     | "leaving"
     | "gone"
     | "kept"
+    | "overruled"
+    | "settled"
     | "returned"
     | "restarted";
   id: UpstreamId;
 }>;
 
+/** A process of an upstream that is gone, by its start. */
+export const GoneUpstreamSchema = UpstreamEntrySchema.unwrap()
+  .pick({ id: true, startedAt: true }).readonly();
+/** A process of an upstream that is gone, by its start. */
+export type GoneUpstream = z.infer<typeof GoneUpstreamSchema>;
+
+/** How statements are weighed against the table while the register may be incomplete or old. */
+export type MergeOptions = Readonly<{
+  /** Entries may be missing only because the register was unavailable, or its copy is older: they are kept until then. */
+  lapseUntil?: Timestamp;
+  /** The statements may come from an older copy of the register: until then, newer knowledge of a process holds. */
+  settleUntil?: Timestamp;
+}>;
+
+/** What the register states of an upstream against the table, and until when the table holds. */
+type Overruled = Readonly<{
+  until: Timestamp;
+  /** Absent if the upstream is not listed. */
+  stated?: UpstreamEntry;
+}>;
+
 /** Removed upstreams whose start is kept; more than the largest deployment has. */
 const MAX_GONE_UPSTREAMS = 1_024;
+/** Most gone processes in one message. */
+const MAX_GONE_SENT = 256;
 
 /** Upstreams listed in the register, as of the newest read. */
 export class UpstreamTable {
   readonly #entries = new Map<UpstreamId, UpstreamEntry>();
-  /** Entries that lapsed while the register may have been unavailable, and until when they are kept. */
-  readonly #lapsed = new Map<UpstreamId, Timestamp>();
+  /** Statements of the register that don't hold yet. */
+  readonly #overruled = new Map<UpstreamId, Overruled>();
   /** Start times of upstreams that are no longer listed, the latest removal last. */
   readonly #goneStarts = new Map<UpstreamId, number>();
 
@@ -88,30 +113,34 @@
     );
   }
 
-  /**
-   * Applies one change; returns undefined where the table stays the same. `lapseUntil` is given while entries may be
-   * missing only because the register was unavailable: a missing entry is then kept until that time.
-   */
+  /** Applies one change; returns undefined where the table stays the same. */
   apply(
     change: UpstreamChange,
-    options: { lapseUntil?: Timestamp } = {},
+    options: MergeOptions = {},
   ): UpstreamUpdate | undefined {
-    if (change.type === "entry") return this.#put(change.entry);
-    const known = this.#entries.get(change.id);
-    if (known === undefined) return undefined;
-    if (options.lapseUntil !== undefined && !known.leaving) {
-      if (!this.#lapsed.has(change.id)) {
-        this.#lapsed.set(change.id, options.lapseUntil);
+    const { lapseUntil, settleUntil } = options;
+    if (change.type === "entry") {
+      const { entry } = change;
+      if (settleUntil === undefined || !this.#contradicts(entry)) {
+        return this.#put(entry);
       }
-      return { kind: "kept", id: change.id };
+      this.#overruled.set(entry.id, { until: settleUntil, stated: entry });
+      return { kind: "overruled", id: entry.id };
     }
-    return this.#remove(change.id);
+    const { id } = change;
+    const known = this.#entries.get(id);
+    if (known === undefined) {
+      return this.#overruled.delete(id) ? { kind: "settled", id } : undefined;
+    }
+    if (lapseUntil === undefined || known.leaving) return this.#remove(id);
+    if (!this.#isKept(id)) this.#overruled.set(id, { until: lapseUntil });
+    return { kind: "kept", id };
   }
 
   /** Replaces the whole table with the entries of a full read. */
   replace(
     entries: readonly UpstreamEntry[],
-    options: { lapseUntil?: Timestamp } = {},
+    options: MergeOptions = {},
   ): readonly UpstreamUpdate[] {
     const ids = new Set(entries.map((entry) => entry.id));
     const missing = [...this.#entries.keys()].filter((id) => !ids.has(id));
@@ -122,21 +151,62 @@
     return changes.flatMap((change) => this.apply(change, options) ?? []);
   }
 
-  /** Drops lapsed entries that were not listed again in time. */
+  /** Lets the register's statements hold against which the table has held long enough. */
   expire(now: Timestamp): readonly UpstreamUpdate[] {
     const updates: UpstreamUpdate[] = [];
-    for (const [id, until] of this.#lapsed) {
-      if (until <= now) updates.push(this.#remove(id));
+    for (const [id, { until, stated }] of [...this.#overruled]) {
+      if (until > now) continue;
+      const update = stated === undefined
+        ? this.#remove(id)
+        : this.#put(stated);
+      if (update !== undefined) updates.push(update);
     }
     return updates;
   }
 
-  /** Time at which the next lapsed entry is dropped. */
+  /** Time at which the next such statement holds. */
   nextExpiry(): Timestamp | undefined {
-    const times = [...this.#lapsed.values()];
+    const times = [...this.#overruled.values()].map(({ until }) => until);
     return times.length === 0 ? undefined : Math.min(...times) as Timestamp;
   }
 
+  /** Processes that the register lists though they are known to be gone. */
+  overruledGone(): readonly GoneUpstream[] {
+    return [...this.#overruled.keys()].filter((id) => !this.#entries.has(id))
+      .slice(0, MAX_GONE_SENT)
+      .map((id) => ({ id, startedAt: this.startedAt(id) }));
+  }
+
+  /** Records that a process is gone, as another daemon knows. */
+  recordGone({ id, startedAt }: GoneUpstream): void {
+    if (this.#entries.has(id) || startedAt < this.startedAt(id)) return;
+    this.#setGone(id, startedAt);
+  }
+
+  /** Whether an entry is kept though the register does not list it. */
+  #isKept(id: UpstreamId): boolean {
+    const overruled = this.#overruled.get(id);
+    return overruled !== undefined && overruled.stated === undefined;
+  }
+
+  /**
+   * Whether an entry is older than what is known: its process was replaced, is gone, or is leaving. An entry that
+   * doesn't state its start is taken for the process that is known.
+   */
+  #contradicts(entry: UpstreamEntry): boolean {
+    const { startedAt } = entry;
+    const known = this.#entries.get(entry.id);
+    if (known === undefined) {
+      const goneStart = this.#goneStarts.get(entry.id);
+      return goneStart !== undefined && startedAt <= goneStart;
+    }
+    const isSameProcess = startedAt === 0 || known.startedAt === 0 ||
+      startedAt === known.startedAt;
+    return isSameProcess
+      ? known.leaving && !entry.leaving
+      : startedAt < known.startedAt;
+  }
+
   #put(stated: UpstreamEntry): UpstreamUpdate | undefined {
     const known = this.#entries.get(stated.id);
     // An entry that doesn't state its start is no evidence of another process.
@@ -144,7 +214,8 @@
       ? { ...stated, startedAt: known.startedAt }
       : stated;
     this.#entries.set(entry.id, entry);
-    const lapsed = this.#lapsed.delete(entry.id);
+    const lapsed = this.#isKept(entry.id);
+    const isSettled = this.#overruled.delete(entry.id);
     if (known === undefined) return { kind: "joined", id: entry.id };
     if (known.startedAt !== 0 && known.startedAt !== entry.startedAt) {
       return { kind: "restarted", id: entry.id };
@@ -158,19 +229,24 @@
       known.leaving === entry.leaving &&
       // An upstream that is warming up is no change; one that is cold again is.
       (entry.coldMs ?? 0) <= (known.coldMs ?? 0);
-    return isUnchanged ? undefined : { kind: "changed", id: entry.id };
+    if (!isUnchanged) return { kind: "changed", id: entry.id };
+    return isSettled ? { kind: "settled", id: entry.id } : undefined;
   }
 
   #remove(id: UpstreamId): UpstreamUpdate {
+    this.#setGone(id, this.startedAt(id));
+    this.#entries.delete(id);
+    this.#overruled.delete(id);
+    return { kind: "gone", id };
+  }
+
+  #setGone(id: UpstreamId, startedAt: number): void {
     this.#goneStarts.delete(id);
-    this.#goneStarts.set(id, this.startedAt(id));
+    this.#goneStarts.set(id, startedAt);
     if (this.#goneStarts.size > MAX_GONE_UPSTREAMS) {
       const [oldest] = this.#goneStarts.keys();
       this.#goneStarts.delete(oldest!);
     }
-    this.#entries.delete(id);
-    this.#lapsed.delete(id);
-    return { kind: "gone", id };
   }
 }
 
--- a/src/testing/last_release.ts
+++ b/src/testing/last_release.ts
@@ -18,6 +18,6 @@
     },
   };
   if (stripped.type !== "changes") return stripped;
-  const { sinceEra: _sinceEra, ...changes } = stripped;
+  const { sinceEra: _sinceEra, snapshot: _snapshot, ...changes } = stripped;
   return changes;
 }
