CONFIG: the copy of a restored store ended evacuations

For 5 s after a restore, a domain that was known to be evacuated stays so where the copy doesn't state it; what the copy states holds too, since a new request may be in it. A record that ends an evacuation ends it at once.

--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -263,4 +263,33 @@
     fleet.time.run(SETTLE_MS + DOWN_MS);
     expect(over(fleet, openIds)).toEqual(["e1 e2 e3"]);
   });
+
+  test("ended an evacuation before the operator could request it again", () => {
+    const fleet = startedFleet();
+    fleet.evacuate("b", true);
+    fleet.time.run(APPLY_MS);
+    const isEvacuated = ({ core }: FakeGateway) =>
+      core.board.serving.evacuated.has("b" as DomainId);
+    fleet.restoreStore(5_000, DOWN_MS);
+    const seen = new Set<boolean>();
+    const check = () =>
+      over(fleet, isEvacuated).forEach((one) => seen.add(one));
+    fleet.time.run(REWRITTEN_MS, check);
+    fleet.evacuate("b", true);
+    fleet.time.run(SETTLE_MS, check);
+    expect([...seen]).toEqual([true]);
+    fleet.evacuate("b", false);
+    fleet.time.run(APPLY_MS);
+    expect(over(fleet, isEvacuated)).toEqual([false]);
+  });
+
+  test("ended an evacuation for good that nobody requests again", () => {
+    const fleet = startedFleet();
+    fleet.evacuate("b", true);
+    fleet.time.run(APPLY_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    fleet.time.run(SETTLE_MS + DOWN_MS);
+    expect(over(fleet, ({ core }) => core.board.serving.evacuated.size))
+      .toEqual([0]);
+  });
 });
--- a/src/gateway/serving/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -13,6 +13,7 @@
 import type { ServingConfig } from "./serving_config.ts";
 import { sendRegisterChanges } from "../upstreams/send_register_changes.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
+import { settlingUntil } from "../store/settling.ts";
 import { resolvePosition } from "../store/store_position.ts";
 import { StoreReader } from "../store/store_reader.ts";
 
@@ -57,8 +58,11 @@
         if (position === undefined) continue;
         serving.asOf = step.now;
         if (event.evacuations !== undefined) {
-          const { evacuations } = event;
-          const changes = serving.evacuated.apply(evacuations, position);
+          const changes = serving.evacuated.apply(
+            event.evacuations,
+            position,
+            settlingUntil(board.store, step.now),
+          );
           this.#logEvacuations(board, step, changes, "store");
           if (changes.length > 0) this.#announce(board, step, "store");
         }
@@ -80,6 +84,10 @@
       }
       if (event.type === "message") this.#onMessage(board, step, event.message);
     }
+    const settled = serving.evacuated.settle(step.now);
+    this.#logEvacuations(board, step, settled, "store");
+    const { settlesAt } = serving.evacuated;
+    if (settlesAt !== undefined) step.wake(settlesAt);
     this.#pollStore(board, step);
     this.#fetchFromPeer(board, step);
   }
@@ -108,7 +116,8 @@
     const { evacuations } = progress;
     if (evacuations !== undefined) {
       const position = resolvePosition(evacuations, board.store);
-      const changes = serving.evacuated.merge(evacuations, position);
+      const holdUntil = settlingUntil(board.store, step.now);
+      const changes = serving.evacuated.merge(evacuations, position, holdUntil);
       this.#logEvacuations(board, step, changes, "peer");
       if (changes.length > 0) this.#announce(board, step, "peer");
     }
