CONFIG: reads of a restored store confirmed a version that it no longer had

Every answer of the store renewed the time as of which the version in force was known to be the newest, also when the store's newest was older. Daemons that are told of it by peers then had no reason to read by themselves.

Now a read confirms the version only if the newest one that it has found since the last whole read is as new; else a line config_outdated has both. That versions never go back held before, and is now tested with copies older than what is in force, the same and a newer version written again, and two eras.

--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -292,4 +292,40 @@
     expect(over(fleet, ({ core }) => core.board.serving.evacuated.size))
       .toEqual([0]);
   });
+
+  test.each([["the same", 7], ["a newer", 8]])(
+    "took a version back until the operator wrote %s again",
+    (_name, version) => {
+      const fleet = startedFleet();
+      fleet.publish(emptyServing(7));
+      fleet.time.run(APPLY_MS);
+      for (const _era of [1, 2]) {
+        const seen = new Set<number>();
+        const check = () =>
+          fleet.gateways.forEach(({ core }) =>
+            seen.add(core.board.serving.version)
+          );
+        fleet.restoreStore(5_000, DOWN_MS);
+        fleet.time.run(REWRITTEN_MS, check);
+        fleet.publish(emptyServing(version));
+        fleet.time.run(APPLY_MS, check);
+        expect(Math.min(...seen)).toBeGreaterThanOrEqual(7);
+        expect(over(fleet, ({ core }) => core.board.serving.version))
+          .toEqual([version]);
+      }
+    },
+  );
+
+  test("confirmed a version that the store no longer has", () => {
+    const fleet = startedFleet(1);
+    fleet.publish(emptyServing(7));
+    fleet.time.run(1_000);
+    fleet.restoreStore(3_000);
+    fleet.time.run(10_000);
+    const { serving } = fleet.gateways[0]!.core.board;
+    expect(fleet.time.now - serving.asOf).toBeGreaterThan(9_000);
+    fleet.publish(emptyServing(7));
+    fleet.time.run(1_000);
+    expect(fleet.time.now - serving.asOf).toBeLessThan(1_000);
+  });
 });
--- a/src/gateway/serving/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -1,6 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
 import { livenessTimeoutMs } from "../members/membership.ts";
 import { scheduleFallbackRead } from "../upstreams/fallback_read.ts";
 import type {
@@ -42,6 +43,8 @@
  */
 export class ServingController extends GatewayController {
   readonly #reader = StoreReader.create("serving");
+  /** Newest version that this daemon has read from the store since it last read it as a whole. */
+  #storedVersion = 0;
   #newer: NewerVersion | undefined;
   #nextFetchAt = 0 as Timestamp;
   #fetchAttempts = 0;
@@ -56,7 +59,7 @@
       if (event.type === "serving_read") {
         const position = this.#reader.succeeded(step, event, board.store);
         if (position === undefined) continue;
-        serving.asOf = step.now;
+        this.#confirmVersion(board, step, event);
         if (event.evacuations !== undefined) {
           const changes = serving.evacuated.apply(
             event.evacuations,
@@ -92,6 +95,22 @@
     this.#fetchFromPeer(board, step);
   }
 
+  /** Records that the version in force was the newest, unless the store was restored without it. */
+  #confirmVersion(
+    board: GatewayBoard,
+    step: GatewayStep,
+    batch: Extract<GatewayEvent, { type: "serving_read" }>,
+  ): void {
+    const { serving } = board;
+    if (batch.evacuations?.full === true) this.#storedVersion = 0;
+    const read = batch.serving?.version ?? 0;
+    if (read > this.#storedVersion) this.#storedVersion = read;
+    if (this.#storedVersion >= serving.version) serving.asOf = step.now;
+    else if (read > 0) {
+      step.line("config_outdated", { read, version: serving.version });
+    }
+  }
+
   #onMessage(
     board: GatewayBoard,
     step: GatewayStep,
