CONFIG: what daemons wrote to a restored store was gone for good

The leader wrote quarantined contents and rates once, and its card once for each time that it became leader.

--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -12,6 +12,7 @@
 } from "./membership.ts";
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { isBefore, resolvePosition } from "../store/store_position.ts";
+import { PeerDiscovery } from "./peer_discovery.ts";
 import { OwnSpeed } from "./own_speed.ts";
 import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
 
@@ -21,23 +22,15 @@
 const REPLY_ALLOWANCE_MS: Millis = 250;
 /** Time between heartbeats to daemons that count as down, in turn by preference as leader. */
 const PROBE_INTERVAL_MS: Millis = 2_000;
-/** Time between heartbeats to the seeds while no other daemon is live. */
-const SEED_INTERVAL_MS: Millis = 500;
-/** Time without a live peer before the store is read for announced daemons, and time as leader before announcing. */
-const STORE_DELAY_MS: Millis = 1_500;
-/** Time between these reads of the store. */
-const STORE_READ_INTERVAL_MS: Millis = 10_000;
 
 /** Discovers the other daemons, tracks which are live, and elects the leader, which places all requests. */
 export class MembersController extends GatewayController {
   #nextHeartbeatAt = 0 as Timestamp;
   #nextProbeAt = 0 as Timestamp;
-  #nextSeedAt = 0 as Timestamp;
-  #nextStoreReadAt: Timestamp | undefined;
-  #announceAt: Timestamp | undefined;
   /** When the leader's last reply arrived, or when it was elected. */
   #leaderSeenAt = 0 as Timestamp;
   #probeCount = 0;
+  readonly #discovery = PeerDiscovery.create();
   readonly #speed = OwnSpeed.create();
   #roster: Roster | undefined;
   #rosterUpdatedAt: Timestamp | undefined;
@@ -68,8 +61,11 @@
     this.#chooseLeader(board, step);
     this.#sendHeartbeats(board, step, cardChanged);
     this.#probeSilent(board, step);
-    this.#discoverPeers(board, step);
-    this.#announceSelf(board, step);
+    this.#discovery.step(
+      board,
+      step,
+      (peer) => this.#sendHeartbeat(board, step, peer),
+    );
   }
 
   /** Updates `open` and `slow` of this daemon's card; returns whether they changed, which peers learn at once. */
@@ -231,40 +227,6 @@
     step.wake(this.#nextProbeAt);
   }
 
-  #discoverPeers(board: GatewayBoard, step: GatewayStep): void {
-    const { table } = board.members;
-    if (table.live(step.now, livenessTimeoutMs(board)).length > 0) {
-      this.#nextStoreReadAt = undefined;
-      return;
-    }
-    if (step.now >= this.#nextSeedAt) {
-      for (const seed of board.self.seeds) {
-        this.#sendHeartbeat(board, step, seed);
-      }
-      this.#nextSeedAt = addMs(step.now, SEED_INTERVAL_MS);
-    }
-    this.#nextStoreReadAt ??= addMs(step.now, STORE_DELAY_MS);
-    if (step.now >= this.#nextStoreReadAt) {
-      step.emit({ type: "read_announced" });
-      this.#nextStoreReadAt = addMs(step.now, STORE_READ_INTERVAL_MS);
-    }
-    step.wake(Math.min(this.#nextSeedAt, this.#nextStoreReadAt));
-  }
-
-  #announceSelf(board: GatewayBoard, step: GatewayStep): void {
-    const { members, self } = board;
-    if (members.leader !== self.card.vm) {
-      this.#announceAt = undefined;
-      return;
-    }
-    this.#announceAt ??= addMs(step.now, STORE_DELAY_MS);
-    if (step.now >= this.#announceAt) {
-      step.emit({ type: "announce", card: self.card });
-      this.#announceAt = Infinity as Timestamp;
-    }
-    step.wake(this.#announceAt);
-  }
-
   #sendHeartbeat(
     board: GatewayBoard,
     step: GatewayStep,
--- /dev/null
+++ b/src/gateway/members/peer_discovery.ts
@@ -0,0 +1,78 @@
+import {
+  addMs,
+  type Millis,
+  SECOND_MS,
+  type Timestamp,
+} from "../../core/time.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
+import type { GatewayStep } from "../gateway_controller.ts";
+import { UNKNOWN_ERA } from "../store/store_position.ts";
+import { livenessTimeoutMs } from "./membership.ts";
+
+/** Time between heartbeats to the seeds while no other daemon is live. */
+const SEED_INTERVAL_MS: Millis = 500;
+/** Time without a live peer before the store is read for announced daemons, and time as leader before announcing. */
+const STORE_DELAY_MS: Millis = 1_500;
+/** Time between these reads of the store. */
+const STORE_READ_INTERVAL_MS: Millis = 10 * SECOND_MS;
+
+/** Finds other daemons through the seeds and the store, and lets others find this one while it leads. */
+export class PeerDiscovery {
+  #nextSeedAt = 0 as Timestamp;
+  #nextStoreReadAt: Timestamp | undefined;
+  #announceAt: Timestamp | undefined;
+  /** Era of the store in which this daemon announced itself, or is about to. */
+  #announcedEra = UNKNOWN_ERA;
+
+  static create(): PeerDiscovery {
+    return new PeerDiscovery();
+  }
+
+  /** Contacts daemons with `sendHeartbeat` while none is live, and announces this one. */
+  step(
+    board: GatewayBoard,
+    step: GatewayStep,
+    sendHeartbeat: (peer: string) => void,
+  ): void {
+    this.#discoverPeers(board, step, sendHeartbeat);
+    this.#announceSelf(board, step);
+  }
+
+  #discoverPeers(
+    board: GatewayBoard,
+    step: GatewayStep,
+    sendHeartbeat: (peer: string) => void,
+  ): void {
+    const { table } = board.members;
+    if (table.live(step.now, livenessTimeoutMs(board)).length > 0) {
+      this.#nextStoreReadAt = undefined;
+      return;
+    }
+    if (step.now >= this.#nextSeedAt) {
+      for (const seed of board.self.seeds) sendHeartbeat(seed);
+      this.#nextSeedAt = addMs(step.now, SEED_INTERVAL_MS);
+    }
+    this.#nextStoreReadAt ??= addMs(step.now, STORE_DELAY_MS);
+    if (step.now >= this.#nextStoreReadAt) {
+      step.emit({ type: "read_announced" });
+      this.#nextStoreReadAt = addMs(step.now, STORE_READ_INTERVAL_MS);
+    }
+    step.wake(Math.min(this.#nextSeedAt, this.#nextStoreReadAt));
+  }
+
+  /** Announces this daemon once for each time that it becomes leader, and again when the store was restored. */
+  #announceSelf(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self, store } = board;
+    if (members.leader !== self.card.vm || this.#announcedEra !== store.era) {
+      this.#announceAt = undefined;
+      this.#announcedEra = store.era;
+    }
+    if (members.leader !== self.card.vm) return;
+    this.#announceAt ??= addMs(step.now, STORE_DELAY_MS);
+    if (step.now >= this.#announceAt) {
+      step.emit({ type: "announce", card: self.card });
+      this.#announceAt = Infinity as Timestamp;
+    }
+    step.wake(this.#announceAt);
+  }
+}
--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -329,3 +329,67 @@
     expect(fleet.time.now - serving.asOf).toBeLessThan(1_000);
   });
 });
+
+describe("what the daemons wrote themselves was gone", () => {
+  const RECORD = {
+    digest: "poison",
+    epoch: 0,
+    lost: ["e1/1", "e2/1", "e3/1"],
+    trials: 0,
+    ageMs: 10,
+  };
+
+  function writtenFleet(): FakeGatewayFleet {
+    const fleet = startedFleet(4);
+    const leader = leaderOf(fleet);
+    leader.core.board.contents.suspects.merge([RECORD], fleet.time.now);
+    fleet.step(leader, [{
+      type: "upstream_said",
+      upstream: E1,
+      availability: { leaving: false, maxRate: 2 },
+      sentAt: fleet.time.now,
+    }]);
+    fleet.time.run(5_000);
+    return fleet;
+  }
+
+  function written({ store }: FakeGatewayFleet) {
+    return {
+      contents: store.contents.newest?.map(({ digest }) => digest),
+      rates: store.rates.newest?.map(({ upstream }) => upstream),
+      cards: store.cards.length > 0,
+    };
+  }
+
+  const ALL = { contents: ["poison"], rates: ["e1"], cards: true };
+
+  test("for good, after one restore and after two", () => {
+    const fleet = writtenFleet();
+    expect(written(fleet)).toEqual(ALL);
+    for (const copyAgeMs of [20_000, 9_000]) {
+      fleet.restoreStore(copyAgeMs, DOWN_MS);
+      expect(written(fleet)).not.toEqual(ALL);
+      fleet.time.run(8_000);
+      expect(written(fleet)).toEqual(ALL);
+    }
+  });
+
+  test("also when the leader changed just then", () => {
+    const fleet = writtenFleet();
+    fleet.restoreStore(20_000, DOWN_MS);
+    fleet.time.run(300);
+    fleet.remove(leaderOf(fleet));
+    fleet.time.run(12_000);
+    expect(written(fleet)).toEqual(ALL);
+  });
+
+  test("so that all daemons, started again, ran quarantined contents", () => {
+    const fleet = writtenFleet();
+    fleet.restoreStore(20_000, DOWN_MS);
+    fleet.time.run(8_000);
+    for (const gateway of [...fleet.gateways]) fleet.remove(gateway);
+    const started = fleet.add("vm-0", []);
+    fleet.time.run(SETTLE_MS);
+    expect(started.core.board.contents.suspects.quarantineSummary).not.toBe("");
+  });
+});
