CONFIG: a daemon that started after a restore took the copy for the truth

A daemon that started knew only what it read from the store: with an older copy it was ready with an older version, and sent requests to upstreams that its peers knew to leave or to be gone. As leader it placed the requests of all by that.

Before its first read of the store a daemon now waits for a reply of a peer, for a second at most (no_peer; at once if it has no seeds but itself). The reply brings the table, the last 128 processes that were removed, and the newest version; what the daemon reads then is weighed against it.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -47,12 +47,16 @@
   /** Takes over from the leader and mirrors its state; absent if there is only one daemon. */
   deputy: VmId | undefined;
   heartbeatMs: Millis;
+  /** Whether another daemon has replied since the start of this one, or none did in time. */
+  introduced: boolean;
 };
 
 /** Written by the serving controller. */
 export type ServingSection = {
   routes: RouteTable | undefined;
   version: ConfigVersion;
+  /** Whether, since the start, a version was in force that was as new as those of the other daemons. */
+  caughtUp: boolean;
   /** Failure domains whose upstreams are sent nothing new. */
   readonly evacuated: EvacuatedDomains;
   appliedAt: Timestamp;
@@ -115,10 +119,12 @@
       leader: card.vm,
       deputy: undefined,
       heartbeatMs: 0,
+      introduced: false,
     },
     serving: {
       routes: undefined,
       version: 0 as ConfigVersion,
+      caughtUp: false,
       evacuated: EvacuatedDomains.create(),
       appliedAt: NEVER,
       asOf: NEVER,
--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -11,6 +11,7 @@
   otherPlacers,
 } from "./membership.ts";
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
+import { settlingUntil } from "../store/settling.ts";
 import { isBefore, resolvePosition } from "../store/store_position.ts";
 import { PeerDiscovery } from "./peer_discovery.ts";
 import { OwnSpeed } from "./own_speed.ts";
@@ -102,6 +103,7 @@
     }
     if (message.type === "heartbeat") this.#sendReply(board, step, message);
     else {
+      board.members.introduced = true;
       this.#quarantineSummaries.set(from.vm, message.contents?.mark ?? "");
       const fromLeader = from.vm === board.members.leader;
       const isLeader = board.members.leader === board.self.card.vm;
@@ -120,6 +122,8 @@
     const { members, register, self } = board;
     const position = resolvePosition(heartbeat.progress, board.store);
     const behind = isBefore(position, register.lastChange);
+    const needsGone = position.offset < 0 ||
+      settlingUntil(board.store, step.now) !== undefined;
     step.emit({
       type: "send",
       to: heartbeat.from.peer,
@@ -132,6 +136,7 @@
           ? undefined
           : this.#currentRoster(board, step).since(heartbeat.roster),
         entries: behind ? register.table.all() : undefined,
+        gone: behind && needsGone ? register.table.recentlyGone() : undefined,
         contents: contentSyncFor(board, step.now, {
           to: heartbeat.from.vm,
           mark: heartbeat.contents?.mark,
--- a/src/gateway/members/membership.ts
+++ b/src/gateway/members/membership.ts
@@ -54,8 +54,8 @@
     MIN_HEARTBEAT_INTERVAL_MS;
 }
 
-/** Whether this daemon has the configuration and the register, and is not draining. */
+/** Whether this daemon has a configuration as new as those of its peers, and the register, and is not draining. */
 export function isReady(board: GatewayBoard): boolean {
   return board.self.drainingSince === undefined &&
-    board.serving.routes !== undefined && board.register.position.offset >= 0;
+    board.serving.caughtUp && board.register.position.offset >= 0;
 }
--- a/src/gateway/members/peer_discovery.ts
+++ b/src/gateway/members/peer_discovery.ts
@@ -13,11 +13,14 @@
 const SEED_INTERVAL_MS: Millis = 500;
 /** Time without a live peer before the store is read for announced daemons, and time as leader before announcing. */
 const STORE_DELAY_MS: Millis = 1_500;
+/** Time after the start in which a daemon waits for the first reply of a peer before it reads the store. */
+const INTRODUCTION_MS: Millis = 1_000;
 /** Time between these reads of the store. */
 const STORE_READ_INTERVAL_MS: Millis = 10 * SECOND_MS;
 
 /** Finds other daemons through the seeds and the store, and lets others find this one while it leads. */
 export class PeerDiscovery {
+  #introducedBy: Timestamp | undefined;
   #nextSeedAt = 0 as Timestamp;
   #nextStoreReadAt: Timestamp | undefined;
   #announceAt: Timestamp | undefined;
@@ -34,10 +37,25 @@
     step: GatewayStep,
     sendHeartbeat: (peer: string) => void,
   ): void {
+    this.#awaitIntroduction(board, step);
     this.#discoverPeers(board, step, sendHeartbeat);
     this.#announceSelf(board, step);
   }
 
+  /** Ends the wait for a first reply if there is nobody to reply, or nobody did. */
+  #awaitIntroduction(board: GatewayBoard, step: GatewayStep): void {
+    const { members, self } = board;
+    if (members.introduced) return;
+    this.#introducedBy ??= addMs(step.now, INTRODUCTION_MS);
+    const hasSeeds = self.seeds.some((seed) => seed !== self.card.peer);
+    if (hasSeeds && step.now < this.#introducedBy) {
+      step.wake(this.#introducedBy);
+      return;
+    }
+    members.introduced = true;
+    step.line("no_peer", { seeds: self.seeds.length });
+  }
+
   #discoverPeers(
     board: GatewayBoard,
     step: GatewayStep,
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -28,7 +28,10 @@
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { SilenceSchema } from "../contents/silence.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
-import { UpstreamEntrySchema } from "../upstreams/upstream_table.ts";
+import {
+  GoneUpstreamSchema,
+  UpstreamEntrySchema,
+} from "../upstreams/upstream_table.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
 import { storeEraSchema } from "../store/store_position.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
@@ -167,6 +170,8 @@
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
     entries: soundList(UpstreamEntrySchema).optional(),
+    /** Processes that are known to be gone, which a restored store may list again. */
+    gone: soundList(GoneUpstreamSchema).optional(),
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
   }),
--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -393,3 +393,60 @@
     expect(started.core.board.contents.suspects.quarantineSummary).not.toBe("");
   });
 });
+
+describe("a daemon that starts after a restore", () => {
+  const SEEDS = ["vm-0:1", "vm-1:1", "vm-2:1"];
+
+  /** A restored fleet whose copy contradicts what its daemons know of two upstreams and of the version. */
+  function restoredFleet(): FakeGatewayFleet {
+    const fleet = startedFleet();
+    fleet.register({ type: "entry", entry: LEAVING });
+    fleet.register({ type: "gone", id: E2 });
+    fleet.publish(emptyServing(7));
+    fleet.time.run(DRAIN_MS);
+    fleet.restoreStore(5_000, DOWN_MS);
+    return fleet;
+  }
+
+  test.each([
+    ["leads at once, with the restore", 0.9, 0],
+    ["leads at once, shortly after it", 0.9, 400],
+    ["follows, with the restore", 0.1, 0],
+    ["follows, shortly after it", 0.1, 400],
+    ["follows, a second after it", 0.1, 1_000],
+  ])(
+    "and %s took the copy for the truth",
+    (_name, power, delayMs) => {
+      const fleet = restoredFleet();
+      fleet.time.run(delayMs);
+      const late = fleet.add("late", SEEDS, { power });
+      const seen = new Set<string>();
+      const check = () => {
+        for (const gateway of fleet.gateways) {
+          const { self, serving } = gateway.core.board;
+          if (!self.card.open) continue;
+          seen.add(`${openIds(gateway)} version ${serving.version}`);
+        }
+      };
+      fleet.time.run(REWRITTEN_MS, check);
+      expect(late.core.board.self.card.open).toBe(true);
+      fleet.register({ type: "entry", entry: LEAVING });
+      fleet.publish(emptyServing(7));
+      fleet.time.run(1_100, check);
+      fleet.register({ type: "gone", id: E2 });
+      fleet.time.run(SETTLE_MS, check);
+      expect([...seen]).toEqual(["e3 version 7"]);
+    },
+  );
+
+  test("without peers is ready, and one whose peers are silent is ready in time", () => {
+    const fleet = restoredFleet();
+    for (const gateway of [...fleet.gateways]) fleet.remove(gateway);
+    const alone = fleet.add("vm-0", ["vm-0:1"]);
+    const silent = fleet.add("vm-1", ["vm-8:1", "vm-9:1"]);
+    fleet.time.run(100);
+    expect(alone.core.board.register.position.offset).toBe(3);
+    fleet.time.run(APPLY_MS);
+    expect(silent.core.board.self.card.open).toBe(true);
+  });
+});
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -75,6 +75,8 @@
   }
 
   #poll(board: GatewayBoard, step: GatewayStep): void {
+    // What peers know holds against the older copy of a restored store only if it is known first.
+    if (!board.members.introduced) return;
     const { members, self, register, store } = board;
     if (members.leader === self.card.vm) {
       const minGapMs = MIN_LEADER_READ_GAP_MS;
@@ -159,11 +161,12 @@
       return;
     }
     if (message.type === "heartbeat_reply") {
-      const { progress, entries } = message;
+      const { progress, entries, gone = [] } = message;
       const position = resolvePosition(progress, store);
       if (this.#isOutdated(board, step, message, position)) return;
       if (entries !== undefined) {
         this.#applyPeerSnapshot(board, step, { progress, entries, position });
+        for (const upstream of gone) register.table.recordGone(upstream);
       } else if (position.era > register.position.era) {
         // The reply to the next heartbeat has the entries.
         return;
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -70,7 +70,7 @@
 /** Removed upstreams whose start is kept; more than the largest deployment has. */
 const MAX_GONE_UPSTREAMS = 1_024;
 /** Most gone processes in one message. */
-const MAX_GONE_SENT = 256;
+const MAX_GONE_SENT = 128;
 
 /** Upstreams listed in the register, as of the newest read. */
 export class UpstreamTable {
@@ -170,11 +170,11 @@
     return times.length === 0 ? undefined : Math.min(...times) as Timestamp;
   }
 
-  /** Processes that the register lists though they are known to be gone. */
-  overruledGone(): readonly GoneUpstream[] {
-    return [...this.#overruled.keys()].filter((id) => !this.#entries.has(id))
-      .slice(0, MAX_GONE_SENT)
-      .map((id) => ({ id, startedAt: this.startedAt(id) }));
+  /** The last processes that were removed, for daemons that did not see it. */
+  recentlyGone(): readonly GoneUpstream[] {
+    return [...this.#goneStarts].slice(-MAX_GONE_SENT)
+      .filter(([id]) => !this.#entries.has(id))
+      .map(([id, startedAt]) => ({ id, startedAt }));
   }
 
   /** Records that a process is gone, as another daemon knows. */
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -88,8 +88,13 @@
     return fleet;
   }
 
-  add(name: string, seeds: readonly string[] = ["vm-0:1"]): FakeGateway {
-    const card = peerCard(name, { startedAt: this.time.now, open: false });
+  add(
+    name: string,
+    seeds: readonly string[] = ["vm-0:1"],
+    fields: Partial<PeerCard> = {},
+  ): FakeGateway {
+    const startedAt = this.time.now;
+    const card = peerCard(name, { startedAt, open: false, ...fields });
     const gateway: FakeGateway = {
       core: GatewayCore.create(card, seeds),
       card,
--- a/src/testing/last_release.ts
+++ b/src/testing/last_release.ts
@@ -17,6 +17,10 @@
       }),
     },
   };
+  if (stripped.type === "heartbeat_reply") {
+    const { gone: _gone, ...reply } = stripped;
+    return reply;
+  }
   if (stripped.type !== "changes") return stripped;
   const { sinceEra: _sinceEra, snapshot: _snapshot, ...changes } = stripped;
   return changes;
