--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -10,6 +10,12 @@
 import { ColdUpstreams } from "./upstreams/cold_upstreams.ts";
 import { NamedRates } from "./upstreams/named_rates.ts";
 import { SelfReportedClosures } from "./upstreams/self_reported_closures.ts";
+import {
+  type StoreEra,
+  type StorePosition,
+  UNKNOWN_ERA,
+  UNREAD,
+} from "./store/store_position.ts";
 import {
   UpstreamTable,
   type UpstreamUpdate,
@@ -25,6 +31,14 @@
   drainingSince: Timestamp | undefined;
 };
 
+/** Written by the era controller. */
+export type StoreSection = {
+  /** Newest era that the store or another daemon has named. */
+  era: StoreEra;
+  /** When that era began, or when this daemon learnt of it; -Infinity if it knows of no restore. */
+  restoredAt: Timestamp;
+};
+
 /** Written by the members controller. */
 export type MembersSection = {
   readonly table: MemberTable;
@@ -33,12 +47,16 @@
   /** Takes over from the leader and mirrors its state; absent if there is only one daemon. */
   deputy: VmId | undefined;
   heartbeatMs: Millis;
+  /** Whether another daemon has replied since the start of this one, or none did in time. */
+  introduced: boolean;
 };
 
 /** Written by the serving controller. */
 export type ServingSection = {
   routes: RouteTable | undefined;
   version: ConfigVersion;
+  /** Whether, since the start, a version was in force that was as new as those of the other daemons. */
+  caughtUp: boolean;
   /** Failure domains whose upstreams are sent nothing new. */
   readonly evacuated: EvacuatedDomains;
   appliedAt: Timestamp;
@@ -49,10 +67,10 @@
 /** Written by the register controller. */
 export type RegisterSection = {
   readonly table: UpstreamTable;
-  /** Offset up to which the register was read; -1 if it was never read. */
-  offset: number;
-  /** Value of `offset` when the table last changed; -1 if it never did. */
-  lastChangeOffset: number;
+  /** How far the register was read. */
+  position: StorePosition;
+  /** Value of `position` when the table last changed, or when it was read for the first time in an era. */
+  lastChange: StorePosition;
   /** Latest time at which the table is known to have matched the register. */
   asOf: Timestamp;
   /** Changes made by the last step. */
@@ -79,6 +97,7 @@
 /** The shared state of a daemon. Each section has one writing controller; `contents` also changes on placement. */
 export type GatewayBoard = Readonly<{
   self: SelfSection;
+  store: StoreSection;
   members: MembersSection;
   serving: ServingSection;
   register: RegisterSection;
@@ -94,23 +113,26 @@
 ): GatewayBoard {
   return {
     self: { card, seeds, drainingSince: undefined },
+    store: { era: UNKNOWN_ERA, restoredAt: NEVER },
     members: {
       table: MemberTable.create(card.vm),
       leader: card.vm,
       deputy: undefined,
       heartbeatMs: 0,
+      introduced: false,
     },
     serving: {
       routes: undefined,
       version: 0 as ConfigVersion,
+      caughtUp: false,
       evacuated: EvacuatedDomains.create(),
       appliedAt: NEVER,
       asOf: NEVER,
     },
     register: {
       table: UpstreamTable.create(),
-      offset: -1,
-      lastChangeOffset: -1,
+      position: UNREAD,
+      lastChange: UNREAD,
       asOf: NEVER,
       updates: [],
     },
@@ -127,17 +149,21 @@
 /** Upper limit of reported ages; also the age of data that was never read. */
 const MAX_REPORTED_AGE_MS: Millis = 1e9;
 
-/** The version and register offset that this daemon has read, with their ages in ms. */
+/** The version and the position in the register that this daemon has read, with their ages in ms. */
 export function storeProgressOf(
   board: GatewayBoard,
   now: Timestamp,
 ): StoreProgress {
-  const { serving, register } = board;
+  const { serving, register, store } = board;
+  const { era, offset } = register.position;
+  const knowsRestore = era === store.era && store.restoredAt !== NEVER;
   return {
     version: serving.version,
     versionAgeMs: ageOf(serving.asOf, now),
-    offset: register.offset,
+    offset,
     ageMs: ageOf(register.asOf, now),
+    ...(era === UNKNOWN_ERA ? {} : { era }),
+    ...(knowsRestore ? { eraAgeMs: ageOf(store.restoredAt, now) } : {}),
     evacuations: serving.evacuated.state,
   };
 }
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -28,8 +28,12 @@
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { SilenceSchema } from "../contents/silence.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
-import { UpstreamEntrySchema } from "../upstreams/upstream_table.ts";
+import {
+  GoneUpstreamSchema,
+  UpstreamEntrySchema,
+} from "../upstreams/upstream_table.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
+import { storeEraSchema } from "../store/store_position.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 
 /** Identity, addresses and state that a daemon sends to its peers. */
@@ -120,6 +124,10 @@
   offset: offsetSchema,
   /** Age of that read in ms. */
   ageMs: millisSchema,
+  /** Era of that read; absent in messages of earlier builds, and while the sender knows none. */
+  era: storeEraSchema.optional(),
+  /** Time in ms since that era began; absent while the sender knows of no restore. */
+  eraAgeMs: millisSchema.optional(),
   /** Absent while the sender knows of no evacuation. */
   evacuations: EvacuationStateSchema.optional(),
 }).readonly();
@@ -162,16 +170,21 @@
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
     entries: soundList(UpstreamEntrySchema).optional(),
+    /** Processes that are known to be gone, which a restored store may list again. */
+    gone: soundList(GoneUpstreamSchema).optional(),
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
   }),
-  /** Forwards register changes that were read after offset `since`. */
+  /** Forwards register changes that were read after offset `since` of the era `sinceEra`. */
   z.object({
     type: z.literal("changes"),
     from: idSchema<VmId>(),
     progress: StoreProgressSchema,
     since: offsetSchema,
+    sinceEra: storeEraSchema.optional(),
     changes: soundList(RegisterChangeSchema),
+    /** Whether they come from a whole table, which may be an older copy, rather than from newer records. */
+    snapshot: z.boolean().optional(),
   }),
   z.object({ type: z.literal("ask"), ask: AskSchema, reply: addressSchema }),
   /** Confirms a placement request that is queued; the grant or denial follows later. */
--- a/src/gateway/serving/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -1,6 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import type { GatewayEvent } from "../gateway_event.ts";
 import { livenessTimeoutMs } from "../members/membership.ts";
 import { scheduleFallbackRead } from "../upstreams/fallback_read.ts";
 import type {
@@ -13,6 +14,8 @@
 import type { ServingConfig } from "./serving_config.ts";
 import { sendRegisterChanges } from "../upstreams/send_register_changes.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
+import { settlingUntil } from "../store/settling.ts";
+import { resolvePosition } from "../store/store_position.ts";
 import { StoreReader } from "../store/store_reader.ts";
 
 /** How long the store may hold a long poll for a new version. */
@@ -40,6 +43,8 @@
  */
 export class ServingController extends GatewayController {
   readonly #reader = StoreReader.create("serving");
+  /** Newest version that this daemon has read from the store since it last read it as a whole. */
+  #storedVersion = 0;
   #newer: NewerVersion | undefined;
   #nextFetchAt = 0 as Timestamp;
   #fetchAttempts = 0;
@@ -52,11 +57,15 @@
     const { serving } = board;
     for (const event of step.events) {
       if (event.type === "serving_read") {
-        this.#reader.succeeded(step, event.next);
-        serving.asOf = step.now;
+        const position = this.#reader.succeeded(step, event, board.store);
+        if (position === undefined) continue;
+        this.#confirmVersion(board, step, event);
         if (event.evacuations !== undefined) {
-          const { evacuations, next } = event;
-          const changes = serving.evacuated.apply(evacuations, next);
+          const changes = serving.evacuated.apply(
+            event.evacuations,
+            position,
+            settlingUntil(board.store, step.now),
+          );
           this.#logEvacuations(board, step, changes, "store");
           if (changes.length > 0) this.#announce(board, step, "store");
         }
@@ -78,8 +87,31 @@
       }
       if (event.type === "message") this.#onMessage(board, step, event.message);
     }
+    const settled = serving.evacuated.settle(step.now);
+    this.#logEvacuations(board, step, settled, "store");
+    const { settlesAt } = serving.evacuated;
+    if (settlesAt !== undefined) step.wake(settlesAt);
     this.#pollStore(board, step);
     this.#fetchFromPeer(board, step);
+    serving.caughtUp ||= board.members.introduced &&
+      serving.routes !== undefined &&
+      (this.#newer === undefined || this.#fetchAttempts >= MAX_FETCH_ATTEMPTS);
+  }
+
+  /** Records that the version in force was the newest, unless the store was restored without it. */
+  #confirmVersion(
+    board: GatewayBoard,
+    step: GatewayStep,
+    batch: Extract<GatewayEvent, { type: "serving_read" }>,
+  ): void {
+    const { serving } = board;
+    if (batch.evacuations?.full === true) this.#storedVersion = 0;
+    const read = batch.serving?.version ?? 0;
+    if (read > this.#storedVersion) this.#storedVersion = read;
+    if (this.#storedVersion >= serving.version) serving.asOf = step.now;
+    else if (read > 0) {
+      step.line("config_outdated", { read, version: serving.version });
+    }
   }
 
   #onMessage(
@@ -103,9 +135,14 @@
     progress: StoreProgress,
   ): void {
     const { serving } = board;
-    const changes = serving.evacuated.merge(progress.evacuations);
-    this.#logEvacuations(board, step, changes, "peer");
-    if (changes.length > 0) this.#announce(board, step, "peer");
+    const { evacuations } = progress;
+    if (evacuations !== undefined) {
+      const position = resolvePosition(evacuations, board.store);
+      const holdUntil = settlingUntil(board.store, step.now);
+      const changes = serving.evacuated.merge(evacuations, position, holdUntil);
+      this.#logEvacuations(board, step, changes, "peer");
+      if (changes.length > 0) this.#announce(board, step, "peer");
+    }
     if (progress.version === serving.version) {
       const asOf = addMs(step.now, -progress.versionAgeMs);
       if (asOf > serving.asOf) serving.asOf = asOf;
@@ -120,7 +157,8 @@
 
   /** Reads the store if this daemon leads or is a reader, if fetches failed, or if peers confirmed nothing recently. */
   #pollStore(board: GatewayBoard, step: GatewayStep): void {
-    const { members, self, serving } = board;
+    const { members, self, serving, store } = board;
+    if (!members.introduced) return;
     const leads = members.leader === self.card.vm;
     const waitMs = leads ? LEADER_LONG_POLL_MS : LONG_POLL_MS;
     const readsStore = leads || this.#fetchAttempts >= MAX_FETCH_ATTEMPTS ||
@@ -128,7 +166,7 @@
         reader.vm === self.card.vm
       );
     if (readsStore) {
-      this.#reader.poll(step, { waitMs, minGapMs: MIN_GAP_MS });
+      this.#reader.poll(step, store, { waitMs, minGapMs: MIN_GAP_MS });
       return;
     }
     const { readAt, backoffMs } = scheduleFallbackRead(board, {
@@ -137,7 +175,10 @@
       waitMs: LEADER_LONG_POLL_MS,
     });
     if (step.now < readAt) step.wake(readAt);
-    else this.#reader.poll(step, { waitMs, minGapMs: MIN_GAP_MS, backoffMs });
+    else {
+      const minGapMs = MIN_GAP_MS;
+      this.#reader.poll(step, store, { waitMs, minGapMs, backoffMs });
+    }
   }
 
   #domainReaders(board: GatewayBoard, step: GatewayStep): readonly PeerCard[] {
@@ -205,9 +246,9 @@
     changes: readonly EvacuationChange[],
     source: "store" | "peer",
   ): void {
-    const offset = board.serving.evacuated.state?.offset ?? -1;
+    const { era, offset } = board.serving.evacuated.position;
     for (const { domain, evacuated } of changes) {
-      step.line("evacuation", { domain, evacuated, source, offset });
+      step.line("evacuation", { domain, evacuated, source, offset, era });
     }
   }
 
--- a/src/gateway/upstreams/send_register_changes.ts
+++ b/src/gateway/upstreams/send_register_changes.ts
@@ -2,6 +2,7 @@
 import type { GatewayStep } from "../gateway_controller.ts";
 import { livenessTimeoutMs, otherPlacers } from "../members/membership.ts";
 import type { StoreProgress } from "../peers/peer_message.ts";
+import { UNKNOWN_ERA } from "../store/store_position.ts";
 import type { UpstreamChange } from "./upstream_table.ts";
 
 /**
@@ -15,6 +16,8 @@
     changes: readonly UpstreamChange[];
     /** Progress of the daemon that read the changes; absent for this daemon. */
     progress?: StoreProgress;
+    /** Whether the changes come from a whole table, which may be an older copy. */
+    snapshot?: boolean;
   }>,
 ): void {
   const { members, self, register } = board;
@@ -22,12 +25,15 @@
   const peers = leads
     ? members.table.live(step.now, livenessTimeoutMs(board))
     : otherPlacers(board).flatMap((vm) => members.table.get(vm) ?? []);
+  const { era, offset } = register.lastChange;
   const message = {
     type: "changes",
     from: self.card.vm,
     progress: update.progress ?? storeProgressOf(board, step.now),
-    since: register.lastChangeOffset,
+    since: offset,
+    ...(era === UNKNOWN_ERA ? {} : { sinceEra: era }),
     changes: update.changes,
+    ...(update.snapshot === true ? { snapshot: true } : {}),
   } as const;
   for (const { peer } of peers) {
     step.emit({ type: "send", to: peer, message });
