A part beside two unlike deadly ones, one after the other, is not refused

Callers saw: sound requests refused as quarantined until a trial, although each of the two crashes of their part had a known culprit.

Cause: only one part that was aboard all crashes could explain them. Two unlike culprits, one crash each, explained nothing.

Evidence: of the three new tests in suspect_parts_test.ts two failed before (a part; a content); the third, a deadly part beside bystanders that others excuse, passed before and after.

Ruled out: any quarantined suspect as an explanation. Deadly part and bystander would then excuse each other, and the part would go on. A culprit must have one crash at which each other suspect with two crashes was aboard of no crash that it missed. So a culprit has none that could explain that crash, and is never excused itself.

--- a/src/gateway/contents/quarantine_persister.ts
+++ b/src/gateway/contents/quarantine_persister.ts
@@ -2,7 +2,7 @@
 import type { GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
 import { LeaderPersister } from "../store/leader_persister.ts";
-import { summarizeQuarantine } from "../../suspects/content_table.ts";
+import { summarizeQuarantine } from "../../suspects/content_record.ts";
 
 /** Saves quarantined contents to the store while this daemon leads. */
 export class QuarantinePersister extends LeaderPersister {
--- a/src/gateway/contents/suspect_parts_test.ts
+++ b/src/gateway/contents/suspect_parts_test.ts
@@ -145,6 +145,48 @@
     expect(attempts.decide("sound", 3_100)).toBe("run");
     expect(attempts.decide("deadly", 3_100)).toBe("refuse");
   });
+
+  test("is free once two unlike parts were each aboard one of its crashes, and crashed without it", () => {
+    const attempts = new Attempts();
+    attempts.crash("e1", ["sound", "deadly"], 0);
+    attempts.crash("e2", ["sound", "turning"], 2_000);
+    attempts.crash("e3", ["deadly"], 2_500);
+    expect(attempts.decide("sound", 2_600)).toBe("refuse");
+    attempts.crash("e4", ["turning"], 3_000);
+    expect(attempts.decide("sound", 3_100)).toBe("run");
+    expect(attempts.decide("deadly", 3_100)).toBe("refuse");
+    expect(attempts.decide("turning", 3_100)).toBe("refuse");
+  });
+});
+
+test("a part that crashes upstreams is not excused by parts that others excuse", () => {
+  const attempts = new Attempts();
+  attempts.crash("e1", ["deadly", "a"], 0);
+  attempts.crash("e2", ["deadly", "b"], 2_000);
+  for (const [on, parts] of [["e3", "a"], ["e4", "b"]] as const) {
+    attempts.crash(on, [parts, `other-${parts}`], 3_000);
+    attempts.crash(`f-${on}`, [`other-${parts}`], 4_000);
+  }
+  expect(attempts.decide("deadly", 4_100)).toBe("refuse");
+});
+
+test("content that was lost beside two unlike deadly parts, one after the other, is not refused", () => {
+  const attempts = new Attempts();
+  const lose = (on: string, ms: number) => {
+    const content = { digest: "sound", outcome: "disconnected" } as const;
+    const job = { job: `s-${on}` as JobId, upstream: on as never };
+    const attempt = { ...job, startedAt: 1 };
+    attempts.suspects.report(content, attempt, ms as Timestamp);
+  };
+  for (const [on, part] of [["e1", "deadly"], ["e2", "turning"]] as const) {
+    lose(on, 1_000);
+    attempts.crash(on, [part], 1_000);
+    attempts.crash(`f-${on}`, [part], 2_000);
+  }
+  const options = { job: "s" as JobId, allowTrial: false, leftMs: 1_000 };
+  const sound = { digest: "sound" };
+  expect(attempts.suspects.decide(sound, 2_100 as Timestamp, options).type)
+    .toBe("run");
 });
 
 test("a content that was lost with a deadly part aboard each time is not refused", () => {
--- a/src/suspects/content_record.ts
+++ b/src/suspects/content_record.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { millisSchema } from "../wire/bounds.ts";
 import { soundList } from "../wire/sound_list.ts";
+import { QUARANTINE_CRASHES } from "./trial_schedule.ts";
 
 /** Many times as many as fit into the time for which a record is kept; the delay that they give is finite. */
 const MAX_TRIALS = 1_000;
@@ -28,3 +29,13 @@
 }).readonly();
 /** Records that a heartbeat carries; `mark` is the sender's summary of its quarantined contents. */
 export type ContentSync = z.infer<typeof ContentSyncSchema>;
+
+/** Summary of the quarantined contents among records, for comparison: `digest:epoch:crashes:trials`, sorted. */
+export function summarizeQuarantine(
+  records: readonly Omit<ContentRecord, "ageMs">[],
+): string {
+  return records.filter(({ lost }) => lost.length >= QUARANTINE_CRASHES)
+    .map(({ digest, epoch, lost, trials }) =>
+      `${digest}:${epoch}:${lost.length}:${trials}`
+    ).sort().join(" ");
+}
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -1,22 +1,22 @@
-import { addMs, type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
-import type { ContentRecord } from "./content_record.ts";
+import {
+  addMs,
+  type Millis,
+  MINUTE_MS,
+  SECOND_MS,
+  type Timestamp,
+} from "../core/time.ts";
+import { type ContentRecord, summarizeQuarantine } from "./content_record.ts";
+import { CrashEvidence, type CrashSet } from "./crash_evidence.ts";
 import { partOfKey } from "./suspect_key.ts";
+import {
+  crashLimitOf,
+  QUARANTINE_CRASHES,
+  QUARANTINE_RETENTION_MS,
+  trialDelayMs,
+} from "./trial_schedule.ts";
 
-const MINUTE_MS: Millis = 60 * SECOND_MS;
-/** Confirmed crashes after which a content is quarantined; the platform allows three. */
-export const QUARANTINE_CRASHES = 2;
-/** Crashes after which the platform allows only three more trials, of a content and of a part. */
-const CONTENT_CRASH_LIMIT = 3;
-const PART_CRASH_LIMIT = 5;
-const MAX_TRIALS_OVER_LIMIT = 3;
-/** Time until the first trial, doubled by each trial; a trial is needed since a broken link can look like a crash. */
-const TRIAL_DELAY_MS: Millis = 5 * SECOND_MS;
-/** Shortest time until a trial once the limit is reached, doubled by each further crash. */
-const OVER_LIMIT_TRIAL_DELAY_MS: Millis = MINUTE_MS;
 /** Default retention of a content with fewer crashes than a quarantine takes. */
 const SUSPECT_RETENTION_MS: Millis = MINUTE_MS;
-/** Retention of a quarantined content, which gets no trial within it once those after the third crash are used up. */
-const QUARANTINE_RETENTION_MS: Millis = 60 * MINUTE_MS;
 /** Default capacity; holds some minutes of crashes of upstreams with all slots in use. */
 const MAX_CONTENTS = 1_024;
 /** Processes stored for each content; more make no difference to any decision. */
@@ -66,6 +66,7 @@
   readonly #contents = new Map<string, Content>();
   readonly #limits: ContentTableLimits;
   #quarantineSummary: string | undefined;
+  #evidence: CrashEvidence | undefined;
   #nextExpiryAt = 0 as Timestamp;
 
   private constructor(limits: ContentTableLimits) {
@@ -174,6 +175,7 @@
       if (now - content.changedAt <= this.#retentionMs(content)) continue;
       this.#contents.delete(digest);
       this.#quarantineSummary = undefined;
+      this.#evidence = undefined;
     }
   }
 
@@ -185,7 +187,11 @@
   trialWaitMs(key: string, now: Timestamp): Millis | undefined {
     const content = this.#contents.get(key);
     if (content === undefined || !isQuarantined(content)) return undefined;
-    const delayMs = trialDelayMs(content, crashLimitOf(key));
+    const { lost, trials } = content;
+    const delayMs = trialDelayMs(
+      { crashes: lost.size, trials },
+      crashLimitOf(key),
+    );
     return Math.max(0, addMs(content.changedAt, delayMs) - now);
   }
 
@@ -222,17 +228,33 @@
       // It has reached an upstream, which counts like a crash from here on.
       content.lost.add(`turned_away/${job}`);
       this.#quarantineSummary = undefined;
+      this.#evidence = undefined;
       return;
     }
     content.trials -= 1;
     this.#quarantineSummary = undefined;
   }
 
+  /** What has crashed upstreams, with their processes. */
+  crashSets(): readonly CrashSet[] {
+    return [...this.#contents].map(([key, { lost }]) => ({
+      key,
+      crashes: lost,
+    }));
+  }
+
   /**
-   * Whether a part explains all crashes of a key: the part was aboard each of them and, if the key is a part too, at
-   * others as well.
+   * Whether others explain all crashes of a key. Either a part was aboard each of them and, if the key is a part too, at
+   * others as well; or each has a culprit of its own.
    */
   isExplained(key: string): boolean {
+    const lost = this.#contents.get(key)?.lost;
+    if (lost === undefined || lost.size === 0) return false;
+    return this.isCoveredByPart(key) || this.#hasCulprits(key, lost);
+  }
+
+  /** Whether a part was aboard all crashes of a key and, if the key is a part too, at others as well. */
+  isCoveredByPart(key: string): boolean {
     const lost = this.#contents.get(key)?.lost;
     if (lost === undefined) return false;
     const isPart = partOfKey(key) !== undefined;
@@ -243,6 +265,14 @@
     );
   }
 
+  #hasCulprits(key: string, lost: ReadonlySet<string>): boolean {
+    this.#evidence ??= CrashEvidence.create(this.crashSets());
+    const evidence = this.#evidence;
+    return [...lost].every((process) =>
+      evidence.isExplained(process, lost, (other) => other === key)
+    );
+  }
+
   /** Whether a part was aboard all of these crashes, of those that `accepts` by their key and number of crashes. */
   hasCommonPart(
     lost: readonly string[],
@@ -268,6 +298,7 @@
     this.#contents.delete(digest);
     this.#contents.set(digest, content);
     this.#quarantineSummary = undefined;
+    this.#evidence = undefined;
     const { maxContents } = this.#limits;
     if (this.#contents.size <= maxContents) return;
     this.expire(now);
@@ -279,16 +310,6 @@
   }
 }
 
-/** Summary of the quarantined contents among records, for comparison: `digest:epoch:crashes:trials`, sorted. */
-export function summarizeQuarantine(
-  records: readonly Omit<ContentRecord, "ageMs">[],
-): string {
-  return records.filter(({ lost }) => lost.length >= QUARANTINE_CRASHES)
-    .map(({ digest, epoch, lost, trials }) =>
-      `${digest}:${epoch}:${lost.length}:${trials}`
-    ).sort().join(" ");
-}
-
 function createContent(changedAt: Timestamp): Content {
   return { epoch: 0, lost: new Set(), trials: 0, changedAt };
 }
@@ -296,17 +317,3 @@
 function isQuarantined(content: Content): boolean {
   return content.lost.size >= QUARANTINE_CRASHES;
 }
-
-/** Crashes of a key after which the platform counts the requests with it that reach upstreams. */
-function crashLimitOf(key: string): number {
-  return partOfKey(key) === undefined ? CONTENT_CRASH_LIMIT : PART_CRASH_LIMIT;
-}
-
-/** Time from the last crash or trial to the next trial. */
-function trialDelayMs({ lost, trials }: Content, crashLimit: number): Millis {
-  const backoffMs = TRIAL_DELAY_MS * 2 ** trials;
-  if (lost.size < crashLimit) return backoffMs;
-  const overLimit = lost.size - crashLimit;
-  if (overLimit >= MAX_TRIALS_OVER_LIMIT) return QUARANTINE_RETENTION_MS;
-  return Math.max(backoffMs, OVER_LIMIT_TRIAL_DELAY_MS * 2 ** overLimit);
-}
