A bystander of two unlike poison prompts, one after the other, is not quarantined

Callers saw: a sound prompt refused as quarantined for an hour, after it had run beside one prompt that crashes engines and then beside another.

Cause: two crashes were final, whoever else was aboard. Only one block aboard both could explain them, and the daemon that serves a prompt judged by its own reports, without those of the prompts that others served on these engines.

Change: a crash may have a culprit of its own, among contents and blocks (CrashEvidence, as in the gateway). After two crashes that are not explained a prompt waits while others aboard have crashed one engine only: they run first and are answered, or crash another engine and explain the crash. The daemon that placed it judges, as it knows what else it placed there. An answer clears the content at that daemon too.

--- a/src/controllers/crash_limit.ts
+++ b/src/controllers/crash_limit.ts
@@ -1,6 +1,11 @@
 import type { Blackboard } from "../board/blackboard.ts";
 import type { Digest } from "../core/id.ts";
-import { HOUR_MS, type Millis, MINUTE_MS } from "../core/time.ts";
+import {
+  HOUR_MS,
+  type Millis,
+  MINUTE_MS,
+  type Timestamp,
+} from "../core/time.ts";
 
 /** Number of crashed upstreams at which content is quarantined. */
 export const CRASHES_TO_QUARANTINE = 2;
@@ -14,6 +19,18 @@
   return crashes < CRASHES_TO_QUARANTINE ? SUSPECT_RETENTION_MS : QUARANTINE_MS;
 }
 
+/** Clears an answered content: it did not cause its crashes. */
+export function clearContent(
+  board: Blackboard,
+  digest: Digest,
+  now: Timestamp,
+): void {
+  const { answered, suspects, quarantined } = board.quarantine;
+  answered.record(digest, now);
+  suspects.delete(digest);
+  quarantined.delete(digest);
+}
+
 /** Whether content reaches `CRASHES_TO_QUARANTINE` if the engines that fell silent while running it have crashed. */
 export function mayHaveReachedCrashLimit(
   board: Blackboard,
--- a/src/controllers/local_scheduler.ts
+++ b/src/controllers/local_scheduler.ts
@@ -15,10 +15,12 @@
   DISPATCH_MS,
   type JobEvent,
 } from "../scheduling/cell_scheduler.ts";
+import type { Job } from "../scheduling/job.ts";
 import { shortDigest } from "../scheduling/place_messages.ts";
 import { DEFAULT_POLICY } from "../scheduling/policy.ts";
 import { livePeers } from "./membership_controller.ts";
 import { isSuspect } from "./place_ask.ts";
+import { clearContent } from "./crash_limit.ts";
 import { judgeSuspect } from "./suspect_gate.ts";
 
 /** Progress of a placed prompt, as reported by the daemon that serves it. */
@@ -40,6 +42,11 @@
     return new LocalScheduler();
   }
 
+  /** Prompts that this daemon has placed. */
+  get jobs(): ReadonlyMap<RequestId, Job> {
+    return this.#scheduler.tracker.jobs;
+  }
+
   get queueSize(): number {
     return this.#scheduler.queueSize;
   }
@@ -86,7 +93,10 @@
     const { blocks } = board.quarantine;
     if (update.answered === true) {
       const job = this.#scheduler.tracker.jobs.get(request);
-      if (job !== undefined) blocks.recordAnswer(job.ask.blocks, now);
+      if (job !== undefined) {
+        blocks.recordAnswer(job.ask.blocks, now);
+        clearContent(board, job.ask.digest, now);
+      }
     }
     // An engine that fell silent may still crash, so that its trial counts.
     if (update.suspect !== undefined) blocks.useUpTrial(request);
--- a/src/controllers/placement_controller.ts
+++ b/src/controllers/placement_controller.ts
@@ -46,6 +46,7 @@
     for (const { ask, answer } of this.#scheduler.dispatch(board, ctx)) {
       this.#deliver(board, ctx, ask, answer);
     }
+    board.placement.jobs = this.#scheduler.jobs;
     board.placement.queued = this.#scheduler.queueSize;
   }
 
--- a/src/controllers/placement_controller_test.ts
+++ b/src/controllers/placement_controller_test.ts
@@ -1,16 +1,11 @@
 import { expect, test } from "vitest";
-import type {
-  DaemonId,
-  DomainId,
-  Revision,
-  UpstreamId,
-  VmId,
-} from "../core/id.ts";
+import type { DaemonId, UpstreamId } from "../core/id.ts";
 import type { Envelope } from "../gen/peer.ts";
 import {
   CoreFixture,
   engineFixture,
   intentsOf,
+  peerFixture,
   promptFixture,
 } from "../testing/fixtures.ts";
 import { PlacementController } from "./placement_controller.ts";
@@ -25,18 +20,8 @@
     RequestController.create(),
   ]);
   core.add(engineFixture("e1"), engineFixture("e2"));
-  core.board.members.peers.set(SCHEDULER_ID, {
-    id: SCHEDULER_ID,
-    vm: "vm-2" as VmId,
-    domain: "domain-1" as DomainId,
-    clientAddress: "vm-2:1",
-    peerAddress: "vm-2:2",
-    state: "serving",
-    revision: 0 as Revision,
-    running: 0,
-    queued: 0,
-    lastMessageAt: core.now,
-  });
+  const peer = peerFixture(SCHEDULER_ID, core.now);
+  core.board.members.peers.set(SCHEDULER_ID, peer);
   core.board.members.scheduler = SCHEDULER_ID;
   return core;
 }
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -1,17 +1,12 @@
 import type { Blackboard } from "../board/blackboard.ts";
-import type { SilentRun, Suspect } from "../board/quarantine_section.ts";
+import type { Suspect } from "../board/quarantine_section.ts";
 import { Controller } from "../core/controller.ts";
 import type { Event } from "../core/event.ts";
-import type { Digest, Incarnation } from "../core/id.ts";
+import type { Digest } from "../core/id.ts";
 import type { Request } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
-import {
-  addMs,
-  type Millis,
-  MINUTE_MS,
-  SECOND_MS,
-  type Timestamp,
-} from "../core/time.ts";
+import type { Timestamp } from "../core/time.ts";
+import { partOn } from "../scheduling/job.ts";
 import {
   type ContentRun,
   crashedIncarnation,
@@ -20,24 +15,33 @@
   reportedRuns,
 } from "./content_run.ts";
 import {
-  CRASHES_TO_QUARANTINE,
+  clearContent,
   QUARANTINE_MS,
   suspectRetentionMs,
 } from "./crash_limit.ts";
+import { CrashJudge } from "./crash_verdict.ts";
 import { incarnationOf } from "./incarnation_of.ts";
+import { evictOldest } from "./evict_oldest.ts";
 import { blocksOf } from "./place_ask.ts";
 import { mayRunOnSilentEngine } from "./retry_decision.ts";
+import {
+  expireSilences,
+  recordSilence,
+  takeSilentCrashes,
+} from "./silent_runs.ts";
 
-/** Time over which an engine must respond again before its silence counts as harmless; a crash shows sooner. */
-const RECOVERY_CONFIRM_MS: Millis = SECOND_MS;
-const MAX_SILENT_RUNS = 1_024;
-const SILENCE_RETENTION_MS: Millis = 10 * MINUTE_MS;
 const MAX_SUSPECTS = 1_024;
 const MAX_QUARANTINED = 1_024;
+/** Crashed engines whose contents are kept. */
+const MAX_PROCESSES = 1_024;
 
 /** Tracks content that ran on engines when they crashed, and quarantines content that has crashed two engines. */
 export class QuarantineController extends Controller {
   override readonly name = "quarantine";
+  /** Whether a crash was recorded since the contents were judged. */
+  #hasEvidence = false;
+  /** Contents that others may clear or convict. */
+  readonly #open = new Set<Digest>();
 
   static create(): QuarantineController {
     return new QuarantineController();
@@ -45,7 +49,11 @@
 
   override step(board: Blackboard, ctx: StepContext): void {
     for (const event of ctx.events) this.#onEvent(board, ctx, event);
-    this.#resolveSilences(board, ctx);
+    for (const run of takeSilentCrashes(board)) {
+      this.#recordCrash(board, ctx, run);
+      ctx.repeat();
+    }
+    this.#judgeContents(board, ctx);
     this.#removeExpired(board, ctx.now);
   }
 
@@ -56,11 +64,14 @@
     if (event.type !== "peer_message") return;
     for (const { run, silent } of reportedRuns(event.envelope, ctx.now)) {
       if (silent) {
-        this.#recordSilence(board, run, {
+        recordSilence(board, run, {
           observedHere: false,
           silentSince: ctx.now,
         });
-      } else this.#recordCrash(board, ctx, run);
+      } else {
+        const told = event.envelope.body?.$case === "heartbeat";
+        this.#recordCrash(board, ctx, run, told);
+      }
     }
   }
 
@@ -82,7 +93,7 @@
       const { digest } = entry.req;
       const blocks = blocksOf(entry.req);
       const run = { digest, upstream, incarnation, blocks };
-      return this.#recordSilence(board, run, {
+      return recordSilence(board, run, {
         observedHere: true,
         silentSince: ctx.now,
       });
@@ -101,28 +112,65 @@
     });
   }
 
-  #recordCrash(board: Blackboard, ctx: StepContext, crash: ContentRun): void {
-    const { suspects, quarantined } = board.quarantine;
+  /** Records a crash; `told` by a daemon that also tells of the others aboard. */
+  #recordCrash(
+    board: Blackboard,
+    ctx: StepContext,
+    crash: ContentRun,
+    told = false,
+  ): void {
+    const { suspects, answered } = board.quarantine;
     const { digest, upstream } = crash;
+    const seenAt = crash.seenAt ?? ctx.now;
+    if (seenAt <= (answered.lastAt(digest) ?? -Infinity)) return;
     this.#addBlocks(board, ctx, crash);
     const known = suspects.get(digest);
     const process = `${upstream}/${crash.incarnation}`;
     if (known?.crashes.includes(process)) return;
+    this.#noteAboard(board, process, { ...crash, seenAt }, told);
+    if (this.#isSpared(board, ctx.now, crash)) {
+      const fields = { content: digest, process };
+      return logContent(ctx, "content spared, as it was answered", fields);
+    }
     const suspect: Suspect = {
       crashes: [...known?.crashes ?? [], process],
       upstreams: [...known?.upstreams ?? [], upstream],
       blocks: known?.blocks ?? crash.blocks,
-      seenAt: latest(known?.seenAt, crash.seenAt ?? ctx.now),
+      seenAt: latest(known?.seenAt, seenAt),
     };
     suspects.delete(digest);
     suspects.set(digest, suspect);
     evictOldest(suspects, MAX_SUSPECTS);
+    this.#hasEvidence = true;
     this.#blameBlocks(board, ctx, { ...crash, ...suspect, process });
-    if (suspect.crashes.length < CRASHES_TO_QUARANTINE) return;
-    if (isExplained(board, suspect)) return;
-    if (!quarantined.has(digest)) ctx.counters.add("requests_quarantined");
-    quarantined.set(digest, suspect.seenAt);
-    evictOldest(quarantined, MAX_QUARANTINED);
+  }
+
+  /** Whether a content was answered not long ago, and has not crashed again since its first crash after that. */
+  #isSpared(board: Blackboard, now: Timestamp, crash: ContentRun): boolean {
+    const { answered } = board.quarantine;
+    if (!answered.has(crash.digest, now)) return false;
+    const sentAt = crash.sentAt ?? (-Infinity as Timestamp);
+    return !answered.revoke(crash.digest, now, { sentAt });
+  }
+
+  /** Keeps what ran on a crashed engine, as far as this daemon placed it. */
+  #noteAboard(
+    board: Blackboard,
+    process: string,
+    crash: Pick<ContentRun, "digest" | "upstream"> & { seenAt: Timestamp },
+    told: boolean,
+  ): void {
+    const { aboard } = board.quarantine;
+    if (aboard.has(process)) return;
+    const contents = [...board.placement.jobs.values()]
+      .filter((job) => partOn(job, crash.upstream) !== undefined)
+      .map(({ ask: { digest, blocks } }) => ({ digest, blocks }));
+    const isPlacedHere = contents.some(({ digest }) => digest === crash.digest);
+    aboard.set(process, {
+      at: crash.seenAt,
+      contents: isPlacedHere ? contents : told ? [] : undefined,
+    });
+    evictOldest(aboard, MAX_PROCESSES);
   }
 
   /** Counts the known crashes of a content against blocks that are new here, as each daemon leaves out answered ones. */
@@ -161,70 +209,32 @@
         ...(blamed[0] === undefined ? {} : { block: blamed[0] }),
       },
     });
-    if (blamed.length > 0) this.#releaseExplained(board, ctx);
+    if (blamed.length > 0) this.#hasEvidence = true;
   }
 
-  /** Frees quarantined contents that only ran beside a block that crashes engines. */
-  #releaseExplained(board: Blackboard, ctx: StepContext): void {
+  /** Quarantines contents that crashed two engines, and frees those whose crashes others explain. */
+  #judgeContents(board: Blackboard, ctx: StepContext): void {
+    if (!this.#hasEvidence && this.#open.size === 0) return;
     const { suspects, quarantined } = board.quarantine;
-    for (const digest of quarantined.keys()) {
-      const suspect = suspects.get(digest);
-      if (suspect === undefined || !isExplained(board, suspect)) continue;
-      quarantined.delete(digest);
-      ctx.emit({
-        type: "log_line",
-        level: "info",
-        message: "content freed, as a block explains its crashes",
-        fields: { content: digest, crashes: suspect.crashes.length },
-      });
-    }
-  }
-
-  #recordSilence(
-    board: Blackboard,
-    run: ContentRun,
-    options: Pick<SilentRun, "observedHere" | "silentSince">,
-  ): void {
-    const { silentRuns } = board.quarantine;
-    const known = silentRuns.get(run.digest) ?? [];
-    if (known.some((silentRun) => silentRun.upstream === run.upstream)) return;
-    const silentRun = {
-      upstream: run.upstream,
-      incarnation: run.incarnation as Incarnation,
-      blocks: run.blocks &&
-        board.quarantine.blocks.unanswered(run.blocks, options.silentSince),
-      ...options,
-    };
-    silentRuns.set(run.digest, [...known, silentRun]);
-    evictOldest(silentRuns, MAX_SILENT_RUNS);
-  }
-
-  /** A changed or missing incarnation means that the silent engine has probably crashed; an engine that responds again under the same incarnation has not. */
-  #resolveSilences(board: Blackboard, ctx: StepContext): void {
-    const { silentRuns } = board.quarantine;
-    for (const [digest, known] of silentRuns) {
-      const unresolved: SilentRun[] = [];
-      for (const silentRun of known) {
-        const { upstream, incarnation, blocks } = silentRun;
-        const current = board.upstreams.byId.get(upstream);
-        if (current?.incarnation !== incarnation) {
-          const crash = { digest, upstream, incarnation, blocks };
-          this.#recordCrash(board, ctx, crash);
-          ctx.repeat();
-          continue;
-        }
-        const lastResponseAt = current.lastResponseAt ?? silentRun.silentSince;
-        const hasResponded = lastResponseAt > silentRun.silentSince;
-        const respondingSince = silentRun.respondingSince ??
-          (hasResponded ? lastResponseAt : undefined);
-        if (respondingSince === undefined) unresolved.push(silentRun);
-        else if (lastResponseAt < addMs(respondingSince, RECOVERY_CONFIRM_MS)) {
-          unresolved.push({ ...silentRun, respondingSince });
-        }
+    this.#open.clear();
+    const judge = CrashJudge.create(board, ctx.now);
+    for (const [digest, { crashes, seenAt }] of suspects) {
+      const verdict = judge.judgeContent(digest);
+      if (verdict === "guilty" && !quarantined.has(digest)) {
+        ctx.counters.add("requests_quarantined");
+        quarantined.set(digest, seenAt);
+        evictOldest(quarantined, MAX_QUARANTINED);
+        const fields = { content: digest, crashes: crashes.length };
+        logContent(ctx, "content quarantined", fields);
+      } else if (verdict === "explained" && quarantined.delete(digest)) {
+        const fields = { content: digest, crashes: crashes.length };
+        const message = "content freed, as others explain its crashes";
+        logContent(ctx, message, fields);
+      } else if (verdict === "open") {
+        this.#open.add(digest);
       }
-      if (unresolved.length === 0) silentRuns.delete(digest);
-      else silentRuns.set(digest, unresolved);
     }
+    this.#hasEvidence = false;
   }
 
   /** Clears content that has run to completion, and its blocks: they did not cause the crash. */
@@ -240,12 +250,11 @@
       });
     }
     board.quarantine.silentRuns.delete(digest);
-    if (board.quarantine.quarantined.has(digest)) return;
-    board.quarantine.suspects.delete(digest);
+    clearContent(board, digest, ctx.now);
   }
 
   #removeExpired(board: Blackboard, now: Timestamp): void {
-    const { suspects, quarantined, silentRuns, blocks } = board.quarantine;
+    const { suspects, quarantined, blocks } = board.quarantine;
     blocks.expire(now);
     for (const [digest, suspect] of suspects) {
       const retentionMs = suspectRetentionMs(suspect.crashes.length);
@@ -254,27 +263,10 @@
     for (const [digest, at] of quarantined) {
       if (isQuarantineExpired(at, now)) quarantined.delete(digest);
     }
-    for (const [digest, runs] of silentRuns) {
-      const kept = runs.filter(({ silentSince }) =>
-        now - silentSince <= SILENCE_RETENTION_MS
-      );
-      if (kept.length === 0) silentRuns.delete(digest);
-      else if (kept.length < runs.length) silentRuns.set(digest, kept);
-    }
+    expireSilences(board, now);
   }
 }
 
-/** Whether a block of other prompts explains the crashes of a content. */
-function isExplained(board: Blackboard, suspect: Suspect): boolean {
-  const { crashes, blocks = [] } = suspect;
-  const { quarantine } = board;
-  return quarantine.blocks.explains(crashes, blocks, (block) => {
-    const sharing = [...quarantine.suspects.values()]
-      .filter((one) => one.blocks?.includes(block));
-    return sharing.length > 1;
-  });
-}
-
 function latest(known: Timestamp | undefined, at: Timestamp): Timestamp {
   return known === undefined || known < at ? at : known;
 }
@@ -283,7 +275,10 @@
   return now - at > QUARANTINE_MS;
 }
 
-function evictOldest<Value>(map: Map<Digest, Value>, limit: number): void {
-  const oldest = map.keys().next().value;
-  if (map.size > limit && oldest !== undefined) map.delete(oldest);
+function logContent(
+  ctx: StepContext,
+  message: string,
+  fields: Readonly<Record<string, string | number>>,
+): void {
+  ctx.emit({ type: "log_line", level: "info", message, fields });
 }
--- a/src/controllers/suspect_blocks_test.ts
+++ b/src/controllers/suspect_blocks_test.ts
@@ -1,15 +1,8 @@
 import { expect, test } from "vitest";
-import type {
-  DaemonId,
-  Digest,
-  ModelId,
-  RequestId,
-  VersionId,
-} from "../core/id.ts";
+import type { Digest } from "../core/id.ts";
 import { HOUR_MS, SECOND_MS } from "../core/time.ts";
-import { blocksField, toPlaceAsk } from "../scheduling/place_messages.ts";
+import { blocksField } from "../scheduling/place_messages.ts";
 import { BlocksFixture, blocksOf, report } from "../testing/blocks_fixture.ts";
-import { promptFixture } from "../testing/fixtures.ts";
 
 test("an answered block is not blamed for the crashes of prompts that share it with a deadly block", () => {
   const fixture = new BlocksFixture();
@@ -128,23 +121,8 @@
   const { core } = fixture;
   fixture.learn(report("c9", "e9"));
   expect(core.board.quarantine.blocks.size).toBe(2);
-  const ask = {
-    ...promptFixture("r1", { blocks: blocksOf("ca") }),
-    request: "r1" as RequestId,
-    round: 1,
-    from: "daemon-2" as DaemonId,
-    weights: { model: "sage" as ModelId, version: "2" as VersionId },
-    urgency: 5,
-    excluded: [],
-    suspect: false,
-  };
-  fixture.receive({ $case: "placeAsk", value: toPlaceAsk(ask, core.now) });
-  const update = { request: "r1", round: 1, state: "ended", tokens: 1 };
-  const value = { ...update, crashed: false, suspect: undefined };
-  fixture.receive({
-    $case: "placeUpdate",
-    value: { ...value, answered: true },
-  });
+  fixture.placeForPeer("r1", { blocks: blocksOf("ca") });
+  fixture.endForPeer("r1");
   expect(core.board.quarantine.blocks.size).toBe(1);
 });
 
--- a/src/controllers/suspect_gate.ts
+++ b/src/controllers/suspect_gate.ts
@@ -9,7 +9,12 @@
 } from "../scheduling/cell_placement.ts";
 import type { Job } from "../scheduling/job.ts";
 import type { BlockSuspicion } from "../suspects/block_suspects.ts";
-import { mayHaveReachedCrashLimit } from "./crash_limit.ts";
+import type { CrashVerdict } from "../suspects/crash_evidence.ts";
+import {
+  CRASHES_TO_QUARANTINE,
+  mayHaveReachedCrashLimit,
+} from "./crash_limit.ts";
+import { CrashJudge } from "./crash_verdict.ts";
 import { withSuspectFlag } from "./place_ask.ts";
 import { suspicionOfBlocks } from "./block_suspicion.ts";
 
@@ -28,6 +33,8 @@
     const detail = "Each engine that ran this content crashed.";
     return { type: "refused", problem: problem("quarantined", detail) };
   }
+  const verdict = verdictOf(board, ctx, ask);
+  if (verdict === "open") return { type: "queued" };
   if (mustWait(board, ask, jobs)) return { type: "queued" };
   const flagged = withSuspectFlag(board, ask);
   const suspicion = suspicionOfBlocks(board, ask, ctx.now);
@@ -36,6 +43,26 @@
   return held ?? { type: "run", ask: { ...flagged, suspect: true } };
 }
 
+/** What the crashes of the content say; logged where others may have caused them. */
+function verdictOf(
+  board: Blackboard,
+  ctx: StepContext,
+  ask: CellPlacementRequest,
+): CrashVerdict | undefined {
+  const known = board.quarantine.suspects.get(ask.digest);
+  if ((known?.crashes.length ?? 0) < CRASHES_TO_QUARANTINE) return undefined;
+  const judge = CrashJudge.create(board, ctx.now);
+  const verdict = judge.judgeContent(ask.digest);
+  if (verdict === "open") {
+    const message =
+      "prompt held until others that may have crashed its engines have run";
+    const crashes = known!.crashes.length;
+    const fields = { req: ask.request, content: ask.digest, crashes };
+    logSuspicion(ctx, message, fields);
+  }
+  return verdict;
+}
+
 /** Suspect content runs in one copy at a time; other copies wait, and their daemons ask again. */
 function mustWait(
   board: Blackboard,
@@ -64,6 +91,7 @@
     jobs(),
     (job) => holds(job, block, index, ctx.now),
   );
+  if (suspicion.isOpen) return { type: "queued" };
   if (trialWaitMs === undefined) return isHeld ? { type: "queued" } : undefined;
   const fields = { req: ask.request, block, crashes };
   if (trialWaitMs > 0 || isHeld) {
--- a/src/suspects/block_suspects.ts
+++ b/src/suspects/block_suspects.ts
@@ -1,6 +1,7 @@
 import type { Digest, RequestId } from "../core/id.ts";
 import { type Millis, MINUTE_MS, type Timestamp } from "../core/time.ts";
 import { ContentTable } from "./content_table.ts";
+import type { CrashSet, CrashVerdict } from "./crash_evidence.ts";
 import { RecentSuccesses } from "./recent_successes.ts";
 import { partKey, partOfKey } from "./suspect_key.ts";
 
@@ -21,6 +22,8 @@
   crashes: number;
   /** Time until the next trial, 0 for the request that is the trial; absent if the block is not quarantined. */
   trialWaitMs?: Millis;
+  /** Whether other suspects may have caused its crashes, which shows soon. */
+  isOpen?: boolean;
 }>;
 
 /**
@@ -82,6 +85,11 @@
     });
   }
 
+  /** Blocks that crashed engines, with their processes. */
+  crashSets(): readonly CrashSet[] {
+    return this.#table.crashSets();
+  }
+
   /** Whether a block of a prompt has crashed an engine and was not cleared. */
   hasCrashed(blocks: readonly Digest[]): boolean {
     return blocks.some((block) => this.#table.crashes(partKey(block)) > 0);
@@ -91,22 +99,34 @@
   suspicionOf(
     blocks: readonly Digest[],
     request: RequestId,
-    options: Readonly<{ now: Timestamp; silentBlocks: ReadonlySet<Digest> }>,
+    options: Readonly<
+      {
+        now: Timestamp;
+        silentBlocks: ReadonlySet<Digest>;
+        /** What else may have caused the crashes of a block. */
+        judge: (block: Digest, crashes: ReadonlySet<string>) => CrashVerdict;
+      }
+    >,
   ): BlockSuspicion | undefined {
-    const { now, silentBlocks } = options;
+    const { now, silentBlocks, judge } = options;
     let worst: BlockSuspicion | undefined;
     for (const [index, block] of blocks.entries()) {
       const key = partKey(block);
-      const crashes = this.#table.crashes(key);
+      const processes = this.#table.processes(key);
+      const crashes = processes.size;
       const isSuspect = crashes > 0 ||
         (silentBlocks.has(block) && !this.#answered.has(key, now));
-      if (!isSuspect || this.#table.isExplained(key)) continue;
+      if (!isSuspect || this.#table.isCoveredByPart(key)) continue;
+      const verdict = crashes === 0 ? undefined : judge(block, processes);
+      if (verdict === "explained") continue;
       const trialWaitMs = this.#table.isTrial(key, request)
         ? 0
         : this.#table.trialWaitMs(key, now);
-      const isWorse = worst === undefined ||
-        (trialWaitMs ?? -1) > (worst.trialWaitMs ?? -1);
-      if (isWorse) worst = { block, index, crashes, trialWaitMs };
+      const isOpen = trialWaitMs !== undefined && verdict === "open";
+      const found = { block, index, crashes, trialWaitMs, isOpen };
+      if (worst === undefined || severity(found) > severity(worst)) {
+        worst = found;
+      }
     }
     return worst;
   }
@@ -167,6 +187,13 @@
   }
 }
 
+/** A refusal goes before a wait, a wait before a trial. */
+function severity({ trialWaitMs, isOpen }: BlockSuspicion): number {
+  if (trialWaitMs === undefined) return 0;
+  if (isOpen) return 2;
+  return trialWaitMs > 0 ? 2 + trialWaitMs : 1;
+}
+
 function blockOfKey(key: string): Digest {
   return partOfKey(key)! as string as Digest;
 }
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -26,6 +26,8 @@
 /** Time between scans for expired entries. */
 const EXPIRY_INTERVAL_MS: Millis = 10 * SECOND_MS;
 
+const NO_PROCESSES: ReadonlySet<string> = new Set();
+
 /** A content that upstream processes ended with, or that was cleared. */
 type Content = {
   /** How often the content was cleared. */
@@ -102,6 +104,11 @@
     return this.#contents.get(digest)?.lost.size ?? 0;
   }
 
+  /** Processes that ended with a content. */
+  processes(digest: string): ReadonlySet<string> {
+    return this.#contents.get(digest)?.lost ?? NO_PROCESSES;
+  }
+
   /** Counts the end of an upstream's process against a content; returns the crash count. */
   recordCrash(digest: string, process: string, now: Timestamp): number {
     const content = this.#contents.get(digest) ?? createContent(now);
--- a/src/suspects/crash_evidence.ts
+++ b/src/suspects/crash_evidence.ts
@@ -4,6 +4,12 @@
 /** What may crash upstreams, and the processes that ended with it aboard. */
 export type CrashSet = Readonly<{ key: string; crashes: ReadonlySet<string> }>;
 
+/**
+ * What the crashes of a suspect say: each is `explained` by a culprit; others may have caused them, which shows soon
+ * (`open`); or it is `guilty`.
+ */
+export type CrashVerdict = "explained" | "open" | "guilty";
+
 /**
  * Says which suspects explain the crashes of others. A culprit has crashed at least twice, and at one of its crashes
  * each other such suspect was aboard of no crash that the culprit missed. So no culprit has all its crashes explained,
--- a/src/suspects/recent_successes.ts
+++ b/src/suspects/recent_successes.ts
@@ -39,6 +39,11 @@
     this.#successes.delete(oldest!);
   }
 
+  /** Time of the last success, as long as it is remembered. */
+  lastAt(key: string): Timestamp | undefined {
+    return this.#successes.get(key)?.at;
+  }
+
   /** Whether the key ran successfully within its window. */
   has(key: string, now: Timestamp): boolean {
     const success = this.#successes.get(key);
--- a/src/testing/blocks_fixture.ts
+++ b/src/testing/blocks_fixture.ts
@@ -1,16 +1,24 @@
 import type { Event } from "../core/event.ts";
-import type { DaemonId, Digest, RequestId, UpstreamId } from "../core/id.ts";
+import type {
+  DaemonId,
+  Digest,
+  ModelId,
+  RequestId,
+  UpstreamId,
+  VersionId,
+} from "../core/id.ts";
 import { addMs, MINUTE_MS } from "../core/time.ts";
 import { PlacementController } from "../controllers/placement_controller.ts";
 import { QuarantineController } from "../controllers/quarantine_controller.ts";
 import { RequestController } from "../controllers/request_controller.ts";
 import { sha256 } from "../daemon/sha256.ts";
 import type { Envelope, Suspect } from "../gen/peer.ts";
-import { blocksField } from "../scheduling/place_messages.ts";
+import { blocksField, toPlaceAsk } from "../scheduling/place_messages.ts";
 import {
   CoreFixture,
   engineFixture,
   intentsOf,
+  peerFixture,
   promptFixture,
 } from "./fixtures.ts";
 
@@ -34,12 +42,16 @@
   }
 
   /** Sends a prompt and returns its id; its blocks are named by single letters, such as `cd`. */
-  send(letters: string, promptTokens = 1_000): RequestId {
+  send(letters: string, promptTokens = 1_000, digest?: Digest): RequestId {
     this.#prompts += 1;
     const id = `${letters}-${this.#prompts}`;
     const deadlineAt = addMs(this.core.now, 10 * MINUTE_MS);
     const blocks = blocksOf(letters);
-    const req = promptFixture(id, { blocks, deadlineAt, promptTokens });
+    const prompt = { blocks, deadlineAt, promptTokens };
+    const req = promptFixture(id, {
+      ...prompt,
+      ...digest === undefined ? {} : { digest },
+    });
     this.#after(10, { type: "request_arrived", req });
     return id as RequestId;
   }
@@ -59,6 +71,51 @@
     });
   }
 
+  /** The client of a prompt goes away. */
+  leave(req: RequestId): void {
+    this.#after(10, { type: "client_left", req });
+  }
+
+  /** Another daemon places the prompts of this one. */
+  followPeer(): void {
+    const { members } = this.core.board;
+    members.peers.set(PEER, peerFixture(PEER, this.core.now));
+    members.scheduler = PEER;
+  }
+
+  /** Grants an engine as another daemon that places prompts does. */
+  grant(request: RequestId, round: number, upstream: string): void {
+    const segments = [{ upstream, from: 0, to: 1_000 }];
+    const value = { request, round, priority: 5, segments };
+    this.receive({ $case: "placeGrant", value });
+  }
+
+  /** Places a prompt of another daemon. */
+  placeForPeer(
+    id: string,
+    options: Readonly<{ digest?: Digest; blocks?: readonly Digest[] }> = {},
+  ): void {
+    const ask = {
+      ...promptFixture(id, options),
+      request: id as RequestId,
+      round: 1,
+      from: PEER,
+      weights: { model: "sage" as ModelId, version: "2" as VersionId },
+      urgency: 5,
+      excluded: [],
+      suspect: false,
+    };
+    const value = toPlaceAsk(ask, this.core.now);
+    this.receive({ $case: "placeAsk", value });
+  }
+
+  /** Another daemon reports that its prompt was answered. */
+  endForPeer(request: string): void {
+    const update = { request, round: 1, state: "ended", tokens: 1 };
+    const value = { ...update, crashed: false, suspect: undefined };
+    this.receive({ $case: "placeUpdate", value: { ...value, answered: true } });
+  }
+
   /** Ends the running attempt of a prompt by its engine's silence. */
   silence(req: RequestId): void {
     const attempt = this.core.board.requests.byId.get(req)!.attempt!.id;
@@ -116,7 +173,7 @@
   }
 
   receive(body: Envelope["body"]): void {
-    const envelope = { from: "daemon-2" as DaemonId, seq: 1, body };
+    const envelope = { from: PEER, seq: 1, body };
     this.#after(10, { type: "peer_message", envelope });
   }
 
@@ -136,6 +193,8 @@
   }
 }
 
+const PEER = "daemon-2" as DaemonId;
+
 const HEARTBEAT = {
   vm: "vm-2",
   peerAddress: "vm-2:2",
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,4 +1,5 @@
 import { type Blackboard, createBlackboard } from "../board/blackboard.ts";
+import type { Peer } from "../board/members_section.ts";
 import type { Self } from "../board/self.ts";
 import type { Upstream } from "../board/upstreams_section.ts";
 import { type ServingConfig, ServingConfigSchema } from "../config/serving.ts";
@@ -174,6 +175,22 @@
   };
 }
 
+/** Another daemon that serves. */
+export function peerFixture(id: DaemonId, now: Timestamp): Peer {
+  return {
+    id,
+    vm: "vm-2" as VmId,
+    domain: "domain-1" as DomainId,
+    clientAddress: "vm-2:1",
+    peerAddress: "vm-2:2",
+    state: "serving",
+    revision: 0 as Revision,
+    running: 0,
+    queued: 0,
+    lastMessageAt: now,
+  };
+}
+
 /** A core with an active configuration, which the test steps at times it sets. */
 export class CoreFixture {
   readonly board: Blackboard;
--- a/tools/faults/regressions.ts
+++ b/tools/faults/regressions.ts
@@ -60,4 +60,77 @@
       ],
     },
   },
+  {
+    name:
+      "seed 9103: A prompt ran beside a block and then beside a content that crash engines, and was quarantined.",
+    schedule: {
+      "seed": 0,
+      "actions": [
+        { "waitMs": 0, "type": "poison_block", "daemon": 2, "count": 1 },
+        {
+          "waitMs": 1,
+          "type": "prompt",
+          "daemon": 0,
+          "tokens": 591,
+          "count": 5,
+          "leavesAfterMs": 0,
+        },
+        { "waitMs": 50, "type": "poison_block", "daemon": 1, "count": 6 },
+        { "waitMs": 59, "type": "poison", "daemon": 1, "content": 0 },
+        { "waitMs": 15, "type": "configure", "operators": 1 },
+        { "waitMs": 4030, "type": "poison_block", "daemon": 1, "count": 2 },
+        { "waitMs": 0, "type": "kill", "daemon": 1, "downMs": 1538 },
+        { "waitMs": 115, "type": "late_list", "ms": 28453 },
+        { "waitMs": 0, "type": "poison_block", "daemon": 2, "count": 4 },
+        { "waitMs": 23, "type": "crash", "engine": 3, "downMs": 476 },
+        {
+          "waitMs": 49,
+          "type": "prompt",
+          "daemon": 1,
+          "tokens": 7887,
+          "count": 4,
+          "leavesAfterMs": 0,
+        },
+      ],
+    },
+  },
+  {
+    name:
+      "seed 9107: A prompt ran beside a content and then beside a block that crash engines, and was quarantined.",
+    schedule: {
+      "seed": 0,
+      "actions": [
+        {
+          "waitMs": 0,
+          "type": "prompt",
+          "daemon": 0,
+          "tokens": 5000,
+          "count": 1,
+          "leavesAfterMs": 0,
+        },
+        { "waitMs": 1, "type": "poison", "daemon": 0, "content": 0 },
+        { "waitMs": 25, "type": "leave", "engine": 0 },
+        {
+          "waitMs": 12,
+          "type": "prompt",
+          "daemon": 0,
+          "tokens": 5000,
+          "count": 3,
+          "leavesAfterMs": 0,
+        },
+        { "waitMs": 0, "type": "late_list", "ms": 192 },
+        { "waitMs": 24, "type": "freeze", "engine": 1, "ms": 804 },
+        { "waitMs": 0, "type": "poison_block", "daemon": 1, "count": 10 },
+        { "waitMs": 5776, "type": "read", "daemon": 2 },
+        { "waitMs": 0, "type": "call", "daemons": [2, 1], "key": 1, "body": 1 },
+        {
+          "waitMs": 0,
+          "type": "stream",
+          "engine": 2,
+          "fault": "silent_after",
+          "at": 0,
+        },
+      ],
+    },
+  },
 ];
