A crash of an engine's next run is not taken for that of its last run

Cause: a crash is named by the engine's incarnation as the daemon knows it. After a restart the list is late, so a crash of the new run got the name of the last one. Only crashes of the same content were told apart; those of another prompt, or of its block, were not, and explained the new crash.

Change: an attempt that was sent after the crash of the known incarnation ran on a later process, which is named by its number after that one, so that all that were aboard get the same name. A daemon that did not know may tell of the crash under the old name; that is not a second crash.

--- a/src/controllers/content_run.ts
+++ b/src/controllers/content_run.ts
@@ -1,4 +1,3 @@
-import type { Blackboard } from "../board/blackboard.ts";
 import type { RequestEntry } from "../board/requests_section.ts";
 import type { Digest, UpstreamId } from "../core/id.ts";
 import type { Outcome } from "../core/request.ts";
@@ -6,7 +5,6 @@
 import type { Envelope, Suspect } from "../gen/peer.ts";
 import { readBlocks } from "../scheduling/place_messages.ts";
 import { suspectRetentionMs } from "./crash_limit.ts";
-import { incarnationOf } from "./incarnation_of.ts";
 
 /** Content that an engine ran when it crashed or fell silent. */
 export type ContentRun = Readonly<{
@@ -45,20 +43,6 @@
   });
 }
 
-/** Returns the incarnation that crashed. If the known incarnation had crashed before the attempt started, the attempt ran on a later one, named by the attempt's start. */
-export function crashedIncarnation(
-  board: Blackboard,
-  entry: RequestEntry,
-  upstream: UpstreamId,
-): string {
-  const incarnation = incarnationOf(board, upstream);
-  const known = board.quarantine.suspects.get(entry.req.digest);
-  const startedAt = entry.attempt?.startedAt ?? 0;
-  const isKnown = known?.crashes.includes(`${upstream}/${incarnation}`);
-  if (!isKnown || startedAt <= known!.seenAt) return incarnation;
-  return `${incarnation}@${startedAt}`;
-}
-
 /** Whether a silent engine no longer has the response of its attempt; it has probably crashed in between. */
 export function lostResponse(
   entry: RequestEntry,
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -9,7 +9,6 @@
 import { partOn } from "../scheduling/job.ts";
 import {
   type ContentRun,
-  crashedIncarnation,
   lacksResponse,
   lostResponse,
   reportedRuns,
@@ -19,6 +18,7 @@
   QUARANTINE_MS,
   suspectRetentionMs,
 } from "./crash_limit.ts";
+import { crashedProcess, isKnownCrash } from "./crash_process.ts";
 import { CrashJudge } from "./crash_verdict.ts";
 import { incarnationOf } from "./incarnation_of.ts";
 import { evictOldest } from "./evict_oldest.ts";
@@ -106,7 +106,7 @@
     this.#recordCrash(board, ctx, {
       digest: entry.req.digest,
       upstream,
-      incarnation: crashedIncarnation(board, entry, upstream),
+      incarnation: incarnationOf(board, upstream),
       blocks: blocksOf(entry.req),
       sentAt: entry.attempt.startedAt,
     });
@@ -125,8 +125,10 @@
     if (seenAt <= (answered.lastAt(digest) ?? -Infinity)) return;
     this.#addBlocks(board, ctx, crash);
     const known = suspects.get(digest);
-    const process = `${upstream}/${crash.incarnation}`;
-    if (known?.crashes.includes(process)) return;
+    const process = crashedProcess(board, crash);
+    if (known !== undefined && isKnownCrash(known.crashes, process, crash)) {
+      return;
+    }
     this.#noteAboard(board, process, { ...crash, seenAt }, told);
     if (this.#isSpared(board, ctx.now, crash)) {
       const fields = { content: digest, process };
--- a/src/controllers/quarantine_controller_test.ts
+++ b/src/controllers/quarantine_controller_test.ts
@@ -3,6 +3,7 @@
 import type { Outcome } from "../core/request.ts";
 import { addMs, HOUR_MS } from "../core/time.ts";
 import type { Heartbeat } from "../gen/peer.ts";
+import { blocksField } from "../scheduling/place_messages.ts";
 import {
   CoreFixture,
   engineFixture,
@@ -140,6 +141,29 @@
   expect(core.board.quarantine.quarantined.has(DIGEST)).toBe(true);
 });
 
+test("a crash of an engine's next run, before that is known, is not taken for the crash of its last run over another prompt", () => {
+  const fixture = new Fixture();
+  const blocks = blocksField(["0123456789abcdef" as Digest]);
+  const suspects = ["e1", "e2", "e3"].flatMap((upstream) =>
+    ["other-1", "other-2"].map((digest) => {
+      const run = { upstream, incarnation: `${upstream}-run-1`, ...blocks };
+      return { digest, ...run, atMs: fixture.core.now, silent: false };
+    })
+  );
+  const heartbeat = createHeartbeat(fixture.core.board, {
+    now: fixture.core.now,
+    withConfig: false,
+  });
+  const value = { ...heartbeat, suspects };
+  const body = { $case: "heartbeat", value } as const;
+  const envelope = { from: "peer" as never, seq: 1, body };
+  fixture.core.after(1, { type: "peer_message", envelope });
+  fixture.core.after(1_000);
+  fixture.send("p1");
+  for (let i = 0; i < 2; i += 1) fixture.endAttempt("p1", { crashed: true });
+  expect(fixture.core.board.quarantine.quarantined.has(DIGEST)).toBe(true);
+});
+
 /** Two daemons whose clocks differ, and which send each other heartbeats. */
 class PairFixture {
   readonly cores = [0, HOUR_MS].map((ms) => {
