The time of the engine stand-in is the test's where a test counts on it

Seen once, in the whole suite at a load of 28: "a decoding plan survives the expiry of its reservation, and ends when another engine loses its part" found its reservation expired.

Timeline: the test reserves memory for 1 s of wall-clock time; the stand-in of the same process asks the other engine every 50 ms, which renews both. Cause: a process that gets no processor for 1 s runs the expiry before the renewal, which is right for an engine and says nothing about the plan.

Change: the stand-in takes its time from Timers.

--- a/stand_ins/engine/answers.ts
+++ b/stand_ins/engine/answers.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from "node:http";
-import { clearTimeout, setTimeout } from "node:timers";
 import type { AttemptId, PlanId } from "../../src/core/id.ts";
 import type { EngineEvent, GenerateHead } from "../../src/wire/engine.ts";
 import type { AnswerKey } from "./answer.ts";
@@ -13,6 +12,7 @@
 } from "./engine_config.ts";
 import type { AnswerFault } from "./faults.ts";
 import type { ModelEvent } from "./job.ts";
+import type { Timer, Timers } from "../common/timers.ts";
 import { peersHold } from "./kv_exchange.ts";
 
 type EndEvent = Extract<ModelEvent, { type: "done" | "error" }>;
@@ -21,9 +21,9 @@
 export type AnswerEntry = {
   readonly stream: AnswerStream;
   /** Cancels it without a reader, or forgets it after its end. */
-  timer: NodeJS.Timeout | undefined;
+  timer: Timer | undefined;
   /** Next check of the plan's other engines. */
-  watch: NodeJS.Timeout | undefined;
+  watch: Timer | undefined;
 };
 
 /** What answers ask of their engine. */
@@ -36,22 +36,39 @@
 /** The answers of one engine: running ones, and finished ones for a while. */
 export class Answers {
   readonly #cfg: EngineServerConfig;
+  readonly #timers: Timers;
   readonly #listener: AnswersListener;
   readonly #entries = new Map<AttemptId, AnswerEntry>();
 
-  private constructor(cfg: EngineServerConfig, listener: AnswersListener) {
+  private constructor(
+    cfg: EngineServerConfig,
+    timers: Timers,
+    listener: AnswersListener,
+  ) {
     this.#cfg = cfg;
+    this.#timers = timers;
     this.#listener = listener;
   }
 
-  static create(cfg: EngineServerConfig, listener: AnswersListener): Answers {
-    return new Answers(cfg, listener);
+  static create(
+    cfg: EngineServerConfig,
+    timers: Timers,
+    listener: AnswersListener,
+  ): Answers {
+    return new Answers(cfg, timers, listener);
   }
 
   get size(): number {
     return this.#entries.size;
   }
 
+  /** Connections that read an answer. */
+  get readers(): number {
+    let sum = 0;
+    for (const { stream } of this.#entries.values()) sum += stream.readers;
+    return sum;
+  }
+
   get(attempt: AttemptId): AnswerEntry | undefined {
     return this.#entries.get(attempt);
   }
@@ -61,7 +78,7 @@
     if (this.#entries.size < MAX_STREAMS) return true;
     for (const [attempt, { stream, timer }] of this.#entries) {
       if (!stream.ended) continue;
-      clearTimeout(timer);
+      timer?.clear();
       return this.#entries.delete(attempt);
     }
     return false;
@@ -81,7 +98,7 @@
     res: ServerResponse,
     options: { after: number; fault: AnswerFault | undefined },
   ): void {
-    clearTimeout(entry.timer);
+    entry.timer?.clear();
     entry.stream.attach(res, {
       ...options,
       onGone: () => this.#readerGone(entry),
@@ -96,7 +113,7 @@
     const entry = this.#entries.get(event.attempt);
     if (!entry) return;
     entry.stream.end(finalEvent(entry.stream.head, event));
-    clearTimeout(entry.watch);
+    entry.watch?.clear();
     this.#keep(entry);
   }
 
@@ -106,8 +123,8 @@
 
   clear(): void {
     for (const { timer, watch } of this.#entries.values()) {
-      clearTimeout(timer);
-      clearTimeout(watch);
+      timer?.clear();
+      watch?.clear();
     }
     this.#entries.clear();
   }
@@ -119,15 +136,15 @@
     if (stream.ended) return this.#keep(entry);
     const { orphanMs = ORPHAN_MS } = this.#cfg;
     const cancel = () => this.#listener.cancel(stream.head.attempt);
-    entry.timer = setTimeout(cancel, orphanMs);
+    entry.timer = this.#timers.set(cancel, orphanMs);
   }
 
   #keep(entry: AnswerEntry): void {
-    clearTimeout(entry.timer);
+    entry.timer?.clear();
     const { keepMs = KEEP_MS } = this.#cfg;
     const { attempt } = entry.stream.head;
     const drop = () => this.#entries.delete(attempt);
-    entry.timer = setTimeout(drop, keepMs);
+    entry.timer = this.#timers.set(drop, keepMs);
   }
 
   /** Renews the memory of a plan that decodes here; ends it when another engine has lost its part. */
@@ -136,7 +153,7 @@
     if (!segment?.last && !segment?.peers?.length) return;
     if (segment.last) this.#listener.renewPlan(segment.plan);
     const { peerCheckMs = PEER_CHECK_MS } = this.#cfg;
-    entry.watch = setTimeout(async () => {
+    entry.watch = this.#timers.set(async () => {
       const isWhole = await peersHold(segment);
       if (!this.#has(entry) || entry.stream.ended) return;
       if (isWhole) this.#watchPeers(entry);
--- a/stand_ins/engine/engine_config.ts
+++ b/stand_ins/engine/engine_config.ts
@@ -1,5 +1,6 @@
 import type { Incarnation } from "../../src/core/id.ts";
 import type { Millis } from "../../src/core/time.ts";
+import type { Timers } from "../common/timers.ts";
 import type { EngineModelOptions } from "./model_config.ts";
 
 /** Time that an answer without a reader goes on, for a client that comes back. */
@@ -27,6 +28,8 @@
     pingMs?: Millis;
     peerCheckMs?: Millis;
     seed?: number;
+    /** Time of the model and of answers; the system's where absent. */
+    timers?: Timers;
     /** Incarnation of the first run; a random one where absent. */
     incarnation?: Incarnation;
     /** Called for a crash; without it the server closes, and `restart` brings it back. */
--- a/stand_ins/engine/engine_server.ts
+++ b/stand_ins/engine/engine_server.ts
@@ -50,6 +50,11 @@
     return this.#engine.answers.size;
   }
 
+  /** Connections that read an answer. */
+  get readers(): number {
+    return this.#engine.answers.readers;
+  }
+
   /** Starts listening; resolves with `host:port`. */
   async listen(options: ListenOptions = {}): Promise<string> {
     this.#address = await this.#host.listen(options);
--- a/stand_ins/engine/model_clock.ts
+++ b/stand_ins/engine/model_clock.ts
@@ -1,25 +1,27 @@
-import { performance } from "node:perf_hooks";
 import type { Millis, Timestamp } from "../../src/core/time.ts";
+import type { Timers } from "../common/timers.ts";
 
 /** The engine's own time: wall time, sped up by a factor, and stopped while frozen. */
 export class ModelClock {
+  readonly #timers: Timers;
   #scale: number;
   #base: number;
   #since: number;
   #frozen = false;
 
-  private constructor(scale: number) {
+  private constructor(timers: Timers, scale: number) {
+    this.#timers = timers;
     this.#scale = scale;
     this.#base = Date.now();
-    this.#since = performance.now();
+    this.#since = timers.now();
   }
 
-  static create(scale = 1): ModelClock {
-    return new ModelClock(scale);
+  static create(timers: Timers, scale = 1): ModelClock {
+    return new ModelClock(timers, scale);
   }
 
   now(): Timestamp {
-    const passed = this.#frozen ? 0 : performance.now() - this.#since;
+    const passed = this.#frozen ? 0 : this.#timers.now() - this.#since;
     return (this.#base + passed * this.#scale) as Timestamp;
   }
 
@@ -45,6 +47,6 @@
 
   #rebase(): void {
     this.#base = this.now();
-    this.#since = performance.now();
+    this.#since = this.#timers.now();
   }
 }
