Log no client_left for a client that closes after its refusal

Since a refusal is whole before the rest of its body has been dropped, a client that read it and closed was logged as client_left behind turned_away, and `explain` names the last line. Found by reading; slow_body_test.ts, 1 of 6 failed, passes now.

--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -176,7 +176,8 @@
     this.#bodyTimer?.stop();
     if (res.writableFinished) return;
     if (this.#exchange !== undefined) this.#exchange.cancel();
-    else {
+    // A refusal has its line, and is whole before the rest of the body is.
+    else if (!this.#entry.response.started) {
       this.#line("client_left", { placed: 0, received: this.#receivedBytes });
     }
   }
--- a/src/gateway/requests/slow_body_test.ts
+++ b/src/gateway/requests/slow_body_test.ts
@@ -87,3 +87,13 @@
   await expect.poll(() => client.ended, { timeout: 3_000 }).toBe("closed");
   await expect.poll(() => fixture.frontServer.openRequests).toBe(0);
 });
+
+test("a client that closes after the refusal of its body was logged as one that left", async () => {
+  await start({ timeoutMs: 100 });
+  client.write(requestText("/reserve/x", { body: "abcd" }).slice(0, -2));
+  await expectStatuses(503);
+  client.close();
+  await expect.poll(() => fixture.frontServer.openRequests).toBe(0);
+  await sleep(50);
+  expect(fixture.exchangePort.recorded.lines).toEqual(["turned_away"]);
+});
