--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -77,6 +77,9 @@
     );
     server.on("connect", (req, socket) => {
       const connection = this.#of(socket as Socket);
+      // The server has taken its own listeners off the socket.
+      socket.on("error", () => socket.destroy());
+      socket.resume();
       const detail = `${req.method} can't be served`;
       this.#end(connection, "tunnel", problem("bad_request", detail));
     });
@@ -165,7 +168,8 @@
       // The rest of it was on its way when the time was over.
       const { requests } = connection;
       const endIfIncomplete = () => {
-        if (connection.requests === requests) end();
+        const isGone = connection.socket.destroyed;
+        if (!isGone && connection.requests === requests) end();
       };
       setTimeout(endIfIncomplete, STALL_GRACE_MS).unref();
     });
--- a/src/gateway/requests/connection_end_test.ts
+++ b/src/gateway/requests/connection_end_test.ts
@@ -89,6 +89,22 @@
   });
 });
 
+test("a client that asks for a tunnel and resets its connection ended the daemon", async () => {
+  await start(answer);
+  const head = "CONNECT h.example:80 HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  for (const waitMs of [0, 1, 5, 20]) {
+    const one = await PlainClient.connect(fixture.port);
+    one.write(head);
+    await sleep(waitMs);
+    one.write("more");
+    one.socket.resetAndDestroy();
+  }
+  // An error without a listener fails the test run.
+  await sleep(1_200);
+  client.write(requestText("/lookup/x"));
+  await expectStatuses(200);
+});
+
 describe("an end without a request says what had arrived", () => {
   const limits = { headMs: 5_000, idleMs: 50 };
 
