CONFIG: after restores, the tables of daemons differed for good

All have one cause: what a daemon holds against the register was known to that daemon alone, while the others follow changes of tables.

- What was held back held by itself after 5 s, also when the register had dropped it since and nobody had told: upstreams that were gone opened again.
Now only a whole read after that time ends it: by the leader, which tells the others, and within a second by daemons that still hold to something else.
- Changes that cross a restore were applied to a table that was read after it, and the records between were skipped.
They continue only a table of their era.
- Entries that were kept were sent as listed ones; a follower that missed the removal listed them for good.
They are sent with the time for which they are kept (`keptMs`), after an outage too.
- Entries were dropped though no read had succeeded since, where the store was away again.

Not covered: a daemon that starts beside only daemons of the last release after a restore can't tell that their positions are older; the simulation starts none there.

--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -122,8 +122,10 @@
     const { members, register, self } = board;
     const position = resolvePosition(heartbeat.progress, board.store);
     const behind = isBefore(position, register.lastChange);
-    const needsGone = position.offset < 0 ||
-      settlingUntil(board.store, step.now) !== undefined;
+    const isSettling = settlingUntil(board.store, step.now) !== undefined;
+    const { table } = register;
+    const kept = behind ? table.kept(step.now) : [];
+    const needsGone = position.offset < 0 || isSettling;
     step.emit({
       type: "send",
       to: heartbeat.from.peer,
@@ -135,8 +137,9 @@
         roster: heartbeat.roster === undefined
           ? undefined
           : this.#currentRoster(board, step).since(heartbeat.roster),
-        entries: behind ? register.table.all() : undefined,
-        gone: behind && needsGone ? register.table.recentlyGone() : undefined,
+        entries: behind ? table.all() : undefined,
+        kept: kept.length > 0 ? kept : undefined,
+        gone: behind && needsGone ? table.recentlyGone() : undefined,
         contents: contentSyncFor(board, step.now, {
           to: heartbeat.from.vm,
           mark: heartbeat.contents?.mark,
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -79,7 +79,12 @@
 
 const RegisterChangeSchema = z.union([
   z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
-  z.object({ type: z.literal("gone"), id: upstream }),
+  z.object({
+    type: z.literal("gone"),
+    id: upstream,
+    /** Time in ms for which the entry is kept, as it may be missing only because of an outage. */
+    keptMs: millisSchema.optional(),
+  }),
   // An entry that can't be used replaces one that could.
   z.object({ type: z.literal("entry"), entry: z.object({ id: upstream }) })
     .transform(({ entry }) => ({ type: "gone" as const, id: entry.id })),
@@ -170,6 +175,9 @@
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
     entries: soundList(UpstreamEntrySchema).optional(),
+    /** Those of the entries that are only kept, and for how long. */
+    kept: soundList(z.object({ id: upstream, keptMs: millisSchema }))
+      .optional(),
     /** Processes that are known to be gone, which a restored store may list again. */
     gone: soundList(GoneUpstreamSchema).optional(),
     contents: ContentSyncSchema.optional(),
--- a/src/gateway/peers/peer_message_fuzz_test.ts
+++ b/src/gateway/peers/peer_message_fuzz_test.ts
@@ -22,7 +22,9 @@
   versionAgeMs: 5,
   offset: 7,
   ageMs: 9,
-  evacuations: { offset: 2, domains: ["b"] },
+  era: 2,
+  eraAgeMs: 100,
+  evacuations: { offset: 2, era: 2, domains: ["b"], stated: [] },
 };
 const ENTRY = upstreamEntry("e1", { coldMs: 500 });
 const NOTICE = {
@@ -61,6 +63,8 @@
     leader: "vm-1",
     roster: { epoch: "vm-1/1", seq: 2, joined: [peerCard("vm-2")], gone: [] },
     entries: [ENTRY],
+    kept: [{ id: "e1", keptMs: 300 }],
+    gone: [{ id: "e2", startedAt: 1 }],
     contents: CONTENTS,
     rates: [NOTICE],
   },
@@ -69,7 +73,13 @@
     from: "vm-1",
     progress: PROGRESS,
     since: -1,
-    changes: [{ type: "entry", entry: ENTRY }, { type: "gone", id: "e2" }],
+    sinceEra: 2,
+    changes: [
+      { type: "entry", entry: ENTRY },
+      { type: "gone", id: "e2" },
+      { type: "gone", id: "e1", keptMs: 300 },
+    ],
+    snapshot: true,
   },
   {
     type: "ask",
--- a/src/gateway/store/store_reader.ts
+++ b/src/gateway/store/store_reader.ts
@@ -23,6 +23,8 @@
   minGapMs: Millis;
   /** Shortest time after a failed read; longer for daemons that read only for themselves. */
   backoffMs?: Millis;
+  /** Whether the read must be one of the whole topic. */
+  whole?: boolean;
 }>;
 
 /** Reads one topic of the store, one call at a time, each from the offset at which the last one ended. */
@@ -65,6 +67,7 @@
     }
     this.#sentAt = step.now;
     this.#notBefore = addMs(step.now, timing.minGapMs);
+    if (timing.whole === true) this.#position = undefined;
     this.#sentFrom = this.#position;
     const from = this.#position?.offset;
     const waitMs = from === undefined ? 0 : timing.waitMs;
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -1,14 +1,21 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
-import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
+import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { PeerMessage, StoreProgress } from "../peers/peer_message.ts";
 import { scheduleFallbackRead } from "./fallback_read.ts";
+import {
+  applyPeerChanges,
+  type PeerTable,
+  replaceByPeerTable,
+} from "./peer_changes.ts";
+import { RegisterSettling } from "./register_settling.ts";
 import {
   publishUpdates,
   relayPeerUpdates,
+  requestEntries,
   sendOwnUpdates,
 } from "./register_publisher.ts";
-import { rewritingUntil, settlingUntil } from "../store/settling.ts";
+import { settlingUntil } from "../store/settling.ts";
 import {
   isBefore,
   resolvePosition,
@@ -19,7 +26,6 @@
   LAPSE_GRACE_MS,
   type MergeOptions,
   type UpstreamChange,
-  type UpstreamEntry,
 } from "./upstream_table.ts";
 
 /** Shortest time between the leader's reads; it sends changes to all others. */
@@ -37,6 +43,7 @@
 export class RegisterController extends GatewayController {
   readonly #reader = StoreReader.create("register");
   #graceUntil: Timestamp | undefined;
+  readonly #settling = RegisterSettling.create();
   /** Whether the table has changed since the last read from the store. */
   #changedSinceRead = false;
 
@@ -62,14 +69,14 @@
         register.asOf = addMs(register.asOf, -event.suspendedMs);
       }
     }
-    const expired = register.table.expire(step.now);
+    const expired = register.table.expire(step.now, register.asOf);
     publishUpdates(board, step, expired);
     // Each daemon drops lapsed entries by itself; only the leader sends the removals on.
     if (board.members.leader === board.self.card.vm) {
       sendOwnUpdates(board, step, expired, { snapshot: true });
     }
     this.#changedSinceRead ||= expired.length > 0;
-    const next = register.table.nextExpiry();
+    const next = register.table.nextExpiry(step.now);
     if (next !== undefined) step.wake(next);
     this.#poll(board, step);
   }
@@ -78,9 +85,11 @@
     // What peers know holds against the older copy of a restored store only if it is known first.
     if (!board.members.introduced) return;
     const { members, self, register, store } = board;
+    const whole = this.#settling.mustReadWhole(board, step);
     if (members.leader === self.card.vm) {
       const minGapMs = MIN_LEADER_READ_GAP_MS;
-      this.#reader.poll(step, store, { waitMs: LONG_POLL_MS, minGapMs });
+      const waitMs = LONG_POLL_MS;
+      this.#reader.poll(step, store, { waitMs, minGapMs, whole });
       return;
     }
     const { readAt, backoffMs } = scheduleFallbackRead(board, {
@@ -88,13 +97,14 @@
       asOf: register.asOf,
       waitMs: LONG_POLL_MS,
     });
-    if (step.now < readAt) step.wake(readAt);
+    if (step.now < readAt && !whole) step.wake(readAt);
     else {
       const minGapMs = MIN_FALLBACK_READ_GAP_MS;
       this.#reader.poll(step, store, {
         waitMs: LONG_POLL_MS,
         minGapMs,
         backoffMs,
+        whole,
       });
     }
   }
@@ -132,6 +142,7 @@
       ? grace
       : undefined;
     const settling = this.#enterEra(board, step, position);
+    if (batch.full) this.#settling.readWhole(board, step);
     const snapshot = batch.full && settling.settleUntil !== undefined;
     const updates = batch.full
       ? table.replace(entriesOf(batch.changes), { lapseUntil, ...settling })
@@ -156,17 +167,17 @@
       // A daemon whose progress is ahead of this one is asked for its entries.
       const position = resolvePosition(message.progress, store);
       if (isBefore(register.position, position)) {
-        this.#requestEntries(board, step, message.from.peer);
+        requestEntries(board, step, message.from.peer);
       }
       return;
     }
     if (message.type === "heartbeat_reply") {
-      const { progress, entries, gone = [] } = message;
+      const { progress, entries } = message;
       const position = resolvePosition(progress, store);
       if (this.#isOutdated(board, step, message, position)) return;
       if (entries !== undefined) {
-        this.#applyPeerSnapshot(board, step, { progress, entries, position });
-        for (const upstream of gone) register.table.recordGone(upstream);
+        const table = { ...message, entries };
+        this.#applyPeerTable(board, step, { progress, table, position });
       } else if (position.era > register.position.era) {
         // The reply to the next heartbeat has the entries.
         return;
@@ -180,15 +191,19 @@
       if (this.#isOutdated(board, step, message, position)) return;
       if (position.era > register.position.era) return;
       const start = resolvePosition({ offset: since, era: sinceEra }, store);
-      if (isBefore(register.position, start)) {
+      // Changes that cross a restore don't continue a table that was read after it.
+      const continues = start.era === position.era &&
+        !isBefore(register.position, start);
+      if (!continues) {
         const peer = board.members.table.get(message.from)?.peer;
-        if (peer !== undefined) this.#requestEntries(board, step, peer);
+        if (peer !== undefined) requestEntries(board, step, peer);
         return;
       }
       const settleUntil = snapshot ? settlingUntil(store, step.now) : undefined;
-      const updates = changes.flatMap((change) =>
-        register.table.apply(change, { settleUntil }) ?? []
-      );
+      const updates = applyPeerChanges(register.table, changes, {
+        now: step.now,
+        settleUntil,
+      });
       const known = register.position;
       publishUpdates(board, step, updates, { received: position, known });
       relayPeerUpdates(board, step, { progress, updates, snapshot });
@@ -229,29 +244,26 @@
     step: GatewayStep,
     position: StorePosition,
   ): MergeOptions {
-    const { register, store } = board;
-    const settleUntil = settlingUntil(store, step.now);
-    if (position.era > register.position.era) this.#changedSinceRead = true;
-    const lapseUntil = rewritingUntil(store, step.now);
-    return lapseUntil === undefined
-      ? { settleUntil }
-      : { settleUntil, lapseUntil };
+    const { era } = board.register.position;
+    if (position.era > era) this.#changedSinceRead = true;
+    return this.#settling.mergeOptions(board, step);
   }
 
-  #applyPeerSnapshot(
+  #applyPeerTable(
     board: GatewayBoard,
     step: GatewayStep,
     message: Readonly<{
       progress: StoreProgress;
-      entries: readonly UpstreamEntry[];
+      table: PeerTable;
       position: StorePosition;
     }>,
   ): void {
     const { register } = board;
-    const { progress, entries, position: received } = message;
+    const { progress, table, position: received } = message;
     const known = register.position;
     const settling = this.#enterEra(board, step, received);
-    const updates = register.table.replace(entries, settling);
+    const options = { ...settling, now: step.now };
+    const updates = replaceByPeerTable(register.table, table, options);
     publishUpdates(board, step, updates, { received, known });
     relayPeerUpdates(board, step, { progress, updates, snapshot: true });
     if (updates.length > 0) this.#changedSinceRead = true;
@@ -272,19 +284,6 @@
     const asOf = addMs(step.now, -progress.ageMs - MAX_RESPONSE_AGE_MS);
     if (asOf > register.asOf) register.asOf = asOf;
   }
-
-  #requestEntries(board: GatewayBoard, step: GatewayStep, to: string): void {
-    step.emit({
-      type: "send",
-      to,
-      message: {
-        type: "heartbeat",
-        from: board.self.card,
-        progress: storeProgressOf(board, step.now),
-        jobs: [],
-      },
-    });
-  }
 }
 
 function entriesOf(changes: readonly UpstreamChange[]) {
--- a/src/gateway/upstreams/register_publisher.ts
+++ b/src/gateway/upstreams/register_publisher.ts
@@ -1,4 +1,5 @@
-import type { GatewayBoard } from "../gateway_board.ts";
+import type { Timestamp } from "../../core/time.ts";
+import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
 import type { GatewayStep } from "../gateway_controller.ts";
 import type { StoreProgress } from "../peers/peer_message.ts";
 import type { StorePosition } from "../store/store_position.ts";
@@ -46,7 +47,7 @@
   options: Readonly<{ snapshot: boolean }>,
 ): boolean {
   const { members, self } = board;
-  const changes = changesOf(board, updates);
+  const changes = changesOf(board, updates, step.now);
   const leads = members.leader === self.card.vm;
   // Other daemons send their progress without changes too: a leader that can't read needs it.
   if (leads && changes.length === 0) return false;
@@ -68,19 +69,42 @@
 ): void {
   const { members, self } = board;
   const { progress, updates, snapshot } = received;
-  const changes = changesOf(board, updates);
+  const changes = changesOf(board, updates, step.now);
   if (changes.length === 0 || members.leader !== self.card.vm) return;
   sendRegisterChanges(board, step, { changes, progress, snapshot });
 }
 
+/** Asks another daemon for its whole table; it sends it if this daemon's position is behind. */
+export function requestEntries(
+  board: GatewayBoard,
+  step: GatewayStep,
+  to: string,
+): void {
+  step.emit({
+    type: "send",
+    to,
+    message: {
+      type: "heartbeat",
+      from: board.self.card,
+      progress: storeProgressOf(board, step.now),
+      jobs: [],
+    },
+  });
+}
+
 /** Changes to send for updates: the entries as they are now, and the ids that are gone. */
 function changesOf(
   board: GatewayBoard,
   updates: readonly UpstreamUpdate[],
+  now: Timestamp,
 ): readonly UpstreamChange[] {
+  const { table } = board.register;
+  const kept = new Map(table.kept(now).map(({ id, keptMs }) => [id, keptMs]));
   return updates.flatMap(({ kind, id }): UpstreamChange[] => {
-    if (kind === "kept" || kind === "overruled") return [];
-    const entry = board.register.table.get(id);
+    if (kind === "overruled") return [];
+    const keptMs = kept.get(id);
+    if (keptMs !== undefined) return [{ type: "gone", id, keptMs }];
+    const entry = table.get(id);
     return entry === undefined ? [{ type: "gone", id }] : [
       { type: "entry", entry },
     ];
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -29,7 +29,12 @@
 /** Change of the register: a new or changed entry, or an id whose entry is gone or unusable. */
 export type UpstreamChange =
   | Readonly<{ type: "entry"; entry: UpstreamEntry }>
-  | Readonly<{ type: "gone"; id: UpstreamId }>;
+  | Readonly<{
+    type: "gone";
+    id: UpstreamId;
+    /** Time for which the daemon that read it keeps the entry. */
+    keptMs?: Millis;
+  }>;
 
 /** Effect of a change on the table. */
 export type UpstreamUpdate = Readonly<{
@@ -52,6 +57,9 @@
 /** A process of an upstream that is gone, by its start. */
 export type GoneUpstream = z.infer<typeof GoneUpstreamSchema>;
 
+/** An entry that is kept for some time though the register does not list it. */
+export type KeptUpstream = Readonly<{ id: UpstreamId; keptMs: Millis }>;
+
 /** How statements are weighed against the table while the register may be incomplete or old. */
 export type MergeOptions = Readonly<{
   /** Entries may be missing only because the register was unavailable, or its copy is older: they are kept until then. */
@@ -63,6 +71,8 @@
 /** What the register states of an upstream against the table, and until when the table holds. */
 type Overruled = Readonly<{
   until: Timestamp;
+  /** Whether the register may be an older copy: what it states must still hold then. */
+  isSettling: boolean;
   /** Absent if the upstream is not listed. */
   stated?: UpstreamEntry;
 }>;
@@ -106,6 +116,12 @@
     return [...this.#entries.values()];
   }
 
+  /** The entries that are kept though the register does not list them, and for how long. */
+  kept(now: Timestamp): readonly KeptUpstream[] {
+    return [...this.#overruled].filter(([id]) => this.#isKept(id))
+      .map(([id, { until }]) => ({ id, keptMs: Math.max(0, until - now) }));
+  }
+
   /** Upstreams of a service that accept new requests, by the register. */
   open(service: ServiceId): readonly UpstreamEntry[] {
     return this.all().filter((entry) =>
@@ -124,7 +140,8 @@
       if (settleUntil === undefined || !this.#contradicts(entry)) {
         return this.#put(entry);
       }
-      this.#overruled.set(entry.id, { until: settleUntil, stated: entry });
+      const overruled = { until: settleUntil, isSettling: true, stated: entry };
+      this.#overruled.set(entry.id, overruled);
       return { kind: "overruled", id: entry.id };
     }
     const { id } = change;
@@ -133,7 +150,10 @@
       return this.#overruled.delete(id) ? { kind: "settled", id } : undefined;
     }
     if (lapseUntil === undefined || known.leaving) return this.#remove(id);
-    if (!this.#isKept(id)) this.#overruled.set(id, { until: lapseUntil });
+    const isSettling = settleUntil !== undefined;
+    if (isSettling || !this.#isKept(id)) {
+      this.#overruled.set(id, { until: lapseUntil, isSettling });
+    }
     return { kind: "kept", id };
   }
 
@@ -143,7 +163,8 @@
     options: MergeOptions = {},
   ): readonly UpstreamUpdate[] {
     const ids = new Set(entries.map((entry) => entry.id));
-    const missing = [...this.#entries.keys()].filter((id) => !ids.has(id));
+    const known = [...this.#entries.keys(), ...this.#overruled.keys()];
+    const missing = [...new Set(known)].filter((id) => !ids.has(id));
     const changes: UpstreamChange[] = [
       ...missing.map((id) => ({ type: "gone", id }) as const),
       ...entries.map((entry) => ({ type: "entry", entry }) as const),
@@ -151,25 +172,32 @@
     return changes.flatMap((change) => this.apply(change, options) ?? []);
   }
 
-  /** Lets the register's statements hold against which the table has held long enough. */
-  expire(now: Timestamp): readonly UpstreamUpdate[] {
+  /**
+   * Drops entries that were kept and were not listed again in time. After a restore, `asOf`, the latest time at which
+   * the table is known to have matched the register, must be later.
+   */
+  expire(now: Timestamp, asOf: Timestamp): readonly UpstreamUpdate[] {
     const updates: UpstreamUpdate[] = [];
-    for (const [id, { until, stated }] of [...this.#overruled]) {
-      if (until > now) continue;
-      const update = stated === undefined
-        ? this.#remove(id)
-        : this.#put(stated);
-      if (update !== undefined) updates.push(update);
+    for (const [id, { until, isSettling }] of [...this.#overruled]) {
+      const isOver = until <= (isSettling ? asOf : now);
+      if (isOver && this.#isKept(id)) updates.push(this.#remove(id));
     }
     return updates;
   }
 
-  /** Time at which the next such statement holds. */
-  nextExpiry(): Timestamp | undefined {
-    const times = [...this.#overruled.values()].map(({ until }) => until);
+  /** Time after `now` at which the next entry may be dropped. */
+  nextExpiry(now: Timestamp): Timestamp | undefined {
+    const times = [...this.#overruled.values()].map(({ until }) => until)
+      .filter((until) => until > now);
     return times.length === 0 ? undefined : Math.min(...times) as Timestamp;
   }
 
+  /** Whether the table holds against an entry of the register that says something else. */
+  get isUnsettled(): boolean {
+    return [...this.#overruled.values()]
+      .some(({ stated }) => stated !== undefined);
+  }
+
   /** The last processes that were removed, for daemons that did not see it. */
   recentlyGone(): readonly GoneUpstream[] {
     return [...this.#goneStarts].slice(-MAX_GONE_SENT)
--- a/src/testing/last_release.ts
+++ b/src/testing/last_release.ts
@@ -18,7 +18,7 @@
     },
   };
   if (stripped.type === "heartbeat_reply") {
-    const { gone: _gone, ...reply } = stripped;
+    const { gone: _gone, kept: _kept, ...reply } = stripped;
     return reply;
   }
   if (stripped.type !== "changes") return stripped;
