CONFIG: daemons that start together waited half a second for each other

A daemon that starts asks its seeds every 500 ms, and since waits for a first reply before it reads the store. Where all start together, as after a loss of power, the first datagrams reach ports that are not open yet. Until the first reply it asks every 100 ms.

--- a/src/gateway/members/peer_discovery.ts
+++ b/src/gateway/members/peer_discovery.ts
@@ -11,6 +11,8 @@
 
 /** Time between heartbeats to the seeds while no other daemon is live. */
 const SEED_INTERVAL_MS: Millis = 500;
+/** The same until the first reply of a peer, without which a daemon reads nothing: daemons may start together. */
+const FIRST_SEED_INTERVAL_MS: Millis = 100;
 /** Time without a live peer before the store is read for announced daemons, and time as leader before announcing. */
 const STORE_DELAY_MS: Millis = 1_500;
 /** Time after the start in which a daemon waits for the first reply of a peer before it reads the store. */
@@ -68,7 +70,10 @@
     }
     if (step.now >= this.#nextSeedAt) {
       for (const seed of board.self.seeds) sendHeartbeat(seed);
-      this.#nextSeedAt = addMs(step.now, SEED_INTERVAL_MS);
+      const intervalMs = board.members.introduced
+        ? SEED_INTERVAL_MS
+        : FIRST_SEED_INTERVAL_MS;
+      this.#nextSeedAt = addMs(step.now, intervalMs);
     }
     this.#nextStoreReadAt ??= addMs(step.now, STORE_DELAY_MS);
     if (step.now >= this.#nextStoreReadAt) {
--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -439,6 +439,16 @@
     },
   );
 
+  test("beside a peer that starts a moment later is not held up until its next try", () => {
+    const fleet = restoredFleet();
+    for (const gateway of [...fleet.gateways]) fleet.remove(gateway);
+    const started = fleet.add("vm-1", ["vm-0:1"]);
+    fleet.time.run(150);
+    fleet.add("vm-0", ["vm-0:1"]);
+    fleet.time.run(150);
+    expect(started.core.board.register.position.offset).toBe(3);
+  });
+
   test("without peers is ready, and one whose peers are silent is ready in time", () => {
     const fleet = restoredFleet();
     for (const gateway of [...fleet.gateways]) fleet.remove(gateway);
