Content that an answer leaves as the only suspect is not placed once more

The gate now refuses what it finds guilty. The new test failed without that (1 of 9: an attempt was started).

An attempt that was sent in the step of a crash was sent after it, so that content which turns deadly after an answer is spared one crash, not two; its new test failed before (refused as upstream_failed, not as quarantined).

--- a/src/controllers/bystander_test.ts
+++ b/src/controllers/bystander_test.ts
@@ -147,3 +147,32 @@
   }
   expect(fixture.core.board.quarantine.quarantined.size).toBe(0);
 });
+
+test("content is refused in the step in which an answer leaves it as the only suspect", () => {
+  const fixture = new BlocksFixture();
+  const digest = "digest-s" as Digest;
+  fixture.placeForPeer("o", { digest: "digest-o" as Digest });
+  fixture.learn(report("o", "e8"), report("q", "e9"));
+  fixture.learn(report("s", "e8"), report("s", "e9"));
+  const req = fixture.send("x", 1_000, digest);
+  fixture.wait(2 * SECOND_MS - 5);
+  expect(fixture.isRunning(req)).toBe(false);
+  expect(fixture.refusalOf(req)).toBeUndefined();
+  const { attempts } = fixture;
+  fixture.endForPeer("o");
+  expect(fixture.refusalOf(req)).toBe("quarantined");
+  expect(fixture.attempts).toBe(attempts);
+});
+
+test("content that was answered and then turns deadly loses three engines at most", () => {
+  const fixture = new BlocksFixture();
+  const digest = "turning" as Digest;
+  fixture.finish(fixture.send("s", 1_000, digest));
+  const req = fixture.send("s", 1_000, digest);
+  while (fixture.isRunning(req)) {
+    const { attempt } = fixture.core.board.requests.byId.get(req)!;
+    fixture.crash(attempt!.placement.upstream);
+  }
+  expect(fixture.refusalOf(req)).toBe("quarantined");
+  expect(fixture.lost).toBeLessThanOrEqual(3);
+});
--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -5,7 +5,7 @@
 import type { Digest } from "../core/id.ts";
 import type { Request } from "../core/request.ts";
 import type { StepContext } from "../core/step_context.ts";
-import type { Timestamp } from "../core/time.ts";
+import { addMs, type Timestamp } from "../core/time.ts";
 import { partOn } from "../scheduling/job.ts";
 import {
   type ContentRun,
@@ -151,7 +151,8 @@
   #isSpared(board: Blackboard, now: Timestamp, crash: ContentRun): boolean {
     const { answered } = board.quarantine;
     if (!answered.has(crash.digest, now)) return false;
-    const sentAt = crash.sentAt ?? (-Infinity as Timestamp);
+    // An attempt that was sent in the step of a crash was sent after it.
+    const sentAt = addMs(crash.sentAt ?? (-Infinity as Timestamp), 1);
     return !answered.revoke(crash.digest, now, { sentAt });
   }
 
--- a/src/controllers/suspect_gate.ts
+++ b/src/controllers/suspect_gate.ts
@@ -29,11 +29,12 @@
   ask: CellPlacementRequest,
   jobs: () => Iterable<Job>,
 ): GateDecision {
-  if (board.quarantine.quarantined.has(ask.digest)) {
+  const verdict = verdictOf(board, ctx, ask);
+  // An answer of this step may have left the content as the only suspect.
+  if (board.quarantine.quarantined.has(ask.digest) || verdict === "guilty") {
     const detail = "Each engine that ran this content crashed.";
     return { type: "refused", problem: problem("quarantined", detail) };
   }
-  const verdict = verdictOf(board, ctx, ask);
   if (verdict === "open") return { type: "queued" };
   if (mustWait(board, ask, jobs)) return { type: "queued" };
   const flagged = withSuspectFlag(board, ask);
@@ -50,13 +51,14 @@
   ask: CellPlacementRequest,
 ): CrashVerdict | undefined {
   const known = board.quarantine.suspects.get(ask.digest);
-  if ((known?.crashes.length ?? 0) < CRASHES_TO_QUARANTINE) return undefined;
+  if (known === undefined) return undefined;
+  if (known.crashes.length < CRASHES_TO_QUARANTINE) return undefined;
   const judge = CrashJudge.create(board, ctx.now);
   const verdict = judge.judgeContent(ask.digest);
   if (verdict === "open") {
     const message =
       "prompt held until others that may have crashed its engines have run";
-    const crashes = known!.crashes.length;
+    const crashes = known.crashes.length;
     const fields = { req: ask.request, content: ask.digest, crashes };
     logSuspicion(ctx, message, fields);
   }
--- a/src/testing/blocks_fixture.ts
+++ b/src/testing/blocks_fixture.ts
@@ -34,6 +34,8 @@
   ]);
   /** Engines lost. */
   lost = 0;
+  /** Attempts started. */
+  attempts = 0;
   #prompts = 0;
   readonly #refusals = new Map<RequestId, string>();
 
@@ -187,6 +189,7 @@
 
   #after(ms: number, ...events: readonly Event[]): void {
     const result = this.core.after(ms, ...events);
+    this.attempts += intentsOf(result, "start_attempt").length;
     for (const { req, problem } of intentsOf(result, "answer")) {
       this.#refusals.set(req, problem.code);
     }
