Leave requests unread behind the last response on a connection

Callers: a request that was sent behind a refused one with a body, or behind the head of the last answer in a planned stop, was passed on to an upstream, also where it may run once only, and its connection closed without an answer.

Cause: a refusal of an unread body closes its connection and the last answer of a planned stop does, but what is read between the start of that response and its end was served as on any connection.

Evidence: three new tests in connection_end_test.ts, of which three failed before (the upstream was reached once more than a client got answers). Clients that wait for one answer before they send the next request don't meet it.

Ruled out: bytes behind a request that can't be read, and behind a request with Connection: close: the parser hands out nothing more.

Fix: the connection records that its last response has started; what is read later is not served, and has a line connection_ended, cause behind_last.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -17,6 +17,7 @@
   /** Bytes that had been read when the connection became idle. */
   #readBefore = 0;
   #closing = false;
+  #lastStarted = false;
   #excused = false;
   #toldIdleMs: Millis = 0;
 
@@ -50,6 +51,11 @@
     return this.#closing;
   }
 
+  /** Whether a response has started after which the connection closes, so that no further request can be answered. */
+  get lastStarted(): boolean {
+    return this.#lastStarted;
+  }
+
   /** Time since the connection opened or its last response was complete. */
   get idleMs(): Millis {
     return this.#now() - this.#idleSince;
@@ -77,9 +83,19 @@
     this.#open.set(req, failBody);
   }
 
-  /** Whether no other request was read after an open one, so that its response may be the last on the connection. */
-  isLast(req: IncomingMessage): boolean {
-    return [...this.#open.keys()].at(-1) === req;
+  /**
+   * Returns whether the response that starts now is the last on the connection: it must be if the rest of its request is
+   * `unread`, and is if the connection `closes` and no other request was read after this one.
+   */
+  startResponse(
+    req: IncomingMessage,
+    options: Readonly<{ unread: boolean; closes: boolean }>,
+  ): boolean {
+    const closes = options.closes || this.#closing;
+    const isNewest = [...this.#open.keys()].at(-1) === req;
+    const isLast = options.unread || (closes && isNewest);
+    this.#lastStarted ||= isLast;
+    return isLast;
   }
 
   /** Whether its idle time may be exceeded once, as the daemon stood still; until it is idle anew. */
--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -28,6 +28,8 @@
   | "unreadable"
   /** The client asked for a tunnel. */
   | "tunnel"
+  /** Behind the last response came another request. */
+  | "behind_last"
   /** The client closed or reset the connection within a request. */
   | "client_left";
 
@@ -99,9 +101,17 @@
     this.#server.keepAliveTimeout = timerMs(idleMs + PROMISE_MARGIN_MS);
   }
 
-  /** Records a request whose head was read, and returns its connection. */
-  opened(req: IncomingMessage, res: ServerResponse): ClientConnection {
+  /** Records a request whose head was read, and returns its connection; undefined if the request can't be answered. */
+  opened(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): ClientConnection | undefined {
     const connection = this.#of(req.socket);
+    if (connection.lastStarted) {
+      this.#line(connection, "behind_last", {});
+      req.resume();
+      return undefined;
+    }
     const toldIdleMs = this.#server.keepAliveTimeout;
     connection.opened(req, res, { toldIdleMs });
     return connection;
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -27,24 +27,27 @@
   return err.code === "deadline_exceeded" ? 504 : 502;
 }
 
+/** Starts a response; returns whether its connection closes after it, as it must if a part of the request is `unread`. */
+export type StartsLast = (unread: boolean) => boolean;
+
 /** The response to one client: one head, then bytes in order. */
 export class ClientResponse {
   readonly #res: ServerResponse;
-  /** Whether to close the connection after the response. */
-  readonly #shouldClose: () => boolean;
+  /** Whether the connection closes after the response that starts now. */
+  readonly #startsLast: StartsLast;
   #onDrained: (() => void) | undefined;
 
-  private constructor(res: ServerResponse, shouldClose: () => boolean) {
+  private constructor(res: ServerResponse, startsLast: StartsLast) {
     this.#res = res;
-    this.#shouldClose = shouldClose;
+    this.#startsLast = startsLast;
     res.on("drain", () => this.#onDrained?.());
   }
 
   static create(
     res: ServerResponse,
-    shouldClose: () => boolean,
+    startsLast: StartsLast,
   ): ClientResponse {
-    return new ClientResponse(res, shouldClose);
+    return new ClientResponse(res, startsLast);
   }
 
   /** Whether the head was written, after which it can't be replaced. */
@@ -53,7 +56,7 @@
   }
 
   start(status: number, head: ResponseHead): void {
-    const headers = this.#shouldClose()
+    const headers = this.#startsLast(false)
       ? [...head.headers, ...CLOSE_HEADER]
       : [...head.headers];
     this.#res.writeHead(status, headers);
@@ -92,7 +95,7 @@
     if (err.retryAfterMs !== undefined && status === 503) {
       headers["retry-after"] = (err.retryAfterMs / SECOND_MS).toFixed(2);
     }
-    if (unread !== undefined || this.#shouldClose()) {
+    if (this.#startsLast(unread !== undefined)) {
       headers["connection"] = "close";
     }
     this.#res.writeHead(status, headers);
--- a/src/gateway/requests/connection_end_test.ts
+++ b/src/gateway/requests/connection_end_test.ts
@@ -153,6 +153,49 @@
   });
 });
 
+describe("a request behind the last response ran, and was dropped unanswered", () => {
+  const second = requestText("/reserve/x", { id: "r2", body: "{}" });
+
+  async function expectOneAnswer(status: number, runs: number): Promise<void> {
+    await expect.poll(() => client.ended, { timeout: 3_000 }).toBe("closed");
+    expect(client.statuses).toEqual([status]);
+    expect(reached).toBe(runs);
+    expect(lines("connection_ended")).toMatchObject([{
+      cause: "behind_last",
+      requests: 1,
+    }]);
+  }
+
+  test("in one piece with a request that is refused", async () => {
+    await start(answerLater);
+    client.write(requestText("/nowhere/x", { body: "{}" }) + second);
+    await expectOneAnswer(404, 0);
+  });
+
+  test("in one piece with the rest of a refused body", async () => {
+    await start(answerLater);
+    const first = requestText("/nowhere/x", { body: "{}" });
+    client.write(first.slice(0, -1));
+    await expectStatuses(404);
+    client.write(first.slice(-1) + second);
+    await expectOneAnswer(404, 0);
+  });
+
+  test("in a planned stop, after the head of an answer", async () => {
+    await start((socket) => {
+      const headers = { "X-Response-Seal": "seal", "Content-Length": 2 };
+      socket.write(responseHeadText(200, headers) + "o");
+      setTimeout(() => socket.end("k"), 300);
+    });
+    fixture.drain(0, 6_000);
+    client.write(requestText("/lookup/x"));
+    await expectStatuses(200);
+    client.write(second);
+    await expectOneAnswer(200, 1);
+    expect(client.received.endsWith("ok")).toBe(true);
+  });
+});
+
 test("a request that expects a go-ahead, or an unknown thing, is served", async () => {
   await start(answer);
   const headers = { Expect: "100-continue" };
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -107,15 +107,15 @@
   }
 
   #serve(req: IncomingMessage, res: ServerResponse): void {
-    this.#openRequests += 1;
-    res.once("close", () => this.#openRequests -= 1);
     const arrivedAt = this.#port.now();
     const connection = this.#connections.opened(req, res);
-    // The response that closes the connection must be the last one.
-    const shouldClose = () =>
-      (connection.closing || this.#gate.drain !== undefined) &&
-      connection.isLast(req);
-    const response = ClientResponse.create(res, shouldClose);
+    if (connection === undefined) return;
+    this.#openRequests += 1;
+    res.once("close", () => this.#openRequests -= 1);
+    const response = ClientResponse.create(res, (unread) => {
+      const closes = this.#gate.drain !== undefined;
+      return connection.startResponse(req, { unread, closes });
+    });
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
       // The body is not read, so the connection can't be reused.
