Tell the timer of a call when its response was last read

A call to the store, a peer or an engine whose response had been read in part counted as silent after a stall of the event loop, though the rest lay unread.

Cause: the timer compares when something was last read with the clock, and got the number of bytes instead. Beyond a process's uptime in ms, some hundred kilobytes in its first minutes, a response looked as if it had just been read.

--- a/src/gateway/plain_http.ts
+++ b/src/gateway/plain_http.ts
@@ -6,6 +6,7 @@
   request,
   type Server,
 } from "node:http";
+import { performance } from "node:perf_hooks";
 import { err, errAsync, ok, Result, ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
 import { unexpectedFields } from "../core/unexpected_error.ts";
@@ -61,10 +62,11 @@
       resolve(err({ code, detail }));
     };
     let bytes = 0;
+    let receivedAt: Millis = -Infinity;
     const timer = ReadFirstTimer.start(
       () => fail("Time-out before the response was complete"),
       call.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-      () => bytes,
+      () => receivedAt,
     );
     req.on("socket", (socket) => {
       socket.once("connect", () => connected = true);
@@ -78,6 +80,7 @@
       const maxBytes = call.maxBytes ?? MAX_RESPONSE_BYTES;
       res.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
+        receivedAt = performance.now();
         if (bytes > maxBytes) return fail("The response is too large");
         chunks.push(chunk);
       });
--- a/src/gateway/plain_http_test.ts
+++ b/src/gateway/plain_http_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
-import { type AddressInfo, connect } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { performance } from "node:perf_hooks";
+import { ok } from "neverthrow";
 import { expect, test } from "vitest";
 import { sendHttpCall, serveGetRequests } from "./plain_http.ts";
 
@@ -69,3 +70,29 @@
   expect(result._unsafeUnwrap().body.toString()).toBe("all of it");
   server.close();
 });
+
+test("the rest of a long response was not read after a stall", async () => {
+  const part = "x".repeat(100_000);
+  const length = 2 * part.length;
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n${part}`);
+    // The loop stands still beyond the time limit before it reads what was written.
+    const finish = () => {
+      socket.write(part);
+      const until = performance.now() + 2 * TIMEOUT_MS;
+      while (performance.now() < until);
+    };
+    setTimeout(() => setImmediate(finish), TIMEOUT_MS / 2);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const result = await sendHttpCall({
+    method: "GET",
+    address: `127.0.0.1:${port}`,
+    path: "/",
+    timeoutMs: TIMEOUT_MS,
+  });
+  expect(result.map(({ body }) => body.length)).toEqual(ok(length));
+  server.close();
+});
