CONFIG: a store that goes on in an older era was read without a pause

An answer of an older era than the known one was dropped and the whole topic read again at once. Where the store goes on answering so (one that comes back in parts, topic by topic), each reading daemon asks as fast as answers come, against the limit of all.

Cause: the pause was lifted for every dropped answer. It is needless only for one to a read that was sent before the newer era was known.

Evidence: one new test in store_reader_test.ts failed before and passes now; the two on late answers, which are read again at once, hold as they were.

Not mended: an era that goes back for good is never believed again.

--- a/src/gateway/store/store_reader.ts
+++ b/src/gateway/store/store_reader.ts
@@ -32,6 +32,8 @@
   /** Where the running read starts; undefined for the whole topic. */
   #sentFrom: StorePosition | undefined;
   #sentAt: Timestamp | undefined;
+  /** Newest known era of the store when the running read started. */
+  #sentEra = UNKNOWN_ERA;
   #notBefore = 0 as Timestamp;
   #failures = 0;
   #failing = false;
@@ -66,6 +68,7 @@
     this.#sentAt = step.now;
     this.#notBefore = addMs(step.now, timing.minGapMs);
     this.#sentFrom = this.#position;
+    this.#sentEra = store.era;
     const from = this.#position?.offset;
     const waitMs = from === undefined ? 0 : timing.waitMs;
     step.emit({ type: "read", topic: this.#topic, from, waitMs });
@@ -74,7 +77,7 @@
   /**
    * Records an answer to a read; returns the position that it reaches. Undefined if its records must not be used, as
    * its era is older than the known one, or does not continue from where the read started; the whole topic is then
-   * read at once.
+   * read, and at once unless the store was asked when that era was known already.
    */
   succeeded(
     step: GatewayStep,
@@ -97,7 +100,8 @@
         from_era: from?.era ?? UNKNOWN_ERA,
         from: from?.offset ?? -1,
       });
-      this.#restart(step);
+      if (era < this.#sentEra) this.#position = undefined;
+      else this.#restart(step);
       return undefined;
     }
     this.#position = { era, offset: next };
--- a/src/gateway/store/store_reader_test.ts
+++ b/src/gateway/store/store_reader_test.ts
@@ -62,3 +62,12 @@
   expect(answer(undefined, 41).position).toEqual({ era: 1, offset: 41 });
   expect(poll()).toEqual([41]);
 });
+
+test("a store that goes on answering in an older era was read again without a pause", () => {
+  const { store, poll, answer } = startedReader();
+  expect(poll()).toEqual([40]);
+  store.era = 2 as StoreEra;
+  answer(1, 40);
+  expect(answer(1, 40).restarts).toBe(false);
+  expect(poll()).toEqual([undefined]);
+});
