--- a/src/gateway/store/store_position.ts
+++ b/src/gateway/store/store_position.ts
@@ -5,11 +5,9 @@
 /** Number of a history of the store: it rises each time that the store is restored from an older copy. */
 export type StoreEra = Branded<number, "StoreEra">;
 
-/** More restores than any store goes through. */
-const MAX_ERA = 1e9;
-
-/** Schema of an era. */
-export const storeEraSchema = z.number().int().min(0).max(MAX_ERA)
+/** Schema of an era, which may count from a date. */
+export const storeEraSchema = z.number().int().min(0)
+  .max(Number.MAX_SAFE_INTEGER)
   .transform((era) => era as StoreEra);
 
 /** Era of a daemon that knows none; any other is newer. */
