CONFIG: a second restore did not prolong the time to write again

An upstream that two restores within some seconds have lost was dropped, 3 s after the first, by all daemons until it wrote again, though it ran.

Cause: a missing entry was kept until the time that the first full read set; the next one, after the other restore, left that time as it was. Where entries are missing because the store refused this daemon, that remains so: else refusals in turn would keep what is gone.

Evidence: one new test in restored_store_test.ts failed before and passes now.

--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -450,3 +450,16 @@
     expect(silent.core.board.self.card.open).toBe(true);
   });
 });
+
+test("an upstream that two restores in a row have lost was dropped before it could write again", () => {
+  const fleet = startedFleet();
+  fleet.register({ type: "entry", entry: upstreamEntry("e9") });
+  fleet.time.run(1_500);
+  fleet.restoreStore(2_000);
+  fleet.time.run(2_000);
+  fleet.restoreStore(4_000);
+  fleet.time.run(REWRITTEN_MS);
+  expect(over(fleet, openIds)).toEqual(["e1 e2 e3 e9"]);
+  fleet.time.run(SETTLE_MS);
+  expect(over(fleet, openIds)).toEqual(["e1 e2 e3"]);
+});
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -133,7 +133,12 @@
       return this.#overruled.delete(id) ? { kind: "settled", id } : undefined;
     }
     if (lapseUntil === undefined || known.leaving) return this.#remove(id);
-    if (!this.#isKept(id)) this.#overruled.set(id, { until: lapseUntil });
+    // While the register settles, another restore may have lost the entry again.
+    const isLater = settleUntil !== undefined &&
+      lapseUntil > (this.#overruled.get(id)?.until ?? lapseUntil);
+    if (!this.#isKept(id) || isLater) {
+      this.#overruled.set(id, { until: lapseUntil });
+    }
     return { kind: "kept", id };
   }
 
