CONFIG: an older start in a restored copy ended running requests

An upstream that had started again within the lost seconds, and that did not write within 5 s of the restore, counted as restarted once more, by its older start in the copy, and all daemons failed the requests that ran there.

Cause: once the register had settled, the copy's statement was taken as it was. Now its other fields are, and the newest known start of the process stays. A start that a newer record of the register states counts as before, also an older one: the clock of its machine may have been set back.

Evidence: one new test in restored_store_test.ts failed before (6 requests' upstreams lost, on 6 daemons) and passes now.

--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -463,3 +463,16 @@
   fleet.time.run(SETTLE_MS);
   expect(over(fleet, openIds)).toEqual(["e1 e2 e3"]);
 });
+
+test("an older start that the copy of a restored store states ended the requests of the process that runs", () => {
+  const fleet = startedFleet();
+  fleet.register({
+    type: "entry",
+    entry: upstreamEntry("e1", { startedAt: 5 }),
+  });
+  fleet.time.run(1_500);
+  for (const gateway of fleet.gateways) gateway.lostUpstreams.length = 0;
+  fleet.restoreStore(2_000);
+  fleet.time.run(2 * SETTLE_MS);
+  expect(fleet.gateways.flatMap((one) => one.lostUpstreams)).toEqual([]);
+});
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -163,7 +163,7 @@
       if (until > now) continue;
       const update = stated === undefined
         ? this.#remove(id)
-        : this.#put(stated);
+        : this.#put(this.#withNewestStart(stated));
       if (update !== undefined) updates.push(update);
     }
     return updates;
@@ -212,6 +212,15 @@
       : startedAt < known.startedAt;
   }
 
+  /** An older copy is no evidence that a process was replaced by one that started before it. */
+  #withNewestStart(stated: UpstreamEntry): UpstreamEntry {
+    const startedAt = Math.max(
+      stated.startedAt,
+      this.#entries.get(stated.id)?.startedAt ?? 0,
+    );
+    return { ...stated, startedAt };
+  }
+
   #put(stated: UpstreamEntry): UpstreamUpdate | undefined {
     const known = this.#entries.get(stated.id);
     // An entry that doesn't state its start is no evidence of another process.
