--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -167,7 +167,12 @@
     const missing = [...new Set(known)].filter((id) => !ids.has(id));
     const changes: UpstreamChange[] = [
       ...missing.map((id) => ({ type: "gone", id }) as const),
-      ...entries.map((entry) => ({ type: "entry", entry }) as const),
+      ...entries.map((stated) => {
+        const entry = options.settleUntil === undefined
+          ? this.#withNewestStart(stated)
+          : stated;
+        return { type: "entry", entry } as const;
+      }),
     ];
     return changes.flatMap((change) => this.apply(change, options) ?? []);
   }
@@ -235,6 +240,15 @@
       : startedAt < known.startedAt;
   }
 
+  /** A whole table may be older than what is known, and is no evidence that a process was replaced by an older one. */
+  #withNewestStart(stated: UpstreamEntry): UpstreamEntry {
+    const startedAt = Math.max(
+      stated.startedAt,
+      this.#entries.get(stated.id)?.startedAt ?? 0,
+    );
+    return { ...stated, startedAt };
+  }
+
   #put(stated: UpstreamEntry): UpstreamUpdate | undefined {
     const known = this.#entries.get(stated.id);
     // An entry that doesn't state its start is no evidence of another process.
