A planned stop reads what has arrived before it cuts open requests

A stream was cut 7.7 s after SIGTERM although all its events had been delivered and its upstream had ended it 1.1 s before; the daemon's line says that it cut 439 ms later than it meant to. Suspected, not proven: after a stall, timers run before sockets are read, so that the cut comes before an end of an answer that has already arrived; whether the last bytes had left the stand-ins' own process by then isn't recorded. The cut now waits for one round of the loop. Ruled out: the time limit (13 s, used 7.7 s) and the client's end. The same class remains where deadlines expire (exchange.ts) and connections time out (front_server.ts).

--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -58,12 +58,21 @@
   }
 
   #check(): void {
+    const elapsedMs = this.#port.now() - this.#startedAt;
+    if (this.#isCut || elapsedMs < drainTimeMs(this.#graceMs)) {
+      return this.#exitIfDone();
+    }
+    this.#isCut = true;
+    // After a stall, timers run before sockets are read: answers that have arrived are delivered first.
+    setImmediate(() => {
+      this.#port.cut();
+      this.#exitIfDone();
+    });
+  }
+
+  #exitIfDone(): void {
     const port = this.#port;
     const elapsedMs = port.now() - this.#startedAt;
-    if (!this.#isCut && elapsedMs >= drainTimeMs(this.#graceMs)) {
-      this.#isCut = true;
-      port.cut();
-    }
     const open = port.openRequests();
     // Lines that are only buffered are lost if the process is killed at the end of the grace period.
     port.flush();
