Take lines that were written during a stall as written

What operators saw: after an exit by an unexpected error or a planned stop on a starved VM the last lines of the log are missing, or all of a young process.

Cause: the one behind LOST: the time limit of the last write is a timer, which runs before the completion of the write is read. The exit then takes the write for blocked and ends the process at once.

--- a/src/gateway/event_log.ts
+++ b/src/gateway/event_log.ts
@@ -1,5 +1,6 @@
 import { SonicBoom } from "sonic-boom";
 import { type Millis, SECOND_MS, type Timestamp } from "../core/time.ts";
+import { ReadFirstTimer } from "./read_first_timer.ts";
 
 /** Fields of one log line. */
 export type LogFields = Readonly<
@@ -14,7 +15,7 @@
 const MIN_WRITE_BYTES = 8 * 1024;
 
 /** Time that the last lines are given to be written. */
-const CLOSE_TIMEOUT_MS: Millis = 200;
+export const CLOSE_TIMEOUT_MS: Millis = 200;
 
 type LineBudget = { second: number; written: number; suppressed: number };
 
@@ -83,10 +84,13 @@
       this.#writeLeftOut(kind, budget);
     }
     return new Promise((resolve) => {
-      const timer = setTimeout(() => resolve(false), CLOSE_TIMEOUT_MS);
+      const timer = ReadFirstTimer.start(
+        () => resolve(false),
+        CLOSE_TIMEOUT_MS,
+      );
       // The callback of `flush` would wait for the disk.
       this.#out.once("drain", () => {
-        clearTimeout(timer);
+        timer.stop();
         resolve(true);
       });
       this.#out.flush();
--- a/src/gateway/event_log_test.ts
+++ b/src/gateway/event_log_test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { expect, test } from "vitest";
 import type { Timestamp } from "../core/time.ts";
-import { EventLog } from "./event_log.ts";
+import { CLOSE_TIMEOUT_MS, EventLog } from "./event_log.ts";
 
 function logTo(file: string, now: () => number): EventLog {
   return EventLog.create({ vm: "vm-1" }, {
@@ -55,3 +55,13 @@
     count: 40,
   });
 });
+
+test("lines that were written during a stall counted as lost at the exit", async () => {
+  const file = join(mkdtempSync(join(tmpdir(), "log-")), "out");
+  const log = logTo(file, () => Date.now());
+  log.line("last", {});
+  const closed = log.close();
+  const until = performance.now() + 2 * CLOSE_TIMEOUT_MS;
+  while (performance.now() < until);
+  expect(await closed).toBe(true);
+});
