CONFIG: a daemon that started alone on the copy kept it for the truth among its peers

A daemon that starts while it is cut off from its peers reads a restored store as if it had never been restored; joined again, it opens upstreams that all others know to be gone, as leader for all.

Cause: the age of an era was taken only from a peer that named a newer one; the positions are equal, so no table was sent; and a process that is listed was not taken for gone.

Now the age counts also for the known era while no restore is known; a table that was read before is compared with the whole tables of leader and deputy; and what they know to be gone is removed.

--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -439,6 +439,19 @@
     },
   );
 
+  test("alone, cut off from its peers, took the copy for the truth after it had joined them", () => {
+    const fleet = startedFleet();
+    fleet.register({ type: "gone", id: E1 });
+    fleet.time.run(DRAIN_MS);
+    const late = fleet.restart(fleet.gateways.at(-1)!);
+    late.cut = true;
+    fleet.restoreStore(3_000);
+    fleet.time.run(1_200);
+    late.cut = false;
+    fleet.time.run(DRAIN_MS);
+    expect(over(fleet, openIds)).toEqual(["e2 e3"]);
+  });
+
   test("beside a peer that starts a moment later is not held up until its next try", () => {
     const fleet = restoredFleet();
     for (const gateway of [...fleet.gateways]) fleet.remove(gateway);
--- a/src/gateway/store/era_controller.ts
+++ b/src/gateway/store/era_controller.ts
@@ -20,7 +20,10 @@
         store.restoredAt = addMs(store.restoredAt, -event.suspendedMs);
       }
       const { era, ageMs, source } = namedEra(event);
-      if (era === undefined || era <= store.era) continue;
+      // A daemon that read the store first may learn only later that its era began with a restore.
+      const isLearnt = era === store.era && ageMs !== undefined &&
+        store.restoredAt === -Infinity;
+      if (era === undefined || (era <= store.era && !isLearnt)) continue;
       const from = store.era;
       store.era = era;
       const isRestored = from !== UNKNOWN_ERA || ageMs !== undefined;
--- a/src/gateway/upstreams/peer_changes.ts
+++ b/src/gateway/upstreams/peer_changes.ts
@@ -47,6 +47,6 @@
 ): readonly UpstreamUpdate[] {
   const updates = table.replace(entries, options);
   const changes = kept.map((one) => ({ type: "gone", ...one }) as const);
-  for (const upstream of gone) table.recordGone(upstream);
-  return [...updates, ...applyPeerChanges(table, changes, options)];
+  const removed = gone.flatMap((one) => table.recordGone(one) ?? []);
+  return [...updates, ...removed, ...applyPeerChanges(table, changes, options)];
 }
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -1,6 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
+import { otherPlacers } from "../members/membership.ts";
 import type { PeerMessage, StoreProgress } from "../peers/peer_message.ts";
 import { scheduleFallbackRead } from "./fallback_read.ts";
 import {
@@ -46,6 +47,7 @@
   readonly #settling = RegisterSettling.create();
   /** Whether the table has changed since the last read from the store. */
   #changedSinceRead = false;
+  #knewRestore = false;
 
   static create(): RegisterController {
     return new RegisterController();
@@ -69,6 +71,7 @@
         register.asOf = addMs(register.asOf, -event.suspendedMs);
       }
     }
+    this.#onRestoreLearnt(board, step);
     const expired = register.table.expire(step.now, register.asOf);
     publishUpdates(board, step, expired);
     // Each daemon drops lapsed entries by itself; only the leader sends the removals on.
@@ -81,6 +84,22 @@
     this.#poll(board, step);
   }
 
+  /** A table that was read before its era was known to begin with a restore may be the copy's: others know better. */
+  #onRestoreLearnt(board: GatewayBoard, step: GatewayStep): void {
+    const { register, store, members } = board;
+    const isKnown = store.restoredAt !== -Infinity;
+    const isSuspect = isKnown && !this.#knewRestore &&
+      register.position.era === store.era;
+    this.#knewRestore = isKnown;
+    if (!isSuspect) return;
+    for (const vm of otherPlacers(board)) {
+      const peer = members.table.get(vm)?.peer;
+      if (peer !== undefined) {
+        requestEntries(board, step, peer, { whole: true });
+      }
+    }
+  }
+
   #poll(board: GatewayBoard, step: GatewayStep): void {
     // What peers know holds against the older copy of a restored store only if it is known first.
     if (!board.members.introduced) return;
--- a/src/gateway/upstreams/register_publisher.ts
+++ b/src/gateway/upstreams/register_publisher.ts
@@ -74,19 +74,21 @@
   sendRegisterChanges(board, step, { changes, progress, snapshot });
 }
 
-/** Asks another daemon for its whole table; it sends it if this daemon's position is behind. */
+/** Asks another daemon for its whole table; it sends it if this daemon's position is behind, or always if `whole`. */
 export function requestEntries(
   board: GatewayBoard,
   step: GatewayStep,
   to: string,
+  options: Readonly<{ whole?: boolean }> = {},
 ): void {
+  const progress = storeProgressOf(board, step.now);
   step.emit({
     type: "send",
     to,
     message: {
       type: "heartbeat",
       from: board.self.card,
-      progress: storeProgressOf(board, step.now),
+      progress: options.whole === true ? { ...progress, offset: -1 } : progress,
       jobs: [],
     },
   });
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -210,10 +210,12 @@
       .map(([id, startedAt]) => ({ id, startedAt }));
   }
 
-  /** Records that a process is gone, as another daemon knows. */
-  recordGone({ id, startedAt }: GoneUpstream): void {
-    if (this.#entries.has(id) || startedAt < this.startedAt(id)) return;
+  /** Records that a process is gone, as another daemon knows, and removes its entry. */
+  recordGone({ id, startedAt }: GoneUpstream): UpstreamUpdate | undefined {
+    if (startedAt < this.startedAt(id)) return undefined;
+    const update = this.#entries.has(id) ? this.#remove(id) : undefined;
     this.#setGone(id, startedAt);
+    return update;
   }
 
   /** Whether an entry is kept though the register does not list it. */
