--- a/src/gateway/members/peer_discovery.ts
+++ b/src/gateway/members/peer_discovery.ts
@@ -44,7 +44,7 @@
     this.#announceSelf(board, step);
   }
 
-  /** Ends the wait for a first reply if there is nobody to reply, or nobody did. */
+  /** Ends the wait for a first reply if no other daemon is known, or none replied in time. */
   #awaitIntroduction(board: GatewayBoard, step: GatewayStep): void {
     const { members, self } = board;
     if (members.introduced) return;
--- a/src/testing/restored_fleet.ts
+++ b/src/testing/restored_fleet.ts
@@ -15,7 +15,7 @@
 export const APPLY_MS: Millis = 2_000;
 /** Time after its return from which the platform holds what the store acknowledges against daemons. */
 export const STABLE_MS: Millis = 3_000;
-/** Time for which a store that is restored answers nobody. */
+/** Time for which a store is unavailable before it is restored. */
 export const DOWN_MS: Millis = 1_000;
 /** Longer than the platform's upstreams and the operator take to write again what they wrote. */
 export const REWRITTEN_MS: Millis = 2_500;
