--- a/review/stand_ins/client.mjs
+++ b/review/stand_ins/client.mjs
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { randomBytes } from "node:crypto";
-import { request } from "node:http";
+import { Agent, request } from "node:http";
 
 export const HOST = "ficu95.example";
 export const KEY = "n2ctnfzs989anu6wsjnb";
@@ -77,3 +77,53 @@
     req.end(body);
   });
 }
+
+/** A client that keeps its connection for many requests, one after the other. */
+export class KeptClient {
+  #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #requests = new WeakMap();
+
+  /** Sends a request; resolves with the status, if there was one, and whether its connection had been used before. */
+  send(address, { id, method = "POST", path, body = "", limitMs }) {
+    const [host, port] = address.split(":");
+    const sentAt = performance.now();
+    return new Promise((resolve) => {
+      let kept = false;
+      const finish = (fields) => {
+        const endMs = Math.round(performance.now() - sentAt);
+        resolve({ id, kept, endMs, ...fields });
+      };
+      const req = request({
+        host,
+        port,
+        method,
+        path,
+        agent: this.#agent,
+        headers: {
+          "Host": HOST,
+          "X-Request-Id": id,
+          "X-Deadline-Ms": limitMs,
+          "Authorization": `Bearer ${KEY}`,
+          "Content-Length": body.length,
+        },
+      });
+      req.once("socket", (socket) => {
+        const before = this.#requests.get(socket) ?? 0;
+        this.#requests.set(socket, before + 1);
+        kept = before > 0;
+      });
+      req.once("response", (res) => {
+        const { statusCode: status } = res;
+        res.resume();
+        res.once("error", () => {});
+        res.once("close", () => finish({ status, isWhole: res.complete }));
+      });
+      req.once("error", (err) => finish({ error: err.code ?? err.message }));
+      req.end(body);
+    });
+  }
+
+  close() {
+    this.#agent.destroy();
+  }
+}
--- a/review/stand_ins/worker.mjs
+++ b/review/stand_ins/worker.mjs
@@ -2,8 +2,10 @@
 import process from "node:process";
 
 /**
- * Stand-in for a worker, as a process of its own. It reports to its parent what it runs, and behaves soundly unless it
- * was told otherwise: `endless` is a share of its streams.
+ * Stand-in for a worker, as a process of its own. It reports to its parent what it runs. Its parent may tell it how to
+ * behave: `orderMs` and `lookupMs` are the times that its calls take, `headFirst` lets it send the head of an answer when it begins to
+ * run the request, `failing` is the share of its orders that it fails with `failStatus` after it has run them, `endless` is
+ * the share of its streams that it never ends.
  */
 const { id, host, born, slots } = JSON.parse(process.argv[2]);
 const FIRST_EVENT_MS = 60;
@@ -62,9 +64,7 @@
   });
   res.setHeader("X-Response-Seal", `${id}.${runs}`);
   res.setHeader("X-Server-Load", `${active},0,${slots}`);
-  if (req.headers["x-token-usage"] === undefined) {
-    return setTimeout(() => json(res, 200, { request }), CALL_MS);
-  }
+  if (req.headers["x-token-usage"] === undefined) return call(req, res);
   res.setHeader("Content-Type", "text/event-stream");
   res.setHeader("X-Weight-Versions", "1");
   setTimeout(() => {
@@ -73,6 +73,22 @@
   }, FIRST_EVENT_MS);
 }
 
+function call(req, res) {
+  const request = req.headers["x-request-id"];
+  const { orderMs = CALL_MS, headFirst = false, failing = 0 } = behaviour;
+  const fails = req.method !== "GET" && Math.random() < failing;
+  const { lookupMs = CALL_MS } = behaviour;
+  const workMs = req.method === "GET" ? lookupMs : orderMs;
+  if (headFirst) {
+    res.writeHead(200, { "Content-Type": "application/json" });
+    res.flushHeaders();
+  }
+  setTimeout(() => {
+    if (headFirst) res.end(JSON.stringify({ request }));
+    else json(res, fails ? behaviour.failStatus : 200, { request });
+  }, workMs);
+}
+
 function sendEvents(res, last) {
   if (res.destroyed) return;
   if (last >= EVENTS) return void res.end();
