--- a/review/stand_ins/fleet.mjs
+++ b/review/stand_ins/fleet.mjs
@@ -19,6 +19,9 @@
 
 const ROOT = fileURLToPath(new URL("../../", import.meta.url));
 const WORKER = fileURLToPath(new URL("worker.mjs", import.meta.url));
+const OTHER_SERVER = fileURLToPath(
+  new URL("other_server.mjs", import.meta.url),
+);
 const HEARTBEAT_MS = 1_200;
 const READY_TIMEOUT_MS = 20_000;
 
@@ -55,6 +58,7 @@
   store = new Store();
   daemons = [];
   workers = [];
+  #others = [];
   #folder = mkdtempSync(join(tmpdir(), "review-"));
   #net = `127.${64 + (process.pid >> 8 & 63)}.${process.pid & 255}`;
   #record;
@@ -102,13 +106,8 @@
     const id = `i-${randomBytes(5).toString("hex")}`;
     const host = `${this.#net}.${100 + this.workers.length}`;
     const born = Date.now();
-    const child = fork(WORKER, [JSON.stringify({ id, host, born, slots })], {
-      env: { PATH: process.env.PATH },
-    });
-    const address = await new Promise((resolve, reject) => {
-      child.once("error", reject);
-      child.once("message", (message) => resolve(message.address));
-    });
+    const args = [JSON.stringify({ id, host, born, slots })];
+    const { child, address } = await startServer(WORKER, args);
     const worker = { id, service, zone, slots, address, born, child };
     worker.sequence = 0;
     worker.state = "ready";
@@ -125,6 +124,14 @@
     return worker;
   }
 
+  /** Starts a server that is no worker. */
+  async startOtherServer() {
+    const other = await startServer(OTHER_SERVER, [`${this.#net}.99`]);
+    other.child.on("message", (fact) => this.line(fact.kind, fact));
+    this.#others.push(other);
+    return other;
+  }
+
   /** Writes a worker's entry to the store. */
   announce(worker) {
     if (!worker.isListed) return;
@@ -206,12 +213,23 @@
   #killAll() {
     this.#isOver = true;
     for (const timer of this.#timers) clearInterval(timer);
-    for (const { child } of [...this.daemons, ...this.workers]) {
+    const all = [...this.daemons, ...this.workers, ...this.#others];
+    for (const { child } of all) {
       if (child.exitCode === null) child.kill("SIGKILL");
     }
   }
 }
 
+/** Starts a server as a process of its own; it tells its address first. */
+async function startServer(script, args) {
+  const child = fork(script, args, { env: { PATH: process.env.PATH } });
+  const address = await new Promise((resolve, reject) => {
+    child.once("error", reject);
+    child.once("message", (message) => resolve(message.address));
+  });
+  return { child, address };
+}
+
 function settingsOf(name, ip, { zone, seeds, store }) {
   return {
     nodeName: name,
