Log stalls of the event loop, and why an event stream is invalid

Cause: a request that is late because its daemon's only thread was busy left the same lines as one whose upstream was slow, and every invalid stream had the detail "invalid or out of order".

No decision changes.

Before: the new test in core_loop_test.ts gets no line (failed). After: 285 tests of src/gateway/requests and core_loop pass.

--- a/src/gateway/core_loop.ts
+++ b/src/gateway/core_loop.ts
@@ -76,7 +76,9 @@
 
   #stepOnceRead(): void {
     this.#immediate = undefined;
-    const isLate = this.now() - this.#wakeAt > STALL_MS;
+    const lateMs = this.now() - this.#wakeAt;
+    const isLate = lateMs > STALL_MS;
+    if (isLate && this.#readings.length === 0) this.#reportStall(lateMs);
     const queued = this.#events.length;
     const isRead = this.#readings.at(-1) === queued ||
       this.#readings.length === MAX_READINGS;
@@ -85,6 +87,15 @@
     this.#schedule();
   }
 
+  /** A stall delays every answer of the daemon, unlike a slow upstream. */
+  #reportStall(lateMs: Millis): void {
+    const fields = {
+      late_ms: Math.round(lateMs),
+      events: this.#events.length,
+    };
+    this.#perform({ type: "line", kind: "loop_stalled", fields });
+  }
+
   /** Reports a suspension, which the wall clock counts and the monotonic clock does not. */
   #detectSuspension(): void {
     const offsetMs = Date.now() - performance.now();
--- a/src/gateway/core_loop_test.ts
+++ b/src/gateway/core_loop_test.ts
@@ -5,7 +5,7 @@
 import { expect, test, vi } from "vitest";
 import { CoreLoop } from "./core_loop.ts";
 import type { GatewayCore } from "./gateway_core.ts";
-import type { GatewayEvent } from "./gateway_event.ts";
+import type { GatewayEvent, GatewayIntent } from "./gateway_event.ts";
 import { DatagramPort } from "./peers/datagram_port.ts";
 
 test("a wake time beyond the longest timer stepped the core every millisecond", () => {
@@ -51,3 +51,26 @@
   received.close();
   sender.close();
 });
+
+test("a stall of the event loop could not be told from slow upstreams", async () => {
+  const stallMs = 300;
+  let steps = 0;
+  const step = (at: number) => {
+    steps += 1;
+    return { intents: [], wakeAt: steps > 1 ? Infinity : at + 50 };
+  };
+  const lines: GatewayIntent[] = [];
+  const loop = CoreLoop.create(
+    { step } as unknown as GatewayCore,
+    (intent) => lines.push(intent),
+  );
+  loop.step();
+  const until = performance.now() + stallMs;
+  while (performance.now() < until);
+  await vi.waitFor(() => expect(steps).toBe(2));
+  expect(lines).toEqual([{
+    type: "line",
+    kind: "loop_stalled",
+    fields: { late_ms: expect.any(Number), events: 0 },
+  }]);
+});
--- a/src/gateway/requests/event_stream_parser.ts
+++ b/src/gateway/requests/event_stream_parser.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
 
 /** One complete event of a stream: its bytes as received, its id, and whether it has data. */
 export type StreamEvent = Readonly<
@@ -27,8 +28,8 @@
     return this.#remainder.length;
   }
 
-  /** Adds bytes; returns the events that they complete, or undefined if one is too large or no event. */
-  push(chunk: Buffer): readonly StreamEvent[] | undefined {
+  /** Adds bytes; returns the events that they complete, or why the stream is invalid. */
+  push(chunk: Buffer): Result<readonly StreamEvent[], string> {
     const data = this.#remainder.length === 0
       ? chunk
       : Buffer.concat([this.#remainder, chunk]);
@@ -36,13 +37,17 @@
     let from = 0;
     for (let end = endOfEvent(data, from); end > 0;) {
       const event = parseEvent(data.subarray(from, end));
-      if (event === undefined) return undefined;
+      if (event === undefined) {
+        return err("The stream has text that is no event");
+      }
       events.push(event);
       from = end;
       end = endOfEvent(data, from);
     }
     this.#remainder = data.subarray(from);
-    return this.#remainder.length > MAX_EVENT_BYTES ? undefined : events;
+    return this.#remainder.length > MAX_EVENT_BYTES
+      ? err(`An event exceeds ${MAX_EVENT_BYTES} bytes`)
+      : ok(events);
   }
 }
 
--- a/src/gateway/requests/event_stream_parser_test.ts
+++ b/src/gateway/requests/event_stream_parser_test.ts
@@ -9,5 +9,5 @@
   ["data: id: 9\n\n", undefined],
 ])("the last id of an event counts: %j", (text, id) => {
   const events = EventStreamParser.create().push(Buffer.from(text));
-  expect(events?.map((event) => event.id)).toEqual([id]);
+  expect(events._unsafeUnwrap().map((event) => event.id)).toEqual([id]);
 });
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -176,14 +176,7 @@
     sent.times.received(this.#port.now());
     const before = this.#relay.receivedCount;
     const result = this.#relay.receiveData(chunk, () => sent.resume());
-    if (result === "broken") {
-      return this.#attempts.fail({
-        cause: "answer_broken",
-        verdict: "may_have_run",
-        detail: "The event stream is invalid or out of order",
-        upstreamAtFault: true,
-      });
-    }
+    if (typeof result === "object") return this.#attempts.fail(result);
     if (this.#relay.receivedCount === before) return;
     this.#responseTimer.record(this.#port.now(), this.#req.arrivedAt);
     this.#attempts.heard();
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -111,19 +111,22 @@
     return undefined;
   }
 
-  /** Relays bytes; returns `full` if the client's buffer is full, `broken` if the event stream is invalid. */
-  receiveData(chunk: Buffer, onDrained: () => void): "ok" | "full" | "broken" {
+  /** Relays bytes; returns `full` if the client's buffer is full, or a failure if the event stream is invalid. */
+  receiveData(
+    chunk: Buffer,
+    onDrained: () => void,
+  ): "ok" | "full" | AttemptFailure {
     if (this.#head?.isEventStream !== true) {
       this.#receivedCount += 1;
       return this.#client.write(chunk, onDrained) ? "ok" : "full";
     }
-    const parsedEvents = this.#parser.push(chunk);
-    if (parsedEvents === undefined) return "broken";
+    const pushed = this.#parser.push(chunk);
+    if (pushed.isErr()) return brokenResponse(pushed.error);
     this.#stalledBytes += chunk.length;
     let writable = true;
-    for (const event of parsedEvents) {
+    for (const event of pushed.value) {
       const position = this.#positionOf(event);
-      if (position === "gap") return "broken";
+      if (position === "gap") return brokenResponse(this.#gapDetail(event));
       this.#receivedCount += 1;
       if (position === "known") continue;
       if (event.id !== undefined) this.#stalledBytes = 0;
@@ -132,7 +135,11 @@
       this.#eventsSent += 1;
       if (event.id !== undefined) this.#lastEventId = event.id;
     }
-    if (this.#stalledBytes > MAX_STALLED_BYTES) return "broken";
+    if (this.#stalledBytes > MAX_STALLED_BYTES) {
+      return brokenResponse(
+        `${this.#stalledBytes} bytes came without a new event id`,
+      );
+    }
     return writable ? "ok" : "full";
   }
 
@@ -147,6 +154,11 @@
     return undefined;
   }
 
+  #gapDetail({ id }: StreamEvent): string {
+    const received = id === undefined ? "An event without an id" : "An event";
+    return `${received} does not follow event ${this.#lastEventId}`;
+  }
+
   /** Whether an event is next in order, already known to the client, or preceded by a gap. */
   #positionOf(event: StreamEvent): "next" | "known" | "gap" {
     if (this.#lastEventId === undefined) return "next";
--- a/src/gateway/requests/response_relay_test.ts
+++ b/src/gateway/requests/response_relay_test.ts
@@ -83,7 +83,11 @@
     relay.receiveHead(200, EVENTS, retryable);
     expect(relay.receiveData(Buffer.concat([event(2), event(3)]), () => {}))
       .toBe("ok");
-    expect(relay.receiveData(event(5), () => {})).toBe("broken");
+    expect(relay.receiveData(event(5), () => {})).toMatchObject({
+      cause: "answer_broken",
+      verdict: "may_have_run",
+      detail: "An event does not follow event 3",
+    });
     expect(res.text).toBe([1, 2, 3].map((id) => event(id)).join(""));
   });
 
--- a/src/gateway/requests/unbounded_response_test.ts
+++ b/src/gateway/requests/unbounded_response_test.ts
@@ -75,7 +75,8 @@
       onHead: (status, head) =>
         relay.receiveHead(status, head, { mayRetry: true }),
       onData: (chunk) => {
-        if (relay.receiveData(chunk, () => {}) !== "broken") return;
+        const received = relay.receiveData(chunk, () => {});
+        if (typeof received === "string") return;
         attempt.abort();
         resolve("broken");
       },
