CONFIG: an event without end, in small pieces, hung the daemon that read it

Cause: EventStreamParser.push joined the unfinished event with each piece and searched all of it again, so that the work for a byte grew with the event and with the smallness of its pieces; and each piece of one reading of the socket was handled, written and timed by itself within one turn of the event loop.

Ruled out: slow upstreams (the orders' upstreams answer in 40 ms, and readiness needs none); a lower limit for an event (it bounds memory; the work for a byte still grows up to it, and sound events must pass).

Valid events before invalid text are relayed also if they came in the same piece.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,6 +1,7 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
+import process from "node:process";
 import type { Retry } from "../../core/reason.ts";
 import { unexpectedFields } from "../../core/unexpected_error.ts";
 import type { Verdict } from "../../core/verdict.ts";
@@ -46,6 +47,8 @@
   #req: ClientRequest | undefined;
   #res: IncomingMessage | undefined;
   #connectTimer: ReadFirstTimer | undefined;
+  /** Pieces of the body that the current reading of the socket has brought. */
+  #pieces: Buffer[] = [];
   #sent = false;
   #settled = false;
 
@@ -157,8 +160,11 @@
       return;
     }
     let ended = false;
-    res.on("data", (chunk: Buffer) => {
-      if (!this.#settled) this.#listener.onData(chunk);
+    res.on("data", (piece: Buffer) => {
+      // All pieces of one reading arrive in one turn: they are handled together, as the upstream chooses their size.
+      if (this.#pieces.push(piece) === 1) {
+        process.nextTick(() => this.#deliver());
+      }
     });
     const closed = isCloseDelimited(res, this.#target.head.method)
       ? closedCleanly(res)
@@ -174,10 +180,20 @@
     this.#listener.onHead(status, head);
   }
 
+  #deliver(): void {
+    const pieces = this.#pieces;
+    if (pieces.length === 0) return;
+    this.#pieces = [];
+    if (this.#settled) return;
+    const [first] = pieces;
+    this.#listener.onData(pieces.length === 1 ? first! : Buffer.concat(pieces));
+  }
+
   async #handleEnd(
     res: IncomingMessage,
     closed?: Promise<boolean>,
   ): Promise<void> {
+    this.#deliver();
     const complete = closed === undefined ? res.complete : await closed;
     if (this.#settled) return;
     if (!complete) return this.#failConnection("The response is truncated");
@@ -186,6 +202,7 @@
   }
 
   #failConnection(detail: string, unreachable = false): void {
+    this.#deliver();
     const disconnected = this.#sent;
     if (this.#res !== undefined) {
       this.#fail("answer_broken", detail, { disconnected });
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { ClientResponse } from "./client_response.ts";
 import type { ResponseHead } from "./dialect.ts";
 import { EventStreamParser, type StreamEvent } from "./event_stream_parser.ts";
@@ -120,21 +120,25 @@
       this.#receivedCount += 1;
       return this.#client.write(chunk, onDrained) ? "ok" : "full";
     }
-    const pushed = this.#parser.push(chunk);
-    if (pushed.isErr()) return brokenResponse(pushed.error);
+    const { events, invalid } = this.#parser.push(chunk);
     this.#stalledBytes += chunk.length;
-    let writable = true;
-    for (const event of pushed.value) {
+    const accepted: Buffer[] = [];
+    let failure = invalid === undefined ? undefined : brokenResponse(invalid);
+    for (const event of events) {
       const position = this.#positionOf(event);
-      if (position === "gap") return brokenResponse(this.#gapDetail(event));
+      if (position === "gap") {
+        failure = brokenResponse(this.#gapDetail(event));
+        break;
+      }
       this.#receivedCount += 1;
       if (position === "known") continue;
-      if (event.id !== undefined) this.#stalledBytes = 0;
-      if (!this.#client.started) this.#client.start(this.#status, this.#head);
-      writable = this.#client.write(event.bytes, onDrained);
-      this.#eventsSent += 1;
-      if (event.id !== undefined) this.#lastEventId = event.id;
+      accepted.push(event.bytes);
+      if (event.id === undefined) continue;
+      this.#stalledBytes = 0;
+      this.#lastEventId = event.id;
     }
+    const writable = this.#relayEvents(accepted, onDrained);
+    if (failure !== undefined) return failure;
     if (this.#stalledBytes > MAX_STALLED_BYTES) {
       return brokenResponse(
         `${this.#stalledBytes} bytes came without a new event id`,
@@ -143,6 +147,16 @@
     return writable ? "ok" : "full";
   }
 
+  /** Sends events in one write, as an upstream may send many small ones at once; false if the client's buffer is full. */
+  #relayEvents(events: readonly Buffer[], onDrained: () => void): boolean {
+    if (events.length === 0) return true;
+    if (!this.#client.started) this.#client.start(this.#status, this.#head!);
+    this.#eventsSent += events.length;
+    const [first] = events;
+    const bytes = events.length === 1 ? first! : Buffer.concat(events);
+    return this.#client.write(bytes, onDrained);
+  }
+
   /** Ends the client's response; returns a failure if the attempt's response is incomplete. */
   finish(): AttemptFailure | undefined {
     if (this.#head === undefined) return brokenResponse("No response head");
--- a/src/gateway/requests/unbounded_response_test.ts
+++ b/src/gateway/requests/unbounded_response_test.ts
@@ -133,3 +133,45 @@
     expect(sent).toBeLessThan(MAX_BYTES);
   });
 });
+
+// Guards against work for each piece of a response, which kept the event loop busy for long turns.
+test("each small chunk of a reading was handled by itself", async () => {
+  const chunks = 20_000;
+  const chunk = "7\r\n: ping\n\r\n";
+  const head = EVENTS_HEAD.replace(
+    "\r\n\r\n",
+    "\r\nTransfer-Encoding: chunked\r\n\r\n",
+  );
+  const listening = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once(
+      "data",
+      () => socket.end(`${head}${chunk.repeat(chunks)}0\r\n\r\n`),
+    );
+  });
+  server = listening;
+  await new Promise<void>((resolve) =>
+    listening.listen(0, "127.0.0.1", resolve)
+  );
+  const { port } = listening.address() as AddressInfo;
+  let deliveries = 0;
+  let bytes = 0;
+  await new Promise<void>((resolve) => {
+    Attempt.create(PlatformDialect.create(), {
+      address: `127.0.0.1:${port}`,
+      head: requestHead(),
+      headers: ["Host", "h"],
+      body: Buffer.alloc(0),
+    }, {
+      onHead: () => {},
+      onData: (data) => {
+        deliveries += 1;
+        bytes += data.length;
+      },
+      onEnd: resolve,
+      onFailure: () => resolve(),
+    }).start();
+  });
+  expect(bytes).toBe(7 * chunks);
+  expect(deliveries).toBeLessThan(chunks / 100);
+});
