Request bodies in pieces of one byte took a hundred times their size of memory

Change: both are gathered by ByteAccumulator.

The responses to our own calls have no test of this of their own.

--- a/src/gateway/plain_http.ts
+++ b/src/gateway/plain_http.ts
@@ -10,6 +10,7 @@
 import { err, errAsync, ok, Result, ResultAsync } from "neverthrow";
 import type { Millis } from "../core/time.ts";
 import { unexpectedFields } from "../core/unexpected_error.ts";
+import { ByteAccumulator } from "./byte_accumulator.ts";
 import { isPort, splitAddress } from "./address.ts";
 import { ReadFirstTimer } from "./read_first_timer.ts";
 
@@ -61,7 +62,6 @@
       req.destroy();
       resolve(err({ code, detail }));
     };
-    let bytes = 0;
     let receivedAt: Millis = -Infinity;
     const timer = ReadFirstTimer.start(
       () => fail("Time-out before the response was complete"),
@@ -76,20 +76,19 @@
       (cause) => fail(cause.message, connected ? "silent" : "unreachable"),
     );
     req.on("response", (res) => {
-      const chunks: Buffer[] = [];
+      const received = ByteAccumulator.create();
       const maxBytes = call.maxBytes ?? MAX_RESPONSE_BYTES;
       res.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
         receivedAt = performance.now();
-        if (bytes > maxBytes) return fail("The response is too large");
-        chunks.push(chunk);
+        received.append(chunk);
+        if (received.length > maxBytes) fail("The response is too large");
       });
       res.on("error", (cause) => fail(cause.message));
       res.on("close", () => {
         if (!res.complete) return fail("The response was cut short");
         timer.stop();
         const { statusCode: status = 0, headers } = res;
-        resolve(ok({ status, headers, body: Buffer.concat(chunks) }));
+        resolve(ok({ status, headers, body: received.bytes }));
       });
     });
     req.end(body);
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -1,4 +1,4 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
@@ -6,6 +6,7 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import { ByteAccumulator } from "../byte_accumulator.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
 import type { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
@@ -51,7 +52,7 @@
   readonly #refuse: RefuseRequest;
   #admitted: AdmittedRequest;
   #deadlineAt: Timestamp;
-  #chunks: Buffer[] = [];
+  readonly #body = ByteAccumulator.create();
   #receivedBytes = 0;
   /** When a part of the body was last received, by `performance.now`. */
   #receivedAt: Millis = -Infinity;
@@ -94,7 +95,7 @@
       this.#receivedBytes += chunk.length;
       this.#receivedAt = performance.now();
       if (response.started) return;
-      if (this.#receivedBytes <= bodyBytes) this.#chunks.push(chunk);
+      if (this.#receivedBytes <= bodyBytes) this.#body.append(chunk);
       else {
         this.failBody(
           problem("body_too_large", "The request body is too large"),
@@ -115,7 +116,7 @@
   /** Refuses a request whose body can't be read to its end. */
   failBody(err: Problem): void {
     if (this.#exchange !== undefined || this.#entry.response.started) return;
-    this.#chunks = [];
+    this.#body.reset();
     this.#bodyTimer?.stop();
     this.#refuse(err, { received: this.#receivedBytes, unread: true });
   }
@@ -142,8 +143,8 @@
       const received = this.#receivedBytes;
       return this.#refuse(refusal, { received, unread: false });
     }
-    this.#exchange = this.#start(Buffer.concat(this.#chunks));
-    this.#chunks = [];
+    this.#exchange = this.#start(this.#body.bytes);
+    this.#body.reset();
   }
 
   /** The refusal by a newer version than the one that admitted the request; the earlier time limit holds. */
