REFUSED: a request that had run was answered as one that has not

Cause: ResponseRelay.receiveHead passed on each status of an upstream that no retry followed; 408 and 429 were never retried. What a status promises was checked for our own refusals only.

Ruled out: a wrong verdict with a 503 of our own (the answers had the upstream's digest).

Change: statuses that promise something stand in not_run_promise.ts; without a proof (the upstream's own statement, or 421) such an answer is a failed attempt that may have run. Requests that may be repeated are sent again within attempts and budget, all else ends in 502 without a digest. What the upstream announces beside it still holds.

--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -2,6 +2,7 @@
 import type { ClientResponse } from "./client_response.ts";
 import type { ResponseHead } from "./dialect.ts";
 import { EventStreamParser, type StreamEvent } from "./event_stream_parser.ts";
+import { promisesNotRun } from "./not_run_promise.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
 
 const MIN_SERVER_ERROR = 500;
@@ -96,6 +97,7 @@
       if (success && head.isEventStream) return undefined;
       return brokenResponse(`The stream can't be resumed: status ${status}`);
     }
+    if (promisesNotRun(status)) return unprovenRefusal(status);
     if (status >= MIN_SERVER_ERROR && options.mayRetry) {
       return {
         cause: "upstream_refused",
@@ -196,6 +198,16 @@
   };
 }
 
+/** A refusal that does not state that the request has not run: passed on, its status would promise just that. */
+function unprovenRefusal(status: number): AttemptFailure {
+  return {
+    cause: "upstream_refused",
+    verdict: "may_have_run",
+    detail: `The upstream answered ${status} and may have run the request`,
+    upstreamAtFault: false,
+  };
+}
+
 function brokenResponse(detail: string): AttemptFailure {
   return {
     cause: "answer_broken",
