LOST: a head without a byte of its body ended in a closed connection

Cause: ClientResponse.started was Node's headersSent, true as soon as Node was told a head, which sends nothing before the body's first byte. Where a head had come, the refusal at the deadline and at the exit destroyed the connection, a call that may be repeated was not sent again after a break or a silence, and 502 was not sent after a break.

Ruled out: the change of the configuration as a cause (a time-out of 300 ms from the start shows it too); a refusal undone by a reset (by reading: none is written).

Change: ClientResponse holds every head until the first byte of the body or the end, as was done for streams in ResponseRelay, so that `started` means that a byte was sent. Responses without a body are sent at their end, as before.

--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -35,6 +35,10 @@
   readonly #res: ServerResponse;
   /** Whether the connection closes after the response that starts now. */
   readonly #startsLast: StartsLast;
+  /** The head that is held. */
+  #head:
+    | Pick<ResponseHead, "headers"> & Readonly<{ status: number }>
+    | undefined;
   #onDrained: (() => void) | undefined;
 
   private constructor(res: ServerResponse, startsLast: StartsLast) {
@@ -50,28 +54,35 @@
     return new ClientResponse(res, startsLast);
   }
 
-  /** Whether the head was written, after which it can't be replaced. */
+  /** Whether a part of the response was sent, after which it can't be replaced by another one. */
   get started(): boolean {
     return this.#res.headersSent;
   }
 
-  start(status: number, head: ResponseHead): void {
-    const headers = this.#startsLast(false)
-      ? [...head.headers, ...CLOSE_HEADER]
-      : [...head.headers];
-    this.#res.writeHead(status, headers);
+  /** Sets the head. It is sent with the first byte of the body, or at the end; until then another one may replace it. */
+  setHead(status: number, head: ResponseHead): void {
+    this.#head = { status, headers: head.headers };
   }
 
   /** Writes bytes; false if the buffer is full, in which case `onDrained` is called once it has drained. */
   write(bytes: Buffer, onDrained: () => void): boolean {
+    this.#sendHead();
     this.#onDrained = onDrained;
     return this.#res.write(bytes);
   }
 
   end(): void {
+    this.#sendHead();
     this.#res.end();
   }
 
+  #sendHead(): void {
+    if (this.started || this.#head === undefined) return;
+    const { status, headers } = this.#head;
+    const closes = this.#startsLast(false) ? CLOSE_HEADER : [];
+    this.#res.writeHead(status, [...headers, ...closes]);
+  }
+
   /** Destroys the connection, so that the client detects a truncated response. */
   destroy(): void {
     this.#res.destroy();
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -108,8 +108,7 @@
     }
     this.#head = head;
     this.#status = status;
-    // The head of a stream is held until its first event, so that a retry can still send a different head.
-    if (!head.isEventStream) this.#client.start(status, head);
+    this.#client.setHead(status, head);
     return undefined;
   }
 
@@ -152,7 +151,6 @@
   /** Sends events in one write, as an upstream may send many small ones at once; false if the client's buffer is full. */
   #relayEvents(events: readonly Buffer[], onDrained: () => void): boolean {
     if (events.length === 0) return true;
-    if (!this.#client.started) this.#client.start(this.#status, this.#head!);
     this.#eventsSent += events.length;
     const [first] = events;
     const bytes = events.length === 1 ? first! : Buffer.concat(events);
@@ -165,7 +163,6 @@
     if (this.#head.isEventStream && this.#parser.pendingBytes > 0) {
       return brokenResponse("The last event is incomplete");
     }
-    if (!this.#client.started) this.#client.start(this.#status, this.#head);
     this.#client.end();
     return undefined;
   }
--- a/src/gateway/requests/response_relay_test.ts
+++ b/src/gateway/requests/response_relay_test.ts
@@ -134,6 +134,7 @@
     expect(relay.receiveHead(500, head, retryable)?.verdict).toBe("ran");
     relay.startAttempt();
     expect(relay.receiveHead(500, head, { mayRetry: false })).toBeUndefined();
+    expect(relay.finish()).toBeUndefined();
     expect(res.head).toEqual([500, ["X-Digest", "first"]]);
   });
 
--- a/src/gateway/requests/unbounded_response_test.ts
+++ b/src/gateway/requests/unbounded_response_test.ts
@@ -59,7 +59,7 @@
 async function failureFrom(address: string): Promise<string> {
   const response = {
     started: false,
-    start: () => {},
+    setHead: () => {},
     write: () => true,
     end: () => {},
   } as unknown as ClientResponse;
