LOST: a stream was cut at a time limit that came after its request

Cause: admits a request again at the end of its body, for its route and key, and took the earlier of the two time limits as well, while no version changes the limit of a request that is tried.

Weighed: by which version's time-out does a request end?

Change: the deadline is worked out once, in FrontServer.#admit, and carried in AdmittedHead. Routes and keys follow the version at the body's end, as before.

--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -189,14 +189,13 @@
     const admitted = routes.admit(head);
     if (admitted.isErr()) return { head, problem: admitted.error };
     const { timeoutMs } = admitted.value.route;
-    const refusal = this.#gate.refusal({
-      admitted: admitted.value,
-      deadlineAt: deadlineOf(now, { timeoutMs, leftMs: head.leftMs }),
-    }, now);
+    const deadlineAt = deadlineOf(now, { timeoutMs, leftMs: head.leftMs });
+    const due = { admitted: admitted.value, deadlineAt };
+    const refusal = this.#gate.refusal(due, now);
     if (refusal !== undefined) return { head, problem: refusal };
     const readmit = () => this.#readmit(head, routes);
     const { bodyBytes } = limits;
-    return { head, admitted: admitted.value, readmit, bodyBytes };
+    return { head, ...due, readmit, bodyBytes };
   }
 
   /** Admits a request by the version in force, if that is another one than it was admitted by. */
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -14,7 +14,6 @@
 import { Exchange } from "./exchange.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
-import { deadlineOf } from "./exchange_util.ts";
 import { ReadFirstTimer } from "../read_first_timer.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
 
@@ -30,6 +29,8 @@
   /** Largest body that is accepted. */
   bodyBytes: number;
   arrivedAt: Timestamp;
+  /** When the final response is due, by the version that admitted the head; later versions don't change it. */
+  deadlineAt: Timestamp;
   response: ClientResponse;
 }>;
 
@@ -51,7 +52,6 @@
   readonly #times: AnswerTimes;
   readonly #refuse: RefuseRequest;
   #admitted: AdmittedRequest;
-  #deadlineAt: Timestamp;
   readonly #body = ByteAccumulator.create();
   #receivedBytes = 0;
   /** When a part of the body was last received, by `performance.now`. */
@@ -67,7 +67,6 @@
     this.#port = port;
     this.#entry = entry;
     this.#admitted = entry.admitted;
-    this.#deadlineAt = deadlineBy(entry, entry.admitted);
     this.#gate = options.gate;
     this.#times = options.times;
     this.#refuse = options.refuse;
@@ -83,8 +82,8 @@
 
   /** Reads the body and starts the exchange at its end; a body that comes too slowly is refused. */
   read(req: IncomingMessage, res: ServerResponse): void {
-    const { response, bodyBytes, arrivedAt } = this.#entry;
-    const leftMs = this.#deadlineAt - arrivedAt;
+    const { response, bodyBytes, arrivedAt, deadlineAt } = this.#entry;
+    const leftMs = deadlineAt - arrivedAt;
     this.#bodyTimer = ReadFirstTimer.start(
       () => this.failBody(bodyLate()),
       Math.min(leftMs, MAX_BODY_MS),
@@ -147,15 +146,13 @@
     this.#body.reset();
   }
 
-  /** The refusal by a newer version than the one that admitted the request; the earlier time limit holds. */
+  /** The refusal by a newer version than the one that admitted the request; the time limit stays as it was. */
   #readmit(): Problem | undefined {
     const readmitted = this.#entry.readmit();
     if (readmitted === undefined) return undefined;
     if (readmitted.isErr()) return readmitted.error;
     this.#admitted = readmitted.value;
-    const deadlineAt = deadlineBy(this.#entry, this.#admitted);
-    if (deadlineAt < this.#deadlineAt) this.#deadlineAt = deadlineAt;
-    return this.#port.now() < this.#deadlineAt ? undefined : bodyLate();
+    return undefined;
   }
 
   /** The refusal if a planned stop leaves too little time; logs what a draining daemon takes. */
@@ -163,7 +160,8 @@
     const { drain } = this.#gate;
     if (drain === undefined) return undefined;
     const now = this.#port.now();
-    const req = { admitted: this.#admitted, deadlineAt: this.#deadlineAt };
+    const { deadlineAt } = this.#entry;
+    const req = { admitted: this.#admitted, deadlineAt };
     const refusal = this.#gate.refusal(req, now);
     if (refusal !== undefined) return refusal;
     this.#line("taken", {
@@ -184,14 +182,14 @@
   }
 
   #start(body: Buffer): Exchange {
-    const { head, arrivedAt, response } = this.#entry;
+    const { head, arrivedAt, deadlineAt, response } = this.#entry;
     const admitted = this.#admitted;
     const exchange = Exchange.create(this.#port, {
       head,
       body,
       admitted,
       arrivedAt,
-      deadlineAt: this.#deadlineAt,
+      deadlineAt,
       digest: digestOf(head, { admitted, body }),
     }, {
       response,
@@ -216,14 +214,6 @@
   });
 }
 
-function deadlineBy(
-  { arrivedAt, head }: AdmittedHead,
-  { route }: AdmittedRequest,
-): Timestamp {
-  const { timeoutMs } = route;
-  return deadlineOf(arrivedAt, { timeoutMs, leftMs: head.leftMs });
-}
-
 /** Digest of caller, path and body, by which content that crashes upstreams is recognised when it is sent again. */
 function digestOf(
   head: RequestHead,
--- a/src/gateway/requests/small_pieces_test.ts
+++ b/src/gateway/requests/small_pieces_test.ts
@@ -11,6 +11,7 @@
   requestHead,
   servingWithRoutes,
 } from "../../testing/fake_gateway_port.ts";
+import { addMs } from "../../core/time.ts";
 import { RouteTable } from "../serving/route_table.ts";
 import { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
@@ -43,6 +44,7 @@
     readmit: () => undefined,
     bodyBytes: BODY_BYTES,
     arrivedAt: port.now(),
+    deadlineAt: addMs(port.now(), 30_000),
     response: { started: false } as ClientResponse,
   }, {
     gate: DrainGate.create(() => undefined, times),
