--- a/src/gateway/requests/faulty_response_test.ts
+++ b/src/gateway/requests/faulty_response_test.ts
@@ -252,3 +252,30 @@
     expect(res.status).toBe(502);
   },
 );
+
+test("an event without end is replaced by another upstream's stream, and the record says whose it was and why", async () => {
+  const piece = "7\r\n: ping\n\r\n".repeat(4_096);
+  const endless: UpstreamScript = (socket) => {
+    const more = () => {
+      while (!socket.destroyed) if (!socket.write(piece)) return;
+    };
+    const chunked = { ...STREAM, "Transfer-Encoding": "chunked" };
+    socket.write(responseHeadText(200, chunked));
+    socket.on("drain", more);
+    more();
+  };
+  const res = await request("/ask/x", [endless, wholeStream]);
+  expect([res.body, res.complete]).toEqual([EVENTS.join(""), true]);
+  const { lineFields, jobUpdates, contentOutcomes } =
+    play.exchangePort.recorded;
+  expect(lineFields).toContainEqual(expect.objectContaining({
+    kind: "attempt_failed",
+    upstream: "e0",
+    cause: "answer_broken",
+    detail: expect.stringMatching(/^(An event exceeds|\d+ bytes came)/),
+    then: "retry",
+  }));
+  // The upstream is to be avoided; the prompt is not suspected.
+  expect(jobUpdates).toContain("e0 failed");
+  expect(contentOutcomes).not.toContain("lost e0");
+});
