--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -180,6 +180,7 @@
     this.#listener.onHead(status, head);
   }
 
+  /** Hands the pieces on as one. */
   #deliver(): void {
     const pieces = this.#pieces;
     if (pieces.length === 0) return;
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -35,7 +35,7 @@
   readonly #res: ServerResponse;
   /** Whether the connection closes after the response that starts now. */
   readonly #startsLast: StartsLast;
-  /** The head that is held. */
+  /** Status and headers of an upstream's response, until they are sent. */
   #head:
     | Pick<ResponseHead, "headers"> & Readonly<{ status: number }>
     | undefined;
