GONE: requests queued behind another went on when their client had left

Cause: a request learns of its client's end from the close of its response, which Node.js emits only for the response that holds the socket.

Change: the client's connection closes the responses that wait behind another when its socket closes, so all that listens for a response's close is told.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -12,6 +12,8 @@
   readonly #now: () => Timestamp;
   /** Requests without a complete response, in order, and what answers those that were admitted. */
   readonly #open = new Map<IncomingMessage, FailBody | undefined>();
+  /** Their responses. */
+  readonly #responses = new Set<ServerResponse>();
   #requests = 0;
   #idleSince: Timestamp;
   /** Bytes that had been read when the connection became idle. */
@@ -25,6 +27,7 @@
     this.socket = socket;
     this.#now = now;
     this.#idleSince = now();
+    socket.once("close", () => this.#closeQueued());
   }
 
   static create(socket: Socket, now: () => Timestamp): ClientConnection {
@@ -75,7 +78,8 @@
     this.#requests += 1;
     this.#toldIdleMs = options.toldIdleMs;
     this.#open.set(req, undefined);
-    res.once("close", () => this.#closed(req));
+    this.#responses.add(res);
+    res.once("close", () => this.#closed(req, res));
   }
 
   /** Records that a request was admitted; `failBody` answers it if its body can't be read to its end. */
@@ -112,7 +116,17 @@
     if (req?.complete === false) failBody?.(err);
   }
 
-  #closed(req: IncomingMessage): void {
+  /** Closes the responses that wait behind another one, as the server closes only the one that holds the socket. */
+  #closeQueued(): void {
+    for (const res of [...this.#responses]) {
+      if (res.socket !== null) continue;
+      res.destroy();
+      res.emit("close");
+    }
+  }
+
+  #closed(req: IncomingMessage, res: ServerResponse): void {
+    this.#responses.delete(res);
     this.#open.delete(req);
     if (this.#open.size > 0) return;
     this.#excused = false;
