--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -159,6 +159,11 @@
       this.#fail("answer_broken", "The refusal names no request");
       return;
     }
+    if (head.requestId === undefined && !head.hasDigest) {
+      // Whoever answers at this address is not the upstream.
+      this.#fail("answer_broken", "The response bears no mark of an upstream");
+      return;
+    }
     let ended = false;
     res.on("data", (piece: Buffer) => {
       // All pieces of one reading arrive in one turn: they are handled together, as the upstream chooses their size.
