BUDGET: a shorter back-off replaced a longer one of the same upstream

Callers saw nothing; an upstream that had answered 503 with a Retry-After of 5 s and then, on another connection, with 1 s got requests from that daemon after 1 s.

Cause: the back-off of the last response was kept. All that were named hold, so the latest end is kept.

--- a/src/gateway/upstreams/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -234,6 +234,17 @@
     });
   });
 
+  test("which a later and shorter announcement doesn't bring forward", () => {
+    const fleet = startedFleet();
+    const [gateway] = gatewaysByRole(fleet).others;
+    reportAvailability(fleet, gateway!, { backoffMs: 5_000 });
+    reportAvailability(fleet, gateway!, { backoffMs: 1_000 });
+    fleet.time.run(3_000);
+    expect(placeCalls(fleet, gateway!).upstreams).toEqual(new Set([E2]));
+    fleet.time.run(2_000);
+    expect(placeCalls(fleet, gateway!).upstreams).toContain(E1);
+  });
+
   test("unless it restarts", () => {
     const fleet = startedFleet();
     const [gateway] = gatewaysByRole(fleet).others;
--- a/src/gateway/upstreams/self_reported_closures.ts
+++ b/src/gateway/upstreams/self_reported_closures.ts
@@ -50,7 +50,9 @@
     if (isFirstLeaving) state.leavingSince = now;
     if (availability.backoffMs !== undefined) {
       const until = addMs(now, availability.backoffMs);
-      state.backoff = { from: now, until };
+      // Each response names a time of its own, and all of them hold.
+      const isLatest = until > (state.backoff?.until ?? -Infinity);
+      if (isLatest) state.backoff = { from: now, until };
     }
     for (const key of this.#states.keys()) {
       if (this.#states.size <= MAX_UPSTREAMS) break;
