Daemons that start together contact seeds in turn and fetch long tables

Cause, reproduced under virtual time with a cost for each message: every daemon sent a heartbeat to all three seeds each 100 ms until one replied, and each reply held the whole list of daemons and the whole table of upstreams (39 kB deflated for 3,000 entries). Seeds and links were saturated by repeats, replies were lost, daemons led themselves meanwhile, read the whole register each, and chose leaders anew about four times, each time with the whole list.

Change: seeds are contacted one at a time with a growing interval; a daemon that seeks a leader gets the four best candidates in place of the list; while no daemon is open, all known ones are candidates; tables over 128 entries are fetched over TCP from an open daemon of the own domain; long changes of the register are sent in parts; a daemon that has just been introduced lets others' data reach it before it reads the store.

An earlier build doesn't state that it fetches, and gets whole tables as before.

--- a/src/gateway/gateway_board.ts
+++ b/src/gateway/gateway_board.ts
@@ -47,8 +47,8 @@
   /** Takes over from the leader and mirrors its state; absent if there is only one daemon. */
   deputy: VmId | undefined;
   heartbeatMs: Millis;
-  /** Whether another daemon has replied since the start of this one, or none did in time. */
-  introduced: boolean;
+  /** When another daemon replied for the first time, or when none had in time; undefined before. */
+  introducedAt: Timestamp | undefined;
 };
 
 /** Written by the serving controller. */
@@ -119,7 +119,7 @@
       leader: card.vm,
       deputy: undefined,
       heartbeatMs: 0,
-      introduced: false,
+      introducedAt: undefined,
     },
     serving: {
       routes: undefined,
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -20,13 +20,13 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { isReady, livenessTimeoutMs } from "./members/membership.ts";
 import { decodePeerMessage, encodePeerMessage } from "./peers/peer_message.ts";
+import { PeerCalls } from "./peers/peer_calls.ts";
 import { drainTimeMs, PlannedStop } from "./planned_stop.ts";
 import type { PlatformStore } from "./store/platform_store.ts";
 import { RetryBudget } from "./requests/retry_budget.ts";
-import { encodeServing } from "./serving/serving_json.ts";
 import { type GetResponse, serveGetRequests } from "./plain_http.ts";
 import { UnreadableLog } from "./unreadable_log.ts";
-import { SERVING_PATH, StoreCaller } from "./store/store_caller.ts";
+import { StoreCaller } from "./store/store_caller.ts";
 
 const METRICS_PATH = "/metrics";
 /** How often a fixed piece of work is timed to detect a slow VM. */
@@ -61,6 +61,7 @@
   readonly #unreadable = UnreadableLog.create((kind, fields) =>
     this.#line(kind, fields)
   );
+  readonly #peerCalls: PeerCalls;
   #limitsVersion = 0;
   #unreadableDatagrams = 0;
   #draining = false;
@@ -71,6 +72,7 @@
     const { card } = settings;
     this.#orders = adapters.orders;
     this.#core = GatewayCore.create(card, settings.seeds);
+    this.#peerCalls = PeerCalls.create(this.#core.board);
     this.#loop = CoreLoop.create(this.#core, (intent) => this.#perform(intent));
     this.#log = EventLog.create(
       { vm: card.vm },
@@ -132,7 +134,10 @@
     });
     const peer = splitAddress(card.peer);
     await this.#datagrams.bind(peer.host, peer.port);
-    await serveGetRequests(peer, (url) => this.#serveConfig(url));
+    await serveGetRequests(
+      peer,
+      (url) => this.#peerCalls.answer(url, this.#loop.now()),
+    );
     await serveGetRequests(
       splitAddress(metrics),
       (url) => this.#serveMetrics(url),
@@ -209,6 +214,9 @@
       case "fetch_serving":
         void this.#store.fetchServing(intent.peer.peer);
         return;
+      case "fetch_table":
+        void this.#store.fetchTable(intent.peer.peer);
+        return;
       case "announce":
         void this.#store.announce(intent);
         return;
@@ -273,14 +281,6 @@
     );
   }
 
-  #serveConfig(url: URL): GetResponse | undefined {
-    if (url.pathname !== SERVING_PATH) return undefined;
-    const { routes } = this.#core.board.serving;
-    if (routes === undefined) return undefined;
-    const body = encodeServing(routes.serving);
-    return { status: 200, body, contentType: "application/octet-stream" };
-  }
-
   async #serveMetrics(url: URL): Promise<GetResponse | undefined> {
     if (url.pathname !== METRICS_PATH) return undefined;
     const { board } = this.#core;
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -46,6 +46,8 @@
   | Readonly<{ type: "serving_read" }> & ServingBatch
   | Readonly<{ type: "serving_fetched"; serving: ServingConfig }>
   | Readonly<{ type: "fetch_failed"; detail: string }>
+  /** A fetch of a table of upstreams failed; one that succeeded arrives as a message. */
+  | Readonly<{ type: "table_unfetched"; detail: string }>
   | Readonly<{
     type: "register_read";
     /** Whether `changes` is the whole register, rather than the changes since the last read. */
@@ -95,6 +97,7 @@
   }>
   | Readonly<{ type: "inspect"; upstream: UpstreamId; address: string }>
   | Readonly<{ type: "fetch_serving"; peer: PeerCard }>
+  | Readonly<{ type: "fetch_table"; peer: PeerCard }>
   | Readonly<{ type: "announce"; card: PeerCard }>
   | Readonly<{ type: "read_announced" }>
   | Readonly<{ type: "keep_contents"; records: readonly ContentRecord[] }>
--- a/src/gateway/members/member_table.ts
+++ b/src/gateway/members/member_table.ts
@@ -48,6 +48,17 @@
     return change;
   }
 
+  /** Records daemons that another daemon lists as live, beside its roster. */
+  recordListed(cards: readonly PeerCard[], now: Timestamp): void {
+    for (const card of cards) {
+      this.#upsert(card);
+      const known = this.#members.get(card.vm);
+      if (known === undefined) continue;
+      known.lastListedAt = now;
+      known.lastSeenAt = now;
+    }
+  }
+
   /** Applies a roster update of another daemon; an update that doesn't continue from the known position is ignored. */
   applyRoster(update: RosterUpdate, now: Timestamp): void {
     const { epoch, seq, since, joined, gone } = update;
@@ -65,14 +76,7 @@
         member.lastSeenAt = now;
       }
     }
-    for (const card of joined) {
-      this.#upsert(card);
-      const known = this.#members.get(card.vm);
-      if (known !== undefined) {
-        known.lastListedAt = now;
-        known.lastSeenAt = now;
-      }
-    }
+    this.recordListed(joined, now);
     this.#position = { epoch, seq };
   }
 
@@ -166,6 +170,35 @@
  */
 export function compareLeaders(a: PeerCard, b: PeerCard): number {
   return Number(a.slow) - Number(b.slow) || b.power - a.power ||
-    fnv1aHash(a.vm) - fnv1aHash(b.vm) ||
+    hashOf(a.vm) - hashOf(b.vm) ||
     (a.vm < b.vm ? -1 : a.vm > b.vm ? 1 : 0);
 }
+
+/** The `count` daemons that are preferred as leader, best first, in one pass: each step of a daemon asks for them. */
+export function bestLeaders(
+  cards: Iterable<PeerCard>,
+  count: number,
+): readonly PeerCard[] {
+  const best: PeerCard[] = [];
+  for (const card of cards) {
+    const last = best.at(-1);
+    if (best.length === count && compareLeaders(card, last!) >= 0) continue;
+    const at = best.findIndex((other) => compareLeaders(card, other) < 0);
+    best.splice(at === -1 ? best.length : at, 0, card);
+    if (best.length > count) best.pop();
+  }
+  return best;
+}
+
+const hashes = new Map<VmId, number>();
+
+/** Hashes of VM ids, which every comparison needs. */
+function hashOf(vm: VmId): number {
+  let hash = hashes.get(vm);
+  if (hash === undefined) {
+    if (hashes.size >= MAX_MEMBERS) hashes.clear();
+    hash = fnv1aHash(vm);
+    hashes.set(vm, hash);
+  }
+  return hash;
+}
--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -3,7 +3,7 @@
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { VmId } from "../../core/id.ts";
 import { contentSyncFor } from "../contents/content_sync.ts";
-import { compareLeaders } from "./member_table.ts";
+import { bestLeaders, compareLeaders } from "./member_table.ts";
 import {
   heartbeatIntervalMs,
   isReady,
@@ -11,16 +11,17 @@
   otherPlacers,
 } from "./membership.ts";
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
-import { settlingUntil } from "../store/settling.ts";
-import { isBefore, resolvePosition } from "../store/store_position.ts";
+import { heartbeatReply } from "./heartbeat_reply.ts";
 import { PeerDiscovery } from "./peer_discovery.ts";
 import { OwnSpeed } from "./own_speed.ts";
-import { NO_ROSTER, Roster, type RosterPosition } from "./roster.ts";
+import { Roster, type RosterPosition } from "./roster.ts";
 
 /** Heartbeat intervals without a reply after which the leader counts as down. */
 const MAX_UNANSWERED_HEARTBEATS = 2;
 /** Time allowed for the reply in addition to those intervals. */
 const REPLY_ALLOWANCE_MS: Millis = 250;
+/** Time after a change of leader in which a daemon asks for better candidates, as daemons may start together. */
+const SEEK_MS: Millis = 3_000;
 /** Time between heartbeats to daemons that count as down, in turn by preference as leader. */
 const PROBE_INTERVAL_MS: Millis = 2_000;
 
@@ -30,6 +31,8 @@
   #nextProbeAt = 0 as Timestamp;
   /** When the leader's last reply arrived, or when it was elected. */
   #leaderSeenAt = 0 as Timestamp;
+  /** When the leader was elected. */
+  #electedAt: Timestamp | undefined;
   #probeCount = 0;
   readonly #discovery = PeerDiscovery.create();
   readonly #speed = OwnSpeed.create();
@@ -103,7 +106,8 @@
     }
     if (message.type === "heartbeat") this.#sendReply(board, step, message);
     else {
-      board.members.introduced = true;
+      board.members.introducedAt ??= step.now;
+      table.recordListed(message.candidates ?? [], step.now);
       this.#quarantineSummaries.set(from.vm, message.contents?.mark ?? "");
       const fromLeader = from.vm === board.members.leader;
       const isLeader = board.members.leader === board.self.card.vm;
@@ -119,34 +123,15 @@
     step: GatewayStep,
     heartbeat: Extract<PeerMessage, { type: "heartbeat" }>,
   ): void {
-    const { members, register, self } = board;
-    const position = resolvePosition(heartbeat.progress, board.store);
-    const behind = isBefore(position, register.lastChange);
-    const isSettling = settlingUntil(board.store, step.now) !== undefined;
-    const { table } = register;
-    const kept = behind ? table.kept(step.now) : [];
-    const needsGone = position.offset < 0 || isSettling;
-    step.emit({
-      type: "send",
-      to: heartbeat.from.peer,
-      message: {
-        type: "heartbeat_reply",
-        from: self.card,
-        progress: storeProgressOf(board, step.now),
-        leader: members.leader,
-        roster: heartbeat.roster === undefined
-          ? undefined
-          : this.#currentRoster(board, step).since(heartbeat.roster),
-        entries: behind ? table.all() : undefined,
-        kept: kept.length > 0 ? kept : undefined,
-        gone: behind && needsGone ? table.recentlyGone() : undefined,
-        contents: contentSyncFor(board, step.now, {
-          to: heartbeat.from.vm,
-          mark: heartbeat.contents?.mark,
-        }),
-        rates: board.gate.rates.notices(step.now),
-      },
+    const { roster } = heartbeat;
+    const message = heartbeatReply(board, step.now, {
+      ...heartbeat,
+      roster: roster === undefined
+        ? undefined
+        : this.#currentRoster(board, step).since(roster),
+      candidates: this.#candidates(board, step),
     });
+    step.emit({ type: "send", to: heartbeat.from.peer, message });
   }
 
   /** This daemon's roster, updated at most once per step. */
@@ -186,20 +171,32 @@
       table.markDown(members.leader);
       step.line("peer_down", { peer: members.leader, silent_ms: silentMs });
     }
-    const open = table.live(step.now, livenessTimeoutMs(board)).filter((card) =>
-      card.open
-    );
-    if (self.card.open || open.length === 0) open.push(self.card);
-    const [best, second] = open.sort(compareLeaders);
+    this.#electedAt ??= step.now;
+    const candidates = this.#candidates(board, step);
+    const [best, second] = bestLeaders(candidates, 2);
     if (second?.vm !== members.deputy) this.#nextHeartbeatAt = step.now;
     members.deputy = second?.vm;
     if (best === undefined || best.vm === members.leader) return;
-    step.line("leader", { from: members.leader, to: best.vm, of: open.length });
+    step.line("leader", {
+      from: members.leader,
+      to: best.vm,
+      of: candidates.length,
+    });
     members.leader = best.vm;
     this.#leaderSeenAt = step.now;
+    this.#electedAt = step.now;
     this.#nextHeartbeatAt = step.now;
   }
 
+  /** The daemons that may lead: those that are open or, while none is, all, of which only the best one reads the store. */
+  #candidates(board: GatewayBoard, step: GatewayStep): readonly PeerCard[] {
+    const { members, self } = board;
+    const live = members.table.live(step.now, livenessTimeoutMs(board));
+    const all = [...live, self.card];
+    const open = all.filter((card) => card.open);
+    return open.length > 0 ? open : all;
+  }
+
   #sendHeartbeats(
     board: GatewayBoard,
     step: GatewayStep,
@@ -252,7 +249,9 @@
         type: "heartbeat",
         from: self.card,
         progress: storeProgressOf(board, step.now),
-        roster: this.#requestedRoster(board, step, to),
+        roster: this.#requestedRoster(board, to),
+        seeks: this.#seeksLeader(board, step) ? true : undefined,
+        fetches: true,
         jobs,
         paces: this.#slowEnginePaces(board, step),
         contents: contentSyncFor(board, step.now, {
@@ -266,6 +265,13 @@
     });
   }
 
+  /** Whether there may be a better leader than this daemon knows. */
+  #seeksLeader(board: GatewayBoard, step: GatewayStep): boolean {
+    const { table } = board.members;
+    return step.now - (this.#electedAt ?? step.now) <= SEEK_MS ||
+      table.live(step.now, livenessTimeoutMs(board)).length === 0;
+  }
+
   /** Slow engines, which the leader sends along so that its deputy has them after a change of leader. */
   #slowEnginePaces(board: GatewayBoard, step: GatewayStep) {
     const { members, pool, self } = board;
@@ -279,18 +285,15 @@
   }
 
   /**
-   * The roster position to send, or nothing where no update is requested. A daemon requests the leader's roster, the
-   * leader requests its deputy's, and a daemon without live peers requests one from any daemon.
+   * The roster position to send, or nothing where no update is requested. A daemon requests the leader's roster, and
+   * the leader requests its deputy's.
    */
   #requestedRoster(
     board: GatewayBoard,
-    step: GatewayStep,
     to: string,
   ): RosterPosition | undefined {
     const { members, self } = board;
     const { table, leader, deputy } = members;
-    const alone = table.live(step.now, livenessTimeoutMs(board)).length === 0;
-    if (alone) return NO_ROSTER;
     const rosterSource = leader === self.card.vm ? deputy : leader;
     const isRosterSource = rosterSource !== undefined &&
       table.get(rosterSource)?.peer === to;
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -161,6 +161,10 @@
     progress: StoreProgressSchema,
     /** Position of the sender in the receiver's roster; absent if no update is requested. */
     roster: RosterPositionSchema.optional(),
+    /** Whether the sender asks for the best candidates for leader; absent if it knows its leader for some time. */
+    seeks: z.boolean().optional(),
+    /** Whether the sender fetches a long table by a call of its own; absent in messages of earlier builds. */
+    fetches: z.boolean().optional(),
     jobs: soundList(JobSchema),
     /** Engines that the leader has found slow, with their slowdown. */
     paces: soundList(z.object({ upstream, pace: paceSchema })).optional(),
@@ -174,6 +178,10 @@
     progress: StoreProgressSchema,
     leader: idSchema<VmId>(),
     roster: RosterUpdateSchema.optional(),
+    /** The best candidates for leader that the sender knows, for a daemon that seeks one. */
+    candidates: soundList(PeerCardSchema).optional(),
+    /** Whether the receiver has to fetch the table, which is too long for a datagram. */
+    behind: z.boolean().optional(),
     entries: soundList(UpstreamEntrySchema).optional(),
     /** Those of the entries that are only kept, and for how long. */
     kept: soundList(z.object({ id: upstream, keptMs: millisSchema }))
--- a/src/gateway/serving/serving_controller.ts
+++ b/src/gateway/serving/serving_controller.ts
@@ -93,7 +93,7 @@
     if (settlesAt !== undefined) step.wake(settlesAt);
     this.#pollStore(board, step);
     this.#fetchFromPeer(board, step);
-    serving.caughtUp ||= board.members.introduced &&
+    serving.caughtUp ||= board.members.introducedAt !== undefined &&
       serving.routes !== undefined &&
       (this.#newer === undefined || this.#fetchAttempts >= MAX_FETCH_ATTEMPTS);
   }
@@ -158,7 +158,7 @@
   /** Reads the store if this daemon leads or is a reader, if fetches failed, or if peers confirmed nothing recently. */
   #pollStore(board: GatewayBoard, step: GatewayStep): void {
     const { members, self, serving, store } = board;
-    if (!members.introduced) return;
+    if (members.introducedAt === undefined) return;
     const leads = members.leader === self.card.vm;
     const waitMs = leads ? LEADER_LONG_POLL_MS : LONG_POLL_MS;
     const readsStore = leads || this.#fetchAttempts >= MAX_FETCH_ATTEMPTS ||
--- a/src/gateway/serving/serving_readers.ts
+++ b/src/gateway/serving/serving_readers.ts
@@ -1,6 +1,6 @@
 import type { VmId } from "../../core/id.ts";
 import { fnv1aHash } from "../../core/fnv1a.ts";
-import { compareLeaders } from "../members/member_table.ts";
+import { bestLeaders } from "../members/member_table.ts";
 import type { PeerCard } from "../peers/peer_message.ts";
 
 /** Daemons per failure domain that read the configuration from the store: two, so that one may fail. */
@@ -15,8 +15,8 @@
   cards: readonly PeerCard[],
   domain: PeerCard["domain"],
 ): readonly PeerCard[] {
-  return cards.filter((card) => card.open && card.domain === domain)
-    .sort(compareLeaders).slice(0, READERS_PER_DOMAIN);
+  const own = cards.filter((card) => card.open && card.domain === domain);
+  return bestLeaders(own, READERS_PER_DOMAIN);
 }
 
 /**
--- a/src/gateway/store/store_caller.ts
+++ b/src/gateway/store/store_caller.ts
@@ -2,10 +2,14 @@
 import type { GatewayEvent, GatewayIntent } from "../gateway_event.ts";
 import type { PlatformStore, StoreError } from "./platform_store.ts";
 import { decodeServing } from "../serving/serving_json.ts";
+import { decodePeerMessage } from "../peers/peer_message.ts";
 import { sendHttpCall } from "../plain_http.ts";
+import { FETCH_TIMEOUT_MS } from "../upstreams/table_fetch.ts";
 
 /** Path at which daemons fetch the configuration from each other. */
 export const SERVING_PATH = "/serving";
+/** Path at which daemons fetch the table of upstreams from each other. */
+export const TABLE_PATH = "/upstreams";
 
 /** Callbacks for the results of calls: events to the core, call counts by outcome, and log lines. */
 export type StoreCallerOptions = Readonly<{
@@ -14,7 +18,7 @@
   line: (kind: string, fields: LogFields) => void;
 }>;
 
-/** Performs the core's calls to the platform's store, and its fetches of configurations from peers. */
+/** Performs the core's calls to the platform's store, and its fetches of what peers have read from it. */
 export class StoreCaller {
   readonly #store: PlatformStore;
   readonly #options: StoreCallerOptions;
@@ -60,6 +64,22 @@
     );
   }
 
+  /** Fetches the table of upstreams from a peer (`host:port`); it arrives as a message of that peer. */
+  async fetchTable(peer: string): Promise<void> {
+    const { push } = this.#options;
+    const result = (await sendHttpCall({
+      method: "GET",
+      address: peer,
+      path: TABLE_PATH,
+      timeoutMs: FETCH_TIMEOUT_MS,
+    })).mapErr((failure) => failure.detail)
+      .andThen((response) => decodePeerMessage(response.body));
+    result.match(
+      (message) => push({ type: "message", message }),
+      (detail) => push({ type: "table_unfetched", detail }),
+    );
+  }
+
   async announce(
     intent: Extract<GatewayIntent, { type: "announce" }>,
   ): Promise<void> {
--- a/src/gateway/upstreams/fallback_read.ts
+++ b/src/gateway/upstreams/fallback_read.ts
@@ -3,6 +3,8 @@
 import { fnv1aHash } from "../../core/fnv1a.ts";
 import { livenessTimeoutMs } from "../members/membership.ts";
 
+/** Time for the data of another daemon to reach one that has just been introduced: some round trips and a fetch. */
+const FIRST_READ_DELAY_MS: Millis = 400;
 /** Age, beyond one heartbeat and one read of the leader, at which a daemon reads the store itself. */
 const STALE_MARGIN_MS: Millis = 300;
 /** Delay per live daemon, so that the result of the first read can reach the others before they read. */
@@ -36,7 +38,10 @@
 ): FallbackRead {
   const { now, asOf, waitMs } = options;
   const { members, self } = board;
-  const staleAt = addMs(asOf, members.heartbeatMs + waitMs + STALE_MARGIN_MS);
+  const { introducedAt = now } = members;
+  const staleAt = asOf === -Infinity
+    ? addMs(introducedAt, FIRST_READ_DELAY_MS)
+    : addMs(asOf, members.heartbeatMs + waitMs + STALE_MARGIN_MS);
   if (now < staleAt) return { readAt: staleAt, backoffMs: 0 };
   const liveCount = members.table.live(now, livenessTimeoutMs(board)).length;
   const staggerFraction = (fnv1aHash(self.card.vm) % 1_024) / 1_024;
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -22,6 +22,7 @@
   resolvePosition,
   type StorePosition,
 } from "../store/store_position.ts";
+import { TableFetch } from "./table_fetch.ts";
 import { StoreReader } from "../store/store_reader.ts";
 import {
   LAPSE_GRACE_MS,
@@ -45,9 +46,12 @@
   readonly #reader = StoreReader.create("register");
   #graceUntil: Timestamp | undefined;
   readonly #settling = RegisterSettling.create();
+  readonly #fetch = TableFetch.create();
   /** Whether the table has changed since the last read from the store. */
   #changedSinceRead = false;
   #knewRestore = false;
+  /** Whether a whole table was requested, whatever position it has. */
+  #needsWhole = false;
 
   static create(): RegisterController {
     return new RegisterController();
@@ -67,6 +71,10 @@
         this.#reader.failed(step, event.err);
       }
       if (event.type === "message") this.#onMessage(board, step, event.message);
+      if (event.type === "table_unfetched") {
+        this.#fetch.end("failed");
+        step.line("fetch_failed", { detail: event.detail });
+      }
       if (event.type === "resumed") {
         register.asOf = addMs(register.asOf, -event.suspendedMs);
       }
@@ -92,6 +100,7 @@
       register.position.era === store.era;
     this.#knewRestore = isKnown;
     if (!isSuspect) return;
+    this.#needsWhole = true;
     for (const vm of otherPlacers(board)) {
       const peer = members.table.get(vm)?.peer;
       if (peer !== undefined) {
@@ -102,7 +111,7 @@
 
   #poll(board: GatewayBoard, step: GatewayStep): void {
     // What peers know holds against the older copy of a restored store only if it is known first.
-    if (!board.members.introduced) return;
+    if (board.members.introducedAt === undefined) return;
     const { members, self, register, store } = board;
     const whole = this.#settling.mustReadWhole(board, step);
     if (members.leader === self.card.vm) {
@@ -191,10 +200,20 @@
       return;
     }
     if (message.type === "heartbeat_reply") {
-      const { progress, entries } = message;
+      const { progress, entries, behind } = message;
       const position = resolvePosition(progress, store);
       if (this.#isOutdated(board, step, message, position)) return;
+      if (behind === true) {
+        // Replies that were sent before a fetch ended don't begin another one.
+        const isBehind = isBefore(register.position, position);
+        if (isBehind || this.#needsWhole) {
+          this.#fetch.begin(board, step, message.from);
+        }
+        return;
+      }
       if (entries !== undefined) {
+        this.#fetch.end("applied");
+        this.#needsWhole = false;
         const table = { ...message, entries };
         this.#applyPeerTable(board, step, { progress, table, position });
       } else if (position.era > register.position.era) {
--- a/src/gateway/upstreams/register_publisher.ts
+++ b/src/gateway/upstreams/register_publisher.ts
@@ -89,6 +89,7 @@
       type: "heartbeat",
       from: board.self.card,
       progress: options.whole === true ? { ...progress, offset: -1 } : progress,
+      fetches: true,
       jobs: [],
     },
   });
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -9,11 +9,13 @@
 import {
   encodePeerMessage,
   type PeerCard,
+  type PeerMessage,
 } from "../gateway/peers/peer_message.ts";
 import type {
   ConfigVersion,
   ServingConfig,
 } from "../gateway/serving/serving_config.ts";
+import { tableMessage } from "../gateway/upstreams/table_message.ts";
 import type {
   UpstreamChange,
   UpstreamEntry,
@@ -25,6 +27,26 @@
 const NETWORK_DELAY_MS: Millis = 1;
 const STORE_DELAY_MS: Millis = 4;
 
+/** Datagrams that one reading of a socket returns at most. */
+const READING_DATAGRAMS = 32;
+/** Bytes of datagrams that a socket holds; further ones are lost. */
+const SOCKET_BYTES = 212_992;
+/** Backlog of a link from which on further datagrams are lost. */
+const MAX_LINK_BACKLOG_MS: Millis = 200;
+
+/** What messages cost a daemon, for tests of many daemons; sizes are those of the plain JSON. */
+export type MessageCosts = Readonly<{
+  receiveMs: Millis;
+  receiveMsPerKb: Millis;
+  sendMs: Millis;
+  sendMsPerKb: Millis;
+  linkKbPerMs: number;
+}>;
+
+type Datagram = Readonly<
+  { message: PeerMessage; bytes: number; plainKb: number }
+>;
+
 /** One daemon's core with the intents it has emitted. */
 export type FakeGateway = {
   readonly core: GatewayCore;
@@ -49,6 +71,15 @@
   reads: number;
   /** Fetches of a configuration version from another daemon. */
   fetches: number;
+  /** Fetches of the table of upstreams from another daemon. */
+  tableFetches: number;
+  /** Size of the messages that the daemon has sent. */
+  sentBytes: number;
+  /** Datagrams that wait in the daemon's socket, if messages have costs. */
+  readonly inbox: Datagram[];
+  /** When the daemon's processor and its link are free, if messages have costs. */
+  busyUntil: number;
+  linkFreeAt: number;
 };
 
 /** Reads the replies of daemons to placement requests, each once. */
@@ -80,6 +111,8 @@
   inspections = 0;
   /** Total size of the messages between daemons. */
   messageBytes = 0;
+  /** Messages cost nothing if unset. */
+  messageCosts: MessageCosts | undefined;
 
   /** Builds `count` daemons whose only seed is the first daemon. */
   static create(count: number): FakeGatewayFleet {
@@ -111,6 +144,11 @@
       wakeAt: Infinity,
       reads: 0,
       fetches: 0,
+      tableFetches: 0,
+      sentBytes: 0,
+      inbox: [],
+      busyUntil: 0,
+      linkFreeAt: 0,
     };
     this.gateways.push(gateway);
     this.time.schedule(0, () => this.step(gateway, []));
@@ -186,7 +224,13 @@
         const message = gateway.lastRelease || to.lastRelease
           ? inLastRelease(intent.message)
           : intent.message;
-        this.messageBytes += encodePeerMessage(message).length;
+        const bytes = encodePeerMessage(message).length;
+        this.messageBytes += bytes;
+        gateway.sentBytes += bytes;
+        if (this.messageCosts !== undefined) {
+          this.#sendAtCost(gateway, to, { message, bytes });
+          return;
+        }
         this.time.schedule(
           NETWORK_DELAY_MS,
           () => this.step(to, [{ type: "message", message }]),
@@ -224,6 +268,9 @@
         );
         return;
       }
+      case "fetch_table":
+        this.#fetchTable(gateway, intent.peer);
+        return;
       case "announce":
         if (this.#reachesStore(gateway)) {
           this.store.cards.write(intent.card, this.time.now);
@@ -272,6 +319,66 @@
     }
   }
 
+  /** Sends a datagram over a link and to a socket that hold only so much, and charges the sender's processor. */
+  #sendAtCost(
+    from: FakeGateway,
+    to: FakeGateway,
+    sent: Omit<Datagram, "plainKb">,
+  ): void {
+    const costs = this.messageCosts!;
+    const { now } = this.time;
+    const plainKb = JSON.stringify(sent.message).length / 1_024;
+    const sendMs = costs.sendMs + costs.sendMsPerKb * plainKb;
+    from.busyUntil = Math.max(now, from.busyUntil) + sendMs;
+    const startAt = Math.max(from.busyUntil, from.linkFreeAt);
+    if (startAt - from.busyUntil > MAX_LINK_BACKLOG_MS) return;
+    from.linkFreeAt = startAt + sent.bytes / 1_024 / costs.linkKbPerMs;
+    this.time.schedule(from.linkFreeAt - now + NETWORK_DELAY_MS, () => {
+      const held = to.inbox.reduce((sum, { bytes }) => sum + bytes, 0);
+      if (held + sent.bytes > SOCKET_BYTES) return;
+      to.inbox.push({ ...sent, plainKb });
+      if (to.inbox.length === 1) this.#readSocket(to);
+    });
+  }
+
+  #readSocket(gateway: FakeGateway): void {
+    const waitMs = Math.max(0, gateway.busyUntil - this.time.now);
+    this.time.schedule(waitMs, () => {
+      if (gateway.busyUntil > this.time.now) return this.#readSocket(gateway);
+      const costs = this.messageCosts!;
+      const read = gateway.inbox.splice(0, READING_DATAGRAMS);
+      let receiveMs = 0;
+      for (const { plainKb } of read) {
+        receiveMs += costs.receiveMs + costs.receiveMsPerKb * plainKb;
+      }
+      gateway.busyUntil = this.time.now + receiveMs;
+      this.step(
+        gateway,
+        read.map(({ message }) => ({ type: "message", message })),
+      );
+      if (gateway.inbox.length > 0) this.#readSocket(gateway);
+    });
+  }
+
+  #fetchTable(gateway: FakeGateway, source: PeerCard): void {
+    const peer = this.gateways.find(({ card }) => card.vm === source.vm);
+    gateway.tableFetches += 1;
+    const detail = "No table";
+    this.time.schedule(2 * NETWORK_DELAY_MS, () => {
+      if (peer?.cut !== false || gateway.cut || peer.frozen) return;
+      const { board } = peer.core;
+      const event: GatewayEvent = board.register.position.offset < 0
+        ? { type: "table_unfetched", detail }
+        : { type: "message", message: tableMessage(board, this.time.now) };
+      if (event.type === "message") {
+        const bytes = encodePeerMessage(event.message).length;
+        this.messageBytes += bytes;
+        peer.sentBytes += bytes;
+      }
+      this.step(gateway, [event]);
+    });
+  }
+
   #deliverFromStore(gateway: FakeGateway, event: GatewayEvent): void {
     this.time.schedule(STORE_DELAY_MS, () => this.step(gateway, [event]));
   }
