Placement weighs what an engine still holds of a prompt against the wait there

Cause: nothing in the gateway's placement knows that an engine which has read the beginning of a prompt answers the next one with it sooner; the cells knew it in a table of their own (PrefixIndex).

Change: docs/design/held_prompts.md. src/scheduling/held holds the belief of what an engine holds (by parts or blocks, with age, use and memory) and the decision; PrefixIndex keeps its blocks in it. placeShort takes the expected saving off the first event and prefers the holder where it is cheaper; the job's prefill is what is left to read. Jobs carry their parts to the daemons that place. On only where a service's pace has `heldMs`; nothing on the users' platform sets it, and without it a job, a message and a placement are what they were (held_prompts_test).

--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -62,6 +62,10 @@
 
 const upstream = idSchema<UpstreamId>();
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
+/** Absent in messages of earlier builds, and where engines hold nothing beyond a request. */
+const LeadingPartsSchema = z.array(
+  z.object({ id: idSchema<PromptPartId>(), tokens: figureSchema }).readonly(),
+).readonly();
 const JobSchema = z.object({
   id: z.string().transform((id) => id as JobId),
   vm: idSchema<VmId>(),
@@ -74,6 +78,7 @@
   partMs: millisSchema,
   pauseMs: millisSchema,
   writing: z.boolean(),
+  leadingParts: LeadingPartsSchema.optional(),
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
@@ -106,6 +111,7 @@
   digest: z.string(),
   /** Absent in messages of earlier builds. */
   sharedParts: z.array(idSchema<PromptPartId>()).readonly().default([]),
+  leadingParts: LeadingPartsSchema.optional(),
   avoid: z.array(upstream).readonly(),
   closed: z.array(
     z.object({ upstream, forMs: millisSchema.optional() }).readonly(),
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -65,9 +65,11 @@
       kind === "gone" || kind === "restarted"
     );
     if (gone.length === 0) return;
+    const { tracker } = pool.scheduler;
+    for (const { id } of gone) tracker.loadOf(id).held.clear();
     const ids = register.table.all().map((entry) => entry.id);
     const listed = new Set(ids);
-    pool.scheduler.tracker.retainUpstreams(listed);
+    tracker.retainUpstreams(listed);
     pool.scheduler.slowEngines.retainEngines(listed);
   }
 
@@ -84,8 +86,9 @@
   #request(
     board: GatewayBoard,
     step: GatewayStep,
-    ask: PlacementRequest,
+    req: PlacementRequest,
   ): void {
+    const ask = holdsParts(board, req) ? req : withoutParts(req);
     const sent = this.#requests.send(board, step, ask);
     if (!sent) this.#submit(board, step, ask, undefined);
   }
@@ -186,6 +189,9 @@
           helpers: result.value.job.helpers.length,
           tickets: result.value.job.tickets.length,
           expect_ms: Math.round(result.value.expectMs),
+          ...(result.value.savedMs === undefined
+            ? {}
+            : { saved_ms: Math.round(result.value.savedMs) }),
         }
         : {
           refused: result.error.code,
@@ -362,3 +368,14 @@
     }
   }
 }
+
+/** Whether the engines of a request's service hold the beginning of a prompt beyond its request. */
+function holdsParts(board: GatewayBoard, ask: PlacementRequest): boolean {
+  const services = board.serving.routes?.serving.services;
+  return services?.get(ask.service)?.pace?.heldMs !== undefined;
+}
+
+function withoutParts(ask: PlacementRequest): PlacementRequest {
+  const { leadingParts: _, ...rest } = ask;
+  return rest;
+}
--- a/src/gateway/requests/dialect.ts
+++ b/src/gateway/requests/dialect.ts
@@ -5,6 +5,7 @@
   TeamId,
   UpstreamId,
 } from "../../core/id.ts";
+import type { LeadingPart } from "../../scheduling/held/leading_parts.ts";
 import type { UpstreamAvailability } from "./upstream_availability.ts";
 import type { Problem } from "../../core/problem.ts";
 import type { Millis } from "../../core/time.ts";
@@ -24,6 +25,8 @@
   answerTokens: number;
   /** Parts of the prompt that other requests may share, in order, without duplicates. */
   sharedParts: readonly PromptPartId[];
+  /** Parts of the prompt from its start, with their sizes, as far as these are known. */
+  leadingParts?: readonly LeadingPart[];
   /** Id of the last event that the client received, if it resumes a stream. */
   lastEventId?: string;
   /** Headers to forward, as alternating names and values. */
--- a/src/gateway/requests/exchange_util.ts
+++ b/src/gateway/requests/exchange_util.ts
@@ -106,6 +106,7 @@
     rank: team?.rank ?? route.rank,
     digest,
     sharedParts: head.sharedParts,
+    leadingParts: head.leadingParts,
     avoid: attempt.avoid,
     closed: attempt.closed,
   };
--- a/src/gateway/serving/serving_config.ts
+++ b/src/gateway/serving/serving_config.ts
@@ -49,7 +49,7 @@
 export type RouteKind = Route["kind"];
 
 /** Timing and capacity of an engine, as `EnginePace` describes them. */
-const EnginePaceSchema = z.object({
+export const EnginePaceSchema = z.object({
   slots: positiveCountSchema,
   memoryTokens: figureSchema,
   stride: positiveFigureSchema,
@@ -59,6 +59,7 @@
   contextMs: figureSchema,
   prefillTokensPerMs: positiveFigureSchema,
   pairsMs: figureSchema,
+  heldMs: timeLimitSchema.optional(),
 }).readonly();
 
 /** A service; its upstreams are engines if `pace` is set. */
--- a/src/scheduling/pool/engine_pace.ts
+++ b/src/scheduling/pool/engine_pace.ts
@@ -18,6 +18,8 @@
   prefillTokensPerMs: number;
   /** Attention time for each million pairs of a token and an earlier token. */
   pairsMs: Millis;
+  /** How long an engine holds the beginning of a prompt after its last use; absent if not beyond its request. */
+  heldMs?: Millis;
 }>;
 
 /** Prefill time of a prompt on an otherwise idle engine; attention adds a quadratic term. */
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -1,6 +1,8 @@
 import type { Millis } from "../../core/time.ts";
 import { type Candidate, penaltyMs, type PromptInput } from "./candidate.ts";
+import { weighHolders } from "../held/held_saving.ts";
 import { passMs, prefillMs } from "./engine_pace.ts";
+import { savedPrefillMs } from "./held_prefill.ts";
 
 /** Fraction of the target within which an engine with more streams is preferred to a faster one. */
 const PACKING_TARGET_FRACTION = 0.6;
@@ -18,7 +20,12 @@
 const PREDICTION_MARGIN_MS: Millis = 15;
 
 /** The engine for a short prompt, with the predicted time to the first event. */
-export type ShortPlacement = Readonly<{ engine: Candidate; expectMs: Millis }>;
+export type ShortPlacement = Readonly<{
+  engine: Candidate;
+  expectMs: Millis;
+  /** Part of the prompt's prefill that the engine is expected to save. */
+  savedMs: Millis;
+}>;
 
 /**
  * Chooses the engine for a prompt that a single engine serves.
@@ -28,11 +35,12 @@
 export function placeShort(
   input: PromptInput,
 ): ShortPlacement | undefined {
-  const ratings = input.candidates.map((engine) => ({
-    engine,
-    expectMs: predictFirstEventMs(input, engine),
-    cost: 0,
-  }));
+  const ratings = input.candidates.map((engine) => {
+    const savedMs = savedPrefillMs(input, engine);
+    const expectMs = predictFirstEventMs(input, engine) -
+      savedMs * engine.load.slowdownAt(input.now);
+    return { engine, savedMs, expectMs, cost: 0 };
+  });
   for (const rating of ratings) {
     rating.cost = rating.expectMs + penaltyMs(input, rating.engine) +
       interferencePenaltyMs(input, rating.engine) +
@@ -52,7 +60,7 @@
     b.engine.load.sensitiveStreams - a.engine.load.sensitiveStreams ||
     a.cost - b.cost
   );
-  return packable[0] ?? best;
+  return weighHolders(packable[0] ?? best, ratings);
 }
 
 /**
--- a/src/scheduling/pool/pool_grant.ts
+++ b/src/scheduling/pool/pool_grant.ts
@@ -30,6 +30,9 @@
     tokens: ask.promptTokens + ask.answerTokens,
     pauseMs: ask.pauseMs,
     writing: false,
+    ...(ask.leadingParts === undefined
+      ? {}
+      : { leadingParts: ask.leadingParts }),
     placedAt: now,
     ...place,
   };
--- a/src/scheduling/pool/pool_job.ts
+++ b/src/scheduling/pool/pool_job.ts
@@ -7,6 +7,7 @@
   VmId,
 } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import type { LeadingPart } from "../held/leading_parts.ts";
 
 /** Id of one placement of a request; each retry has its own. */
 export type JobId = Branded<string, "JobId">;
@@ -34,6 +35,8 @@
   digest: string;
   /** Parts of the prompt that other requests may share. */
   sharedParts: readonly PromptPartId[];
+  /** Parts of the prompt from its start, where the service's engines hold them beyond a request. */
+  leadingParts?: readonly LeadingPart[];
   /** Upstreams that this request failed on. */
   avoid: readonly UpstreamId[];
   /** Upstreams that the daemon may not send anything to at present. */
@@ -63,6 +66,8 @@
   partMs: Millis;
   pauseMs: Millis;
   writing: boolean;
+  /** Parts of the prompt from its start, which the engine holds once it has read them. */
+  leadingParts?: readonly LeadingPart[];
   placedAt: Timestamp;
 }>;
 
@@ -75,6 +80,8 @@
   priority: number;
   /** Predicted time to the first event. */
   expectMs: Millis;
+  /** Prefill time that the engine is expected to save, as it holds the prompt's beginning. */
+  savedMs?: Millis;
   /** Whether the request was counted against the limited rate of its upstream. */
   counted?: boolean;
 }>;
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -257,7 +257,7 @@
     if (placement === undefined) {
       return err(this.#noUpstream(ask, req.members, now));
     }
-    const { engine, expectMs } = placement;
+    const { engine, expectMs, savedMs } = placement;
     const limitMs = admissionLimitMs(ask, pace);
     if (expectMs > limitMs) {
       return err(problem(
@@ -271,11 +271,13 @@
         },
       ));
     }
-    const partMs = prefillMs(pace, ask.promptTokens);
+    const partMs = prefillMs(pace, ask.promptTokens) - savedMs;
     const job = jobOf(ask, now, { upstream: engine.id, partMs });
     this.#add(job, now);
-    this.slowEngines.expectFirstEvent(job, expectMs, now);
-    return ok(this.#grant(job, req, expectMs));
+    // A part that the engine turns out not to hold is no sign that it is slow.
+    this.slowEngines.expectFirstEvent(job, expectMs + savedMs, now);
+    const grant = this.#grant(job, req, expectMs);
+    return ok(savedMs > 0 ? { ...grant, savedMs } : grant);
   }
 
   #placeCall(req: PoolSubmission, now: Timestamp): Result<PoolGrant, Problem> {
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -1,5 +1,7 @@
 import type { Millis, Timestamp } from "../../core/time.ts";
 import type { UpstreamId } from "../../core/id.ts";
+import { HeldParts } from "../held/held_parts.ts";
+import { keyedParts, type PartKey } from "../held/leading_parts.ts";
 import type { JobId, PoolJob } from "./pool_job.ts";
 
 /** Streams that accept no longer pause than this are sensitive: a long prefill on the same engine makes them late. */
@@ -11,6 +13,9 @@
 /** Decayed failures from which an upstream counts as failed recently: one failure, 3 s of the 4 s later. */
 const RECENT_FAILURE_THRESHOLD = 0.25;
 
+/** Parts kept for one upstream, the least recently used is dropped first: more than its memory holds of usual prompts. */
+const MAX_HELD_PARTS = 256;
+
 /** Slowdown from which an engine is slow. */
 const SLOW_THRESHOLD = 1.3;
 /** Time for which a slowdown is valid after its last report; some reports may be lost. */
@@ -25,6 +30,8 @@
 export class UpstreamLoad {
   readonly id: UpstreamId;
   readonly jobs = new Map<JobId, PoolJob>();
+  /** Beginnings of prompts that it is believed to hold. */
+  readonly held = HeldParts.create<PartKey>({ maxParts: MAX_HELD_PARTS });
   #busyUntil = 0 as Timestamp;
   #failures = 0;
   #failuresUpdatedAt = 0 as Timestamp;
@@ -48,6 +55,7 @@
 
   /** Replaces a job that has been prefilled, or removes a job that has ended. */
   updateJob(id: JobId, prefilled: PoolJob | undefined, now: Timestamp): void {
+    this.#updateHeld(this.jobs.get(id), prefilled, now);
     if (prefilled === undefined) this.jobs.delete(id);
     else this.jobs.set(id, prefilled);
     let sumMs = 0;
@@ -129,6 +137,24 @@
     return this.#decayedFailures(now);
   }
 
+  /** Its first event shows that a prompt was read; what several engines have read is whole on none of them. */
+  #updateHeld(
+    before: PoolJob | undefined,
+    after: PoolJob | undefined,
+    now: Timestamp,
+  ): void {
+    const { leadingParts, helpers, upstream } = after ?? before ?? {};
+    if (leadingParts === undefined || upstream !== this.id) return;
+    if (helpers !== undefined && helpers.length > 0) return;
+    const parts = keyedParts(leadingParts);
+    const wasWriting = before?.writing === true;
+    if (after?.writing === true && !wasWriting) {
+      this.held.store(parts, now, { inUse: true });
+    } else if (after === undefined && wasWriting) {
+      this.held.release(parts, now);
+    }
+  }
+
   #decayedFailures(now: Timestamp): number {
     const ageMs = now - this.#failuresUpdatedAt;
     return ageMs > FAILURE_DECAY_MS
--- a/src/scheduling/prefix_index.ts
+++ b/src/scheduling/prefix_index.ts
@@ -1,12 +1,17 @@
 import type { Digest, UpstreamId } from "../core/id.ts";
+import type { Timestamp } from "../core/time.ts";
+import { BLOCK_TOKENS } from "../wire/engine.ts";
+import { HeldParts } from "./held/held_parts.ts";
 
 /** Blocks kept for one engine; the least recently stored is removed first. */
 const MAX_BLOCKS = 4_096;
 const MAX_ENGINES = 1_024;
+/** Engines tell what they evict, so that blocks have no age. */
+const UNTIMED = 0 as Timestamp;
 
 /** Prefix blocks that each engine probably has in its KV cache; a hint only, because cache events may be missing. */
 export class PrefixIndex {
-  readonly #blocks = new Map<UpstreamId, Set<Digest>>();
+  readonly #held = new Map<UpstreamId, HeldParts<Digest>>();
 
   private constructor() {}
 
@@ -16,50 +21,31 @@
 
   /** Counts the leading blocks that the engine probably holds. */
   hits(engine: UpstreamId, blocks: readonly Digest[]): number {
-    const held = this.#blocks.get(engine);
-    if (held === undefined) return 0;
-    let count = 0;
-    while (count < blocks.length && held.has(blocks[count]!)) count += 1;
-    return count;
+    return this.#held.get(engine)?.countLeading(blocks) ?? 0;
   }
 
   /** Records that the engine holds these blocks. */
   store(engine: UpstreamId, blocks: readonly Digest[]): void {
-    const held = this.#getOrCreate(engine);
-    if (held === undefined) return;
-    for (const block of blocks) {
-      held.delete(block);
-      held.add(block);
-    }
-    this.#trim(held);
+    const parts = blocks.map((key) => ({ key, tokens: BLOCK_TOKENS }));
+    this.#getOrCreate(engine)?.store(parts, UNTIMED);
   }
 
   /** Records that the engine has evicted these blocks. */
   evict(engine: UpstreamId, blocks: readonly Digest[]): void {
-    const held = this.#blocks.get(engine);
-    for (const block of blocks) held?.delete(block);
+    this.#held.get(engine)?.evict(blocks);
   }
 
   /** Removes all blocks of the engine. */
   clear(engine: UpstreamId): void {
-    this.#blocks.delete(engine);
+    this.#held.delete(engine);
   }
 
-  #getOrCreate(engine: UpstreamId): Set<Digest> | undefined {
-    const known = this.#blocks.get(engine);
+  #getOrCreate(engine: UpstreamId): HeldParts<Digest> | undefined {
+    const known = this.#held.get(engine);
     if (known !== undefined) return known;
-    if (this.#blocks.size >= MAX_ENGINES) return undefined;
-    const fresh = new Set<Digest>();
-    this.#blocks.set(engine, fresh);
+    if (this.#held.size >= MAX_ENGINES) return undefined;
+    const fresh = HeldParts.create<Digest>({ maxParts: MAX_BLOCKS });
+    this.#held.set(engine, fresh);
     return fresh;
   }
-
-  #trim(held: Set<Digest>): void {
-    let excess = held.size - MAX_BLOCKS;
-    for (const block of held) {
-      if (excess <= 0) return;
-      held.delete(block);
-      excess -= 1;
-    }
-  }
 }
