Own bench of first events, with and without knowledge of what engines hold

Cause: whether the saving is worth its wait shows only against engines that hold beginnings, by share of common beginning and by load.

--- a/src/scheduling/pool/held_prefill.ts
+++ b/src/scheduling/pool/held_prefill.ts
@@ -12,8 +12,9 @@
   const { ask, pace, now } = input;
   const { heldMs } = pace;
   if (heldMs === undefined || ask.leadingParts === undefined) return 0;
-  const { held, memoryTokens } = engine.load;
-  if (held.size === 0) return 0;
+  const { held, memoryTokens, ownJobs } = engine.load;
+  // A prompt that waits for a slot may find the beginning evicted.
+  if (held.size === 0 || ownJobs >= engine.slots) return 0;
   const needTokens = ask.promptTokens + ask.answerTokens;
   const freeTokens = pace.memoryTokens - memoryTokens - needTokens;
   if (freeTokens < 0) return 0;
--- a/src/scheduling/pool/held_prefill_test.ts
+++ b/src/scheduling/pool/held_prefill_test.ts
@@ -96,6 +96,15 @@
     expect(place(scheduler, 1).upstream).not.toBe(HOLDER);
   });
 
+  test("doesn't get it when all its slots are taken", () => {
+    const scheduler = withHolder();
+    for (let i = 0; i < PACE.slots; i += 1) {
+      const job = poolJob(`busy-${i}`, HOLDER, { partMs: 0, tokens: 0 });
+      scheduler.tracker.add(job, at(0));
+    }
+    expect(place(scheduler, 0)).toEqual(ELSEWHERE);
+  });
+
   test("is preferred the less the longer the beginning wasn't used", () => {
     const waits = [0, 0.25, 0.5, 0.75, 0.99, 1].map((age) => {
       const scheduler = withHolder();
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -259,7 +259,8 @@
     }
     const { engine, expectMs, savedMs } = placement;
     const limitMs = admissionLimitMs(ask, pace);
-    if (expectMs > limitMs) {
+    // A prompt is not admitted for what may have been evicted by then.
+    if (expectMs + savedMs > limitMs) {
       return err(problem(
         "deadline_unreachable",
         `The first event is expected in ${Math.round(expectMs)} ms`,
--- a/stand_ins/pass_engine/pass_engine.ts
+++ b/stand_ins/pass_engine/pass_engine.ts
@@ -2,6 +2,8 @@
   type EnginePace,
   prefillMs,
 } from "../../src/scheduling/pool/engine_pace.ts";
+import type { LeadingPart } from "../../src/scheduling/held/leading_parts.ts";
+import { HeldBeginnings } from "./held_beginnings.ts";
 
 /** A prompt's part that one engine reads. */
 export type Part = {
@@ -15,6 +17,8 @@
 export type SimJob = {
   readonly id: string;
   readonly promptTokens: number;
+  /** Parts of the prompt from its start, which the engine may hold. */
+  readonly beginning?: readonly LeadingPart[];
   /** Parts that are not read yet. */
   partsLeft: number;
   tokensLeft: number;
@@ -38,6 +42,7 @@
 export class PassEngine {
   readonly #pace: EnginePace;
   readonly #time: EngineTime;
+  readonly #beginnings: HeldBeginnings;
   readonly #helped: Part[] = [];
   readonly #own: Part[] = [];
   readonly #queue: SimJob[] = [];
@@ -47,13 +52,19 @@
   /** Times that everything takes of what the pace states. */
   slowness = 1;
 
-  private constructor(pace: EnginePace, time: EngineTime) {
+  private constructor(pace: EnginePace, time: EngineTime, heldMs: number) {
     this.#pace = pace;
     this.#time = time;
+    this.#beginnings = HeldBeginnings.create(heldMs);
   }
 
-  static create(pace: EnginePace, time: EngineTime): PassEngine {
-    return new PassEngine(pace, time);
+  /** Creates an engine that holds beginnings of prompts for `heldMs` after their last use; 0 by default. */
+  static create(
+    pace: EnginePace,
+    time: EngineTime,
+    options: Readonly<{ heldMs?: number }> = {},
+  ): PassEngine {
+    return new PassEngine(pace, time, options.heldMs ?? 0);
   }
 
   /** Takes a prompt that this engine answers, with the number of engines that read it. */
@@ -111,11 +122,33 @@
       const job = this.#queue.shift()!;
       this.#batch.add(job);
       this.#writers.add(job);
-      this.#own.push(this.#parts.get(job)!);
+      this.#own.push(this.#withoutHeld(this.#parts.get(job)!));
       this.#parts.delete(job);
     }
   }
 
+  /** The part without the beginning that this engine holds; what several engines read is read in full. */
+  #withoutHeld(part: Part): Part {
+    const { job } = part;
+    const { beginning, promptTokens } = job;
+    if (beginning === undefined || part.tokensLeft < promptTokens) return part;
+    const now = this.#time.now();
+    const heldTokens = this.#beginnings.leadingTokens(beginning, now);
+    const tokensLeft = Math.max(1, promptTokens - heldTokens);
+    const ms = prefillMs(this.#pace, promptTokens) -
+      prefillMs(this.#pace, promptTokens - tokensLeft);
+    return { job, tokensLeft, tokenMs: ms / tokensLeft };
+  }
+
+  /** Holds the beginning of a prompt that was read, and evicts what no longer fits beside the batch. */
+  #hold({ beginning }: SimJob): void {
+    if (beginning === undefined) return;
+    this.#beginnings.read(beginning, this.#time.now());
+    let free = this.#pace.memoryTokens;
+    for (const { promptTokens } of this.#batch) free -= promptTokens;
+    this.#beginnings.fit(free);
+  }
+
   #stepMs(writers: readonly SimJob[]): number {
     let context = 0;
     for (const job of writers) context += job.promptTokens;
@@ -143,6 +176,7 @@
         const { job } = list[i]!;
         job.partsLeft -= 1;
         list.splice(i, 1);
+        if (list === this.#own) this.#hold(job);
         if (job.partsLeft === 0) job.onRead?.();
       }
     }
@@ -154,6 +188,7 @@
     if (job.tokensLeft > 0) return;
     this.#writers.delete(job);
     this.#batch.delete(job);
+    this.#beginnings.answered(job.beginning ?? [], this.#time.now());
     job.onEnd(this.#time.now());
   }
 }
--- a/tools/pool/play.ts
+++ b/tools/pool/play.ts
@@ -14,6 +14,7 @@
   PassEngine,
   type SimJob,
 } from "../../stand_ins/pass_engine/pass_engine.ts";
+import type { EnginePace } from "../../src/scheduling/pool/engine_pace.ts";
 import type { Policy } from "./policies.ts";
 import type { Arrival } from "./workload.ts";
 
@@ -35,6 +36,9 @@
   toMs: number;
 }>;
 
+/** The engines that a load is played against. */
+export type PlayedPool = Readonly<{ engines: number; pace: EnginePace }>;
+
 /** How one prompt was served. */
 export type Served = Readonly<{
   arrival: Arrival;
@@ -47,21 +51,30 @@
 export function play(
   arrivals: readonly Arrival[],
   createPolicy: () => Policy,
-  options: Readonly<{ slow?: SlowSpan }> = {},
+  options: Readonly<
+    {
+      slow?: SlowSpan;
+      pool?: PlayedPool;
+      /** How long the engines hold the beginning of a prompt, which the policy may not know; 0 by default. */
+      heldMs?: number;
+    }
+  > = {},
 ): readonly Served[] {
+  const pace = options.pool?.pace ?? ENGINE_PACE;
   const time = VirtualTime.create(0 as Timestamp);
   const clock = {
     now: () => time.now,
     after: (ms: number, run: () => void) => time.schedule(ms, run),
   };
-  const members = Array.from({ length: ENGINES }, (_, i) => ({
+  const size = options.pool?.engines ?? ENGINES;
+  const members = Array.from({ length: size }, (_, i) => ({
     id: `e${i}` as UpstreamId,
     address: `e${i}:1`,
     domain: `d${i % 3}` as DomainId,
-    slots: ENGINE_PACE.slots,
+    slots: pace.slots,
   }));
   const engines = new Map(
-    members.map((one) => [one.id, PassEngine.create(ENGINE_PACE, clock)]),
+    members.map((one) => [one.id, PassEngine.create(pace, clock, options)]),
   );
   const policy = createPolicy();
   const served: Served[] = [];
@@ -96,6 +109,7 @@
     const sim: SimJob = {
       id: job.id,
       promptTokens: arrival.tokens,
+      ...(arrival.parts === undefined ? {} : { beginning: arrival.parts }),
       partsLeft: all.length,
       tokensLeft: arrival.answerTokens,
       onEvent: (at) => {
@@ -141,7 +155,7 @@
       const ask = askOf(arrival, `j${i}`);
       open.set(ask.job, arrival);
       const decision = policy.submit(
-        { ask, members, pace: ENGINE_PACE },
+        { ask, members, pace },
         time.now,
       );
       if (decision === undefined) return look();
@@ -179,5 +193,6 @@
     targetMs,
     pauseMs,
     leftMs,
+    ...(arrival.parts === undefined ? {} : { leadingParts: arrival.parts }),
   });
 }
--- a/tools/pool/workload.ts
+++ b/tools/pool/workload.ts
@@ -1,5 +1,6 @@
 import { Random } from "../../src/core/random.ts";
 import type { Millis } from "../../src/core/time.ts";
+import type { LeadingPart } from "../../src/scheduling/held/leading_parts.ts";
 
 /** A kind of prompt, with what its callers expect and what it is worth. */
 export type PromptKind = Readonly<{
@@ -23,6 +24,8 @@
   kind: PromptKind;
   tokens: number;
   answerTokens: number;
+  /** Parts of the prompt from its start. */
+  parts?: readonly LeadingPart[];
 }>;
 
 /** A span in which each kind comes at a multiple of its rate. */
