A configuration is checked before it is sent

Cause: an operator learnt of a route that never matches, a team that no key reaches or a service that isn't listed only from refusals.

Not checked against a deployment's own configuration.

--- a/src/cli/app.ts
+++ b/src/cli/app.ts
@@ -3,6 +3,7 @@
 import type { RunVerb } from "./run_verb.ts";
 import { applyCommand } from "./verbs/apply.ts";
 import { checkCommand } from "./verbs/check.ts";
+import { checkServingCommand, decodeOwnForm } from "./verbs/check_serving.ts";
 import { diffCommand } from "./verbs/diff.ts";
 import { drainCommand } from "./verbs/drain.ts";
 import { explainCommand } from "./verbs/explain.ts";
@@ -25,6 +26,7 @@
     send: sendCommand(run),
     record: recordCommand(run),
     explain: explainCommand(run),
+    "check-serving": checkServingCommand(run, decodeOwnForm),
   };
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,38 +1,5 @@
 #!/usr/bin/env node
-import process from "node:process";
-import { runSafely } from "cmd-ts";
 import { createApp } from "./app.ts";
-import { createContext } from "./environment.ts";
-import { EXIT_CODES } from "./exit_code.ts";
-import { Output } from "./output.ts";
-import type { RunVerb } from "./run_verb.ts";
+import { runApp } from "./run_app.ts";
 
-const output = Output.create(process.stdout, process.stderr);
-
-let exitCode = Promise.resolve<number>(EXIT_CODES.ok);
-
-const run: RunVerb = async (args, verb) => {
-  const result = await verb(createContext(output, args));
-  return result.match(
-    (report) => output.report(report, args.json),
-    (err) => output.error(err, args.json),
-  );
-};
-
-const app = createApp((args, verb) => exitCode = run(args, verb));
-
-/** Ends the process after its output is flushed; idle connections would keep it running. */
-function exit(code: number): void {
-  process.stdout.write("", () => {
-    process.stderr.write("", () => process.exit(code));
-  });
-}
-
-const result = await runSafely(app, process.argv.slice(2));
-if (result._tag === "ok") {
-  exit(await exitCode);
-} else {
-  const { exitCode: code, into, message } = result.error.config;
-  process[into].write(`${message}\n`);
-  exit(code === 0 ? EXIT_CODES.ok : EXIT_CODES.bad_input);
-}
+await runApp(createApp);
--- a/src/gateway/serving/serving_config.ts
+++ b/src/gateway/serving/serving_config.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { Branded } from "../../core/brand.ts";
 import type { ServiceId, TeamId } from "../../core/id.ts";
+import type { Millis } from "../../core/time.ts";
 import {
   figureSchema,
   positiveCountSchema,
@@ -12,6 +13,9 @@
 /** Number of a configuration version; higher is newer. */
 export type ConfigVersion = Branded<number, "ConfigVersion">;
 
+/** Longest pause of a route that states none. */
+export const NO_PAUSE_LIMIT_MS: Millis = 60_000;
+
 /** A service behind a route, and its relative share of the route's requests. */
 export const BackendSchema = z.object({
   service: idSchema<ServiceId>(),
--- a/src/gateway/serving/serving_json.ts
+++ b/src/gateway/serving/serving_json.ts
@@ -31,16 +31,18 @@
 
 /** Decodes a configuration that `encodeServing` wrote; the error says why it is invalid. */
 export function decodeServing(bytes: Buffer): Result<ServingConfig, string> {
-  return inflateJson(bytes, { maxBytes: MAX_CONFIG_BYTES }).andThen((json) => {
-    const head = HeadSchema.safeParse(json);
-    if (!head.success) {
-      return err("The configuration has no version or no services");
-    }
-    return parseWith(ServingListSchema, json).map((
-      { services, ...serving },
-    ) => ({
-      ...serving,
-      services: new Map(services.map((service) => [service.id, service])),
-    }));
-  });
+  return inflateJson(bytes, { maxBytes: MAX_CONFIG_BYTES })
+    .andThen(parseServing);
+}
+
+/** Decodes a configuration from JSON; the error says why it is invalid. */
+export function parseServing(json: unknown): Result<ServingConfig, string> {
+  const head = HeadSchema.safeParse(json);
+  if (!head.success) {
+    return err("The configuration has no version or no services");
+  }
+  return parseWith(ServingListSchema, json).map(({ services, ...serving }) => ({
+    ...serving,
+    services: new Map(services.map((service) => [service.id, service])),
+  }));
 }
