Room isn't made of what an engine may have evicted by then

Cause: the backlog of an engine that holds a beginning grew by what is left to read only, so that under load more was admitted than is decoded.

--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -123,6 +123,7 @@
   addresses: z.record(upstream, addressSchema),
   priority: z.number(),
   expectMs: millisSchema,
+  savedMs: millisSchema.optional(),
   counted: z.boolean().optional(),
 }).readonly();
 
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -272,7 +272,8 @@
         },
       ));
     }
-    const partMs = prefillMs(pace, ask.promptTokens) - savedMs;
+    // The whole prompt counts as the engine's backlog: what is not read makes room only once it is seen.
+    const partMs = prefillMs(pace, ask.promptTokens);
     const job = jobOf(ask, now, { upstream: engine.id, partMs });
     this.#add(job, now);
     // A part that the engine turns out not to hold is no sign that it is slow.
