Admission by passes, shares of engines in a crest, and a queue as long as the aim

Cause: when demand passes what the engines can do, answers in time collapse.

Prompts that are placed within one pass don't see each other, slots and memory aren't looked at, parts of long prompts go to engines with sensitive streams when no other engine is left, late long prompts precede those in time, and callers who come again late take the room of those who can be in time.

Change: EnginePasses follows an engine's passes; a short prompt is admitted where it and all streams stay inside aims and pauses and slots and memory are left (short_room). While prompts find no such engine and more engine time is offered than there is, RoomShares divides the engines between short and long prompts in proportion to what they offer, by rank; a long prompt that can't be in time is refused at once; SizeBalance prefers sizes that are served much less often; RefusedCallers knows who is late already. A long prompt's parts may not make streams late that bring more than it does.

--- a/src/scheduling/pool/engine_worth.ts
+++ b/src/scheduling/pool/engine_worth.ts
@@ -29,6 +29,11 @@
     passes * held * passMs(pace, streams, streams * tokens);
 }
 
+/** Weight of a rank, relative to rank 0. */
+export function rankWeight(rank: number): number {
+  return RANK_FACTOR ** -rank;
+}
+
 /**
  * What one ms of engine time brings callers: the request's tokens and a base for its caller, by its rank.
  * Load pattern: more work of all kinds than engines, where short and long prompts compete for the same time.
@@ -37,6 +42,6 @@
   ask: Pick<PlacementRequest, "promptTokens" | "rank">,
   engineMs: Millis,
 ): number {
-  const worth = (CALLER_TOKENS + ask.promptTokens) * RANK_FACTOR ** -ask.rank;
+  const worth = (CALLER_TOKENS + ask.promptTokens) * rankWeight(ask.rank);
   return worth / Math.max(1, engineMs);
 }
--- a/src/scheduling/pool/long_queue.ts
+++ b/src/scheduling/pool/long_queue.ts
@@ -1,6 +1,7 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import { firstEventTimeoutMs } from "./caller_timeout.ts";
 import { type EnginePace, passMs, prefillMs } from "./engine_pace.ts";
+import { engineMs, worthPerMs } from "./engine_worth.ts";
 import type { JobId, PlacementRequest } from "./pool_job.ts";
 
 /** A long prompt in the queue for engines. */
@@ -12,12 +13,19 @@
   dueAt: Timestamp;
   /** When the prefill must end for the first event to come before the caller times out. */
   timeoutAt: Timestamp;
-  /** Weight of meeting the target, relative to other prompts: the prompt's tokens. */
+  /** Weight of meeting the target, relative to other prompts. */
   weight: number;
+  /** Whether it is preferred to others, as prompts of its size are served less often. */
+  preferred?: boolean;
 }>;
 
 /** Number of engines that prefill long prompts in parallel, and the current time. */
-export type PrefillCapacity = Readonly<{ engines: number; now: Timestamp }>;
+export type PrefillCapacity = Readonly<{
+  engines: number;
+  now: Timestamp;
+  /** Time until the engines are done with what they have, in the mean. */
+  busyMs?: Millis;
+}>;
 
 /** Slack before the caller's time-out below which a late prompt precedes the prompts that are in time. */
 const URGENT_MS: Millis = 700;
@@ -32,10 +40,23 @@
   prompts: readonly QueuedPrompt[],
   capacity: PrefillCapacity,
 ): readonly QueuedPrompt[] {
+  const { inTime, late } = splitQueue(prompts, capacity);
+  const urgent = late.filter((prompt) => isUrgent(prompt, capacity));
+  const rest = late.filter((prompt) => !isUrgent(prompt, capacity));
+  return [...urgent, ...inTime, ...rest];
+}
+
+/** Separates the prompts that can meet their target, earliest due first, from the others, shortest first. */
+export function splitQueue(
+  prompts: readonly QueuedPrompt[],
+  capacity: PrefillCapacity,
+): Readonly<
+  { inTime: readonly QueuedPrompt[]; late: readonly QueuedPrompt[] }
+> {
   const byDue = [...prompts].sort((a, b) => a.dueAt - b.dueAt);
   const inTime: QueuedPrompt[] = [];
   const late: QueuedPrompt[] = [];
-  let finishesAt = capacity.now as number;
+  let finishesAt = capacity.now + (capacity.busyMs ?? 0);
   for (const prompt of byDue) {
     inTime.push(prompt);
     finishesAt += prompt.prefillMs / capacity.engines;
@@ -48,9 +69,7 @@
     }
   }
   late.sort((a, b) => a.prefillMs - b.prefillMs);
-  const urgent = late.filter((prompt) => isUrgent(prompt, capacity));
-  const rest = late.filter((prompt) => !isUrgent(prompt, capacity));
-  return [...urgent, ...inTime, ...rest];
+  return { inTime, late };
 }
 
 /** Time until all queued prompts are prefilled. */
@@ -69,7 +88,8 @@
 }
 
 function lowestWeightRatio(prompts: readonly QueuedPrompt[]): QueuedPrompt {
-  return prompts.reduce((a, b) =>
+  const others = prompts.filter((prompt) => prompt.preferred !== true);
+  return (others.length > 0 ? others : prompts).reduce((a, b) =>
     b.weight / b.prefillMs < a.weight / a.prefillMs ? b : a
   );
 }
@@ -81,11 +101,12 @@
   now: Timestamp,
 ): QueuedPrompt {
   const passTimeMs = passMs(pace, 1, ask.promptTokens);
+  const ownMs = prefillMs(pace, ask.promptTokens);
   return {
     job: ask.job,
-    prefillMs: prefillMs(pace, ask.promptTokens),
+    prefillMs: ownMs,
     dueAt: addMs(now, ask.targetMs - passTimeMs),
     timeoutAt: addMs(now, firstEventTimeoutMs(ask) - passTimeMs),
-    weight: ask.promptTokens,
+    weight: ownMs * worthPerMs(ask, engineMs(ask, pace)),
   };
 }
--- a/src/scheduling/pool/place_long.ts
+++ b/src/scheduling/pool/place_long.ts
@@ -1,4 +1,6 @@
+import type { UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
+import { nextPass, predictPass } from "./admission/engine_passes.ts";
 import { streamAbortMs } from "./caller_timeout.ts";
 import { type Candidate, penaltyMs, type PromptInput } from "./candidate.ts";
 import { passMs, prefillMs } from "./engine_pace.ts";
@@ -23,6 +25,8 @@
 const STREAM_BASE_COST_TOKENS = 5_000;
 /** A late prompt waits for more engines if that cuts the predicted time to less than this fraction. */
 const WORTHWHILE_WAIT_RATIO = 0.8;
+/** What a late answer brings its caller, relative to one in time. */
+const LATE_FRACTION = 0.25;
 /** Cost of an aborted stream relative to a late one: its prefill and decoding are repeated. */
 const ABORT_FACTOR = 3;
 /** Error margin of predictions. */
@@ -48,10 +52,20 @@
  */
 export function placeLong(
   input: PromptInput,
-  options: Readonly<{ dueInMs: Millis; timeoutInMs: Millis }>,
+  options: Readonly<{
+    dueInMs: Millis;
+    timeoutInMs: Millis;
+    /** Engines for short prompts while room is short. */
+    shortEngines?: ReadonlySet<UpstreamId> | undefined;
+  }>,
 ): LongPlacement | LongPlacementFailure {
   const { ask, pace, now } = input;
-  const candidates = healthyCandidates(input).filter(hasFreeHelperSlot);
+  const candidates = healthyCandidates(input).filter(hasFreeHelperSlot)
+    .filter((candidate) =>
+      options.shortEngines === undefined ||
+      !options.shortEngines.has(candidate.id) &&
+        candidate.load.sensitiveStreams === 0
+    );
   const free = candidates.filter((candidate) =>
     candidate.load.backlogMs(now) <= MAX_FREE_BACKLOG_MS
   );
@@ -68,8 +82,16 @@
     a.load.sensitiveStreams - b.load.sensitiveStreams ||
     penaltyMs(input, a) - penaltyMs(input, b) || a.load.ownJobs - b.load.ownJobs
   );
+  const passes = new Map(
+    ranked.map(({ load }) => [load.id, nextPass(load, pace, now)]),
+  );
   let best:
-    | { chosen: readonly Candidate[]; cost: number; expectMs: Millis }
+    | {
+      chosen: readonly Candidate[];
+      cost: number;
+      lateTokens: number;
+      expectMs: Millis;
+    }
     | undefined;
   const maxEngines = Math.min(ranked.length, MAX_HELPERS + 1);
   const reserved = reservedEngines(candidates);
@@ -87,19 +109,32 @@
     const maxPenaltyMs = Math.max(
       ...chosen.map((candidate) => penaltyMs(input, candidate)),
     );
-    const expectMs = MAX_FREE_BACKLOG_MS / 2 + partMs + passTimeMs +
-      maxPenaltyMs;
+    const readMs = Math.max(...chosen.map(({ id, load }) => {
+      const slowdown = load.slowdownAt(now);
+      const options = { prefillMs: partMs, slowdown };
+      return predictPass(passes.get(id)!, pace, options).firstMs;
+    }));
+    const expectMs = readMs + passTimeMs + maxPenaltyMs;
     if (expectMs > options.timeoutInMs) continue;
     const lateCost = expectMs > options.dueInMs ? ask.promptTokens : 0;
     let delay = 0;
-    for (const engine of chosen) delay += delayCost(engine, partMs, passTimeMs);
+    let lateTokens = 0;
+    for (const engine of chosen) {
+      delay += delayCost(engine, partMs, passTimeMs);
+      lateTokens += lateTokensOn(engine, partMs + passTimeMs);
+    }
     const cost = lateCost + delay +
       expectMs * FIRST_EVENT_COST_TOKENS_PER_MS;
     if (best === undefined || cost < best.cost) {
-      best = { chosen, cost, expectMs };
+      best = { chosen, cost, lateTokens, expectMs };
     }
   }
   if (best === undefined) return "busy";
+  const inTime = best.expectMs <= options.dueInMs;
+  const gain = (STREAM_BASE_COST_TOKENS + ask.promptTokens) *
+    (inTime ? 1 : LATE_FRACTION);
+  if (best.lateTokens > gain) return "busy";
+  if (options.shortEngines !== undefined && !inTime) return "busy";
   if (best.expectMs > options.dueInMs) {
     const delayedMs = delayedExpectMs(input, { totalMs, reserved });
     if (delayedMs < best.expectMs * WORTHWHILE_WAIT_RATIO) return "busy";
@@ -203,6 +238,17 @@
     passMs(input.pace, 1, input.ask.promptTokens);
 }
 
+/** Tokens of the streams on an engine that a silence makes late. */
+function lateTokensOn(candidate: Candidate, silenceMs: Millis): number {
+  let tokens = 0;
+  for (const job of candidate.load.jobs.values()) {
+    if (job.upstream !== candidate.id || job.kind !== "prompt") continue;
+    if (silenceMs + PREDICTION_MARGIN_MS <= job.pauseMs) continue;
+    tokens += STREAM_BASE_COST_TOKENS + job.tokens;
+  }
+  return tokens;
+}
+
 /** Cost in tokens of the delay that a part causes to the streams on an engine. */
 function delayCost(
   candidate: Candidate,
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -1,24 +1,28 @@
+import type { UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
 import { type Candidate, penaltyMs, type PromptInput } from "./candidate.ts";
-import { passMs, prefillMs } from "./engine_pace.ts";
+import { admissionLimitMs } from "./admission_limit.ts";
+import { shortFit, type ShortRoom } from "./admission/short_room.ts";
 
 /** Fraction of the target within which an engine with more streams is preferred to a faster one. */
 const PACKING_TARGET_FRACTION = 0.6;
 /** Slots left free on an engine that streams are packed on, for prompts that are placed meanwhile. */
 const SPARE_SLOTS = 4;
-/** Predicted wait for each prompt beyond the slots: about the time until a stream of a full batch ends. */
-const SLOT_WAIT_MS: Millis = 150;
-
 /** Engines that a failure domain needs for packing within it: as many as the smallest deployment has. */
 const MIN_DOMAIN_ENGINES = 16;
 
 /** Predicted time that is added to the new stream for each stream that would pause too long. */
 const LATE_STREAM_PENALTY_MS: Millis = 100;
-/** Error margin of predictions. */
+/** Least error margin of predictions. */
 const PREDICTION_MARGIN_MS: Millis = 15;
 
 /** The engine for a short prompt, with the predicted time to the first event. */
-export type ShortPlacement = Readonly<{ engine: Candidate; expectMs: Millis }>;
+export type ShortPlacement = Readonly<{
+  engine: Candidate;
+  expectMs: Millis;
+  /** The room that no engine has for the prompt; it fits if undefined. */
+  lacks: ShortRoom | "share" | undefined;
+}>;
 
 /**
  * Chooses the engine for a prompt that a single engine serves.
@@ -27,20 +31,28 @@
  */
 export function placeShort(
   input: PromptInput,
+  options: Readonly<{
+    marginMs?: Millis;
+    /** Engines for short prompts while room is short. */
+    shortEngines?: ReadonlySet<UpstreamId> | undefined;
+  }> = {},
 ): ShortPlacement | undefined {
-  const ratings = input.candidates.map((engine) => ({
-    engine,
-    expectMs: predictFirstEventMs(input, engine),
-    cost: 0,
-  }));
-  for (const rating of ratings) {
-    rating.cost = rating.expectMs + penaltyMs(input, rating.engine) +
-      interferencePenaltyMs(input, rating.engine) +
-      ownPausePenaltyMs(input, rating.engine);
-  }
+  const { marginMs = PREDICTION_MARGIN_MS, shortEngines } = options;
+  const limitMs = admissionLimitMs(input.ask, input.pace);
+  const all = input.candidates.map((engine) => {
+    const fit = shortFit(input, engine, { limitMs, marginMs });
+    const cost = fit.firstMs + penaltyMs(input, engine) +
+      fit.lateStreams * LATE_STREAM_PENALTY_MS;
+    return { engine, expectMs: fit.firstMs, lacks: fit.lacks, cost };
+  });
+  const fitting = all.filter((rating) =>
+    rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
+  );
+  const ratings = fitting.length > 0 ? fitting : all;
   ratings.sort((a, b) => a.cost - b.cost);
   const [best] = ratings;
   if (best === undefined) return undefined;
+  if (fitting.length === 0) return { ...best, lacks: best.lacks ?? "share" };
   const packingLimitMs = input.ask.targetMs * PACKING_TARGET_FRACTION;
   const packable = ratings.filter((rating) =>
     rating.cost <= packingLimitMs &&
@@ -66,54 +78,3 @@
   const local = candidates.filter((engine) => engine.domain === ask.domain);
   return new Set(local.length >= MIN_DOMAIN_ENGINES ? local : []);
 }
-
-/** Predicted time to the first event: prefill backlog, rest of the current pass, own prefill and one pass. */
-function predictFirstEventMs(
-  input: PromptInput,
-  engine: Candidate,
-): Millis {
-  const { ask, pace, now } = input;
-  const { load } = engine;
-  const contextTokens = load.contextTokens + ask.promptTokens;
-  const passTimeMs = passMs(pace, load.ownJobs + 1, contextTokens);
-  // On an engine without streams the first event follows the prefill at once.
-  const passWaitMs = load.ownJobs > 0 ? 1.5 * passTimeMs : 0;
-  const excess = Math.max(0, load.ownJobs + 1 - engine.slots);
-  const ownMs = passWaitMs + prefillMs(pace, ask.promptTokens) +
-    excess * SLOT_WAIT_MS;
-  return load.backlogMs(now) + ownMs * load.slowdownAt(now);
-}
-
-/** Penalty for an engine whose passes are longer than the pause that the new stream accepts. */
-function ownPausePenaltyMs(
-  input: PromptInput,
-  engine: Candidate,
-): Millis {
-  const { ask, pace, now } = input;
-  const { load } = engine;
-  const contextTokens = load.contextTokens + ask.promptTokens;
-  const pauseMs = passMs(pace, load.ownJobs + 1, contextTokens) *
-    load.slowdownAt(now);
-  return pauseMs + PREDICTION_MARGIN_MS > ask.pauseMs
-    ? LATE_STREAM_PENALTY_MS
-    : 0;
-}
-
-/** Penalty for the streams on an engine whose next event the new prefill would make late. */
-function interferencePenaltyMs(
-  input: PromptInput,
-  engine: Candidate,
-): Millis {
-  const { ask, pace, now } = input;
-  const { load } = engine;
-  const contextTokens = load.contextTokens + ask.promptTokens;
-  const ownMs = prefillMs(pace, ask.promptTokens) +
-    passMs(pace, load.ownJobs + 1, contextTokens);
-  const pauseMs = load.backlogMs(now) + ownMs * load.slowdownAt(now) +
-    PREDICTION_MARGIN_MS;
-  let lateStreams = 0;
-  for (const job of load.jobs.values()) {
-    if (job.upstream === engine.id && job.pauseMs < pauseMs) lateStreams += 1;
-  }
-  return lateStreams * LATE_STREAM_PENALTY_MS;
-}
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -9,6 +9,7 @@
   orderQueue,
   type QueuedPrompt,
   queuedPromptOf,
+  splitQueue,
 } from "./long_queue.ts";
 import { placeCall } from "./place_call.ts";
 import { placeLong, requiredEnginesFreeInMs } from "./place_long.ts";
@@ -20,6 +21,10 @@
 } from "./pool_refusals.ts";
 import { placeShort } from "./place_short.ts";
 import { JobTracker } from "./job_tracker.ts";
+import { RefusedCallers } from "./admission/refused_callers.ts";
+import { RoomShares } from "./admission/room_shares.ts";
+import { SizeBalance } from "./admission/size_balance.ts";
+import { engineMs, rankWeight } from "./engine_worth.ts";
 import { RateBudgets } from "./rate_budgets.ts";
 import { RETRY_AFTER_MS, RetryPacer } from "./retry_pacer.ts";
 import { admissionLimitMs } from "./admission_limit.ts";
@@ -66,6 +71,9 @@
   readonly rates = RateBudgets.create();
   readonly #queue = new Map<JobId, QueueEntry>();
   readonly #retryPacer = RetryPacer.create();
+  readonly #shares = RoomShares.create();
+  readonly #refused = RefusedCallers.create();
+  readonly #sizes = SizeBalance.create();
 
   static create(): PoolScheduler {
     return new PoolScheduler();
@@ -90,7 +98,12 @@
     if (ask.kind === "call" || pace === undefined) {
       return { ask, result: this.#placeCall(req, now) };
     }
-    if (prefillMs(pace, ask.promptTokens) <= MAX_SHORT_PREFILL_MS) {
+    const isShort = prefillMs(pace, ask.promptTokens) <= MAX_SHORT_PREFILL_MS;
+    this.#shares.offer(isShort ? "short" : "long", now, {
+      engineMs: engineMs(ask, pace),
+      weight: rankWeight(ask.rank),
+    });
+    if (isShort) {
       return { ask, result: this.#placeShort({ ...req, pace }, now) };
     }
     if (this.rates.openForSplit(req.members, now).length === 0) {
@@ -99,7 +112,8 @@
     if (exceedsPoolMemory(ask, pace, req.members.length)) {
       return { ask, result: err(tooLargeProblem()) };
     }
-    const prompt = queuedPromptOf(ask, pace, now);
+    const waitedMs = this.#refused.waitedMs(ask.digest, now, ask.targetMs * 8);
+    const prompt = queuedPromptOf(ask, pace, addMs(now, -waitedMs));
     this.#queue.set(ask.job, { req: { ...req, pace }, prompt });
     return undefined;
   }
@@ -128,6 +142,9 @@
       let result: Result<PoolGrant, Problem> | undefined;
       if (req.members.length === 0) {
         result = err(this.#noUpstream(ask, listed, now));
+      } else if (entry.shed) {
+        result = err(this.#refusal("deadline_unreachable", now));
+        this.#refused.refused(ask.digest, now);
       } else if (busyTries < MAX_BUSY_TRIES) {
         result = this.#placeLong(req, prompt, { now, backfillMs });
       }
@@ -147,6 +164,7 @@
         continue;
       }
       this.#queue.delete(ask.job);
+      this.#sizes.decided(ask, result.isOk(), now);
       decisions.push({ ask, result });
     }
     return decisions;
@@ -182,11 +200,39 @@
     return [...this.#queue.values()].map((entry) => entry.prompt);
   }
 
-  #orderedQueue(now: Timestamp): readonly QueueEntry[] {
-    if (this.#queue.size === 0) return [];
-    const engines = this.#tolerantEngines();
-    return orderQueue(this.#queuedPrompts(), { engines, now })
-      .map((prompt) => this.#queue.get(prompt.job)!);
+  #orderedQueue(now: Timestamp): readonly (QueueEntry & { shed: boolean })[] {
+    const [first] = this.#queue.values();
+    if (first === undefined) return [];
+    const entry = (prompt: QueuedPrompt, shed: boolean) => ({
+      ...this.#queue.get(prompt.job)!,
+      prompt,
+      shed,
+    });
+    const { candidates } = this.#inputOf(first.req, now);
+    const shortEngines = this.#shares.shortEngines(candidates, now);
+    if (shortEngines === undefined) {
+      const engines = this.#tolerantEngines();
+      const { late } = splitQueue(this.#queuedPrompts(), { engines, now });
+      if (late.length > 0) this.#shares.lacked(now);
+      return orderQueue(this.#queuedPrompts(), { engines, now })
+        .map((prompt) => entry(prompt, false));
+    }
+    const others = candidates.filter(({ id }) => !shortEngines.has(id));
+    let busyMs = 0;
+    for (const { load } of others) busyMs += load.backlogMs(now);
+    const engines = Math.max(1, others.length);
+    busyMs /= engines;
+    const prompts = [...this.#queue.values()].map(({ prompt, req }) =>
+      this.#sizes.isBehind(req.ask)
+        ? { ...prompt, dueAt: prompt.timeoutAt, preferred: true }
+        : prompt
+    );
+    const split = splitQueue(prompts, { engines, now, busyMs });
+    if (split.late.length > 0) this.#shares.lacked(now);
+    return [
+      ...split.inTime.map((prompt) => entry(prompt, false)),
+      ...split.late.map((prompt) => entry(prompt, true)),
+    ];
   }
 
   /** Number of engines that prefill long prompts in parallel: those without sensitive streams, at least 1. */
@@ -207,7 +253,9 @@
     const { now, backfillMs } = options;
     const { ask, pace } = req;
     const input = { ...this.#inputOf(req, now), pace };
+    const shortEngines = this.#shares.shortEngines(input.candidates, now);
     const placement = placeLong(input, {
+      shortEngines,
       dueInMs: prompt.dueAt - now,
       timeoutInMs: Math.min(prompt.timeoutAt - now, backfillMs),
     });
@@ -253,13 +301,22 @@
     now: Timestamp,
   ): Result<PoolGrant, Problem> {
     const { ask, pace } = req;
-    const placement = placeShort({ ...this.#inputOf(req, now), pace });
+    const input = { ...this.#inputOf(req, now), pace };
+    const shortEngines = this.#shares.shortEngines(input.candidates, now);
+    const placement = placeShort(input, { marginMs: 15, shortEngines });
     if (placement === undefined) {
       return err(this.#noUpstream(ask, req.members, now));
     }
-    const { engine, expectMs } = placement;
+    const { engine, expectMs, lacks } = placement;
+    if (lacks !== undefined) this.#shares.lacked(now);
     const limitMs = admissionLimitMs(ask, pace);
-    if (expectMs > limitMs) {
+    const waitedMs = this.#refused.waitedMs(ask.digest, now, ask.targetMs * 30);
+    const isLate = waitedMs + expectMs > limitMs && shortEngines !== undefined;
+    if (
+      isLate || expectMs > limitMs ||
+      (lacks !== undefined && ask.avoid.length === 0)
+    ) {
+      this.#refused.refused(ask.digest, now);
       return err(problem(
         "deadline_unreachable",
         `The first event is expected in ${Math.round(expectMs)} ms`,
--- a/src/scheduling/pool/upstream_load.ts
+++ b/src/scheduling/pool/upstream_load.ts
@@ -26,6 +26,7 @@
   readonly id: UpstreamId;
   readonly jobs = new Map<JobId, PoolJob>();
   #busyUntil = 0 as Timestamp;
+  #passEndedAt = 0 as Timestamp;
   #failures = 0;
   #failuresUpdatedAt = 0 as Timestamp;
   #slowdown = 1;
@@ -49,13 +50,21 @@
   /** Replaces a job that has been prefilled, or removes a job that has ended. */
   updateJob(id: JobId, prefilled: PoolJob | undefined, now: Timestamp): void {
     if (prefilled === undefined) this.jobs.delete(id);
-    else this.jobs.set(id, prefilled);
+    else {
+      this.jobs.set(id, prefilled);
+      if (prefilled.upstream === this.id) this.#passEndedAt = now;
+    }
     let sumMs = 0;
     for (const job of this.jobs.values()) if (!job.writing) sumMs += job.partMs;
     sumMs *= this.slowdownAt(now);
     this.#busyUntil = Math.min(this.#busyUntil, now + sumMs) as Timestamp;
   }
 
+  /** When the first event of a prompt last told that a pass had ended. */
+  get passEndedAt(): Timestamp {
+    return this.#passEndedAt;
+  }
+
   /** Time that the engine takes as a multiple of the configured time; 1 without a valid report. */
   slowdownAt(now: Timestamp): number {
     return now - this.#slowdownSetAt > SLOWDOWN_VALID_MS ? 1 : this.#slowdown;
--- a/tools/pool/main.ts
+++ b/tools/pool/main.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import { binary, command, number, option, run, string } from "cmd-ts";
+import { goodputAt, rowOf, SHAPES } from "./overload.ts";
 import { play } from "./play.ts";
 import { POLICIES } from "./policies.ts";
 import { creditOf } from "./summary.ts";
@@ -21,8 +22,26 @@
       description: `policies to play: ${Object.keys(POLICIES).join(",")}`,
       defaultValue: () => Object.keys(POLICIES).join(","),
     }),
+    multiples: option({
+      type: string,
+      long: "multiples",
+      description: "plays the pools under these multiples of their capacity",
+      defaultValue: () => "",
+    }),
   },
-  handler: ({ seeds, policy }) => {
+  handler: ({ seeds, policy, multiples }) => {
+    if (multiples !== "") {
+      const numbers = Array.from({ length: seeds }, (_, i) => i + 1);
+      for (const [name, shape] of Object.entries(SHAPES)) {
+        for (const multiple of multiples.split(",").map(Number)) {
+          const goodput = goodputAt(shape, multiple, { seeds: numbers });
+          process.stdout.write(
+            `${name.padEnd(9)} ${rowOf(multiple, goodput)}\n`,
+          );
+        }
+      }
+      return;
+    }
     for (const name of policy.split(",")) {
       const create = POLICIES[name as keyof typeof POLICIES];
       if (create === undefined) {
--- a/tools/pool/summary.ts
+++ b/tools/pool/summary.ts
@@ -1,5 +1,5 @@
 import type { Served } from "./play.ts";
-import { KINDS } from "./workload.ts";
+import { type Arrival, KINDS } from "./workload.ts";
 
 const WINDOW_MS = 2_000;
 const SIZE_FLOOR = 0.3;
@@ -41,14 +41,17 @@
   let owed = 0;
   let earned = 0;
   for (const { arrival, outcome } of served) {
-    const { kind, tokens } = arrival;
-    const size = Math.min(
-      MAX_SIZE,
-      SIZE_FLOOR + (1 - SIZE_FLOOR) * tokens / kind.meanTokens,
-    );
-    owed += kind.worth * size;
-    if (outcome === "in_time") earned += kind.worth * size;
-    if (outcome === "late") earned += kind.lateWorth * size;
+    const { worth, lateWorth } = arrival.kind;
+    const owing = worthOf(arrival);
+    owed += owing;
+    if (outcome === "in_time") earned += owing;
+    if (outcome === "late") earned += owing * lateWorth / worth;
   }
   return owed === 0 ? 1 : earned / owed;
 }
+
+/** What a prompt is worth in time: its kind's worth, by its size against the kind's mean. */
+export function worthOf({ kind, tokens }: Arrival): number {
+  const size = SIZE_FLOOR + (1 - SIZE_FLOOR) * tokens / kind.meanTokens;
+  return kind.worth * Math.min(MAX_SIZE, size);
+}
--- a/tools/pool/workload.ts
+++ b/tools/pool/workload.ts
@@ -15,6 +15,8 @@
   leftMs: Millis;
   worth: number;
   lateWorth: number;
+  /** Rank of the kind's route. */
+  rank?: number;
 }>;
 
 /** One prompt of a drawn load. */
@@ -85,12 +87,13 @@
 export function drawArrivals(
   phases: readonly Phase[],
   seed: number,
+  kinds: readonly PromptKind[] = KINDS,
 ): readonly Arrival[] {
   const random = Random.create(seed);
   const arrivals: Arrival[] = [];
   let start = 0;
   for (const phase of phases) {
-    KINDS.forEach((kind, i) => {
+    kinds.forEach((kind, i) => {
       const gap = 1_000 / (kind.perSecond * phase.factors[i]!);
       for (let at = start + exponential(random, gap); at < start + phase.ms;) {
         arrivals.push({
