A holder gets a prompt only while its first event stays well within the target

Cause: the saving was taken off before engines were packed, so that it let a fuller engine pass the limit of packing, and holders were chosen on which the first event came late in its target.

--- a/src/scheduling/held/held_saving.ts
+++ b/src/scheduling/held/held_saving.ts
@@ -26,14 +26,13 @@
   return savingMs;
 }
 
-/** A place for a prompt: what it costs the caller and the streams there, in ms, with the saving taken off. */
+/** A place for a prompt: what it costs the caller and the streams there, in ms, without the expected saving. */
 export type HeldRating = Readonly<{ cost: Millis; savedMs: Millis }>;
 
 /**
  * Chooses between the usual place and those that hold the prompt's beginning.
  * Load pattern: one hot beginning. Its holder is preferred only as long as the wait there, and what streams there lose,
- * stay below what is saved; then the prompt goes to the usual place, which holds the beginning from there on. So no
- * engine is ahead of the others by more than one beginning's prefill.
+ * stay below what is saved; then the prompt goes to the usual place, which holds the beginning from there on.
  */
 export function weighHolders<Rating extends HeldRating>(
   usual: Rating,
@@ -41,7 +40,8 @@
 ): Rating {
   let best = usual;
   for (const rating of ratings) {
-    if (rating.savedMs > 0 && rating.cost < best.cost) best = rating;
+    const isCheaper = rating.cost - rating.savedMs < best.cost - best.savedMs;
+    if (rating.savedMs > 0 && isCheaper) best = rating;
   }
   return best;
 }
--- a/src/scheduling/pool/held_prefill_test.ts
+++ b/src/scheduling/pool/held_prefill_test.ts
@@ -160,21 +160,20 @@
   return placed;
 }
 
-test("a hot beginning heaps no more on its holder than is saved: less than one prompt's prefill", () => {
+test("a hot beginning heaps no more of its prompts on one engine than are placed there without it", () => {
   const bursts = [2, 4, 8, 12, 16, 24].map((count) => {
     const held = placeBurst(count, PACE);
     const without = placeBurst(count, ENGINE_PACE);
-    expect(COMMON_MS).toBeLessThan(prefillMs(PACE, 5_000));
     expect(Math.max(...Object.values(held)))
-      .toBeLessThanOrEqual(Math.max(...Object.values(without)) + 1);
+      .toBeLessThanOrEqual(Math.max(...Object.values(without)));
     return [held, without].map((placed) => JSON.stringify(placed)).join(" / ");
   });
   expect(bursts).toMatchInlineSnapshot(`
     [
       "{"e2":2} / {"e0":2}",
-      "{"e2":4} / {"e0":3,"e1":1}",
-      "{"e2":4,"e0":3,"e1":1} / {"e0":3,"e1":3,"e2":2}",
-      "{"e2":4,"e0":3,"e1":3,"e3":2} / {"e0":3,"e1":3,"e2":3,"e3":3}",
+      "{"e2":3,"e0":1} / {"e0":3,"e1":1}",
+      "{"e2":3,"e0":3,"e1":2} / {"e0":3,"e1":3,"e2":2}",
+      "{"e2":3,"e0":3,"e1":3,"e3":3} / {"e0":3,"e1":3,"e2":3,"e3":3}",
       "{"e2":4,"e0":4,"e1":4,"e3":4} / {"e0":4,"e1":4,"e2":4,"e3":4}",
       "{"e2":6,"e0":6,"e1":6,"e3":6} / {"e0":6,"e1":6,"e2":6,"e3":6}",
     ]
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -47,7 +47,7 @@
     const fit = shortFit(input, engine, { limitMs, marginMs });
     const savedMs = savedPrefillMs(input, engine);
     const expectMs = fit.firstMs - savedMs * engine.load.slowdownAt(input.now);
-    const cost = expectMs + penaltyMs(input, engine) +
+    const cost = fit.firstMs + penaltyMs(input, engine) +
       fit.lateStreams * LATE_STREAM_PENALTY_MS;
     return { engine, expectMs, savedMs, lacks: fit.lacks, cost };
   });
@@ -60,9 +60,9 @@
   if (best === undefined) return undefined;
   if (fitting.length === 0) return { ...best, lacks: best.lacks ?? "share" };
   const packingLimitMs = input.ask.targetMs * PACKING_TARGET_FRACTION;
-  const packable = ratings.filter((rating) =>
-    rating.cost <= packingLimitMs &&
-    rating.engine.load.ownJobs + SPARE_SLOTS <= rating.engine.slots
+  const early = ratings.filter(({ cost }) => cost <= packingLimitMs);
+  const packable = early.filter(({ engine }) =>
+    engine.load.ownJobs + SPARE_SLOTS <= engine.slots
   );
   const ownDomain = enginesInOwnDomain(input);
   packable.sort((a, b) =>
@@ -70,7 +70,7 @@
     b.engine.load.sensitiveStreams - a.engine.load.sensitiveStreams ||
     a.cost - b.cost
   );
-  return weighHolders(packable[0] ?? best, ratings);
+  return weighHolders(packable[0] ?? best, early);
 }
 
 /**
