Keep what clients hold within the memory and descriptors of the settings

Cause: a daemon held whatever clients sent: bodies up to the limit on any number of connections, every request that was pipelined, every connection. Node's parser worked through all that one reading brought, a callback for each chunk of one byte, before another connection had its turn. The settings' memoryMb and maxFds were ignored.

Change: client_budget.ts decides, without I/O, what clients may hold of the process and what is given up first when that runs short; a request that was passed on is kept. ClientGuard keeps the account. ClientFeed hands input to the parser in slices: one request at most, about 1 ms, and in turns of 8 ms for all; beyond four open requests a connection isn't read. A refusal is 503 `overloaded` (not run). Requests that run at once are bounded by descriptors. Buffers of refused bodies are used again (BufferPool): left to the collector, some 64 MB of them gather. New: line `client_shed` with the client's address, metrics client_bytes_held, client_connections and their limits.

--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -65,6 +65,10 @@
   },
   draining: { status: 503, title: "This daemon is shutting down" },
   queue_full: { status: 503, title: "The queue is full" },
+  overloaded: {
+    status: 503,
+    title: "The daemon holds as much for clients as its memory allows",
+  },
   deadline_unreachable: {
     status: 503,
     title: "The request can't finish within its deadline",
--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -98,7 +98,7 @@
     this.#front = FrontServer.create(this.#exchanges.port, {
       routes: () => this.#core.board.serving.routes,
       drain: () => this.#currentDrain(),
-    });
+    }, { resources: settings.resources });
   }
 
   static create(
@@ -300,6 +300,7 @@
       log_lines_dropped: this.#log.dropped,
       datagrams_failed: this.#datagrams.failed,
       datagrams_unreadable: this.#unreadableDatagrams,
+      ...this.#front.gauges,
     });
     return { status: 200, body, contentType: this.#metrics.contentType };
   }
--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -44,6 +44,18 @@
     return this.#open.size;
   }
 
+  /** The last request without a complete response. */
+  get newest(): IncomingMessage | undefined {
+    return [...this.#open.keys()].at(-1);
+  }
+
+  /** Bytes of responses that the client has not read. */
+  get unreadBytes(): number {
+    let bytes = 0;
+    for (const res of this.#responses) bytes += res.writableLength;
+    return bytes;
+  }
+
   /** How long the client may reuse the connection, by the last response. */
   get toldIdleMs(): Millis {
     return this.#toldIdleMs;
@@ -96,7 +108,7 @@
     options: Readonly<{ unread: boolean; closes: boolean }>,
   ): boolean {
     const closes = options.closes || this.#closing;
-    const isNewest = [...this.#open.keys()].at(-1) === req;
+    const isNewest = this.newest === req;
     const isLast = options.unread || (closes && isNewest);
     this.#lastStarted ||= isLast;
     return isLast;
--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -11,6 +11,7 @@
 import { type Millis, timerMs } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
 import { ClientConnection } from "./client_connection.ts";
+import type { ClientGuard } from "./client_guard.ts";
 import { LINGER_MS, proxyProblemStatus } from "./client_response.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import { HeldLimit } from "./held_limit.ts";
@@ -31,7 +32,9 @@
   /** Behind the last response came another request. */
   | "behind_last"
   /** The client closed or reset the connection within a request. */
-  | "client_left";
+  | "client_left"
+  /** The daemon holds too much for clients. */
+  | "overloaded";
 
 /** Limits until a configuration is loaded. */
 const INITIAL_HEAD_MS: Millis = 5_000;
@@ -57,6 +60,7 @@
 export class ClientConnections {
   readonly #server: Server;
   readonly #port: Pick<ExchangePort, "now" | "line">;
+  readonly #guard: ClientGuard;
   readonly #connections = new WeakMap<Duplex, ClientConnection>();
   readonly #headLimit = HeldLimit.create(INITIAL_HEAD_MS);
   readonly #idleLimit = HeldLimit.create(INITIAL_IDLE_MS);
@@ -65,12 +69,14 @@
   private constructor(
     server: Server,
     port: Pick<ExchangePort, "now" | "line">,
+    guard: ClientGuard,
   ) {
     this.#server = server;
     this.#port = port;
+    this.#guard = guard;
     this.#applyHeadLimit();
     this.#server.keepAliveTimeout = INITIAL_IDLE_MS + PROMISE_MARGIN_MS;
-    server.on("connection", (socket) => void this.#of(socket));
+    server.on("connection", (socket) => this.#open(this.#of(socket)));
     server.on("timeout", (socket) => this.#onTimeout(this.#of(socket)));
     server.on(
       "clientError",
@@ -79,6 +85,7 @@
     );
     server.on("connect", (req, socket) => {
       const connection = this.#of(socket as Socket);
+      guard.discard(connection);
       // The server has taken its own listeners off the socket.
       socket.on("error", () => socket.destroy());
       socket.resume();
@@ -90,8 +97,9 @@
   static create(
     server: Server,
     port: Pick<ExchangePort, "now" | "line">,
+    options: Readonly<{ guard: ClientGuard }>,
   ): ClientConnections {
-    return new ClientConnections(server, port);
+    return new ClientConnections(server, port, options.guard);
   }
 
   /** Applies the limits of a new configuration, also to open connections. */
@@ -120,6 +128,13 @@
     return connection;
   }
 
+  #open(connection: ClientConnection): void {
+    this.#guard.open(connection, {
+      end: (one, err) => this.#end(one, "overloaded", err),
+      onBehindLast: () => this.#line(connection, "behind_last", {}),
+    });
+  }
+
   #of(socket: Socket): ClientConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
@@ -213,6 +228,7 @@
       connection.socket.destroy();
       return;
     }
+    this.#guard.discard(connection);
     const unreadable = code === "HPE_HEADER_OVERFLOW"
       ? problem("head_too_large", "The request head is too large")
       : problem("bad_request", `The request can't be read: ${message}`);
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -40,18 +40,30 @@
     | Pick<ResponseHead, "headers"> & Readonly<{ status: number }>
     | undefined;
   #onDrained: (() => void) | undefined;
+  /** Called when a part of the response is buffered, and when its client has read that. */
+  readonly #onBuffered: () => void;
 
-  private constructor(res: ServerResponse, startsLast: StartsLast) {
+  private constructor(
+    res: ServerResponse,
+    startsLast: StartsLast,
+    onBuffered: () => void,
+  ) {
     this.#res = res;
     this.#startsLast = startsLast;
-    res.on("drain", () => this.#onDrained?.());
+    this.#onBuffered = onBuffered;
+    res.on("drain", () => {
+      onBuffered();
+      this.#onDrained?.();
+    });
   }
 
   static create(
     res: ServerResponse,
     startsLast: StartsLast,
+    options: Readonly<{ onBuffered?: () => void }> = {},
   ): ClientResponse {
-    return new ClientResponse(res, startsLast);
+    const { onBuffered = () => {} } = options;
+    return new ClientResponse(res, startsLast, onBuffered);
   }
 
   /** Whether a part of the response was sent, after which it can't be replaced by another one. */
@@ -68,7 +80,9 @@
   write(bytes: Buffer, onDrained: () => void): boolean {
     this.#sendHead();
     this.#onDrained = onDrained;
-    return this.#res.write(bytes);
+    const isWritable = this.#res.write(bytes);
+    if (!isWritable) this.#onBuffered();
+    return isWritable;
   }
 
   end(): void {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -90,6 +90,17 @@
     return this.#finished;
   }
 
+  /** Whether the request was passed on to no upstream, and may be refused as not run. */
+  get unsent(): boolean {
+    return !this.#finished && this.#attempts.sent === undefined &&
+      !this.#response.started && this.#history.verdict === "not_run";
+  }
+
+  /** Refuses the request if it was passed on to no upstream. */
+  refuseUnsent(err: Problem): void {
+    if (this.unsent) this.#refuse(err);
+  }
+
   /** Places the request; the final response is given by its deadline. */
   start(): void {
     this.#deadlineTimer = ReadFirstTimer.start(
@@ -116,7 +127,7 @@
     if (this.#finished || latestAt === undefined) return;
     clearTimeout(this.#sendTimer);
     const delayMs = Math.max(0, latestAt - now) + 1;
-    this.#sendTimer = setTimeout(() => this.#refuseUnsent(), delayMs);
+    this.#sendTimer = setTimeout(() => this.#refuseLate(), delayMs);
   }
 
   /** Gives the final response at once, as the daemon is about to exit. */
@@ -135,10 +146,8 @@
     return this.#gate.limitDeadline(this.#req.deadlineAt) - this.#port.now();
   }
 
-  #refuseUnsent(): void {
-    const isUnsent = this.#attempts.sent === undefined &&
-      !this.#response.started && this.#history.verdict === "not_run";
-    if (!isUnsent) return;
+  #refuseLate(): void {
+    if (!this.unsent) return;
     const refusal = this.#gate.refusal(this.#req, this.#port.now());
     if (refusal !== undefined) this.#refuse(refusal);
   }
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -8,6 +8,8 @@
   ClientConnections,
   type ConnectionLimits,
 } from "./client_connections.ts";
+import { DEFAULT_RESOURCES, type ProcessResources } from "./client_budget.ts";
+import { ClientGuard } from "./client_guard.ts";
 import { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
 import { type Drain, DrainGate } from "./drain_gate.ts";
@@ -33,15 +35,23 @@
   readonly #state: FrontState;
   readonly #server: Server;
   readonly #connections: ClientConnections;
+  readonly #guard: ClientGuard;
   /** Admitted requests without a final response. */
   readonly #requests = new Set<IncomingRequest>();
   readonly #gate: DrainGate;
   readonly #times = AnswerTimes.create();
   #openRequests = 0;
 
-  private constructor(port: ExchangePort, state: FrontState) {
+  private constructor(
+    port: ExchangePort,
+    state: FrontState,
+    resources: ProcessResources,
+  ) {
     this.#port = port;
     this.#state = state;
+    this.#guard = ClientGuard.create(port, resources, {
+      maxBodyBytes: () => state.routes()?.serving.limits.bodyBytes ?? 0,
+    });
     this.#gate = DrainGate.create(state.drain, this.#times);
     this.#server = createHttpServer(
       {
@@ -55,11 +65,23 @@
       },
       (req, res) => this.#serve(req, res),
     );
-    this.#connections = ClientConnections.create(this.#server, port);
+    this.#connections = ClientConnections.create(this.#server, port, {
+      guard: this.#guard,
+    });
+  }
+
+  static create(
+    port: ExchangePort,
+    state: FrontState,
+    options: Readonly<{ resources?: ProcessResources }> = {},
+  ): FrontServer {
+    const { resources = DEFAULT_RESOURCES } = options;
+    return new FrontServer(port, state, resources);
   }
 
-  static create(port: ExchangePort, state: FrontState): FrontServer {
-    return new FrontServer(port, state);
+  /** What is held for clients, and its limits. */
+  get gauges(): ClientGuard["gauges"] {
+    return this.#guard.gauges;
   }
 
   /** Number of requests without a final response. */
@@ -104,11 +126,14 @@
     const connection = this.#connections.opened(req, res);
     if (connection === undefined) return;
     this.#openRequests += 1;
-    res.once("close", () => this.#openRequests -= 1);
+    res.once("close", () => {
+      this.#openRequests -= 1;
+      this.#guard.answered(connection);
+    });
     const response = ClientResponse.create(res, (unread) => {
       const closes = this.#gate.drain !== undefined;
       return connection.startResponse(req, { unread, closes });
-    });
+    }, { onBuffered: () => this.#guard.buffered(connection) });
     const admitted = this.#admit(req, arrivedAt);
     if ("problem" in admitted) {
       // The body is not read, so the connection can't be reused.
@@ -132,11 +157,13 @@
           { head, problem: err, received },
           unread ? req : undefined,
         ),
+      pool: this.#guard.pool,
+      run: () => this.#guard.run(connection, res),
     });
     this.#requests.add(one);
     connection.admitted(req, (err) => one.failBody(err));
     res.once("close", () => this.#requests.delete(one));
-    one.read(req, res);
+    one.read(req, res, this.#guard.hold(connection, one));
   }
 
   #admit(
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -6,11 +6,14 @@
 import type { UpstreamId } from "../../core/id.ts";
 import { type Problem, problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import type { BufferPool } from "../buffer_pool.ts";
 import { ByteAccumulator } from "../byte_accumulator.ts";
 import type { AdmittedRequest } from "../serving/route_table.ts";
 import type { AnswerTimes } from "./answer_times.ts";
 import type { ClientResponse } from "./client_response.ts";
 import type { RequestHead } from "./dialect.ts";
+import type { HoldingStage } from "./client_budget.ts";
+import type { HoldBody } from "./client_guard.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangePort } from "./exchange_port.ts";
 import { type DrainGate, draining } from "./drain_gate.ts";
@@ -40,9 +43,15 @@
   body: Readonly<{ received: number; unread: boolean }>,
 ) => void;
 
-type IncomingRequestOptions = Readonly<
-  { gate: DrainGate; times: AnswerTimes; refuse: RefuseRequest }
->;
+type IncomingRequestOptions = Readonly<{
+  gate: DrainGate;
+  times: AnswerTimes;
+  refuse: RefuseRequest;
+  /** Where the buffers of bodies come from. */
+  pool?: BufferPool;
+  /** Called before the exchange starts; a refusal if it may not. */
+  run?: () => Problem | undefined;
+}>;
 
 /** An admitted request, from its head to its final response: reads the body, then runs the exchange. */
 export class IncomingRequest {
@@ -51,8 +60,10 @@
   readonly #gate: DrainGate;
   readonly #times: AnswerTimes;
   readonly #refuse: RefuseRequest;
+  readonly #run: () => Problem | undefined;
+  #hold: HoldBody = () => {};
   #admitted: AdmittedRequest;
-  readonly #body = ByteAccumulator.create();
+  readonly #body: ByteAccumulator;
   #receivedBytes = 0;
   /** When a part of the body was last received, by `performance.now`. */
   #receivedAt: Millis = -Infinity;
@@ -70,6 +81,11 @@
     this.#gate = options.gate;
     this.#times = options.times;
     this.#refuse = options.refuse;
+    this.#run = options.run ?? (() => undefined);
+    this.#body = ByteAccumulator.create({
+      maxBytes: entry.bodyBytes,
+      pool: options.pool,
+    });
   }
 
   static create(
@@ -80,8 +96,19 @@
     return new IncomingRequest(port, entry, options);
   }
 
+  /** How far the request has come. */
+  get stage(): HoldingStage {
+    if (this.#exchange === undefined) return "body";
+    return this.#exchange.unsent ? "queued" : "running";
+  }
+
   /** Reads the body and starts the exchange at its end; a body that comes too slowly is refused. */
-  read(req: IncomingMessage, res: ServerResponse): void {
+  read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    hold: HoldBody = () => {},
+  ): void {
+    this.#hold = hold;
     const { response, bodyBytes, arrivedAt, deadlineAt } = this.#entry;
     const leftMs = deadlineAt - arrivedAt;
     this.#bodyTimer = ReadFirstTimer.start(
@@ -94,8 +121,10 @@
       this.#receivedBytes += chunk.length;
       this.#receivedAt = performance.now();
       if (response.started) return;
-      if (this.#receivedBytes <= bodyBytes) this.#body.append(chunk);
-      else {
+      if (this.#receivedBytes <= bodyBytes) {
+        this.#body.append(chunk);
+        hold(this.#body.capacity);
+      } else {
         this.failBody(
           problem("body_too_large", "The request body is too large"),
         );
@@ -112,10 +141,17 @@
     this.#exchange?.upstreamLost(id);
   }
 
+  /** Refuses a request that was passed on to no upstream. */
+  giveUp(err: Problem): void {
+    this.failBody(err);
+    this.#exchange?.refuseUnsent(err);
+  }
+
   /** Refuses a request whose body can't be read to its end. */
   failBody(err: Problem): void {
     if (this.#exchange !== undefined || this.#entry.response.started) return;
-    this.#body.reset();
+    this.#body.release();
+    this.#hold(0);
     this.#bodyTimer?.stop();
     this.#refuse(err, { received: this.#receivedBytes, unread: true });
   }
@@ -137,13 +173,14 @@
 
   /** Handles the whole body: by the version that is in force now, as one may have been taken while it was read. */
   #onBody(): void {
-    const refusal = this.#readmit() ?? this.#drainRefusal();
+    const refusal = this.#readmit() ?? this.#drainRefusal() ?? this.#run();
     if (refusal !== undefined) {
       const received = this.#receivedBytes;
       return this.#refuse(refusal, { received, unread: false });
     }
-    this.#exchange = this.#start(this.#body.bytes);
+    const body = this.#body.bytes;
     this.#body.reset();
+    this.#exchange = this.#start(body);
   }
 
   /** The refusal by a newer version than the one that admitted the request; the time limit stays as it was. */
@@ -173,6 +210,8 @@
 
   #onClose(res: ServerResponse): void {
     this.#bodyTimer?.stop();
+    this.#body.release();
+    this.#hold(0);
     if (res.writableFinished) return;
     if (this.#exchange !== undefined) this.#exchange.cancel();
     // A refusal has its line, and is whole before the rest of the body is.
