Guard the servers that answer GET requests as well

Cause: readiness, directory, metrics and the configuration for peers took any number of connections for any time, and Node's parser read bodies that nobody uses, chunk by chunk.

--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -24,6 +24,8 @@
 import { drainTimeMs, PlannedStop } from "./planned_stop.ts";
 import type { PlatformStore } from "./store/platform_store.ts";
 import { RetryBudget } from "./requests/retry_budget.ts";
+import { GetServerGuard } from "./get_server_guard.ts";
+import { clientSharesOf } from "./requests/client_budget.ts";
 import { type GetResponse, serveGetRequests } from "./plain_http.ts";
 import { UnreadableLog } from "./unreadable_log.ts";
 import { StoreCaller } from "./store/store_caller.ts";
@@ -48,6 +50,8 @@
 
 /** The I/O shell around the core: performs its intents and turns external input into events. */
 export class GatewayDaemon {
+  /** Guards the connections of the servers that answer GET requests. */
+  readonly guard: GetServerGuard;
   readonly #settings: GatewaySettings;
   readonly #core: GatewayCore;
   readonly #loop: CoreLoop;
@@ -69,6 +73,8 @@
 
   private constructor(settings: GatewaySettings, adapters: GatewayAdapters) {
     this.#settings = settings;
+    const { getConnections } = clientSharesOf(settings.resources);
+    this.guard = GetServerGuard.create({ maxConnections: getConnections });
     const { card } = settings;
     this.#orders = adapters.orders;
     this.#core = GatewayCore.create(card, settings.seeds);
@@ -134,13 +140,16 @@
     });
     const peer = splitAddress(card.peer);
     await this.#datagrams.bind(peer.host, peer.port);
+    const { guard } = this;
     await serveGetRequests(
       peer,
       (url) => this.#peerCalls.answer(url, this.#loop.now()),
+      { guard },
     );
     await serveGetRequests(
       splitAddress(metrics),
       (url) => this.#serveMetrics(url),
+      { guard },
     );
     const front = splitAddress(card.front);
     await this.#front.listen(front.host, front.port);
@@ -300,6 +309,7 @@
       log_lines_dropped: this.#log.dropped,
       datagrams_failed: this.#datagrams.failed,
       datagrams_unreadable: this.#unreadableDatagrams,
+      get_connections: this.guard.connections,
       ...this.#front.gauges,
     });
     return { status: 200, body, contentType: this.#metrics.contentType };
--- a/src/gateway/plain_http.ts
+++ b/src/gateway/plain_http.ts
@@ -6,6 +6,7 @@
 import type { Millis } from "../core/time.ts";
 import { unexpectedFields } from "../core/unexpected_error.ts";
 import { ByteAccumulator } from "./byte_accumulator.ts";
+import type { GetServerGuard } from "./get_server_guard.ts";
 import { isPort, splitAddress } from "./address.ts";
 import { headerValues } from "./http1/header_syntax.ts";
 import {
@@ -165,10 +166,11 @@
   HPE_HEADER_OVERFLOW: 431,
 };
 
-/** Starts a server that answers GET requests with small bodies; rejects if it can't listen. */
+/** Starts a server that answers GET requests, with its connections in a guard; rejects if it can't listen. */
 export function serveGetRequests(
   at: Readonly<{ host: string; port: number }>,
   handle: GetHandler,
+  options: Readonly<{ guard?: GetServerGuard }> = {},
 ): Promise<Server> {
   const server = createHttpServer({}, async (req, res) => {
     const url = URL.parse(req.url ?? "/", "http://daemon");
@@ -193,6 +195,7 @@
       () => socket.destroy(),
     );
   });
+  options.guard?.guard(server);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(at, () => resolve(server));
