An upstream that turns cold again is limited at once, by whoever hears it

What callers lose: a cold upstream that gets more than the rate of its service crashes with all that it runs.

Causes: the time that an upstream states in its answers was not read; followers got a cold time from the register only where it was longer than the last one that they had seen, which for them never ran out; and a grant that was given before the cold time was known was sent all the same.

--- a/src/gateway/members/heartbeat_reply.ts
+++ b/src/gateway/members/heartbeat_reply.ts
@@ -4,6 +4,7 @@
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { settlingUntil } from "../store/settling.ts";
 import { isBefore, resolvePosition } from "../store/store_position.ts";
+import { entriesWithColdTime } from "../upstreams/cold_rate.ts";
 import { MAX_DATAGRAM_ENTRIES } from "../upstreams/table_message.ts";
 import { bestLeaders } from "./member_table.ts";
 import type { RosterUpdate } from "./roster.ts";
@@ -52,6 +53,7 @@
       mark: heartbeat.contents?.mark,
     }),
     rates: board.gate.rates.notices(now),
+    cold: board.gate.cold.notices(now),
   };
 }
 
@@ -68,15 +70,15 @@
 
 /** The table of upstreams, with the processes that are gone if the receiver has none or an older copy may list them. */
 function tableFor(
-  { register, store }: GatewayBoard,
+  board: GatewayBoard,
   now: Timestamp,
   isNew: boolean,
 ): Pick<HeartbeatReply, "entries" | "kept" | "gone"> {
-  const { table } = register;
+  const { table } = board.register;
   const kept = table.kept(now);
-  const needsGone = isNew || settlingUntil(store, now) !== undefined;
+  const needsGone = isNew || settlingUntil(board.store, now) !== undefined;
   return {
-    entries: table.all(),
+    entries: entriesWithColdTime(board, now),
     kept: kept.length > 0 ? kept : undefined,
     gone: needsGone ? table.recentlyGone() : undefined,
   };
--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -265,6 +265,7 @@
             : this.#quarantineSummaries.get(vm),
         }),
         rates: board.gate.rates.notices(step.now),
+        cold: board.gate.cold.notices(step.now),
       },
     });
   }
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -28,6 +28,7 @@
 import { ContentSyncSchema } from "../../suspects/content_record.ts";
 import { ContentReportSchema } from "../contents/content_report.ts";
 import { SilenceSchema } from "../contents/silence.ts";
+import { ColdNoticeSchema } from "../upstreams/cold_upstreams.ts";
 import { RateNoticeSchema } from "../upstreams/named_rates.ts";
 import {
   GoneUpstreamSchema,
@@ -173,6 +174,7 @@
     paces: soundList(z.object({ upstream, pace: paceSchema })).optional(),
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
+    cold: soundList(ColdNoticeSchema).optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
@@ -193,6 +195,7 @@
     gone: soundList(GoneUpstreamSchema).optional(),
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
+    cold: soundList(ColdNoticeSchema).optional(),
   }),
   /** Forwards register changes that were read after offset `since` of the era `sinceEra`. */
   z.object({
@@ -227,10 +230,11 @@
     /** Unix time in ms of the process's start. */
     startedAt: unixMsSchema,
   }),
-  /** Forwards what the sender knows of the rates that upstreams have named. */
+  /** Forwards what the sender knows of the rates that upstreams have named, and of cold upstreams. */
   z.object({
     type: z.literal("rates"),
     notices: soundList(RateNoticeSchema),
+    cold: soundList(ColdNoticeSchema).optional(),
   }),
   /** Reports messages to an upstream with a limited rate that were sent without a placement. */
   z.object({ type: z.literal("sent"), upstream, count: positiveCountSchema }),
--- a/src/gateway/requests/upstream_availability.ts
+++ b/src/gateway/requests/upstream_availability.ts
@@ -8,10 +8,12 @@
   backoffMs?: Millis;
   /** Requests per second that it accepts from all daemons together; absent if it names none. */
   maxRate?: number | "unreadable";
+  /** How long it stays cold; absent if it doesn't state a time. */
+  coldMs?: Millis;
 }>;
 
-/** Whether the upstream announced that it is leaving, backing off or limited to a rate. */
+/** Whether the upstream announced that it is leaving, backing off, limited to a rate or cold. */
 export function limitsTraffic(availability: UpstreamAvailability): boolean {
   return availability.leaving || availability.backoffMs !== undefined ||
-    availability.maxRate !== undefined;
+    availability.maxRate !== undefined || availability.coldMs !== undefined;
 }
--- a/src/gateway/upstreams/availability.ts
+++ b/src/gateway/upstreams/availability.ts
@@ -6,6 +6,7 @@
   PoolGrant,
 } from "../../scheduling/pool/pool_job.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
+import { isColdLimited } from "./cold_rate.ts";
 import type { UpstreamClosure } from "./self_reported_closures.ts";
 import type { UpstreamEntry } from "./upstream_table.ts";
 
@@ -54,8 +55,10 @@
     if (closure !== undefined) return { ...closure, upstream };
     const rate = board.gate.rates.get(upstream);
     const isCounted = counted === true && upstream === job.upstream;
-    if (rate === undefined || isCounted) continue;
-    return { reason: "uncounted", knownAt: rate.namedAt, upstream };
+    const isLimited = rate !== undefined || isColdLimited(board, upstream, now);
+    if (!isLimited || isCounted) continue;
+    const knownAt = rate?.namedAt ?? now;
+    return { reason: "uncounted", knownAt, upstream };
   }
   return undefined;
 }
--- a/src/gateway/upstreams/rate_controller.ts
+++ b/src/gateway/upstreams/rate_controller.ts
@@ -10,6 +10,9 @@
   otherPlacers,
 } from "../members/membership.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
+import { coldRateOf } from "./cold_rate.ts";
+import { type ColdStatement, coldStatementsOf } from "./cold_statements.ts";
+import { entriesOf } from "./upstream_table.ts";
 import type { RateNotice } from "./named_rates.ts";
 import { RatePersister } from "./rate_persister.ts";
 
@@ -50,7 +53,8 @@
       gate.rates.prune(register.table, step.now);
       for (const { id } of register.updates) {
         this.#unreadable.delete(id);
-        gate.cold.record(id, register.table.get(id)?.coldMs, step.now);
+        const entry = register.table.get(id);
+        if (entry !== undefined) this.#recordCold(board, step, entry);
       }
       this.#nextUpdateAt = step.now;
     }
@@ -87,6 +91,11 @@
       case "order_sent":
         this.#charge(board, step, event.upstream);
         return [];
+      case "register_read":
+        // The table takes a shorter cold time for one that is running out.
+        return entriesOf(event.changes)
+          .filter((entry) => this.#recordCold(board, step, entry))
+          .map(({ id }) => id);
       case "rates_read":
         // A rate from before a restart applies until a response shows that it has ended.
         this.#mergeNotices(board, step, {
@@ -113,14 +122,16 @@
     const { upstream, availability, sentAt } = event;
     const { rates } = board.gate;
     const startedAt = board.register.table.startedAt(upstream);
-    const { maxRate } = availability;
+    const { maxRate, coldMs } = availability;
+    const turnedCold = coldMs !== undefined &&
+      this.#recordCold(board, step, { id: upstream, startedAt, coldMs });
     if (maxRate === "unreadable") {
       // An unreadable rate neither sets a limit nor ends one.
       if (!this.#unreadable.has(upstream)) {
         step.line("upstream_rate", { upstream, how: "unreadable" });
       }
       this.#unreadable.add(upstream);
-      return false;
+      return turnedCold;
     }
     this.#unreadable.delete(upstream);
     const changed = maxRate === undefined
@@ -130,7 +141,27 @@
         at: step.now,
       });
     if (changed) this.#logRate(board, step, upstream, "own");
-    return changed;
+    return changed || turnedCold;
+  }
+
+  /** Records that an upstream is cold; returns whether it is so for longer than was known. */
+  #recordCold(
+    board: GatewayBoard,
+    step: GatewayStep,
+    { id, startedAt, coldMs = 0 }: ColdStatement,
+  ): boolean {
+    const { gate, register } = board;
+    if (startedAt < register.table.startedAt(id)) return false;
+    const notice = { upstream: id, startedAt, coldMs };
+    const turnedCold = gate.cold.record(notice, step.now);
+    if (!turnedCold) return false;
+    this.#nextUpdateAt = step.now;
+    step.line("upstream_cold", {
+      upstream: id,
+      cold_ms: Math.round(coldMs),
+      per_second: coldRateOf(board, id) ?? 0,
+    });
+    return true;
   }
 
   #onMessage(
@@ -143,6 +174,9 @@
       scheduler.rates.charge(message.upstream, step.now, message.count);
       return;
     }
+    for (const statement of coldStatementsOf(message)) {
+      this.#recordCold(board, step, statement);
+    }
     const notices = noticesOf(message);
     if (notices === undefined) return;
     this.#mergeNotices(board, step, { from: "peer", notices });
@@ -203,11 +237,13 @@
 
   #notifyPlacers(board: GatewayBoard, step: GatewayStep): void {
     const notices = board.gate.rates.notices(step.now);
-    if (notices === undefined) return;
+    const cold = board.gate.cold.notices(step.now);
+    if (notices === undefined && cold === undefined) return;
+    const message = { type: "rates", notices: notices ?? [], cold } as const;
     for (const vm of otherPlacers(board)) {
       const to = board.members.table.get(vm)?.peer;
       if (to === undefined) continue;
-      step.emit({ type: "send", to, message: { type: "rates", notices } });
+      step.emit({ type: "send", to, message });
     }
   }
 
@@ -237,16 +273,6 @@
   }
 }
 
-/** The rate per second that a service states for its cold upstreams. */
-function coldRateOf(
-  { register, serving }: GatewayBoard,
-  id: UpstreamId,
-): number | undefined {
-  const service = register.table.get(id)?.service;
-  if (service === undefined) return undefined;
-  return serving.routes?.serving.services.get(service)?.coldRate;
-}
-
 function noticesOf(message: PeerMessage): readonly RateNotice[] | undefined {
   switch (message.type) {
     case "rates":
--- a/src/gateway/upstreams/register_controller.ts
+++ b/src/gateway/upstreams/register_controller.ts
@@ -29,6 +29,7 @@
 import { TableFetch } from "./table_fetch.ts";
 import { StoreReader } from "../store/store_reader.ts";
 import {
+  entriesOf,
   LAPSE_GRACE_MS,
   type MergeOptions,
   type UpstreamChange,
@@ -333,9 +334,3 @@
     if (asOf > register.asOf) register.asOf = asOf;
   }
 }
-
-function entriesOf(changes: readonly UpstreamChange[]) {
-  return changes.flatMap((change) =>
-    change.type === "entry" ? [change.entry] : []
-  );
-}
--- a/src/gateway/upstreams/table_message.ts
+++ b/src/gateway/upstreams/table_message.ts
@@ -1,6 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { Timestamp } from "../../core/time.ts";
 import { type GatewayBoard, storeProgressOf } from "../gateway_board.ts";
+import { entriesWithColdTime } from "./cold_rate.ts";
 import { encodePeerMessage, type PeerMessage } from "../peers/peer_message.ts";
 
 /** Longest table in a datagram. A longer one takes many packets, of which none may be lost, and is fetched over TCP. */
@@ -19,7 +20,7 @@
     from: self.card,
     progress: storeProgressOf(board, now),
     leader: members.leader,
-    entries: table.all(),
+    entries: entriesWithColdTime(board, now),
     ...(kept.length > 0 ? { kept } : {}),
     gone: table.recentlyGone(),
   };
--- a/src/gateway/upstreams/upstream_table.ts
+++ b/src/gateway/upstreams/upstream_table.ts
@@ -272,7 +272,7 @@
       known.service === entry.service && known.slots === entry.slots &&
       known.leaving === entry.leaving &&
       // An upstream that is warming up is no change; one that is cold again is.
-      (entry.coldMs ?? 0) <= (known.coldMs ?? 0);
+      (entry.coldMs === undefined || entry.coldMs < (known.coldMs ?? 0));
     if (!isUnchanged) return { kind: "changed", id: entry.id };
     return isSettled ? { kind: "settled", id: entry.id } : undefined;
   }
@@ -296,3 +296,12 @@
 
 /** How long entries that lapsed in an outage are kept after the register is available again. */
 export const LAPSE_GRACE_MS: Millis = 2_200;
+
+/** The entries that changes of the register hold. */
+export function entriesOf(
+  changes: readonly UpstreamChange[],
+): readonly UpstreamEntry[] {
+  return changes.flatMap((change) =>
+    change.type === "entry" ? [change.entry] : []
+  );
+}
