A VM that places alone is held to its part of the engines

While neither leader nor deputy answers, or while it is cut off, a VM places by itself. It knows its own jobs alone, so all VMs chose the same idle engines, and together admitted many times the room: in a crest of half as many prompts again as 60 engines have slots, 24 VMs that had lost leader and deputy admitted 660 on 480 slots (solo_placement_test.ts with the bound taken out).

With the leader alone dead, the deputy places for all as before.

--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -1,4 +1,4 @@
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
@@ -12,6 +12,7 @@
 import { contentRefusalOf } from "../contents/content_refusal.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
 import { type PlacedBatch, PlacedNotices } from "./placed_notices.ts";
+import { SoloPlacement } from "./solo_placement.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -36,6 +37,7 @@
   readonly #requests = PlacementRequestClient.create();
   readonly #inspector = EngineInspector.create();
   readonly #placed = PlacedNotices.create();
+  readonly #solo = SoloPlacement.create();
   /** Recipients of the decisions on queued jobs. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are tracked here, with the time of their last message. */
@@ -78,6 +80,8 @@
     if (event.type === "place") this.#request(board, step, event.ask);
     if (event.type === "withdraw") this.#withdraw(board, step, event.job);
     if (event.type === "job") {
+      const result = event.phase === "failed" ? "failed" : "ok";
+      this.#solo.answered(event.job, step.now, result);
       this.#applyProgress(board, step, event);
       this.#notifyPlacers(board, step, { ...event, type: "progress" });
     }
@@ -108,7 +112,17 @@
       return;
     }
     const pace = serving.routes?.serving.services.get(ask.service)?.pace;
-    const members = placeableUpstreams(board, ask, step.now);
+    const placeable = placeableUpstreams(board, ask, step.now);
+    const selected = replyTo === undefined
+      ? this.#solo.select(board, step, { ask, members: placeable })
+      : ok(placeable);
+    if (selected.isErr()) {
+      suspects.cancel(ask, ask.job);
+      const result = err(selected.error);
+      this.#deliver(board, step, { ask, result }, replyTo);
+      return;
+    }
+    const members = selected.value;
     const reopensMs = reopensInMs(ask);
     if (members.length === 0 && reopensMs !== undefined) {
       const detail = "All upstreams have asked this daemon to wait";
@@ -121,6 +135,7 @@
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
     if (decision !== undefined) {
       if (decision.result.isErr()) suspects.cancel(ask, ask.job);
+      else this.#solo.placed(ask, step.now);
       this.#deliver(board, step, decision, replyTo);
       return;
     }
@@ -135,7 +150,12 @@
     const { pool } = board;
     const decisions = pool.scheduler.decide(
       step.now,
-      (ask) => placeableUpstreams(board, ask, step.now),
+      (ask) => {
+        const members = placeableUpstreams(board, ask, step.now);
+        return this.#replyTo.get(ask.job) === undefined
+          ? this.#solo.part(board, step.now, { ask, members })
+          : members;
+      },
     );
     for (const decision of decisions) {
       const { ask } = decision;
@@ -245,6 +265,7 @@
           }
           return;
         }
+        this.#solo.heard(step);
         this.#recordPlaced(board, step, job);
         // A late grant was counted when it was given, not now that it would be used.
         const grant = isStale
--- a/src/gateway/placement/placement_request_client.ts
+++ b/src/gateway/placement/placement_request_client.ts
@@ -14,7 +14,7 @@
 /** Time until a queued request is resent, in case it or its answer was lost. */
 const QUEUED_RESEND_MS: Millis = 400;
 /** Time for which a daemon that left a request unanswered gets no further requests. */
-const SILENT_DAEMON_BACKOFF_MS: Millis = 800;
+export const SILENT_DAEMON_BACKOFF_MS: Millis = 800;
 
 /** Age of a request from which on its grant counts as late. */
 const MAX_GRANT_AGE_MS: Millis = 1_000;
