A VM that places alone keeps engines of every failure domain

The part of the engines that a VM used alone could lie in one failure domain, where it found them all gone if the domain was lost with the placing daemons. The part now begins with one engine of each domain, by turns.

--- a/src/scheduling/pool/solo_room.ts
+++ b/src/scheduling/pool/solo_room.ts
@@ -1,12 +1,10 @@
-import { fnv1aHash } from "../../core/fnv1a.ts";
 import type { ServiceId, VmId } from "../../core/id.ts";
-import type { Timestamp } from "../../core/time.ts";
-import { addMs } from "../../core/time.ts";
+import { addMs, type Timestamp } from "../../core/time.ts";
 import type { PoolMember } from "./pool_grant.ts";
 import type { JobId, PlacementRequest } from "./pool_job.ts";
 
-/** A daemon that may place requests, and where it is. */
-export type SoloPeer = Readonly<{ vm: VmId; domain: string }>;
+/** A daemon that may place requests. */
+export type SoloPeer = Readonly<{ vm: VmId }>;
 
 /** What a VM that places alone has of a service: its limit, and the first events that are expected. */
 type SoloService = {
@@ -101,43 +99,53 @@
   }
 }
 
-/** The engines in the order in which a VM uses them: sorted daemons begin at evenly spaced places of the sorted list. */
+/**
+ * The engines in the order in which a VM uses them, of all failure domains by turns: a domain may be lost together with
+ * the daemons that place. Sorted daemons begin at evenly spaced places of each domain's sorted list.
+ */
 function partOf<T extends PoolMember>(
   self: VmId,
   members: readonly T[],
   daemons: readonly SoloPeer[],
 ): readonly T[] {
-  const sortedMembers = inOrder(members, ({ id }) => id);
-  const sortedDaemons = inOrder(daemons, ({ vm }) => vm);
-  const index = sortedDaemons.findIndex(({ vm }) => vm === self);
-  const start = Math.floor(
-    Math.max(0, index) * members.length / Math.max(1, daemons.length),
-  );
-  return [...sortedMembers.slice(start), ...sortedMembers.slice(0, start)];
+  const sorted = [...daemons].sort((a, b) => a.vm < b.vm ? -1 : 1);
+  const index = Math.max(0, sorted.findIndex(({ vm }) => vm === self));
+  const fraction = index / Math.max(1, daemons.length);
+  const byDomain = groupByDomain(members);
+  const lists = [...byDomain.values()].map((list) => {
+    const byId = [...list].sort((a, b) => a.id < b.id ? -1 : 1);
+    const start = Math.floor(fraction * byId.length);
+    return [...byId.slice(start), ...byId.slice(0, start)];
+  });
+  const longest = Math.max(0, ...lists.map((list) => list.length));
+  return Array.from(
+    { length: longest },
+    (_, i) => lists.flatMap((list) => list.slice(i, i + 1)),
+  ).flat();
 }
 
-/** Sorts by failure domain, so that most daemons begin in their own, then by a hash. */
-function inOrder<T extends Readonly<{ domain: string }>>(
-  items: readonly T[],
-  idOf: (item: T) => string,
-): readonly T[] {
-  const keyed = items.map((item) => ({ item, hash: fnv1aHash(idOf(item)) }));
-  keyed.sort((a, b) =>
-    Number(a.item.domain > b.item.domain) -
-      Number(a.item.domain < b.item.domain) || a.hash - b.hash
-  );
-  return keyed.map(({ item }) => item);
+function groupByDomain<T extends PoolMember>(
+  members: readonly T[],
+): ReadonlyMap<string, readonly T[]> {
+  const groups = new Map<string, T[]>();
+  for (const member of members) {
+    const group = groups.get(member.domain) ?? [];
+    groups.set(member.domain, group);
+    group.push(member);
+  }
+  return groups;
 }
 
-/** The first engines that together have slots for `jobs`, at least one. */
+/** The first engines that together have slots for `jobs`, at least one of each failure domain. */
 function firstWithRoom<T extends PoolMember>(
   members: readonly T[],
   jobs: number,
 ): readonly T[] {
+  const domains = new Set(members.map(({ domain }) => domain)).size;
   let slots = 0;
-  const count = members.findIndex((member) => {
+  const enough = members.findIndex((member, i) => {
     slots += member.slots;
-    return slots >= jobs;
+    return slots >= jobs && i + 1 >= domains;
   });
-  return count === -1 ? members : members.slice(0, count + 1);
+  return enough === -1 ? members : members.slice(0, enough + 1);
 }
