Directories of 300 daemons named one that was gone for more than 7 s

A daemon counts as down after three heartbeats, and the others learn it with their next one: 10 s at 300 daemons, beyond the 7 s in which clients may still be sent there.

--- a/src/gateway/members/membership.ts
+++ b/src/gateway/members/membership.ts
@@ -5,8 +5,8 @@
 
 /** Shortest time between heartbeats; a leader that doesn't reply is detected after two intervals. */
 const MIN_HEARTBEAT_INTERVAL_MS: Millis = 400;
-/** Interval per daemon in a large system; limits the leader to about 120 heartbeats per second. */
-const HEARTBEAT_INTERVAL_MS_PER_MEMBER: Millis = 8;
+/** Interval per daemon in a large system; limits the leader to 200 heartbeats per second. */
+const HEARTBEAT_INTERVAL_MS_PER_MEMBER: Millis = 5;
 /** Heartbeats that may be lost before a daemon counts as down. */
 const MAX_LOST_HEARTBEATS = 3;
 
