--- a/src/gateway/members/heartbeat_reply.ts
+++ b/src/gateway/members/heartbeat_reply.ts
@@ -4,6 +4,7 @@
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { settlingUntil } from "../store/settling.ts";
 import { isBefore, resolvePosition } from "../store/store_position.ts";
+import { entriesWithColdTime } from "../upstreams/cold_rate.ts";
 import { MAX_DATAGRAM_ENTRIES } from "../upstreams/table_message.ts";
 import { bestLeaders } from "./member_table.ts";
 import type { RosterUpdate } from "./roster.ts";
@@ -14,7 +15,7 @@
 type Heartbeat = Extract<PeerMessage, { type: "heartbeat" }>;
 type HeartbeatReply = Extract<PeerMessage, { type: "heartbeat_reply" }>;
 
-/** A heartbeat with the daemons that its reply names: the update of the roster, and all that may lead. */
+/** A heartbeat with the daemons that its reply names: the update of the roster, and all that the replier has heard. */
 type AnsweredHeartbeat =
   & Omit<Heartbeat, "roster">
   & Readonly<{
@@ -41,7 +42,7 @@
     leader: members.leader,
     roster: heartbeat.roster,
     candidates: heartbeat.seeks === true
-      ? bestLeaders(heartbeat.candidates, MAX_CANDIDATES)
+      ? bestCandidates(heartbeat.candidates)
       : undefined,
     ...(mustFetch ? { behind: true } : {}),
     ...(isBehind && !mustFetch
@@ -52,20 +53,32 @@
       mark: heartbeat.contents?.mark,
     }),
     rates: board.gate.rates.notices(now),
+    cold: board.gate.cold.notices(now),
   };
 }
 
+/** The best open daemons, and the best ones while few are open. */
+function bestCandidates(cards: readonly PeerCard[]): readonly PeerCard[] {
+  const open = bestLeaders(
+    cards.filter((card) => card.open),
+    MAX_CANDIDATES,
+  );
+  if (open.length === MAX_CANDIDATES) return open;
+  const others = cards.filter((card) => !card.open);
+  return [...open, ...bestLeaders(others, MAX_CANDIDATES - open.length)];
+}
+
 /** The table of upstreams, with the processes that are gone if the receiver has none or an older copy may list them. */
 function tableFor(
-  { register, store }: GatewayBoard,
+  board: GatewayBoard,
   now: Timestamp,
   isNew: boolean,
 ): Pick<HeartbeatReply, "entries" | "kept" | "gone"> {
-  const { table } = register;
+  const { table } = board.register;
   const kept = table.kept(now);
-  const needsGone = isNew || settlingUntil(store, now) !== undefined;
+  const needsGone = isNew || settlingUntil(board.store, now) !== undefined;
   return {
-    entries: table.all(),
+    entries: entriesWithColdTime(board, now),
     kept: kept.length > 0 ? kept : undefined,
     gone: needsGone ? table.recentlyGone() : undefined,
   };
