Admission in modules of its own: shortage in the log, prediction error fed back

Cause: pool_scheduler.ts held the queue and all admission state for all services together, a refusal didn't say which room was short, and nothing compared predicted with seen first events. Change: ServiceAdmission (demand of one service), LongPromptQueue, queue_plan and shortage; the place line and the refusal name the room (prefill, decode, memory, share, queue, late) and the predicted first event; PredictionError feeds the error of first events back as their margin, with gauges. A caller who comes again is known by its digest and deadline, so that another one with the same content counts as new. #refuse is the one place that tells a time to return.

--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -163,7 +163,7 @@
     decision: PoolDecision,
     replyTo: ReplyTo,
   ): void {
-    const { ask, result } = decision;
+    const { ask, result, shortage } = decision;
     const { register, pool, self } = board;
     step.line("place", {
       req: ask.req,
@@ -189,6 +189,10 @@
         }
         : {
           refused: result.error.code,
+          ...(shortage === undefined ? {} : {
+            room: shortage.room,
+            expect_ms: Math.round(shortage.expectMs),
+          }),
         }),
     });
     if (result.isOk()) {
--- a/src/scheduling/pool/admission/refused_callers.ts
+++ b/src/scheduling/pool/admission/refused_callers.ts
@@ -1,36 +1,39 @@
-import type { Millis, Timestamp } from "../../../core/time.ts";
+import { addMs, type Millis, type Timestamp } from "../../../core/time.ts";
+import type { PlacementRequest } from "../pool_job.ts";
 
 /** Callers that are remembered; the oldest entry goes first. */
 const MAX_CALLERS = 20_000;
+/** A caller who comes again keeps its deadline, up to the time that requests take on their way. */
+const DEADLINE_SLACK_MS: Millis = 250;
+
+type Caller = Pick<PlacementRequest, "digest" | "leftMs">;
+type Entry = Readonly<{ at: Timestamp; deadlineAt: Timestamp }>;
 
 /** Remembers when callers were refused first, by the digest of caller and content. */
 export class RefusedCallers {
-  readonly #refusedAt = new Map<string, Timestamp>();
+  readonly #refused = new Map<string, Entry>();
 
   static create(): RefusedCallers {
     return new RefusedCallers();
   }
 
   /** Records a refusal; later ones of the same caller don't change the time. */
-  refused(digest: string, now: Timestamp): void {
-    if (this.#refusedAt.has(digest)) return;
-    this.#refusedAt.set(digest, now);
-    if (this.#refusedAt.size <= MAX_CALLERS) return;
-    const [oldest] = this.#refusedAt.keys();
-    this.#refusedAt.delete(oldest!);
-  }
-
-  /** Time for which a caller has waited since its first refusal within `withinMs`; 0 if there was none. */
-  waitedMs(digest: string, now: Timestamp, withinMs: Millis): Millis {
-    const at = this.#refusedAt.get(digest);
-    if (at === undefined) return 0;
-    if (now - at <= withinMs) return now - at;
-    this.#refusedAt.delete(digest);
-    return 0;
+  refused(caller: Caller, now: Timestamp): void {
+    if (this.waitedMs(caller, now) > 0) return;
+    const { digest, leftMs } = caller;
+    this.#refused.delete(digest);
+    this.#refused.set(digest, { at: now, deadlineAt: addMs(now, leftMs) });
+    if (this.#refused.size <= MAX_CALLERS) return;
+    const [oldest] = this.#refused.keys();
+    this.#refused.delete(oldest!);
   }
 
-  /** Forgets a caller that is served. */
-  served(digest: string): void {
-    this.#refusedAt.delete(digest);
+  /** Time for which a caller has waited since it was refused first; 0 if it is new. */
+  waitedMs({ digest, leftMs }: Caller, now: Timestamp): Millis {
+    const entry = this.#refused.get(digest);
+    if (entry === undefined) return 0;
+    // Another caller may send the same content, with a deadline of its own.
+    const aheadMs = addMs(now, leftMs) - entry.deadlineAt;
+    return Math.abs(aheadMs) <= DEADLINE_SLACK_MS ? now - entry.at : 0;
   }
 }
--- a/src/scheduling/pool/admission/short_room.ts
+++ b/src/scheduling/pool/admission/short_room.ts
@@ -19,6 +19,9 @@
 /** Predicted wait for each prompt beyond the slots: about the time until a stream of a full batch ends. */
 const SLOT_WAIT_MS: Millis = 150;
 
+/** Error margin of pauses, which don't depend on when the current pass ends. */
+const PAUSE_MARGIN_MS: Millis = 15;
+
 /**
  * Whether a prompt and the streams that an engine decodes stay in time with each other.
  * Load pattern: a crest of short prompts. An engine's slots, its memory and the pauses that its streams accept are used
@@ -46,15 +49,16 @@
   for (const job of load.jobs.values()) {
     if (job.upstream !== engine.id) continue;
     ownJobs += 1;
-    if (predicted.pauseMs + marginMs > job.pauseMs) lateStreams += 1;
+    if (predicted.pauseMs + PAUSE_MARGIN_MS > job.pauseMs) lateStreams += 1;
   }
   const excess = Math.max(0, ownJobs + 1 - engine.slots);
   const firstMs = predicted.firstMs + excess * SLOT_WAIT_MS * slowdown;
   const limitTokens = pace.memoryTokens * PLANNED_MEMORY_FRACTION;
   let lacks: ShortRoom | undefined;
   if (load.memoryTokens + tokens > limitTokens) lacks = "memory";
-  else if (excess > 0 || decodeMs + marginMs > ask.pauseMs) lacks = "decode";
-  else if (lateStreams > 0) lacks = "decode";
+  else if (excess > 0 || decodeMs + PAUSE_MARGIN_MS > ask.pauseMs) {
+    lacks = "decode";
+  } else if (lateStreams > 0) lacks = "decode";
   else if (firstMs + marginMs > limitMs) lacks = "prefill";
   return { firstMs, lateStreams, lacks };
 }
--- /dev/null
+++ b/src/scheduling/pool/admission/shortage.ts
@@ -0,0 +1,47 @@
+import type { Millis } from "../../../core/time.ts";
+import { admissionLimitMs } from "../admission_limit.ts";
+import type { EnginePace } from "../engine_pace.ts";
+import type { PlacementRequest } from "../pool_job.ts";
+import type { ShortRoom } from "./short_room.ts";
+
+/** The room that is short for a refused prompt: an engine's, its class's share, the queue's, or the caller's time. */
+export type ShortageRoom = ShortRoom | "share" | "queue" | "late";
+
+/** Why a prompt is refused: the room that is short, and when its first event would have come. */
+export type Shortage = Readonly<{ room: ShortageRoom; expectMs: Millis }>;
+
+/**
+ * The room that a short prompt lacks, with the best place for it; undefined if it is admitted. A prompt that failed on
+ * another upstream has waited already, so it is admitted up to its caller's time-out.
+ */
+export function shortageOf(
+  ask: PlacementRequest,
+  pace: EnginePace,
+  place: Readonly<{
+    expectMs: Millis;
+    lacks: ShortRoom | "share" | undefined;
+    /** Time for which the caller has waited already. */
+    waitedMs: Millis;
+  }>,
+): ShortageRoom | undefined {
+  const limitMs = admissionLimitMs(ask, pace);
+  if (place.expectMs > limitMs) return place.lacks ?? "prefill";
+  if (ask.avoid.length > 0) return undefined;
+  if (place.lacks !== undefined) return place.lacks;
+  return place.waitedMs + place.expectMs > limitMs ? "late" : undefined;
+}
+
+/** What a caller is told of a shortage. */
+export function shortageDetail({ room, expectMs }: Shortage): string {
+  return `No ${NAMES[room]} in time: the first event is expected in ` +
+    `${Math.round(expectMs)} ms`;
+}
+
+const NAMES: Readonly<Record<ShortageRoom, string>> = {
+  prefill: "prefill time",
+  decode: "decode slot",
+  memory: "engine memory",
+  share: "share of the engines",
+  queue: "place in the queue",
+  late: "time left",
+};
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -4,13 +4,8 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { PlacementInput } from "./candidate.ts";
 import { type EnginePace, prefillMs } from "./engine_pace.ts";
-import {
-  backlogMs,
-  orderQueue,
-  type QueuedPrompt,
-  queuedPromptOf,
-  splitQueue,
-} from "./long_queue.ts";
+import type { QueuedPrompt } from "./long_queue.ts";
+import { LongPromptQueue, type PromptSubmission } from "./long_prompt_queue.ts";
 import { placeCall } from "./place_call.ts";
 import { placeLong, requiredEnginesFreeInMs } from "./place_long.ts";
 import { MAX_HELPERS } from "./plan_memory.ts";
@@ -21,13 +16,15 @@
 } from "./pool_refusals.ts";
 import { placeShort } from "./place_short.ts";
 import { JobTracker } from "./job_tracker.ts";
-import { RefusedCallers } from "./admission/refused_callers.ts";
-import { RoomShares } from "./admission/room_shares.ts";
-import { SizeBalance } from "./admission/size_balance.ts";
-import { engineMs, rankWeight } from "./engine_worth.ts";
+import { PredictionError } from "./admission/prediction_error.ts";
+import { ServiceAdmissions } from "./admission/service_admissions.ts";
+import {
+  type Shortage,
+  shortageDetail,
+  shortageOf,
+} from "./admission/shortage.ts";
 import { RateBudgets } from "./rate_budgets.ts";
 import { RETRY_AFTER_MS, RetryPacer } from "./retry_pacer.ts";
-import { admissionLimitMs } from "./admission_limit.ts";
 import { SlowEngineDetector } from "./slow_engine_detector.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
 import type {
@@ -56,24 +53,22 @@
 export type PoolDecision = Readonly<{
   ask: PlacementRequest;
   result: Result<PoolGrant, Problem>;
-}>;
-
-type QueueEntry = Readonly<{
-  req: PoolSubmission & Readonly<{ pace: EnginePace }>;
-  prompt: QueuedPrompt;
+  /** Why a prompt is refused, if room is short. */
+  shortage?: Shortage;
 }>;
 
 /** Places requests on upstreams and queues long prompts until engines are free. Does no I/O and reads no clock. */
 export class PoolScheduler {
   readonly tracker = JobTracker.create();
   readonly slowEngines = SlowEngineDetector.create();
+  /** Predicted against seen first events of short prompts. */
+  readonly predictions = PredictionError.create();
   /** Budgets for upstreams that accept a limited rate. */
   readonly rates = RateBudgets.create();
-  readonly #queue = new Map<JobId, QueueEntry>();
+  readonly #admissions = ServiceAdmissions.create();
+  readonly #queue = LongPromptQueue.create(this.#admissions);
+
   readonly #retryPacer = RetryPacer.create();
-  readonly #shares = RoomShares.create();
-  readonly #refused = RefusedCallers.create();
-  readonly #sizes = SizeBalance.create();
 
   static create(): PoolScheduler {
     return new PoolScheduler();
@@ -89,32 +84,27 @@
     const { ask, pace } = req;
     const known = this.tracker.jobs.get(ask.job);
     if (known !== undefined) {
-      return { ask, result: ok(this.#grant(known, req)) };
+      return { ask, result: ok(this.#grantOf(known, req)) };
     }
-    if (this.#queue.has(ask.job)) return undefined;
+    if (this.#queue.get(ask.job) !== undefined) return undefined;
     if (req.members.length === 0) {
       return { ask, result: err(noUpstreamProblem()) };
     }
     if (ask.kind === "call" || pace === undefined) {
-      return { ask, result: this.#placeCall(req, now) };
+      return this.#placeCall(req, now);
     }
     const isShort = prefillMs(pace, ask.promptTokens) <= MAX_SHORT_PREFILL_MS;
-    this.#shares.offer(isShort ? "short" : "long", now, {
-      engineMs: engineMs(ask, pace),
-      weight: rankWeight(ask.rank),
-    });
-    if (isShort) {
-      return { ask, result: this.#placeShort({ ...req, pace }, now) };
-    }
+    const admission = this.#admissions.of(ask.service);
+    const promptClass = isShort ? "short" : "long";
+    admission.offer(ask, now, { pace, promptClass });
+    if (isShort) return this.#placeShort({ ...req, pace }, now);
     if (this.rates.openForSplit(req.members, now).length === 0) {
       return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
     if (exceedsPoolMemory(ask, pace, req.members.length)) {
       return { ask, result: err(tooLargeProblem()) };
     }
-    const waitedMs = this.#refused.waitedMs(ask.digest, now, ask.targetMs * 8);
-    const prompt = queuedPromptOf(ask, pace, addMs(now, -waitedMs));
-    this.#queue.set(ask.job, { req: { ...req, pace }, prompt });
+    this.#queue.add({ ...req, pace }, now);
     return undefined;
   }
 
@@ -128,32 +118,31 @@
     let backfillMs = Infinity;
     let busyTries = 0;
     let aheadMs: Millis | undefined;
-    for (const entry of this.#orderedQueue(now)) {
-      const { ask, pace } = entry.req;
+    const candidatesOf = (req: PromptSubmission) =>
+      this.#inputOf(req, now).candidates;
+    for (const { prompt, shed } of this.#queue.plan(now, candidatesOf)) {
+      const { ask, pace } = this.#queue.get(prompt.job)!;
       const listed = members(ask);
-      const req = {
-        ask,
-        pace,
-        members: this.rates.openForSplit(listed, now),
-      };
-      const { prompt } = entry;
-      aheadMs ??= this.#totalBacklogMs(req.members, now);
-      const finishesInMs = (aheadMs + prompt.prefillMs) / req.members.length;
-      let result: Result<PoolGrant, Problem> | undefined;
-      if (req.members.length === 0) {
-        result = err(this.#noUpstream(ask, listed, now));
-      } else if (entry.shed) {
-        result = err(this.#refusal("deadline_unreachable", now));
-        this.#refused.refused(ask.digest, now);
+      const open = this.rates.openForSplit(listed, now);
+      const req = { ask, pace, members: open };
+      aheadMs ??= this.#totalBacklogMs(open, now);
+      const finishesInMs = (aheadMs + prompt.prefillMs) / open.length;
+      let decision: PoolDecision | undefined;
+      if (open.length === 0) {
+        decision = { ask, result: err(this.#noUpstream(ask, listed, now)) };
+      } else if (shed) {
+        const expectMs = finishesInMs;
+        decision = this.#refuse(req, now, { room: "queue", expectMs });
       } else if (busyTries < MAX_BUSY_TRIES) {
-        result = this.#placeLong(req, prompt, { now, backfillMs });
+        decision = this.#placeLong(req, prompt, { now, backfillMs });
       }
       if (
-        result === undefined && addMs(now, finishesInMs) > prompt.timeoutAt
+        decision === undefined && addMs(now, finishesInMs) > prompt.timeoutAt
       ) {
-        result = err(this.#refusal("deadline_unreachable", now));
+        const expectMs = finishesInMs;
+        decision = this.#refuse(req, now, { room: "queue", expectMs });
       }
-      if (result === undefined) {
+      if (decision === undefined) {
         busyTries += 1;
         aheadMs += prompt.prefillMs;
         // After the last attempt no prompt is placed, so the limit is not needed.
@@ -164,8 +153,9 @@
         continue;
       }
       this.#queue.delete(ask.job);
-      this.#sizes.decided(ask, result.isOk(), now);
-      decisions.push({ ask, result });
+      const placed = decision.result.isOk();
+      this.#admissions.of(ask.service).decided(ask, placed, now);
+      decisions.push(decision);
     }
     return decisions;
   }
@@ -179,101 +169,52 @@
   started(job: JobId, now: Timestamp): void {
     this.slowEngines.firstEventReceived(job, now);
     this.tracker.started(job, now);
+    this.predictions.seen(job, now);
   }
 
   /** Removes a request that is queued or placed. */
   withdraw(job: JobId, now: Timestamp): void {
     this.#queue.delete(job);
     this.slowEngines.removeJob(job);
+    this.predictions.forget(job);
     this.tracker.ended(job, now);
   }
 
   /** Removes the queued and placed requests of a daemon. */
   removeDaemon(vm: VmId, now: Timestamp): void {
-    for (const [job, { req }] of this.#queue) {
-      if (req.ask.vm === vm) this.#queue.delete(job);
-    }
+    this.#queue.removeDaemon(vm);
     this.tracker.removeDaemon(vm, now);
   }
 
-  #queuedPrompts(): readonly QueuedPrompt[] {
-    return [...this.#queue.values()].map((entry) => entry.prompt);
-  }
-
-  #orderedQueue(now: Timestamp): readonly (QueueEntry & { shed: boolean })[] {
-    const [first] = this.#queue.values();
-    if (first === undefined) return [];
-    const entry = (prompt: QueuedPrompt, shed: boolean) => ({
-      ...this.#queue.get(prompt.job)!,
-      prompt,
-      shed,
-    });
-    const { candidates } = this.#inputOf(first.req, now);
-    const shortEngines = this.#shares.shortEngines(candidates, now);
-    if (shortEngines === undefined) {
-      const engines = this.#tolerantEngines();
-      const { late } = splitQueue(this.#queuedPrompts(), { engines, now });
-      if (late.length > 0) this.#shares.lacked(now);
-      return orderQueue(this.#queuedPrompts(), { engines, now })
-        .map((prompt) => entry(prompt, false));
-    }
-    const others = candidates.filter(({ id }) => !shortEngines.has(id));
-    let busyMs = 0;
-    for (const { load } of others) busyMs += load.backlogMs(now);
-    const engines = Math.max(1, others.length);
-    busyMs /= engines;
-    const prompts = [...this.#queue.values()].map(({ prompt, req }) =>
-      this.#sizes.isBehind(req.ask)
-        ? { ...prompt, dueAt: prompt.timeoutAt, preferred: true }
-        : prompt
-    );
-    const split = splitQueue(prompts, { engines, now, busyMs });
-    if (split.late.length > 0) this.#shares.lacked(now);
-    return [
-      ...split.inTime.map((prompt) => entry(prompt, false)),
-      ...split.late.map((prompt) => entry(prompt, true)),
-    ];
-  }
-
-  /** Number of engines that prefill long prompts in parallel: those without sensitive streams, at least 1. */
-  #tolerantEngines(): number {
-    const [first] = this.#queue.values();
-    const members = first?.req.members ?? [];
-    const tolerant = members.filter(({ id }) =>
-      this.tracker.loadOf(id).sensitiveStreams === 0
-    );
-    return Math.max(1, tolerant.length);
-  }
-
   #placeLong(
-    req: QueueEntry["req"],
+    req: PromptSubmission,
     prompt: QueuedPrompt,
     options: Readonly<{ now: Timestamp; backfillMs: Millis }>,
-  ): Result<PoolGrant, Problem> | undefined {
+  ): PoolDecision | undefined {
     const { now, backfillMs } = options;
     const { ask, pace } = req;
     const input = { ...this.#inputOf(req, now), pace };
-    const shortEngines = this.#shares.shortEngines(input.candidates, now);
+    const admission = this.#admissions.of(ask.service);
     const placement = placeLong(input, {
-      shortEngines,
       dueInMs: prompt.dueAt - now,
       timeoutInMs: Math.min(prompt.timeoutAt - now, backfillMs),
+      shortEngines: admission.shortEngines(input.candidates, now),
     });
     if (placement === "busy" || placement === "no_memory") {
       const engines = Math.min(req.members.length, MAX_HELPERS + 1);
-      if (now + prompt.prefillMs / engines < prompt.timeoutAt) return undefined;
-      const code = placement === "busy" ? "deadline_unreachable" : "no_memory";
-      return err(this.#refusal(code, now));
+      const expectMs = prompt.prefillMs / engines;
+      if (now + expectMs < prompt.timeoutAt) return undefined;
+      const room = placement === "busy" ? "queue" : "memory";
+      return this.#refuse(req, now, { room, expectMs });
     }
+    const { engine, helpers, tickets, partMs, expectMs } = placement;
     const job = jobOf(ask, now, {
-      upstream: placement.engine.id,
-      partMs: placement.partMs,
-      helpers: placement.helpers.map((member) => member.id),
-      tickets: placement.tickets,
+      upstream: engine.id,
+      partMs,
+      helpers: helpers.map((member) => member.id),
+      tickets,
     });
-    this.#add(job, now);
-    this.slowEngines.expectFirstEvent(job, placement.expectMs, now);
-    return ok(this.#grant(job, req, placement.expectMs));
+    return this.#grant(job, req, { now, expectMs });
   }
 
   /** Sum of the prefill time left on all engines. */
@@ -283,76 +224,88 @@
     return sum;
   }
 
-  #refusal(
-    code: "deadline_unreachable" | "no_memory",
+  /** Refuses a prompt for want of room. */
+  #refuse(
+    req: PromptSubmission,
     now: Timestamp,
-  ): Problem {
-    const leftMs = backlogMs(this.#queuedPrompts(), {
-      engines: this.#tolerantEngines(),
-      now,
-    });
-    return problem(code, "The engines are not free in time", {
-      retryAfterMs: Math.max(RETRY_AFTER_MS, Math.ceil(leftMs)),
-    });
+    shortage: Shortage,
+  ): PoolDecision {
+    const { ask } = req;
+    const code =
+      shortage.room === "memory" && this.#queue.get(ask.job) !== undefined
+        ? "no_memory"
+        : "deadline_unreachable";
+    const result = err(problem(code, shortageDetail(shortage), {
+      retryAfterMs: this.#retryMs(req, now),
+    }));
+    return { ask, result, shortage };
   }
 
-  #placeShort(
-    req: QueueEntry["req"],
-    now: Timestamp,
-  ): Result<PoolGrant, Problem> {
+  /** When a refused caller may come again: when the queue is done, or one after another. */
+  #retryMs({ ask, members }: PoolSubmission, now: Timestamp): Millis {
+    const queued = this.#queue.get(ask.job);
+    if (queued === undefined) {
+      const engines = members.length;
+      return this.#retryPacer.nextRetryMs(now, { leftMs: ask.leftMs, engines });
+    }
+    const { candidates } = this.#inputOf(queued, now);
+    const queueMs = this.#queue.backlogMs(ask.service, candidates, now);
+    return Math.max(RETRY_AFTER_MS, Math.ceil(queueMs));
+  }
+
+  #placeShort(req: PromptSubmission, now: Timestamp): PoolDecision {
     const { ask, pace } = req;
     const input = { ...this.#inputOf(req, now), pace };
-    const shortEngines = this.#shares.shortEngines(input.candidates, now);
-    const placement = placeShort(input, { marginMs: 15, shortEngines });
+    const admission = this.#admissions.of(ask.service);
+    const shortEngines = admission.shortEngines(input.candidates, now);
+    const { marginMs } = this.predictions;
+    const placement = placeShort(input, { marginMs, shortEngines });
     if (placement === undefined) {
-      return err(this.#noUpstream(ask, req.members, now));
+      return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
     const { engine, expectMs, lacks } = placement;
-    if (lacks !== undefined) this.#shares.lacked(now);
-    const limitMs = admissionLimitMs(ask, pace);
-    const waitedMs = this.#refused.waitedMs(ask.digest, now, ask.targetMs * 30);
-    const isLate = waitedMs + expectMs > limitMs && shortEngines !== undefined;
-    if (
-      isLate || expectMs > limitMs ||
-      (lacks !== undefined && ask.avoid.length === 0)
-    ) {
-      this.#refused.refused(ask.digest, now);
-      return err(problem(
-        "deadline_unreachable",
-        `The first event is expected in ${Math.round(expectMs)} ms`,
-        {
-          retryAfterMs: this.#retryPacer.nextRetryMs(now, {
-            leftMs: ask.leftMs,
-            engines: req.members.length,
-          }),
-        },
-      ));
+    if (lacks !== undefined) admission.lacked(now);
+    const room = shortageOf(ask, pace, {
+      ...placement,
+      waitedMs: shortEngines === undefined ? 0 : admission.waitedMs(ask, now),
+    });
+    if (room !== undefined) {
+      admission.refused(ask, now);
+      return this.#refuse(req, now, { room, expectMs });
     }
     const partMs = prefillMs(pace, ask.promptTokens);
     const job = jobOf(ask, now, { upstream: engine.id, partMs });
-    this.#add(job, now);
-    this.slowEngines.expectFirstEvent(job, expectMs, now);
-    return ok(this.#grant(job, req, expectMs));
+    this.predictions.expect(job.id, addMs(now, expectMs));
+    return this.#grant(job, req, { now, expectMs });
   }
 
-  #placeCall(req: PoolSubmission, now: Timestamp): Result<PoolGrant, Problem> {
+  #placeCall(req: PoolSubmission, now: Timestamp): PoolDecision {
+    const { ask } = req;
     const placement = placeCall(this.#inputOf(req, now));
     if (placement === undefined) {
-      return err(this.#noUpstream(req.ask, req.members, now));
+      return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
     const { instance, expectMs } = placement;
-    const job = jobOf(req.ask, now, { upstream: instance.id, partMs: 0 });
-    this.#add(job, now);
-    return ok(this.#grant(job, req, expectMs));
+    const job = jobOf(ask, now, { upstream: instance.id, partMs: 0 });
+    return this.#grant(job, req, { now, expectMs });
   }
 
-  /** Tracks a placed job, and counts it against the rate of its upstream. */
-  #add(job: PoolJob, now: Timestamp): void {
+  /** Tracks a placed job, counts it against the rate of its upstream, and grants it. */
+  #grant(
+    job: PoolJob,
+    req: PoolSubmission,
+    options: Readonly<{ now: Timestamp; expectMs: Millis }>,
+  ): PoolDecision {
+    const { now, expectMs } = options;
     this.tracker.add(job, now);
     this.rates.charge(job.upstream, now);
+    if (job.kind === "prompt") {
+      this.slowEngines.expectFirstEvent(job, expectMs, now);
+    }
+    return { ask: req.ask, result: ok(this.#grantOf(job, req, expectMs)) };
   }
 
-  #grant(job: PoolJob, req: PoolSubmission, expectMs?: Millis): PoolGrant {
+  #grantOf(job: PoolJob, req: PoolSubmission, expectMs?: Millis): PoolGrant {
     const grant = grantOf(job, req, expectMs);
     return this.rates.has(job.upstream) ? { ...grant, counted: true } : grant;
   }
