--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -1,4 +1,4 @@
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { UpstreamId, VmId } from "../../core/id.ts";
 import { problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
@@ -11,6 +11,8 @@
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
 import { contentRefusalOf } from "../contents/content_refusal.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
+import { type PlacedBatch, PlacedNotices } from "./placed_notices.ts";
+import { SoloPlacement } from "./solo_placement.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -34,6 +36,8 @@
 export class PlacementController extends GatewayController {
   readonly #requests = PlacementRequestClient.create();
   readonly #inspector = EngineInspector.create();
+  readonly #placed = PlacedNotices.create();
+  readonly #solo = SoloPlacement.create();
   /** Recipients of the decisions on queued jobs. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are tracked here, with the time of their last message. */
@@ -57,6 +61,7 @@
     this.#removeSilentDaemons(board, step);
     this.#inspector.step(board, step);
     this.#decide(board, step);
+    this.#sendPlaced(board, step);
   }
 
   #removeUnlistedUpstreams(board: GatewayBoard): void {
@@ -77,6 +82,8 @@
     if (event.type === "place") this.#request(board, step, event.ask);
     if (event.type === "withdraw") this.#withdraw(board, step, event.job);
     if (event.type === "job") {
+      const result = event.phase === "failed" ? "failed" : "ok";
+      this.#solo.answered(event.job, step.now, result);
       this.#applyProgress(board, step, event);
       this.#notifyPlacers(board, step, { ...event, type: "progress" });
     }
@@ -108,7 +115,17 @@
       return;
     }
     const pace = serving.routes?.serving.services.get(ask.service)?.pace;
-    const members = placeableUpstreams(board, ask, step.now);
+    const placeable = placeableUpstreams(board, ask, step.now);
+    const selected = replyTo === undefined
+      ? this.#solo.select(board, step, { ask, members: placeable })
+      : ok(placeable);
+    if (selected.isErr()) {
+      suspects.cancel(ask, ask.job);
+      const result = err(selected.error);
+      this.#deliver(board, step, { ask, result }, replyTo);
+      return;
+    }
+    const members = selected.value;
     const reopensMs = reopensInMs(ask);
     if (members.length === 0 && reopensMs !== undefined) {
       const detail = "All upstreams have asked this daemon to wait";
@@ -121,6 +138,7 @@
     const decision = pool.scheduler.submit({ ask, members, pace }, step.now);
     if (decision !== undefined) {
       if (decision.result.isErr()) suspects.cancel(ask, ask.job);
+      else this.#solo.placed(ask, step.now);
       this.#deliver(board, step, decision, replyTo);
       return;
     }
@@ -135,7 +153,12 @@
     const { pool } = board;
     const decisions = pool.scheduler.decide(
       step.now,
-      (ask) => placeableUpstreams(board, ask, step.now),
+      (ask) => {
+        const members = placeableUpstreams(board, ask, step.now);
+        return this.#replyTo.get(ask.job) === undefined
+          ? this.#solo.part(board, step.now, { ask, members })
+          : members;
+      },
     );
     for (const decision of decisions) {
       const { ask } = decision;
@@ -166,7 +189,7 @@
     decision: PoolDecision,
     replyTo: ReplyTo,
   ): void {
-    const { ask, result } = decision;
+    const { ask, result, shortage } = decision;
     const { register, pool, self } = board;
     step.line("place", {
       req: ask.req,
@@ -195,12 +218,14 @@
         }
         : {
           refused: result.error.code,
+          ...(shortage === undefined ? {} : {
+            room: shortage.room,
+            expect_ms: Math.round(shortage.expectMs),
+          }),
         }),
     });
     if (result.isOk()) {
-      const { job } = result.value;
-      const by = self.card.vm;
-      this.#notifyPlacers(board, step, { type: "placed", job, by }, ask.vm);
+      this.#notifyPlaced(board, step, result.value.job);
     }
     if (replyTo === undefined) {
       step.emit(
@@ -250,6 +275,7 @@
           }
           return;
         }
+        this.#solo.heard(step);
         this.#recordPlaced(board, step, job);
         // A late grant was counted when it was given, not now that it would be used.
         const grant = isStale
@@ -269,11 +295,13 @@
         return;
       }
       case "placed":
-        this.#recordPlaced(board, step, message.job);
+        for (const job of [message.job, ...message.more ?? []]) {
+          this.#recordPlaced(board, step, job);
+          this.#lastReportAt.set(job.vm, step.now);
+        }
         if (message.by !== undefined) {
           this.#lastPlacedAt.set(message.by, step.now);
         }
-        this.#lastReportAt.set(message.job.vm, step.now);
         return;
       case "progress":
         this.#applyProgress(board, step, message);
@@ -310,6 +338,7 @@
       return;
     }
     scheduler.withdraw(job, step.now);
+    this.#placed.drop(job);
     this.#replyTo.delete(job);
     // A failure by silence was counted when the silence began.
     if (silence === "lasting") return;
@@ -341,21 +370,53 @@
   }
 
   /**
-   * Sends a message to the leader and the deputy, except this daemon and `except`. What counts against a limited rate
-   * goes to all that place.
+   * Forwards a placement to the leader and the deputy, unless they asked for it. What counts against a limited rate goes
+   * to all that place, and at once.
    */
+  #notifyPlaced(board: GatewayBoard, step: GatewayStep, job: PoolJob): void {
+    const counts = board.pool.scheduler.rates.has(job.upstream);
+    const rivals = counts ? this.#rivalPlacers(board, step.now) : [];
+    for (const vm of [...otherPlacers(board), ...rivals]) {
+      if (vm === job.vm) continue;
+      if (counts) this.#sendJobs(board, step, { to: vm, jobs: [job] });
+      else this.#placed.add(vm, job, step.now);
+    }
+  }
+
+  /** Sends the placements that are due. */
+  #sendPlaced(board: GatewayBoard, step: GatewayStep): void {
+    for (const batch of this.#placed.takeDue(step.now)) {
+      this.#sendJobs(board, step, batch);
+    }
+    if (this.#placed.dueAt !== undefined) step.wake(this.#placed.dueAt);
+  }
+
+  #sendJobs(
+    board: GatewayBoard,
+    step: GatewayStep,
+    { to, jobs: [job, ...more] }: PlacedBatch,
+  ): void {
+    const card = board.members.table.get(to);
+    if (card === undefined || job === undefined) return;
+    const by = board.self.card.vm;
+    const message = {
+      type: "placed",
+      job,
+      ...(more.length > 0 ? { more } : {}),
+      by,
+    } as const;
+    step.emit({ type: "send", to: card.peer, message });
+  }
+
+  /** Sends a message to the leader and the deputy. */
   #notifyPlacers(
     board: GatewayBoard,
     step: GatewayStep,
-    message: Extract<PeerMessage, { type: "progress" | "placed" }>,
-    except?: VmId,
+    message: Extract<PeerMessage, { type: "progress" }>,
   ): void {
-    const counts = message.type === "placed" &&
-      board.pool.scheduler.rates.has(message.job.upstream);
-    const rivals = counts ? this.#rivalPlacers(board, step.now) : [];
-    for (const vm of [...otherPlacers(board), ...rivals]) {
+    for (const vm of otherPlacers(board)) {
       const card = board.members.table.get(vm);
-      if (card === undefined || vm === except) continue;
+      if (card === undefined) continue;
       step.emit({ type: "send", to: card.peer, message });
     }
   }
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -18,7 +18,7 @@
 /** Least error margin of predictions. */
 const PREDICTION_MARGIN_MS: Millis = 15;
 
-/** The engine for a short prompt, with the predicted time to the first event. */
+/** The engine for a short prompt, with the predicted time to the first event if all of it is read. */
 export type ShortPlacement = Readonly<{
   engine: Candidate;
   expectMs: Millis;
@@ -45,11 +45,10 @@
   const limitMs = admissionLimitMs(input.ask, input.pace);
   const all = input.candidates.map((engine) => {
     const fit = shortFit(input, engine, { limitMs, marginMs });
-    const savedMs = savedPrefillMs(input, engine);
-    const expectMs = fit.firstMs - savedMs * engine.load.slowdownAt(input.now);
     const cost = fit.firstMs + penaltyMs(input, engine) +
       fit.lateStreams * LATE_STREAM_PENALTY_MS;
-    return { engine, expectMs, savedMs, lacks: fit.lacks, cost };
+    const savedMs = savedPrefillMs(input, engine);
+    return { engine, expectMs: fit.firstMs, savedMs, lacks: fit.lacks, cost };
   });
   const fitting = all.filter((rating) =>
     rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
