--- a/src/controllers/quarantine_controller.ts
+++ b/src/controllers/quarantine_controller.ts
@@ -21,7 +21,7 @@
 import { crashedProcess, isKnownCrash } from "./crash_process.ts";
 import { CrashJudge } from "./crash_verdict.ts";
 import { incarnationOf } from "./incarnation_of.ts";
-import { evictOldest } from "./evict_oldest.ts";
+import { evictOldest } from "../core/evict_oldest.ts";
 import { blocksOf } from "./place_ask.ts";
 import { mayRunOnSilentEngine } from "./retry_decision.ts";
 import {
--- a/src/controllers/silent_runs.ts
+++ b/src/controllers/silent_runs.ts
@@ -9,7 +9,7 @@
   type Timestamp,
 } from "../core/time.ts";
 import type { ContentRun } from "./content_run.ts";
-import { evictOldest } from "./evict_oldest.ts";
+import { evictOldest } from "../core/evict_oldest.ts";
 
 /** Time over which an engine must respond again before its silence counts as harmless; a crash shows sooner. */
 const RECOVERY_CONFIRM_MS: Millis = SECOND_MS;
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -6,6 +6,7 @@
   PromptPartId,
   RequestId,
   ServiceId,
+  TeamId,
   UpstreamId,
   VmId,
 } from "../../core/id.ts";
@@ -61,22 +62,35 @@
 const offsetSchema = z.number().int().min(-1);
 
 const upstream = idSchema<UpstreamId>();
+/** Absent in messages of earlier builds, and for requests without a key. */
+const teamSchema = idSchema<TeamId>().optional();
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
 const JobSchema = z.object({
   id: z.string().transform((id) => id as JobId),
   vm: idSchema<VmId>(),
   service: idSchema<ServiceId>(),
+  team: teamSchema,
   kind: z.enum(["prompt", "call"]),
   upstream,
   helpers: z.array(upstream).readonly(),
   tickets: z.array(TicketSchema).readonly(),
   tokens: z.number(),
   partMs: millisSchema,
+  /** Absent in messages of earlier builds. */
+  engineMs: millisSchema.optional(),
   pauseMs: millisSchema,
   writing: z.boolean(),
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
+/** Engine time that is booked for a refused caller, and when it was told to return. */
+const BookingSchema = z.object({
+  service: idSchema<ServiceId>(),
+  digest: z.string(),
+  inMs: millisSchema,
+  engineMs: millisSchema,
+}).readonly();
+
 const RegisterChangeSchema = z.union([
   z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({
@@ -96,6 +110,7 @@
   vm: idSchema<VmId>(),
   domain: z.string(),
   service: idSchema<ServiceId>(),
+  team: teamSchema,
   kind: z.enum(["prompt", "call"]),
   promptTokens: figureSchema,
   answerTokens: figureSchema,
@@ -166,6 +181,8 @@
     paces: soundList(z.object({ upstream, pace: paceSchema })).optional(),
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
+    /** Bookings that the leader has made since its last heartbeat to the deputy. */
+    booked: soundList(BookingSchema).optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
--- a/src/gateway/requests/exchange_util.ts
+++ b/src/gateway/requests/exchange_util.ts
@@ -97,6 +97,7 @@
     vm: self.vm,
     domain: self.domain,
     service: attempt.backend.service,
+    team: team?.id,
     kind: route.kind === "stream" ? "prompt" : "call",
     promptTokens: head.promptTokens,
     answerTokens: head.answerTokens,
--- a/src/scheduling/pool/job_tracker.ts
+++ b/src/scheduling/pool/job_tracker.ts
@@ -10,9 +10,17 @@
 export class JobTracker {
   readonly #loads = new Map<UpstreamId, UpstreamLoad>();
   readonly #jobs = new Map<JobId, PoolJob>();
+  readonly #onAdded: (job: PoolJob, now: Timestamp) => void;
 
-  static create(): JobTracker {
-    return new JobTracker();
+  private constructor(onAdded: (job: PoolJob, now: Timestamp) => void) {
+    this.#onAdded = onAdded;
+  }
+
+  /** `onAdded` is called once for each job, when it is placed here or first heard of. */
+  static create(
+    onAdded: (job: PoolJob, now: Timestamp) => void = () => {},
+  ): JobTracker {
+    return new JobTracker(onAdded);
   }
 
   /** Placed jobs that have not ended. */
@@ -43,6 +51,7 @@
     for (const upstream of [job.upstream, ...job.helpers]) {
       this.loadOf(upstream).add(job, now);
     }
+    this.#onAdded(job, now);
   }
 
   /** Records a job's first event, which ends its prefill. */
--- a/src/scheduling/pool/pool_grant.ts
+++ b/src/scheduling/pool/pool_grant.ts
@@ -24,6 +24,7 @@
     id: ask.job,
     vm: ask.vm,
     service: ask.service,
+    team: ask.team,
     kind: ask.kind,
     helpers: [],
     tickets: [],
--- a/src/scheduling/pool/pool_job.ts
+++ b/src/scheduling/pool/pool_job.ts
@@ -3,6 +3,7 @@
   PromptPartId,
   RequestId,
   ServiceId,
+  TeamId,
   UpstreamId,
   VmId,
 } from "../../core/id.ts";
@@ -19,6 +20,8 @@
   vm: VmId;
   domain: string;
   service: ServiceId;
+  /** Absent if the request has no key, or comes from a daemon of an earlier build. */
+  team?: TeamId;
   kind: "prompt" | "call";
   promptTokens: number;
   answerTokens: number;
@@ -53,6 +56,7 @@
   id: JobId;
   vm: VmId;
   service: ServiceId;
+  team?: TeamId;
   kind: "prompt" | "call";
   upstream: UpstreamId;
   helpers: readonly UpstreamId[];
@@ -61,6 +65,8 @@
   tokens: number;
   /** Prefill time on each engine that takes part. */
   partMs: Millis;
+  /** Engine time that it takes in all; absent in messages of earlier builds. */
+  engineMs?: Millis;
   pauseMs: Millis;
   writing: boolean;
   placedAt: Timestamp;
