Plumbing of teams and bookings: configuration, heartbeats, log line and metrics

Cause: the placing daemon has to know teams and bookings before its scheduler can use them, also after a change of the placing daemon.

Change: the placement controller applies the teams and the shortest time limit of each configuration to the rooms; the leader's heartbeat to its deputy carries new bookings; each job charges its team when it is first heard of.

--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -303,7 +303,7 @@
       log_lines_dropped: this.#log.dropped,
       datagrams_failed: this.#datagrams.failed,
       datagrams_unreadable: this.#unreadableDatagrams,
-    });
+    }, { rooms: board.pool.scheduler.rooms, now });
     return { status: 200, body, contentType: this.#metrics.contentType };
   }
 
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,7 +1,9 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { type Refusal, REFUSALS, RetrySchema } from "../core/reason.ts";
 import type { Retry } from "../core/reason.ts";
-import type { Millis } from "../core/time.ts";
+import type { Millis, Timestamp } from "../core/time.ts";
+import type { ServiceRooms } from "../scheduling/pool/service_rooms.ts";
+import { RoomMetrics } from "./room_metrics.ts";
 
 /** Lower bounds of the prompt size bands, in tokens. */
 const PROMPT_BAND_BOUNDS_TOKENS = [0, 8_000, 32_000, 128_000, 300_000] as const;
@@ -31,6 +33,7 @@
   readonly #firstEventMs: Histogram<"band">;
   readonly #answerMs: Histogram<"band">;
   readonly #gauges: Gauge<"name">;
+  readonly #rooms: RoomMetrics;
 
   private constructor() {
     const registers = [this.#registry];
@@ -90,6 +93,7 @@
       labelNames: ["name"],
       registers,
     });
+    this.#rooms = RoomMetrics.create(this.#registry);
     for (const code of Object.keys(REFUSALS) as Refusal[]) {
       this.#problems.inc({ code, verdict: "not_run" }, 0);
     }
@@ -133,7 +137,11 @@
   }
 
   /** Sets the gauges of the daemon's state, and returns all metrics in the text format of Prometheus. */
-  async render(gauges: Readonly<Record<string, number>>): Promise<string> {
+  async render(
+    gauges: Readonly<Record<string, number>>,
+    room?: Readonly<{ rooms: ServiceRooms; now: Timestamp }>,
+  ): Promise<string> {
+    if (room !== undefined) this.#rooms.update(room.rooms, room.now);
     for (const [name, value] of Object.entries(gauges)) {
       this.#gauges.set({ name }, value);
     }
--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -10,6 +10,7 @@
   livenessTimeoutMs,
   otherPlacers,
 } from "./membership.ts";
+import { newBookings } from "../placement/room_sync.ts";
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { settlingUntil } from "../store/settling.ts";
 import { isBefore, resolvePosition } from "../store/store_position.ts";
@@ -257,11 +258,10 @@
         paces: this.#slowEnginePaces(board, step),
         contents: contentSyncFor(board, step.now, {
           to: vm,
-          mark: vm === undefined
-            ? undefined
-            : this.#quarantineSummaries.get(vm),
+          mark: vm && this.#quarantineSummaries.get(vm),
         }),
         rates: board.gate.rates.notices(step.now),
+        booked: newBookings(board, vm, step.now),
       },
     });
   }
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -10,7 +10,9 @@
 import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
 import { contentRefusalOf } from "../contents/content_refusal.ts";
+import { placeLineOf } from "./place_line.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
+import { addBookings, RoomSync } from "./room_sync.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -34,6 +36,7 @@
 export class PlacementController extends GatewayController {
   readonly #requests = PlacementRequestClient.create();
   readonly #inspector = EngineInspector.create();
+  readonly #roomSync = RoomSync.create();
   /** Recipients of the decisions on queued jobs. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are tracked here, with the time of their last message. */
@@ -49,6 +52,7 @@
     if (step.events.some((event) => event.type === "resumed")) {
       this.#requests.recordResume(step.now);
     }
+    this.#roomSync.step(board);
     for (const event of step.events) this.#onEvent(board, step, event);
     this.#removeUnlistedUpstreams(board);
     for (const ask of this.#requests.resendPending(board, step)) {
@@ -163,41 +167,11 @@
     decision: PoolDecision,
     replyTo: ReplyTo,
   ): void {
-    const { ask, result, shortage } = decision;
-    const { register, pool, self } = board;
-    step.line("place", {
-      req: ask.req,
-      by: self.card.vm,
-      for: ask.vm,
-      tokens: ask.promptTokens,
-      ...(ask.sharedParts.length > 0
-        ? { parts: ask.sharedParts.join(",") }
-        : {}),
-      left_ms: Math.round(ask.leftMs),
-      age_ms: Math.round(step.now - register.asOf),
-      ...(ask.closed.length > 0 ? { closed: ask.closed.length } : {}),
-      waiting: pool.scheduler.queueLength,
-      ...(result.isOk()
-        ? {
-          upstream: result.value.job.upstream,
-          ...(result.value.counted === true
-            ? { rate_share: Number(pool.scheduler.rates.fraction.toFixed(3)) }
-            : {}),
-          helpers: result.value.job.helpers.length,
-          tickets: result.value.job.tickets.length,
-          expect_ms: Math.round(result.value.expectMs),
-        }
-        : {
-          refused: result.error.code,
-          ...(shortage === undefined ? {} : {
-            room: shortage.room,
-            expect_ms: Math.round(shortage.expectMs),
-          }),
-        }),
-    });
+    const { ask, result } = decision;
+    step.line("place", placeLineOf(board, decision, step.now));
     if (result.isOk()) {
       const { job } = result.value;
-      const by = self.card.vm;
+      const by = board.self.card.vm;
       this.#notifyPlacers(board, step, { type: "placed", job, by }, ask.vm);
     }
     if (replyTo === undefined) {
@@ -280,6 +254,7 @@
         if (message.from.vm === board.self.card.vm) return;
         this.#lastReportAt.set(message.from.vm, step.now);
         scheduler.tracker.syncDaemon(message.from.vm, message.jobs, step.now);
+        addBookings(board, message.booked ?? [], step.now);
         return;
       default:
         return;
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -25,6 +25,9 @@
 } from "./admission/shortage.ts";
 import { RateBudgets } from "./rate_budgets.ts";
 import { RETRY_AFTER_MS, RetryPacer } from "./retry_pacer.ts";
+import type { ToldReturn } from "./returns/return_book.ts";
+import type { RoomTerms } from "./service_room.ts";
+import { ServiceRooms } from "./service_rooms.ts";
 import { SlowEngineDetector } from "./slow_engine_detector.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
 import type {
@@ -55,11 +58,19 @@
   result: Result<PoolGrant, Problem>;
   /** Why a prompt is refused, if room is short. */
   shortage?: Shortage;
+  /** Terms on which a prompt was decided. */
+  terms?: RoomTerms;
+  /** What the caller of a prompt that was refused for lack of room is told. */
+  told?: ToldReturn;
 }>;
 
 /** Places requests on upstreams and queues long prompts until engines are free. Does no I/O and reads no clock. */
 export class PoolScheduler {
-  readonly tracker = JobTracker.create();
+  /** The room of the engines: shares of teams, and what is booked for refused callers. */
+  readonly rooms = ServiceRooms.create();
+  readonly tracker = JobTracker.create((job, now) =>
+    this.rooms.charge(job, now)
+  );
   readonly slowEngines = SlowEngineDetector.create();
   /** Predicted against seen first events of short prompts. */
   readonly predictions = PredictionError.create();
--- a/src/scheduling/pool/shared_room.ts
+++ b/src/scheduling/pool/service_room.ts
@@ -44,12 +44,12 @@
 export type RoomDemand = Readonly<{ ask: PlacementRequest; engineMs: Millis }>;
 
 /** The room of one service's engines: the shares of teams in it, and what is booked for refused callers. */
-export class SharedRoom {
+export class ServiceRoom {
   readonly shares = TeamShares.create();
   readonly returns = ReturnBook.create();
 
-  static create(): SharedRoom {
-    return new SharedRoom();
+  static create(): ServiceRoom {
+    return new ServiceRoom();
   }
 
   /** Records a prompt that asks for room, and returns its terms. */
--- a/src/scheduling/pool/shared_room_test.ts
+++ b/src/scheduling/pool/service_room_test.ts
@@ -4,8 +4,8 @@
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { placementRequest, poolJob } from "../../testing/pool_fixtures.ts";
 import { VirtualTime } from "../../testing/virtual_time.ts";
-import { waitLimitMs } from "./shared_room.ts";
-import { SharedRooms } from "./shared_rooms.ts";
+import { waitLimitMs } from "./service_room.ts";
+import { ServiceRooms } from "./service_rooms.ts";
 
 const ENGINES = 8;
 const MEAN_ENGINE_MS: Millis = 40;
@@ -24,7 +24,7 @@
 function replay(teams: Readonly<Record<string, TestTeam>>) {
   const time = VirtualTime.create(0 as Timestamp);
   const random = Random.create(7);
-  const rooms = SharedRooms.create();
+  const rooms = ServiceRooms.create();
   const listed = Object.entries(teams).map(([id, { rank }]) => ({
     id: id as TeamId,
     rank,
@@ -182,7 +182,7 @@
 });
 
 test("nothing is held back while no team is refused, or with one team alone", () => {
-  const rooms = SharedRooms.create();
+  const rooms = ServiceRooms.create();
   const now = 1_000 as Timestamp;
   const team = "a" as TeamId;
   const job = poolJob("j", "e", { service: SERVICE, team, engineMs: 900 });
--- a/src/scheduling/pool/shared_rooms.ts
+++ b/src/scheduling/pool/service_rooms.ts
@@ -1,9 +1,9 @@
-import type { ServiceId } from "../../core/id.ts";
+import type { ServiceId, TeamId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { engineMsOfJob } from "./engine_time.ts";
 import type { PoolJob } from "./pool_job.ts";
 import type { Booking } from "./returns/return_book.ts";
-import { SharedRoom } from "./shared_room.ts";
+import { ServiceRoom } from "./service_room.ts";
 import type { RankedTeam } from "./shares/team_shares.ts";
 
 /** What the configuration says of callers: their teams, and the shortest time limit of a stream. */
@@ -14,13 +14,13 @@
 /** A booking in the room of a service. */
 export type ServiceBooking = Booking & Readonly<{ service: ServiceId }>;
 
-/** The shared room of each service that has engines. */
-export class SharedRooms {
-  readonly #rooms = new Map<ServiceId, SharedRoom>();
+/** The room of each service that has engines. */
+export class ServiceRooms {
+  readonly #rooms = new Map<ServiceId, ServiceRoom>();
   #terms: CallerTerms = { teams: [], shortestTimeoutMs: Infinity };
 
-  static create(): SharedRooms {
-    return new SharedRooms();
+  static create(): ServiceRooms {
+    return new ServiceRooms();
   }
 
   /** Sets the terms of the configuration in force, and removes the rooms of services that it has no more. */
@@ -33,10 +33,10 @@
   }
 
   /** The room of a service, created if it has none yet. */
-  of(service: ServiceId): SharedRoom {
+  of(service: ServiceId): ServiceRoom {
     let room = this.#rooms.get(service);
     if (room === undefined) {
-      room = SharedRoom.create();
+      room = ServiceRoom.create();
       this.#apply(room);
       this.#rooms.set(service, room);
     }
@@ -44,10 +44,23 @@
   }
 
   /** All rooms by service. */
-  all(): ReadonlyMap<ServiceId, SharedRoom> {
+  all(): ReadonlyMap<ServiceId, ServiceRoom> {
     return this.#rooms;
   }
 
+  /** The part of all engine time used lately that each team used. */
+  teamParts(now: Timestamp): ReadonlyMap<TeamId, number> {
+    const used = new Map<TeamId, number>();
+    let sum = 0;
+    for (const { shares } of this.#rooms.values()) {
+      for (const [team, engines] of shares.busyEngines(now)) {
+        used.set(team, (used.get(team) ?? 0) + engines);
+        sum += engines;
+      }
+    }
+    return new Map([...used].map(([team, engines]) => [team, engines / sum]));
+  }
+
   /** Charges a placed job's team. */
   charge(job: PoolJob, now: Timestamp): void {
     if (job.kind !== "prompt") return;
@@ -69,7 +82,7 @@
     this.of(booking.service).returns.addBooking(booking, options);
   }
 
-  #apply({ shares, returns }: SharedRoom): void {
+  #apply({ shares, returns }: ServiceRoom): void {
     shares.setTeams(this.#terms.teams);
     returns.setShortestTimeout(this.#terms.shortestTimeoutMs);
   }
--- a/src/scheduling/pool/shares/team_shares.ts
+++ b/src/scheduling/pool/shares/team_shares.ts
@@ -90,6 +90,16 @@
     return this.#excess(team, now) > 0 && this.#shortage(now) > 0;
   }
 
+  /** The engines that each team kept busy lately; teams that used none are left out. */
+  busyEngines(now: Timestamp): ReadonlyMap<TeamId, number> {
+    const busy = new Map<TeamId, number>();
+    for (const [team, { used }] of this.#uses) {
+      const engines = used.busyEngines(now);
+      if (engines > 0) busy.set(team, engines);
+    }
+    return busy;
+  }
+
   /** The part of the engine time used lately that a team used. */
   usedPart(team: TeamId, now: Timestamp): number {
     const used = this.#uses.get(team)?.used.busyEngines(now) ?? 0;
