Shares and bookings decide who is admitted

Cause: refused callers were told times by one return a second for each engine, whatever room there was, and no decision looked at teams.

Change: the scheduler asks the service's room for a prompt's terms. A short prompt of a team at its share or over it is admitted on an engine only where another usual prompt would fit beside it; a queued one weighs less. A caller with a booking is admitted up to its time-out, and precedes others in the queue. Retry-After comes from the book. Short and long prompts have shares of their own: in one account, hints were refused for their team's long prompts. RetryPacer and its tests are removed: the book answers the same pattern and its tests ask more.

--- a/src/gateway/peers/odd_message_test.ts
+++ b/src/gateway/peers/odd_message_test.ts
@@ -14,6 +14,13 @@
   perSecond: 2,
   namedAgeMs: 5,
 };
+const BOOKING = {
+  service: "pool",
+  digest: "d",
+  leftMs: 900,
+  inMs: 40,
+  engineMs: 30,
+};
 const RECORD = { digest: "d", epoch: 0, lost: [], trials: 0, ageMs: 1 };
 
 function decode(message: unknown, onLeftOut?: (detail: string) => void) {
@@ -23,6 +30,7 @@
 test.each([
   ["heartbeat", "jobs", [JOB, { ...JOB, tokens: null }, JOB], [JOB, JOB]],
   ["heartbeat", "rates", [{ ...NOTICE, perSecond: 0 }, NOTICE], [NOTICE]],
+  ["heartbeat", "booked", [{ ...BOOKING, inMs: null }, BOOKING], [BOOKING]],
   ["heartbeat", "paces", [null, { upstream: "e1", pace: 2 }], [
     { upstream: "e1", pace: 2 },
   ]],
@@ -58,6 +66,20 @@
   },
 );
 
+test("a job whose team or engine time is odd is taken without it", () => {
+  const jobs = [{ ...JOB, team: "", engineMs: "x" }, { ...JOB, team: "t" }];
+  const read = decode({
+    type: "heartbeat",
+    from: CARD,
+    progress: PROGRESS,
+    jobs,
+  });
+  expect(read._unsafeUnwrap()).toHaveProperty("jobs", [JOB, {
+    ...JOB,
+    team: "t",
+  }]);
+});
+
 test("changes with an odd entry were dropped as a whole: the others hold, and the odd one is gone", () => {
   const changes = [
     { type: "entry", entry: ENTRY },
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -62,8 +62,8 @@
 const offsetSchema = z.number().int().min(-1);
 
 const upstream = idSchema<UpstreamId>();
-/** Absent in messages of earlier builds, and for requests without a key. */
-const teamSchema = idSchema<TeamId>().optional();
+/** Absent in messages of earlier builds, for requests without a key, and if it can't be used. */
+const teamSchema = idSchema<TeamId>().optional().catch(undefined);
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
 const JobSchema = z.object({
   id: z.string().transform((id) => id as JobId),
@@ -77,7 +77,7 @@
   tokens: z.number(),
   partMs: millisSchema,
   /** Absent in messages of earlier builds. */
-  engineMs: millisSchema.optional(),
+  engineMs: millisSchema.optional().catch(undefined),
   pauseMs: millisSchema,
   writing: z.boolean(),
   placedAt: z.number().transform((at) => at as Timestamp),
@@ -87,6 +87,7 @@
 const BookingSchema = z.object({
   service: idSchema<ServiceId>(),
   digest: z.string(),
+  leftMs: millisSchema,
   inMs: millisSchema,
   engineMs: millisSchema,
 }).readonly();
--- a/src/gateway/placement/place_line.ts
+++ b/src/gateway/placement/place_line.ts
@@ -1,3 +1,4 @@
+import type { TeamId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
 import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
@@ -34,9 +35,7 @@
         tickets: result.value.job.tickets.length,
         expect_ms: Math.round(result.value.expectMs),
       }
-      : {
-        refused: result.error.code,
-      }),
+      : { refused: result.error.code, ...shortageFields(decision) }),
   };
 }
 
@@ -47,20 +46,37 @@
   now: Timestamp,
 ): LineFields {
   if (terms === undefined) return {};
-  const { shares } = board.pool.scheduler.rooms.of(ask.service);
   return {
     ...(ask.team === undefined ? {} : {
       team: ask.team,
-      team_part: rounded(shares.usedPart(ask.team, now)),
       share_factor: rounded(terms.factor),
     }),
-    ...(terms.standing === "new" ? {} : { returned: terms.standing }),
-    ...(told === undefined
-      ? {}
-      : { told_ms: Math.round(told.inMs), booked: told.booked }),
+    ...(terms.isDue ? { due: true } : {}),
+    ...(terms.waitedMs > 0 ? { waited_ms: Math.round(terms.waitedMs) } : {}),
+    ...(told === undefined ? {} : {
+      team_part: teamPart(board, ask.team, now),
+      told_ms: Math.round(told.inMs),
+      booked: told.booked,
+    }),
   };
 }
 
+/** Which room is short, and when the first event would come. */
+function shortageFields({ shortage }: PoolDecision): LineFields {
+  if (shortage === undefined) return {};
+  const { room, expectMs } = shortage;
+  return { room, expect_ms: Math.round(expectMs) };
+}
+
+function teamPart(
+  board: GatewayBoard,
+  team: TeamId | undefined,
+  now: Timestamp,
+): number {
+  const parts = board.pool.scheduler.rooms.teamParts(now);
+  return team === undefined ? 0 : rounded(parts.get(team) ?? 0);
+}
+
 function rounded(value: number): number {
   return Number(value.toFixed(3));
 }
--- a/src/scheduling/pool/admission/refused_callers.ts
+++ b/src/scheduling/pool/admission/refused_callers.ts
@@ -9,6 +9,18 @@
 type Caller = Pick<PlacementRequest, "digest" | "leftMs">;
 type Entry = Readonly<{ at: Timestamp; deadlineAt: Timestamp }>;
 
+/**
+ * Whether a caller comes again that had this deadline: it keeps it, and another one who sends the same content has a
+ * deadline of its own.
+ */
+export function keepsDeadline(
+  deadlineAt: Timestamp,
+  caller: Pick<PlacementRequest, "leftMs">,
+  now: Timestamp,
+): boolean {
+  return Math.abs(now + caller.leftMs - deadlineAt) <= DEADLINE_SLACK_MS;
+}
+
 /** Remembers when callers were refused first, by the digest of caller and content. */
 export class RefusedCallers {
   readonly #refused = new Map<string, Entry>();
@@ -29,11 +41,9 @@
   }
 
   /** Time for which a caller has waited since it was refused first; 0 if it is new. */
-  waitedMs({ digest, leftMs }: Caller, now: Timestamp): Millis {
-    const entry = this.#refused.get(digest);
+  waitedMs(caller: Caller, now: Timestamp): Millis {
+    const entry = this.#refused.get(caller.digest);
     if (entry === undefined) return 0;
-    // Another caller may send the same content, with a deadline of its own.
-    const aheadMs = addMs(now, leftMs) - entry.deadlineAt;
-    return Math.abs(aheadMs) <= DEADLINE_SLACK_MS ? now - entry.at : 0;
+    return keepsDeadline(entry.deadlineAt, caller, now) ? now - entry.at : 0;
   }
 }
--- a/src/scheduling/pool/admission/shortage.ts
+++ b/src/scheduling/pool/admission/shortage.ts
@@ -2,10 +2,16 @@
 import { admissionLimitMs } from "../admission_limit.ts";
 import type { EnginePace } from "../engine_pace.ts";
 import type { PlacementRequest } from "../pool_job.ts";
+import type { RoomTerms } from "../room_terms.ts";
 import type { ShortRoom } from "./short_room.ts";
 
-/** The room that is short for a refused prompt: an engine's, its class's share, the queue's, or the caller's time. */
-export type ShortageRoom = ShortRoom | "share" | "queue" | "late";
+/** The room that is short for a refused prompt: an engine's, its class's share, its team's, the queue's, or the caller's time. */
+export type ShortageRoom =
+  | ShortRoom
+  | "share"
+  | "team_share"
+  | "queue"
+  | "late";
 
 /** Why a prompt is refused: the room that is short, and when its first event would have come. */
 export type Shortage = Readonly<{ room: ShortageRoom; expectMs: Millis }>;
@@ -19,16 +25,19 @@
   pace: EnginePace,
   place: Readonly<{
     expectMs: Millis;
-    lacks: ShortRoom | "share" | undefined;
-    /** Time for which the caller has waited already. */
-    waitedMs: Millis;
+    lacks: ShortRoom | "share" | "team_share" | undefined;
+    terms: RoomTerms;
+    /** Whether more engine time is asked for than there is. */
+    isCrest: boolean;
   }>,
 ): ShortageRoom | undefined {
-  const limitMs = admissionLimitMs(ask, pace);
+  const { terms, isCrest } = place;
+  const limitMs = admissionLimitMs(ask, pace, terms);
   if (place.expectMs > limitMs) return place.lacks ?? "prefill";
   if (ask.avoid.length > 0) return undefined;
   if (place.lacks !== undefined) return place.lacks;
-  return place.waitedMs + place.expectMs > limitMs ? "late" : undefined;
+  if (terms.isDue || !isCrest) return undefined;
+  return terms.waitedMs + place.expectMs > limitMs ? "late" : undefined;
 }
 
 /** What a caller is told of a shortage. */
@@ -42,6 +51,7 @@
   decode: "decode slot",
   memory: "engine memory",
   share: "share of the engines",
+  team_share: "share of the team",
   queue: "place in the queue",
   late: "time left",
 };
--- a/src/scheduling/pool/long_prompt_queue.ts
+++ b/src/scheduling/pool/long_prompt_queue.ts
@@ -4,15 +4,21 @@
 import type { ServiceAdmissions } from "./admission/service_admissions.ts";
 import type { Candidate } from "./candidate.ts";
 import type { EnginePace } from "./engine_pace.ts";
-import { backlogMs, type QueuedPrompt } from "./long_queue.ts";
+import {
+  backlogMs,
+  preferredPromptOf,
+  type QueuedPrompt,
+} from "./long_queue.ts";
 import type { PoolMember } from "./pool_grant.ts";
 import type { JobId, PlacementRequest } from "./pool_job.ts";
+import type { RoomTerms } from "./room_terms.ts";
 
 /** A placement request for a prompt, with the upstreams that may serve it. */
 export type PromptSubmission = Readonly<{
   ask: PlacementRequest;
   members: readonly PoolMember[];
   pace: EnginePace;
+  terms: RoomTerms;
 }>;
 
 type QueueEntry = Readonly<{ req: PromptSubmission; prompt: QueuedPrompt }>;
@@ -39,10 +45,13 @@
   }
 
   add(req: PromptSubmission, now: Timestamp): void {
-    const { ask, pace } = req;
+    const { ask, pace, terms } = req;
     const admission = this.#admissions.of(ask.service);
-    const prompt = admission.queuedPrompt(ask, pace, now);
-    this.#entries.set(ask.job, { req, prompt });
+    const prompt = terms.isDue
+      ? preferredPromptOf(ask, pace, now)
+      : admission.queuedPrompt(ask, pace, now);
+    const weight = prompt.weight * terms.factor;
+    this.#entries.set(ask.job, { req, prompt: { ...prompt, weight } });
   }
 
   delete(job: JobId): void {
--- a/src/scheduling/pool/long_queue.ts
+++ b/src/scheduling/pool/long_queue.ts
@@ -110,3 +110,13 @@
     weight: ownMs * worthPerMs(ask, engineMs(ask, pace)),
   };
 }
+
+/** The queue's view of a long prompt for which room is booked: it is late already, and precedes others. */
+export function preferredPromptOf(
+  ask: PlacementRequest,
+  pace: EnginePace,
+  now: Timestamp,
+): QueuedPrompt {
+  const prompt = queuedPromptOf(ask, pace, now);
+  return { ...prompt, dueAt: prompt.timeoutAt, preferred: true };
+}
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -2,6 +2,7 @@
 import type { Millis } from "../../core/time.ts";
 import { type Candidate, penaltyMs, type PromptInput } from "./candidate.ts";
 import { admissionLimitMs } from "./admission_limit.ts";
+import { type RoomTerms, USUAL_TERMS } from "./room_terms.ts";
 import { shortFit, type ShortRoom } from "./admission/short_room.ts";
 
 /** Fraction of the target within which an engine with more streams is preferred to a faster one. */
@@ -21,7 +22,7 @@
   engine: Candidate;
   expectMs: Millis;
   /** The room that no engine has for the prompt; it fits if undefined. */
-  lacks: ShortRoom | "share" | undefined;
+  lacks: ShortRoom | "share" | "team_share" | undefined;
 }>;
 
 /**
@@ -35,15 +36,24 @@
     marginMs?: Millis;
     /** Engines for short prompts while room is short. */
     shortEngines?: ReadonlySet<UpstreamId> | undefined;
+    terms?: RoomTerms;
   }> = {},
 ): ShortPlacement | undefined {
-  const { marginMs = PREDICTION_MARGIN_MS, shortEngines } = options;
-  const limitMs = admissionLimitMs(input.ask, input.pace);
+  const {
+    marginMs = PREDICTION_MARGIN_MS,
+    shortEngines,
+    terms = USUAL_TERMS,
+  } = options;
+  const limitMs = admissionLimitMs(input.ask, input.pace, terms);
   const all = input.candidates.map((engine) => {
     const fit = shortFit(input, engine, { limitMs, marginMs });
     const cost = fit.firstMs + penaltyMs(input, engine) +
       fit.lateStreams * LATE_STREAM_PENALTY_MS;
-    return { engine, expectMs: fit.firstMs, lacks: fit.lacks, cost };
+    const lacks: ShortPlacement["lacks"] = fit.lacks ??
+      (leavesRoom(input, engine, { limitMs, marginMs, ...terms })
+        ? undefined
+        : "team_share");
+    return { engine, expectMs: fit.firstMs, lacks, cost };
   });
   const fitting = all.filter((rating) =>
     rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
@@ -52,6 +62,9 @@
   ratings.sort((a, b) => a.cost - b.cost);
   const [best] = ratings;
   if (best === undefined) return undefined;
+  if (all.some(({ lacks }) => lacks === "team_share") && fitting.length === 0) {
+    return { ...best, lacks: "team_share" };
+  }
   if (fitting.length === 0) return { ...best, lacks: best.lacks ?? "share" };
   const packingLimitMs = input.ask.targetMs * PACKING_TARGET_FRACTION;
   const packable = ratings.filter((rating) =>
@@ -67,6 +80,26 @@
   return packable[0] ?? best;
 }
 
+/**
+ * Whether a prompt leaves the room on an engine that its team has to leave to others.
+ * Load pattern: more short prompts than room, most of them of one team. Prompts of teams below their share still find
+ * room when those of teams over it don't, and next to none of it is unused.
+ */
+function leavesRoom(
+  input: PromptInput,
+  engine: Candidate,
+  options: Readonly<
+    { limitMs: Millis; marginMs: Millis; spareTokens: number }
+  >,
+): boolean {
+  const { spareTokens } = options;
+  if (spareTokens === 0) return true;
+  const promptTokens = input.ask.promptTokens + spareTokens;
+  const both = { ...input, ask: { ...input.ask, promptTokens } };
+  const others = { ...engine, slots: engine.slots - 1 };
+  return shortFit(both, others, options).lacks === undefined;
+}
+
 /**
  * The engines in the requesting daemon's failure domain, or none if there are too few to pack streams on: traffic
  * between domains has a cost, but packing within several small domains would leave fewer engines for long prefills.
--- a/src/scheduling/pool/pool_refusals.ts
+++ b/src/scheduling/pool/pool_refusals.ts
@@ -2,7 +2,10 @@
 import type { EnginePace } from "./engine_pace.ts";
 import { MAX_HELPERS, PLANNED_MEMORY_FRACTION } from "./plan_memory.ts";
 import type { PlacementRequest } from "./pool_job.ts";
-import { RETRY_AFTER_MS } from "./retry_pacer.ts";
+import type { Millis } from "../../core/time.ts";
+
+/** Retry-After while no upstream is known. */
+const RETRY_AFTER_MS: Millis = 800;
 
 /** Whether a prompt exceeds the memory of all engines that may take part, even if they are empty. */
 export function exceedsPoolMemory(
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -4,6 +4,8 @@
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
 import type { PlacementInput } from "./candidate.ts";
 import { type EnginePace, prefillMs } from "./engine_pace.ts";
+import { classOf } from "./engine_time.ts";
+import { engineMs } from "./engine_worth.ts";
 import type { QueuedPrompt } from "./long_queue.ts";
 import { LongPromptQueue, type PromptSubmission } from "./long_prompt_queue.ts";
 import { placeCall } from "./place_call.ts";
@@ -16,6 +18,7 @@
 } from "./pool_refusals.ts";
 import { placeShort } from "./place_short.ts";
 import { JobTracker } from "./job_tracker.ts";
+import { admissionLimitMs } from "./admission_limit.ts";
 import { PredictionError } from "./admission/prediction_error.ts";
 import { ServiceAdmissions } from "./admission/service_admissions.ts";
 import {
@@ -24,9 +27,9 @@
   shortageOf,
 } from "./admission/shortage.ts";
 import { RateBudgets } from "./rate_budgets.ts";
-import { RETRY_AFTER_MS, RetryPacer } from "./retry_pacer.ts";
 import type { ToldReturn } from "./returns/return_book.ts";
-import type { RoomTerms } from "./service_room.ts";
+import type { RoomTerms } from "./room_terms.ts";
+import type { RoomDemand } from "./service_room.ts";
 import { ServiceRooms } from "./service_rooms.ts";
 import { SlowEngineDetector } from "./slow_engine_detector.ts";
 import { grantOf, jobOf, type PoolMember } from "./pool_grant.ts";
@@ -37,8 +40,6 @@
   PoolJob,
 } from "./pool_job.ts";
 
-/** Longer prefills are split over several engines; this plus one pass is the pause that sensitive streams accept. */
-const MAX_SHORT_PREFILL_MS: Millis = 190;
 /** Queued prompts that may find the engines busy in one poll; further prompts would hardly fit either. */
 const MAX_BUSY_TRIES = 8;
 /** Time between polls of the queue while engines are busy. */
@@ -79,8 +80,6 @@
   readonly #admissions = ServiceAdmissions.create();
   readonly #queue = LongPromptQueue.create(this.#admissions);
 
-  readonly #retryPacer = RetryPacer.create();
-
   static create(): PoolScheduler {
     return new PoolScheduler();
   }
@@ -104,18 +103,19 @@
     if (ask.kind === "call" || pace === undefined) {
       return this.#placeCall(req, now);
     }
-    const isShort = prefillMs(pace, ask.promptTokens) <= MAX_SHORT_PREFILL_MS;
-    const admission = this.#admissions.of(ask.service);
-    const promptClass = isShort ? "short" : "long";
-    admission.offer(ask, now, { pace, promptClass });
-    if (isShort) return this.#placeShort({ ...req, pace }, now);
+    const demand = this.#demandOf(ask, pace, now);
+    const { promptClass } = demand;
+    this.#admissions.of(ask.service).offer(ask, now, { pace, promptClass });
+    const terms = this.rooms.of(ask.service).request(demand, now);
+    const prompt = { ...req, pace, terms };
+    if (promptClass === "short") return this.#placeShort(prompt, now);
     if (this.rates.openForSplit(req.members, now).length === 0) {
       return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
     if (exceedsPoolMemory(ask, pace, req.members.length)) {
       return { ask, result: err(tooLargeProblem()) };
     }
-    this.#queue.add({ ...req, pace }, now);
+    this.#queue.add(prompt, now);
     return undefined;
   }
 
@@ -132,10 +132,11 @@
     const candidatesOf = (req: PromptSubmission) =>
       this.#inputOf(req, now).candidates;
     for (const { prompt, shed } of this.#queue.plan(now, candidatesOf)) {
-      const { ask, pace } = this.#queue.get(prompt.job)!;
+      const queued = this.#queue.get(prompt.job)!;
+      const { ask, pace } = queued;
       const listed = members(ask);
       const open = this.rates.openForSplit(listed, now);
-      const req = { ask, pace, members: open };
+      const req = { ...queued, members: open };
       aheadMs ??= this.#totalBacklogMs(open, now);
       const finishesInMs = (aheadMs + prompt.prefillMs) / open.length;
       let decision: PoolDecision | undefined;
@@ -222,6 +223,7 @@
     const job = jobOf(ask, now, {
       upstream: engine.id,
       partMs,
+      engineMs: engineMs(ask, pace),
       helpers: helpers.map((member) => member.id),
       tickets,
     });
@@ -241,51 +243,80 @@
     now: Timestamp,
     shortage: Shortage,
   ): PoolDecision {
-    const { ask } = req;
+    const { ask, pace, terms, members } = req;
     const code =
       shortage.room === "memory" && this.#queue.get(ask.job) !== undefined
         ? "no_memory"
         : "deadline_unreachable";
+    const told = this.rooms.of(ask.service).refuse({
+      ...this.#demandOf(ask, pace, now),
+      engines: members.length,
+      freeInMs: this.#freeInMs(req, shortage, now),
+    }, now);
     const result = err(problem(code, shortageDetail(shortage), {
-      retryAfterMs: this.#retryMs(req, now),
+      retryAfterMs: told.inMs,
     }));
-    return { ask, result, shortage };
+    return { ask, result, shortage, terms, told };
+  }
+
+  #demandOf(
+    ask: PlacementRequest,
+    pace: EnginePace,
+    now: Timestamp,
+  ): RoomDemand {
+    return {
+      ask,
+      promptClass: classOf(prefillMs(pace, ask.promptTokens)),
+      engineMs: engineMs(ask, pace),
+      waitedMs: this.#admissions.of(ask.service).waitedMs(ask, now),
+    };
   }
 
-  /** When a refused caller may come again: when the queue is done, or one after another. */
-  #retryMs({ ask, members }: PoolSubmission, now: Timestamp): Millis {
+  /** Time until what is placed and queued now would let a prompt in. */
+  #freeInMs(
+    req: PromptSubmission,
+    shortage: Shortage,
+    now: Timestamp,
+  ): Millis {
+    const { ask, pace, terms } = req;
     const queued = this.#queue.get(ask.job);
     if (queued === undefined) {
-      const engines = members.length;
-      return this.#retryPacer.nextRetryMs(now, { leftMs: ask.leftMs, engines });
+      return shortage.expectMs - admissionLimitMs(ask, pace, terms);
     }
     const { candidates } = this.#inputOf(queued, now);
-    const queueMs = this.#queue.backlogMs(ask.service, candidates, now);
-    return Math.max(RETRY_AFTER_MS, Math.ceil(queueMs));
+    return this.#queue.backlogMs(ask.service, candidates, now);
   }
 
   #placeShort(req: PromptSubmission, now: Timestamp): PoolDecision {
-    const { ask, pace } = req;
+    const { ask, pace, terms } = req;
     const input = { ...this.#inputOf(req, now), pace };
     const admission = this.#admissions.of(ask.service);
     const shortEngines = admission.shortEngines(input.candidates, now);
     const { marginMs } = this.predictions;
-    const placement = placeShort(input, { marginMs, shortEngines });
+    const placement = placeShort(input, {
+      marginMs,
+      shortEngines: terms.isDue ? undefined : shortEngines,
+      terms,
+    });
     if (placement === undefined) {
       return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
     const { engine, expectMs, lacks } = placement;
-    if (lacks !== undefined) admission.lacked(now);
+    if (lacks !== undefined && lacks !== "team_share") admission.lacked(now);
     const room = shortageOf(ask, pace, {
       ...placement,
-      waitedMs: shortEngines === undefined ? 0 : admission.waitedMs(ask, now),
+      terms,
+      isCrest: shortEngines !== undefined,
     });
     if (room !== undefined) {
       admission.refused(ask, now);
       return this.#refuse(req, now, { room, expectMs });
     }
-    const partMs = prefillMs(pace, ask.promptTokens);
-    const job = jobOf(ask, now, { upstream: engine.id, partMs });
+    const job = jobOf(ask, now, {
+      upstream: engine.id,
+      partMs: prefillMs(pace, ask.promptTokens),
+      engineMs: engineMs(ask, pace),
+    });
     this.predictions.expect(job.id, addMs(now, expectMs));
     return this.#grant(job, req, { now, expectMs });
   }
@@ -304,16 +335,18 @@
   /** Tracks a placed job, counts it against the rate of its upstream, and grants it. */
   #grant(
     job: PoolJob,
-    req: PoolSubmission,
+    req: PoolSubmission & Readonly<{ terms?: RoomTerms }>,
     options: Readonly<{ now: Timestamp; expectMs: Millis }>,
   ): PoolDecision {
+    const { ask, terms } = req;
     const { now, expectMs } = options;
     this.tracker.add(job, now);
     this.rates.charge(job.upstream, now);
     if (job.kind === "prompt") {
       this.slowEngines.expectFirstEvent(job, expectMs, now);
+      this.rooms.of(ask.service).admit(ask, now);
     }
-    return { ask: req.ask, result: ok(this.#grantOf(job, req, expectMs)) };
+    return { ask, result: ok(this.#grantOf(job, req, expectMs)), terms };
   }
 
   #grantOf(job: PoolJob, req: PoolSubmission, expectMs?: Millis): PoolGrant {
--- a/src/scheduling/pool/pool_scheduler_test.ts
+++ b/src/scheduling/pool/pool_scheduler_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from "vitest";
-import type { UpstreamId, VmId } from "../../core/id.ts";
+import type { ServiceId, TeamId, UpstreamId, VmId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
 import { ENGINE_PACE, placementRequest } from "../../testing/pool_fixtures.ts";
 import type { JobId, PlacementRequest } from "./pool_job.ts";
@@ -120,6 +120,30 @@
   });
 });
 
+test("a short prompt of a team over its share is refused while another team's is admitted", () => {
+  const scheduler = PoolScheduler.create();
+  const [large, small] = ["large", "small"].map((id) => id as TeamId);
+  scheduler.rooms.configure(
+    { teams: [{ id: large! }, { id: small! }], shortestTimeoutMs: 10_000 },
+    new Set(["pool" as ServiceId]),
+  );
+  const place = (job: string, team: TeamId | undefined, ms: number) => {
+    const fields = { promptTokens: 5_000, targetMs: 300, team };
+    const decision = submit(scheduler, askOf(job, fields), ms);
+    return decision!;
+  };
+  let placed = 0;
+  while (place(`l${placed}`, large, 0).result.isOk()) placed += 1;
+  const refused = place("s0", small, 1);
+  expect(refused.result.isErr()).toBe(true);
+  expect(refused.told?.booked).toBe(true);
+  // Part of the backlog is prefilled, of which the large team may use less.
+  const again = place("l again", large, 40);
+  expect(again.result.isErr()).toBe(true);
+  expect(again.terms?.factor).toBeLessThan(1);
+  expect(place("s1", small, 40).result.isOk()).toBe(true);
+});
+
 test("a repeated request for a placed job gets the same upstream", () => {
   const scheduler = PoolScheduler.create();
   const ask = askOf("a", { promptTokens: 5_000, targetMs: 300 });
--- a/src/scheduling/pool/returns/return_book.ts
+++ b/src/scheduling/pool/returns/return_book.ts
@@ -5,6 +5,7 @@
   SECOND_MS,
   type Timestamp,
 } from "../../../core/time.ts";
+import { keepsDeadline } from "../admission/refused_callers.ts";
 import { DemandMeter } from "../../demand_meter.ts";
 import type { JobId, PlacementRequest } from "../pool_job.ts";
 import { ReturnCounts } from "./return_counts.ts";
@@ -41,27 +42,31 @@
   mayBook: boolean;
 }>;
 
-/** The time that a refused caller is told to return in; room is booked for it, or it returns as a new caller. */
-export type ToldReturn = Readonly<
-  { inMs: Millis; booked: boolean; isRepeat: boolean }
->;
+/** The time that a refused caller is told to return in. */
+export type ToldReturn = Readonly<{
+  inMs: Millis;
+  /** Whether room is booked for it; otherwise it returns as a new caller. */
+  booked: boolean;
+  /** Whether it was refused before. */
+  isRepeat: boolean;
+}>;
 
 /** A booking for a caller, as the placing daemon sends it to its deputy. */
 export type Booking = Readonly<
-  { digest: string; inMs: Millis; engineMs: Millis }
+  { digest: string; leftMs: Millis; inMs: Millis; engineMs: Millis }
 >;
 
-/** Whether a caller who was told a time returned before it, within the time that it is kept, or after. */
-export type ReturnTime = "early" | "in_time" | "late";
+/** Whether a caller who was told a time returned before it, or then; one who returns later is a new one. */
+export type ReturnTime = "early" | "in_time";
 
-/** What is known of a caller who was refused before, and for how long it has waited. */
-export type KnownReturn = Readonly<
-  { booked: boolean; came: ReturnTime; waitedMs: Millis }
->;
+/** What a caller was told when it was refused before. */
+export type KnownReturn = Readonly<{ booked: boolean; came: ReturnTime }>;
+
+type Caller = Pick<PlacementRequest, "digest" | "leftMs">;
 
 type Entry = Readonly<{
   job?: JobId;
-  refusedAt: Timestamp;
+  deadlineAt: Timestamp;
   toldAt: Timestamp;
   booked: boolean;
   engineMs: Millis;
@@ -102,20 +107,18 @@
     this.#demand.add(engineMs, now);
   }
 
-  /** What a caller was told before, if it was; nothing once the time for which this is kept is over. */
-  known(digest: string, now: Timestamp): KnownReturn | undefined {
-    const entry = this.#get(digest);
+  /** What a caller was told before, if it was. */
+  known(caller: Caller, now: Timestamp): KnownReturn | undefined {
+    const entry = this.#get(caller, now);
     if (entry === undefined) return undefined;
-    const { booked, toldAt, refusedAt } = entry;
-    const came = returnTimeOf(toldAt, now);
-    if (came === "late") return undefined;
-    return { booked, came, waitedMs: now - refusedAt };
+    const { booked, toldAt } = entry;
+    return { booked, came: returnTimeOf(toldAt, now) };
   }
 
   /** Books room for a refused caller if there will be some in time, and returns what to tell it. */
   tell(prompt: RefusedPrompt, now: Timestamp): ToldReturn {
     const { ask, engineMs } = prompt;
-    const known = this.#get(ask.digest);
+    const known = this.#get(ask, now);
     // A repeat, or an ask whose answer was lost, gains no other time.
     if (
       known !== undefined &&
@@ -140,17 +143,17 @@
     // A caller who is told more than a third of its time returns after that third.
     const waitMs = Math.min(inMs, ask.leftMs * MAX_WAIT_FRACTION);
     const toldAt = addMs(now, waitMs);
-    const refusedAt = known?.refusedAt ?? now;
-    const { job } = ask;
-    this.#set(ask.digest, { job, refusedAt, toldAt, booked, engineMs });
-    return { inMs, booked, isRepeat: false };
+    const { job, digest, leftMs } = ask;
+    const deadlineAt = addMs(now, leftMs);
+    this.#set(digest, { job, deadlineAt, toldAt, booked, engineMs });
+    return { inMs, booked, isRepeat: known !== undefined };
   }
 
   /** Records that a caller was admitted, which ends its booking. */
-  admitted(digest: string, now: Timestamp): void {
-    const entry = this.#get(digest);
+  admitted(caller: Caller, now: Timestamp): void {
+    const entry = this.#get(caller, now);
     if (entry === undefined) return;
-    this.#delete(digest);
+    this.#delete(caller.digest);
     this.#count(entry, "admitted", now);
   }
 
@@ -160,8 +163,9 @@
     for (const digest of this.#unsent.keys()) {
       const entry = this.#bookings.get(digest);
       if (entry === undefined) continue;
-      const inMs = Math.max(0, entry.toldAt - now);
-      bookings.push({ digest, inMs, engineMs: entry.engineMs });
+      const { deadlineAt, toldAt, engineMs } = entry;
+      const inMs = Math.max(0, toldAt - now);
+      bookings.push({ digest, leftMs: deadlineAt - now, inMs, engineMs });
     }
     this.#unsent.clear();
     return bookings;
@@ -173,9 +177,10 @@
     options: Readonly<{ engines: number; now: Timestamp }>,
   ): void {
     const { engines, now } = options;
-    const { digest, inMs, engineMs } = booking;
+    const { digest, leftMs, inMs, engineMs } = booking;
+    const deadlineAt = addMs(now, leftMs);
     const toldAt = addMs(now, inMs);
-    this.#set(digest, { refusedAt: now, toldAt, booked: true, engineMs });
+    this.#set(digest, { deadlineAt, toldAt, booked: true, engineMs });
     const endsAt = addMs(toldAt, engineMs / this.#roomPerMs(engines, now));
     this.#bookedUntil = Math.max(this.#bookedUntil, endsAt) as Timestamp;
   }
@@ -198,8 +203,16 @@
     return Math.max(MIN_BOOKED_PART * count, free);
   }
 
-  #get(digest: string): Entry | undefined {
-    return this.#bookings.get(digest) ?? this.#unbooked.get(digest);
+  /** The entry of a caller whose return is still expected. */
+  #get(caller: Caller, now: Timestamp): Entry | undefined {
+    const { digest } = caller;
+    const entry = this.#bookings.get(digest) ?? this.#unbooked.get(digest);
+    if (entry === undefined) return undefined;
+    if (now > entry.toldAt + KEPT_MS) {
+      this.#delete(digest);
+      return undefined;
+    }
+    return keepsDeadline(entry.deadlineAt, caller, now) ? entry : undefined;
   }
 
   #delete(digest: string): void {
@@ -225,6 +238,5 @@
 }
 
 function returnTimeOf(toldAt: Timestamp, now: Timestamp): ReturnTime {
-  if (now < toldAt - TOLD_ACCURACY_MS) return "early";
-  return now <= toldAt + KEPT_MS ? "in_time" : "late";
+  return now < toldAt - TOLD_ACCURACY_MS ? "early" : "in_time";
 }
--- a/src/scheduling/pool/returns/return_counts.ts
+++ b/src/scheduling/pool/returns/return_counts.ts
@@ -2,8 +2,8 @@
 export type ReturnOutcome = Readonly<{
   /** Whether room was booked for it. */
   booked: boolean;
-  /** Whether it came before the told time, within the time that a booking is kept, or after. */
-  came: "early" | "in_time" | "late";
+  /** Whether it came before the told time, or then. */
+  came: "early" | "in_time";
   outcome: "admitted" | "refused";
 }>;
 
--- a/src/scheduling/pool/service_room_test.ts
+++ b/src/scheduling/pool/service_room_test.ts
@@ -4,7 +4,6 @@
 import type { Millis, Timestamp } from "../../core/time.ts";
 import { placementRequest, poolJob } from "../../testing/pool_fixtures.ts";
 import { VirtualTime } from "../../testing/virtual_time.ts";
-import { waitLimitMs } from "./service_room.ts";
 import { ServiceRooms } from "./service_rooms.ts";
 
 const ENGINES = 8;
@@ -20,7 +19,7 @@
   { demand: number; rank?: number; fromMs?: Millis; repeats?: number }
 >;
 
-/** Plays teams against engines that are one number: the prefill that waits on each. */
+/** Plays teams against engines of which each is one number: the prefill that waits there. */
 function replay(teams: Readonly<Record<string, TestTeam>>) {
   const time = VirtualTime.create(0 as Timestamp);
   const random = Random.create(7);
@@ -39,30 +38,39 @@
     inTimeMs: 0,
     engineMs: 0,
   }));
-  let busyUntil = 0;
+  const busyUntil = Array.from({ length: ENGINES }, () => 0);
 
   const submit = (
-    call: Readonly<
-      { tally: typeof tallies[number]; engineMs: Millis; digest: string }
-    >,
+    call: Readonly<{
+      tally: typeof tallies[number];
+      engineMs: Millis;
+      digest: string;
+      at: Timestamp;
+    }>,
     attempt: number,
   ) => {
     const { tally, engineMs, digest } = call;
     const { now } = time;
+    const waitedMs = now - call.at;
+    const leftMs = LEFT_MS - waitedMs;
     const fields = { service: SERVICE, team: tally.id };
     const job = `${digest} ${attempt}`;
-    const ask = placementRequest(job, { ...fields, digest, leftMs: LEFT_MS });
-    const terms = room.request({ ask, engineMs }, now);
-    const backlogMs = Math.max(0, busyUntil - now);
-    const expectMs = backlogMs + engineMs;
-    const limitMs = waitLimitMs(terms, {
-      idleMs: engineMs,
-      leastMs: 2 * engineMs,
-      usualMs: TARGET_MS,
-      timeoutMs: TIMEOUT_MS,
+    const ask = placementRequest(job, {
+      ...fields,
+      digest,
+      promptTokens: engineMs,
+      leftMs,
     });
-    if (expectMs <= limitMs) {
-      busyUntil = now + backlogMs + engineMs / ENGINES;
+    const promptClass = "short";
+    const demand = { ask, promptClass, engineMs, waitedMs } as const;
+    const terms = room.request(demand, now);
+    const { isDue, spareTokens } = terms;
+    const waits = busyUntil.map((at) => Math.max(0, at - now));
+    const expectMs = Math.min(...waits) + engineMs;
+    const limitMs = isDue ? TIMEOUT_MS : TARGET_MS;
+    const isLate = !isDue && waitedMs + expectMs > limitMs;
+    if (expectMs + spareTokens <= limitMs && !isLate) {
+      busyUntil[waits.indexOf(Math.min(...waits))] = now + expectMs;
       room.admit(ask, now);
       rooms.charge(poolJob(job, "e", { ...fields, engineMs }), now);
       tally.served += 1;
@@ -72,12 +80,12 @@
     }
     const freeInMs = expectMs - limitMs;
     const told = room.refuse(
-      { ask, engineMs, engines: ENGINES, freeInMs },
+      { ...demand, engines: ENGINES, freeInMs },
       now,
     );
     const { repeats = 0 } = teams[tally.id]!;
     if (attempt >= Math.max(1, repeats)) return;
-    const inMs = repeats > 0 ? 20 : Math.min(told.inMs, LEFT_MS / 3);
+    const inMs = repeats > 0 ? 20 : Math.min(told.inMs, leftMs / 3);
     time.schedule(inMs, () => submit(call, attempt + 1));
   };
 
@@ -90,7 +98,7 @@
       const digest = `${tally.id}-${at}`;
       time.schedule(at, () => {
         tally.asked += 1;
-        submit({ tally, engineMs, digest }, 0);
+        submit({ tally, engineMs, digest, at: time.now }, 0);
       });
     }
   }
@@ -189,7 +197,7 @@
   const teams = [{ id: team }, { id: "b" as TeamId }];
   rooms.configure({ teams, shortestTimeoutMs: LEFT_MS }, new Set([SERVICE]));
   rooms.charge(job, now);
-  const { shares } = rooms.of(SERVICE);
+  const { short: shares } = rooms.of(SERVICE).shares;
   expect(shares.factor(team, now)).toBe(1);
   shares.recordRefused("b" as TeamId, 50, now);
   const later = (now + 100) as Timestamp;
--- a/src/scheduling/pool/service_rooms.ts
+++ b/src/scheduling/pool/service_rooms.ts
@@ -1,6 +1,6 @@
 import type { ServiceId, TeamId } from "../../core/id.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
-import { engineMsOfJob } from "./engine_time.ts";
+import { classOf, engineMsOfJob, prefillMsOfJob } from "./engine_time.ts";
 import type { PoolJob } from "./pool_job.ts";
 import type { Booking } from "./returns/return_book.ts";
 import { ServiceRoom } from "./service_room.ts";
@@ -52,8 +52,8 @@
   teamParts(now: Timestamp): ReadonlyMap<TeamId, number> {
     const used = new Map<TeamId, number>();
     let sum = 0;
-    for (const { shares } of this.#rooms.values()) {
-      for (const [team, engines] of shares.busyEngines(now)) {
+    for (const room of this.#rooms.values()) {
+      for (const [team, engines] of room.busyEngines(now)) {
         used.set(team, (used.get(team) ?? 0) + engines);
         sum += engines;
       }
@@ -64,7 +64,8 @@
   /** Charges a placed job's team. */
   charge(job: PoolJob, now: Timestamp): void {
     if (job.kind !== "prompt") return;
-    this.of(job.service).shares.charge(job.team, engineMsOfJob(job), now);
+    const shares = this.of(job.service).shares[classOf(prefillMsOfJob(job))];
+    shares.charge(job.team, engineMsOfJob(job), now);
   }
 
   /** Returns the bookings since the last call. */
@@ -83,7 +84,8 @@
   }
 
   #apply({ shares, returns }: ServiceRoom): void {
-    shares.setTeams(this.#terms.teams);
+    shares.short.setTeams(this.#terms.teams);
+    shares.long.setTeams(this.#terms.teams);
     returns.setShortestTimeout(this.#terms.shortestTimeoutMs);
   }
 }
--- a/src/scheduling/pool/shares/team_shares.ts
+++ b/src/scheduling/pool/shares/team_shares.ts
@@ -21,7 +21,7 @@
 /** Least weight: the pages count a team as starved that is served less than a quarter as often as all. */
 const MIN_WEIGHT = 0.25;
 
-/** A team of the configuration, with its priority rank if it has one; 0 is the highest. */
+/** A team of the configuration. Its priority rank, of which 0 is the highest, counts like the highest if it has none. */
 export type RankedTeam = Readonly<{ id: TeamId; rank?: number }>;
 
 /** A team's use of the engines, in engines that it keeps busy. */
@@ -50,11 +50,10 @@
 
   /** Sets the teams of the configuration; shares apply from two teams on. */
   setTeams(teams: readonly RankedTeam[]): void {
-    const ranks = teams.map((team) => team.rank ?? 0);
-    const highest = Math.min(...ranks);
-    this.#weights = new Map(teams.map((team, i) => {
-      const weight = WEIGHT_PER_RANK ** (ranks[i]! - highest);
-      return [team.id, Math.max(MIN_WEIGHT, weight)];
+    const highest = Math.min(...teams.flatMap(({ rank }) => rank ?? []));
+    this.#weights = new Map(teams.map(({ id, rank = highest }) => {
+      const weight = rank === highest ? 1 : WEIGHT_PER_RANK ** (rank - highest);
+      return [id, Math.max(MIN_WEIGHT, weight)];
     }));
     for (const id of this.#uses.keys()) {
       if (!this.#weights.has(id)) this.#uses.delete(id);
@@ -66,7 +65,7 @@
     this.#useOf(team)?.used.add(engineMs, now);
   }
 
-  /** Records a prompt that was refused for lack of room; repeats of a refused prompt are not to be recorded. */
+  /** Records a prompt that was refused for lack of room; not for one whose caller was refused before. */
   recordRefused(
     team: TeamId | undefined,
     engineMs: Millis,
@@ -78,7 +77,7 @@
     use.refusedAt = now;
   }
 
-  /** The part of the usual wait up to which a team's prompts are admitted; under 1 if it is at its share or over it. */
+  /** How far a team's prompts yield to those of others, from 1 (not at all) to 0; under 1 near its share and over it. */
   factor(team: TeamId | undefined, now: Timestamp): number {
     const yielded = (this.#excess(team, now) + SHARE_TOLERANCE) /
       (2 * SHARE_TOLERANCE);
@@ -100,12 +99,6 @@
     return busy;
   }
 
-  /** The part of the engine time used lately that a team used. */
-  usedPart(team: TeamId, now: Timestamp): number {
-    const used = this.#uses.get(team)?.used.busyEngines(now) ?? 0;
-    return used === 0 ? 0 : used / this.#allUsed(now);
-  }
-
   #useOf(team: TeamId | undefined): TeamUse | undefined {
     if (team === undefined || !this.#weights.has(team)) return undefined;
     const use = this.#uses.get(team) ?? {
