--- a/src/gateway/members/members_controller.ts
+++ b/src/gateway/members/members_controller.ts
@@ -10,6 +10,7 @@
   livenessTimeoutMs,
   otherPlacers,
 } from "./membership.ts";
+import { newBookings } from "../placement/room_sync.ts";
 import type { PeerCard, PeerMessage } from "../peers/peer_message.ts";
 import { heartbeatReply } from "./heartbeat_reply.ts";
 import { PeerDiscovery } from "./peer_discovery.ts";
@@ -260,12 +261,11 @@
         paces: this.#slowEnginePaces(board, step),
         contents: contentSyncFor(board, step.now, {
           to: vm,
-          mark: vm === undefined
-            ? undefined
-            : this.#quarantineSummaries.get(vm),
+          mark: vm && this.#quarantineSummaries.get(vm),
         }),
         rates: board.gate.rates.notices(step.now),
         cold: board.gate.cold.notices(step.now),
+        booked: newBookings(board, vm, step.now),
       },
     });
   }
