--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -69,6 +69,10 @@
 /** Absent in messages of earlier builds, for requests without a key, and if it can't be used. */
 const teamSchema = idSchema<TeamId>().optional().catch(undefined);
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
+/** Absent in messages of earlier builds, and where engines hold nothing beyond a request. */
+const LeadingPartsSchema = z.array(
+  z.object({ id: idSchema<PromptPartId>(), tokens: figureSchema }).readonly(),
+).readonly();
 const JobSchema = z.object({
   id: z.string().transform((id) => id as JobId),
   vm: idSchema<VmId>(),
@@ -84,6 +88,7 @@
   engineMs: millisSchema.optional().catch(undefined),
   pauseMs: millisSchema,
   writing: z.boolean(),
+  leadingParts: LeadingPartsSchema.optional(),
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
@@ -126,6 +131,7 @@
   digest: z.string(),
   /** Absent in messages of earlier builds. */
   sharedParts: z.array(idSchema<PromptPartId>()).readonly().default([]),
+  leadingParts: LeadingPartsSchema.optional(),
   avoid: z.array(upstream).readonly(),
   closed: z.array(
     z.object({ upstream, forMs: millisSchema.optional() }).readonly(),
@@ -137,6 +143,7 @@
   addresses: z.record(upstream, addressSchema),
   priority: z.number(),
   expectMs: millisSchema,
+  savedMs: millisSchema.optional(),
   counted: z.boolean().optional(),
 }).readonly();
 
--- a/src/gateway/placement/place_line.ts
+++ b/src/gateway/placement/place_line.ts
@@ -34,6 +34,9 @@
         helpers: result.value.job.helpers.length,
         tickets: result.value.job.tickets.length,
         expect_ms: Math.round(result.value.expectMs),
+        ...(result.value.savedMs === undefined
+          ? {}
+          : { saved_ms: Math.round(result.value.savedMs) }),
       }
       : { refused: result.error.code, ...shortageFields(decision) }),
   };
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -74,9 +74,11 @@
       kind === "gone" || kind === "restarted"
     );
     if (gone.length === 0) return;
+    const { tracker } = pool.scheduler;
+    for (const { id } of gone) tracker.loadOf(id).held.clear();
     const ids = register.table.all().map((entry) => entry.id);
     const listed = new Set(ids);
-    pool.scheduler.tracker.retainUpstreams(listed);
+    tracker.retainUpstreams(listed);
     pool.scheduler.slowEngines.retainEngines(listed);
   }
 
@@ -95,8 +97,9 @@
   #request(
     board: GatewayBoard,
     step: GatewayStep,
-    ask: PlacementRequest,
+    req: PlacementRequest,
   ): void {
+    const ask = holdsParts(board, req) ? req : withoutParts(req);
     const sent = this.#requests.send(board, step, ask);
     if (!sent) this.#submit(board, step, ask, undefined);
   }
@@ -398,3 +401,14 @@
     }
   }
 }
+
+/** Whether the engines of a request's service hold the beginning of a prompt beyond its request. */
+function holdsParts(board: GatewayBoard, ask: PlacementRequest): boolean {
+  const services = board.serving.routes?.serving.services;
+  return services?.get(ask.service)?.pace?.heldMs !== undefined;
+}
+
+function withoutParts(ask: PlacementRequest): PlacementRequest {
+  const { leadingParts: _, ...rest } = ask;
+  return rest;
+}
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -1,9 +1,11 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
 import { type Candidate, penaltyMs, type PromptInput } from "./candidate.ts";
+import { weighHolders } from "../held/held_saving.ts";
 import { admissionLimitMs } from "./admission_limit.ts";
 import { type RoomTerms, USUAL_TERMS } from "./room_terms.ts";
 import { shortFit, type ShortRoom } from "./admission/short_room.ts";
+import { savedPrefillMs } from "./held_prefill.ts";
 
 /** Fraction of the target within which an engine with more streams is preferred to a faster one. */
 const PACKING_TARGET_FRACTION = 0.6;
@@ -23,6 +25,8 @@
   expectMs: Millis;
   /** The room that no engine has for the prompt; it fits if undefined. */
   lacks: ShortRoom | "share" | "team_share" | undefined;
+  /** Part of the prompt's prefill that the engine is expected to save. */
+  savedMs: Millis;
 }>;
 
 /**
@@ -47,13 +51,15 @@
   const limitMs = admissionLimitMs(input.ask, input.pace, terms);
   const all = input.candidates.map((engine) => {
     const fit = shortFit(input, engine, { limitMs, marginMs });
+    const savedMs = savedPrefillMs(input, engine);
+    const expectMs = fit.firstMs - savedMs * engine.load.slowdownAt(input.now);
     const cost = fit.firstMs + penaltyMs(input, engine) +
       fit.lateStreams * LATE_STREAM_PENALTY_MS;
     const lacks: ShortPlacement["lacks"] = fit.lacks ??
       (leavesRoom(input, engine, { limitMs, marginMs, ...terms })
         ? undefined
         : "team_share");
-    return { engine, expectMs: fit.firstMs, lacks, cost };
+    return { engine, expectMs, savedMs, lacks, cost };
   });
   const fitting = all.filter((rating) =>
     rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
@@ -67,9 +73,9 @@
   }
   if (fitting.length === 0) return { ...best, lacks: best.lacks ?? "share" };
   const packingLimitMs = input.ask.targetMs * PACKING_TARGET_FRACTION;
-  const packable = ratings.filter((rating) =>
-    rating.cost <= packingLimitMs &&
-    rating.engine.load.ownJobs + SPARE_SLOTS <= rating.engine.slots
+  const early = ratings.filter(({ cost }) => cost <= packingLimitMs);
+  const packable = early.filter(({ engine }) =>
+    engine.load.ownJobs + SPARE_SLOTS <= engine.slots
   );
   const ownDomain = enginesInOwnDomain(input);
   packable.sort((a, b) =>
@@ -77,7 +83,7 @@
     b.engine.load.sensitiveStreams - a.engine.load.sensitiveStreams ||
     a.cost - b.cost
   );
-  return packable[0] ?? best;
+  return weighHolders(packable[0] ?? best, early);
 }
 
 /**
--- a/src/scheduling/pool/pool_grant.ts
+++ b/src/scheduling/pool/pool_grant.ts
@@ -31,6 +31,9 @@
     tokens: ask.promptTokens + ask.answerTokens,
     pauseMs: ask.pauseMs,
     writing: false,
+    ...(ask.leadingParts === undefined
+      ? {}
+      : { leadingParts: ask.leadingParts }),
     placedAt: now,
     ...place,
   };
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -301,10 +301,13 @@
     if (placement === undefined) {
       return { ask, result: err(this.#noUpstream(ask, req.members, now)) };
     }
-    const { engine, expectMs, lacks } = placement;
+    const { engine, expectMs, savedMs, lacks } = placement;
     if (lacks !== undefined && lacks !== "team_share") admission.lacked(now);
+    // A prompt is not admitted for what may have been evicted by then.
+    const unsavedMs = expectMs + savedMs;
     const room = shortageOf(ask, pace, {
       ...placement,
+      expectMs: unsavedMs,
       terms,
       isCrest: shortEngines !== undefined,
     });
@@ -312,13 +315,14 @@
       admission.refused(ask, now);
       return this.#refuse(req, now, { room, expectMs });
     }
+    // The whole prompt counts as the engine's backlog: what is not read makes room only once it is seen.
     const job = jobOf(ask, now, {
       upstream: engine.id,
       partMs: prefillMs(pace, ask.promptTokens),
       engineMs: engineMs(ask, pace),
     });
     this.predictions.expect(job.id, addMs(now, expectMs));
-    return this.#grant(job, req, { now, expectMs });
+    return this.#grant(job, req, { now, expectMs, savedMs });
   }
 
   #placeCall(req: PoolSubmission, now: Timestamp): PoolDecision {
@@ -336,17 +340,20 @@
   #grant(
     job: PoolJob,
     req: PoolSubmission & Readonly<{ terms?: RoomTerms }>,
-    options: Readonly<{ now: Timestamp; expectMs: Millis }>,
+    options: Readonly<{ now: Timestamp; expectMs: Millis; savedMs?: Millis }>,
   ): PoolDecision {
     const { ask, terms } = req;
-    const { now, expectMs } = options;
+    const { now, expectMs, savedMs = 0 } = options;
     this.tracker.add(job, now);
     this.rates.charge(job.upstream, now);
     if (job.kind === "prompt") {
-      this.slowEngines.expectFirstEvent(job, expectMs, now);
+      // A part that the engine turns out not to hold is no sign that it is slow.
+      this.slowEngines.expectFirstEvent(job, expectMs + savedMs, now);
       this.rooms.of(ask.service).admit(ask, now);
     }
-    return { ask, result: ok(this.#grantOf(job, req, expectMs)), terms };
+    const grant = this.#grantOf(job, req, expectMs);
+    const result = ok(savedMs > 0 ? { ...grant, savedMs } : grant);
+    return { ask, result, terms };
   }
 
   #grantOf(job: PoolJob, req: PoolSubmission, expectMs?: Millis): PoolGrant {
--- a/tools/pool/play.ts
+++ b/tools/pool/play.ts
@@ -63,7 +63,13 @@
   arrivals: readonly Arrival[],
   createPolicy: () => Policy,
   options: Readonly<
-    { slow?: SlowSpan; pool?: PlayedPool; callers?: Callers }
+    {
+      slow?: SlowSpan;
+      pool?: PlayedPool;
+      callers?: Callers;
+      /** How long the engines hold the beginning of a prompt, which the policy may not know; 0 by default. */
+      heldMs?: number;
+    }
   > = {},
 ): readonly Served[] {
   const pace = options.pool?.pace ?? ENGINE_PACE;
@@ -81,7 +87,7 @@
     slots: pace.slots,
   }));
   const engines = new Map(
-    members.map((one) => [one.id, PassEngine.create(pace, clock)]),
+    members.map((one) => [one.id, PassEngine.create(pace, clock, options)]),
   );
   const policy = createPolicy();
   const served: Served[] = [];
@@ -137,6 +143,7 @@
     const sim: SimJob = {
       id: job.id,
       promptTokens: arrival.tokens,
+      ...(arrival.parts === undefined ? {} : { beginning: arrival.parts }),
       partsLeft: all.length,
       tokensLeft: arrival.answerTokens,
       ...(callers === undefined ? {} : { memoryTokens: memoryOf(job) }),
@@ -250,5 +257,6 @@
     leftMs: leftMs - elapsedMs,
     digest: `${arrival.at}`,
     ...(rank === undefined ? {} : { rank }),
+    ...(arrival.parts === undefined ? {} : { leadingParts: arrival.parts }),
   });
 }
