--- a/src/gateway/gateway_daemon.ts
+++ b/src/gateway/gateway_daemon.ts
@@ -321,7 +321,7 @@
       datagrams_unreadable: this.#unreadableDatagrams,
       get_connections: this.guard.connections,
       ...this.#front.gauges,
-    });
+    }, { rooms: board.pool.scheduler.rooms, now });
     return { status: 200, body, contentType: this.#metrics.contentType };
   }
 
--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -6,6 +6,7 @@
   PromptPartId,
   RequestId,
   ServiceId,
+  TeamId,
   UpstreamId,
   VmId,
 } from "../../core/id.ts";
@@ -65,6 +66,8 @@
 const offsetSchema = z.number().int().min(-1);
 
 const upstream = idSchema<UpstreamId>();
+/** Absent in messages of earlier builds, for requests without a key, and if it can't be used. */
+const teamSchema = idSchema<TeamId>().optional().catch(undefined);
 const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
 /** Absent in messages of earlier builds, and where engines hold nothing beyond a request. */
 const LeadingPartsSchema = z.array(
@@ -74,18 +77,30 @@
   id: z.string().transform((id) => id as JobId),
   vm: idSchema<VmId>(),
   service: idSchema<ServiceId>(),
+  team: teamSchema,
   kind: z.enum(["prompt", "call"]),
   upstream,
   helpers: z.array(upstream).readonly(),
   tickets: z.array(TicketSchema).readonly(),
   tokens: z.number(),
   partMs: millisSchema,
+  /** Absent in messages of earlier builds. */
+  engineMs: millisSchema.optional().catch(undefined),
   pauseMs: millisSchema,
   writing: z.boolean(),
   leadingParts: LeadingPartsSchema.optional(),
   placedAt: z.number().transform((at) => at as Timestamp),
 }).readonly();
 
+/** Engine time that is booked for a refused caller, and when it was told to return. */
+const BookingSchema = z.object({
+  service: idSchema<ServiceId>(),
+  digest: z.string(),
+  leftMs: millisSchema,
+  inMs: millisSchema,
+  engineMs: millisSchema,
+}).readonly();
+
 const RegisterChangeSchema = z.union([
   z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({
@@ -105,6 +120,7 @@
   vm: idSchema<VmId>(),
   domain: z.string(),
   service: idSchema<ServiceId>(),
+  team: teamSchema,
   kind: z.enum(["prompt", "call"]),
   promptTokens: figureSchema,
   answerTokens: figureSchema,
@@ -182,6 +198,8 @@
     contents: ContentSyncSchema.optional(),
     rates: soundList(RateNoticeSchema).optional(),
     cold: soundList(ColdNoticeSchema).optional(),
+    /** Bookings that the leader has made since its last heartbeat to the deputy. */
+    booked: soundList(BookingSchema).optional(),
   }),
   /** Answers a heartbeat. */
   z.object({
