--- a/src/gateway/upstreams/register_publisher.ts
+++ b/src/gateway/upstreams/register_publisher.ts
@@ -15,7 +15,17 @@
   positions?: Readonly<{ received: StorePosition; known: StorePosition }>,
 ): void {
   board.register.updates = [...board.register.updates, ...updates];
+  const isFirst = positions !== undefined && positions.known.offset < 0;
+  if (isFirst && updates.length > 0) {
+    step.line("upstreams_read", {
+      count: updates.length,
+      era: positions.received.era,
+      offset: positions.received.offset,
+    });
+  }
   for (const { kind, id } of updates) {
+    // Thousands of lines in the first second would delay what a daemon that has just started does.
+    if (isFirst && kind === "joined") continue;
     const isHeld = kind === "kept" || kind === "overruled";
     step.line("upstream", {
       upstream: id,
