--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -224,6 +224,8 @@
     switch (message.type) {
       case "ask":
         this.#lastReportAt.set(message.ask.vm, step.now);
+        // Without a table this daemon can't say that there is no upstream; the sender asks again, or another one.
+        if (board.register.position.offset < 0) return;
         this.#submit(board, step, message.ask, message.reply);
         return;
       case "wait":
