--- a/src/scheduling/pool/long_queue.ts
+++ b/src/scheduling/pool/long_queue.ts
@@ -111,12 +111,11 @@
   };
 }
 
-/** The queue's view of a long prompt for which room is booked: it is late already, and precedes others. */
+/** The queue's view of a long prompt for which room is booked: it counts as new, and precedes others. */
 export function preferredPromptOf(
   ask: PlacementRequest,
   pace: EnginePace,
   now: Timestamp,
 ): QueuedPrompt {
-  const prompt = queuedPromptOf(ask, pace, now);
-  return { ...prompt, dueAt: prompt.timeoutAt, preferred: true };
+  return { ...queuedPromptOf(ask, pace, now), preferred: true };
 }
