Hand small readings to the parser as a whole

Cause: each ordinary request took two slices, each with two readings of the clock and a pause of its socket.

Change: a reading of up to 2 KiB that begins with a head is parsed at once; few requests fit into it.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -46,7 +46,9 @@
 
   /** The last request without a complete response. */
   get newest(): IncomingMessage | undefined {
-    return [...this.#open.keys()].at(-1);
+    let newest: IncomingMessage | undefined;
+    for (const req of this.#open.keys()) newest = req;
+    return newest;
   }
 
   /** Bytes of responses that the client has not read. */
--- a/src/gateway/requests/client_connections.ts
+++ b/src/gateway/requests/client_connections.ts
@@ -120,6 +120,7 @@
     const connection = this.#of(req.socket);
     if (connection.lastStarted) {
       this.#line(connection, "behind_last", {});
+      this.#guard.discard(connection);
       req.resume();
       return undefined;
     }
--- a/src/gateway/requests/client_feed.ts
+++ b/src/gateway/requests/client_feed.ts
@@ -15,6 +15,9 @@
 /** Bytes behind the last request, and of a refused one beyond its body's limit, that are read and discarded. */
 const DISCARDED_BYTES = 256 << 10;
 const DISCARDED_BODY_BYTES = 16 << 20;
+/** A reading of so few bytes that begins with a head goes to the parser at once; few requests fit into it. */
+const SMALL_BYTES = 2 << 10;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 /** Time that a connection gets at once for what it has received, and all that wait for their turn together. */
 const DIRECT_MS: Millis = 2;
 const TURN_MS: Millis = 8;
@@ -84,7 +87,7 @@
   readonly #onChange: () => void;
   #onBehindLast: () => void;
   readonly #parse: (bytes: Buffer) => void;
-  #received: Buffer = Buffer.alloc(0);
+  #received = NO_BYTES;
   #sliceBytes = FIRST_SLICE_BYTES;
   #bodyLeft = 0;
   /** Bytes since the last head, or the last part of a body. */
@@ -150,7 +153,7 @@
   /** Discards what was received, and some of what comes. */
   discard(): void {
     this.#discards = true;
-    this.#received = Buffer.alloc(0);
+    this.#received = NO_BYTES;
     this.#unparsedBytes = 0;
     if (!this.#stopped) this.#socket.resume();
   }
@@ -167,6 +170,9 @@
     this.#received = length === 0
       ? bytes
       : Buffer.concat([this.#received, bytes]);
+    if (length === 0 && bytes.length <= SMALL_BYTES && this.#tryFeedAll()) {
+      return this.#settle();
+    }
     if (!this.#costly) {
       const until = performance.now() + DIRECT_MS;
       while (this.#mayFeed()) {
@@ -177,6 +183,23 @@
     this.#settle();
   }
 
+  /** Hands a reading that begins with a head to the parser as a whole; false if it begins within a body, or has to wait. */
+  #tryFeedAll(): boolean {
+    if (this.#state.newest?.complete === false || !this.#mayFeed()) {
+      return false;
+    }
+    const { requests } = this.#state;
+    const bytes = this.#received;
+    this.#received = NO_BYTES;
+    this.#unparsedBytes += bytes.length;
+    this.#parse.call(this.#socket, bytes);
+    if (this.#state.requests === requests) return true;
+    this.#onHead();
+    // A part of the body may have been among them.
+    this.#bodyLeft = 0;
+    return true;
+  }
+
   #mayFeed(): boolean {
     const { open, newest, lastStarted } = this.#state;
     if (this.#received.length === 0 || this.#socket.destroyed) return false;
@@ -190,7 +213,7 @@
     const most = this.#maxBodyBytes() + DISCARDED_BODY_BYTES;
     if (lastStarted && this.#bodyBytes > most) {
       this.#stopped = true;
-      this.#received = Buffer.alloc(0);
+      this.#received = NO_BYTES;
       return false;
     }
     if (isPausedByServer(this.#socket)) return false;
@@ -199,7 +222,7 @@
 
   #discardReceived(): false {
     this.#discardedBytes += this.#received.length;
-    this.#received = Buffer.alloc(0);
+    this.#received = NO_BYTES;
     this.#stopped ||= this.#discardedBytes > DISCARDED_BYTES;
     return false;
   }
@@ -240,8 +263,11 @@
   #settle(): void {
     if (this.#socket.destroyed) return;
     if (this.#mayFeed()) this.#enqueue();
-    if (this.#received.length > 0 || this.#stopped) this.#socket.pause();
-    else if (!isPausedByServer(this.#socket)) this.#socket.resume();
+    const waits = this.#received.length > 0 || this.#stopped;
+    if (waits) this.#socket.pause();
+    else if (this.#socket.isPaused() && !isPausedByServer(this.#socket)) {
+      this.#socket.resume();
+    }
     this.#onChange();
   }
 
--- a/src/gateway/requests/client_guard.ts
+++ b/src/gateway/requests/client_guard.ts
@@ -158,7 +158,7 @@
     const held = this.#connections.get(connection);
     if (held === undefined) return;
     // What a client sends says nothing of what it reads.
-    if (held.stage !== "unread") held.movedAt = this.#port.now();
+    if (connection.unreadBytes === 0) held.movedAt = this.#port.now();
     this.#set(held, held.measure());
   }
 
