Test what is given up on real connections when memory or descriptors are short

Cause: the pure choice and the processes' bounds had tests; that a refusal says not run, closes its connection and leaves others served had none.

--- a/src/testing/front_server_fixture.ts
+++ b/src/testing/front_server_fixture.ts
@@ -12,6 +12,7 @@
 import { PlatformDialect } from "../../platform/wire/dialect.ts";
 import { addMs, type Millis } from "../core/time.ts";
 import type { Drain } from "../gateway/requests/drain_gate.ts";
+import type { ProcessResources } from "../gateway/requests/client_budget.ts";
 import { FrontServer } from "../gateway/requests/front_server.ts";
 import { RouteTable } from "../gateway/serving/route_table.ts";
 import type {
@@ -69,6 +70,7 @@
   static async start(
     scripts: readonly UpstreamScript[],
     fields: Partial<Route> = {},
+    options: Readonly<{ resources?: ProcessResources }> = {},
   ): Promise<FrontServerFixture> {
     const servers = scripts.map((script) =>
       createServer((socket) => {
@@ -86,7 +88,7 @@
     const server = FrontServer.create(exchangePort, {
       routes: () => state.routes,
       drain: () => state.drain,
-    });
+    }, options);
     const portProbe = createHttpServer();
     const port = await listen(portProbe);
     await new Promise<void>((resolve) => portProbe.close(() => resolve()));
