--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -16,6 +16,8 @@
 
 /** Predicted time that is added to the new stream for each stream that would pause too long. */
 const LATE_STREAM_PENALTY_MS: Millis = 100;
+/** Factor below which a team leaves a slot besides: it is over its share. */
+const SLOT_FACTOR = 0.5;
 /** Least error margin of predictions. */
 const PREDICTION_MARGIN_MS: Millis = 15;
 
@@ -94,15 +96,15 @@
   input: PromptInput,
   engine: Candidate,
   options: Readonly<
-    { limitMs: Millis; marginMs: Millis; spareTokens: number }
+    { limitMs: Millis; marginMs: Millis; factor: number; spareTokens: number }
   >,
 ): boolean {
-  const { spareTokens } = options;
+  const { factor, spareTokens } = options;
   if (spareTokens === 0) return true;
   const promptTokens = input.ask.promptTokens + spareTokens;
   const both = { ...input, ask: { ...input.ask, promptTokens } };
-  const others = { ...engine, slots: engine.slots - 1 };
-  return shortFit(both, others, options).lacks === undefined;
+  const slots = engine.slots - (factor < SLOT_FACTOR ? 1 : 0);
+  return shortFit(both, { ...engine, slots }, options).lacks === undefined;
 }
 
 /**
