Strict room only in a crest; demand of the last second

Change: while prompts don't offer more than there is, a short prompt is admitted as before unless it makes two streams late or more; the offered time decays in one second.

--- a/src/scheduling/pool/admission/room_shares.ts
+++ b/src/scheduling/pool/admission/room_shares.ts
@@ -6,7 +6,7 @@
 export type PromptClass = "short" | "long";
 
 /** Time in which the offered load decays to 1/e: long against a pass, short against a crest. */
-const DECAY_MS: Millis = 2_000;
+const DECAY_MS: Millis = 1_000;
 /** Fraction of the engines' time that prompts can use before they make each other late. */
 const USABLE_FRACTION = 0.75;
 
--- a/src/scheduling/pool/admission/shortage.ts
+++ b/src/scheduling/pool/admission/shortage.ts
@@ -16,6 +16,9 @@
 /** Why a prompt is refused: the room that is short, and when its first event would have come. */
 export type Shortage = Readonly<{ room: ShortageRoom; expectMs: Millis }>;
 
+/** Streams that a prompt may make late while there is room: refusing it makes its own caller late. */
+const MAX_LATE_STREAMS = 1;
+
 /**
  * The room that a short prompt lacks, with the best place for it; undefined if it is admitted. A prompt that failed on
  * another upstream has waited already, so it is admitted up to its caller's time-out.
@@ -29,12 +32,15 @@
     terms: RoomTerms;
     /** Whether more engine time is asked for than there is. */
     isCrest: boolean;
+    lateStreams: number;
   }>,
 ): ShortageRoom | undefined {
   const { terms, isCrest } = place;
   const limitMs = admissionLimitMs(ask, pace, terms);
   if (place.expectMs > limitMs) return place.lacks ?? "prefill";
   if (ask.avoid.length > 0) return undefined;
+  if (place.lacks === "team_share") return place.lacks;
+  if (!isCrest && place.lateStreams <= MAX_LATE_STREAMS) return undefined;
   if (place.lacks !== undefined) return place.lacks;
   if (terms.isDue || !isCrest) return undefined;
   return terms.waitedMs + place.expectMs > limitMs ? "late" : undefined;
--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -27,6 +27,8 @@
   lacks: ShortRoom | "share" | "team_share" | undefined;
   /** Part of the prompt's prefill that the engine is expected to save. */
   savedMs: Millis;
+  /** Streams that it makes late. */
+  lateStreams: number;
 }>;
 
 /**
@@ -59,7 +61,8 @@
       (leavesRoom(input, engine, { limitMs, marginMs, ...terms })
         ? undefined
         : "team_share");
-    return { engine, expectMs, savedMs, lacks, cost };
+    const { lateStreams } = fit;
+    return { engine, expectMs, savedMs, lacks, lateStreams, cost };
   });
   const fitting = all.filter((rating) =>
     rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
