A returning caller is known by the deadline that it keeps

And a caller who comes again counted as new if its deadline moved by over 250 ms, as it does in a crest, so late callers took the room of those in time. Change: a caller with a refused content counts as returning if its deadline is nearer to the refused one's than to one of its own.

--- a/src/scheduling/pool/admission/refused_callers.ts
+++ b/src/scheduling/pool/admission/refused_callers.ts
@@ -3,27 +3,29 @@
 
 /** Callers that are remembered; the oldest entry goes first. */
 const MAX_CALLERS = 20_000;
-/** A caller who comes again keeps its deadline, up to the time that requests take on their way. */
-const DEADLINE_SLACK_MS: Millis = 250;
 
 type Caller = Pick<PlacementRequest, "digest" | "leftMs">;
-type Entry = Readonly<{ at: Timestamp; deadlineAt: Timestamp }>;
+/** When a caller was refused, and the deadline that it had. */
+export type RefusalTimes = Readonly<
+  { refusedAt: Timestamp; deadlineAt: Timestamp }
+>;
 
 /**
- * Whether a caller comes again that had this deadline: it keeps it, and another one who sends the same content has a
- * deadline of its own.
+ * Whether a caller comes again after this refusal: it keeps its deadline, up to the time that it takes to connect.
+ * Another one who sends the same content has a deadline that is later by the time since the refusal.
  */
 export function keepsDeadline(
-  deadlineAt: Timestamp,
+  refusal: RefusalTimes,
   caller: Pick<PlacementRequest, "leftMs">,
   now: Timestamp,
 ): boolean {
-  return Math.abs(now + caller.leftMs - deadlineAt) <= DEADLINE_SLACK_MS;
+  const laterMs = addMs(now, caller.leftMs) - refusal.deadlineAt;
+  return laterMs < (now - refusal.refusedAt) / 2;
 }
 
 /** Remembers when callers were refused first, by the digest of caller and content. */
 export class RefusedCallers {
-  readonly #refused = new Map<string, Entry>();
+  readonly #refused = new Map<string, RefusalTimes>();
 
   static create(): RefusedCallers {
     return new RefusedCallers();
@@ -34,7 +36,10 @@
     if (this.waitedMs(caller, now) > 0) return;
     const { digest, leftMs } = caller;
     this.#refused.delete(digest);
-    this.#refused.set(digest, { at: now, deadlineAt: addMs(now, leftMs) });
+    this.#refused.set(digest, {
+      refusedAt: now,
+      deadlineAt: addMs(now, leftMs),
+    });
     if (this.#refused.size <= MAX_CALLERS) return;
     const [oldest] = this.#refused.keys();
     this.#refused.delete(oldest!);
@@ -44,6 +49,6 @@
   waitedMs(caller: Caller, now: Timestamp): Millis {
     const entry = this.#refused.get(caller.digest);
     if (entry === undefined) return 0;
-    return keepsDeadline(entry.deadlineAt, caller, now) ? now - entry.at : 0;
+    return keepsDeadline(entry, caller, now) ? now - entry.refusedAt : 0;
   }
 }
--- a/src/scheduling/pool/returns/return_book.ts
+++ b/src/scheduling/pool/returns/return_book.ts
@@ -5,7 +5,10 @@
   SECOND_MS,
   type Timestamp,
 } from "../../../core/time.ts";
-import { keepsDeadline } from "../admission/refused_callers.ts";
+import {
+  keepsDeadline,
+  type RefusalTimes,
+} from "../admission/refused_callers.ts";
 import { DemandMeter } from "../../demand_meter.ts";
 import type { JobId, PlacementRequest } from "../pool_job.ts";
 import { ReturnCounts } from "./return_counts.ts";
@@ -64,13 +67,14 @@
 
 type Caller = Pick<PlacementRequest, "digest" | "leftMs">;
 
-type Entry = Readonly<{
-  job?: JobId;
-  deadlineAt: Timestamp;
-  toldAt: Timestamp;
-  booked: boolean;
-  engineMs: Millis;
-}>;
+type Entry =
+  & RefusalTimes
+  & Readonly<{
+    job?: JobId;
+    toldAt: Timestamp;
+    booked: boolean;
+    engineMs: Millis;
+  }>;
 
 /**
  * Books engine time for refused callers, and tells them when to return.
@@ -145,7 +149,15 @@
     const toldAt = addMs(now, waitMs);
     const { job, digest, leftMs } = ask;
     const deadlineAt = addMs(now, leftMs);
-    this.#set(digest, { job, deadlineAt, toldAt, booked, engineMs });
+    const refusedAt = now;
+    this.#set(digest, {
+      job,
+      refusedAt,
+      deadlineAt,
+      toldAt,
+      booked,
+      engineMs,
+    });
     return { inMs, booked, isRepeat: known !== undefined };
   }
 
@@ -180,7 +192,14 @@
     const { digest, leftMs, inMs, engineMs } = booking;
     const deadlineAt = addMs(now, leftMs);
     const toldAt = addMs(now, inMs);
-    this.#set(digest, { deadlineAt, toldAt, booked: true, engineMs });
+    const refusedAt = now;
+    this.#set(digest, {
+      refusedAt,
+      deadlineAt,
+      toldAt,
+      booked: true,
+      engineMs,
+    });
     const endsAt = addMs(toldAt, engineMs / this.#roomPerMs(engines, now));
     this.#bookedUntil = Math.max(this.#bookedUntil, endsAt) as Timestamp;
   }
@@ -212,7 +231,7 @@
       this.#delete(digest);
       return undefined;
     }
-    return keepsDeadline(entry.deadlineAt, caller, now) ? entry : undefined;
+    return keepsDeadline(entry, caller, now) ? entry : undefined;
   }
 
   #delete(digest: string): void {
