Late long prompts get a quarter of their engines in a crest

Change: while room is short, late long prompts come after those in time and may use a quarter of the engines for long prompts; what these can't serve before its time-out is refused at once.

--- a/src/scheduling/pool/admission/queue_plan.ts
+++ b/src/scheduling/pool/admission/queue_plan.ts
@@ -4,7 +4,15 @@
 import { orderQueue, type QueuedPrompt, splitQueue } from "../long_queue.ts";
 
 /** What to do with a queued prompt: to place it as soon as engines are free, or to refuse it now. */
-export type PlannedPrompt = Readonly<{ prompt: QueuedPrompt; shed: boolean }>;
+export type PlannedPrompt = Readonly<{
+  prompt: QueuedPrompt;
+  shed: boolean;
+  /** Engines that are closed to it, as others need them. */
+  closed?: ReadonlySet<UpstreamId>;
+}>;
+
+/** Fraction of the engines for long prompts that late ones may use. */
+const LATE_ENGINE_FRACTION = 0.25;
 
 /** A service's queue, and the engines that serve it. */
 export type QueueState = Readonly<{
@@ -16,8 +24,8 @@
 }>;
 
 /**
- * Orders a queue. While room is short, prompts that can't be in time are refused, so that the queue is no longer than
- * the aims of what waits in it; otherwise they wait for engines that no other prompt needs.
+ * Orders a queue. While room is short, prompts that can't be in time get a few engines only, and those that even these
+ * can't serve before their time-out are refused at once.
  * Load pattern: a crest of long prompts that lasts longer than their aim. Late prompts that wait up to their time-out
  * make all that follow late as well.
  */
@@ -29,10 +37,28 @@
       .map((prompt) => ({ prompt, shed: false }));
   }
   const { inTime, late } = splitQueue(prompts, capacityOf(state));
-  return [
-    ...inTime.map((prompt) => ({ prompt, shed: false })),
-    ...late.map((prompt) => ({ prompt, shed: true })),
-  ];
+  const planned: PlannedPrompt[] = inTime.map((prompt) => ({
+    prompt,
+    shed: false,
+  }));
+  const others = candidates.filter(({ id }) => !shortEngines.has(id));
+  const count = Math.ceil(others.length * LATE_ENGINE_FRACTION);
+  const open = new Set(others.slice(0, count).map(({ id }) => id));
+  const closed = new Set(
+    candidates.map(({ id }) => id).filter((id) => !open.has(id)),
+  );
+  let doneAt = now as number;
+  for (const prompt of late) {
+    const endsAt = doneAt + prompt.prefillMs / Math.max(1, count);
+    const shed = endsAt > prompt.timeoutAt;
+    if (!shed) doneAt = endsAt;
+    planned.push({
+      prompt: { ...prompt, dueAt: prompt.timeoutAt },
+      shed,
+      closed,
+    });
+  }
+  return planned;
 }
 
 /** Whether some queued prompts can't be in time. */
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -131,7 +131,9 @@
     let aheadMs: Millis | undefined;
     const candidatesOf = (req: PromptSubmission) =>
       this.#inputOf(req, now).candidates;
-    for (const { prompt, shed } of this.#queue.plan(now, candidatesOf)) {
+    for (
+      const { prompt, shed, closed } of this.#queue.plan(now, candidatesOf)
+    ) {
       const queued = this.#queue.get(prompt.job)!;
       const { ask, pace } = queued;
       const listed = members(ask);
@@ -146,7 +148,7 @@
         const expectMs = finishesInMs;
         decision = this.#refuse(req, now, { room: "queue", expectMs });
       } else if (busyTries < MAX_BUSY_TRIES) {
-        decision = this.#placeLong(req, prompt, { now, backfillMs });
+        decision = this.#placeLong(req, prompt, { now, backfillMs, closed });
       }
       if (
         decision === undefined && addMs(now, finishesInMs) > prompt.timeoutAt
@@ -201,7 +203,11 @@
   #placeLong(
     req: PromptSubmission,
     prompt: QueuedPrompt,
-    options: Readonly<{ now: Timestamp; backfillMs: Millis }>,
+    options: Readonly<{
+      now: Timestamp;
+      backfillMs: Millis;
+      closed?: ReadonlySet<UpstreamId> | undefined;
+    }>,
   ): PoolDecision | undefined {
     const { now, backfillMs } = options;
     const { ask, pace } = req;
@@ -210,7 +216,8 @@
     const placement = placeLong(input, {
       dueInMs: prompt.dueAt - now,
       timeoutInMs: Math.min(prompt.timeoutAt - now, backfillMs),
-      shortEngines: admission.shortEngines(input.candidates, now),
+      shortEngines: options.closed ??
+        admission.shortEngines(input.candidates, now),
     });
     if (placement === "busy" || placement === "no_memory") {
       const engines = Math.min(req.members.length, MAX_HELPERS + 1);
