--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -19,7 +19,7 @@
 /** Least error margin of predictions. */
 const PREDICTION_MARGIN_MS: Millis = 15;
 
-/** The engine for a short prompt, with the predicted time to the first event. */
+/** The engine for a short prompt, with the predicted time to the first event if all of it is read. */
 export type ShortPlacement = Readonly<{
   engine: Candidate;
   expectMs: Millis;
@@ -53,15 +53,14 @@
   const limitMs = admissionLimitMs(input.ask, input.pace, terms);
   const all = input.candidates.map((engine) => {
     const fit = shortFit(input, engine, { limitMs, marginMs });
-    const savedMs = savedPrefillMs(input, engine);
-    const expectMs = fit.firstMs - savedMs * engine.load.slowdownAt(input.now);
     const cost = fit.firstMs + penaltyMs(input, engine) +
       fit.lateStreams * LATE_STREAM_PENALTY_MS;
     const lacks: ShortPlacement["lacks"] = fit.lacks ??
       (leavesRoom(input, engine, { limitMs, marginMs, ...terms })
         ? undefined
         : "team_share");
-    const { lateStreams } = fit;
+    const savedMs = savedPrefillMs(input, engine);
+    const { firstMs: expectMs, lateStreams } = fit;
     return { engine, expectMs, savedMs, lacks, lateStreams, cost };
   });
   const fitting = all.filter((rating) =>
