--- a/src/scheduling/pool/place_short.ts
+++ b/src/scheduling/pool/place_short.ts
@@ -29,6 +29,8 @@
   lacks: ShortRoom | "share" | "team_share" | undefined;
   /** Part of the prompt's prefill that the engine is expected to save. */
   savedMs: Millis;
+  /** Streams that it makes late. */
+  lateStreams: number;
 }>;
 
 /**
@@ -60,7 +62,8 @@
         ? undefined
         : "team_share");
     const savedMs = savedPrefillMs(input, engine);
-    return { engine, expectMs: fit.firstMs, savedMs, lacks, cost };
+    const { firstMs: expectMs, lateStreams } = fit;
+    return { engine, expectMs, savedMs, lacks, lateStreams, cost };
   });
   const fitting = all.filter((rating) =>
     rating.lacks === undefined && shortEngines?.has(rating.engine.id) !== false
