Placement: what other daemons that place are told, in a class of its own

PlacersNotifier takes the notices of placed jobs, the rivals and the progress; no behaviour changes.

--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -13,14 +13,14 @@
 import { contentRefusalOf } from "../contents/content_refusal.ts";
 import { placeLineOf } from "./place_line.ts";
 import { PlacementRequestClient } from "./placement_request_client.ts";
-import { type PlacedBatch, PlacedNotices } from "./placed_notices.ts";
+import { PlacersNotifier } from "./placers_notifier.ts";
 import { SoloPlacement } from "./solo_placement.ts";
 import { addBookings, RoomSync } from "./room_sync.ts";
 import { EngineInspector } from "../upstreams/engine_inspector.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
-import { livenessTimeoutMs, otherPlacers } from "../members/membership.ts";
+import { livenessTimeoutMs } from "../members/membership.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
 
 /** Upstream id in messages about a request that is not placed yet. */
@@ -29,9 +29,6 @@
 /** Shortest Retry-After of a refusal; a client can't retry sooner. */
 const MIN_RETRY_AFTER_MS: Millis = 50;
 
-/** Time for which a daemon that placed a request may place more. */
-const RIVAL_TTL_MS: Millis = 5_000;
-
 /** Peer address that a decision is sent to; undefined for the adapters of this daemon. */
 type ReplyTo = string | undefined;
 
@@ -39,15 +36,13 @@
 export class PlacementController extends GatewayController {
   readonly #requests = PlacementRequestClient.create();
   readonly #inspector = EngineInspector.create();
-  readonly #placed = PlacedNotices.create();
+  readonly #notifier = PlacersNotifier.create();
   readonly #solo = SoloPlacement.create();
   readonly #roomSync = RoomSync.create();
   /** Recipients of the decisions on queued jobs. */
   readonly #replyTo = new Map<JobId, ReplyTo>();
   /** VMs whose jobs are tracked here, with the time of their last message. */
   readonly #lastReportAt = new Map<VmId, Timestamp>();
-  /** When each daemon last reported that it placed a request. */
-  readonly #lastPlacedAt = new Map<VmId, Timestamp>();
 
   static create(): PlacementController {
     return new PlacementController();
@@ -66,7 +61,7 @@
     this.#removeSilentDaemons(board, step);
     this.#inspector.step(board, step);
     this.#decide(board, step);
-    this.#sendPlaced(board, step);
+    this.#notifier.sendDue(board, step);
   }
 
   #removeUnlistedUpstreams(board: GatewayBoard): void {
@@ -90,7 +85,7 @@
       const result = event.phase === "failed" ? "failed" : "ok";
       this.#solo.answered(event.job, step.now, result);
       this.#applyProgress(board, step, event);
-      this.#notifyPlacers(board, step, { ...event, type: "progress" });
+      this.#notifier.progress(board, step, { ...event, type: "progress" });
     }
     if (event.type === "message") this.#onMessage(board, step, event.message);
   }
@@ -199,7 +194,7 @@
     const { ask, result } = decision;
     step.line("place", placeLineOf(board, decision, step.now));
     if (result.isOk()) {
-      this.#notifyPlaced(board, step, result.value.job);
+      this.#notifier.placed(board, step, result.value.job);
     }
     if (replyTo === undefined) {
       step.emit(
@@ -242,7 +237,7 @@
           const { id, upstream } = job;
           const known = scheduler.tracker.jobs.get(id);
           if (known === undefined) {
-            this.#notifyPlacers(board, step, {
+            this.#notifier.progress(board, step, {
               type: "progress",
               job: id,
               upstream,
@@ -276,7 +271,7 @@
           this.#lastReportAt.set(job.vm, step.now);
         }
         if (message.by !== undefined) {
-          this.#lastPlacedAt.set(message.by, step.now);
+          this.#notifier.rivalPlaced(message.by, step.now);
         }
         return;
       case "progress":
@@ -315,7 +310,7 @@
       return;
     }
     scheduler.withdraw(job, step.now);
-    this.#placed.drop(job);
+    this.#notifier.ended(job);
     this.#replyTo.delete(job);
     // A failure by silence was counted when the silence began.
     if (silence === "lasting") return;
@@ -328,7 +323,7 @@
     this.#replyTo.delete(job);
     board.pool.scheduler.withdraw(job, step.now);
     if (!wasPending) return;
-    this.#notifyPlacers(board, step, {
+    this.#notifier.progress(board, step, {
       type: "progress",
       job,
       upstream: UNPLACED_UPSTREAM,
@@ -336,68 +331,6 @@
     });
   }
 
-  /** Other daemons that placed recently, though they are neither the leader nor the deputy to this one. */
-  #rivalPlacers(board: GatewayBoard, now: Timestamp): readonly VmId[] {
-    const rivals: VmId[] = [];
-    for (const [vm, at] of this.#lastPlacedAt) {
-      if (now - at > RIVAL_TTL_MS) this.#lastPlacedAt.delete(vm);
-      else if (!otherPlacers(board).includes(vm)) rivals.push(vm);
-    }
-    return rivals;
-  }
-
-  /**
-   * Forwards a placement to the leader and the deputy, unless they asked for it. What counts against a limited rate goes
-   * to all that place, and at once.
-   */
-  #notifyPlaced(board: GatewayBoard, step: GatewayStep, job: PoolJob): void {
-    const counts = board.pool.scheduler.rates.has(job.upstream);
-    const rivals = counts ? this.#rivalPlacers(board, step.now) : [];
-    for (const vm of [...otherPlacers(board), ...rivals]) {
-      if (vm === job.vm) continue;
-      if (counts) this.#sendJobs(board, step, { to: vm, jobs: [job] });
-      else this.#placed.add(vm, job, step.now);
-    }
-  }
-
-  /** Sends the placements that are due. */
-  #sendPlaced(board: GatewayBoard, step: GatewayStep): void {
-    for (const batch of this.#placed.takeDue(step.now)) {
-      this.#sendJobs(board, step, batch);
-    }
-    if (this.#placed.dueAt !== undefined) step.wake(this.#placed.dueAt);
-  }
-
-  #sendJobs(
-    board: GatewayBoard,
-    step: GatewayStep,
-    { to, jobs: [job, ...more] }: PlacedBatch,
-  ): void {
-    const card = board.members.table.get(to);
-    if (card === undefined || job === undefined) return;
-    const by = board.self.card.vm;
-    const message = {
-      type: "placed",
-      job,
-      ...(more.length > 0 ? { more } : {}),
-      by,
-    } as const;
-    step.emit({ type: "send", to: card.peer, message });
-  }
-
-  /** Sends a message to the leader and the deputy. */
-  #notifyPlacers(
-    board: GatewayBoard,
-    step: GatewayStep,
-    message: Extract<PeerMessage, { type: "progress" }>,
-  ): void {
-    for (const vm of otherPlacers(board)) {
-      const card = board.members.table.get(vm);
-      if (card === undefined) continue;
-      step.emit({ type: "send", to: card.peer, message });
-    }
-  }
-
   #removeSilentDaemons(board: GatewayBoard, step: GatewayStep): void {
     for (const [vm, at] of this.#lastReportAt) {
       if (step.now - at <= 2 * livenessTimeoutMs(board)) continue;
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -350,8 +350,8 @@
     this.tracker.add(job, now);
     this.rates.charge(job.upstream, now);
     if (job.kind === "prompt") {
-      // A part that the engine turns out not to hold is no sign that it is slow.
-      this.slowEngines.expectFirstEvent(job, expectMs + savedMs, now);
+      // Without the saving: a part that the engine turns out not to hold is no sign that it is slow.
+      this.slowEngines.expectFirstEvent(job, expectMs, now);
       this.rooms.of(ask.service).admit(ask, now);
     }
     const grant = this.#grantOf(job, req, expectMs);
