--- a/src/scheduling/pool/engine_worth.ts
+++ b/src/scheduling/pool/engine_worth.ts
@@ -19,13 +19,18 @@
   return Math.max(1 / pace.slots, tokens / pace.memoryTokens);
 }
 
-/** Engine time of a request: its prefill, and the fraction of its decode passes that it holds on a full engine. */
+/**
+ * Engine time of a request: its prefill, and the fraction of its decode passes that it holds on a full engine. No answer
+ * is longer than what an engine holds, whatever the caller states.
+ */
 export function engineMs(need: EngineNeed, pace: EnginePace): Millis {
-  const tokens = need.promptTokens + need.answerTokens;
-  const held = heldFraction(need, pace);
+  const { promptTokens } = need;
+  const answerTokens = Math.min(need.answerTokens, pace.memoryTokens);
+  const tokens = promptTokens + answerTokens;
+  const held = heldFraction({ promptTokens, answerTokens }, pace);
   const streams = Math.max(1, 1 / held);
-  const passes = Math.ceil(need.answerTokens / pace.stride);
-  return prefillMs(pace, need.promptTokens) +
+  const passes = Math.ceil(answerTokens / pace.stride);
+  return prefillMs(pace, promptTokens) +
     passes * held * passMs(pace, streams, streams * tokens);
 }
 
