--- a/src/gateway/members/start_together_test.ts
+++ b/src/gateway/members/start_together_test.ts
@@ -32,7 +32,7 @@
 function fleetOf(daemons: number, upstreams: number): FakeGatewayFleet {
   const random = Random.create(7);
   const fleet = FakeGatewayFleet.create(0);
-  fleet.messageCosts = COSTS;
+  fleet.chargeMessages(COSTS);
   fleet.publish(emptyServing(1));
   for (let i = 0; i < upstreams; i += 1) {
     const entry = upstreamEntry(`i-${random.below(2 ** 31).toString(16)}`, {
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -9,7 +9,6 @@
 import {
   encodePeerMessage,
   type PeerCard,
-  type PeerMessage,
 } from "../gateway/peers/peer_message.ts";
 import type {
   ConfigVersion,
@@ -22,31 +21,12 @@
 } from "../gateway/upstreams/upstream_table.ts";
 import { FakeStore } from "./fake_store.ts";
 import { inLastRelease } from "./last_release.ts";
+import { CostlyNetwork, type MessageCosts } from "./costly_network.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const NETWORK_DELAY_MS: Millis = 1;
 const STORE_DELAY_MS: Millis = 4;
 
-/** Datagrams that one reading of a socket returns at most. */
-const READING_DATAGRAMS = 32;
-/** Bytes of datagrams that a socket holds; further ones are lost. */
-const SOCKET_BYTES = 212_992;
-/** Backlog of a link from which on further datagrams are lost. */
-const MAX_LINK_BACKLOG_MS: Millis = 200;
-
-/** What messages cost a daemon, for tests of many daemons; sizes are those of the plain JSON. */
-export type MessageCosts = Readonly<{
-  receiveMs: Millis;
-  receiveMsPerKb: Millis;
-  sendMs: Millis;
-  sendMsPerKb: Millis;
-  linkKbPerMs: number;
-}>;
-
-type Datagram = Readonly<
-  { message: PeerMessage; bytes: number; plainKb: number }
->;
-
 /** One daemon's core with the intents it has emitted. */
 export type FakeGateway = {
   readonly core: GatewayCore;
@@ -77,11 +57,6 @@
   tableFetches: number;
   /** Size of the messages that the daemon has sent. */
   sentBytes: number;
-  /** Datagrams that wait in the daemon's socket, if messages have costs. */
-  readonly inbox: Datagram[];
-  /** When the daemon's processor and its link are free, if messages have costs. */
-  busyUntil: number;
-  linkFreeAt: number;
 };
 
 /** Reads the replies of daemons to placement requests, each once. */
@@ -114,7 +89,20 @@
   /** Total size of the messages between daemons. */
   messageBytes = 0;
   /** Messages cost nothing if unset. */
-  messageCosts: MessageCosts | undefined;
+  #network: CostlyNetwork<FakeGateway> | undefined;
+
+  /** Lets messages take time from now on. */
+  chargeMessages(costs: MessageCosts): void {
+    this.#network = CostlyNetwork.create<FakeGateway>(this.time, {
+      costs,
+      delayMs: NETWORK_DELAY_MS,
+      deliver: (to, messages) =>
+        this.step(
+          to,
+          messages.map((message) => ({ type: "message", message })),
+        ),
+    });
+  }
 
   /** Builds `count` daemons whose only seed is the first daemon. */
   static create(count: number): FakeGatewayFleet {
@@ -149,9 +137,6 @@
       fetches: 0,
       tableFetches: 0,
       sentBytes: 0,
-      inbox: [],
-      busyUntil: 0,
-      linkFreeAt: 0,
     };
     this.gateways.push(gateway);
     this.time.schedule(0, () => this.step(gateway, []));
@@ -232,8 +217,8 @@
         const bytes = encodePeerMessage(message, { packed }).length;
         this.messageBytes += bytes;
         gateway.sentBytes += bytes;
-        if (this.messageCosts !== undefined) {
-          this.#sendAtCost(gateway, to, { message, bytes });
+        if (this.#network !== undefined) {
+          this.#network.send(gateway, to, { message, bytes });
           return;
         }
         this.time.schedule(
@@ -325,47 +310,6 @@
     }
   }
 
-  /** Sends a datagram over a link and to a socket that hold only so much, and charges the sender's processor. */
-  #sendAtCost(
-    from: FakeGateway,
-    to: FakeGateway,
-    sent: Omit<Datagram, "plainKb">,
-  ): void {
-    const costs = this.messageCosts!;
-    const { now } = this.time;
-    const plainKb = JSON.stringify(sent.message).length / 1_024;
-    const sendMs = costs.sendMs + costs.sendMsPerKb * plainKb;
-    from.busyUntil = Math.max(now, from.busyUntil) + sendMs;
-    const startAt = Math.max(from.busyUntil, from.linkFreeAt);
-    if (startAt - from.busyUntil > MAX_LINK_BACKLOG_MS) return;
-    from.linkFreeAt = startAt + sent.bytes / 1_024 / costs.linkKbPerMs;
-    this.time.schedule(from.linkFreeAt - now + NETWORK_DELAY_MS, () => {
-      const held = to.inbox.reduce((sum, { bytes }) => sum + bytes, 0);
-      if (held + sent.bytes > SOCKET_BYTES) return;
-      to.inbox.push({ ...sent, plainKb });
-      if (to.inbox.length === 1) this.#readSocket(to);
-    });
-  }
-
-  #readSocket(gateway: FakeGateway): void {
-    const waitMs = Math.max(0, gateway.busyUntil - this.time.now);
-    this.time.schedule(waitMs, () => {
-      if (gateway.busyUntil > this.time.now) return this.#readSocket(gateway);
-      const costs = this.messageCosts!;
-      const read = gateway.inbox.splice(0, READING_DATAGRAMS);
-      let receiveMs = 0;
-      for (const { plainKb } of read) {
-        receiveMs += costs.receiveMs + costs.receiveMsPerKb * plainKb;
-      }
-      gateway.busyUntil = this.time.now + receiveMs;
-      this.step(
-        gateway,
-        read.map(({ message }) => ({ type: "message", message })),
-      );
-      if (gateway.inbox.length > 0) this.#readSocket(gateway);
-    });
-  }
-
   #fetchTable(gateway: FakeGateway, source: PeerCard): void {
     const peer = this.gateways.find(({ card }) => card.vm === source.vm);
     gateway.tableFetches += 1;
