PoolScheduler's outcomes and the schemas of placement messages in files of their own

Grants, refusals and what they record are PoolOutcomes, types of decisions pool_decision.ts, the schemas of jobs, asks, grants and bookings placement_schemas.ts. No behaviour changes.

--- a/src/gateway/peers/peer_message.ts
+++ b/src/gateway/peers/peer_message.ts
@@ -1,21 +1,11 @@
 import type { Buffer } from "node:buffer";
 import type { Result } from "neverthrow";
 import { z } from "zod";
-import type {
-  DomainId,
-  PromptPartId,
-  RequestId,
-  ServiceId,
-  TeamId,
-  UpstreamId,
-  VmId,
-} from "../../core/id.ts";
+import type { DomainId, UpstreamId, VmId } from "../../core/id.ts";
 import { type Refusal, REFUSALS } from "../../core/reason.ts";
-import type { Timestamp } from "../../core/time.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import {
   addressSchema,
-  figureSchema,
   millisSchema,
   paceSchema,
   positiveCountSchema,
@@ -36,6 +26,12 @@
   UpstreamEntrySchema,
 } from "../upstreams/upstream_table.ts";
 import { EvacuationStateSchema } from "../serving/evacuated_domains.ts";
+import {
+  AskSchema,
+  BookingSchema,
+  GrantSchema,
+  JobSchema,
+} from "./placement_schemas.ts";
 import { storeEraSchema } from "../store/store_position.ts";
 import type { ConfigVersion } from "../serving/serving_config.ts";
 
@@ -66,41 +62,6 @@
 const offsetSchema = z.number().int().min(-1);
 
 const upstream = idSchema<UpstreamId>();
-/** Absent in messages of earlier builds, for requests without a key, and if it can't be used. */
-const teamSchema = idSchema<TeamId>().optional().catch(undefined);
-const TicketSchema = z.object({ upstream, tokens: z.number() }).readonly();
-/** Absent in messages of earlier builds, and where engines hold nothing beyond a request. */
-const LeadingPartsSchema = z.array(
-  z.object({ id: idSchema<PromptPartId>(), tokens: figureSchema }).readonly(),
-).readonly();
-const JobSchema = z.object({
-  id: z.string().transform((id) => id as JobId),
-  vm: idSchema<VmId>(),
-  service: idSchema<ServiceId>(),
-  team: teamSchema,
-  kind: z.enum(["prompt", "call"]),
-  upstream,
-  helpers: z.array(upstream).readonly(),
-  tickets: z.array(TicketSchema).readonly(),
-  tokens: z.number(),
-  partMs: millisSchema,
-  /** Absent in messages of earlier builds. */
-  engineMs: millisSchema.optional().catch(undefined),
-  pauseMs: millisSchema,
-  writing: z.boolean(),
-  leadingParts: LeadingPartsSchema.optional(),
-  placedAt: z.number().transform((at) => at as Timestamp),
-}).readonly();
-
-/** Engine time that is booked for a refused caller, and when it was told to return. */
-const BookingSchema = z.object({
-  service: idSchema<ServiceId>(),
-  digest: z.string(),
-  leftMs: millisSchema,
-  inMs: millisSchema,
-  engineMs: millisSchema,
-}).readonly();
-
 const RegisterChangeSchema = z.union([
   z.object({ type: z.literal("entry"), entry: UpstreamEntrySchema }),
   z.object({
@@ -114,39 +75,6 @@
     .transform(({ entry }) => ({ type: "gone" as const, id: entry.id })),
 ]);
 
-const AskSchema = z.object({
-  job: z.string().transform((id) => id as JobId),
-  req: idSchema<RequestId>(),
-  vm: idSchema<VmId>(),
-  domain: z.string(),
-  service: idSchema<ServiceId>(),
-  team: teamSchema,
-  kind: z.enum(["prompt", "call"]),
-  promptTokens: figureSchema,
-  answerTokens: figureSchema,
-  targetMs: millisSchema,
-  pauseMs: millisSchema,
-  leftMs: millisSchema,
-  rank: z.number(),
-  digest: z.string(),
-  /** Absent in messages of earlier builds. */
-  sharedParts: z.array(idSchema<PromptPartId>()).readonly().default([]),
-  leadingParts: LeadingPartsSchema.optional(),
-  avoid: z.array(upstream).readonly(),
-  closed: z.array(
-    z.object({ upstream, forMs: millisSchema.optional() }).readonly(),
-  ).readonly().default([]),
-}).readonly();
-
-const GrantSchema = z.object({
-  job: JobSchema,
-  addresses: z.record(upstream, addressSchema),
-  priority: z.number(),
-  expectMs: millisSchema,
-  savedMs: millisSchema.optional(),
-  counted: z.boolean().optional(),
-}).readonly();
-
 const StoreProgressSchema = z.object({
   /** Newest configuration version of the sender; 0 for none. */
   version: countSchema<ConfigVersion>(),
--- a/src/gateway/placement/place_line.ts
+++ b/src/gateway/placement/place_line.ts
@@ -1,6 +1,6 @@
 import type { TeamId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
-import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
+import type { PoolDecision } from "../../scheduling/pool/pool_decision.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 
 /** Fields of the line of a decision. */
--- a/src/gateway/placement/placement_controller.ts
+++ b/src/gateway/placement/placement_controller.ts
@@ -8,7 +8,7 @@
   PoolJob,
 } from "../../scheduling/pool/pool_job.ts";
 import { callCandidates } from "../../scheduling/pool/call_candidates.ts";
-import type { PoolDecision } from "../../scheduling/pool/pool_scheduler.ts";
+import type { PoolDecision } from "../../scheduling/pool/pool_decision.ts";
 import { placeableUpstreams, reopensInMs } from "../upstreams/availability.ts";
 import { contentRefusalOf } from "../contents/content_refusal.ts";
 import { placeLineOf } from "./place_line.ts";
--- a/tools/pool/play.ts
+++ b/tools/pool/play.ts
@@ -11,7 +11,7 @@
 } from "../../src/testing/pool_fixtures.ts";
 import { callerTimeoutMs } from "../../src/scheduling/pool/caller_timeout.ts";
 import type { EnginePace } from "../../src/scheduling/pool/engine_pace.ts";
-import type { PoolDecision } from "../../src/scheduling/pool/pool_scheduler.ts";
+import type { PoolDecision } from "../../src/scheduling/pool/pool_decision.ts";
 import { VirtualTime } from "../../src/testing/virtual_time.ts";
 import {
   PassEngine,
--- a/tools/pool/policies.ts
+++ b/tools/pool/policies.ts
@@ -6,11 +6,11 @@
 import type { JobId, PoolJob } from "../../src/scheduling/pool/pool_job.ts";
 import { isSlow } from "../../src/scheduling/pool/upstream_load.ts";
 import type { PoolMember } from "../../src/scheduling/pool/pool_grant.ts";
-import {
-  type PoolDecision,
-  PoolScheduler,
-  type PoolSubmission,
-} from "../../src/scheduling/pool/pool_scheduler.ts";
+import type {
+  PoolDecision,
+  PoolSubmission,
+} from "../../src/scheduling/pool/pool_decision.ts";
+import { PoolScheduler } from "../../src/scheduling/pool/pool_scheduler.ts";
 
 /** Chooses places in a played load. */
 export abstract class Policy {
