Queued prompts are ordered and told times by the upstreams that are left

Callers would have seen: while a failure domain is evacuated, or upstreams leave, prompts that were queued before are ordered as if the lost engines could still read them, so one that can't be in time any more goes first and makes the next one late.

Cause: the queue's plan and the time to return used the members of each prompt's submission. Both use those of now. The test failed before (1 of 11) and passes.

--- a/src/scheduling/pool/pool_outcomes.ts
+++ b/src/scheduling/pool/pool_outcomes.ts
@@ -90,7 +90,7 @@
     if (queued === undefined) {
       return shortage.expectMs - admissionLimitMs(ask, pace, terms);
     }
-    const { candidates } = this.inputOf(queued, now);
+    const { candidates } = this.inputOf(req, now);
     return this.#parts.queue.backlogMs(ask.service, candidates, now);
   }
 
--- a/src/scheduling/pool/pool_scheduler.ts
+++ b/src/scheduling/pool/pool_scheduler.ts
@@ -106,8 +106,10 @@
     let backfillMs = Infinity;
     let busyTries = 0;
     let aheadMs: Millis | undefined;
+    // The upstreams of now: some may have left, or been evacuated, since the prompt was queued.
     const candidatesOf = (req: PromptSubmission) =>
-      this.#outcomes.inputOf(req, now).candidates;
+      this.#outcomes.inputOf({ ...req, members: members(req.ask) }, now)
+        .candidates;
     for (
       const { prompt, shed, closed } of this.#queue.plan(now, candidatesOf)
     ) {
--- a/src/scheduling/pool/pool_scheduler_test.ts
+++ b/src/scheduling/pool/pool_scheduler_test.ts
@@ -110,6 +110,16 @@
     expect(scheduler.queueLength).toBe(0);
   });
 
+  test("are ordered by the engines that are left when a failure domain is evacuated", () => {
+    const scheduler = PoolScheduler.create();
+    submit(scheduler, askOf("late on one engine"));
+    submit(scheduler, askOf("in time", { promptTokens: 100_000 }));
+    const left = MEMBERS.slice(0, 1);
+    const decided = scheduler.decide(at(0), () => left)
+      .map(({ ask, result }) => [ask.job, result.isOk()]);
+    expect(decided).toEqual([["in time", true]]);
+  });
+
   test("leave the queue when they are withdrawn or their daemon is removed", () => {
     const scheduler = PoolScheduler.create();
     submit(scheduler, askOf("a"));
