Bounds for what admission remembers of jobs, sizes and services

Found by reading: first events that are awaited for jobs of a daemon that was removed, or that a heartbeat no longer lists, stayed for good, and kinds and services of earlier configurations too. Each table has a bound and drops its oldest entry; feedback_test asks for the first (there was nothing to ask before).

--- a/src/scheduling/pool/admission/feedback_test.ts
+++ b/src/scheduling/pool/admission/feedback_test.ts
@@ -76,3 +76,11 @@
     expect(waited).toEqual([2_000, 0, 0]);
   });
 });
+
+test("first events that never come are awaited up to a number", () => {
+  const predictions = PredictionError.create();
+  for (let i = 0; i < 10_000; i += 1) {
+    predictions.expect(`j${i}` as JobId, 0 as Timestamp);
+  }
+  expect(predictions.awaited).toBe(4_096);
+});
--- a/src/scheduling/pool/admission/prediction_error.ts
+++ b/src/scheduling/pool/admission/prediction_error.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from "../../../core/evict_oldest.ts";
 import type { Millis, Timestamp } from "../../../core/time.ts";
 import type { JobId } from "../pool_job.ts";
 
@@ -9,6 +10,8 @@
 /** Change of the margin for each first event; some seconds of a crest move it over its range. */
 const STEP_MS: Millis = 0.5;
 
+/** First events that are awaited; those of daemons that are gone never come, and the oldest goes first. */
+const MAX_EXPECTED = 4_096;
 /** Weight of one error in the mean. */
 const MEAN_WEIGHT = 0.05;
 
@@ -36,9 +39,15 @@
     return this.#meanMs;
   }
 
+  /** Number of first events that are awaited. */
+  get awaited(): number {
+    return this.#expected.size;
+  }
+
   /** Records that a first event is expected at `at`. */
   expect(job: JobId, at: Timestamp): void {
     this.#expected.set(job, at);
+    evictOldest(this.#expected, MAX_EXPECTED);
   }
 
   /** Records the first event of a job. */
--- a/src/scheduling/pool/admission/service_admissions.ts
+++ b/src/scheduling/pool/admission/service_admissions.ts
@@ -1,6 +1,10 @@
+import { evictOldest } from "../../../core/evict_oldest.ts";
 import type { ServiceId } from "../../../core/id.ts";
 import { ServiceAdmission } from "./service_admission.ts";
 
+/** Services that are known; the oldest goes first, and begins as in calm if it is asked for again. */
+const MAX_SERVICES = 256;
+
 /** What is known of the demand, by service. */
 export class ServiceAdmissions {
   readonly #services = new Map<ServiceId, ServiceAdmission>();
@@ -15,6 +19,7 @@
     if (admission === undefined) {
       admission = ServiceAdmission.create();
       this.#services.set(service, admission);
+      evictOldest(this.#services, MAX_SERVICES);
     }
     return admission;
   }
--- a/src/scheduling/pool/admission/size_balance.ts
+++ b/src/scheduling/pool/admission/size_balance.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from "../../../core/evict_oldest.ts";
 import type { Millis, Timestamp } from "../../../core/time.ts";
 import type { PlacementRequest } from "../pool_job.ts";
 
@@ -8,6 +9,9 @@
 /** Fraction of the mean share served that each size gets; half is what callers are promised, with a margin. */
 const LEAST_SHARE = 0.6;
 
+/** Kinds and sizes that are counted; the oldest goes first. */
+const MAX_COUNTS = 1_024;
+
 type Counts = { asked: number; served: number };
 type Prompt = Pick<
   PlacementRequest,
@@ -35,6 +39,7 @@
       counts.asked += 1;
       if (served) counts.served += 1;
       this.#counts.set(key, counts);
+      evictOldest(this.#counts, MAX_COUNTS);
     }
   }
 
