--- a/src/gateway/contents/silence_test.ts
+++ b/src/gateway/contents/silence_test.ts
@@ -2,11 +2,10 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { JobId } from "../../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
-  upstreamEntry,
 } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { placementRequest } from "../../testing/pool_fixtures.ts";
 import type { GatewayEvent } from "../gateway_event.ts";
 
--- a/src/gateway/gateway_core_test.ts
+++ b/src/gateway/gateway_core_test.ts
@@ -4,11 +4,10 @@
 import type { JobId, PlacementRequest } from "../scheduling/pool/pool_job.ts";
 import { placementRequest, poolJob } from "../testing/pool_fixtures.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
-  upstreamEntry,
 } from "../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../testing/gateway_values.ts";
 
 const SETTLE_MS = 6_000;
 /** Time that the platform allows to close a leaving upstream, and to apply a new configuration. */
--- a/src/gateway/members/entry_choice_test.ts
+++ b/src/gateway/members/entry_choice_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { DomainId } from "../../core/id.ts";
-import { peerCard } from "../../testing/fake_gateway_fleet.ts";
+import { peerCard } from "../../testing/gateway_values.ts";
 import { chooseEntries } from "./entry_choice.ts";
 
 const a = "a" as DomainId;
--- a/src/gateway/members/membership_test.ts
+++ b/src/gateway/members/membership_test.ts
@@ -1,8 +1,6 @@
 import { expect, test } from "vitest";
-import {
-  emptyServing,
-  FakeGatewayFleet,
-} from "../../testing/fake_gateway_fleet.ts";
+import { FakeGatewayFleet } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing } from "../../testing/gateway_values.ts";
 import { leadsMajority } from "./membership.ts";
 
 test.each([[4, 2], [6, 2], [6, 3]])(
--- a/src/gateway/members/removed_daemon_test.ts
+++ b/src/gateway/members/removed_daemon_test.ts
@@ -1,9 +1,7 @@
 import { expect, test } from "vitest";
 import type { Millis } from "../../core/time.ts";
-import {
-  emptyServing,
-  FakeGatewayFleet,
-} from "../../testing/fake_gateway_fleet.ts";
+import { FakeGatewayFleet } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing } from "../../testing/gateway_values.ts";
 import { livenessTimeoutMs } from "./membership.ts";
 
 /** Time in which clients may still be sent to a daemon that is gone, by the users' platform. */
--- a/src/gateway/members/roster_test.ts
+++ b/src/gateway/members/roster_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { VmId } from "../../core/id.ts";
-import { peerCard } from "../../testing/fake_gateway_fleet.ts";
+import { peerCard } from "../../testing/gateway_values.ts";
 import { NO_ROSTER, Roster } from "./roster.ts";
 
 const EPOCH = "leader/77";
--- a/src/gateway/members/start_together_test.ts
+++ b/src/gateway/members/start_together_test.ts
@@ -2,11 +2,8 @@
 import type { DomainId, ServiceId } from "../../core/id.ts";
 import { Random } from "../../core/random.ts";
 import type { Millis } from "../../core/time.ts";
-import {
-  emptyServing,
-  FakeGatewayFleet,
-  upstreamEntry,
-} from "../../testing/fake_gateway_fleet.ts";
+import { FakeGatewayFleet } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { encodePeerMessage } from "../peers/peer_message.ts";
 import { tableMessage } from "../upstreams/table_message.ts";
 import { isReady } from "./membership.ts";
--- a/src/gateway/peers/odd_message_test.ts
+++ b/src/gateway/peers/odd_message_test.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { expect, test } from "vitest";
-import { peerCard, upstreamEntry } from "../../testing/fake_gateway_fleet.ts";
+import { peerCard, upstreamEntry } from "../../testing/gateway_values.ts";
 import { poolJob } from "../../testing/pool_fixtures.ts";
 import { decodePeerMessage } from "./peer_message.ts";
 
--- a/src/gateway/peers/peer_message_fuzz_test.ts
+++ b/src/gateway/peers/peer_message_fuzz_test.ts
@@ -6,7 +6,7 @@
   emptyServing,
   peerCard,
   upstreamEntry,
-} from "../../testing/fake_gateway_fleet.ts";
+} from "../../testing/gateway_values.ts";
 import { servingWithRoutes } from "../../testing/fake_gateway_port.ts";
 import { mutated, oddValue } from "../../testing/odd_values.ts";
 import { placementRequest, poolJob } from "../../testing/pool_fixtures.ts";
--- a/src/gateway/peers/peer_message_test.ts
+++ b/src/gateway/peers/peer_message_test.ts
@@ -2,7 +2,7 @@
 import { deflateSync } from "node:zlib";
 import { describe, expect, test } from "vitest";
 import type { VmId } from "../../core/id.ts";
-import { peerCard } from "../../testing/fake_gateway_fleet.ts";
+import { peerCard } from "../../testing/gateway_values.ts";
 import { placementRequest, poolJob } from "../../testing/pool_fixtures.ts";
 import {
   decodePeerMessage,
--- a/src/gateway/placement/held_prompts_test.ts
+++ b/src/gateway/placement/held_prompts_test.ts
@@ -3,12 +3,11 @@
 import type { Millis } from "../../core/time.ts";
 import type { JobId, PoolJob } from "../../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
   ReplyCursor,
-  upstreamEntry,
 } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { ENGINE_PACE, placementRequest } from "../../testing/pool_fixtures.ts";
 
 const SETTLE_MS = 6_000;
--- a/src/gateway/placement/room_sync_test.ts
+++ b/src/gateway/placement/room_sync_test.ts
@@ -2,11 +2,10 @@
 import type { ServiceId, TeamId } from "../../core/id.ts";
 import type { PlacementRequest } from "../../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
-  upstreamEntry,
 } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { ENGINE_PACE, placementRequest } from "../../testing/pool_fixtures.ts";
 
 const SERVICE = "pool" as ServiceId;
--- a/src/gateway/restored_store_copy_test.ts
+++ b/src/gateway/restored_store_copy_test.ts
@@ -1,10 +1,7 @@
 import { describe, expect, test } from "vitest";
 import type { DomainId } from "../core/id.ts";
-import {
-  emptyServing,
-  type FakeGateway,
-  upstreamEntry,
-} from "../testing/fake_gateway_fleet.ts";
+import type { FakeGateway } from "../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../testing/gateway_values.ts";
 import {
   APPLY_MS,
   DOWN_MS,
--- a/src/gateway/restored_store_start_test.ts
+++ b/src/gateway/restored_store_start_test.ts
@@ -1,9 +1,6 @@
 import { describe, expect, test } from "vitest";
-import {
-  emptyServing,
-  type FakeGatewayFleet,
-  upstreamEntry,
-} from "../testing/fake_gateway_fleet.ts";
+import type { FakeGatewayFleet } from "../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../testing/gateway_values.ts";
 import {
   APPLY_MS,
   DOWN_MS,
--- a/src/gateway/restored_store_test.ts
+++ b/src/gateway/restored_store_test.ts
@@ -1,11 +1,10 @@
 import { describe, expect, test } from "vitest";
 import type { DomainId } from "../core/id.ts";
-import {
-  emptyServing,
-  type FakeGateway,
-  type FakeGatewayFleet,
-  upstreamEntry,
+import type {
+  FakeGateway,
+  FakeGatewayFleet,
 } from "../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../testing/gateway_values.ts";
 import {
   APPLY_MS,
   DOWN_MS,
--- a/src/gateway/serving/evacuation_test.ts
+++ b/src/gateway/serving/evacuation_test.ts
@@ -2,11 +2,10 @@
 import type { DomainId, UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
-  upstreamEntry,
 } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { placementRequest } from "../../testing/pool_fixtures.ts";
 
 const DOMAINS = ["a", "b", "c"];
--- a/src/gateway/serving/serving_readers_test.ts
+++ b/src/gateway/serving/serving_readers_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { DomainId, VmId } from "../../core/id.ts";
-import { peerCard } from "../../testing/fake_gateway_fleet.ts";
+import { peerCard } from "../../testing/gateway_values.ts";
 import { fetchSource, servingReaders } from "./serving_readers.ts";
 
 const a = "a" as DomainId;
--- a/src/gateway/upstreams/availability_test.ts
+++ b/src/gateway/upstreams/availability_test.ts
@@ -2,11 +2,10 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { Millis } from "../../core/time.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
-  upstreamEntry,
 } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import type { PlacementRequest } from "../../scheduling/pool/pool_job.ts";
 import { placementRequest } from "../../testing/pool_fixtures.ts";
 import { closedUpstreams, findClosure } from "./availability.ts";
--- a/src/gateway/upstreams/leader_reads_test.ts
+++ b/src/gateway/upstreams/leader_reads_test.ts
@@ -1,10 +1,7 @@
 import { expect, test } from "vitest";
 import type { DomainId } from "../../core/id.ts";
-import {
-  emptyServing,
-  FakeGatewayFleet,
-  upstreamEntry,
-} from "../../testing/fake_gateway_fleet.ts";
+import { FakeGatewayFleet } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 
 /** Times of changes that fall at any moment of the leader's reads. */
 const CHANGE_GAPS_MS = [130, 370, 710, 1_090, 1_630, 2_310];
--- a/src/gateway/upstreams/upstream_table_test.ts
+++ b/src/gateway/upstreams/upstream_table_test.ts
@@ -1,10 +1,7 @@
 import { expect, test } from "vitest";
 import type { UpstreamId } from "../../core/id.ts";
-import {
-  emptyServing,
-  FakeGatewayFleet,
-  upstreamEntry,
-} from "../../testing/fake_gateway_fleet.ts";
+import { FakeGatewayFleet } from "../../testing/fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 
 const E1 = "e1" as UpstreamId;
 /** Time until the daemons have found each other and read the register, and until they have read a change. */
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -4,12 +4,11 @@
 import type { ContentReport } from "../gateway/contents/content_report.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
   ReplyCursor,
-  upstreamEntry,
 } from "./fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 import { placementRequest } from "./pool_fixtures.ts";
 
 const SETTLE_MS: Millis = 6_000;
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -1,4 +1,4 @@
-import type { DomainId, ServiceId, UpstreamId, VmId } from "../core/id.ts";
+import type { DomainId, UpstreamId } from "../core/id.ts";
 import type { Millis, Timestamp } from "../core/time.ts";
 import { GatewayCore } from "../gateway/gateway_core.ts";
 import type {
@@ -10,19 +10,14 @@
   encodePeerMessage,
   type PeerCard,
 } from "../gateway/peers/peer_message.ts";
-import type {
-  ConfigVersion,
-  ServingConfig,
-} from "../gateway/serving/serving_config.ts";
+import type { ServingConfig } from "../gateway/serving/serving_config.ts";
 import { tableMessage } from "../gateway/upstreams/table_message.ts";
-import type {
-  UpstreamChange,
-  UpstreamEntry,
-} from "../gateway/upstreams/upstream_table.ts";
+import type { UpstreamChange } from "../gateway/upstreams/upstream_table.ts";
 import { FakeStore } from "./fake_store.ts";
 import { inLastRelease } from "./last_release.ts";
 import { CostlyNetwork, type MessageCosts } from "./costly_network.ts";
 import { VirtualTime } from "./virtual_time.ts";
+import { peerCard } from "./gateway_values.ts";
 
 const NETWORK_DELAY_MS: Millis = 1;
 const STORE_DELAY_MS: Millis = 4;
@@ -374,55 +369,3 @@
   }
   return "era" in event ? { ...event, era: undefined } : event;
 }
-
-/** Card of a daemon that is open to clients. */
-export function peerCard(
-  name: string,
-  fields: Partial<PeerCard> = {},
-): PeerCard {
-  return {
-    vm: name as VmId,
-    peer: `${name}:1`,
-    front: `${name}:80`,
-    domain: "a" as DomainId,
-    region: "r",
-    power: 0.5,
-    startedAt: 1,
-    open: true,
-    slow: false,
-    packed: true,
-    ...fields,
-  };
-}
-
-/** A configuration without routes. */
-export function emptyServing(version: number): ServingConfig {
-  return {
-    version: version as ConfigVersion,
-    routes: [],
-    services: new Map(),
-    limits: {
-      headBytes: 16_384,
-      bodyBytes: 4_194_304,
-      headMs: 3_000,
-      idleMs: 15_000,
-    },
-  };
-}
-
-/** Register entry of an upstream that is available. */
-export function upstreamEntry(
-  id: string,
-  fields: Partial<UpstreamEntry> = {},
-): UpstreamEntry {
-  return {
-    id: id as UpstreamId,
-    service: "pool" as ServiceId,
-    address: `${id}:8080`,
-    domain: "a" as DomainId,
-    slots: 11,
-    leaving: false,
-    startedAt: 1,
-    ...fields,
-  };
-}
--- a/src/testing/fake_gateway_port.ts
+++ b/src/testing/fake_gateway_port.ts
@@ -21,7 +21,7 @@
   ServingConfig,
 } from "../gateway/serving/serving_config.ts";
 import { poolJob } from "./pool_fixtures.ts";
-import { emptyServing } from "./fake_gateway_fleet.ts";
+import { emptyServing } from "./gateway_values.ts";
 
 /** Engine orders that always succeed. */
 export class FakeEngineOrders extends EngineOrders {
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -8,12 +8,11 @@
 import type { UpstreamAvailability } from "../gateway/requests/upstream_availability.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
   ReplyCursor,
-  upstreamEntry,
 } from "./fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 import { placementRequest } from "./pool_fixtures.ts";
 
 const SETTLE_MS: Millis = 6_000;
--- a/src/testing/poison_simulation.ts
+++ b/src/testing/poison_simulation.ts
@@ -3,12 +3,11 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
 import {
-  emptyServing,
   type FakeGateway,
   FakeGatewayFleet,
   ReplyCursor,
-  upstreamEntry,
 } from "./fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 import { placementRequest } from "./pool_fixtures.ts";
 
 const POISON = "poison";
--- a/src/testing/restore_simulation.ts
+++ b/src/testing/restore_simulation.ts
@@ -2,12 +2,8 @@
 import { Random } from "../core/random.ts";
 import { addMs, type Millis, type Timestamp } from "../core/time.ts";
 import type { UpstreamEntry } from "../gateway/upstreams/upstream_table.ts";
-import {
-  emptyServing,
-  type FakeGateway,
-  FakeGatewayFleet,
-  upstreamEntry,
-} from "./fake_gateway_fleet.ts";
+import { type FakeGateway, FakeGatewayFleet } from "./fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 
 const START_MS: Millis = 6_000;
 const TICK_MS: Millis = 100;
--- a/src/testing/restored_fleet.ts
+++ b/src/testing/restored_fleet.ts
@@ -1,11 +1,7 @@
 import type { ServiceId, UpstreamId } from "../core/id.ts";
 import type { Millis } from "../core/time.ts";
-import {
-  emptyServing,
-  type FakeGateway,
-  FakeGatewayFleet,
-  upstreamEntry,
-} from "./fake_gateway_fleet.ts";
+import { type FakeGateway, FakeGatewayFleet } from "./fake_gateway_fleet.ts";
+import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 
 /** Longer than a new fleet takes to settle, and than a store does after a restore. */
 export const SETTLE_MS: Millis = 6_000;
