--- a/src/gateway/upstreams/cold_upstreams.ts
+++ b/src/gateway/upstreams/cold_upstreams.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from "../../core/evict_oldest.ts";
 import { z } from "zod";
 import type { UpstreamId } from "../../core/id.ts";
 import { addMs, type Millis, type Timestamp } from "../../core/time.ts";
@@ -51,10 +52,7 @@
     this.#processes.delete(upstream);
     if (coldMs <= 0) return false;
     this.#processes.set(upstream, { startedAt, warmAt });
-    if (this.#processes.size > MAX_UPSTREAMS) {
-      const [oldest] = this.#processes.keys();
-      this.#processes.delete(oldest!);
-    }
+    evictOldest(this.#processes, MAX_UPSTREAMS);
     return !isKnown || warmAt - known.warmAt > SAME_TIME_MS;
   }
 
--- a/src/scheduling/pool/admission/refused_callers.ts
+++ b/src/scheduling/pool/admission/refused_callers.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from "../../../core/evict_oldest.ts";
 import { addMs, type Millis, type Timestamp } from "../../../core/time.ts";
 import type { PlacementRequest } from "../pool_job.ts";
 
@@ -40,9 +41,7 @@
       refusedAt: now,
       deadlineAt: addMs(now, leftMs),
     });
-    if (this.#refused.size <= MAX_CALLERS) return;
-    const [oldest] = this.#refused.keys();
-    this.#refused.delete(oldest!);
+    evictOldest(this.#refused, MAX_CALLERS);
   }
 
   /** Time for which a caller has waited since it was refused first; 0 if it is new. */
