--- a/review/8/run.ts
+++ b/review/8/run.ts
@@ -1,147 +1,115 @@
 import {
-  answerReport,
   BROKEN,
   Daemon,
   HELD,
-  KeptConnection,
+  loopbackIp,
   NOT_RUN,
   Platform,
   requestText,
   runCase,
+  send,
   sleep,
-  startWorker,
+  statusOf,
   TROUBLE,
 } from "../stand_ins_2/harness.ts";
+import { CrashingWorker } from "../stand_ins_2/crashing_worker.ts";
 
+const DAEMONS = 3;
 /** As in the smallest deployment. */
 const ENGINES = 16;
 const SLOTS = 11;
-const MEMORY_MB = 272;
-/** Clients that come at once, each with one request. */
-const CLIENTS = 300;
-const CLIENTS_PER_STEP = 8;
-const BODY = "x".repeat(11_000);
-const EVENTS = 12;
-const EVENT_GAP_MS = 20;
-/** What an engine in trouble sends without end after its first events. */
-const SOUND_EVENTS = 2;
-const PIECE = "x".repeat(16 << 10);
-const PIECE_GAP_MS = 40;
-const WATCH_MS = 12_000;
-const SAMPLE_MS = 25;
+const STABLE_WINDOW_MS = 3_000;
+/** Parts of a prompt, and the place of the one that crashes engines; the last one is the request's own. */
+const PARTS = 40;
+const DEADLY_PLACE = 36;
+const DEADLY_PART = "deadbeef";
+const PART_TOKENS = 20;
+/** Prompts a second, the share of those with the deadly part, and for how long they come. */
+const PROMPTS_PER_S = 20;
+const DEADLY_SHARE = 0.05;
+const TROUBLE_S = 22;
+const DEADLINE_MS = 10_010;
+/** Crashes after which, and requests beyond which, the rule is broken. */
+const COUNTED_CRASHES = 5;
+const MAX_LATE = 3;
 
-function headersOf(n: number): string[] {
-  const parts = `5c1e07a2:800,${n.toString(16)}:660`;
-  return ["X-Model: m", "X-Token-Usage: 1460,80", `X-Prompt-Prefix: ${parts}`];
+/** Parts of the nth prompt: all share those before their own, but for the deadly one. */
+function partsOf(n: number, isDeadly: boolean): string {
+  const parts: string[] = [];
+  for (let place = 1; place < PARTS; place += 1) {
+    const isHere = isDeadly && place === DEADLY_PLACE;
+    const id = isHere ? DEADLY_PART : (0x100 + place).toString(16);
+    parts.push(`${id}:${PART_TOKENS}`);
+  }
+  return [...parts, `${(0x10000 + n).toString(16)}:100`].join(",");
 }
 
 await runCase(async (record) => {
   const platform = new Platform();
   platform.publish();
-  let inTrouble = false;
-  let running = 0;
-  let mostRunning = 0;
-  let runs = 0;
+  const crashedAt: number[] = [];
   for (let i = 0; i < ENGINES; i += 1) {
-    const born = Date.now();
-    const name = `i-${i}`;
-    const address = await startWorker(async (req) => {
-      if (answerReport(req, born)) return;
-      const { headers, socket } = req;
-      const id = headers.get("x-request-id");
-      const from = Number(headers.get("last-event-id") ?? 0);
-      runs += 1;
-      running += 1;
-      mostRunning = Math.max(mostRunning, running);
-      socket.once("close", () => running -= 1);
-      const chunk = (text: string) =>
-        socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
-      socket.write(
-        [
-          "HTTP/1.1 200 OK",
-          `X-Request-Id: ${id}`,
-          `X-Response-Seal: ${name}.${runs}`,
-          "Content-Type: text/event-stream",
-          "Transfer-Encoding: chunked",
-          "",
-          "",
-        ].join("\r\n"),
-      );
-      for (let n = from + 1; n <= EVENTS; n += 1) {
-        while (inTrouble && n > SOUND_EVENTS && !socket.destroyed) {
-          if (socket.writableLength === 0) chunk(PIECE);
-          await sleep(PIECE_GAP_MS);
-        }
-        if (socket.destroyed) return;
-        chunk(`id: ${n}\ndata: piece ${n}\n\n`);
-        await sleep(EVENT_GAP_MS);
-      }
-      chunk("");
-    });
-    platform.register(name, {
+    await CrashingWorker.start(platform, {
       service: "assistant-pool",
-      address,
+      name: `i-${i}`,
       slots: SLOTS,
+      serve: ({ headers }, worker) => {
+        const parts = headers.get("x-prompt-prefix") ?? "";
+        if (!parts.includes(DEADLY_PART)) return "id: 1\ndata: whole\n\n";
+        crashedAt.push(Date.now());
+        const id = headers.get("x-request-id");
+        record.line(`${worker.id} begins to write on ${id}, and crashes`);
+        return "crash";
+      },
     });
   }
-  const store = await platform.store.openEndpoint(() => "serves");
-  const daemon = Daemon.start({ name: "front-1", store, memoryMb: MEMORY_MB });
-  if (!await daemon.ready()) return NOT_RUN;
-
-  const clients: KeptConnection[] = [];
-  const ask = (id: string, n: number) => {
-    const client = KeptConnection.open(daemon.front);
-    const headers = headersOf(n);
-    client.write(requestText({ path: "/ask/x", id, headers, body: BODY }));
-    return client;
-  };
-  // Calm requests before it, so that the shared part is known to be sound.
-  for (let n = 0; n < 20; n += 1) {
-    clients.push(ask(`before-${n}`, n));
-    await sleep(50);
+  const seeds = Array.from({ length: DAEMONS }, (_, i) => loopbackIp(i + 1));
+  const daemons: Daemon[] = [];
+  for (let i = 1; i <= DAEMONS; i += 1) {
+    const store = await platform.store.openEndpoint(() => "serves");
+    daemons.push(Daemon.start({ name: `front-${i}`, store, seeds }));
   }
-  await sleep(1_500);
-  for (const client of clients.splice(0)) client.destroy();
-  record.line(`before: ${JSON.stringify(daemon.memory())}`);
+  for (const daemon of daemons) if (!await daemon.ready()) return NOT_RUN;
+  // From here on all machines are in touch.
+  await sleep(STABLE_WINDOW_MS + 1_000);
 
-  inTrouble = TROUBLE;
-  for (let n = 0; n < CLIENTS; n += 1) {
-    clients.push(ask(`r${n}`, n));
-    if (n % CLIENTS_PER_STEP === 0) await sleep(10);
-  }
-  record.line(`${CLIENTS} requests sent`);
-  let peakMb = 0;
-  for (let ms = 0; ms < WATCH_MS && daemon.running; ms += SAMPLE_MS) {
-    await sleep(SAMPLE_MS);
-    const { nowMb = 0 } = daemon.memory() ?? {};
-    peakMb = Math.max(peakMb, nowMb);
-    if (ms % 500 === 0) {
-      record.line(`${running} streams open, ${Math.round(nowMb)} MB resident`);
-    }
-    if (nowMb <= MEMORY_MB) continue;
-    // The platform kills a process that exceeds its memory.
-    record.line(
-      `${
-        Math.round(nowMb)
-      } MB resident of ${MEMORY_MB} MB: the platform kills ${daemon.name}`,
-    );
-    daemon.signal("SIGKILL");
-    await daemon.ended;
-    await sleep(200);
-    break;
-  }
-  const ends = new Map<string, number>();
-  for (const { text, end } of clients) {
-    const events = text.match(/^id:/gm)?.length ?? 0;
-    const key = `status ${text.slice(9, 12)}, ${events} events, ${end}`;
-    ends.set(key, (ends.get(key) ?? 0) + 1);
+  const statuses = new Map<string, number>();
+  const ask = async (n: number, isDeadly: boolean) => {
+    const usage = `${(PARTS - 1) * PART_TOKENS + 100},80`;
+    const answer = await send(daemons[n % DAEMONS]!.front, {
+      text: requestText({
+        path: "/ask/x",
+        id: `r${n}`,
+        body: `prompt ${n}`,
+        deadlineMs: DEADLINE_MS,
+        headers: [
+          "X-Model: m",
+          `X-Token-Usage: ${usage}`,
+          `X-Prompt-Prefix: ${partsOf(n, isDeadly)}`,
+        ],
+      }),
+      timeoutMs: DEADLINE_MS,
+    });
+    const kind = isDeadly ? "with the part" : "sound";
+    const key = `${kind}: ${statusOf(answer)}`;
+    statuses.set(key, (statuses.get(key) ?? 0) + 1);
+    if (isDeadly) record.line(`r${n} is answered with ${statusOf(answer)}`);
+  };
+  const asked: Promise<void>[] = [];
+  const calmUntil = 2 * PROMPTS_PER_S;
+  const every = Math.round(1 / DEADLY_SHARE);
+  const last = calmUntil + TROUBLE_S * PROMPTS_PER_S;
+  for (let n = 1; n <= last; n += 1) {
+    asked.push(ask(n, TROUBLE && n > calmUntil && n % every === 0));
+    await sleep(1_000 / PROMPTS_PER_S);
   }
-  for (const [key, count] of ends) record.line(`${count} clients: ${key}`);
+  await Promise.all(asked);
+  for (const [key, count] of statuses) record.line(`${key}, ${count} requests`);
+  if ((statuses.get("sound: 200") ?? 0) < last / 4) return NOT_RUN;
+  const countedAt = crashedAt[COUNTED_CRASHES - 1] ?? Infinity;
+  const late = crashedAt.filter((at) => at > countedAt + STABLE_WINDOW_MS);
   record.line(
-    `peak ${
-      peakMb.toFixed(1)
-    } MB, ${runs} runs, at most ${mostRunning} at once`,
+    `${crashedAt.length} crashes; ${late.length} requests with the part reached engines later than ${STABLE_WINDOW_MS} ms after the fifth`,
   );
-  if (mostRunning < ENGINES * SLOTS / 2) return NOT_RUN;
-  return peakMb > MEMORY_MB ? BROKEN : HELD;
+  return late.length > MAX_LATE ? BROKEN : HELD;
 });
