A resumed stream announces no length

Cause: the length of one upstream's body was forwarded for a body that the gateway composes of several runs, and nothing compared it with what was sent.

Change: ClientResponse alone says how long a body is. Event streams announce no length. Any other body is held against its announced length; where they differ the connection is broken off and the attempt fails. The `answered` line has `bytes` and `announced_bytes`, which tell a wrong length from wrong events. Node's strictContentLength was weighed and not used: it throws out of write and end, and tells the log nothing.

--- a/src/gateway/http1/header_syntax.ts
+++ b/src/gateway/http1/header_syntax.ts
@@ -32,3 +32,16 @@
   }
   return values;
 }
+
+/** Headers without those of one name, which is given in lower case. */
+export function withoutHeader(
+  rawHeaders: readonly string[],
+  name: string,
+): readonly string[] {
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i]!.toLowerCase() === name) continue;
+    kept.push(rawHeaders[i]!, rawHeaders[i + 1]!);
+  }
+  return kept;
+}
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -3,6 +3,8 @@
 import type { Problem } from "../../core/problem.ts";
 import { type Millis, SECOND_MS } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
+import { type Framing, responseFraming } from "../http1/framing.ts";
+import { withoutHeader } from "../http1/header_syntax.ts";
 import type { ResponseHead } from "./dialect.ts";
 
 /** Time that a client is given to send the rest of a refused request, or to close its connection. */
@@ -30,15 +32,20 @@
 /** Starts a response; returns whether its connection closes after it, as it must if a part of the request is `unread`. */
 export type StartsLast = (unread: boolean) => boolean;
 
-/** The response to one client: one head, then bytes in order. */
+/**
+ * The response to one client: one head, then bytes in order. A body that differs from the length which its head has
+ * announced breaks the connection off.
+ */
 export class ClientResponse {
   readonly #res: ServerResponse;
   /** Whether the connection closes after the response that starts now. */
   readonly #startsLast: StartsLast;
   /** Status and headers of an upstream's response, until they are sent. */
-  #head:
-    | Pick<ResponseHead, "headers"> & Readonly<{ status: number }>
-    | undefined;
+  #head: Readonly<{ status: number; headers: readonly string[] }> | undefined;
+  /** How the sent head frames the body; undefined before it is sent. */
+  #framing: Framing | undefined;
+  #sentBytes = 0;
+  #lengthError: string | undefined;
   #onDrained: (() => void) | undefined;
   /** Called when a part of the response is buffered, and when its client has read that. */
   readonly #onBuffered: () => void;
@@ -71,14 +78,44 @@
     return this.#res.headersSent;
   }
 
-  /** Sets the head. It is sent with the first byte of the body, or at the end; until then another one may replace it. */
-  setHead(status: number, head: ResponseHead): void {
-    this.#head = { status, headers: head.headers };
+  /** Bytes of the body that were handed to the connection. */
+  get sentBytes(): number {
+    return this.#sentBytes;
+  }
+
+  /** Length of the body that the sent head announces; undefined if it announces none. */
+  get announcedBytes(): number | undefined {
+    return this.#framing?.kind === "length" ? this.#framing.bytes : undefined;
+  }
+
+  /** Why the connection was broken off, if the body differs from its announced length. */
+  get lengthError(): string | undefined {
+    return this.#lengthError;
+  }
+
+  /**
+   * Sets the head. It is sent with the first byte of the body, or at the end; until then another one may replace it. The
+   * length of an event stream isn't announced, as another upstream may end it, or known events may be left out.
+   */
+  setHead(
+    status: number,
+    head: Pick<ResponseHead, "headers" | "isEventStream">,
+  ): void {
+    const headers = head.isEventStream
+      ? withoutHeader(head.headers, "content-length")
+      : head.headers;
+    this.#head = { status, headers };
   }
 
   /** Writes bytes; false if the buffer is full, in which case `onDrained` is called once it has drained. */
   write(bytes: Buffer, onDrained: () => void): boolean {
     this.#sendHead();
+    this.#sentBytes += bytes.length;
+    const { announcedBytes = Infinity } = this;
+    if (this.#sentBytes > announcedBytes) {
+      this.#breakOff();
+      return true;
+    }
     this.#onDrained = onDrained;
     const isWritable = this.#res.write(bytes);
     if (!isWritable) this.#onBuffered();
@@ -87,12 +124,24 @@
 
   end(): void {
     this.#sendHead();
-    this.#res.end();
+    const { announcedBytes = 0 } = this;
+    if (this.#sentBytes < announcedBytes) this.#breakOff();
+    else this.#res.end();
+  }
+
+  /** Otherwise the client would wait for the rest, or read the next response as a part of this one. */
+  #breakOff(): void {
+    this.#lengthError =
+      `The body has ${this.#sentBytes} of ${this.announcedBytes} announced bytes`;
+    this.destroy();
   }
 
   #sendHead(): void {
     if (this.started || this.#head === undefined) return;
     const { status, headers } = this.#head;
+    const { method = "" } = this.#res.req;
+    this.#framing = responseFraming(method, status, headers)
+      .unwrapOr(undefined);
     const closes = this.#startsLast(false) ? CLOSE_HEADER : [];
     this.#res.writeHead(status, [...headers, ...closes]);
   }
--- a/src/gateway/requests/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -43,9 +43,12 @@
 
   answered(upstream: UpstreamId | undefined, times: ResponseTimings): void {
     const { relay, history } = this.#state;
+    const { sent, announced } = relay.bodyBytes;
     this.line("answered", {
       upstream,
       status: relay.status,
+      bytes: sent,
+      announced_bytes: announced,
       ms: this.#elapsedMs(),
       expect_ms: Math.round(times.expectMs),
       first_ms: Math.round(times.firstMs),
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -59,6 +59,12 @@
     return this.#status;
   }
 
+  /** Bytes of the body that the client was sent, and the length that it was told; undefined if it was told none. */
+  get bodyBytes(): Readonly<{ sent: number; announced: number | undefined }> {
+    const { sentBytes, announcedBytes } = this.#client;
+    return { sent: sentBytes, announced: announcedBytes };
+  }
+
   /** Whether the upstream's status is a success. */
   get succeeded(): boolean {
     return this.#status <= MAX_SUCCESS;
@@ -119,7 +125,8 @@
   ): "ok" | "full" | AttemptFailure {
     if (this.#head?.isEventStream !== true) {
       this.#receivedCount += 1;
-      return this.#client.write(chunk, onDrained) ? "ok" : "full";
+      const isWritable = this.#client.write(chunk, onDrained);
+      return this.#lengthFailure() ?? (isWritable ? "ok" : "full");
     }
     const { events, invalid } = this.#parser.push(chunk);
     this.#stalledBytes += chunk.length;
@@ -164,7 +171,13 @@
       return brokenResponse("The last event is incomplete");
     }
     this.#client.end();
-    return undefined;
+    return this.#lengthFailure();
+  }
+
+  /** The failure of a body that differs from the length that was announced to the client. */
+  #lengthFailure(): AttemptFailure | undefined {
+    const { lengthError } = this.#client;
+    return lengthError === undefined ? undefined : brokenResponse(lengthError);
   }
 
   #gapDetail({ id }: StreamEvent): string {
--- a/src/gateway/requests/response_relay_test.ts
+++ b/src/gateway/requests/response_relay_test.ts
@@ -17,10 +17,12 @@
 
 /** A response that records what is written to it. */
 class FakeResponse extends EventEmitter {
+  readonly req = { method: "POST" };
   headersSent = false;
   head: unknown;
   text = "";
   ended = false;
+  destroyed = false;
 
   writeHead(status: number, headers: unknown): void {
     this.headersSent = true;
@@ -35,6 +37,10 @@
   end(): void {
     this.ended = true;
   }
+
+  destroy(): void {
+    this.destroyed = true;
+  }
 }
 
 function createRelay(lastEventId?: string) {
@@ -115,6 +121,31 @@
   });
 });
 
+// Guards against a connection that stays open while the client waits for bytes that never come.
+describe("a body that differs from its announced length breaks the connection off", () => {
+  const announced = {
+    ...EVENTS,
+    isEventStream: false,
+    headers: ["Content-Length", "4"],
+  };
+
+  test.each([["shorter", "abc", 3], ["longer", "abcde", 5]])(
+    "%s",
+    (_, text, bytes) => {
+      const { res, relay } = createRelay();
+      relay.startAttempt();
+      relay.receiveHead(200, announced, retryable);
+      const received = relay.receiveData(Buffer.from(text), () => {});
+      const failure = received === "ok" ? relay.finish() : received;
+      expect(failure).toMatchObject({
+        cause: "answer_broken",
+        detail: `The body has ${bytes} of 4 announced bytes`,
+      });
+      expect([res.destroyed, res.ended]).toEqual([true, false]);
+    },
+  );
+});
+
 describe("heads", () => {
   test("a success without a digest is a failure", () => {
     const { relay } = createRelay();
