Evidence against each part of a long prompt is kept

What callers would see: a part that crashes upstreams goes on to crash them, and sound prompts with it, if its prompt has hundreds of parts.

Cause: what a crash leaves was bounded by a number of keys, and a prompt has as many keys as parts. Losses of an upstream were cut at 512 keys, contents and parts together at 1,024, and records in messages and in the store at 64. What was dropped was the evidence of the request that was lost first.

Change: parts have a capacity of their own beside contents, in bounded maps that hold the parts of several prompts with the longest list. Losses expire from the oldest on, and are no longer scanned for each key.

--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -3,7 +3,7 @@
 import { QuarantinePersister } from "./quarantine_persister.ts";
 import type { MergedContent } from "../../suspects/content_table.ts";
 import type { SuspicionUpdate } from "./crash_suspects.ts";
-import { keyFields } from "../../suspects/suspect_key.ts";
+import { groupParts, keyListFields } from "../../suspects/suspect_key.ts";
 import { findClosure } from "../upstreams/availability.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import { GatewayController, type GatewayStep } from "../gateway_controller.ts";
@@ -77,9 +77,10 @@
     merged: readonly MergedContent[],
     from: string,
   ): void {
-    for (const { digest, crashes, epoch } of merged) {
-      const key = keyFields(digest);
-      step.line("content_learnt", { ...key, crashes, epoch, from });
+    for (const { entry, keys } of groupParts(merged, "digest")) {
+      const { crashes, epoch } = entry;
+      const named = keyListFields(keys);
+      step.line("content_learnt", { ...named, crashes, epoch, from });
     }
   }
 
@@ -151,10 +152,10 @@
   }
 
   #logUpdates(step: GatewayStep, updates: readonly SuspicionUpdate[]): void {
-    for (const { kind, key, crashes, ...details } of updates) {
-      const { upstream, evidence, lostMsAgo } = details;
+    for (const { entry, keys } of groupParts(updates, "key")) {
+      const { kind, crashes, upstream, evidence, lostMsAgo } = entry;
       step.line(`content_${kind}`, {
-        ...keyFields(key),
+        ...keyListFields(keys),
         crashes,
         ...(upstream === undefined ? {} : { upstream }),
         ...(evidence === undefined ? {} : { by: evidence }),
--- a/src/gateway/contents/crash_suspects.ts
+++ b/src/gateway/contents/crash_suspects.ts
@@ -99,6 +99,7 @@
     }>,
   ): ContentDecision {
     const { job, allowTrial, leftMs } = options;
+    this.#losses.expire(now);
     const found = keysOf(request).flatMap((key) =>
       this.#suspicionOf(key, job, now) ?? []
     );
@@ -112,11 +113,12 @@
       const retryAfterMs = Math.ceil(Math.max(waitMs, MIN_RETRY_AFTER_MS));
       return { type: "refuse", key, crashes: this.crashes(key), retryAfterMs };
     }
+    const suspected = found.filter(({ type }) => type === "suspected")
+      .map(({ key }) => key);
+    this.#probes.start(suspected, job, { now, leftMs });
     for (const { type, key } of found) {
-      if (type === "suspected") this.#probes.start(key, job, { now, leftMs });
-      else if (!this.#contents.isTrial(key, job)) {
-        this.#contents.startTrial(key, job, now);
-      }
+      if (type === "suspected" || this.#contents.isTrial(key, job)) continue;
+      this.#contents.startTrial(key, job, now);
     }
     const { key } = quarantined ?? worst;
     const type = quarantined === undefined ? "probe" : "trial";
@@ -250,18 +252,19 @@
   #holdLoneSuspects(upstream: UpstreamId, now: Timestamp): void {
     const suspects = [...this.#losses.of(upstream, now)]
       .filter(([key]) => this.#isSuspectPart(key, now));
-    for (const [, { job }] of suspects) this.#probes.end(job);
+    for (const job of jobsOf(suspects)) this.#probes.end(job);
     // An answer that has gone well for a while is less likely to be the cause.
     const starting = suspects.filter(([, loss]) =>
       loss.answeringMs < STARTING_ANSWER_MS
     );
     const likely = starting.length > 0 ? starting : suspects;
-    const jobs = new Set(likely.map(([, { job }]) => job));
+    const jobs = jobsOf(likely);
     if (jobs.size > 1 && likely.length > 1) return;
-    for (const [key, { job, at }] of likely) {
-      const leftMs = at + LONE_SUSPECT_DELAY_MS - now;
-      this.#probes.start(key, job, { now, leftMs });
-    }
+    const [loss] = likely.map(([, one]) => one);
+    if (loss === undefined) return;
+    const leftMs = loss.at + LONE_SUSPECT_DELAY_MS - now;
+    const keys = likely.map(([key]) => key);
+    this.#probes.start(keys, loss.job, { now, leftMs });
   }
 
   #recordSuccess(key: string, now: Timestamp): readonly SuspicionUpdate[] {
@@ -305,16 +308,26 @@
   ): Suspicion | undefined {
     const trialWaitMs = this.#contents.trialWaitMs(key, now);
     if (trialWaitMs !== undefined) {
-      if (this.#contents.isExplained(key)) return undefined;
+      if (this.#isExplained(key)) return undefined;
       const isTrial = this.#contents.isTrial(key, job);
       return { type: "quarantined", key, waitMs: isTrial ? 0 : trialWaitMs };
     }
     if (!this.#isSuspectPart(key, now)) return undefined;
-    const upstreams = this.#losses.upstreamsOf(key, now);
     const crashes = this.crashes(key);
-    if (crashes === 0 && upstreams.length === 0) return undefined;
-    if (crashes > 0 && this.#contents.isExplained(key)) return undefined;
+    if (crashes === 0 && !this.#losses.includes(key)) return undefined;
+    if (this.#isExplained(key)) return undefined;
     const waitMs = this.#probes.heldMs(key, job, now);
     return { type: "suspected", key, waitMs };
   }
+
+  #isExplained(key: string): boolean {
+    const crashes = this.#contents.processes(key);
+    return this.#contents.explanations.isExplained({ key, crashes });
+  }
+}
+
+function jobsOf(
+  losses: readonly (readonly [string, UpstreamLoss])[],
+): ReadonlySet<JobId> {
+  return new Set(losses.map(([, { job }]) => job));
 }
--- a/src/gateway/contents/deadly_part_test.ts
+++ b/src/gateway/contents/deadly_part_test.ts
@@ -48,6 +48,17 @@
     expect(simulation.crashes("deadly")).toBeLessThanOrEqual(MAX_CRASHES);
   });
 
+  // The evidence of one crash is larger than what an upstream's losses were bounded to.
+  test.each([["among the first", 0.05], ["among the last", 0.9]])(
+    "%s of 600 parts that all prompts share",
+    (_, deadlyPlace) => {
+      const simulation = play({ commonParts: 600, deadlyPlace });
+      simulation.run(RUN_MS);
+      expectBothSides(simulation);
+      expect(simulation.crashes("deadly")).toBeLessThanOrEqual(MAX_CRASHES);
+    },
+  );
+
   test("when it is sent for ten minutes", () => {
     const simulation = play({ soundRate: 8 });
     simulation.run(600_000);
--- a/src/gateway/contents/pending_losses.ts
+++ b/src/gateway/contents/pending_losses.ts
@@ -6,8 +6,8 @@
 const CONFIRMATION_WINDOW_MS: Millis = 10_000;
 /** Time within which a broken connection still counts after the upstream was shown to be gone or replaced. */
 const LATE_FAILURE_WINDOW_MS: Millis = 1_000;
-/** More than any upstream has slots, with the parts of each request. */
-const MAX_KEYS_PER_UPSTREAM = 512;
+/** Holds, for all upstreams, the parts of twenty requests with the longest list of new parts. */
+const MAX_KEYS = 65_536;
 /** More than the largest deployment has. */
 const MAX_UPSTREAMS = 1_024;
 
@@ -55,15 +55,15 @@
     // A silent upstream was lost before its connection broke.
     if (ended?.jobs.has(loss.job) === true) return false;
     const losses = this.#lossesOf(upstream, at);
-    // The newest losses are kept: the upstream was running those requests when it was lost.
+    // The latest loss of a key is the last one, so that the oldest ones are found first.
     for (const key of keys) {
       losses.delete(key);
       losses.set(key, loss);
     }
-    dropOldest(losses, MAX_KEYS_PER_UPSTREAM);
     this.#losses.delete(upstream);
     this.#losses.set(upstream, losses);
     dropOldest(this.#losses, MAX_UPSTREAMS);
+    this.#dropExcess();
     if (ended === undefined) return false;
     const isSameProcess = ended.startedAt === undefined ||
       (disconnected && ended.startedAt === startedAt);
@@ -80,11 +80,14 @@
     return this.#lossesOf(upstream, now);
   }
 
-  /** Upstreams that were lost with a key and may have ended. */
-  upstreamsOf(key: string, now: Timestamp): readonly UpstreamId[] {
-    return [...this.#losses.keys()].filter((upstream) =>
-      this.#lossesOf(upstream, now).has(key)
-    );
+  /** Whether an upstream was lost with a key, and may have ended. */
+  includes(key: string): boolean {
+    return [...this.#losses.values()].some((losses) => losses.has(key));
+  }
+
+  /** Drops losses of upstreams that have not turned out to have ended. */
+  expire(now: Timestamp): void {
+    for (const upstream of this.#losses.keys()) this.#lossesOf(upstream, now);
   }
 
   /** Removes and returns the losses that count as crashes, as the upstream's process has ended. */
@@ -147,11 +150,25 @@
     const losses = this.#losses.get(upstream) ??
       new Map<string, UpstreamLoss>();
     for (const [key, { at }] of losses) {
-      if (now - at > CONFIRMATION_WINDOW_MS) losses.delete(key);
+      if (now - at <= CONFIRMATION_WINDOW_MS) break;
+      losses.delete(key);
     }
     if (losses.size === 0) this.#losses.delete(upstream);
     return losses;
   }
+
+  /** Drops the oldest losses of the upstreams that were lost first. */
+  #dropExcess(): void {
+    let size = 0;
+    for (const losses of this.#losses.values()) size += losses.size;
+    for (const [upstream, losses] of this.#losses) {
+      if (size <= MAX_KEYS) return;
+      const kept = Math.max(0, losses.size - (size - MAX_KEYS));
+      size -= losses.size - kept;
+      dropOldest(losses, kept);
+      if (kept === 0) this.#losses.delete(upstream);
+    }
+  }
 }
 
 /** Drops the entries that were inserted first. */
--- a/src/gateway/contents/probe_table.ts
+++ b/src/gateway/contents/probe_table.ts
@@ -25,14 +25,15 @@
     return Math.min(MAX_RETRY_MS, Math.max(0, probe.until - now));
   }
 
+  /** Starts a probe of each key. */
   start(
-    key: string,
+    keys: readonly string[],
     job: JobId,
     options: Readonly<{ now: Timestamp; leftMs: Millis }>,
   ): void {
     const { now, leftMs } = options;
     const until = addMs(now, Math.min(leftMs, MAX_PROBE_MS));
-    this.#probes.set(key, { job, until });
+    for (const key of keys) this.#probes.set(key, { job, until });
     if (this.#probes.size <= MAX_PROBES) return;
     for (const [other, probe] of this.#probes) {
       if (probe.until <= now) this.#probes.delete(other);
--- a/src/gateway/placement/place_line.ts
+++ b/src/gateway/placement/place_line.ts
@@ -1,6 +1,7 @@
 import type { TeamId } from "../../core/id.ts";
 import type { Timestamp } from "../../core/time.ts";
 import type { PoolDecision } from "../../scheduling/pool/pool_decision.ts";
+import { partListFields } from "../../suspects/suspect_key.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 
 /** Fields of the line of a decision. */
@@ -19,7 +20,7 @@
     by: self.card.vm,
     for: ask.vm,
     tokens: ask.promptTokens,
-    ...(ask.sharedParts.length > 0 ? { parts: ask.sharedParts.join(",") } : {}),
+    ...partListFields(ask.sharedParts),
     left_ms: Math.round(ask.leftMs),
     age_ms: Math.round(now - register.asOf),
     ...(ask.closed.length > 0 ? { closed: ask.closed.length } : {}),
--- a/src/gateway/requests/exchange_log.ts
+++ b/src/gateway/requests/exchange_log.ts
@@ -2,6 +2,7 @@
 import type { UpstreamId } from "../../core/id.ts";
 import type { Refusal } from "../../core/reason.ts";
 import type { Millis } from "../../core/time.ts";
+import { partListFields } from "../../suspects/suspect_key.ts";
 import type { ResponseRelay } from "./response_relay.ts";
 import type { ExchangePort, ExchangeRequest } from "./exchange_port.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
@@ -173,8 +174,7 @@
   }
 
   #partFields(): Parameters<ExchangePort["line"]>[1] {
-    const { sharedParts } = this.#req.head;
-    return sharedParts.length === 0 ? {} : { parts: sharedParts.join(",") };
+    return partListFields(this.#req.head.sharedParts);
   }
 
   #elapsedMs(): Millis {
--- a/src/suspects/block_suspects.ts
+++ b/src/suspects/block_suspects.ts
@@ -33,7 +33,8 @@
 export class BlockSuspects {
   readonly #table = ContentTable.create({
     suspectRetentionMs: SUSPECT_RETENTION_MS,
-    maxContents: MAX_SUSPECT_BLOCKS,
+    maxContents: 0,
+    maxParts: MAX_SUSPECT_BLOCKS,
   });
   readonly #answered = RecentSuccesses.create({ maxKeys: MAX_ANSWERED_BLOCKS });
   /** Quarantined blocks of the requests that are trials, as keys of the table. */
@@ -116,7 +117,9 @@
       const crashes = processes.size;
       const isSuspect = crashes > 0 ||
         (silentBlocks.has(block) && !this.#answered.has(key, now));
-      if (!isSuspect || this.#table.isCoveredByPart(key)) continue;
+      if (!isSuspect) continue;
+      const { explanations } = this.#table;
+      if (explanations.isCoveredByPart({ key, crashes: processes })) continue;
       const verdict = crashes === 0 ? undefined : judge(block, processes);
       if (verdict === "explained") continue;
       const trialWaitMs = this.#table.isTrial(key, request)
@@ -141,7 +144,7 @@
     isShared: (block: Digest) => boolean,
   ): boolean {
     const own = new Set(blocks.map(partKey));
-    return this.#table.hasCommonPart(crashes, (key, size) => {
+    return this.#table.explanations.hasCommonPart(crashes, (key, size) => {
       if (own.has(key)) return false;
       return size > crashes.length || isShared(blockOfKey(key));
     });
--- a/src/suspects/content_table.ts
+++ b/src/suspects/content_table.ts
@@ -5,8 +5,16 @@
   SECOND_MS,
   type Timestamp,
 } from "../core/time.ts";
-import { type ContentRecord, summarizeQuarantine } from "./content_record.ts";
-import { CrashEvidence, type CrashSet } from "./crash_evidence.ts";
+import {
+  type ContentRecord,
+  joinRecords,
+  splitRecords,
+  summarizeQuarantine,
+} from "./content_record.ts";
+import type { CrashSet } from "./crash_evidence.ts";
+import { CrashExplanations } from "./crash_explanations.ts";
+import { NO_PROCESSES, withProcess } from "./crash_set.ts";
+import { EvictingMap } from "./evicting_map.ts";
 import { partOfKey } from "./suspect_key.ts";
 import {
   crashLimitOf,
@@ -19,21 +27,20 @@
 const SUSPECT_RETENTION_MS: Millis = MINUTE_MS;
 /** Default capacity; holds some minutes of crashes of upstreams with all slots in use. */
 const MAX_CONTENTS = 1_024;
-/** Processes stored for each content; more make no difference to any decision. */
-const MAX_PROCESSES = 8;
-/** Records sent at a time; they fit into one message. */
-const MAX_RECORDS = 64;
+/** Default capacity; holds the parts of five prompts with the longest list of parts. */
+const MAX_PARTS = 16_384;
 /** Time between scans for expired entries. */
 const EXPIRY_INTERVAL_MS: Millis = 10 * SECOND_MS;
 
-const NO_PROCESSES: ReadonlySet<string> = new Set();
-
 /** A content that upstream processes ended with, or that was cleared. */
 type Content = {
   /** How often the content was cleared. */
   epoch: number;
-  /** Upstream processes that ended while running the content; empty after it was cleared. */
-  readonly lost: Set<string>;
+  /**
+   * Upstream processes that ended while running the content; empty after it was cleared. Parts of one prompt share the
+   * set.
+   */
+  lost: ReadonlySet<string>;
   /** Requests let through although the content is quarantined. */
   trials: number;
   /** Id of the request that is the last trial. */
@@ -46,13 +53,15 @@
 export type ContentTableLimits = Readonly<{
   /** Retention of a content with fewer crashes than a quarantine takes. */
   suspectRetentionMs: Millis;
-  /** Contents that the table holds. */
+  /** Contents that the table holds, and parts beside them. */
   maxContents: number;
+  maxParts: number;
 }>;
 
 const DEFAULT_LIMITS: ContentTableLimits = {
   suspectRetentionMs: SUSPECT_RETENTION_MS,
   maxContents: MAX_CONTENTS,
+  maxParts: MAX_PARTS,
 };
 
 /** Content whose record was new when merged, with its crash count after the merge. */
@@ -65,14 +74,19 @@
  * of several daemons converge whatever the order of their messages; of two records, the higher epoch wins.
  */
 export class ContentTable {
-  readonly #contents = new Map<string, Content>();
+  readonly #contents: EvictingMap<Content>;
+  readonly #parts: EvictingMap<Content>;
   readonly #limits: ContentTableLimits;
   #quarantineSummary: string | undefined;
-  #evidence: CrashEvidence | undefined;
+  #explanations: CrashExplanations | undefined;
   #nextExpiryAt = 0 as Timestamp;
 
   private constructor(limits: ContentTableLimits) {
     this.#limits = limits;
+    const { maxContents, maxParts } = limits;
+    const isKept = isQuarantined;
+    this.#contents = EvictingMap.create({ maxEntries: maxContents, isKept });
+    this.#parts = EvictingMap.create({ maxEntries: maxParts, isKept });
   }
 
   static create(limits: ContentTableLimits = DEFAULT_LIMITS): ContentTable {
@@ -81,38 +95,37 @@
 
   /** Number of contents that have crashed an upstream. */
   get size(): number {
-    return [...this.#contents.values()].filter((content) =>
-      content.lost.size > 0
-    )
-      .length;
+    return this.#entries().filter(([, { lost }]) => lost.size > 0).length;
   }
 
   /** Changes whenever the quarantined contents or their counts change; empty where there are none. */
   get quarantineSummary(): string {
     this.#quarantineSummary ??= summarizeQuarantine(
-      [...this.#contents].map(([digest, content]) => ({
-        ...content,
-        digest,
-        lost: [...content.lost],
-      })),
+      this.#entries().filter(([, content]) => isQuarantined(content))
+        .map(([digest, { epoch, lost, trials }]) => ({
+          digest,
+          epoch,
+          lost: [...lost],
+          trials,
+        })),
     );
     return this.#quarantineSummary;
   }
 
   /** Number of confirmed crashes of a content. */
   crashes(digest: string): number {
-    return this.#contents.get(digest)?.lost.size ?? 0;
+    return this.#get(digest)?.lost.size ?? 0;
   }
 
   /** Processes that ended with a content. */
   processes(digest: string): ReadonlySet<string> {
-    return this.#contents.get(digest)?.lost ?? NO_PROCESSES;
+    return this.#get(digest)?.lost ?? NO_PROCESSES;
   }
 
   /** Counts the end of an upstream's process against a content; returns the crash count. */
   recordCrash(digest: string, process: string, now: Timestamp): number {
-    const content = this.#contents.get(digest) ?? createContent(now);
-    if (content.lost.size < MAX_PROCESSES) content.lost.add(process);
+    const content = this.#get(digest) ?? createContent(now);
+    content.lost = withProcess(content.lost, process);
     content.changedAt = now;
     content.trialJob = undefined;
     this.#put(digest, content, now);
@@ -121,7 +134,7 @@
 
   /** Clears a content that ran successfully; returns the crash count before. */
   clear(digest: string, now: Timestamp): number {
-    const known = this.#contents.get(digest);
+    const known = this.#get(digest);
     if (known === undefined || known.lost.size === 0) return 0;
     // The entry stays until it expires, so that the clearing reaches the other daemons.
     const cleared = { ...createContent(now), epoch: known.epoch + 1 };
@@ -133,9 +146,8 @@
   records(now: Timestamp): readonly ContentRecord[] {
     const rank = (content: Content) =>
       isQuarantined(content) ? 0 : content.lost.size === 0 ? 1 : 2;
-    return [...this.#contents]
+    const records = this.#entries()
       .sort(([, a], [, b]) => rank(a) - rank(b) || b.changedAt - a.changedAt)
-      .slice(0, MAX_RECORDS)
       .map(([digest, { epoch, lost, trials, changedAt }]) => ({
         digest,
         epoch,
@@ -143,6 +155,7 @@
         trials,
         ageMs: Math.round(now - changedAt),
       }));
+    return joinRecords(records);
   }
 
   /** Merges records of another daemon or of the store; returns those that were new here. */
@@ -150,27 +163,30 @@
     records: readonly ContentRecord[],
     now: Timestamp,
   ): readonly MergedContent[] {
-    return records.flatMap((record) => {
+    return splitRecords(records).flatMap((record) => {
       const { digest, epoch } = record;
-      const known = this.#contents.get(digest);
+      const known = this.#get(digest);
       if (known !== undefined && epoch < known.epoch) return [];
       const base = known?.epoch === epoch
         ? known
         : { ...createContent(addMs(now, -record.ageMs)), epoch };
-      const lost = [...new Set([...base.lost, ...record.lost])];
       const merged = {
         ...base,
-        lost: new Set(lost.slice(0, MAX_PROCESSES)),
+        lost: record.lost.reduce(withProcess, base.lost),
         trials: Math.max(base.trials, record.trials),
         changedAt: Math.max(base.changedAt, now - record.ageMs) as Timestamp,
       };
       if (now - merged.changedAt > this.#retentionMs(merged)) return [];
-      this.#put(digest, merged, now);
       const crashes = merged.lost.size;
       const isUnchanged = known?.epoch === epoch &&
         known.lost.size === crashes &&
         known.trials === merged.trials;
-      return isUnchanged ? [] : [{ digest, crashes, epoch }];
+      if (isUnchanged) {
+        known.changedAt = merged.changedAt;
+        return [];
+      }
+      this.#put(digest, merged, now);
+      return [{ digest, crashes, epoch }];
     });
   }
 
@@ -178,11 +194,10 @@
   expire(now: Timestamp): void {
     if (now < this.#nextExpiryAt) return;
     this.#nextExpiryAt = addMs(now, EXPIRY_INTERVAL_MS);
-    for (const [digest, content] of this.#contents) {
+    for (const [digest, content] of this.#entries()) {
       if (now - content.changedAt <= this.#retentionMs(content)) continue;
-      this.#contents.delete(digest);
-      this.#quarantineSummary = undefined;
-      this.#evidence = undefined;
+      this.#mapOf(digest).delete(digest);
+      this.#forgetDerived();
     }
   }
 
@@ -192,7 +207,7 @@
    * growing intervals, since it may be healthy.
    */
   trialWaitMs(key: string, now: Timestamp): Millis | undefined {
-    const content = this.#contents.get(key);
+    const content = this.#get(key);
     if (content === undefined || !isQuarantined(content)) return undefined;
     const { lost, trials } = content;
     const delayMs = trialDelayMs(
@@ -204,11 +219,11 @@
 
   /** Whether a job is the current trial of a quarantined key. */
   isTrial(key: string, job: string): boolean {
-    return this.#contents.get(key)?.trialJob === job;
+    return this.#get(key)?.trialJob === job;
   }
 
   startTrial(key: string, job: string, now: Timestamp): void {
-    const content = this.#contents.get(key);
+    const content = this.#get(key);
     if (content === undefined) return;
     content.trials += 1;
     content.trialJob = job;
@@ -218,7 +233,7 @@
 
   /** Ends the trial of a request that may have crashed its upstream; the request is no trial any more. */
   useUpTrial(key: string, job: string): void {
-    const content = this.#contents.get(key);
+    const content = this.#get(key);
     if (content?.trialJob === job) content.trialJob = undefined;
   }
 
@@ -228,14 +243,13 @@
     job: string,
     sent: "may_be_sent" | "never_sent",
   ): void {
-    const content = this.#contents.get(key);
+    const content = this.#get(key);
     if (content?.trialJob !== job) return;
     content.trialJob = undefined;
     if (sent === "may_be_sent" && content.lost.size >= crashLimitOf(key)) {
       // It has reached an upstream, which counts like a crash from here on.
-      content.lost.add(`turned_away/${job}`);
-      this.#quarantineSummary = undefined;
-      this.#evidence = undefined;
+      content.lost = new Set([...content.lost, `turned_away/${job}`]);
+      this.#forgetDerived();
       return;
     }
     content.trials -= 1;
@@ -244,81 +258,53 @@
 
   /** What has crashed upstreams, with their processes. */
   crashSets(): readonly CrashSet[] {
-    return [...this.#contents].map(([key, { lost }]) => ({
+    return this.#entries().map(([key, { lost }]) => ({
       key,
       crashes: lost,
     }));
   }
 
-  /**
-   * Whether others explain all crashes of a key. Either a part was aboard each of them and, if the key is a part too, at
-   * others as well; or each has a culprit of its own.
-   */
-  isExplained(key: string): boolean {
-    const lost = this.#contents.get(key)?.lost;
-    if (lost === undefined || lost.size === 0) return false;
-    return this.isCoveredByPart(key) || this.#hasCulprits(key, lost);
+  /** What else explains the crashes of a key, by all that is known now. */
+  get explanations(): CrashExplanations {
+    this.#explanations ??= CrashExplanations.create(this.crashSets());
+    return this.#explanations;
   }
 
-  /** Whether a part was aboard all crashes of a key and, if the key is a part too, at others as well. */
-  isCoveredByPart(key: string): boolean {
-    const lost = this.#contents.get(key)?.lost;
-    if (lost === undefined) return false;
-    const isPart = partOfKey(key) !== undefined;
-    const minCrashes = isPart ? lost.size + 1 : lost.size;
-    return this.hasCommonPart(
-      [...lost],
-      (other, crashes) => other !== key && crashes >= minCrashes,
-    );
+  #retentionMs(content: Content): Millis {
+    return isQuarantined(content)
+      ? QUARANTINE_RETENTION_MS
+      : this.#limits.suspectRetentionMs;
   }
 
-  #hasCulprits(key: string, lost: ReadonlySet<string>): boolean {
-    this.#evidence ??= CrashEvidence.create(this.crashSets());
-    const evidence = this.#evidence;
-    return [...lost].every((process) =>
-      evidence.isExplained(process, lost, (other) => other === key)
-    );
+  #mapOf(key: string): EvictingMap<Content> {
+    return partOfKey(key) === undefined ? this.#contents : this.#parts;
   }
 
-  /** Whether a part was aboard all of these crashes, of those that `accepts` by their key and number of crashes. */
-  hasCommonPart(
-    lost: readonly string[],
-    accepts: (key: string, crashes: number) => boolean,
-  ): boolean {
-    if (lost.length === 0) return false;
-    for (const [key, content] of this.#contents) {
-      const { size } = content.lost;
-      if (partOfKey(key) === undefined || size < lost.length) continue;
-      const isCommon = lost.every((process) => content.lost.has(process));
-      if (isCommon && accepts(key, size)) return true;
-    }
-    return false;
+  #get(key: string): Content | undefined {
+    return this.#mapOf(key).get(key);
   }
 
-  #retentionMs(content: Content): Millis {
-    return isQuarantined(content)
-      ? QUARANTINE_RETENTION_MS
-      : this.#limits.suspectRetentionMs;
+  #entries(): (readonly [string, Content])[] {
+    return [...this.#contents, ...this.#parts];
   }
 
-  #put(digest: string, content: Content, now: Timestamp): void {
-    this.#contents.delete(digest);
-    this.#contents.set(digest, content);
-    this.#quarantineSummary = undefined;
-    this.#evidence = undefined;
-    const { maxContents } = this.#limits;
-    if (this.#contents.size <= maxContents) return;
+  #put(key: string, content: Content, now: Timestamp): void {
+    const map = this.#mapOf(key);
+    map.set(key, content);
+    this.#forgetDerived();
+    if (!map.isFull) return;
     this.expire(now);
-    // Evicts the oldest entry, quarantined entries last.
-    const keys = [...this.#contents.keys()];
-    const dropped =
-      keys.find((key) => !isQuarantined(this.#contents.get(key)!)) ?? keys[0]!;
-    if (this.#contents.size > maxContents) this.#contents.delete(dropped);
+    map.evict();
+  }
+
+  #forgetDerived(): void {
+    this.#quarantineSummary = undefined;
+    this.#explanations = undefined;
   }
 }
 
 function createContent(changedAt: Timestamp): Content {
-  return { epoch: 0, lost: new Set(), trials: 0, changedAt };
+  return { epoch: 0, lost: NO_PROCESSES, trials: 0, changedAt };
 }
 
 function isQuarantined(content: Content): boolean {
--- a/src/suspects/crash_evidence.ts
+++ b/src/suspects/crash_evidence.ts
@@ -1,3 +1,5 @@
+import { crashSetName } from "./crash_set.ts";
+
 /** Crashes after which a suspect may explain the crashes of others. */
 const MIN_CULPRIT_CRASHES = 2;
 
@@ -10,22 +12,26 @@
  */
 export type CrashVerdict = "explained" | "open" | "guilty";
 
+/** Suspects with the same crashes, which say the same; the parts of one prompt mostly do. */
+type CrashGroup = Readonly<
+  { crashes: ReadonlySet<string>; keys: readonly string[] }
+>;
+
 /**
  * Says which suspects explain the crashes of others. A culprit has crashed at least twice, and at one of its crashes
  * each other such suspect was aboard of no crash that the culprit missed. So no culprit has all its crashes explained,
  * and suspects can't excuse each other.
  */
 export class CrashEvidence {
-  readonly #byProcess = new Map<string, CrashSet[]>();
-  readonly #culprits = new Map<CrashSet, boolean>();
+  readonly #byProcess = new Map<string, CrashGroup[]>();
+  readonly #culprits = new Map<CrashGroup, boolean>();
 
   private constructor(sets: Iterable<CrashSet>) {
-    for (const set of sets) {
-      if (set.crashes.size < MIN_CULPRIT_CRASHES) continue;
-      for (const process of set.crashes) {
+    for (const group of groupByCrashes(sets)) {
+      for (const process of group.crashes) {
         const aboard = this.#byProcess.get(process) ?? [];
         this.#byProcess.set(process, aboard);
-        aboard.push(set);
+        aboard.push(group);
       }
     }
   }
@@ -40,28 +46,45 @@
     crashes: ReadonlySet<string>,
     isOwn: (key: string) => boolean,
   ): boolean {
-    return this.#aboard(process).some((set) =>
-      !isOwn(set.key) && !isSubset(set.crashes, crashes) && this.#isCulprit(set)
+    return this.#aboard(process).some((group) =>
+      !isSubset(group.crashes, crashes) && this.#isCulprit(group) &&
+      !group.keys.every(isOwn)
     );
   }
 
-  #isCulprit(set: CrashSet): boolean {
-    const known = this.#culprits.get(set);
+  #isCulprit(group: CrashGroup): boolean {
+    const known = this.#culprits.get(group);
     if (known !== undefined) return known;
-    const isCulprit = [...set.crashes].some((process) =>
+    const isCulprit = [...group.crashes].some((process) =>
       this.#aboard(process).every((other) =>
-        isSubset(other.crashes, set.crashes)
+        isSubset(other.crashes, group.crashes)
       )
     );
-    this.#culprits.set(set, isCulprit);
+    this.#culprits.set(group, isCulprit);
     return isCulprit;
   }
 
-  #aboard(process: string): readonly CrashSet[] {
+  #aboard(process: string): readonly CrashGroup[] {
     return this.#byProcess.get(process) ?? [];
   }
 }
 
+/** Groups those that may be culprits. */
+function groupByCrashes(sets: Iterable<CrashSet>): Iterable<CrashGroup> {
+  const groups = new Map<
+    string,
+    { crashes: ReadonlySet<string>; keys: string[] }
+  >();
+  for (const { key, crashes } of sets) {
+    if (crashes.size < MIN_CULPRIT_CRASHES) continue;
+    const name = crashSetName(crashes);
+    const group = groups.get(name);
+    if (group === undefined) groups.set(name, { crashes, keys: [key] });
+    else group.keys.push(key);
+  }
+  return groups.values();
+}
+
 function isSubset(
   part: ReadonlySet<string>,
   whole: ReadonlySet<string>,
--- a/src/suspects/recent_successes.ts
+++ b/src/suspects/recent_successes.ts
@@ -5,8 +5,8 @@
 const CONTENT_WINDOW_MS: Millis = 60 * SECOND_MS;
 /** The same for a part, of which each answer with it is a success. */
 const PART_WINDOW_MS: Millis = 10 * CONTENT_WINDOW_MS;
-/** Default capacity; more than run at a time. */
-const MAX_KEYS = 16_384;
+/** Default capacity; more than run at a time, and the parts of twenty prompts with the longest list of parts. */
+const MAX_KEYS = 65_536;
 
 type Success = {
   readonly at: Timestamp;
--- a/src/suspects/suspect_key.ts
+++ b/src/suspects/suspect_key.ts
@@ -1,5 +1,7 @@
 import type { Digest, PromptPartId } from "../core/id.ts";
 
+/** Parts of one prompt that a log line lists; it counts the others. */
+const MAX_LISTED_PARTS = 32;
 /** Separates the kind of a key from its id; digests of contents have no such character. */
 const PART_PREFIX = "part:";
 
@@ -28,7 +30,49 @@
 }
 
 /** Fields of a log line that name a key. */
-export function keyFields(key: string): Readonly<Record<string, string>> {
+export function keyFields(key: string): KeyFields {
   const part = partOfKey(key);
   return part === undefined ? { content: key } : { part };
 }
+
+/** Fields of a log line that name a key, or several parts. */
+export function keyListFields(keys: readonly string[]): KeyFields {
+  const [first = ""] = keys;
+  return keys.length > 1
+    ? partListFields(keys.map((key) => partOfKey(key) ?? key))
+    : keyFields(first);
+}
+
+/** Fields of a log line that name the parts of a prompt, and how many there are if it lists only the first ones. */
+export function partListFields(parts: readonly string[]): KeyFields {
+  if (parts.length === 0) return {};
+  const listed = parts.slice(0, MAX_LISTED_PARTS).join(",");
+  return parts.length > MAX_LISTED_PARTS
+    ? { parts: listed, parts_count: parts.length }
+    : { parts: listed };
+}
+
+type KeyFields = Readonly<Record<string, string | number>>;
+
+/** Entries of which all but the key is the same, as for the parts of one prompt. */
+export type PartGroup<Entry> = Readonly<
+  { entry: Entry; keys: readonly string[] }
+>;
+
+/** Groups entries of parts that differ only in their key, which is the value of `field`; contents stay alone. */
+export function groupParts<
+  Field extends string,
+  Entry extends Readonly<Record<Field, string>>,
+>(entries: readonly Entry[], field: Field): readonly PartGroup<Entry>[] {
+  const groups = new Map<string, { entry: Entry; keys: string[] }>();
+  for (const entry of entries) {
+    const key: string = entry[field];
+    const name = partOfKey(key) === undefined
+      ? `${groups.size}`
+      : JSON.stringify({ ...entry, [field]: undefined });
+    const group = groups.get(name);
+    if (group === undefined) groups.set(name, { entry, keys: [key] });
+    else group.keys.push(key);
+  }
+  return [...groups.values()];
+}
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -25,6 +25,7 @@
 const RESTART_DELAY_MS: Millis = 3_000;
 const LEFT_MS: Millis = 10_000;
 const MAX_ATTEMPTS = 2;
+const DEADLY_PLACE = 0.9;
 /** Number of first parts; each is used half as often as the one before it, down to some that are used rarely. */
 const FIRST_PARTS = 40;
 /** `stableWindowMs` of the users' platform. */
@@ -45,6 +46,10 @@
   deadlyParts: readonly string[];
   /** Whether crashed upstreams fall silent rather than break their connections. */
   dark?: boolean;
+  /** Parts that all prompts share beside their first part; a deadly part stands among them. */
+  commonParts?: number;
+  /** Share of the common parts that stand before a deadly one. */
+  deadlyPlace?: number;
 }>;
 
 type SimulatedRequest = Readonly<{
@@ -78,6 +83,8 @@
   readonly #sent: SentRequest[] = [];
   readonly #replies = ReplyCursor.create();
   readonly #deadly: Set<string>;
+  /** Parts of all prompts before the place of a deadly part, and behind it. */
+  readonly #common: readonly [readonly string[], readonly string[]];
   /** Whether requests with a deadly part are sent. */
   sendsDeadly = true;
   #started = 0;
@@ -88,6 +95,14 @@
     this.#options = options;
     this.#random = Random.create(options.seed);
     this.#deadly = new Set(options.deadlyParts);
+    const common = Array.from(
+      { length: options.commonParts ?? 0 },
+      (_, i) => `common-${i}`,
+    );
+    const before = Math.ceil(
+      common.length * (options.deadlyPlace ?? DEADLY_PLACE),
+    );
+    this.#common = [common.slice(0, before), common.slice(before)];
     this.fleet = FakeGatewayFleet.create(options.daemons);
     this.fleet.publish(emptyServing(1));
     for (let i = 0; i < options.upstreams; i += 1) this.#startUpstream();
@@ -173,14 +188,15 @@
   #sendDue(): void {
     const { soundRate, deadlyRate, deadlyParts } = this.#options;
     while (this.fleet.time.now >= this.#nextSoundAt) {
-      this.send([this.#firstPart()]);
+      this.send([this.#firstPart(), ...this.#common.flat()]);
       this.#nextSoundAt += 1_000 / soundRate;
     }
     while (this.fleet.time.now >= this.#nextDeadlyAt) {
       this.#nextDeadlyAt += 1_000 / deadlyRate;
       if (!this.sendsDeadly || deadlyParts.length === 0) continue;
       const part = deadlyParts[this.#random.below(deadlyParts.length)]!;
-      this.send([this.#firstPart(), part]);
+      const [before, behind] = this.#common;
+      this.send([this.#firstPart(), ...before, part, ...behind]);
     }
   }
 
