A failure with events is not resumed

What callers would see (MIXED): a 404 of one upstream whose body ends with the events of another upstream's success, as a complete response.

Cause: whether another attempt can continue a response was asked of its type alone, and not of its status.

Evidence: the new test in resumed_framing_test.ts failed before (the response was complete).

--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -72,12 +72,17 @@
 
   /** Whether bytes were sent that no other attempt can continue, so that a retry is impossible. */
   get committed(): boolean {
-    return this.#client.started && this.#head?.isEventStream !== true;
+    return this.#client.started && !this.#isStream;
   }
 
   /** Whether the current attempt had nothing to add to a stream that the client resumed. */
   get isEmptyRest(): boolean {
-    return this.#head?.isEventStream === true && this.#receivedCount === 0;
+    return this.#isStream && this.#receivedCount === 0;
+  }
+
+  /** Whether the response is a stream of events that another attempt can continue; a failure is none. */
+  get #isStream(): boolean {
+    return this.succeeded && this.#head?.isEventStream === true;
   }
 
   /** Resets the state of the previous attempt. */
@@ -114,7 +119,8 @@
     }
     this.#head = head;
     this.#status = status;
-    this.#client.setHead(status, head);
+    const { headers } = head;
+    this.#client.setHead(status, { headers, isEventStream: this.#isStream });
     return undefined;
   }
 
@@ -123,7 +129,7 @@
     chunk: Buffer,
     onDrained: () => void,
   ): "ok" | "full" | AttemptFailure {
-    if (this.#head?.isEventStream !== true) {
+    if (!this.#isStream) {
       this.#receivedCount += 1;
       const isWritable = this.#client.write(chunk, onDrained);
       return this.#lengthFailure() ?? (isWritable ? "ok" : "full");
@@ -167,7 +173,7 @@
   /** Ends the client's response; returns a failure if the attempt's response is incomplete. */
   finish(): AttemptFailure | undefined {
     if (this.#head === undefined) return brokenResponse("No response head");
-    if (this.#head.isEventStream && this.#parser.pendingBytes > 0) {
+    if (this.#isStream && this.#parser.pendingBytes > 0) {
       return brokenResponse("The last event is incomplete");
     }
     this.#client.end();
--- a/src/gateway/requests/resumed_framing_test.ts
+++ b/src/gateway/requests/resumed_framing_test.ts
@@ -92,3 +92,19 @@
     expect(first?.endsWith("\r\n0\r\n\r\n")).toBe(true);
   });
 });
+
+// Guards against a failure whose body is ended by the events of another upstream's success.
+test("a failure that broke off within its events was resumed", async () => {
+  const failed: UpstreamScript = (socket) => {
+    const type = { "Content-Type": "text/event-stream" };
+    socket.write(
+      responseHeadText(404, { ...SEAL, ...type, "Content-Length": 99 }),
+    );
+    socket.write(EVENTS[0]!);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  };
+  fixture = await FrontServerFixture.start([failed, stream(whole)]);
+  const res = await fixture.send("/ask/x");
+  expect([res.status, res.complete]).toEqual([404, false]);
+  expect(res.body).toBe(EVENTS[0]);
+});
