A response that breaks off for a client of HTTP/1.0 is reset

Cause: without chunks and a length, the end of the connection is the end of the body, and a cut was passed on as just such an end.

--- a/src/gateway/requests/client_connection.ts
+++ b/src/gateway/requests/client_connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Problem } from "../../core/problem.ts";
 import type { Millis, Timestamp } from "../../core/time.ts";
+import { breakOff } from "../http1/break_off.ts";
 
 /** Answers a request whose body can't be read to its end. */
 export type FailBody = (err: Problem) => void;
@@ -130,6 +131,13 @@
     if (req?.complete === false) failBody?.(err);
   }
 
+  /** Ends the connection at once, with the response that its client is reading. */
+  destroy(): void {
+    const started = [...this.#responses].find(({ socket }) => socket !== null);
+    if (started === undefined) this.socket.destroy();
+    else breakOff(started);
+  }
+
   /** Closes the responses that wait behind another one, as the server closes only the one that holds the socket. */
   #closeQueued(): void {
     for (const res of [...this.#responses]) {
--- a/src/gateway/requests/client_holding.ts
+++ b/src/gateway/requests/client_holding.ts
@@ -80,7 +80,7 @@
     const { stage, connection } = this;
     const answers = stage === "behind" || stage === "body";
     if (!answers || connection.lastStarted) {
-      connection.socket.destroy();
+      connection.destroy();
       return;
     }
     if (stage === "behind") this.feed.discard();
--- a/src/gateway/requests/client_response.ts
+++ b/src/gateway/requests/client_response.ts
@@ -3,6 +3,7 @@
 import type { Problem } from "../../core/problem.ts";
 import { type Millis, SECOND_MS } from "../../core/time.ts";
 import { PROBLEM_TYPE, problemBody } from "../../http/problem_body.ts";
+import { breakOff } from "../http1/break_off.ts";
 import { type Framing, responseFraming } from "../http1/framing.ts";
 import { withoutHeader } from "../http1/header_syntax.ts";
 import type { ResponseHead } from "./dialect.ts";
@@ -148,7 +149,7 @@
 
   /** Destroys the connection, so that the client detects a truncated response. */
   destroy(): void {
-    this.#res.destroy();
+    breakOff(this.#res);
   }
 
   /**
