The unfinished events of all streams are bounded together

Cause: each stream kept to its own bound of 1 MiB, and nothing bounded all of them.

The largest event is given up first, and its upstream is at fault; a stream that may be resumed goes on elsewhere. Streams with small events go on. Metrics unfinished_event_bytes, its limit, unfinished_events_given_up.

--- a/src/gateway/byte_accumulator.ts
+++ b/src/gateway/byte_accumulator.ts
@@ -43,6 +43,12 @@
     return this.#buffer.length;
   }
 
+  /** Memory that is kept for the gathered bytes, in bytes; that of a slice is its whole buffer, unless others share it. */
+  get heldBytes(): number {
+    const { byteLength } = this.#buffer.buffer;
+    return byteLength <= Buffer.poolSize ? this.capacity : byteLength;
+  }
+
   /** Number of bytes that were copied so far, to gather them or to enlarge the buffer. */
   get copiedBytes(): number {
     return this.#copiedBytes;
--- a/src/gateway/requests/attempt_sequence.ts
+++ b/src/gateway/requests/attempt_sequence.ts
@@ -114,6 +114,7 @@
     const upstream = this.#sent?.upstream;
     this.#sent?.failed(failure, culprit);
     this.#sent = undefined;
+    this.#context.relay.endAttempt();
     this.#retry(failure, { upstream, culprit, wasSent: true });
   }
 
@@ -140,6 +141,7 @@
   abandon(): void {
     this.#sent?.abandon();
     this.#sent = undefined;
+    this.#context.relay.endAttempt();
     this.#placement?.closeUnsent(this.#req);
     this.#placement = undefined;
   }
@@ -255,6 +257,7 @@
     const failure = silenceFailureOf(sent);
     sent.abandon();
     this.#sent = undefined;
+    this.#context.relay.endAttempt();
     this.#retry(failure, { upstream, wasSent: true });
   }
 
--- a/src/gateway/requests/event_stream_parser.ts
+++ b/src/gateway/requests/event_stream_parser.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { ByteAccumulator } from "../byte_accumulator.ts";
 
 /** One complete event of a stream: its bytes as received, its id, and whether it has data. */
@@ -40,6 +40,11 @@
     return this.#pending.length;
   }
 
+  /** Memory that is kept for the event that is still incomplete, in bytes. */
+  get heldBytes(): number {
+    return this.#pending.heldBytes;
+  }
+
   /** Bytes that were copied, searched or parsed so far. */
   get workBytes(): number {
     return this.#pending.copiedBytes + this.#searchedBytes;
@@ -66,13 +71,20 @@
       from = end;
       searchFrom = end;
     }
-    if (from > 0) this.#pending.reset(data.subarray(from));
+    if (from > 0) this.#pending.reset(detached(data.subarray(from)));
     return this.#pending.length > MAX_EVENT_BYTES
       ? { events, invalid: `An event exceeds ${MAX_EVENT_BYTES} bytes` }
       : { events };
   }
 }
 
+/** A copy of a slice that is less than half of its buffer, which would be kept as long as the slice. */
+function detached(slice: Buffer): Buffer {
+  return slice.length < slice.buffer.byteLength / 2
+    ? Buffer.from(slice)
+    : slice;
+}
+
 /** Index after the first empty line that ends an event at or after `from`; undefined if there is none yet. */
 function endOfEvent(data: Buffer, from: number): number | undefined {
   for (let i = data.indexOf(NEWLINE, from); i >= 0;) {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -14,10 +14,13 @@
 import { ReadFirstTimer } from "../read_first_timer.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
+import type { UnfinishedEvents } from "./unfinished_events.ts";
 
 type ExchangeOptions = Readonly<{
   response: ClientResponse;
   gate: DrainGate;
+  /** Account of what the streams of all requests hold. */
+  unfinished?: UnfinishedEvents;
   /** Called with the time since the request's arrival when it was answered with success. */
   onAnswered: (ms: Millis) => void;
 }>;
@@ -56,6 +59,8 @@
     this.#history = AttemptHistory.create(req.admitted.route);
     this.#relay = ResponseRelay.create(response, {
       lastEventId: req.head.lastEventId,
+      unfinished: options.unfinished,
+      onGivenUp: (failure) => this.#attempts.fail(failure),
     });
     const state = { history: this.#history, relay: this.#relay };
     this.#log = ExchangeLog.create(port, req, state);
--- a/src/gateway/requests/front_server.ts
+++ b/src/gateway/requests/front_server.ts
@@ -18,6 +18,7 @@
 import type { ExchangePort } from "./exchange_port.ts";
 import { type AdmittedHead, IncomingRequest } from "./incoming_request.ts";
 import type { RouteTable } from "../serving/route_table.ts";
+import { UnfinishedEvents } from "./unfinished_events.ts";
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_HEAD_BYTES = 64 * 1024;
@@ -36,6 +37,7 @@
   readonly #server: Server;
   readonly #connections: ClientConnections;
   readonly #guard: ClientGuard;
+  readonly #unfinished: UnfinishedEvents;
   /** Admitted requests without a final response. */
   readonly #requests = new Set<IncomingRequest>();
   readonly #gate: DrainGate;
@@ -52,6 +54,7 @@
     this.#guard = ClientGuard.create(port, resources, {
       maxBodyBytes: () => state.routes()?.serving.limits.bodyBytes ?? 0,
     });
+    this.#unfinished = UnfinishedEvents.create(resources);
     this.#gate = DrainGate.create(state.drain, this.#times);
     this.#server = createHttpServer(
       {
@@ -79,9 +82,9 @@
     return new FrontServer(port, state, resources);
   }
 
-  /** What is held for clients, and its limits. */
-  get gauges(): ClientGuard["gauges"] {
-    return this.#guard.gauges;
+  /** What is held for clients and of upstreams, and the limits. */
+  get gauges(): Readonly<Record<string, number>> {
+    return { ...this.#guard.gauges, ...this.#unfinished.gauges };
   }
 
   /** Number of requests without a final response. */
@@ -158,6 +161,7 @@
           unread ? req : undefined,
         ),
       pool: this.#guard.pool,
+      unfinished: this.#unfinished,
       run: () => this.#guard.run(connection, res),
     });
     this.#requests.add(one);
--- a/src/gateway/requests/incoming_request.ts
+++ b/src/gateway/requests/incoming_request.ts
@@ -19,6 +19,7 @@
 import { type DrainGate, draining } from "./drain_gate.ts";
 import { ReadFirstTimer } from "../read_first_timer.ts";
 import { RETRY_AFTER_MS } from "./retry_policy.ts";
+import type { UnfinishedEvents } from "./unfinished_events.ts";
 
 /** Longest time for a body, also where a request's time limit is longer. */
 const MAX_BODY_MS: Millis = 30_000;
@@ -49,6 +50,8 @@
   refuse: RefuseRequest;
   /** Where the buffers of bodies come from. */
   pool?: BufferPool;
+  /** Account of what the streams of all requests hold. */
+  unfinished?: UnfinishedEvents;
   /** Called before the exchange starts; a refusal if it may not. */
   run?: () => Problem | undefined;
 }>;
@@ -60,6 +63,7 @@
   readonly #gate: DrainGate;
   readonly #times: AnswerTimes;
   readonly #refuse: RefuseRequest;
+  readonly #unfinished: UnfinishedEvents | undefined;
   readonly #run: () => Problem | undefined;
   #hold: HoldBody = () => {};
   #admitted: AdmittedRequest;
@@ -81,6 +85,7 @@
     this.#gate = options.gate;
     this.#times = options.times;
     this.#refuse = options.refuse;
+    this.#unfinished = options.unfinished;
     this.#run = options.run ?? (() => undefined);
     this.#body = ByteAccumulator.create({
       maxBytes: entry.bodyBytes,
@@ -233,6 +238,7 @@
     }, {
       response,
       gate: this.#gate,
+      unfinished: this.#unfinished,
       onAnswered: (ms) =>
         this.#times.record(admitted.route, ms, this.#port.now()),
     });
--- a/src/gateway/requests/response_relay.ts
+++ b/src/gateway/requests/response_relay.ts
@@ -4,12 +4,22 @@
 import { EventStreamParser, type StreamEvent } from "./event_stream_parser.ts";
 import { promisesNotRun } from "./not_run_promise.ts";
 import type { AttemptFailure } from "./retry_policy.ts";
+import type { UnfinishedEvent, UnfinishedEvents } from "./unfinished_events.ts";
 
 const MIN_SERVER_ERROR = 500;
 const MAX_SUCCESS = 299;
 /** Bytes received without a new event id, beyond which a stream is invalid; equals the largest event. */
 const MAX_STALLED_BYTES = 1 << 20;
 
+type RelayOptions = Readonly<{
+  /** Id of the last event that the client has received before this request. */
+  lastEventId?: string;
+  /** Account of what all streams hold. */
+  unfinished?: UnfinishedEvents;
+  /** Called when the attempt's unfinished event was given up; the attempt has failed then. */
+  onGivenUp?: (failure: AttemptFailure) => void;
+}>;
+
 /**
  * Relays the responses of one or more attempts to the client as one response. A stream that resumes on another
  * upstream keeps the head of the first response, and continues after the last event that the client was sent.
@@ -24,20 +34,20 @@
   /** Bytes since the last event with a new id. */
   #stalledBytes = 0;
   #lastEventId: string | undefined;
+  readonly #unfinished: UnfinishedEvent | undefined;
 
-  private constructor(
-    response: ClientResponse,
-    lastEventId: string | undefined,
-  ) {
+  private constructor(response: ClientResponse, options: RelayOptions) {
+    const { lastEventId, unfinished, onGivenUp = () => {} } = options;
     this.#client = response;
     this.#lastEventId = lastEventId;
+    this.#unfinished = unfinished?.open(() => onGivenUp(tooMuchHeld()));
   }
 
   static create(
     response: ClientResponse,
-    options: Readonly<{ lastEventId?: string }> = {},
+    options: RelayOptions = {},
   ): ResponseRelay {
-    return new ResponseRelay(response, options.lastEventId);
+    return new ResponseRelay(response, options);
   }
 
   /** Id of the last event that the client has received, in this exchange or before it. */
@@ -85,9 +95,15 @@
     return this.succeeded && this.#head?.isEventStream === true;
   }
 
+  /** Drops what was received of an event that the attempt did not complete. */
+  endAttempt(): void {
+    this.#parser = EventStreamParser.create();
+    this.#unfinished?.hold(0);
+  }
+
   /** Resets the state of the previous attempt. */
   startAttempt(): void {
-    this.#parser = EventStreamParser.create();
+    this.endAttempt();
     this.#receivedCount = 0;
     this.#stalledBytes = 0;
     if (!this.#client.started) this.#head = undefined;
@@ -158,6 +174,9 @@
         `${this.#stalledBytes} bytes came without a new event id`,
       );
     }
+    if (this.#unfinished?.hold(this.#parser.heldBytes) === false) {
+      return tooMuchHeld();
+    }
     return writable ? "ok" : "full";
   }
 
@@ -224,6 +243,10 @@
   };
 }
 
+function tooMuchHeld(): AttemptFailure {
+  return brokenResponse("The unfinished events of all upstreams are too large");
+}
+
 function brokenResponse(detail: string): AttemptFailure {
   return {
     cause: "answer_broken",
