--- a/src/gateway/contents/quarantine_persister.ts
+++ b/src/gateway/contents/quarantine_persister.ts
@@ -12,8 +12,9 @@
 
   /** Applies the store's response to a read or write. */
   onEvent(event: GatewayEvent): void {
-    if (event.type === "contents_read" && event.records !== undefined) {
-      this.recordRead(summarizeQuarantine(event.records));
+    if (event.type === "contents_read") {
+      const { records } = event;
+      this.recordRead(records && summarizeQuarantine(records));
     }
     if (event.type === "contents_kept") this.recordWritten(event.ok);
   }
--- a/src/gateway/upstreams/rate_persister.ts
+++ b/src/gateway/upstreams/rate_persister.ts
@@ -13,8 +13,9 @@
 
   /** Applies the store's response to a read or write. */
   onEvent(event: GatewayEvent): void {
-    if (event.type === "rates_read" && event.notices !== undefined) {
-      this.recordRead(summarizeRates(event.notices));
+    if (event.type === "rates_read") {
+      const { notices } = event;
+      this.recordRead(notices && summarizeRates(notices));
     }
     if (event.type === "rates_kept") this.recordWritten(event.ok);
   }
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -44,6 +44,8 @@
   storeLagMs: Millis;
   wakeAt: number;
   reads: number;
+  /** Writes of quarantined contents. */
+  storeWrites: number;
   /** Reads of a whole topic. */
   wholeReads: number;
   /** Fetches of a configuration version from another daemon. */
@@ -128,6 +130,7 @@
       storeLagMs: 0,
       wakeAt: Infinity,
       reads: 0,
+      storeWrites: 0,
       wholeReads: 0,
       fetches: 0,
       tableFetches: 0,
@@ -269,6 +272,7 @@
         return;
       }
       case "keep_contents": {
+        gateway.storeWrites += 1;
         const ok = this.#reachesStore(gateway);
         if (ok) this.store.contents.write(intent.records, this.time.now);
         this.#deliverFromStore(gateway, { type: "contents_kept", ok });
