A late write to the store replaces no newer one

Cause: a call that receives no response may be executed seconds later, and these writes had no condition. Besides, a newer write waited for an older one.

What was not written, or may not have been, is read again and merged. A newer write is for the offset behind the older one, and doesn't wait for it. The stand-ins of the store keep the condition too.

--- a/src/gateway/contents/content_controller.ts
+++ b/src/gateway/contents/content_controller.ts
@@ -52,7 +52,10 @@
     this.#persister.onEvent(event);
     if (event.type === "contents_read") {
       const { suspects } = board.contents;
-      const merged = suspects.restore(event.records ?? [], step.now);
+      const merged = suspects.restore(
+        event.stored?.members ?? [],
+        step.now,
+      );
       this.#logMerged(step, merged, "store");
     }
   }
--- a/src/gateway/contents/quarantine_persister.ts
+++ b/src/gateway/contents/quarantine_persister.ts
@@ -1,6 +1,6 @@
 import type { GatewayBoard } from "../gateway_board.ts";
 import type { GatewayStep } from "../gateway_controller.ts";
-import type { GatewayEvent } from "../gateway_event.ts";
+import type { GatewayEvent, KeepOptions } from "../gateway_event.ts";
 import { LeaderPersister } from "../store/leader_persister.ts";
 import { summarizeQuarantine } from "../../suspects/content_record.ts";
 
@@ -13,10 +13,17 @@
   /** Applies the store's response to a read or write. */
   onEvent(event: GatewayEvent): void {
     if (event.type === "contents_read") {
-      const { records } = event;
-      this.recordRead(records && summarizeQuarantine(records));
+      const { stored } = event;
+      this.recordRead(
+        stored && {
+          summary: summarizeQuarantine(stored.members),
+          end: stored.end,
+        },
+      );
+    }
+    if (event.type === "contents_kept") {
+      this.recordWritten(event.write, event.result);
     }
-    if (event.type === "contents_kept") this.recordWritten(event.ok);
   }
 
   protected override summarize({ contents }: GatewayBoard): string {
@@ -27,9 +34,13 @@
     step.emit({ type: "read_contents" });
   }
 
-  protected override write(board: GatewayBoard, step: GatewayStep): void {
+  protected override write(
+    board: GatewayBoard,
+    step: GatewayStep,
+    options: KeepOptions,
+  ): void {
     const records = board.contents.suspects.records(step.now)
       .filter((record) => summarizeQuarantine([record]) !== "");
-    step.emit({ type: "keep_contents", records });
+    step.emit({ type: "keep_contents", records, ...options });
   }
 }
--- a/src/gateway/gateway_event.ts
+++ b/src/gateway/gateway_event.ts
@@ -10,7 +10,11 @@
 import type { ContentReport } from "./contents/content_report.ts";
 import type { Silence } from "./contents/silence.ts";
 import type { PeerCard, PeerMessage } from "./peers/peer_message.ts";
-import type { ServingBatch, StoreError } from "./store/platform_store.ts";
+import type {
+  ServingBatch,
+  StoredList,
+  StoreError,
+} from "./store/platform_store.ts";
 import type { StoreEra } from "./store/store_position.ts";
 import type { ServingConfig } from "./serving/serving_config.ts";
 import type { UpstreamAvailability } from "./requests/upstream_availability.ts";
@@ -58,12 +62,12 @@
   }>
   | Readonly<{ type: "read_failed"; topic: StoreTopic; err: StoreError }>
   | Readonly<{ type: "announced"; cards: readonly PeerCard[] }>
-  /** The stored records of quarantined contents; `records` is absent if the read failed. */
-  | Readonly<{ type: "contents_read"; records?: readonly ContentRecord[] }>
-  | Readonly<{ type: "contents_kept"; ok: boolean }>
-  /** The stored rates of upstreams; `notices` is absent if the read failed. */
-  | Readonly<{ type: "rates_read"; notices?: readonly RateNotice[] }>
-  | Readonly<{ type: "rates_kept"; ok: boolean }>
+  /** The stored records of quarantined contents; absent if the read failed. */
+  | Readonly<{ type: "contents_read"; stored?: StoredList<ContentRecord> }>
+  | Readonly<{ type: "contents_kept"; write: WriteId; result: WriteResult }>
+  /** The stored rates of upstreams; absent if the read failed. */
+  | Readonly<{ type: "rates_read"; stored?: StoredList<RateNotice> }>
+  | Readonly<{ type: "rates_kept"; write: WriteId; result: WriteResult }>
   /** Result of inspecting an upstream; a field is absent if the report did not include it. */
   | Readonly<{
     type: "inspected";
@@ -83,6 +87,15 @@
 /** A topic of the platform's store that can be read: the configuration or the register of upstreams. */
 export type StoreTopic = "serving" | "register";
 
+/** Number of a write, by which its result is recognised. */
+export type WriteId = number;
+
+/** What came of a write; one that `failed` may still be carried out, if its topic doesn't grow before. */
+export type WriteResult = "written" | "outdated" | "failed";
+
+/** The number of a write, and the offset at which its topic must end. */
+export type KeepOptions = Readonly<{ write: WriteId; at: number }>;
+
 /** An action that the core asks the adapters to perform. */
 export type GatewayIntent =
   | Readonly<{ type: "send"; to: string; message: PeerMessage }>
@@ -100,9 +113,13 @@
   | Readonly<{ type: "fetch_table"; peer: PeerCard }>
   | Readonly<{ type: "announce"; card: PeerCard }>
   | Readonly<{ type: "read_announced" }>
-  | Readonly<{ type: "keep_contents"; records: readonly ContentRecord[] }>
+  | Readonly<
+    { type: "keep_contents"; records: readonly ContentRecord[] } & KeepOptions
+  >
   | Readonly<{ type: "read_contents" }>
-  | Readonly<{ type: "keep_rates"; notices: readonly RateNotice[] }>
+  | Readonly<
+    { type: "keep_rates"; notices: readonly RateNotice[] } & KeepOptions
+  >
   | Readonly<{ type: "read_rates" }>
   /** The upstream's process is gone or was replaced: the requests that ran there cannot complete. */
   | Readonly<{ type: "upstream_lost"; upstream: UpstreamId }>
--- a/src/gateway/store/leader_persister_test.ts
+++ b/src/gateway/store/leader_persister_test.ts
@@ -58,3 +58,68 @@
     expect(restartAll(fleet)("poison-49")).toBe(2);
   });
 });
+
+// Guards against an older list that replaces a newer one, as a call without a response may be executed seconds later.
+describe("a write that is carried out late replaced a newer one", () => {
+  const delays = [50, 150, 400, 900, 1_500, 3_000, 5_000];
+
+  test.each(delays)("of the same leader, after %i ms", (delayMs) => {
+    const fleet = startedFleet(DAEMONS);
+    leaderOf(fleet).lateWriteMs = delayMs;
+    quarantine(fleet, "first");
+    fleet.time.run(10);
+    leaderOf(fleet).lateWriteMs = 0;
+    quarantine(fleet, "second");
+    fleet.time.run(SETTLE_MS);
+    const crashes = restartAll(fleet);
+    expect([crashes("first"), crashes("second")]).toEqual([2, 2]);
+  });
+
+  test.each(
+    delays.flatMap((delayMs) =>
+      [0, 300, 1_500].map((killMs) => [delayMs, killMs] as const)
+    ),
+  )(
+    "of a leader that has ended, after %i ms, ended after %i ms",
+    (delayMs, killMs) => {
+      const fleet = startedFleet(DAEMONS);
+      const old = leaderOf(fleet);
+      old.lateWriteMs = delayMs;
+      quarantine(fleet, "first");
+      fleet.time.run(killMs);
+      fleet.remove(old);
+      fleet.time.run(SETTLE_MS / 2);
+      quarantine(fleet, "second");
+      fleet.time.run(SETTLE_MS);
+      const crashes = restartAll(fleet);
+      expect(crashes("second")).toBe(2);
+    },
+  );
+
+  test("and what another daemon wrote meanwhile is kept", () => {
+    const fleet = startedFleet(DAEMONS);
+    const lost = ["e7/1", "e8/1"];
+    const record = { digest: "other", epoch: 0, lost, trials: 0, ageMs: 0 };
+    quarantine(fleet, "first");
+    fleet.time.run(500);
+    fleet.store.contents.write([record], fleet.time.now);
+    quarantine(fleet, "second");
+    fleet.time.run(2_000);
+    const crashes = restartAll(fleet);
+    expect(["first", "other", "second"].map(crashes)).toEqual([2, 2, 2]);
+  });
+});
+
+test("a write that is under way held back a newer one", () => {
+  const fleet = startedFleet(DAEMONS);
+  const leader = leaderOf(fleet);
+  // The first write is carried out after the second one was sent.
+  leader.lateWriteMs = 250;
+  quarantine(fleet, "first");
+  fleet.time.run(5);
+  leader.lateWriteMs = 400;
+  quarantine(fleet, "second");
+  fleet.time.run(600);
+  const crashes = restartAll(fleet);
+  expect([crashes("first"), crashes("second")]).toEqual([2, 2]);
+});
--- a/src/gateway/store/platform_store.ts
+++ b/src/gateway/store/platform_store.ts
@@ -17,7 +17,9 @@
     /** No complete, readable response arrived in time. */
     | "silent"
     /** The store has no records at the requested offset; the whole topic must be read again. */
-    | "expired";
+    | "expired"
+    /** Another record was written at the offset that a write was for; the topic must be read again. */
+    | "outdated";
   detail: string;
   /** Era of the store's response; absent if there was none, or if it named none. */
   era?: StoreEra;
@@ -41,6 +43,9 @@
   era?: StoreEra;
 }>;
 
+/** A list that a topic holds, and the offset at which the topic ends. */
+export type StoredList<T> = Readonly<{ members: readonly T[]; end: number }>;
+
 /** Offset to read from (absent for the whole topic), and how long the store may hold the call for new records. */
 export type ReadOptions = Readonly<{ from?: number; waitMs: Millis }>;
 
@@ -67,14 +72,16 @@
   abstract announce(card: PeerCard): ResultAsync<void, StoreError>;
   /** Reads the cards that daemons announced. */
   abstract readAnnounced(): ResultAsync<readonly PeerCard[], StoreError>;
-  /** Replaces the stored records of quarantined contents. */
+  /** Replaces the stored records of quarantined contents, if their topic ends `at` this offset still. */
   abstract keepContents(
     records: readonly ContentRecord[],
+    options: Readonly<{ at: number }>,
   ): ResultAsync<void, StoreError>;
-  abstract readContents(): ResultAsync<readonly ContentRecord[], StoreError>;
-  /** Replaces the stored rates that upstreams have named. */
+  abstract readContents(): ResultAsync<StoredList<ContentRecord>, StoreError>;
+  /** Replaces the stored rates that upstreams have named, if their topic ends `at` this offset still. */
   abstract keepRates(
     notices: readonly RateNotice[],
+    options: Readonly<{ at: number }>,
   ): ResultAsync<void, StoreError>;
-  abstract readRates(): ResultAsync<readonly RateNotice[], StoreError>;
+  abstract readRates(): ResultAsync<StoredList<RateNotice>, StoreError>;
 }
--- a/src/gateway/store/store_caller.ts
+++ b/src/gateway/store/store_caller.ts
@@ -1,5 +1,10 @@
 import type { LogFields } from "../event_log.ts";
-import type { GatewayEvent, GatewayIntent } from "../gateway_event.ts";
+import type { Result } from "neverthrow";
+import type {
+  GatewayEvent,
+  GatewayIntent,
+  WriteResult,
+} from "../gateway_event.ts";
 import type { PlatformStore, StoreError } from "./platform_store.ts";
 import { decodeServing } from "../serving/serving_json.ts";
 import { decodePeerMessage } from "../peers/peer_message.ts";
@@ -97,31 +102,35 @@
   async keepContents(
     intent: Extract<GatewayIntent, { type: "keep_contents" }>,
   ): Promise<void> {
-    const result = await this.#store.keepContents(intent.records);
-    this.#count("keep_contents", result.isErr() ? result.error : undefined);
-    this.#options.push({ type: "contents_kept", ok: result.isOk() });
+    const { records, write } = intent;
+    const kept = await this.#store.keepContents(records, intent);
+    this.#count("keep_contents", kept.isErr() ? kept.error : undefined);
+    const result = writeResultOf(kept);
+    this.#options.push({ type: "contents_kept", write, result });
   }
 
   async readContents(): Promise<void> {
     const result = await this.#store.readContents();
     this.#count("read_contents", result.isErr() ? result.error : undefined);
-    const records = result.isOk() ? result.value : undefined;
-    this.#options.push({ type: "contents_read", records });
+    const stored = result.isOk() ? result.value : undefined;
+    this.#options.push({ type: "contents_read", stored });
   }
 
   async keepRates(
     intent: Extract<GatewayIntent, { type: "keep_rates" }>,
   ): Promise<void> {
-    const result = await this.#store.keepRates(intent.notices);
-    this.#count("keep_rates", result.isErr() ? result.error : undefined);
-    this.#options.push({ type: "rates_kept", ok: result.isOk() });
+    const { notices, write } = intent;
+    const kept = await this.#store.keepRates(notices, intent);
+    this.#count("keep_rates", kept.isErr() ? kept.error : undefined);
+    const result = writeResultOf(kept);
+    this.#options.push({ type: "rates_kept", write, result });
   }
 
   async readRates(): Promise<void> {
     const result = await this.#store.readRates();
     this.#count("read_rates", result.isErr() ? result.error : undefined);
-    const notices = result.isOk() ? result.value : undefined;
-    this.#options.push({ type: "rates_read", notices });
+    const stored = result.isOk() ? result.value : undefined;
+    this.#options.push({ type: "rates_read", stored });
   }
 
   #count(call: string, failure: StoreError | undefined): void {
@@ -130,3 +139,10 @@
     this.#options.line("store_call_failed", { call, ...failure });
   }
 }
+
+function writeResultOf(kept: Result<void, StoreError>): WriteResult {
+  return kept.match(
+    () => "written",
+    ({ code }) => code === "outdated" ? code : "failed",
+  );
+}
--- a/src/gateway/upstreams/rate_controller.ts
+++ b/src/gateway/upstreams/rate_controller.ts
@@ -100,7 +100,7 @@
         // A rate from before a restart applies until a response shows that it has ended.
         this.#mergeNotices(board, step, {
           from: "store",
-          notices: (event.notices ?? []).map((notice) => ({
+          notices: (event.stored?.members ?? []).map((notice) => ({
             ...notice,
             namedAgeMs: 0,
           })),
--- a/src/gateway/upstreams/rate_persister.ts
+++ b/src/gateway/upstreams/rate_persister.ts
@@ -1,7 +1,7 @@
 import type { Timestamp } from "../../core/time.ts";
 import type { GatewayBoard } from "../gateway_board.ts";
 import type { GatewayStep } from "../gateway_controller.ts";
-import type { GatewayEvent } from "../gateway_event.ts";
+import type { GatewayEvent, KeepOptions } from "../gateway_event.ts";
 import { LeaderPersister } from "../store/leader_persister.ts";
 import type { RateNotice } from "./named_rates.ts";
 
@@ -14,10 +14,17 @@
   /** Applies the store's response to a read or write. */
   onEvent(event: GatewayEvent): void {
     if (event.type === "rates_read") {
-      const { notices } = event;
-      this.recordRead(notices && summarizeRates(notices));
+      const { stored } = event;
+      this.recordRead(
+        stored && {
+          summary: summarizeRates(stored.members),
+          end: stored.end,
+        },
+      );
+    }
+    if (event.type === "rates_kept") {
+      this.recordWritten(event.write, event.result);
     }
-    if (event.type === "rates_kept") this.recordWritten(event.ok);
   }
 
   protected override summarize(board: GatewayBoard, now: Timestamp): string {
@@ -28,9 +35,13 @@
     step.emit({ type: "read_rates" });
   }
 
-  protected override write(board: GatewayBoard, step: GatewayStep): void {
+  protected override write(
+    board: GatewayBoard,
+    step: GatewayStep,
+    options: KeepOptions,
+  ): void {
     const notices = board.gate.rates.limitNotices(step.now);
-    step.emit({ type: "keep_rates", notices });
+    step.emit({ type: "keep_rates", notices, ...options });
   }
 }
 
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -5,6 +5,7 @@
   GatewayEvent,
   GatewayIntent,
   StoreTopic,
+  WriteResult,
 } from "../gateway/gateway_event.ts";
 import {
   encodePeerMessage,
@@ -21,6 +22,8 @@
 
 const NETWORK_DELAY_MS: Millis = 1;
 const STORE_DELAY_MS: Millis = 4;
+/** Time after which a call without a response has failed. */
+const RESPONSE_TIMEOUT_MS: Millis = 900;
 
 /** One daemon's core with the intents it has emitted. */
 export type FakeGateway = {
@@ -46,6 +49,8 @@
   reads: number;
   /** Writes of quarantined contents. */
   storeWrites: number;
+  /** Time after which the store carries out writes, whose responses are lost then; 0 for at once. */
+  lateWriteMs: Millis;
   /** Reads of a whole topic. */
   wholeReads: number;
   /** Fetches of a configuration version from another daemon. */
@@ -131,6 +136,7 @@
       wakeAt: Infinity,
       reads: 0,
       storeWrites: 0,
+      lateWriteMs: 0,
       wholeReads: 0,
       fetches: 0,
       tableFetches: 0,
@@ -273,27 +279,33 @@
       }
       case "keep_contents": {
         gateway.storeWrites += 1;
-        const ok = this.#reachesStore(gateway);
-        if (ok) this.store.contents.write(intent.records, this.time.now);
-        this.#deliverFromStore(gateway, { type: "contents_kept", ok });
+        const { records, write, at } = intent;
+        this.#write(
+          gateway,
+          () => this.store.contents.writeAt(at, records, this.time.now),
+          (result) => ({ type: "contents_kept", write, result }),
+        );
         return;
       }
       case "read_contents": {
         const ok = this.#reachesStore(gateway);
-        const records = ok ? this.store.contents.newest ?? [] : undefined;
-        this.#deliverFromStore(gateway, { type: "contents_read", records });
+        const stored = ok ? this.store.contents.list : undefined;
+        this.#deliverFromStore(gateway, { type: "contents_read", stored });
         return;
       }
       case "keep_rates": {
-        const ok = this.#reachesStore(gateway);
-        if (ok) this.store.rates.write(intent.notices, this.time.now);
-        this.#deliverFromStore(gateway, { type: "rates_kept", ok });
+        const { notices, write, at } = intent;
+        this.#write(
+          gateway,
+          () => this.store.rates.writeAt(at, notices, this.time.now),
+          (result) => ({ type: "rates_kept", write, result }),
+        );
         return;
       }
       case "read_rates": {
         const ok = this.#reachesStore(gateway);
-        const notices = ok ? this.store.rates.newest ?? [] : undefined;
-        this.#deliverFromStore(gateway, { type: "rates_read", notices });
+        const stored = ok ? this.store.rates.list : undefined;
+        this.#deliverFromStore(gateway, { type: "rates_read", stored });
         return;
       }
       case "granted":
@@ -332,6 +344,25 @@
     this.time.schedule(STORE_DELAY_MS, () => this.step(gateway, [event]));
   }
 
+  /** Carries out a write, at once or late. */
+  #write(
+    gateway: FakeGateway,
+    write: () => boolean,
+    eventOf: (result: WriteResult) => GatewayEvent,
+  ): void {
+    const { lateWriteMs } = gateway;
+    if (lateWriteMs > 0) {
+      this.time.schedule(lateWriteMs, () => void write());
+      this.time.schedule(
+        RESPONSE_TIMEOUT_MS,
+        () => this.step(gateway, [eventOf("failed")]),
+      );
+    } else if (this.#reachesStore(gateway)) {
+      const result = write() ? "written" : "outdated";
+      this.#deliverFromStore(gateway, eventOf(result));
+    } else this.#deliverFromStore(gateway, eventOf("failed"));
+  }
+
   #reachesStore(gateway: FakeGateway): boolean {
     return !this.storeDown && !gateway.storeRefuses;
   }
--- a/src/testing/fake_store.ts
+++ b/src/testing/fake_store.ts
@@ -4,6 +4,7 @@
 import type { PeerCard } from "../gateway/peers/peer_message.ts";
 import type { EvacuationChange } from "../gateway/serving/evacuated_domains.ts";
 import type { ServingConfig } from "../gateway/serving/serving_config.ts";
+import type { StoredList } from "../gateway/store/platform_store.ts";
 import type { StoreEra } from "../gateway/store/store_position.ts";
 import type { RateNotice } from "../gateway/upstreams/named_rates.ts";
 import type { UpstreamChange } from "../gateway/upstreams/upstream_table.ts";
@@ -31,20 +32,34 @@
     this.#writes.push({ at, value });
   }
 
+  /** Writes if the topic ends at the offset; returns whether it did. */
+  writeAt(offset: number, value: T, at: Timestamp): boolean {
+    if (offset !== this.length) return false;
+    this.write(value, at);
+    return true;
+  }
+
   /** Drops what was written after `at`. */
   restore(at: Timestamp): void {
     this.#writes = this.#writes.filter((write) => write.at <= at);
   }
 }
 
+/** A topic that holds a list, which each write replaces. */
+class FakeListTopic<T> extends FakeTopic<readonly T[]> {
+  get list(): StoredList<T> {
+    return { members: this.newest ?? [], end: this.length };
+  }
+}
+
 /** The platform's store: logs that daemons read at offsets, which can be restored from an older copy of them. */
 export class FakeStore {
   readonly register = new FakeTopic<UpstreamChange>();
   /** Versions of the configuration, and the operator's evacuations. */
   readonly serving = new FakeTopic<ServingConfig | EvacuationChange>();
   readonly cards = new FakeTopic<PeerCard>();
-  readonly contents = new FakeTopic<readonly ContentRecord[]>();
-  readonly rates = new FakeTopic<readonly RateNotice[]>();
+  readonly contents = new FakeListTopic<ContentRecord>();
+  readonly rates = new FakeListTopic<RateNotice>();
   #era = 1 as StoreEra;
 
   static create(): FakeStore {
