--- a/src/gateway/placement/held_prompts_test.ts
+++ b/src/gateway/placement/held_prompts_test.ts
@@ -5,8 +5,8 @@
 import {
   type FakeGateway,
   FakeGatewayFleet,
-  ReplyCursor,
 } from "../../testing/fake_gateway_fleet.ts";
+import { ReplyCursor } from "../../testing/reply_cursor.ts";
 import { emptyServing, upstreamEntry } from "../../testing/gateway_values.ts";
 import { ENGINE_PACE, placementRequest } from "../../testing/pool_fixtures.ts";
 
--- a/src/testing/deadly_part_simulation.ts
+++ b/src/testing/deadly_part_simulation.ts
@@ -3,11 +3,8 @@
 import type { Millis, Timestamp } from "../core/time.ts";
 import type { ContentReport } from "../gateway/contents/content_report.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
-import {
-  type FakeGateway,
-  FakeGatewayFleet,
-  ReplyCursor,
-} from "./fake_gateway_fleet.ts";
+import { type FakeGateway, FakeGatewayFleet } from "./fake_gateway_fleet.ts";
+import { ReplyCursor } from "./reply_cursor.ts";
 import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 import { placementRequest } from "./pool_fixtures.ts";
 
--- a/src/testing/fake_gateway_fleet.ts
+++ b/src/testing/fake_gateway_fleet.ts
@@ -61,22 +61,6 @@
   sentBytes: number;
 };
 
-/** Reads the replies of daemons to placement requests, each once. */
-export class ReplyCursor {
-  readonly #handled = new WeakMap<FakeGateway, number>();
-
-  static create(): ReplyCursor {
-    return new ReplyCursor();
-  }
-
-  /** Replies since the last call for the same daemon. */
-  next(gateway: FakeGateway): readonly GatewayIntent[] {
-    const from = this.#handled.get(gateway) ?? 0;
-    this.#handled.set(gateway, gateway.replies.length);
-    return gateway.replies.slice(from);
-  }
-}
-
 /** Daemon cores that share a network and a store, under virtual time. */
 export class FakeGatewayFleet {
   readonly time = VirtualTime.create(1_000_000 as Timestamp);
--- a/src/testing/limit_simulation.ts
+++ b/src/testing/limit_simulation.ts
@@ -7,11 +7,8 @@
 } from "../gateway/upstreams/availability.ts";
 import type { UpstreamAvailability } from "../gateway/requests/upstream_availability.ts";
 import type { JobId } from "../scheduling/pool/pool_job.ts";
-import {
-  type FakeGateway,
-  FakeGatewayFleet,
-  ReplyCursor,
-} from "./fake_gateway_fleet.ts";
+import { type FakeGateway, FakeGatewayFleet } from "./fake_gateway_fleet.ts";
+import { ReplyCursor } from "./reply_cursor.ts";
 import { emptyServing, upstreamEntry } from "./gateway_values.ts";
 import { placementRequest } from "./pool_fixtures.ts";
 
