--- a/review/stand_ins_3/daemon.ts
+++ b/review/stand_ins_3/daemon.ts
@@ -26,6 +26,15 @@
   ) => void;
 }>;
 
+const RUNNING = new Set<ChildProcess>();
+// A script that is interrupted leaves no daemon running.
+process.once("exit", () => {
+  for (const child of RUNNING) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(2));
+}
+
 /** A daemon of the product, run with the command of the deploy file; it is started again whenever it ends. */
 export class Daemon {
   readonly #options: DaemonOptions;
@@ -102,7 +111,9 @@
     });
     closeSync(log);
     this.#child = child;
+    RUNNING.add(child);
     child.once("exit", (code, signal) => {
+      RUNNING.delete(child);
       onExit({ daemon: name, code, signal: signal ?? "" });
       setTimeout(() => this.#start(), RESTART_DELAY_MS);
     });
--- a/review/stand_ins_3/installation.ts
+++ b/review/stand_ins_3/installation.ts
@@ -7,6 +7,9 @@
 export const MAX_HEADER_BYTES = 16_384;
 export const MAX_BODY_BYTES = 4_194_304;
 
+/** Time-out of the route of the lookups. */
+export const LOOKUP_TIMEOUT_MS = 3_000;
+
 /** A configuration with the routes, services and limits that the pages show for a small deployment. */
 export function configOf(version: number) {
   const route = {
@@ -47,7 +50,7 @@
         pathPrefix: "/lookup/",
         routeType: "idempotent",
         service: CALLS,
-        timeoutMs: 3_000,
+        timeoutMs: LOOKUP_TIMEOUT_MS,
         targetLatencyMs: 386,
       },
     ],
--- a/review/stand_ins_3/lab.ts
+++ b/review/stand_ins_3/lab.ts
@@ -15,6 +15,8 @@
 const HEARTBEAT_MS = 1_200;
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 100;
+/** A script may take 120 s. */
+const MAX_MS = 118_000;
 const HELD = 0;
 const BROKEN = 1;
 const NOT_RUN = 2;
@@ -43,6 +45,7 @@
   ): Promise<void> {
     const lab = new Lab(file);
     let code = NOT_RUN;
+    setTimeout(() => process.exit(NOT_RUN), MAX_MS).unref();
     try {
       const broken = await play(lab);
       lab.record("verdict", broken ?? "the rule held");
